Set down the shape: schema, generated code, model, control loop, settings and events

Cause: the shape of the code has to stand before anything is built into it. Conclusion: the folders and core types are set; the path from end to end follows.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+GO ?= go
+PACKAGES = ./...
+
+.PHONY: all build generate fmt lint test bench run measure
+
+all: generate fmt lint test
+
+build:
+	$(GO) build -o bin/redwingspread ./cmd/redwingspread
+
+generate:
+	$(GO) generate $(PACKAGES)
+
+fmt:
+	gofmt -w cmd internal pkg
+
+lint:
+	@test -z "$$(gofmt -l cmd internal pkg)" || { gofmt -l cmd internal pkg; exit 1; }
+	$(GO) vet $(PACKAGES)
+	$(GO) tool staticcheck $(PACKAGES)
+
+test:
+	$(GO) test -race -timeout 20m $(PACKAGES)
+
+bench:
+	$(GO) test -run '^$$' -bench . -benchmem $(PACKAGES)
+
+run:
+	$(GO) run ./cmd/redwingspread demo
+
+measure:
+	$(GO) run ./cmd/redwingspread measure
--- /dev/null
+++ b/internal/cli/doc.go
@@ -0,0 +1,2 @@
+// Package cli holds the commands of the program, one file each.
+package cli
--- /dev/null
+++ b/internal/control/doc.go
@@ -0,0 +1,2 @@
+// Package control runs the one goroutine that owns a host's control state.
+package control
--- /dev/null
+++ b/internal/event/doc.go
@@ -0,0 +1,2 @@
+// Package event logs the numbered events of the catalogue in docs/EVENTS.md.
+package event
--- /dev/null
+++ b/internal/event/event.go
@@ -0,0 +1,12 @@
+package event
+
+// Number identifies one event of the catalogue.
+type Number int
+
+// text returns an error's message, or nothing when there is no error.
+func text(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
--- /dev/null
+++ b/internal/model/doc.go
@@ -0,0 +1,2 @@
+// Package model holds the named ids, units and plain structs that all decisions share.
+package model
--- /dev/null
+++ b/internal/model/refusal.go
@@ -0,0 +1,70 @@
+package model
+
+import (
+	"fmt"
+	"time"
+)
+
+// Code is the reason of a refusal.
+type Code string
+
+// The reasons of refusals.
+const (
+	CodeInvalid           Code = "invalid"
+	CodeTooLarge          Code = "too_large"
+	CodeUnauthorized      Code = "unauthorized"
+	CodeForbidden         Code = "forbidden"
+	CodeUnknownDatabase   Code = "unknown_database"
+	CodeUnknownKind       Code = "unknown_kind"
+	CodeBadToken          Code = "bad_token"
+	CodeOverloaded        Code = "overloaded"
+	CodeDeadline          Code = "deadline"
+	CodeUnavailable       Code = "unavailable"
+	CodeLostWrite         Code = "lost_write"
+	CodeTransactionEnded  Code = "transaction_ended"
+	CodeOutcomeUnknown    Code = "outcome_unknown"
+	CodeNotFound          Code = "not_found"
+	CodeNotOwner          Code = "not_owner"
+	CodeStopping          Code = "stopping"
+	CodeInternal          Code = "internal"
+	CodeWrongTerm         Code = "wrong_term"
+	CodeBehind            Code = "behind"
+	CodeSlotsFull         Code = "slots_full"
+	CodeConnectionsFull   Code = "connections_full"
+	CodeNotPrimary        Code = "not_primary"
+	CodeUnknownConnection Code = "unknown_connection"
+	CodeNoTransaction     Code = "no_transaction"
+	CodeTransactionOpen   Code = "transaction_open"
+	CodeLeaving           Code = "leaving"
+	CodeUnknownOperation  Code = "unknown_operation"
+	CodeConflict          Code = "conflict"
+)
+
+// Refusal is the error of work that did not run, or whose outcome is unknown.
+type Refusal struct {
+	Code       Code
+	NotRun     bool // true when the request certainly had no effect
+	Message    string
+	RetryAfter time.Duration
+	Owner      HostID         // set with CodeNotOwner
+	Term       Term           // set with CodeNotOwner and CodeWrongTerm
+	State      *InstanceState // set when an endpoint refused
+}
+
+// Error returns the code, the outcome and the message.
+func (r *Refusal) Error() string {
+	if r.NotRun {
+		return fmt.Sprintf("%s: not run: %s", r.Code, r.Message)
+	}
+	return fmt.Sprintf("%s: outcome unknown: %s", r.Code, r.Message)
+}
+
+// Refuse returns a refusal of work that certainly did not run.
+func Refuse(code Code, format string, arguments ...any) *Refusal {
+	return &Refusal{Code: code, NotRun: true, Message: fmt.Sprintf(format, arguments...)}
+}
+
+// Doubt returns a refusal of work whose outcome is unknown.
+func Doubt(format string, arguments ...any) *Refusal {
+	return &Refusal{Code: CodeOutcomeUnknown, Message: fmt.Sprintf(format, arguments...)}
+}
--- /dev/null
+++ b/internal/platform/store.go
@@ -0,0 +1,55 @@
+package platform
+
+import (
+	"context"
+
+	"redwingspread/internal/model"
+)
+
+// Row is one row of the table service; its version is 0 when it does not exist.
+type Row struct {
+	Key      model.RowKey
+	Version  model.Version
+	Revision model.Revision
+	Value    string
+}
+
+// Check holds when the row still has the version.
+type Check struct {
+	Key     model.RowKey
+	Version model.Version
+}
+
+// Put writes one row.
+type Put struct {
+	Key   model.RowKey
+	Value string
+}
+
+// Commit is the result of a transaction: the written rows, or the current rows of the checks that failed.
+type Commit struct {
+	Committed bool
+	Rows      []Row
+}
+
+// Members is the platform's list of hosts and endpoints, which may lag by seconds.
+type Members struct {
+	Hosts     []model.Host
+	Instances []model.Instance
+}
+
+// Store is the platform's service; an error leaves the effect of a write unknown unless it is a *model.Refusal that did not run.
+type Store interface {
+	// Rows returns the rows with the prefix that changed after the revision, and the table's revision.
+	Rows(ctx context.Context, prefix model.RowKey, after model.Revision) ([]Row, model.Revision, error)
+	// Commit writes all rows when every check holds, or none.
+	Commit(ctx context.Context, checks []Check, puts []Put) (Commit, error)
+	// Object returns one object, or a refusal with CodeNotFound.
+	Object(ctx context.Context, name model.ObjectName) (string, error)
+	// PutObject writes one object.
+	PutObject(ctx context.Context, name model.ObjectName, content string) error
+	// Objects returns the names of the objects with the prefix, in order.
+	Objects(ctx context.Context, prefix model.ObjectName) ([]model.ObjectName, error)
+	// Members returns the list of hosts and endpoints.
+	Members(ctx context.Context) (Members, error)
+}
--- /dev/null
+++ b/internal/schemagen/main.go
@@ -0,0 +1,121 @@
+package main
+
+import (
+	"bytes"
+	"embed"
+	"fmt"
+	"go/format"
+	"os"
+	"path/filepath"
+	"strings"
+	"text/template"
+
+	"github.com/goccy/go-yaml"
+)
+
+//go:embed templates
+var templates embed.FS
+
+// output is one file to write from one template.
+type output struct {
+	template string
+	path     string
+}
+
+func main() {
+	if len(os.Args) != 2 {
+		fmt.Fprintln(os.Stderr, "usage: schemagen ROOT")
+		os.Exit(2)
+	}
+	if err := generate(os.Args[1]); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+// generate writes every output below the root folder of the repository.
+func generate(root string) (err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("schemagen: %w", err)
+		}
+	}()
+	var settings settingsSchema
+	if err := readSchema(root, "settings.yaml", &settings); err != nil {
+		return err
+	}
+	if err := settings.check(); err != nil {
+		return err
+	}
+	var events eventsSchema
+	if err := readSchema(root, "events.yaml", &events); err != nil {
+		return err
+	}
+	if err := events.check(); err != nil {
+		return err
+	}
+	if err := render(root, settings, output{"settings.go.tmpl", "internal/settings/settings_gen.go"}); err != nil {
+		return err
+	}
+	if err := render(root, settings, output{"settings.md.tmpl", "docs/SETTINGS.md"}); err != nil {
+		return err
+	}
+	if err := render(root, events, output{"events.go.tmpl", "internal/event/events_gen.go"}); err != nil {
+		return err
+	}
+	return render(root, events, output{"events.md.tmpl", "docs/EVENTS.md"})
+}
+
+// readSchema reads one document of the schema folder and refuses unknown keys.
+func readSchema(root, name string, into any) error {
+	content, err := os.ReadFile(filepath.Join(root, "schema", name))
+	if err != nil {
+		return err
+	}
+	return yaml.UnmarshalWithOptions(content, into, yaml.Strict())
+}
+
+// render writes one output and formats it when it is Go code.
+func render(root string, schema any, out output) error {
+	tmpl, err := template.New(out.template).Funcs(functions).ParseFS(templates, "templates/"+out.template)
+	if err != nil {
+		return err
+	}
+	var content bytes.Buffer
+	if err := tmpl.Execute(&content, schema); err != nil {
+		return err
+	}
+	text := content.Bytes()
+	if strings.HasSuffix(out.path, ".go") {
+		if text, err = format.Source(text); err != nil {
+			return fmt.Errorf("%s: %w", out.path, err)
+		}
+	}
+	path := filepath.Join(root, out.path)
+	if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
+		return err
+	}
+	return os.WriteFile(path, text, 0o644)
+}
+
+// functions are the helpers that the templates use.
+var functions = template.FuncMap{
+	"goName": goName,
+	"join":   strings.Join,
+	"quote":  func(s string) string { return fmt.Sprintf("%q", s) },
+	"cell":   func(s string) string { return strings.ReplaceAll(s, "|", "\\|") },
+}
+
+// goName turns a flag's name into an exported Go name.
+func goName(flag string) string {
+	var name strings.Builder
+	for part := range strings.SplitSeq(flag, "-") {
+		switch part {
+		case "id", "tls", "ca", "otlp", "ms", "http":
+			name.WriteString(strings.ToUpper(part))
+		default:
+			name.WriteString(strings.ToUpper(part[:1]) + part[1:])
+		}
+	}
+	return name.String()
+}
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,67 @@
+package settings
+
+import (
+	"errors"
+	"slices"
+	"strings"
+	"testing"
+)
+
+// texts is a source that reads from a map.
+type texts map[string]string
+
+func (t texts) String(name string) string { return t[name] }
+
+// good returns settings of an endpoint that pass every check, changed by the given ones.
+func good(changes texts) texts {
+	source := texts{
+		"instance": "seats-1", "database": "seats", "address": "127.0.0.1:7100",
+		"slots": "2", "connections": "15", "connection-cost": "10ms", "service-time": "2ms",
+		"lag": "10ms", "log-level": "info",
+	}
+	for name, value := range changes {
+		source[name] = value
+	}
+	return source
+}
+
+func TestLoadEndpoint(t *testing.T) {
+	tests := map[string]struct {
+		changes texts
+		want    []string // flags of the bad settings
+	}{
+		"all good":             {},
+		"missing name":         {changes: texts{"instance": ""}, want: []string{"instance"}},
+		"host name for number": {changes: texts{"address": "localhost:1"}, want: []string{"address"}},
+		"below the least":      {changes: texts{"slots": "0"}, want: []string{"slots"}},
+		"not a number":         {changes: texts{"connections": "many"}, want: []string{"connections"}},
+		"duration too long":    {changes: texts{"lag": "2h"}, want: []string{"lag"}},
+		"several at once":      {changes: texts{"slots": "x", "lag": "x", "log-level": "loud"}, want: []string{"slots", "lag", "log-level"}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			_, err := LoadEndpoint(good(test.changes))
+			var problems Problems
+			if err != nil && !errors.As(err, &problems) {
+				t.Fatalf("got error %v, want Problems", err)
+			}
+			var got []string
+			for _, problem := range problems {
+				got = append(got, problem.Flag)
+			}
+			if !slices.Equal(got, test.want) {
+				t.Errorf("got bad settings %v, want %v", got, test.want)
+			}
+		})
+	}
+}
+
+func TestSecretStaysHidden(t *testing.T) {
+	_, err := LoadServe(texts{"token-key": "too-short"})
+	if err == nil {
+		t.Fatal("got no error, want Problems")
+	}
+	if got := err.Error(); strings.Contains(got, "too-short") {
+		t.Errorf("got %q, want the secret hidden", got)
+	}
+}
--- /dev/null
+++ b/pkg/api/doc.go
@@ -0,0 +1,9 @@
+// Package api holds the code generated from the OpenAPI documents under schema/.
+package api
+
+//go:generate go tool ogen --config ../../schema/ogen.yaml --target callerapi --package callerapi --clean ../../schema/caller.yaml
+//go:generate go tool ogen --config ../../schema/ogen.yaml --target operatorapi --package operatorapi --clean ../../schema/operator.yaml
+//go:generate go tool ogen --config ../../schema/ogen.yaml --target endpointapi --package endpointapi --clean ../../schema/endpoint.yaml
+//go:generate go tool ogen --config ../../schema/ogen.yaml --target platformapi --package platformapi --clean ../../schema/platform.yaml
+//go:generate go tool ogen --config ../../schema/ogen.yaml --target peerapi --package peerapi --clean ../../schema/peer.yaml
+//go:generate go tool ogen --config ../../schema/ogen.yaml --target standinapi --package standinapi --clean ../../schema/standin.yaml
--- /dev/null
+++ b/pkg/api/operatorapi/doc.go
@@ -0,0 +1,2 @@
+// Package operatorapi is the generated operator interface: configuration and status.
+package operatorapi
