--- a/internal/endpoint/instance.go
+++ b/internal/endpoint/instance.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"redwingspread/internal/model"
 )
@@ -12,6 +13,8 @@
 	Open(ctx context.Context, host model.HostID, database model.DatabaseID, term model.Term) (Conn, model.InstanceState, error)
 	// State returns what the instance says of itself.
 	State(ctx context.Context) (model.InstanceState, error)
+	// Await returns the instance's state when it holds the point, or as it is when the limit has passed.
+	Await(ctx context.Context, least model.Point, limit time.Duration) (model.InstanceState, error)
 	// Fence raises the instance's term, after which work of a lower term is refused.
 	Fence(ctx context.Context, term model.Term) (model.InstanceState, error)
 	// Promote makes the instance primary of the term.
--- a/internal/model/ids.go
+++ b/internal/model/ids.go
@@ -41,3 +41,6 @@
 
 // ObjectName names one object of the object store.
 type ObjectName string
+
+// HostHeader is the HTTP header in which a host names itself to endpoints, to the platform and to its peers.
+const HostHeader = "Redwingspread-Host"
--- a/internal/model/work.go
+++ b/internal/model/work.go
@@ -19,6 +19,7 @@
 	Statement   Statement
 	Least       Point         // the answer must cover this point
 	MaxAge      *Age          // nil for read-your-writes
+	Wait        time.Duration // time the instance may wait to cover Least
 	Transaction TransactionID // empty outside a transaction
 	Deadline    time.Time
 }
--- a/pkg/api/endpointapi/oas_client_gen.go
+++ b/pkg/api/endpointapi/oas_client_gen.go
@@ -59,10 +59,10 @@
 	GetOutcome(ctx context.Context, params GetOutcomeParams) (*RecordedOutcome, error)
 	// GetState invokes getState operation.
 	//
-	// Returns role, term, position, timeline and load of the instance.
+	// Returns role, term, position, timeline and load of the instance, at once or when it holds a point.
 	//
 	// GET /v1/state
-	GetState(ctx context.Context) (*InstanceState, error)
+	GetState(ctx context.Context, params GetStateParams) (*InstanceState, error)
 	// OpenConnection invokes openConnection operation.
 	//
 	// Opens one connection, a scarce resource of the instance.
@@ -509,21 +509,75 @@
 
 // GetState invokes getState operation.
 //
-// Returns role, term, position, timeline and load of the instance.
+// Returns role, term, position, timeline and load of the instance, at once or when it holds a point.
 //
 // GET /v1/state
-func (c *Client) GetState(ctx context.Context) (*InstanceState, error) {
-	res, err := c.sendGetState(ctx)
+func (c *Client) GetState(ctx context.Context, params GetStateParams) (*InstanceState, error) {
+	res, err := c.sendGetState(ctx, params)
 	return res, err
 }
 
-func (c *Client) sendGetState(ctx context.Context) (res *InstanceState, err error) {
+func (c *Client) sendGetState(ctx context.Context, params GetStateParams) (res *InstanceState, err error) {
 
 	u := uri.Clone(c.requestURL(ctx))
 	var pathParts [1]string
 	pathParts[0] = "/v1/state"
 	uri.AddPathParts(u, pathParts[:]...)
 
+	q := uri.NewQueryEncoder()
+	{
+		// Encode "leastTerm" parameter.
+		cfg := uri.QueryParameterEncodingConfig{
+			Name:    "leastTerm",
+			Style:   uri.QueryStyleForm,
+			Explode: true,
+		}
+
+		if err := q.EncodeParam(cfg, func(e uri.Encoder) error {
+			if val, ok := params.LeastTerm.Get(); ok {
+				return e.EncodeValue(conv.Uint64ToString(val))
+			}
+			return nil
+		}); err != nil {
+			return res, errors.Wrap(err, "encode query")
+		}
+	}
+	{
+		// Encode "leastPosition" parameter.
+		cfg := uri.QueryParameterEncodingConfig{
+			Name:    "leastPosition",
+			Style:   uri.QueryStyleForm,
+			Explode: true,
+		}
+
+		if err := q.EncodeParam(cfg, func(e uri.Encoder) error {
+			if val, ok := params.LeastPosition.Get(); ok {
+				return e.EncodeValue(conv.Uint64ToString(val))
+			}
+			return nil
+		}); err != nil {
+			return res, errors.Wrap(err, "encode query")
+		}
+	}
+	{
+		// Encode "waitMs" parameter.
+		cfg := uri.QueryParameterEncodingConfig{
+			Name:    "waitMs",
+			Style:   uri.QueryStyleForm,
+			Explode: true,
+		}
+
+		if err := q.EncodeParam(cfg, func(e uri.Encoder) error {
+			if val, ok := params.WaitMs.Get(); ok {
+				return e.EncodeValue(conv.Int64ToString(val))
+			}
+			return nil
+		}); err != nil {
+			return res, errors.Wrap(err, "encode query")
+		}
+	}
+	u.RawQuery = q.Values().Encode()
+
 	r, err := ht.NewRequest(ctx, "GET", u)
 	if err != nil {
 		return res, errors.Wrap(err, "create request")
--- a/pkg/api/endpointapi/oas_handlers_gen.go
+++ b/pkg/api/endpointapi/oas_handlers_gen.go
@@ -634,7 +634,7 @@
 
 // handleGetStateRequest handles getState operation.
 //
-// Returns role, term, position, timeline and load of the instance.
+// Returns role, term, position, timeline and load of the instance, at once or when it holds a point.
 //
 // GET /v1/state
 func (s *Server) handleGetStateRequest(args [0]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
@@ -643,8 +643,22 @@
 	ctx := r.Context()
 
 	var (
-		err error
+		err          error
+		opErrContext = ogenerrors.OperationContext{
+			Name: GetStateOperation,
+			ID:   "getState",
+		}
 	)
+	params, err := decodeGetStateParams(args, argsEscaped, r)
+	if err != nil {
+		err = &ogenerrors.DecodeParamsError{
+			OperationContext: opErrContext,
+			Err:              err,
+		}
+		defer recordError("DecodeParams", err)
+		s.cfg.ErrorHandler(ctx, w, r, err)
+		return
+	}
 
 	var rawBody []byte
 
@@ -653,17 +667,30 @@
 		mreq := middleware.Request{
 			Context:          ctx,
 			OperationName:    GetStateOperation,
-			OperationSummary: "Returns role, term, position, timeline and load of the instance.",
+			OperationSummary: "Returns role, term, position, timeline and load of the instance, at once or when it holds a point.",
 			OperationID:      "getState",
 			Body:             nil,
 			RawBody:          rawBody,
-			Params:           middleware.Parameters{},
-			Raw:              r,
+			Params: middleware.Parameters{
+				{
+					Name: "leastTerm",
+					In:   "query",
+				}: params.LeastTerm,
+				{
+					Name: "leastPosition",
+					In:   "query",
+				}: params.LeastPosition,
+				{
+					Name: "waitMs",
+					In:   "query",
+				}: params.WaitMs,
+			},
+			Raw: r,
 		}
 
 		type (
 			Request  = struct{}
-			Params   = struct{}
+			Params   = GetStateParams
 			Response = *InstanceState
 		)
 		response, err = middleware.HookMiddleware[
@@ -673,14 +700,14 @@
 		](
 			m,
 			mreq,
-			nil,
+			unpackGetStateParams,
 			func(ctx context.Context, request Request, params Params) (response Response, err error) {
-				response, err = s.h.GetState(ctx)
+				response, err = s.h.GetState(ctx, params)
 				return response, err
 			},
 		)
 	} else {
-		response, err = s.h.GetState(ctx)
+		response, err = s.h.GetState(ctx, params)
 	}
 	if err != nil {
 		if errRes, ok := errors.Into[*RefusalStatusCode](err); ok {
--- a/pkg/api/endpointapi/oas_json_gen.go
+++ b/pkg/api/endpointapi/oas_json_gen.go
@@ -1785,18 +1785,25 @@
 			s.MaxAgeMs.Encode(e)
 		}
 	}
+	{
+		if s.WaitMs.Set {
+			e.FieldStart("waitMs")
+			s.WaitMs.Encode(e)
+		}
+	}
 	{
 		e.FieldStart("statement")
 		s.Statement.Encode(e)
 	}
 }
 
-var jsonFieldsNameOfStatementRequest = [5]string{
+var jsonFieldsNameOfStatementRequest = [6]string{
 	0: "term",
 	1: "request",
 	2: "least",
 	3: "maxAgeMs",
-	4: "statement",
+	4: "waitMs",
+	5: "statement",
 }
 
 // Decode decodes StatementRequest from json.
@@ -1852,8 +1859,18 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"maxAgeMs\"")
 			}
+		case "waitMs":
+			if err := func() error {
+				s.WaitMs.Reset()
+				if err := s.WaitMs.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"waitMs\"")
+			}
 		case "statement":
-			requiredBitSet[0] |= 1 << 4
+			requiredBitSet[0] |= 1 << 5
 			if err := func() error {
 				if err := s.Statement.Decode(d); err != nil {
 					return err
@@ -1872,7 +1889,7 @@
 	// Validate required fields.
 	var failures []validate.FieldError
 	for i, mask := range [1]uint8{
-		0b00010111,
+		0b00100111,
 	} {
 		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
 			// Mask only required fields and check equality to mask using XOR.
--- a/pkg/api/endpointapi/oas_parameters_gen.go
+++ b/pkg/api/endpointapi/oas_parameters_gen.go
@@ -399,6 +399,198 @@
 	return params, nil
 }
 
+// GetStateParams is parameters of getState operation.
+type GetStateParams struct {
+	LeastTerm     OptUint64 `json:",omitempty,omitzero"`
+	LeastPosition OptUint64 `json:",omitempty,omitzero"`
+	// Time to wait for the point; answers then as it is.
+	WaitMs OptInt64 `json:",omitempty,omitzero"`
+}
+
+func unpackGetStateParams(packed middleware.Parameters) (params GetStateParams) {
+	{
+		key := middleware.ParameterKey{
+			Name: "leastTerm",
+			In:   "query",
+		}
+		if v, ok := packed[key]; ok {
+			params.LeastTerm = v.(OptUint64)
+		}
+	}
+	{
+		key := middleware.ParameterKey{
+			Name: "leastPosition",
+			In:   "query",
+		}
+		if v, ok := packed[key]; ok {
+			params.LeastPosition = v.(OptUint64)
+		}
+	}
+	{
+		key := middleware.ParameterKey{
+			Name: "waitMs",
+			In:   "query",
+		}
+		if v, ok := packed[key]; ok {
+			params.WaitMs = v.(OptInt64)
+		}
+	}
+	return params
+}
+
+func decodeGetStateParams(args [0]string, argsEscaped bool, r *http.Request) (params GetStateParams, _ error) {
+	q := uri.NewQueryDecoder(r.URL.Query())
+	// Decode query: leastTerm.
+	if err := func() error {
+		cfg := uri.QueryParameterDecodingConfig{
+			Name:    "leastTerm",
+			Style:   uri.QueryStyleForm,
+			Explode: true,
+		}
+
+		if err := q.HasParam(cfg); err == nil {
+			if err := q.DecodeParam(cfg, func(d uri.Decoder) error {
+				var paramsDotLeastTermVal uint64
+				if err := func() error {
+					val, err := d.DecodeValue()
+					if err != nil {
+						return err
+					}
+
+					c, err := conv.ToUint64(val)
+					if err != nil {
+						return err
+					}
+
+					paramsDotLeastTermVal = c
+					return nil
+				}(); err != nil {
+					return err
+				}
+				params.LeastTerm.SetTo(paramsDotLeastTermVal)
+				return nil
+			}); err != nil {
+				return err
+			}
+		}
+		return nil
+	}(); err != nil {
+		return params, &ogenerrors.DecodeParamError{
+			Name: "leastTerm",
+			In:   "query",
+			Err:  err,
+		}
+	}
+	// Decode query: leastPosition.
+	if err := func() error {
+		cfg := uri.QueryParameterDecodingConfig{
+			Name:    "leastPosition",
+			Style:   uri.QueryStyleForm,
+			Explode: true,
+		}
+
+		if err := q.HasParam(cfg); err == nil {
+			if err := q.DecodeParam(cfg, func(d uri.Decoder) error {
+				var paramsDotLeastPositionVal uint64
+				if err := func() error {
+					val, err := d.DecodeValue()
+					if err != nil {
+						return err
+					}
+
+					c, err := conv.ToUint64(val)
+					if err != nil {
+						return err
+					}
+
+					paramsDotLeastPositionVal = c
+					return nil
+				}(); err != nil {
+					return err
+				}
+				params.LeastPosition.SetTo(paramsDotLeastPositionVal)
+				return nil
+			}); err != nil {
+				return err
+			}
+		}
+		return nil
+	}(); err != nil {
+		return params, &ogenerrors.DecodeParamError{
+			Name: "leastPosition",
+			In:   "query",
+			Err:  err,
+		}
+	}
+	// Decode query: waitMs.
+	if err := func() error {
+		cfg := uri.QueryParameterDecodingConfig{
+			Name:    "waitMs",
+			Style:   uri.QueryStyleForm,
+			Explode: true,
+		}
+
+		if err := q.HasParam(cfg); err == nil {
+			if err := q.DecodeParam(cfg, func(d uri.Decoder) error {
+				var paramsDotWaitMsVal int64
+				if err := func() error {
+					val, err := d.DecodeValue()
+					if err != nil {
+						return err
+					}
+
+					c, err := conv.ToInt64(val)
+					if err != nil {
+						return err
+					}
+
+					paramsDotWaitMsVal = c
+					return nil
+				}(); err != nil {
+					return err
+				}
+				params.WaitMs.SetTo(paramsDotWaitMsVal)
+				return nil
+			}); err != nil {
+				return err
+			}
+			if err := func() error {
+				if value, ok := params.WaitMs.Get(); ok {
+					if err := func() error {
+						if err := (validate.Int{
+							MinSet:        true,
+							Min:           0,
+							MaxSet:        true,
+							Max:           60000,
+							MinExclusive:  false,
+							MaxExclusive:  false,
+							MultipleOfSet: false,
+							MultipleOf:    0,
+							Pattern:       nil,
+						}).Validate(int64(value)); err != nil {
+							return errors.Wrap(err, "int")
+						}
+						return nil
+					}(); err != nil {
+						return err
+					}
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		}
+		return nil
+	}(); err != nil {
+		return params, &ogenerrors.DecodeParamError{
+			Name: "waitMs",
+			In:   "query",
+			Err:  err,
+		}
+	}
+	return params, nil
+}
+
 // RollbackTransactionParams is parameters of rollbackTransaction operation.
 type RollbackTransactionParams struct {
 	Connection string
--- a/pkg/api/endpointapi/oas_router_gen.go
+++ b/pkg/api/endpointapi/oas_router_gen.go
@@ -831,7 +831,7 @@
 					switch method {
 					case "GET":
 						r.name = GetStateOperation
-						r.summary = "Returns role, term, position, timeline and load of the instance."
+						r.summary = "Returns role, term, position, timeline and load of the instance, at once or when it holds a point."
 						r.operationID = "getState"
 						r.operationGroup = ""
 						r.pathPattern = "/v1/state"
--- a/pkg/api/endpointapi/oas_schemas_gen.go
+++ b/pkg/api/endpointapi/oas_schemas_gen.go
@@ -551,6 +551,52 @@
 	return d
 }
 
+// NewOptUint64 returns new OptUint64 with value set to v.
+func NewOptUint64(v uint64) OptUint64 {
+	return OptUint64{
+		Value: v,
+		Set:   true,
+	}
+}
+
+// OptUint64 is optional uint64.
+type OptUint64 struct {
+	Value uint64
+	Set   bool
+}
+
+// IsSet returns true if OptUint64 was set.
+func (o OptUint64) IsSet() bool { return o.Set }
+
+// Reset unsets value.
+func (o *OptUint64) Reset() {
+	var v uint64
+	o.Value = v
+	o.Set = false
+}
+
+// SetTo sets value to v.
+func (o *OptUint64) SetTo(v uint64) {
+	o.Set = true
+	o.Value = v
+}
+
+// Get returns value and boolean that denotes whether value was set.
+func (o OptUint64) Get() (v uint64, ok bool) {
+	if !o.Set {
+		return v, false
+	}
+	return o.Value, true
+}
+
+// Or returns value if set, or given parameter if does not.
+func (o OptUint64) Or(d uint64) uint64 {
+	if v, ok := o.Get(); ok {
+		return v
+	}
+	return d
+}
+
 // Ref: #/components/schemas/Point
 type Point struct {
 	Term     uint64 `json:"term"`
@@ -947,7 +993,9 @@
 	Request string `json:"request"`
 	Least   Point  `json:"least"`
 	// Refuses as behind when the data is older.
-	MaxAgeMs  OptInt64  `json:"maxAgeMs"`
+	MaxAgeMs OptInt64 `json:"maxAgeMs"`
+	// Time to wait for the least point before refusing as behind; no slot is held meanwhile.
+	WaitMs    OptInt64  `json:"waitMs"`
 	Statement Statement `json:"statement"`
 }
 
@@ -971,6 +1019,11 @@
 	return s.MaxAgeMs
 }
 
+// GetWaitMs returns the value of WaitMs.
+func (s *StatementRequest) GetWaitMs() OptInt64 {
+	return s.WaitMs
+}
+
 // GetStatement returns the value of Statement.
 func (s *StatementRequest) GetStatement() Statement {
 	return s.Statement
@@ -996,6 +1049,11 @@
 	s.MaxAgeMs = val
 }
 
+// SetWaitMs sets the value of WaitMs.
+func (s *StatementRequest) SetWaitMs(val OptInt64) {
+	s.WaitMs = val
+}
+
 // SetStatement sets the value of Statement.
 func (s *StatementRequest) SetStatement(val Statement) {
 	s.Statement = val
--- a/pkg/api/endpointapi/oas_server_gen.go
+++ b/pkg/api/endpointapi/oas_server_gen.go
@@ -46,10 +46,10 @@
 	GetOutcome(ctx context.Context, params GetOutcomeParams) (*RecordedOutcome, error)
 	// GetState implements getState operation.
 	//
-	// Returns role, term, position, timeline and load of the instance.
+	// Returns role, term, position, timeline and load of the instance, at once or when it holds a point.
 	//
 	// GET /v1/state
-	GetState(ctx context.Context) (*InstanceState, error)
+	GetState(ctx context.Context, params GetStateParams) (*InstanceState, error)
 	// OpenConnection implements openConnection operation.
 	//
 	// Opens one connection, a scarce resource of the instance.
--- a/pkg/api/endpointapi/oas_validators_gen.go
+++ b/pkg/api/endpointapi/oas_validators_gen.go
@@ -548,6 +548,34 @@
 			Error: err,
 		})
 	}
+	if err := func() error {
+		if value, ok := s.WaitMs.Get(); ok {
+			if err := func() error {
+				if err := (validate.Int{
+					MinSet:        true,
+					Min:           0,
+					MaxSet:        true,
+					Max:           60000,
+					MinExclusive:  false,
+					MaxExclusive:  false,
+					MultipleOfSet: false,
+					MultipleOf:    0,
+					Pattern:       nil,
+				}).Validate(int64(value)); err != nil {
+					return errors.Wrap(err, "int")
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "waitMs",
+			Error: err,
+		})
+	}
 	if err := func() error {
 		if err := s.Statement.Validate(); err != nil {
 			return err
