Add the typed clients of endpoint and platform and their stand-ins

Cause: the hosts need something real to talk to, and the rest of the code needs the clients' types. Change: clients over the generated messages with every error a typed refusal; an instance with a replicated log, terms, transactions, slots and connections; the platform's rows, objects and lagging list; faults by the admin interface; contract tables that run in memory and over HTTP.

--- /dev/null
+++ b/internal/cli/standin_platform.go
@@ -0,0 +1,46 @@
+package cli
+
+import (
+	"context"
+	"errors"
+
+	"github.com/urfave/cli/v3"
+
+	"redwingspread/internal/settings"
+	"redwingspread/internal/standin/platform"
+)
+
+// newStandinPlatform returns the command that runs the stand-in of the platform's service.
+func newStandinPlatform() *cli.Command {
+	return &cli.Command{
+		Name:   "platform",
+		Usage:  "run the stand-in of the platform's service",
+		Flags:  settings.PlatformFlags(),
+		Action: runStandinPlatform,
+	}
+}
+
+// runStandinPlatform runs the service that the settings describe.
+func runStandinPlatform(ctx context.Context, command *cli.Command) error {
+	loaded, err := settings.LoadPlatform(command)
+	if err != nil {
+		return err
+	}
+	standIn := platform.New()
+	standIn.ListLag = loaded.ListLag
+	standIn.Members, err = parseMembers(loaded.Members)
+	if err != nil {
+		return err
+	}
+	return serveStandin(ctx, loaded.Address, standIn)
+}
+
+// parseMembers reads the list of members and reports every bad one.
+func parseMembers(texts []string) (members []platform.Member, err error) {
+	for _, text := range texts {
+		member, problem := platform.ParseMember(text)
+		err = errors.Join(err, problem)
+		members = append(members, member)
+	}
+	return members, err
+}
--- /dev/null
+++ b/internal/endpoint/client.go
@@ -0,0 +1,145 @@
+package endpoint
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"redwingspread/internal/model"
+	"redwingspread/internal/outbound"
+	"redwingspread/pkg/api/endpointapi"
+)
+
+// Client calls one instance over HTTP.
+type Client struct {
+	// Host is the caller's name, sent with each request.
+	Host model.HostID
+	// Target is the instance to call.
+	Target model.Instance
+	// HTTP sends the requests; its transport is the place for traces and delays.
+	HTTP *http.Client
+
+	once sync.Once
+	api  *endpointapi.Client
+	err  error
+}
+
+var _ Instance = (*Client)(nil)
+
+// NewClient returns a client whose exported fields are to be set before its first call.
+func NewClient() *Client {
+	return &Client{HTTP: &http.Client{Transport: outbound.NewTransport()}}
+}
+
+// connect makes the generated client on first use.
+func (c *Client) connect() (*endpointapi.Client, error) {
+	c.once.Do(func() {
+		doer := outbound.Doer{Host: c.Host, HTTP: c.HTTP}
+		c.api, c.err = endpointapi.NewClient("http://"+string(c.Target.Address), endpointapi.WithClient(doer))
+	})
+	if c.err != nil {
+		return nil, model.Refuse(model.CodeInvalid, "address %q: %v", c.Target.Address, c.err)
+	}
+	return c.api, nil
+}
+
+// Open opens a connection for the host in the term.
+func (c *Client) Open(ctx context.Context, host model.HostID, database model.DatabaseID, term model.Term) (opened Conn, state model.InstanceState, err error) {
+	api, err := c.connect()
+	if err != nil {
+		return nil, state, err
+	}
+	request := &endpointapi.ConnectionRequest{Host: string(host), Database: string(database), Term: uint64(term)}
+	answer, err := api.OpenConnection(ctx, request)
+	if err != nil {
+		return nil, state, refusal(err, outbound.MayHaveRun)
+	}
+	id := model.ConnectionID(answer.Connection)
+	return &conn{api: api, id: id}, instanceState(answer.State), nil
+}
+
+// State returns what the instance says of itself.
+func (c *Client) State(ctx context.Context) (model.InstanceState, error) {
+	return c.state(ctx, endpointapi.GetStateParams{})
+}
+
+// Await returns the instance's state when it holds the point, or as it is when the limit has passed.
+func (c *Client) Await(ctx context.Context, least model.Point, limit time.Duration) (model.InstanceState, error) {
+	return c.state(ctx, endpointapi.GetStateParams{
+		LeastTerm:     endpointapi.NewOptUint64(uint64(least.Term)),
+		LeastPosition: endpointapi.NewOptUint64(uint64(least.Position)),
+		WaitMs:        endpointapi.NewOptInt64(limit.Milliseconds()),
+	})
+}
+
+// state asks for the instance's state.
+func (c *Client) state(ctx context.Context, params endpointapi.GetStateParams) (state model.InstanceState, err error) {
+	api, err := c.connect()
+	if err != nil {
+		return state, err
+	}
+	answer, err := api.GetState(ctx, params)
+	if err != nil {
+		return state, refusal(err, outbound.NoEffect)
+	}
+	return instanceState(*answer), nil
+}
+
+// Fence raises the instance's term, after which work of a lower term is refused.
+func (c *Client) Fence(ctx context.Context, term model.Term) (state model.InstanceState, err error) {
+	api, err := c.connect()
+	if err != nil {
+		return state, err
+	}
+	answer, err := api.Fence(ctx, &endpointapi.TermRequest{Term: uint64(term)})
+	if err != nil {
+		return state, refusal(err, outbound.MayHaveRun)
+	}
+	return instanceState(*answer), nil
+}
+
+// Promote makes the instance primary of the term.
+func (c *Client) Promote(ctx context.Context, term model.Term) (state model.InstanceState, err error) {
+	api, err := c.connect()
+	if err != nil {
+		return state, err
+	}
+	answer, err := api.Promote(ctx, &endpointapi.TermRequest{Term: uint64(term)})
+	if err != nil {
+		return state, refusal(err, outbound.MayHaveRun)
+	}
+	return instanceState(*answer), nil
+}
+
+// Follow makes the instance a replica of the primary of the term.
+func (c *Client) Follow(ctx context.Context, term model.Term, primary model.Instance) (state model.InstanceState, err error) {
+	api, err := c.connect()
+	if err != nil {
+		return state, err
+	}
+	request := &endpointapi.FollowRequest{Term: uint64(term), Primary: string(primary.ID), Address: string(primary.Address)}
+	answer, err := api.Follow(ctx, request)
+	if err != nil {
+		return state, refusal(err, outbound.MayHaveRun)
+	}
+	return instanceState(*answer), nil
+}
+
+// Outcome returns the recorded result of a request id, and whether there is one.
+func (c *Client) Outcome(ctx context.Context, term model.Term, request model.RequestID) (found model.Result, ok bool, err error) {
+	api, err := c.connect()
+	if err != nil {
+		return found, false, err
+	}
+	answer, err := api.GetOutcome(ctx, endpointapi.GetOutcomeParams{Request: string(request), Term: uint64(term)})
+	if err != nil {
+		return found, false, refusal(err, outbound.NoEffect)
+	}
+	recorded, ok := answer.Result.Get()
+	if !answer.Found || !ok {
+		return found, false, nil
+	}
+	found, _, err = resultOf(request, recorded)
+	return found, err == nil, err
+}
--- /dev/null
+++ b/internal/platform/client.go
@@ -0,0 +1,125 @@
+package platform
+
+import (
+	"context"
+	"net/http"
+	"sync"
+
+	"redwingspread/internal/model"
+	"redwingspread/internal/outbound"
+	"redwingspread/pkg/api/platformapi"
+)
+
+// Client calls the platform's service over HTTP.
+type Client struct {
+	// Host is the caller's name, sent with each request.
+	Host model.HostID
+	// Address is where the platform answers.
+	Address model.Address
+	// HTTP sends the requests; its transport is the place for traces and delays.
+	HTTP *http.Client
+
+	once sync.Once
+	api  *platformapi.Client
+	err  error
+}
+
+var _ Store = (*Client)(nil)
+
+// NewClient returns a client whose exported fields are to be set before its first call.
+func NewClient() *Client {
+	return &Client{HTTP: &http.Client{Transport: outbound.NewTransport()}}
+}
+
+// connect makes the generated client on first use.
+func (c *Client) connect() (*platformapi.Client, error) {
+	c.once.Do(func() {
+		doer := outbound.Doer{Host: c.Host, HTTP: c.HTTP}
+		c.api, c.err = platformapi.NewClient("http://"+string(c.Address), platformapi.WithClient(doer))
+	})
+	if c.err != nil {
+		return nil, model.Refuse(model.CodeInvalid, "address %q: %v", c.Address, c.err)
+	}
+	return c.api, nil
+}
+
+// Rows returns the rows with the prefix that changed after the revision, and the table's revision.
+func (c *Client) Rows(ctx context.Context, prefix model.RowKey, after model.Revision) (found []Row, revision model.Revision, err error) {
+	api, err := c.connect()
+	if err != nil {
+		return nil, 0, err
+	}
+	answer, err := api.ListRows(ctx, platformapi.ListRowsParams{
+		Prefix: string(prefix),
+		After:  platformapi.NewOptUint64(uint64(after)),
+	})
+	if err != nil {
+		return nil, 0, refusal(err, outbound.NoEffect)
+	}
+	return rows(answer.Rows), model.Revision(answer.Revision), nil
+}
+
+// Commit writes all rows when every check holds, or none.
+func (c *Client) Commit(ctx context.Context, checks []Check, puts []Put) (commit Commit, err error) {
+	api, err := c.connect()
+	if err != nil {
+		return commit, err
+	}
+	answer, err := api.CommitRows(ctx, transaction(checks, puts))
+	if err != nil {
+		return commit, refusal(err, outbound.MayHaveRun)
+	}
+	return Commit{Committed: answer.Committed, Rows: rows(answer.Rows)}, nil
+}
+
+// Object returns one object, or a refusal with CodeNotFound.
+func (c *Client) Object(ctx context.Context, name model.ObjectName) (content string, err error) {
+	api, err := c.connect()
+	if err != nil {
+		return "", err
+	}
+	answer, err := api.GetObject(ctx, platformapi.GetObjectParams{Name: string(name)})
+	if err != nil {
+		return "", refusal(err, outbound.NoEffect)
+	}
+	return answer.Content, nil
+}
+
+// PutObject writes one object.
+func (c *Client) PutObject(ctx context.Context, name model.ObjectName, content string) (err error) {
+	api, err := c.connect()
+	if err != nil {
+		return err
+	}
+	err = api.PutObject(ctx, &platformapi.Object{Content: content}, platformapi.PutObjectParams{Name: string(name)})
+	return refusal(err, outbound.MayHaveRun)
+}
+
+// Objects returns the names of the objects with the prefix, in order.
+func (c *Client) Objects(ctx context.Context, prefix model.ObjectName) (names []model.ObjectName, err error) {
+	api, err := c.connect()
+	if err != nil {
+		return nil, err
+	}
+	answer, err := api.ListObjects(ctx, platformapi.ListObjectsParams{Prefix: string(prefix)})
+	if err != nil {
+		return nil, refusal(err, outbound.NoEffect)
+	}
+	for _, name := range answer.Names {
+		names = append(names, model.ObjectName(name))
+	}
+	return names, nil
+}
+
+// Members returns the list of hosts and endpoints.
+func (c *Client) Members(ctx context.Context) (members Members, err error) {
+	api, err := c.connect()
+	if err != nil {
+		return members, err
+	}
+	answer, err := api.ListMembers(ctx)
+	if err != nil {
+		return members, refusal(err, outbound.NoEffect)
+	}
+	return membersOf(answer.Members), nil
+}
--- /dev/null
+++ b/internal/standin/data/database.go
@@ -0,0 +1,122 @@
+package data
+
+import (
+	"strconv"
+
+	"redwingspread/internal/model"
+)
+
+// Outcome is what one statement came to.
+type Outcome struct {
+	Done   bool   // false when it failed without a change
+	Reason string // why it failed
+	Rows   []model.Row
+}
+
+// Database holds the rows of one database; it is used by one goroutine at a time.
+type Database struct {
+	journal  journal
+	sections table[sectionID, section]
+	seats    table[seatID, seat]
+	lamps    table[lampID, lamp]
+}
+
+// operation is one statement that a database knows.
+type operation struct {
+	access model.Access
+	needs  []string
+	run    func(*Database, arguments) Outcome
+}
+
+// arguments are the arguments of one statement by name.
+type arguments map[string]string
+
+// operations holds every operation by name.
+var operations = map[string]operation{
+	"offer":     {model.Write, []string{"section", "capacity"}, (*Database).offer},
+	"register":  {model.Write, []string{"section", "resident"}, (*Database).register},
+	"pay":       {model.Write, []string{"section", "resident", "cents"}, (*Database).pay},
+	"withdraw":  {model.Write, []string{"section", "resident"}, (*Database).withdraw},
+	"seat":      {model.Read, []string{"section", "resident"}, (*Database).seat},
+	"roster":    {model.Read, []string{"section"}, (*Database).roster},
+	"waitlist":  {model.Read, []string{"section"}, (*Database).waitlist},
+	"stock":     {model.Write, []string{"lamp", "branch"}, (*Database).stock},
+	"checkout":  {model.Write, []string{"lamp", "borrower"}, (*Database).checkout},
+	"return":    {model.Write, []string{"lamp", "branch"}, (*Database).giveBack},
+	"reserve":   {model.Write, []string{"lamp", "borrower"}, (*Database).reserve},
+	"lamp":      {model.Read, []string{"lamp"}, (*Database).lamp},
+	"catalogue": {model.Read, []string{"branch"}, (*Database).catalogue},
+	"counter":   {model.Read, []string{"borrower"}, (*Database).counter},
+	"report":    {model.Read, nil, (*Database).report},
+}
+
+// New returns an empty database.
+func New() *Database {
+	d := &Database{}
+	d.sections = newTable[sectionID, section](&d.journal)
+	d.seats = newTable[seatID, seat](&d.journal)
+	d.lamps = newTable[lampID, lamp](&d.journal)
+	return d
+}
+
+// Check refuses a statement that the database does not know or whose arguments are wrong.
+func Check(statement model.Statement) error {
+	known, found := operations[statement.Operation]
+	if !found {
+		return model.Refuse(model.CodeUnknownOperation, "unknown operation %q", statement.Operation)
+	}
+	if known.access != statement.Access {
+		return model.Refuse(model.CodeInvalid, "operation %q is a %s", statement.Operation, known.access)
+	}
+	for _, name := range known.needs {
+		if statement.Arguments[name] == "" {
+			return model.Refuse(model.CodeInvalid, "operation %q needs the argument %q", statement.Operation, name)
+		}
+	}
+	return nil
+}
+
+// Run runs a statement that passed Check; its change lasts unless it is rolled back before Keep.
+func (d *Database) Run(statement model.Statement) Outcome {
+	known, found := operations[statement.Operation]
+	if !found {
+		return fail("unknown operation")
+	}
+	return known.run(d, statement.Arguments)
+}
+
+// Keep makes all changes final.
+func (d *Database) Keep() {
+	d.journal.forget()
+}
+
+// Rollback undoes the changes since the last Keep.
+func (d *Database) Rollback() {
+	d.journal.rollback()
+}
+
+// report lists every section and the number of lamps by branch.
+func (d *Database) report(arguments) Outcome {
+	outcome := Outcome{Done: true}
+	for _, id := range d.sections.keys() {
+		s, _ := d.sections.get(id)
+		outcome.Rows = append(outcome.Rows, model.Row{
+			"section":  string(id),
+			"capacity": strconv.Itoa(s.capacity),
+			"seats":    strconv.Itoa(len(s.seated)),
+			"waiting":  strconv.Itoa(len(s.waiting)),
+		})
+	}
+	outcome.Rows = append(outcome.Rows, d.lampReport()...)
+	return outcome
+}
+
+// done returns the outcome of a statement that gives one row.
+func done(row model.Row) Outcome {
+	return Outcome{Done: true, Rows: []model.Row{row}}
+}
+
+// fail returns the outcome of a statement that failed without a change.
+func fail(reason string) Outcome {
+	return Outcome{Reason: reason}
+}
--- /dev/null
+++ b/internal/standin/data/lamp.go
@@ -0,0 +1,158 @@
+package data
+
+import (
+	"strconv"
+
+	"redwingspread/internal/model"
+)
+
+// lampID names one lamp.
+type lampID string
+
+// borrowerID names one borrower.
+type borrowerID string
+
+// branchID names one branch of the library.
+type branchID string
+
+// lamp is one lamp: at its branch, or on loan when it has a borrower.
+type lamp struct {
+	branch   branchID
+	borrower borrowerID
+	reserved borrowerID
+	loans    int
+}
+
+// row returns the lamp as a row.
+func (l lamp) row(id lampID) model.Row {
+	return model.Row{
+		"lamp":     string(id),
+		"branch":   string(l.branch),
+		"borrower": string(l.borrower),
+		"reserved": string(l.reserved),
+		"loans":    strconv.Itoa(l.loans),
+	}
+}
+
+// change puts a changed lamp back and returns it.
+func (d *Database) change(id lampID, l lamp) Outcome {
+	d.lamps.put(id, l)
+	return done(l.row(id))
+}
+
+// stock adds a lamp to a branch.
+func (d *Database) stock(a arguments) Outcome {
+	id := lampID(a["lamp"])
+	if _, found := d.lamps.get(id); found {
+		return fail("lamp exists")
+	}
+	return d.change(id, lamp{branch: branchID(a["branch"])})
+}
+
+// checkout lends a lamp unless it is lent or held for somebody else.
+func (d *Database) checkout(a arguments) Outcome {
+	id, borrower := lampID(a["lamp"]), borrowerID(a["borrower"])
+	l, found := d.lamps.get(id)
+	if !found {
+		return fail("unknown lamp")
+	}
+	if l.borrower != "" {
+		return fail("on loan")
+	}
+	if l.reserved != "" && l.reserved != borrower {
+		return fail("reserved")
+	}
+	l.borrower = borrower
+	l.reserved = ""
+	l.loans++
+	return d.change(id, l)
+}
+
+// giveBack takes a lamp back at any branch.
+func (d *Database) giveBack(a arguments) Outcome {
+	id := lampID(a["lamp"])
+	l, found := d.lamps.get(id)
+	if !found {
+		return fail("unknown lamp")
+	}
+	if l.borrower == "" {
+		return fail("not on loan")
+	}
+	l.borrower = ""
+	l.branch = branchID(a["branch"])
+	return d.change(id, l)
+}
+
+// reserve holds a lamp for a borrower's pickup.
+func (d *Database) reserve(a arguments) Outcome {
+	id := lampID(a["lamp"])
+	l, found := d.lamps.get(id)
+	if !found {
+		return fail("unknown lamp")
+	}
+	if l.reserved != "" {
+		return fail("reserved")
+	}
+	l.reserved = borrowerID(a["borrower"])
+	return d.change(id, l)
+}
+
+// lamp shows one lamp.
+func (d *Database) lamp(a arguments) Outcome {
+	id := lampID(a["lamp"])
+	l, found := d.lamps.get(id)
+	if !found {
+		return Outcome{Done: true}
+	}
+	return done(l.row(id))
+}
+
+// catalogue lists the lamps that are free at a branch.
+func (d *Database) catalogue(a arguments) Outcome {
+	return d.lampsWhere(func(l lamp) bool {
+		return l.branch == branchID(a["branch"]) && l.borrower == "" && l.reserved == ""
+	})
+}
+
+// counter lists a borrower's loans and reservations.
+func (d *Database) counter(a arguments) Outcome {
+	borrower := borrowerID(a["borrower"])
+	return d.lampsWhere(func(l lamp) bool {
+		return l.borrower == borrower || l.reserved == borrower
+	})
+}
+
+// lampsWhere lists the lamps that fit.
+func (d *Database) lampsWhere(fits func(lamp) bool) Outcome {
+	outcome := Outcome{Done: true}
+	for _, id := range d.lamps.keys() {
+		if l, _ := d.lamps.get(id); fits(l) {
+			outcome.Rows = append(outcome.Rows, l.row(id))
+		}
+	}
+	return outcome
+}
+
+// lampReport counts the lamps and loans of each branch.
+func (d *Database) lampReport() []model.Row {
+	type count struct{ lamps, lent int }
+	counts := newTable[branchID, count](&journal{})
+	for _, l := range d.lamps.rows {
+		c, _ := counts.get(l.branch)
+		c.lamps++
+		if l.borrower != "" {
+			c.lent++
+		}
+		counts.put(l.branch, c)
+	}
+	var rows []model.Row
+	for _, branch := range counts.keys() {
+		c, _ := counts.get(branch)
+		rows = append(rows, model.Row{
+			"branch": string(branch),
+			"lamps":  strconv.Itoa(c.lamps),
+			"lent":   strconv.Itoa(c.lent),
+		})
+	}
+	return rows
+}
--- /dev/null
+++ b/internal/standin/data/table.go
@@ -0,0 +1,65 @@
+package data
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+)
+
+// journal holds the inverse of each change since it was emptied.
+type journal struct {
+	undo []func()
+}
+
+// record keeps the inverse of one change.
+func (j *journal) record(inverse func()) {
+	j.undo = append(j.undo, inverse)
+}
+
+// forget drops the inverses, which makes the changes final.
+func (j *journal) forget() {
+	j.undo = j.undo[:0]
+}
+
+// rollback undoes the changes, newest first.
+func (j *journal) rollback() {
+	for _, inverse := range slices.Backward(j.undo) {
+		inverse()
+	}
+	j.forget()
+}
+
+// table holds values by key and records the inverse of each change.
+type table[K cmp.Ordered, V any] struct {
+	journal *journal
+	rows    map[K]V
+}
+
+// newTable returns an empty table.
+func newTable[K cmp.Ordered, V any](j *journal) table[K, V] {
+	return table[K, V]{journal: j, rows: map[K]V{}}
+}
+
+// get returns the value of a key and whether there is one.
+func (t table[K, V]) get(key K) (V, bool) {
+	value, found := t.rows[key]
+	return value, found
+}
+
+// put sets the value of a key.
+func (t table[K, V]) put(key K, value V) {
+	old, found := t.rows[key]
+	t.rows[key] = value
+	t.journal.record(func() {
+		if found {
+			t.rows[key] = old
+			return
+		}
+		delete(t.rows, key)
+	})
+}
+
+// keys returns the keys in order.
+func (t table[K, V]) keys() []K {
+	return slices.Sorted(maps.Keys(t.rows))
+}
--- /dev/null
+++ b/internal/standin/fault/admin.go
@@ -0,0 +1,55 @@
+package fault
+
+import (
+	"time"
+
+	"redwingspread/pkg/api/standinapi"
+)
+
+// FromMessage translates the message that sets faults.
+func FromMessage(m *standinapi.Faults) Faults {
+	faults := Faults{
+		Outage:         m.Outage.Or(false),
+		Slow:           milliseconds(m.SlowMs),
+		LoseAnswers:    Share(m.LoseAnswers.Or(0)),
+		DoubleRequests: Share(m.DoubleRequests.Or(0)),
+		CutAnswers:     Share(m.CutAnswers.Or(0)),
+		LateAnswers:    Share(m.LateAnswers.Or(0)),
+		Late:           milliseconds(m.LateMs),
+		Leaving:        m.Leaving.Or(false),
+	}
+	if m.LagMs.Set {
+		lag := milliseconds(m.LagMs)
+		faults.Lag = &lag
+	}
+	for _, name := range m.IsolatedFrom {
+		faults.IsolatedFrom = append(faults.IsolatedFrom, Party(name))
+	}
+	return faults
+}
+
+// Message translates faults to the message that shows them.
+func (f Faults) Message() *standinapi.Faults {
+	message := &standinapi.Faults{
+		Outage:         standinapi.NewOptBool(f.Outage),
+		SlowMs:         standinapi.NewOptInt64(f.Slow.Milliseconds()),
+		LoseAnswers:    standinapi.NewOptFloat64(float64(f.LoseAnswers)),
+		DoubleRequests: standinapi.NewOptFloat64(float64(f.DoubleRequests)),
+		CutAnswers:     standinapi.NewOptFloat64(float64(f.CutAnswers)),
+		LateAnswers:    standinapi.NewOptFloat64(float64(f.LateAnswers)),
+		LateMs:         standinapi.NewOptInt64(f.Late.Milliseconds()),
+		Leaving:        standinapi.NewOptBool(f.Leaving),
+	}
+	if f.Lag != nil {
+		message.LagMs = standinapi.NewOptInt64(f.Lag.Milliseconds())
+	}
+	for _, party := range f.IsolatedFrom {
+		message.IsolatedFrom = append(message.IsolatedFrom, string(party))
+	}
+	return message
+}
+
+// milliseconds returns an optional number of milliseconds as a duration.
+func milliseconds(number standinapi.OptInt64) time.Duration {
+	return time.Duration(number.Or(0)) * time.Millisecond
+}
--- /dev/null
+++ b/internal/standin/instance/connection.go
@@ -0,0 +1,161 @@
+package instance
+
+import (
+	"fmt"
+	"time"
+
+	"redwingspread/internal/model"
+	"redwingspread/internal/standin/data"
+)
+
+// connection is one open connection.
+type connection struct {
+	host     model.HostID
+	busy     bool
+	used     time.Time
+	begun    bool
+	buffered []model.Statement // writes of the open transaction
+}
+
+// reserve takes room for a connection that is being opened.
+func (c *core) reserve(now time.Time, database model.DatabaseID, term model.Term) error {
+	if database != c.database {
+		return c.refuse(now, model.CodeInvalid, "database is %q, not %q", c.database, database)
+	}
+	if err := c.checkTerm(now, term); err != nil {
+		return err
+	}
+	if c.leaving {
+		return c.refuse(now, model.CodeLeaving, "instance is leaving")
+	}
+	if c.opening+model.Connections(len(c.connections)) >= c.limits.connections {
+		return c.refuse(now, model.CodeConnectionsFull, "all %d connections are open", c.limits.connections)
+	}
+	c.opening++
+	return nil
+}
+
+// open turns reserved room into a connection.
+func (c *core) open(now time.Time, host model.HostID, term model.Term) (id model.ConnectionID, err error) {
+	c.opening--
+	if err := c.checkTerm(now, term); err != nil {
+		return "", err
+	}
+	c.opened++
+	id = model.ConnectionID(fmt.Sprintf("%s-%x-%d", c.id, c.birth.UnixNano(), c.opened))
+	c.connections[id] = &connection{host: host, used: now}
+	return id, nil
+}
+
+// close closes a connection and drops its open transaction.
+func (c *core) close(id model.ConnectionID) {
+	delete(c.connections, id)
+}
+
+// sweep closes the connections that were idle for too long.
+func (c *core) sweep(now time.Time) {
+	for id, conn := range c.connections {
+		if !conn.busy && now.Sub(conn.used) >= c.limits.idle {
+			delete(c.connections, id)
+		}
+	}
+}
+
+// use returns a connection that is free to take a call in the term.
+func (c *core) use(now time.Time, id model.ConnectionID, term model.Term) (*connection, error) {
+	if err := c.checkTerm(now, term); err != nil {
+		return nil, err
+	}
+	conn, found := c.connections[id]
+	if !found {
+		return nil, c.refuse(now, model.CodeUnknownConnection, "connection %q is not open", id)
+	}
+	if conn.busy {
+		return nil, c.refuse(now, model.CodeInvalid, "connection %q is busy", id)
+	}
+	conn.used = now
+	return conn, nil
+}
+
+// begin begins a transaction.
+func (c *core) begin(now time.Time, id model.ConnectionID, term model.Term) (state model.InstanceState, err error) {
+	conn, err := c.use(now, id, term)
+	if err != nil {
+		return state, err
+	}
+	if conn.begun {
+		return state, c.refuse(now, model.CodeTransactionOpen, "a transaction is open")
+	}
+	conn.begun = true
+	return c.state(now), nil
+}
+
+// rollback drops the open transaction.
+func (c *core) rollback(now time.Time, id model.ConnectionID) error {
+	conn, found := c.connections[id]
+	if !found {
+		return c.refuse(now, model.CodeUnknownConnection, "connection %q is not open", id)
+	}
+	if !conn.begun {
+		return c.refuse(now, model.CodeNoTransaction, "no transaction is open")
+	}
+	conn.begun = false
+	conn.buffered = nil
+	return nil
+}
+
+// commit validates the buffered writes and makes them one entry of the log.
+func (c *core) commit(now time.Time, id model.ConnectionID, term model.Term, request model.RequestID) (result model.Result, err error) {
+	conn, err := c.use(now, id, term)
+	if err != nil {
+		return result, err
+	}
+	if e, found := c.history.find(request); found {
+		conn.begun = false
+		conn.buffered = nil
+		return c.repeated(e), nil
+	}
+	if !conn.begun {
+		return result, c.refuse(now, model.CodeNoTransaction, "no transaction is open")
+	}
+	if c.role != model.RolePrimary && len(conn.buffered) > 0 {
+		return result, c.refuse(now, model.CodeNotPrimary, "instance is %s", c.role)
+	}
+	statements := conn.buffered
+	conn.begun = false
+	conn.buffered = nil
+	if len(statements) == 0 {
+		return resultOf(request, data.Outcome{Done: true}, c.history.point()), nil
+	}
+	return c.write(now, request, statements), nil
+}
+
+// write runs statements together and appends their outcome to the log; when one fails none has an effect.
+func (c *core) write(now time.Time, request model.RequestID, statements []model.Statement) model.Result {
+	var outcome data.Outcome
+	for _, statement := range statements {
+		outcome = c.history.database.Run(statement)
+		if !outcome.Done {
+			break
+		}
+	}
+	c.history.database.Rollback()
+	if !outcome.Done {
+		statements = nil
+	}
+	next := model.Point{Term: c.term, Position: c.history.point().Position + 1}
+	c.history.apply(entry{point: next, committedAt: now, request: request, statements: statements, outcome: outcome})
+	c.signal()
+	return resultOf(request, outcome, next)
+}
+
+// resultOf returns an outcome as the result of a request.
+func resultOf(request model.RequestID, outcome data.Outcome, point model.Point) model.Result {
+	return model.Result{
+		Request: request,
+		Done:    outcome.Done,
+		Reason:  outcome.Reason,
+		Rows:    outcome.Rows,
+		Point:   point,
+	}
+}
--- /dev/null
+++ b/internal/standin/instance/core.go
@@ -0,0 +1,197 @@
+package instance
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"redwingspread/internal/model"
+)
+
+// limits are the sizes of an instance.
+type limits struct {
+	slots       model.Slots
+	connections model.Connections
+	idle        time.Duration
+}
+
+// core is the state of an instance; the instance's goroutine alone reaches it.
+type core struct {
+	id       model.InstanceID
+	database model.DatabaseID
+	limits   limits
+	leaving  bool
+
+	role    model.Role
+	term    model.Term
+	history *history
+	changed chan struct{} // closes when role, term or log change
+
+	slotsUsed   model.Slots
+	opening     model.Connections
+	connections map[model.ConnectionID]*connection
+	opened      uint64
+	birth       time.Time
+
+	primary model.Address // whose log a replica follows
+	pending []entry       // fetched, and not yet visible because of the lag
+	fresh   time.Time     // when the fetched log was known to be whole
+}
+
+// firstTerm is the term of a new group.
+const firstTerm model.Term = 1
+
+// newCore returns the state of a new instance, which follows the primary or is it when there is none.
+func newCore(id model.InstanceID, database model.DatabaseID, limits limits, primary model.Address, now time.Time) *core {
+	c := &core{
+		id:          id,
+		database:    database,
+		limits:      limits,
+		role:        model.RoleReplica,
+		term:        firstTerm,
+		history:     newHistory(),
+		changed:     make(chan struct{}),
+		connections: map[model.ConnectionID]*connection{},
+		birth:       now,
+		primary:     primary,
+		fresh:       now,
+	}
+	c.history.timeline = model.Timeline{{Term: firstTerm}}
+	if primary == "" {
+		c.role = model.RolePrimary
+	}
+	return c
+}
+
+// signal wakes those who wait for a change.
+func (c *core) signal() {
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
+// state returns what the instance says of itself.
+func (c *core) state(now time.Time) model.InstanceState {
+	return model.InstanceState{
+		Instance:        c.id,
+		Database:        c.database,
+		Role:            c.role,
+		Term:            c.term,
+		Point:           c.history.point(),
+		Timeline:        slices.Clone(c.history.timeline),
+		Age:             c.age(now),
+		Slots:           c.limits.slots,
+		SlotsUsed:       c.slotsUsed,
+		Connections:     c.limits.connections,
+		ConnectionsUsed: c.opening + model.Connections(len(c.connections)),
+		Leaving:         c.leaving,
+	}
+}
+
+// age returns how far the data lies behind the primary.
+func (c *core) age(now time.Time) model.Age {
+	if c.role == model.RolePrimary {
+		return 0
+	}
+	if len(c.pending) > 0 {
+		return model.Age(now.Sub(c.pending[0].committedAt))
+	}
+	return model.Age(now.Sub(c.fresh))
+}
+
+// refuse returns a refusal of work that did not run, with the instance's state.
+func (c *core) refuse(now time.Time, code model.Code, format string, arguments ...any) *model.Refusal {
+	state := c.state(now)
+	return &model.Refusal{
+		Code:    code,
+		NotRun:  true,
+		Message: fmt.Sprintf(format, arguments...),
+		Term:    state.Term,
+		State:   &state,
+	}
+}
+
+// checkTerm refuses work of another term.
+func (c *core) checkTerm(now time.Time, term model.Term) error {
+	if term != c.term {
+		return c.refuse(now, model.CodeWrongTerm, "term is %d, not %d", c.term, term)
+	}
+	return nil
+}
+
+// fence raises the term; a primary of a lower term takes no work from then on.
+func (c *core) fence(now time.Time, term model.Term) (state model.InstanceState, err error) {
+	if term < c.term {
+		return state, c.refuse(now, model.CodeWrongTerm, "term is %d, not %d", c.term, term)
+	}
+	if term > c.term {
+		c.raise(now, term)
+	}
+	return c.state(now), nil
+}
+
+// raise moves to a higher term, in which a former primary is fenced and its connections are closed.
+func (c *core) raise(now time.Time, term model.Term) {
+	c.term = term
+	c.pending = nil
+	if c.role == model.RolePrimary {
+		c.role = model.RoleFenced
+		c.fresh = now
+		clear(c.connections)
+	}
+	c.signal()
+}
+
+// promote makes the instance primary of the term at which it is fenced.
+func (c *core) promote(now time.Time, term model.Term) (state model.InstanceState, err error) {
+	if err := c.checkTerm(now, term); err != nil {
+		return state, err
+	}
+	if c.role == model.RolePrimary {
+		return c.state(now), nil
+	}
+	c.role = model.RolePrimary
+	c.primary = ""
+	c.pending = nil
+	c.history.timeline = append(c.history.timeline, model.Point{Term: term, Position: c.history.point().Position})
+	c.signal()
+	return c.state(now), nil
+}
+
+// follow makes the instance a replica of the primary of the term.
+func (c *core) follow(now time.Time, term model.Term, primary model.Address) (state model.InstanceState, err error) {
+	if term < c.term {
+		return state, c.refuse(now, model.CodeWrongTerm, "term is %d, not %d", c.term, term)
+	}
+	if term == c.term && c.role == model.RolePrimary {
+		return state, c.refuse(now, model.CodeInvalid, "is primary of term %d", term)
+	}
+	if term > c.term {
+		c.raise(now, term)
+	}
+	if c.primary != primary || c.role != model.RoleReplica {
+		c.primary = primary
+		c.role = model.RoleReplica
+		c.pending = nil
+		c.signal()
+	}
+	return c.state(now), nil
+}
+
+// outcome returns the recorded result of a request id.
+func (c *core) outcome(now time.Time, term model.Term, request model.RequestID) (result model.Result, found bool, err error) {
+	if err := c.checkTerm(now, term); err != nil {
+		return result, false, err
+	}
+	e, found := c.history.find(request)
+	if !found {
+		return result, false, nil
+	}
+	return c.repeated(e), true, nil
+}
+
+// repeated returns the recorded result of an entry.
+func (c *core) repeated(e entry) model.Result {
+	result := resultOf(e.request, e.outcome, e.point)
+	result.Repeated = true
+	return result
+}
--- /dev/null
+++ b/internal/standin/instance/replicate.go
@@ -0,0 +1,107 @@
+package instance
+
+import (
+	"slices"
+	"time"
+
+	"redwingspread/internal/model"
+)
+
+// batch is the number of entries that one answer carries.
+const batch = 1000
+
+// fetched is a part of the primary's log.
+type fetched struct {
+	term     model.Term
+	point    model.Point
+	timeline model.Timeline
+	entries  []entry
+}
+
+// cursor is where a replica stands in whose log.
+type cursor struct {
+	primary model.Address
+	term    model.Term
+	after   model.Point
+}
+
+// cursor returns where the replica goes on; its primary is empty when there is none to follow.
+func (c *core) cursor() cursor {
+	if c.role != model.RoleReplica {
+		return cursor{}
+	}
+	after := c.history.point()
+	if len(c.pending) > 0 {
+		after = c.pending[len(c.pending)-1].point
+	}
+	return cursor{primary: c.primary, term: c.term, after: after}
+}
+
+// read returns the log past a replica's point and whether there is anything new in it.
+func (c *core) read(now time.Time, replica model.Term, after model.Point) (part fetched, isNew bool, err error) {
+	if c.role != model.RolePrimary {
+		return part, false, c.refuse(now, model.CodeUnavailable, "instance is %s", c.role)
+	}
+	if replica > c.term {
+		return part, false, c.refuse(now, model.CodeUnavailable, "term is %d, the replica's is %d", c.term, replica)
+	}
+	part = fetched{
+		term:     c.term,
+		point:    c.history.point(),
+		timeline: slices.Clone(c.history.timeline),
+		entries:  c.history.after(after.Position, batch),
+	}
+	isNew = len(part.entries) > 0 || replica != c.term || after.Compare(part.point) != 0
+	return part, isNew, nil
+}
+
+// take stores a part of the primary's log, unless the replica has gone on since it asked.
+func (c *core) take(now time.Time, asked cursor, part fetched) {
+	if c.cursor() != asked || part.term < c.term {
+		return
+	}
+	if c.adopt(part) && len(c.pending) > 0 {
+		c.pending = nil
+		return
+	}
+	fork := c.history.fork(part.timeline, part.point)
+	if fork < model.Position(len(c.history.entries)) {
+		c.history.cut(fork)
+		c.pending = nil
+		c.signal()
+		return
+	}
+	c.pending = append(c.pending, part.entries...)
+	c.fresh = now
+}
+
+// adopt takes over the primary's term and timeline and reports whether they are new.
+func (c *core) adopt(part fetched) bool {
+	if part.term == c.term && slices.Equal(part.timeline, c.history.timeline) {
+		return false
+	}
+	c.term = part.term
+	c.history.timeline = slices.Clone(part.timeline)
+	c.signal()
+	return true
+}
+
+// applyDue applies the fetched entries that are as old as the lag and returns the time until the next, or 0.
+func (c *core) applyDue(now time.Time, lag time.Duration) time.Duration {
+	applied := 0
+	for _, e := range c.pending {
+		if e.committedAt.Add(lag).After(now) {
+			break
+		}
+		c.history.apply(e)
+		applied++
+	}
+	if applied > 0 {
+		c.pending = slices.Delete(c.pending, 0, applied)
+		c.signal()
+	}
+	if len(c.pending) == 0 {
+		return 0
+	}
+	return c.pending[0].committedAt.Add(lag).Sub(now)
+}
--- /dev/null
+++ b/internal/standin/instance/standin_server.go
@@ -0,0 +1,49 @@
+package instance
+
+import (
+	"context"
+	"net/http"
+
+	"redwingspread/internal/model"
+	"redwingspread/internal/standin/fault"
+	"redwingspread/pkg/api/standinapi"
+)
+
+// standinServer answers the stand-in interface.
+type standinServer struct {
+	instance *Instance
+}
+
+// SetFaults replaces the faults in force.
+func (s standinServer) SetFaults(_ context.Context, m *standinapi.Faults) error {
+	s.instance.Faults.Set(fault.FromMessage(m))
+	return nil
+}
+
+// GetFaults returns the faults in force.
+func (s standinServer) GetFaults(context.Context) (*standinapi.Faults, error) {
+	return s.instance.Faults.Faults().Message(), nil
+}
+
+// ReadLog returns log entries after a point, to a replica.
+func (s standinServer) ReadLog(ctx context.Context, p standinapi.ReadLogParams) (*standinapi.Log, error) {
+	after := model.Point{Term: model.Term(p.AfterTerm), Position: model.Position(p.AfterPosition)}
+	part, err := s.instance.serveLog(ctx, model.Term(p.Term), after)
+	if err != nil {
+		return nil, err
+	}
+	return logOf(part)
+}
+
+// SetMember is an operation of the platform's stand-in alone.
+func (s standinServer) SetMember(context.Context, *standinapi.Member) error {
+	return model.Refuse(model.CodeInvalid, "an instance holds no list of members")
+}
+
+// NewError translates an error to its message.
+func (s standinServer) NewError(_ context.Context, err error) *standinapi.RefusalStatusCode {
+	return &standinapi.RefusalStatusCode{
+		StatusCode: http.StatusServiceUnavailable,
+		Response:   standinapi.Refusal{Code: standinapi.RefusalCodeUnavailable, Message: err.Error()},
+	}
+}
--- /dev/null
+++ b/internal/standin/instance/traffic.go
@@ -0,0 +1,100 @@
+package instance
+
+import (
+	"context"
+	"time"
+
+	"redwingspread/internal/model"
+)
+
+// answer is a result with the instance's state.
+type answer struct {
+	result model.Result
+	state  model.InstanceState
+	found  bool
+}
+
+// open opens a connection, which takes its time.
+func (i *Instance) open(ctx context.Context, host model.HostID, database model.DatabaseID, term model.Term) (id model.ConnectionID, state model.InstanceState, err error) {
+	ctx = context.WithoutCancel(ctx)
+	err = tell(ctx, i, func(c *core) error { return c.reserve(i.Now(), database, term) })
+	if err != nil {
+		return "", state, err
+	}
+	pause(ctx, i.ConnectionCost)
+	state, err = ask(ctx, i, func(c *core) (model.InstanceState, error) {
+		id, err = c.open(i.Now(), host, term)
+		return c.state(i.Now()), err
+	})
+	return id, state, err
+}
+
+// run waits for the work's least point, then runs its statement in a slot.
+func (i *Instance) run(ctx context.Context, id model.ConnectionID, term model.Term, work model.Work) (a answer, err error) {
+	err = i.await(ctx, work.Wait, func(c *core) (bool, error) {
+		_, err := c.check(i.Now(), id, term, work.Statement)
+		return c.holds(work.Least), err
+	})
+	if err != nil {
+		return a, err
+	}
+	ctx = context.WithoutCancel(ctx)
+	err = tell(ctx, i, func(c *core) error { return c.start(i.Now(), id, term, work) })
+	if err != nil {
+		return a, err
+	}
+	pause(ctx, i.ServiceTime)
+	return ask(ctx, i, func(c *core) (answer, error) {
+		result, err := c.finish(i.Now(), id, term, work)
+		return answer{result: result, state: c.state(i.Now())}, err
+	})
+}
+
+// commit commits the connection's transaction.
+func (i *Instance) commit(ctx context.Context, id model.ConnectionID, term model.Term, request model.RequestID) (answer, error) {
+	return ask(ctx, i, func(c *core) (answer, error) {
+		result, err := c.commit(i.Now(), id, term, request)
+		return answer{result: result, state: c.state(i.Now())}, err
+	})
+}
+
+// report returns the instance's state when it holds the point, or as it is when the limit has passed.
+func (i *Instance) report(ctx context.Context, least model.Point, limit time.Duration) (state model.InstanceState, err error) {
+	err = i.await(ctx, limit, func(c *core) (bool, error) { return c.holds(least), nil })
+	if err != nil {
+		return state, err
+	}
+	return ask(ctx, i, func(c *core) (model.InstanceState, error) { return c.state(i.Now()), nil })
+}
+
+// check is what a wait sees: whether it is over, and the channel that closes at the next change.
+type check struct {
+	over    bool
+	changed <-chan struct{}
+}
+
+// await waits until the condition holds, it fails or the limit has passed; it takes no slot.
+func (i *Instance) await(ctx context.Context, limit time.Duration, condition func(*core) (bool, error)) error {
+	var expired <-chan time.Time
+	if limit > 0 {
+		timer := time.NewTimer(limit)
+		defer timer.Stop()
+		expired = timer.C
+	}
+	for {
+		seen, err := ask(ctx, i, func(c *core) (check, error) {
+			over, err := condition(c)
+			return check{over: over, changed: c.changed}, err
+		})
+		if err != nil || seen.over || limit <= 0 {
+			return err
+		}
+		select {
+		case <-seen.changed:
+		case <-expired:
+			return nil
+		case <-ctx.Done():
+			return model.Refuse(model.CodeUnavailable, "%v", ctx.Err())
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/platform/platform_server.go
@@ -0,0 +1,140 @@
+package platform
+
+import (
+	"context"
+	"errors"
+	"net/http"
+
+	"redwingspread/internal/model"
+	store "redwingspread/internal/platform"
+	"redwingspread/internal/standin"
+	"redwingspread/pkg/api/platformapi"
+)
+
+// platformServer answers the platform interface.
+type platformServer struct {
+	platform *Platform
+}
+
+// ListRows returns the rows that changed after a revision.
+func (s platformServer) ListRows(ctx context.Context, p platformapi.ListRowsParams) (*platformapi.Rows, error) {
+	return standin.Ask(ctx, s.platform.state, func(c *core) (*platformapi.Rows, error) {
+		found := c.list(model.RowKey(p.Prefix), model.Revision(p.After.Or(0)))
+		return &platformapi.Rows{Revision: uint64(c.revision), Rows: rowsOf(found)}, nil
+	})
+}
+
+// CommitRows writes all rows when every check holds, or none.
+func (s platformServer) CommitRows(ctx context.Context, m *platformapi.RowTransaction) (*platformapi.RowCommit, error) {
+	return standin.Ask(ctx, s.platform.state, func(c *core) (*platformapi.RowCommit, error) {
+		commit := c.commit(checksOf(m.Checks), putsOf(m.Writes))
+		return &platformapi.RowCommit{Committed: commit.Committed, Rows: rowsOf(commit.Rows)}, nil
+	})
+}
+
+// GetObject returns one object.
+func (s platformServer) GetObject(ctx context.Context, p platformapi.GetObjectParams) (*platformapi.Object, error) {
+	return standin.Ask(ctx, s.platform.state, func(c *core) (*platformapi.Object, error) {
+		content, found := c.objects[model.ObjectName(p.Name)]
+		if !found {
+			return nil, model.Refuse(model.CodeNotFound, "no object %q", p.Name)
+		}
+		return &platformapi.Object{Content: content}, nil
+	})
+}
+
+// PutObject writes one object.
+func (s platformServer) PutObject(ctx context.Context, m *platformapi.Object, p platformapi.PutObjectParams) error {
+	_, err := standin.Ask(ctx, s.platform.state, func(c *core) (struct{}, error) {
+		c.objects[model.ObjectName(p.Name)] = m.Content
+		return struct{}{}, nil
+	})
+	return err
+}
+
+// ListObjects returns the names of the objects with the prefix.
+func (s platformServer) ListObjects(ctx context.Context, p platformapi.ListObjectsParams) (*platformapi.ObjectNames, error) {
+	return standin.Ask(ctx, s.platform.state, func(c *core) (*platformapi.ObjectNames, error) {
+		names := []string{}
+		for _, name := range c.names(model.ObjectName(p.Prefix)) {
+			names = append(names, string(name))
+		}
+		return &platformapi.ObjectNames{Names: names}, nil
+	})
+}
+
+// ListMembers returns the list of hosts and endpoints as it was a lag ago.
+func (s platformServer) ListMembers(ctx context.Context) (*platformapi.Members, error) {
+	return standin.Ask(ctx, s.platform.state, func(c *core) (*platformapi.Members, error) {
+		at := s.platform.Now().Add(-s.platform.listLag())
+		return &platformapi.Members{Members: membersOf(c.members(at))}, nil
+	})
+}
+
+// NewError translates a refusal to its message.
+func (s platformServer) NewError(_ context.Context, err error) *platformapi.RefusalStatusCode {
+	status := http.StatusInternalServerError
+	response := platformapi.Refusal{Code: platformapi.RefusalCodeInternal, Message: err.Error()}
+	refusal, ok := errors.AsType[*model.Refusal](err)
+	if ok && refusal.Code == model.CodeNotFound {
+		status = http.StatusNotFound
+		response.Code = platformapi.RefusalCodeNotFound
+	}
+	if ok && refusal.Code == model.CodeUnavailable {
+		status = http.StatusServiceUnavailable
+		response.Code = platformapi.RefusalCodeUnavailable
+	}
+	return &platformapi.RefusalStatusCode{StatusCode: status, Response: response}
+}
+
+// rowsOf translates rows.
+func rowsOf(rows []store.Row) []platformapi.Row {
+	translated := make([]platformapi.Row, 0, len(rows))
+	for _, row := range rows {
+		translated = append(translated, platformapi.Row{
+			Key:      string(row.Key),
+			Version:  uint64(row.Version),
+			Revision: uint64(row.Revision),
+			Value:    row.Value,
+		})
+	}
+	return translated
+}
+
+// checksOf translates the checks of a transaction.
+func checksOf(checks []platformapi.RowCheck) []store.Check {
+	translated := make([]store.Check, 0, len(checks))
+	for _, check := range checks {
+		translated = append(translated, store.Check{Key: model.RowKey(check.Key), Version: model.Version(check.Version)})
+	}
+	return translated
+}
+
+// putsOf translates the writes of a transaction.
+func putsOf(writes []platformapi.RowWrite) []store.Put {
+	translated := make([]store.Put, 0, len(writes))
+	for _, write := range writes {
+		translated = append(translated, store.Put{Key: model.RowKey(write.Key), Value: write.Value})
+	}
+	return translated
+}
+
+// membersOf translates the list of members.
+func membersOf(members []Member) []platformapi.Member {
+	translated := make([]platformapi.Member, 0, len(members))
+	for _, member := range members {
+		message := platformapi.Member{
+			Role:       platformapi.MemberRole(member.Role),
+			ID:         member.ID,
+			Address:    string(member.Address),
+			DataCentre: string(member.DataCentre),
+			Region:     string(member.Region),
+			Leaving:    member.Leaving,
+		}
+		if member.Database != "" {
+			message.Database = platformapi.NewOptString(string(member.Database))
+		}
+		translated = append(translated, message)
+	}
+	return translated
+}
--- /dev/null
+++ b/internal/standin/platform/standin_server.go
@@ -0,0 +1,62 @@
+package platform
+
+import (
+	"context"
+	"net/http"
+
+	"redwingspread/internal/model"
+	"redwingspread/internal/standin"
+	"redwingspread/internal/standin/fault"
+	"redwingspread/pkg/api/standinapi"
+)
+
+// standinServer answers the stand-in interface.
+type standinServer struct {
+	platform *Platform
+}
+
+// SetFaults replaces the faults in force.
+func (s standinServer) SetFaults(_ context.Context, m *standinapi.Faults) error {
+	s.platform.Faults.Set(fault.FromMessage(m))
+	return nil
+}
+
+// GetFaults returns the faults in force.
+func (s standinServer) GetFaults(context.Context) (*standinapi.Faults, error) {
+	return s.platform.Faults.Faults().Message(), nil
+}
+
+// ReadLog is an operation of the instances alone.
+func (s standinServer) ReadLog(context.Context, standinapi.ReadLogParams) (*standinapi.Log, error) {
+	return nil, model.Refuse(model.CodeInvalid, "the platform holds no log")
+}
+
+// SetMember adds or replaces one member of the list.
+func (s standinServer) SetMember(ctx context.Context, m *standinapi.Member) error {
+	return s.platform.Set(ctx, Member{
+		Role:       Role(m.Role),
+		ID:         m.ID,
+		Address:    model.Address(m.Address),
+		DataCentre: model.DataCentreID(m.DataCentre),
+		Region:     model.RegionID(m.Region),
+		Database:   model.DatabaseID(m.Database.Or("")),
+		Leaving:    m.Leaving,
+	})
+}
+
+// Set adds or replaces one member of the list, which shows after the list's lag.
+func (p *Platform) Set(ctx context.Context, member Member) error {
+	_, err := standin.Ask(ctx, p.state, func(c *core) (struct{}, error) {
+		c.set(p.Now(), member)
+		return struct{}{}, nil
+	})
+	return err
+}
+
+// NewError translates an error to its message.
+func (s standinServer) NewError(_ context.Context, err error) *standinapi.RefusalStatusCode {
+	return &standinapi.RefusalStatusCode{
+		StatusCode: http.StatusBadRequest,
+		Response:   standinapi.Refusal{Code: standinapi.RefusalCodeInvalid, Message: err.Error()},
+	}
+}
--- /dev/null
+++ b/internal/standin/serve.go
@@ -0,0 +1,56 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"redwingspread/internal/model"
+)
+
+// The limits of a stand-in's server.
+const (
+	headerLimit = 5 * time.Second
+	stopLimit   = 5 * time.Second
+)
+
+// badRequest is the answer to a request that does not follow the schema.
+type badRequest struct {
+	Code    model.Code `json:"code"`
+	NotRun  bool       `json:"notRun"`
+	Message string     `json:"message"`
+}
+
+// WriteInvalid refuses a request that does not follow the schema.
+func WriteInvalid(_ context.Context, w http.ResponseWriter, _ *http.Request, err error) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(http.StatusBadRequest)
+	_ = json.NewEncoder(w).Encode(badRequest{Code: model.CodeInvalid, NotRun: true, Message: err.Error()})
+}
+
+// Serve answers on the listener until the context ends and reports its own end on done.
+func Serve(ctx context.Context, listener net.Listener, handler http.Handler, done chan<- error) {
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerLimit}
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(listener) }()
+	select {
+	case err := <-served:
+		done <- fmt.Errorf("serve %s: %w", listener.Addr(), err)
+		return
+	case <-ctx.Done():
+	}
+	limit, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopLimit)
+	defer cancel()
+	if server.Shutdown(limit) != nil {
+		server.Close()
+	}
+	if err := <-served; !errors.Is(err, http.ErrServerClosed) {
+		done <- err
+		return
+	}
+	done <- nil
+}
