--- /dev/null
+++ b/internal/config/check.go
@@ -0,0 +1,224 @@
+package config
+
+import (
+	"encoding/hex"
+	"fmt"
+	"regexp"
+	"slices"
+	"strings"
+	"time"
+
+	"redwingspread/internal/model"
+)
+
+// namePattern is the form of names.
+var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$`)
+
+// What names, texts and dates allow.
+const (
+	allowsName   = "1 to 64 letters, digits, dots, dashes or underscores"
+	allowsUnique = "a name that no other entry has"
+	allowsDate   = "a day as YYYY-MM-DD"
+)
+
+// Check returns Problems that name every bad place of the document, or nil.
+func (d Document) Check() error {
+	var problems Problems
+	d.Defaults.check(&problems)
+	d.checkKinds(&problems)
+	d.checkExceptions(&problems)
+	d.checkTokens(&problems)
+	if len(problems) == 0 {
+		d.checkContradictions(&problems)
+		d.checkFloors(&problems)
+	}
+	if len(problems) == 0 {
+		return nil
+	}
+	return problems
+}
+
+// check records the bad defaults.
+func (d Defaults) check(p *Problems) {
+	checkTime(p, "defaults.deadlineMs", d.Deadline)
+	checkTime(p, "defaults.transactionIdleMs", d.TransactionIdle)
+	checkTime(p, "defaults.transactionLimitMs", d.TransactionLimit)
+	p.require(d.QueueLimit >= 1 && d.QueueLimit <= maxQueue, "defaults.queueLimit", d.QueueLimit,
+		fmt.Sprintf("a whole number from 1 to %d", maxQueue))
+	p.require(d.TransactionIdle <= d.TransactionLimit, "defaults.transactionIdleMs", d.TransactionIdle,
+		"at most defaults.transactionLimitMs")
+	if len(d.RankFloors) != model.Ranks {
+		p.add("defaults.rankFloors", fmt.Sprint(d.RankFloors), "three shares in percent, for ranks one to three")
+		return
+	}
+	sum := model.Percent(0)
+	for i, floor := range d.RankFloors {
+		checkPercent(p, fmt.Sprintf("defaults.rankFloors[%d]", i), floor)
+		sum += floor
+	}
+	p.require(sum <= maxPercent, "defaults.rankFloors", d.RankFloors, "shares that add up to at most 100")
+}
+
+// checkKinds records the bad kinds of work.
+func (d Document) checkKinds(p *Problems) {
+	p.require(len(d.Kinds) >= 1 && len(d.Kinds) <= maxKinds, "kinds", len(d.Kinds), fmt.Sprintf("1 to %d kinds", maxKinds))
+	seen := map[model.KindID]bool{}
+	for i, kind := range d.Kinds {
+		path := fmt.Sprintf("kinds[%d]", i)
+		checkName(p, path+".name", string(kind.Name))
+		p.require(!seen[kind.Name], path+".name", kind.Name, allowsUnique)
+		seen[kind.Name] = true
+		kind.check(p, path)
+	}
+}
+
+// check records what is bad within one kind of work.
+func (k Kind) check(p *Problems, path string) {
+	p.require(k.Rank.Valid(), path+".rank", k.Rank, "1, 2 or 3")
+	p.require(k.Access == model.Read || k.Access == model.Write, path+".access", k.Access, "read or write")
+	p.require(slices.Contains(durabilities, k.Durability), path+".durability", k.Durability, rules[SettingDurability].allows)
+	p.require(k.Access != model.Read || k.Durability == model.DurabilityNone, path+".durability", k.Durability, "none for a read")
+	checkPercent(p, path+".floor", k.Floor)
+	if k.MaxAge == nil {
+		return
+	}
+	p.require(k.Access == model.Read, path+".maxAgeMs", *k.MaxAge, "absent for a write")
+	p.require(*k.MaxAge >= 0 && *k.MaxAge <= maxTime, path+".maxAgeMs", *k.MaxAge, fmt.Sprintf("absent, or a whole number from 0 to %d", maxTime))
+}
+
+// checkExceptions records the bad exceptions.
+func (d Document) checkExceptions(p *Problems) {
+	p.require(len(d.Exceptions) <= maxExceptions, "exceptions", len(d.Exceptions), fmt.Sprintf("at most %d exceptions", maxExceptions))
+	seen := map[Name]bool{}
+	dataCentres := map[model.DataCentreID]bool{}
+	regions := map[model.RegionID]bool{}
+	for i, e := range d.Exceptions {
+		path := fmt.Sprintf("exceptions[%d]", i)
+		checkName(p, path+".name", string(e.Name))
+		p.require(!seen[e.Name], path+".name", e.Name, allowsUnique)
+		seen[e.Name] = true
+		dataCentres[e.DataCentre] = true
+		regions[e.Region] = true
+		d.checkScope(p, path, e)
+		d.checkValue(p, path, e)
+		checkReason(p, path, e.Reason, e.Author, e.Date)
+		if e.Review != "" {
+			checkDate(p, path+".review", e.Review)
+			p.require(e.Review >= e.Date, path+".review", e.Review, "a day that is not before the exception's date")
+		}
+	}
+	p.require(len(dataCentres) <= maxPlaces, "exceptions", len(dataCentres), fmt.Sprintf("at most %d data centres in all", maxPlaces))
+	p.require(len(regions) <= maxPlaces, "exceptions", len(regions), fmt.Sprintf("at most %d regions in all", maxPlaces))
+}
+
+// checkScope records a scope that is malformed, empty or never met.
+func (d Document) checkScope(p *Problems, path string, e Exception) {
+	parts := []struct{ label, name string }{
+		{"database", string(e.Database)}, {"kind", string(e.Kind)}, {"dataCentre", string(e.DataCentre)}, {"region", string(e.Region)},
+	}
+	for _, part := range parts {
+		if part.name != "" {
+			checkName(p, path+"."+part.label, part.name)
+		}
+	}
+	if e.specificity() == 0 {
+		p.add(path, string(e.Name), "at least one of database, kind, rank, dataCentre, region; what holds everywhere belongs to defaults or kinds")
+	}
+	p.require(e.Rank == 0 || e.Rank.Valid(), path+".rank", e.Rank, "1, 2, 3 or absent")
+	if e.Kind == "" {
+		return
+	}
+	kind := d.kind(e.Kind)
+	if kind == nil {
+		p.add(path+".kind", string(e.Kind), "one of "+d.kindNames())
+		return
+	}
+	p.require(e.Rank == 0 || e.Rank == kind.Rank, path+".rank", e.Rank, fmt.Sprintf("%d, the rank of %s, or absent", kind.Rank, kind.Name))
+}
+
+// checkValue records a setting that is unknown, a value that it does not take, or a setting without effect on the kind.
+func (d Document) checkValue(p *Problems, path string, e Exception) {
+	rule, known := rules[e.Setting]
+	if !known {
+		p.add(path+".setting", string(e.Setting), "one of "+settingNames())
+		return
+	}
+	p.require(rule.apply(e.Value, &Effective{}), path+".value", e.Value, rule.allows)
+	kind := d.kind(e.Kind)
+	if kind != nil && !rule.matters(kind.Access) {
+		p.add(path+".setting", string(e.Setting), fmt.Sprintf("a setting of a %s; %s is for a %s", kind.Access, e.Setting, rule.access))
+	}
+}
+
+// checkTokens records the bad tokens.
+func (d Document) checkTokens(p *Problems) {
+	p.require(len(d.Tokens) <= maxTokens, "tokens", len(d.Tokens), fmt.Sprintf("at most %d tokens", maxTokens))
+	names := map[Name]bool{}
+	hashes := map[string]bool{}
+	for i, token := range d.Tokens {
+		path := fmt.Sprintf("tokens[%d]", i)
+		checkName(p, path+".name", string(token.Name))
+		p.require(!names[token.Name], path+".name", token.Name, allowsUnique)
+		names[token.Name] = true
+		p.require(slices.Contains(rights, token.Right), path+".role", token.Right, "one of caller, reader, operator")
+		raw, err := hex.DecodeString(token.Hash)
+		p.require(err == nil && len(raw) == hashSize && strings.ToLower(token.Hash) == token.Hash, path+".hash", "(hidden)",
+			"the SHA-256 of the token as 64 hexadecimal digits in lower case; `redwingspread keys token` makes one")
+		p.require(!hashes[token.Hash], path+".hash", "(hidden)", "a hash that no other token has")
+		hashes[token.Hash] = true
+		checkReason(p, path, token.Reason, token.Author, token.Date)
+	}
+}
+
+// hashSize is the length of a token's hash in bytes.
+const hashSize = 32
+
+// rights are the rights in order.
+var rights = []Right{RightCaller, RightReader, RightOperator}
+
+// checkReason records an entry without reason, author or date.
+func checkReason(p *Problems, path string, reason string, author Author, date Date) {
+	p.require(strings.TrimSpace(reason) != "" && len(reason) <= maxReason, path+".reason", reason,
+		fmt.Sprintf("a written reason of at most %d bytes that says why the entry exists", maxReason))
+	p.require(strings.TrimSpace(string(author)) != "" && len(author) <= maxName, path+".author", author, "a name of 1 to 64 bytes")
+	checkDate(p, path+".date", date)
+}
+
+// checkName records a malformed name.
+func checkName(p *Problems, path, name string) {
+	p.require(namePattern.MatchString(name), path, name, allowsName)
+}
+
+// checkDate records a malformed date.
+func checkDate(p *Problems, path string, date Date) {
+	_, err := time.Parse(time.DateOnly, string(date))
+	p.require(err == nil, path, date, allowsDate)
+}
+
+// checkTime records a time out of its limits.
+func checkTime(p *Problems, path string, value Milliseconds) {
+	p.require(value >= 1 && value <= maxTime, path, value, fmt.Sprintf("a whole number from 1 to %d", maxTime))
+}
+
+// checkPercent records a share out of its limits.
+func checkPercent(p *Problems, path string, value model.Percent) {
+	p.require(value >= 0 && value <= maxPercent, path, value, "a whole number from 0 to 100")
+}
+
+// kindNames lists the kinds of work.
+func (d Document) kindNames() string {
+	names := make([]string, 0, len(d.Kinds))
+	for _, kind := range d.Kinds {
+		names = append(names, string(kind.Name))
+	}
+	return strings.Join(names, ", ")
+}
+
+// settingNames lists the settings.
+func settingNames() string {
+	names := make([]string, 0, len(rules))
+	for _, setting := range Settings() {
+		names = append(names, string(setting))
+	}
+	return strings.Join(names, ", ")
+}
--- /dev/null
+++ b/internal/config/check_test.go
@@ -0,0 +1,182 @@
+package config
+
+import (
+	"errors"
+	"slices"
+	"strings"
+	"testing"
+
+	"redwingspread/internal/model"
+)
+
+// exception returns a sound exception after the change.
+func exception(change func(e *Exception)) Exception {
+	e := Exception{
+		Name: "spring-roster", Database: "enrol-1", Setting: SettingDeadline, Value: "9000",
+		Reason: "Roster export of the coastal district takes longer.", Author: "Dana", Date: "2026-03-02",
+	}
+	change(&e)
+	return e
+}
+
+// token returns a sound token after the change.
+func token(change func(t *Token)) Token {
+	t := Token{
+		Name: "counter-app", Right: RightCaller, Hash: strings.Repeat("ab", 32),
+		Reason: "Counter application.", Author: "Dana", Date: "2026-03-02",
+	}
+	change(&t)
+	return t
+}
+
+func TestCheck(t *testing.T) {
+	tests := map[string]struct {
+		change func(d *Document)
+		want   []string // paths of the problems
+	}{
+		"default": {change: func(*Document) {}},
+		"sound exception and token": {change: func(d *Document) {
+			d.Exceptions = []Exception{exception(func(*Exception) {})}
+			d.Tokens = []Token{token(func(*Token) {})}
+		}},
+		"empty document": {
+			change: func(d *Document) { *d = Document{} },
+			want: []string{"defaults.deadlineMs", "defaults.transactionIdleMs", "defaults.transactionLimitMs",
+				"defaults.queueLimit", "defaults.rankFloors", "kinds"},
+		},
+		"every bad default": {
+			change: func(d *Document) {
+				d.Defaults = Defaults{Deadline: -1, QueueLimit: 100_001, TransactionIdle: 20, TransactionLimit: 10, RankFloors: []model.Percent{90, 20, -5}}
+			},
+			want: []string{"defaults.deadlineMs", "defaults.queueLimit", "defaults.transactionIdleMs", "defaults.rankFloors[2]", "defaults.rankFloors"},
+		},
+		"kind twice":            {change: func(d *Document) { d.Kinds = append(d.Kinds, d.Kinds[0]) }, want: []string{"kinds[12].name"}},
+		"kind of rank four":     {change: func(d *Document) { d.Kinds[0].Rank = 4 }, want: []string{"kinds[0].rank"}},
+		"kind of bad access":    {change: func(d *Document) { d.Kinds[0].Access = "both" }, want: []string{"kinds[0].access"}},
+		"write accepts an age":  {change: func(d *Document) { d.Kinds[0] = d.Kinds[0].accepting(5) }, want: []string{"kinds[0].maxAgeMs"}},
+		"read with durability":  {change: func(d *Document) { d.Kinds[6].Durability = "replica" }, want: []string{"kinds[6].durability"}},
+		"floors over hundred":   {change: func(d *Document) { d.Kinds[0].Floor = 90 }, want: []string{"kinds"}},
+		"no reason":             bad(func(e *Exception) { e.Reason = "" }, "reason"),
+		"blank reason":          bad(func(e *Exception) { e.Reason = " \t\n" }, "reason"),
+		"no author":             bad(func(e *Exception) { e.Author = "" }, "author"),
+		"no date":               bad(func(e *Exception) { e.Date = "" }, "date"),
+		"date of no calendar":   bad(func(e *Exception) { e.Date = "2026-02-30" }, "date"),
+		"review before date":    bad(func(e *Exception) { e.Review = "2026-01-01" }, "review"),
+		"bad review":            bad(func(e *Exception) { e.Review = "spring" }, "review"),
+		"no scope":              bad(func(e *Exception) { e.Database = "" }, ""),
+		"bad name":              bad(func(e *Exception) { e.Name = "a b" }, "name"),
+		"bad database":          bad(func(e *Exception) { e.Database = "../x" }, "database"),
+		"unknown kind":          bad(func(e *Exception) { e.Kind = "dancing" }, "kind"),
+		"rank of another kind":  bad(func(e *Exception) { e.Kind, e.Rank = "payment", 2 }, "rank"),
+		"rank of nothing":       bad(func(e *Exception) { e.Rank = 9 }, "rank"),
+		"unknown setting":       bad(func(e *Exception) { e.Setting = "host" }, "setting"),
+		"value of another kind": bad(func(e *Exception) { e.Value = "soon" }, "value"),
+		"value too large":       bad(func(e *Exception) { e.Value = "600001" }, "value"),
+		"age of a write":        bad(func(e *Exception) { e.Kind, e.Setting, e.Value = "payment", SettingMaxAge, "10" }, "setting"),
+		"durability of a read":  bad(func(e *Exception) { e.Kind, e.Setting, e.Value = "roster", SettingDurability, "none" }, "setting"),
+		"every bad part": {
+			change: func(d *Document) {
+				d.Exceptions = []Exception{{Name: "x", Kind: "none", Setting: SettingRank, Value: "0"}}
+			},
+			want: []string{"exceptions[0].kind", "exceptions[0].value", "exceptions[0].reason", "exceptions[0].author", "exceptions[0].date"},
+		},
+		"name twice": {change: func(d *Document) {
+			d.Exceptions = []Exception{exception(func(*Exception) {}), exception(func(e *Exception) { e.Database = "enrol-2" })}
+		}, want: []string{"exceptions[1].name"}},
+		"token of bad hash":   badToken(func(t *Token) { t.Hash = "secret" }, "hash"),
+		"token of upper case": badToken(func(t *Token) { t.Hash = strings.Repeat("AB", 32) }, "hash"),
+		"token of bad role":   badToken(func(t *Token) { t.Right = "root" }, "role"),
+		"token of no reason":  badToken(func(t *Token) { t.Reason = "" }, "reason"),
+		"hash twice": {change: func(d *Document) {
+			d.Tokens = []Token{token(func(*Token) {}), token(func(t *Token) { t.Name = "other" })}
+		}, want: []string{"tokens[1].hash"}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			document := Default()
+			test.change(&document)
+			if got := paths(document.Check()); !slices.Equal(got, test.want) {
+				t.Errorf("got problems at %q, want %q", got, test.want)
+			}
+		})
+	}
+}
+
+// badCase is a change of the default document and the paths of its problems.
+type badCase = struct {
+	change func(d *Document)
+	want   []string
+}
+
+// bad returns the case of one bad part of an exception.
+func bad(change func(e *Exception), part string) badCase {
+	return badCase{
+		change: func(d *Document) { d.Exceptions = []Exception{exception(change)} },
+		want:   []string{strings.TrimSuffix("exceptions[0]."+part, ".")},
+	}
+}
+
+// badToken returns the case of one bad part of a token.
+func badToken(change func(t *Token), part string) badCase {
+	return badCase{
+		change: func(d *Document) { d.Tokens = []Token{token(change)} },
+		want:   []string{"tokens[0]." + part},
+	}
+}
+
+// paths returns the paths of the problems within an error.
+func paths(err error) []string {
+	var problems Problems
+	var found []string
+	errors.As(err, &problems)
+	for _, problem := range problems {
+		found = append(found, problem.Path)
+	}
+	return found
+}
+
+func TestContradictions(t *testing.T) {
+	base := func(e *Exception) { e.Name = "first" }
+	tests := map[string]struct {
+		first, second func(e *Exception)
+		want          bool
+	}{
+		"same scope":                {second: func(e *Exception) { e.Value = "1" }, want: true},
+		"same scope and value":      {second: func(*Exception) {}},
+		"other setting":             {second: func(e *Exception) { e.Setting = SettingQueueLimit }},
+		"other database":            {second: func(e *Exception) { e.Database, e.Value = "enrol-2", "1" }},
+		"more specific":             {second: func(e *Exception) { e.Kind, e.Value = "payment", "1" }},
+		"other part, they overlap":  {second: func(e *Exception) { e.Database, e.Region, e.Value = "", "coastal", "1" }, want: true},
+		"kind within rank":          {first: func(e *Exception) { e.Database, e.Rank = "", 1 }, second: func(e *Exception) { e.Database, e.Kind, e.Value = "", "payment", "1" }, want: true},
+		"kind of another rank":      {first: func(e *Exception) { e.Database, e.Rank = "", 2 }, second: func(e *Exception) { e.Database, e.Kind, e.Value = "", "payment", "1" }},
+		"two kinds of one database": {first: func(e *Exception) { e.Kind = "roster" }, second: func(e *Exception) { e.Kind, e.Value = "payment", "1" }},
+		"data centre and region":    {first: func(e *Exception) { e.DataCentre = "a" }, second: func(e *Exception) { e.Region, e.Value = "coastal", "1" }, want: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			document := Default()
+			first := exception(base)
+			if test.first != nil {
+				test.first(&first)
+			}
+			second := exception(func(e *Exception) { e.Name = "second" })
+			test.second(&second)
+			document.Exceptions = []Exception{first, second}
+			err := document.Check()
+			if got := err != nil; got != test.want {
+				t.Fatalf("got contradiction %v (%v), want %v", got, err, test.want)
+			}
+			if test.want && (!strings.Contains(err.Error(), "first") || !strings.Contains(err.Error(), "second")) {
+				t.Errorf("got %v, want both exceptions named", err)
+			}
+		})
+	}
+}
+
+// failsWith reports whether an error contains the text, or whether there is none for an empty text.
+func failsWith(err error, text string) bool {
+	if err == nil || text == "" {
+		return err == nil && text == ""
+	}
+	return strings.Contains(err.Error(), text)
+}
--- /dev/null
+++ b/internal/config/document.go
@@ -0,0 +1,98 @@
+package config
+
+import (
+	"time"
+
+	"redwingspread/internal/model"
+)
+
+// Milliseconds is a time as operators write it.
+type Milliseconds int64
+
+// Duration returns the time as a duration.
+func (m Milliseconds) Duration() time.Duration {
+	return time.Duration(m) * time.Millisecond
+}
+
+// Date is a day as YYYY-MM-DD.
+type Date string
+
+// Name names one exception or one token.
+type Name string
+
+// Author names who wrote an exception or a version.
+type Author string
+
+// Document is the whole configuration as operators write it.
+type Document struct {
+	Defaults   Defaults    `json:"defaults"`
+	Kinds      []Kind      `json:"kinds"`
+	Exceptions []Exception `json:"exceptions"`
+	Tokens     []Token     `json:"tokens,omitempty"`
+}
+
+// Defaults are the settings of every kind of work that no exception changes.
+type Defaults struct {
+	Deadline         Milliseconds    `json:"deadlineMs"`
+	QueueLimit       int             `json:"queueLimit"` // requests that may wait for one instance
+	TransactionIdle  Milliseconds    `json:"transactionIdleMs"`
+	TransactionLimit Milliseconds    `json:"transactionLimitMs"`
+	RankFloors       []model.Percent `json:"rankFloors"` // guaranteed share of capacity, by rank
+}
+
+// Kind is one kind of work.
+type Kind struct {
+	Name       model.KindID     `json:"name"`
+	Rank       model.Rank       `json:"rank"`
+	Access     model.Access     `json:"access"`
+	MaxAge     *Milliseconds    `json:"maxAgeMs,omitempty"` // nil for read-your-writes
+	Repeatable bool             `json:"repeatable"`
+	Durability model.Durability `json:"durability"`
+	Floor      model.Percent    `json:"floor,omitempty"` // guaranteed share of its rank
+}
+
+// Exception changes one setting within a scope and says why.
+type Exception struct {
+	Name       Name               `json:"name"`
+	Database   model.DatabaseID   `json:"database,omitempty"`
+	Kind       model.KindID       `json:"kind,omitempty"`
+	Rank       model.Rank         `json:"rank,omitempty"`
+	DataCentre model.DataCentreID `json:"dataCentre,omitempty"`
+	Region     model.RegionID     `json:"region,omitempty"`
+	Setting    Setting            `json:"setting"`
+	Value      string             `json:"value"`
+	Reason     string             `json:"reason"`
+	Author     Author             `json:"author"`
+	Date       Date               `json:"date"`
+	Review     Date               `json:"review,omitempty"` // day on which to ask whether it is still needed
+}
+
+// Right is what the holder of a token may do; each right includes those before it.
+type Right string
+
+// The rights.
+const (
+	RightCaller   Right = "caller"
+	RightReader   Right = "reader"
+	RightOperator Right = "operator"
+)
+
+// Token is one bearer token, kept as a hash.
+type Token struct {
+	Name   Name   `json:"name"`
+	Right  Right  `json:"role"`
+	Hash   string `json:"hash"` // SHA-256 of the token in hexadecimal
+	Reason string `json:"reason"`
+	Author Author `json:"author"`
+	Date   Date   `json:"date"`
+}
+
+// kind returns the document's kind of work with the name, or nil.
+func (d Document) kind(name model.KindID) *Kind {
+	for i := range d.Kinds {
+		if d.Kinds[i].Name == name {
+			return &d.Kinds[i]
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/config/encode.go
@@ -0,0 +1,48 @@
+package config
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+)
+
+// MaxText is the largest encoded document in bytes.
+const MaxText = 4 << 20
+
+// Encode returns the document as JSON text, the same form as in schema/operator.yaml.
+func Encode(d Document) (text string, err error) {
+	if d.Kinds == nil {
+		d.Kinds = []Kind{}
+	}
+	if d.Exceptions == nil {
+		d.Exceptions = []Exception{}
+	}
+	encoded, err := json.MarshalIndent(d, "", "  ")
+	if err != nil {
+		return "", fmt.Errorf("encode configuration: %w", err)
+	}
+	return string(encoded) + "\n", nil
+}
+
+// Decode reads JSON text and refuses unknown fields, so that nothing an operator wrote is passed over.
+func Decode(text string) (d Document, err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("decode configuration: %w", err)
+		}
+	}()
+	if len(text) > MaxText {
+		return Document{}, fmt.Errorf("%d bytes are more than %d", len(text), MaxText)
+	}
+	decoder := json.NewDecoder(strings.NewReader(text))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&d); err != nil {
+		return Document{}, err
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return Document{}, errors.New("text after the document")
+	}
+	return d, nil
+}
--- /dev/null
+++ b/internal/config/explain.go
@@ -0,0 +1,104 @@
+package config
+
+import (
+	"fmt"
+	"strconv"
+	"time"
+
+	"redwingspread/internal/model"
+)
+
+// Source tells where a value in force comes from.
+type Source string
+
+// The sources of values.
+const (
+	SourceDefaults  Source = "defaults"
+	SourceKind      Source = "kind"
+	SourceException Source = "exception"
+)
+
+// Origin is one setting in force and where its value comes from.
+type Origin struct {
+	Setting   Setting
+	Value     string
+	Source    Source
+	Exception *Exception  // set with SourceException
+	Beaten    []Exception // exceptions that a more specific one beats, the least specific first
+}
+
+// Explain returns every setting in force for the scope with its origin, and whether the kind of work is known.
+func (d Document) Explain(at Scope) ([]Origin, bool) {
+	kind := d.kind(at.Kind)
+	if kind == nil {
+		return nil, false
+	}
+	covering := d.covering(*kind)
+	effective := applied(d.plain(*kind), covering, at)
+	origins := make([]Origin, 0, len(rules))
+	for _, setting := range Settings() {
+		origin := Origin{Setting: setting, Value: effective.Text(setting), Source: source(setting)}
+		for _, e := range covering {
+			if e.Setting == setting && e.contains(at) {
+				origin.win(e)
+			}
+		}
+		origins = append(origins, origin)
+	}
+	return origins, true
+}
+
+// win puts an exception in the place of the one that held so far.
+func (o *Origin) win(e Exception) {
+	if o.Exception != nil {
+		o.Beaten = append(o.Beaten, *o.Exception)
+	}
+	o.Source = SourceException
+	o.Exception = &e
+}
+
+// source tells where a setting stands when no exception changes it.
+func source(setting Setting) Source {
+	switch setting {
+	case SettingRank, SettingMaxAge, SettingDurability, SettingFloor:
+		return SourceKind
+	default:
+		return SourceDefaults
+	}
+}
+
+// Text returns the value of one setting as an exception would write it.
+func (e Effective) Text(setting Setting) string {
+	switch setting {
+	case SettingDeadline:
+		return milliseconds(e.Deadline)
+	case SettingQueueLimit:
+		return strconv.Itoa(e.QueueLimit)
+	case SettingTransactionIdle:
+		return milliseconds(e.TransactionIdle)
+	case SettingTransactionLimit:
+		return milliseconds(e.TransactionLimit)
+	case SettingRank:
+		return fmt.Sprint(e.Rank)
+	case SettingMaxAge:
+		return ageText(e.MaxAge)
+	case SettingDurability:
+		return string(e.Durability)
+	case SettingFloor:
+		return fmt.Sprint(e.Floor)
+	}
+	return ""
+}
+
+// ageText returns an age in milliseconds, or none.
+func ageText(age *model.Age) string {
+	if age == nil {
+		return noAge
+	}
+	return milliseconds(time.Duration(*age))
+}
+
+// milliseconds returns a duration as operators write it.
+func milliseconds(d time.Duration) string {
+	return strconv.FormatInt(d.Milliseconds(), 10)
+}
--- a/internal/config/policy.go
+++ b/internal/config/policy.go
@@ -1,6 +1,9 @@
 package config
 
 import (
+	"cmp"
+	"fmt"
+	"slices"
 	"time"
 
 	"redwingspread/internal/model"
@@ -32,12 +35,131 @@
 type Policy struct {
 	Version    model.Version
 	RankFloors [model.Ranks]model.Percent
+	Document   Document // as accepted; not to be changed
 
-	kinds map[model.KindID]Effective
+	kinds map[model.KindID]*compiled
+}
+
+// compiled is one kind of work with its exceptions worked out: a cell for each combination of named places.
+type compiled struct {
+	plain       Effective // in force where no exception names the place
+	databases   map[model.DatabaseID]int
+	dataCentres map[model.DataCentreID]int
+	regions     map[model.RegionID]int
+	cells       []Effective // by database, data centre, region; empty without exceptions
+}
+
+// Compile checks the document and works out the settings in force for every scope.
+func Compile(version model.Version, d Document) (policy *Policy, err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("compile configuration %d: %w", version, err)
+		}
+	}()
+	if err := d.Check(); err != nil {
+		return nil, err
+	}
+	policy = &Policy{Version: version, Document: d, kinds: make(map[model.KindID]*compiled, len(d.Kinds))}
+	copy(policy.RankFloors[:], d.Defaults.RankFloors)
+	for _, kind := range d.Kinds {
+		policy.kinds[kind.Name] = d.compile(kind)
+	}
+	return policy, nil
 }
 
 // Lookup returns the settings in force for the scope, and whether its kind of work is known.
 func (p *Policy) Lookup(scope Scope) (Effective, bool) {
-	effective, found := p.kinds[scope.Kind]
-	return effective, found
+	kind, found := p.kinds[scope.Kind]
+	if !found {
+		return Effective{}, false
+	}
+	if len(kind.cells) == 0 {
+		return kind.plain, true
+	}
+	cell := kind.databases[scope.Database]
+	cell = cell*(len(kind.dataCentres)+1) + kind.dataCentres[scope.DataCentre]
+	cell = cell*(len(kind.regions)+1) + kind.regions[scope.Region]
+	return kind.cells[cell], true
+}
+
+// compile works out every combination of places that exceptions of the kind name.
+func (d Document) compile(kind Kind) *compiled {
+	c := &compiled{
+		plain:       d.plain(kind),
+		databases:   map[model.DatabaseID]int{},
+		dataCentres: map[model.DataCentreID]int{},
+		regions:     map[model.RegionID]int{},
+	}
+	exceptions := d.covering(kind)
+	if len(exceptions) == 0 {
+		return c
+	}
+	for _, e := range exceptions {
+		enumerate(c.databases, e.Database)
+		enumerate(c.dataCentres, e.DataCentre)
+		enumerate(c.regions, e.Region)
+	}
+	for _, database := range inOrder(c.databases) {
+		for _, dataCentre := range inOrder(c.dataCentres) {
+			for _, region := range inOrder(c.regions) {
+				at := Scope{Database: database, Kind: kind.Name, DataCentre: dataCentre, Region: region}
+				c.cells = append(c.cells, applied(c.plain, exceptions, at))
+			}
+		}
+	}
+	return c
+}
+
+// plain returns the kind's settings without exceptions.
+func (d Document) plain(kind Kind) Effective {
+	plain := Effective{
+		Rank:             kind.Rank,
+		Access:           kind.Access,
+		Repeatable:       kind.Repeatable,
+		Durability:       kind.Durability,
+		Floor:            kind.Floor,
+		Deadline:         d.Defaults.Deadline.Duration(),
+		QueueLimit:       d.Defaults.QueueLimit,
+		TransactionIdle:  d.Defaults.TransactionIdle.Duration(),
+		TransactionLimit: d.Defaults.TransactionLimit.Duration(),
+	}
+	if kind.MaxAge != nil {
+		age := model.Age(kind.MaxAge.Duration())
+		plain.MaxAge = &age
+	}
+	return plain
+}
+
+// covering returns the exceptions that can apply to the kind, the least specific first.
+func (d Document) covering(kind Kind) []Exception {
+	covering := slices.DeleteFunc(slices.Clone(d.Exceptions), func(e Exception) bool { return !e.covers(kind) })
+	slices.SortStableFunc(covering, func(e, f Exception) int { return cmp.Compare(e.specificity(), f.specificity()) })
+	return covering
+}
+
+// applied returns the settings after the exceptions that contain the place, of which later ones win.
+func applied(plain Effective, exceptions []Exception, at Scope) Effective {
+	for _, e := range exceptions {
+		if e.contains(at) {
+			rules[e.Setting].apply(e.Value, &plain)
+		}
+	}
+	return plain
+}
+
+// enumerate gives a named place the next number from 1; 0 is every place that is not named.
+func enumerate[T comparable](numbers map[T]int, name T) {
+	var none T
+	if _, found := numbers[name]; !found && name != none {
+		numbers[name] = len(numbers) + 1
+	}
+}
+
+// inOrder returns the names by their numbers, after the empty name for 0.
+func inOrder[T comparable](numbers map[T]int) []T {
+	names := make([]T, len(numbers)+1)
+	for name, number := range numbers {
+		names[number] = name
+	}
+	return names
 }
--- /dev/null
+++ b/internal/config/problem.go
@@ -0,0 +1,42 @@
+package config
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Problem names one bad place of a document and what is allowed there.
+type Problem struct {
+	Path   string // such as exceptions[2].value
+	Value  string
+	Allows string
+}
+
+// String returns the problem as one line.
+func (p Problem) String() string {
+	return fmt.Sprintf("%s is %q, allowed: %s", p.Path, p.Value, p.Allows)
+}
+
+// Problems is the error that lists every bad place of a document at once.
+type Problems []Problem
+
+// Error returns one line for each problem.
+func (p Problems) Error() string {
+	lines := make([]string, 0, len(p))
+	for _, problem := range p {
+		lines = append(lines, problem.String())
+	}
+	return "bad configuration:\n" + strings.Join(lines, "\n")
+}
+
+// add records a problem.
+func (p *Problems) add(path, value, allows string) {
+	*p = append(*p, Problem{Path: path, Value: value, Allows: allows})
+}
+
+// require records a problem when the condition does not hold.
+func (p *Problems) require(holds bool, path string, value any, allows string) {
+	if !holds {
+		p.add(path, fmt.Sprint(value), allows)
+	}
+}
--- a/internal/event/events_gen.go
+++ b/internal/event/events_gen.go
@@ -10,11 +10,21 @@
 
 // The numbers of the log events.
 const (
-	NumberStarted   Number = 1001
-	NumberStopping  Number = 1002
-	NumberStopped   Number = 1003
-	NumberFailed    Number = 1004
-	NumberFaultsSet Number = 9001
+	NumberStarted                  Number = 1001
+	NumberStopping                 Number = 1002
+	NumberStopped                  Number = 1003
+	NumberFailed                   Number = 1004
+	NumberConfigurationAccepted    Number = 4001
+	NumberConfigurationInForce     Number = 4002
+	NumberConfigurationConflict    Number = 4003
+	NumberConfigurationRefused     Number = 4004
+	NumberConfigurationFetchFailed Number = 4005
+	NumberConfigurationOlder       Number = 4006
+	NumberConfigurationUnknown     Number = 4007
+	NumberTokenRefused             Number = 5001
+	NumberRightMissing             Number = 5002
+	NumberPeerRefused              Number = 5003
+	NumberFaultsSet                Number = 9001
 )
 
 // unused keeps the import of package model when no event needs it.
@@ -55,6 +65,101 @@
 	}).Error("process failed")
 }
 
+// ConfigurationAccepted logs event 4001: an operator's configuration is accepted.
+func ConfigurationAccepted(logger log.Interface, author string, version model.Version) {
+	logger.WithFields(log.Fields{
+		"event":   NumberConfigurationAccepted,
+		"author":  author,
+		"version": version,
+	}).Info("an operator's configuration is accepted")
+}
+
+// ConfigurationInForce logs event 4002: a configuration is in force on this host.
+func ConfigurationInForce(logger log.Interface, version model.Version, source string) {
+	logger.WithFields(log.Fields{
+		"event":   NumberConfigurationInForce,
+		"version": version,
+		"source":  source,
+	}).Info("a configuration is in force on this host")
+}
+
+// ConfigurationConflict logs event 4003: a configuration lost a race against another one.
+func ConfigurationConflict(logger log.Interface, author string, expected model.Version, current model.Version) {
+	logger.WithFields(log.Fields{
+		"event":    NumberConfigurationConflict,
+		"author":   author,
+		"expected": expected,
+		"current":  current,
+	}).Info("a configuration lost a race against another one")
+}
+
+// ConfigurationRefused logs event 4004: a configuration was refused.
+func ConfigurationRefused(logger log.Interface, author string, error error) {
+	logger.WithFields(log.Fields{
+		"event":  NumberConfigurationRefused,
+		"author": author,
+		"error":  text(error),
+	}).Warn("a configuration was refused")
+}
+
+// ConfigurationFetchFailed logs event 4005: a newer configuration could not be fetched.
+func ConfigurationFetchFailed(logger log.Interface, version model.Version, source string, error error) {
+	logger.WithFields(log.Fields{
+		"event":   NumberConfigurationFetchFailed,
+		"version": version,
+		"source":  source,
+		"error":   text(error),
+	}).Warn("a newer configuration could not be fetched")
+}
+
+// ConfigurationOlder logs event 4006: the store has an older configuration than this host.
+func ConfigurationOlder(logger log.Interface, stored model.Version, inForce model.Version) {
+	logger.WithFields(log.Fields{
+		"event":   NumberConfigurationOlder,
+		"stored":  stored,
+		"inForce": inForce,
+	}).Error("the store has an older configuration than this host")
+}
+
+// ConfigurationUnknown logs event 4007: an operator's change has an unknown outcome.
+func ConfigurationUnknown(logger log.Interface, author string, expected model.Version, error error) {
+	logger.WithFields(log.Fields{
+		"event":    NumberConfigurationUnknown,
+		"author":   author,
+		"expected": expected,
+		"error":    text(error),
+	}).Error("an operator's change has an unknown outcome")
+}
+
+// TokenRefused logs event 5001: a request had no valid token.
+func TokenRefused(logger log.Interface, api string, remote string, path string) {
+	logger.WithFields(log.Fields{
+		"event":  NumberTokenRefused,
+		"api":    api,
+		"remote": remote,
+		"path":   path,
+	}).Warn("a request had no valid token")
+}
+
+// RightMissing logs event 5002: a token's role does not allow the request.
+func RightMissing(logger log.Interface, api string, token string, path string) {
+	logger.WithFields(log.Fields{
+		"event": NumberRightMissing,
+		"api":   api,
+		"token": token,
+		"path":  path,
+	}).Warn("a token's role does not allow the request")
+}
+
+// PeerRefused logs event 5003: a host's certificate was refused.
+func PeerRefused(logger log.Interface, remote string, error error) {
+	logger.WithFields(log.Fields{
+		"event":  NumberPeerRefused,
+		"remote": remote,
+		"error":  text(error),
+	}).Warn("a host's certificate was refused")
+}
+
 // FaultsSet logs event 9001: faults of a stand-in changed.
 func FaultsSet(logger log.Interface, id string, faults string) {
 	logger.WithFields(log.Fields{
--- a/pkg/api/operatorapi/oas_client_gen.go
+++ b/pkg/api/operatorapi/oas_client_gen.go
@@ -9,6 +9,7 @@
 	"strings"
 
 	"github.com/go-faster/errors"
+	"github.com/ogen-go/ogen/conv"
 	ht "github.com/ogen-go/ogen/http"
 	"github.com/ogen-go/ogen/uri"
 )
@@ -20,6 +21,12 @@
 
 // Invoker invokes operations described by OpenAPI v3 specification.
 type Invoker interface {
+	// GetAccepted invokes getAccepted operation.
+	//
+	// Returns one accepted configuration.
+	//
+	// GET /v1/configurations/{version}
+	GetAccepted(ctx context.Context, params GetAcceptedParams) (*Configuration, error)
 	// GetConfiguration invokes getConfiguration operation.
 	//
 	// Returns the configuration in force on this host.
@@ -32,6 +39,12 @@
 	//
 	// GET /v1/status
 	GetStatus(ctx context.Context) (*Status, error)
+	// ListConfigurations invokes listConfigurations operation.
+	//
+	// Returns the accepted configurations, the newest first.
+	//
+	// GET /v1/configurations
+	ListConfigurations(ctx context.Context, params ListConfigurationsParams) (*History, error)
 	// PutConfiguration invokes putConfiguration operation.
 	//
 	// Replaces the configuration when the version is still the expected one.
@@ -79,6 +92,67 @@
 	return u
 }
 
+// GetAccepted invokes getAccepted operation.
+//
+// Returns one accepted configuration.
+//
+// GET /v1/configurations/{version}
+func (c *Client) GetAccepted(ctx context.Context, params GetAcceptedParams) (*Configuration, error) {
+	res, err := c.sendGetAccepted(ctx, params)
+	return res, err
+}
+
+func (c *Client) sendGetAccepted(ctx context.Context, params GetAcceptedParams) (res *Configuration, err error) {
+
+	u := uri.Clone(c.requestURL(ctx))
+	var pathParts [2]string
+	pathParts[0] = "/v1/configurations/"
+	{
+		// Encode "version" parameter.
+		e := uri.NewPathEncoder(uri.PathEncoderConfig{
+			Param:   "version",
+			Style:   uri.PathStyleSimple,
+			Explode: false,
+		})
+		if err := func() error {
+			return e.EncodeValue(conv.Uint64ToString(params.Version))
+		}(); err != nil {
+			return res, errors.Wrap(err, "encode path")
+		}
+		encoded, err := e.Result()
+		if err != nil {
+			return res, errors.Wrap(err, "encode path")
+		}
+		pathParts[1] = encoded
+	}
+	uri.AddPathParts(u, pathParts[:]...)
+
+	r, err := ht.NewRequest(ctx, "GET", u)
+	if err != nil {
+		return res, errors.Wrap(err, "create request")
+	}
+
+	resp, err := c.cfg.Client.Do(r)
+	if err != nil {
+		return res, errors.Wrap(err, "do request")
+	}
+	body := resp.Body
+	defer func() {
+		// Drain the body to EOF before closing, so the underlying
+		// connection can be reused by the Transport regardless of the
+		// response status code. See https://github.com/ogen-go/ogen/issues/1670.
+		_, _ = io.Copy(io.Discard, body)
+		_ = body.Close()
+	}()
+
+	result, err := decodeGetAcceptedResponse(resp)
+	if err != nil {
+		return res, errors.Wrap(err, "decode response")
+	}
+
+	return result, nil
+}
+
 // GetConfiguration invokes getConfiguration operation.
 //
 // Returns the configuration in force on this host.
@@ -165,6 +239,69 @@
 	return result, nil
 }
 
+// ListConfigurations invokes listConfigurations operation.
+//
+// Returns the accepted configurations, the newest first.
+//
+// GET /v1/configurations
+func (c *Client) ListConfigurations(ctx context.Context, params ListConfigurationsParams) (*History, error) {
+	res, err := c.sendListConfigurations(ctx, params)
+	return res, err
+}
+
+func (c *Client) sendListConfigurations(ctx context.Context, params ListConfigurationsParams) (res *History, err error) {
+
+	u := uri.Clone(c.requestURL(ctx))
+	var pathParts [1]string
+	pathParts[0] = "/v1/configurations"
+	uri.AddPathParts(u, pathParts[:]...)
+
+	q := uri.NewQueryEncoder()
+	{
+		// Encode "limit" parameter.
+		cfg := uri.QueryParameterEncodingConfig{
+			Name:    "limit",
+			Style:   uri.QueryStyleForm,
+			Explode: true,
+		}
+
+		if err := q.EncodeParam(cfg, func(e uri.Encoder) error {
+			if val, ok := params.Limit.Get(); ok {
+				return e.EncodeValue(conv.IntToString(val))
+			}
+			return nil
+		}); err != nil {
+			return res, errors.Wrap(err, "encode query")
+		}
+	}
+	u.RawQuery = q.Values().Encode()
+
+	r, err := ht.NewRequest(ctx, "GET", u)
+	if err != nil {
+		return res, errors.Wrap(err, "create request")
+	}
+
+	resp, err := c.cfg.Client.Do(r)
+	if err != nil {
+		return res, errors.Wrap(err, "do request")
+	}
+	body := resp.Body
+	defer func() {
+		// Drain the body to EOF before closing, so the underlying
+		// connection can be reused by the Transport regardless of the
+		// response status code. See https://github.com/ogen-go/ogen/issues/1670.
+		_, _ = io.Copy(io.Discard, body)
+		_ = body.Close()
+	}()
+
+	result, err := decodeListConfigurationsResponse(resp)
+	if err != nil {
+		return res, errors.Wrap(err, "decode response")
+	}
+
+	return result, nil
+}
+
 // PutConfiguration invokes putConfiguration operation.
 //
 // Replaces the configuration when the version is still the expected one.
--- a/pkg/api/operatorapi/oas_handlers_gen.go
+++ b/pkg/api/operatorapi/oas_handlers_gen.go
@@ -28,6 +28,101 @@
 
 func recordError(string, error) {}
 
+// handleGetAcceptedRequest handles getAccepted operation.
+//
+// Returns one accepted configuration.
+//
+// GET /v1/configurations/{version}
+func (s *Server) handleGetAcceptedRequest(args [1]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
+	statusWriter := &codeRecorder{ResponseWriter: w}
+	w = statusWriter
+	ctx := r.Context()
+
+	var (
+		err          error
+		opErrContext = ogenerrors.OperationContext{
+			Name: GetAcceptedOperation,
+			ID:   "getAccepted",
+		}
+	)
+	params, err := decodeGetAcceptedParams(args, argsEscaped, r)
+	if err != nil {
+		err = &ogenerrors.DecodeParamsError{
+			OperationContext: opErrContext,
+			Err:              err,
+		}
+		defer recordError("DecodeParams", err)
+		s.cfg.ErrorHandler(ctx, w, r, err)
+		return
+	}
+
+	var rawBody []byte
+
+	var response *Configuration
+	if m := s.cfg.Middleware; m != nil {
+		mreq := middleware.Request{
+			Context:          ctx,
+			OperationName:    GetAcceptedOperation,
+			OperationSummary: "Returns one accepted configuration.",
+			OperationID:      "getAccepted",
+			Body:             nil,
+			RawBody:          rawBody,
+			Params: middleware.Parameters{
+				{
+					Name: "version",
+					In:   "path",
+				}: params.Version,
+			},
+			Raw: r,
+		}
+
+		type (
+			Request  = struct{}
+			Params   = GetAcceptedParams
+			Response = *Configuration
+		)
+		response, err = middleware.HookMiddleware[
+			Request,
+			Params,
+			Response,
+		](
+			m,
+			mreq,
+			unpackGetAcceptedParams,
+			func(ctx context.Context, request Request, params Params) (response Response, err error) {
+				response, err = s.h.GetAccepted(ctx, params)
+				return response, err
+			},
+		)
+	} else {
+		response, err = s.h.GetAccepted(ctx, params)
+	}
+	if err != nil {
+		if errRes, ok := errors.Into[*RefusalStatusCode](err); ok {
+			if err := encodeErrorResponse(errRes, w); err != nil {
+				defer recordError("Internal", err)
+			}
+			return
+		}
+		if errors.Is(err, ht.ErrNotImplemented) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+			return
+		}
+		if err := encodeErrorResponse(s.h.NewError(ctx, err), w); err != nil {
+			defer recordError("Internal", err)
+		}
+		return
+	}
+
+	if err := encodeGetAcceptedResponse(response, w); err != nil {
+		defer recordError("EncodeResponse", err)
+		if !errors.Is(err, ht.ErrInternalServerErrorResponse) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+		}
+		return
+	}
+}
+
 // handleGetConfigurationRequest handles getConfiguration operation.
 //
 // Returns the configuration in force on this host.
@@ -180,6 +275,101 @@
 	}
 }
 
+// handleListConfigurationsRequest handles listConfigurations operation.
+//
+// Returns the accepted configurations, the newest first.
+//
+// GET /v1/configurations
+func (s *Server) handleListConfigurationsRequest(args [0]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
+	statusWriter := &codeRecorder{ResponseWriter: w}
+	w = statusWriter
+	ctx := r.Context()
+
+	var (
+		err          error
+		opErrContext = ogenerrors.OperationContext{
+			Name: ListConfigurationsOperation,
+			ID:   "listConfigurations",
+		}
+	)
+	params, err := decodeListConfigurationsParams(args, argsEscaped, r)
+	if err != nil {
+		err = &ogenerrors.DecodeParamsError{
+			OperationContext: opErrContext,
+			Err:              err,
+		}
+		defer recordError("DecodeParams", err)
+		s.cfg.ErrorHandler(ctx, w, r, err)
+		return
+	}
+
+	var rawBody []byte
+
+	var response *History
+	if m := s.cfg.Middleware; m != nil {
+		mreq := middleware.Request{
+			Context:          ctx,
+			OperationName:    ListConfigurationsOperation,
+			OperationSummary: "Returns the accepted configurations, the newest first.",
+			OperationID:      "listConfigurations",
+			Body:             nil,
+			RawBody:          rawBody,
+			Params: middleware.Parameters{
+				{
+					Name: "limit",
+					In:   "query",
+				}: params.Limit,
+			},
+			Raw: r,
+		}
+
+		type (
+			Request  = struct{}
+			Params   = ListConfigurationsParams
+			Response = *History
+		)
+		response, err = middleware.HookMiddleware[
+			Request,
+			Params,
+			Response,
+		](
+			m,
+			mreq,
+			unpackListConfigurationsParams,
+			func(ctx context.Context, request Request, params Params) (response Response, err error) {
+				response, err = s.h.ListConfigurations(ctx, params)
+				return response, err
+			},
+		)
+	} else {
+		response, err = s.h.ListConfigurations(ctx, params)
+	}
+	if err != nil {
+		if errRes, ok := errors.Into[*RefusalStatusCode](err); ok {
+			if err := encodeErrorResponse(errRes, w); err != nil {
+				defer recordError("Internal", err)
+			}
+			return
+		}
+		if errors.Is(err, ht.ErrNotImplemented) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+			return
+		}
+		if err := encodeErrorResponse(s.h.NewError(ctx, err), w); err != nil {
+			defer recordError("Internal", err)
+		}
+		return
+	}
+
+	if err := encodeListConfigurationsResponse(response, w); err != nil {
+		defer recordError("EncodeResponse", err)
+		if !errors.Is(err, ht.ErrInternalServerErrorResponse) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+		}
+		return
+	}
+}
+
 // handlePutConfigurationRequest handles putConfiguration operation.
 //
 // Replaces the configuration when the version is still the expected one.
--- a/pkg/api/operatorapi/oas_json_gen.go
+++ b/pkg/api/operatorapi/oas_json_gen.go
@@ -13,6 +13,136 @@
 	"github.com/ogen-go/ogen/validate"
 )
 
+// Encode implements json.Marshaler.
+func (s *Accepted) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *Accepted) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("version")
+		e.UInt64(s.Version)
+	}
+	{
+		e.FieldStart("author")
+		e.Str(s.Author)
+	}
+	{
+		e.FieldStart("time")
+		json.EncodeDateTime(e, s.Time)
+	}
+}
+
+var jsonFieldsNameOfAccepted = [3]string{
+	0: "version",
+	1: "author",
+	2: "time",
+}
+
+// Decode decodes Accepted from json.
+func (s *Accepted) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode Accepted to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "version":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.UInt64()
+				s.Version = uint64(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"version\"")
+			}
+		case "author":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				v, err := d.Str()
+				s.Author = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"author\"")
+			}
+		case "time":
+			requiredBitSet[0] |= 1 << 2
+			if err := func() error {
+				v, err := json.DecodeDateTime(d)
+				s.Time = v
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"time\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode Accepted")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00000111,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfAccepted) {
+					name = jsonFieldsNameOfAccepted[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *Accepted) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *Accepted) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode implements json.Marshaler.
 func (s *Change) Encode(e *jx.Encoder) {
 	e.ObjStart()
@@ -86,7 +216,7 @@
 				return errors.Wrap(err, "decode field \"document\"")
 			}
 		default:
-			return d.Skip()
+			return errors.Errorf("unexpected field %q", k)
 		}
 		return nil
 	}); err != nil {
@@ -158,11 +288,25 @@
 		e.FieldStart("document")
 		s.Document.Encode(e)
 	}
+	{
+		if s.Author.Set {
+			e.FieldStart("author")
+			s.Author.Encode(e)
+		}
+	}
+	{
+		if s.Time.Set {
+			e.FieldStart("time")
+			s.Time.Encode(e, json.EncodeDateTime)
+		}
+	}
 }
 
-var jsonFieldsNameOfConfiguration = [2]string{
+var jsonFieldsNameOfConfiguration = [4]string{
 	0: "version",
 	1: "document",
+	2: "author",
+	3: "time",
 }
 
 // Decode decodes Configuration from json.
@@ -196,6 +340,26 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"document\"")
 			}
+		case "author":
+			if err := func() error {
+				s.Author.Reset()
+				if err := s.Author.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"author\"")
+			}
+		case "time":
+			if err := func() error {
+				s.Time.Reset()
+				if err := s.Time.Decode(d, json.DecodeDateTime); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"time\"")
+			}
 		default:
 			return d.Skip()
 		}
@@ -564,7 +728,7 @@
 				return errors.Wrap(err, "decode field \"rankFloors\"")
 			}
 		default:
-			return d.Skip()
+			return errors.Errorf("unexpected field %q", k)
 		}
 		return nil
 	}); err != nil {
@@ -648,12 +812,23 @@
 		}
 		e.ArrEnd()
 	}
+	{
+		if s.Tokens != nil {
+			e.FieldStart("tokens")
+			e.ArrStart()
+			for _, elem := range s.Tokens {
+				elem.Encode(e)
+			}
+			e.ArrEnd()
+		}
+	}
 }
 
-var jsonFieldsNameOfDocument = [3]string{
+var jsonFieldsNameOfDocument = [4]string{
 	0: "defaults",
 	1: "kinds",
 	2: "exceptions",
+	3: "tokens",
 }
 
 // Decode decodes Document from json.
@@ -711,8 +886,25 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"exceptions\"")
 			}
+		case "tokens":
+			if err := func() error {
+				s.Tokens = make([]Token, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem Token
+					if err := elem.Decode(d); err != nil {
+						return err
+					}
+					s.Tokens = append(s.Tokens, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"tokens\"")
+			}
 		default:
-			return d.Skip()
+			return errors.Errorf("unexpected field %q", k)
 		}
 		return nil
 	}); err != nil {
@@ -812,7 +1004,7 @@
 	}
 	{
 		e.FieldStart("setting")
-		s.Setting.Encode(e)
+		e.Str(s.Setting)
 	}
 	{
 		e.FieldStart("value")
@@ -828,12 +1020,12 @@
 	}
 	{
 		e.FieldStart("date")
-		json.EncodeDate(e, s.Date)
+		e.Str(s.Date)
 	}
 	{
 		if s.Review.Set {
 			e.FieldStart("review")
-			s.Review.Encode(e, json.EncodeDate)
+			s.Review.Encode(e)
 		}
 	}
 }
@@ -927,7 +1119,9 @@
 		case "setting":
 			requiredBitSet[0] |= 1 << 6
 			if err := func() error {
-				if err := s.Setting.Decode(d); err != nil {
+				v, err := d.Str()
+				s.Setting = string(v)
+				if err != nil {
 					return err
 				}
 				return nil
@@ -973,8 +1167,8 @@
 		case "date":
 			requiredBitSet[1] |= 1 << 2
 			if err := func() error {
-				v, err := json.DecodeDate(d)
-				s.Date = v
+				v, err := d.Str()
+				s.Date = string(v)
 				if err != nil {
 					return err
 				}
@@ -985,7 +1179,7 @@
 		case "review":
 			if err := func() error {
 				s.Review.Reset()
-				if err := s.Review.Decode(d, json.DecodeDate); err != nil {
+				if err := s.Review.Decode(d); err != nil {
 					return err
 				}
 				return nil
@@ -993,7 +1187,7 @@
 				return errors.Wrap(err, "decode field \"review\"")
 			}
 		default:
-			return d.Skip()
+			return errors.Errorf("unexpected field %q", k)
 		}
 		return nil
 	}); err != nil {
@@ -1049,54 +1243,108 @@
 	return s.Decode(d)
 }
 
-// Encode encodes ExceptionSetting as json.
-func (s ExceptionSetting) Encode(e *jx.Encoder) {
-	e.Str(string(s))
+// Encode implements json.Marshaler.
+func (s *History) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *History) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("versions")
+		e.ArrStart()
+		for _, elem := range s.Versions {
+			elem.Encode(e)
+		}
+		e.ArrEnd()
+	}
 }
 
-// Decode decodes ExceptionSetting from json.
-func (s *ExceptionSetting) Decode(d *jx.Decoder) error {
+var jsonFieldsNameOfHistory = [1]string{
+	0: "versions",
+}
+
+// Decode decodes History from json.
+func (s *History) Decode(d *jx.Decoder) error {
 	if s == nil {
-		return errors.New("invalid: unable to decode ExceptionSetting to nil")
+		return errors.New("invalid: unable to decode History to nil")
 	}
-	v, err := d.StrBytes()
-	if err != nil {
-		return err
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "versions":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				s.Versions = make([]Accepted, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem Accepted
+					if err := elem.Decode(d); err != nil {
+						return err
+					}
+					s.Versions = append(s.Versions, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"versions\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode History")
 	}
-	// Try to use constant string.
-	switch ExceptionSetting(v) {
-	case ExceptionSettingDeadlineMs:
-		*s = ExceptionSettingDeadlineMs
-	case ExceptionSettingQueueLimit:
-		*s = ExceptionSettingQueueLimit
-	case ExceptionSettingTransactionIdleMs:
-		*s = ExceptionSettingTransactionIdleMs
-	case ExceptionSettingTransactionLimitMs:
-		*s = ExceptionSettingTransactionLimitMs
-	case ExceptionSettingRank:
-		*s = ExceptionSettingRank
-	case ExceptionSettingMaxAgeMs:
-		*s = ExceptionSettingMaxAgeMs
-	case ExceptionSettingDurability:
-		*s = ExceptionSettingDurability
-	case ExceptionSettingFloor:
-		*s = ExceptionSettingFloor
-	default:
-		*s = ExceptionSetting(v)
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00000001,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfHistory) {
+					name = jsonFieldsNameOfHistory[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
 	}
 
 	return nil
 }
 
 // MarshalJSON implements stdjson.Marshaler.
-func (s ExceptionSetting) MarshalJSON() ([]byte, error) {
+func (s *History) MarshalJSON() ([]byte, error) {
 	e := jx.Encoder{}
 	s.Encode(&e)
 	return e.Bytes(), nil
 }
 
 // UnmarshalJSON implements stdjson.Unmarshaler.
-func (s *ExceptionSetting) UnmarshalJSON(data []byte) error {
+func (s *History) UnmarshalJSON(data []byte) error {
 	d := jx.DecodeBytes(data)
 	return s.Decode(d)
 }
@@ -1600,7 +1848,7 @@
 	}
 	{
 		e.FieldStart("access")
-		s.Access.Encode(e)
+		e.Str(s.Access)
 	}
 	{
 		if s.MaxAgeMs.Set {
@@ -1614,7 +1862,7 @@
 	}
 	{
 		e.FieldStart("durability")
-		s.Durability.Encode(e)
+		e.Str(s.Durability)
 	}
 	{
 		if s.Floor.Set {
@@ -1670,7 +1918,9 @@
 		case "access":
 			requiredBitSet[0] |= 1 << 2
 			if err := func() error {
-				if err := s.Access.Decode(d); err != nil {
+				v, err := d.Str()
+				s.Access = string(v)
+				if err != nil {
 					return err
 				}
 				return nil
@@ -1702,7 +1952,9 @@
 		case "durability":
 			requiredBitSet[0] |= 1 << 5
 			if err := func() error {
-				if err := s.Durability.Decode(d); err != nil {
+				v, err := d.Str()
+				s.Durability = string(v)
+				if err != nil {
 					return err
 				}
 				return nil
@@ -1720,7 +1972,7 @@
 				return errors.Wrap(err, "decode field \"floor\"")
 			}
 		default:
-			return d.Skip()
+			return errors.Errorf("unexpected field %q", k)
 		}
 		return nil
 	}); err != nil {
@@ -1775,123 +2027,41 @@
 	return s.Decode(d)
 }
 
-// Encode encodes KindAccess as json.
-func (s KindAccess) Encode(e *jx.Encoder) {
-	e.Str(string(s))
+// Encode encodes Configuration as json.
+func (o OptConfiguration) Encode(e *jx.Encoder) {
+	if !o.Set {
+		return
+	}
+	o.Value.Encode(e)
 }
 
-// Decode decodes KindAccess from json.
-func (s *KindAccess) Decode(d *jx.Decoder) error {
-	if s == nil {
-		return errors.New("invalid: unable to decode KindAccess to nil")
+// Decode decodes Configuration from json.
+func (o *OptConfiguration) Decode(d *jx.Decoder) error {
+	if o == nil {
+		return errors.New("invalid: unable to decode OptConfiguration to nil")
 	}
-	v, err := d.StrBytes()
-	if err != nil {
+	o.Set = true
+	if err := o.Value.Decode(d); err != nil {
 		return err
 	}
-	// Try to use constant string.
-	switch KindAccess(v) {
-	case KindAccessRead:
-		*s = KindAccessRead
-	case KindAccessWrite:
-		*s = KindAccessWrite
-	default:
-		*s = KindAccess(v)
-	}
-
 	return nil
 }
 
 // MarshalJSON implements stdjson.Marshaler.
-func (s KindAccess) MarshalJSON() ([]byte, error) {
+func (s OptConfiguration) MarshalJSON() ([]byte, error) {
 	e := jx.Encoder{}
 	s.Encode(&e)
 	return e.Bytes(), nil
 }
 
 // UnmarshalJSON implements stdjson.Unmarshaler.
-func (s *KindAccess) UnmarshalJSON(data []byte) error {
-	d := jx.DecodeBytes(data)
-	return s.Decode(d)
-}
-
-// Encode encodes KindDurability as json.
-func (s KindDurability) Encode(e *jx.Encoder) {
-	e.Str(string(s))
-}
-
-// Decode decodes KindDurability from json.
-func (s *KindDurability) Decode(d *jx.Decoder) error {
-	if s == nil {
-		return errors.New("invalid: unable to decode KindDurability to nil")
-	}
-	v, err := d.StrBytes()
-	if err != nil {
-		return err
-	}
-	// Try to use constant string.
-	switch KindDurability(v) {
-	case KindDurabilityNone:
-		*s = KindDurabilityNone
-	case KindDurabilityPrimary:
-		*s = KindDurabilityPrimary
-	case KindDurabilityReplica:
-		*s = KindDurabilityReplica
-	default:
-		*s = KindDurability(v)
-	}
-
-	return nil
-}
-
-// MarshalJSON implements stdjson.Marshaler.
-func (s KindDurability) MarshalJSON() ([]byte, error) {
-	e := jx.Encoder{}
-	s.Encode(&e)
-	return e.Bytes(), nil
-}
-
-// UnmarshalJSON implements stdjson.Unmarshaler.
-func (s *KindDurability) UnmarshalJSON(data []byte) error {
-	d := jx.DecodeBytes(data)
-	return s.Decode(d)
-}
-
-// Encode encodes Configuration as json.
-func (o OptConfiguration) Encode(e *jx.Encoder) {
-	if !o.Set {
-		return
-	}
-	o.Value.Encode(e)
-}
-
-// Decode decodes Configuration from json.
-func (o *OptConfiguration) Decode(d *jx.Decoder) error {
-	if o == nil {
-		return errors.New("invalid: unable to decode OptConfiguration to nil")
-	}
-	o.Set = true
-	if err := o.Value.Decode(d); err != nil {
-		return err
-	}
-	return nil
-}
-
-// MarshalJSON implements stdjson.Marshaler.
-func (s OptConfiguration) MarshalJSON() ([]byte, error) {
-	e := jx.Encoder{}
-	s.Encode(&e)
-	return e.Bytes(), nil
-}
-
-// UnmarshalJSON implements stdjson.Unmarshaler.
-func (s *OptConfiguration) UnmarshalJSON(data []byte) error {
+func (s *OptConfiguration) UnmarshalJSON(data []byte) error {
 	d := jx.DecodeBytes(data)
 	return s.Decode(d)
 }
 
 // Encode encodes time.Time as json.
-func (o OptDate) Encode(e *jx.Encoder, format func(*jx.Encoder, time.Time)) {
+func (o OptDateTime) Encode(e *jx.Encoder, format func(*jx.Encoder, time.Time)) {
 	if !o.Set {
 		return
 	}
@@ -1899,9 +2069,9 @@
 }
 
 // Decode decodes time.Time from json.
-func (o *OptDate) Decode(d *jx.Decoder, format func(*jx.Decoder) (time.Time, error)) error {
+func (o *OptDateTime) Decode(d *jx.Decoder, format func(*jx.Decoder) (time.Time, error)) error {
 	if o == nil {
-		return errors.New("invalid: unable to decode OptDate to nil")
+		return errors.New("invalid: unable to decode OptDateTime to nil")
 	}
 	o.Set = true
 	v, err := format(d)
@@ -1913,16 +2083,16 @@
 }
 
 // MarshalJSON implements stdjson.Marshaler.
-func (s OptDate) MarshalJSON() ([]byte, error) {
+func (s OptDateTime) MarshalJSON() ([]byte, error) {
 	e := jx.Encoder{}
-	s.Encode(&e, json.EncodeDate)
+	s.Encode(&e, json.EncodeDateTime)
 	return e.Bytes(), nil
 }
 
 // UnmarshalJSON implements stdjson.Unmarshaler.
-func (s *OptDate) UnmarshalJSON(data []byte) error {
+func (s *OptDateTime) UnmarshalJSON(data []byte) error {
 	d := jx.DecodeBytes(data)
-	return s.Decode(d, json.DecodeDate)
+	return s.Decode(d, json.DecodeDateTime)
 }
 
 // Encode encodes int as json.
@@ -2143,6 +2313,153 @@
 	return s.Decode(d)
 }
 
+// Encode implements json.Marshaler.
+func (s *QueueStatus) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *QueueStatus) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("database")
+		e.Str(s.Database)
+	}
+	{
+		e.FieldStart("instance")
+		e.Str(s.Instance)
+	}
+	{
+		e.FieldStart("rank")
+		e.Int(s.Rank)
+	}
+	{
+		e.FieldStart("waiting")
+		e.Int(s.Waiting)
+	}
+}
+
+var jsonFieldsNameOfQueueStatus = [4]string{
+	0: "database",
+	1: "instance",
+	2: "rank",
+	3: "waiting",
+}
+
+// Decode decodes QueueStatus from json.
+func (s *QueueStatus) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode QueueStatus to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "database":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Str()
+				s.Database = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"database\"")
+			}
+		case "instance":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				v, err := d.Str()
+				s.Instance = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"instance\"")
+			}
+		case "rank":
+			requiredBitSet[0] |= 1 << 2
+			if err := func() error {
+				v, err := d.Int()
+				s.Rank = int(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"rank\"")
+			}
+		case "waiting":
+			requiredBitSet[0] |= 1 << 3
+			if err := func() error {
+				v, err := d.Int()
+				s.Waiting = int(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"waiting\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode QueueStatus")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00001111,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfQueueStatus) {
+					name = jsonFieldsNameOfQueueStatus[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *QueueStatus) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *QueueStatus) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode implements json.Marshaler.
 func (s *Refusal) Encode(e *jx.Encoder) {
 	e.ObjStart()
@@ -2327,6 +2644,10 @@
 		*s = RefusalCodeNotFound
 	case RefusalCodeUnavailable:
 		*s = RefusalCodeUnavailable
+	case RefusalCodeOutcomeUnknown:
+		*s = RefusalCodeOutcomeUnknown
+	case RefusalCodeTooLarge:
+		*s = RefusalCodeTooLarge
 	case RefusalCodeInternal:
 		*s = RefusalCodeInternal
 	default:
@@ -2350,111 +2671,469 @@
 }
 
 // Encode implements json.Marshaler.
-func (s *Status) Encode(e *jx.Encoder) {
+func (s *RefusalStatus) Encode(e *jx.Encoder) {
 	e.ObjStart()
 	s.encodeFields(e)
 	e.ObjEnd()
 }
 
 // encodeFields encodes fields.
-func (s *Status) encodeFields(e *jx.Encoder) {
-	{
-		e.FieldStart("host")
-		e.Str(s.Host)
-	}
+func (s *RefusalStatus) encodeFields(e *jx.Encoder) {
 	{
-		e.FieldStart("configuration")
-		e.UInt64(s.Configuration)
+		e.FieldStart("code")
+		e.Str(s.Code)
 	}
 	{
-		e.FieldStart("hosts")
-		e.ArrStart()
-		for _, elem := range s.Hosts {
-			elem.Encode(e)
-		}
-		e.ArrEnd()
+		e.FieldStart("rank")
+		e.Int(s.Rank)
 	}
 	{
-		e.FieldStart("databases")
-		e.ArrStart()
-		for _, elem := range s.Databases {
-			elem.Encode(e)
-		}
-		e.ArrEnd()
+		e.FieldStart("count")
+		e.Int64(s.Count)
 	}
 }
 
-var jsonFieldsNameOfStatus = [4]string{
-	0: "host",
-	1: "configuration",
-	2: "hosts",
-	3: "databases",
+var jsonFieldsNameOfRefusalStatus = [3]string{
+	0: "code",
+	1: "rank",
+	2: "count",
 }
 
-// Decode decodes Status from json.
-func (s *Status) Decode(d *jx.Decoder) error {
+// Decode decodes RefusalStatus from json.
+func (s *RefusalStatus) Decode(d *jx.Decoder) error {
 	if s == nil {
-		return errors.New("invalid: unable to decode Status to nil")
+		return errors.New("invalid: unable to decode RefusalStatus to nil")
 	}
 	var requiredBitSet [1]uint8
 
 	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
 		switch string(k) {
-		case "host":
+		case "code":
 			requiredBitSet[0] |= 1 << 0
 			if err := func() error {
 				v, err := d.Str()
-				s.Host = string(v)
+				s.Code = string(v)
 				if err != nil {
 					return err
 				}
 				return nil
 			}(); err != nil {
-				return errors.Wrap(err, "decode field \"host\"")
+				return errors.Wrap(err, "decode field \"code\"")
 			}
-		case "configuration":
+		case "rank":
 			requiredBitSet[0] |= 1 << 1
 			if err := func() error {
-				v, err := d.UInt64()
-				s.Configuration = uint64(v)
+				v, err := d.Int()
+				s.Rank = int(v)
 				if err != nil {
 					return err
 				}
 				return nil
 			}(); err != nil {
-				return errors.Wrap(err, "decode field \"configuration\"")
+				return errors.Wrap(err, "decode field \"rank\"")
 			}
-		case "hosts":
+		case "count":
 			requiredBitSet[0] |= 1 << 2
 			if err := func() error {
-				s.Hosts = make([]HostStatus, 0)
-				if err := d.Arr(func(d *jx.Decoder) error {
-					var elem HostStatus
-					if err := elem.Decode(d); err != nil {
-						return err
-					}
-					s.Hosts = append(s.Hosts, elem)
-					return nil
-				}); err != nil {
+				v, err := d.Int64()
+				s.Count = int64(v)
+				if err != nil {
 					return err
 				}
 				return nil
 			}(); err != nil {
-				return errors.Wrap(err, "decode field \"hosts\"")
+				return errors.Wrap(err, "decode field \"count\"")
 			}
-		case "databases":
-			requiredBitSet[0] |= 1 << 3
-			if err := func() error {
-				s.Databases = make([]DatabaseStatus, 0)
-				if err := d.Arr(func(d *jx.Decoder) error {
-					var elem DatabaseStatus
-					if err := elem.Decode(d); err != nil {
-						return err
-					}
-					s.Databases = append(s.Databases, elem)
-					return nil
-				}); err != nil {
-					return err
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode RefusalStatus")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00000111,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfRefusalStatus) {
+					name = jsonFieldsNameOfRefusalStatus[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *RefusalStatus) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *RefusalStatus) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
+// Encode implements json.Marshaler.
+func (s *SpreadStatus) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *SpreadStatus) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("host")
+		e.Str(s.Host)
+	}
+	{
+		e.FieldStart("version")
+		e.UInt64(s.Version)
+	}
+	{
+		e.FieldStart("delayMs")
+		e.Int64(s.DelayMs)
+	}
+}
+
+var jsonFieldsNameOfSpreadStatus = [3]string{
+	0: "host",
+	1: "version",
+	2: "delayMs",
+}
+
+// Decode decodes SpreadStatus from json.
+func (s *SpreadStatus) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode SpreadStatus to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "host":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Str()
+				s.Host = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"host\"")
+			}
+		case "version":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				v, err := d.UInt64()
+				s.Version = uint64(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"version\"")
+			}
+		case "delayMs":
+			requiredBitSet[0] |= 1 << 2
+			if err := func() error {
+				v, err := d.Int64()
+				s.DelayMs = int64(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"delayMs\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode SpreadStatus")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00000111,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfSpreadStatus) {
+					name = jsonFieldsNameOfSpreadStatus[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *SpreadStatus) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *SpreadStatus) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
+// Encode implements json.Marshaler.
+func (s *Status) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *Status) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("host")
+		e.Str(s.Host)
+	}
+	{
+		e.FieldStart("ready")
+		e.Bool(s.Ready)
+	}
+	{
+		e.FieldStart("configuration")
+		e.UInt64(s.Configuration)
+	}
+	{
+		e.FieldStart("queues")
+		e.ArrStart()
+		for _, elem := range s.Queues {
+			elem.Encode(e)
+		}
+		e.ArrEnd()
+	}
+	{
+		e.FieldStart("refusals")
+		e.ArrStart()
+		for _, elem := range s.Refusals {
+			elem.Encode(e)
+		}
+		e.ArrEnd()
+	}
+	{
+		e.FieldStart("spread")
+		e.ArrStart()
+		for _, elem := range s.Spread {
+			elem.Encode(e)
+		}
+		e.ArrEnd()
+	}
+	{
+		e.FieldStart("hosts")
+		e.ArrStart()
+		for _, elem := range s.Hosts {
+			elem.Encode(e)
+		}
+		e.ArrEnd()
+	}
+	{
+		e.FieldStart("databases")
+		e.ArrStart()
+		for _, elem := range s.Databases {
+			elem.Encode(e)
+		}
+		e.ArrEnd()
+	}
+}
+
+var jsonFieldsNameOfStatus = [8]string{
+	0: "host",
+	1: "ready",
+	2: "configuration",
+	3: "queues",
+	4: "refusals",
+	5: "spread",
+	6: "hosts",
+	7: "databases",
+}
+
+// Decode decodes Status from json.
+func (s *Status) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode Status to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "host":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Str()
+				s.Host = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"host\"")
+			}
+		case "ready":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				v, err := d.Bool()
+				s.Ready = bool(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"ready\"")
+			}
+		case "configuration":
+			requiredBitSet[0] |= 1 << 2
+			if err := func() error {
+				v, err := d.UInt64()
+				s.Configuration = uint64(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"configuration\"")
+			}
+		case "queues":
+			requiredBitSet[0] |= 1 << 3
+			if err := func() error {
+				s.Queues = make([]QueueStatus, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem QueueStatus
+					if err := elem.Decode(d); err != nil {
+						return err
+					}
+					s.Queues = append(s.Queues, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"queues\"")
+			}
+		case "refusals":
+			requiredBitSet[0] |= 1 << 4
+			if err := func() error {
+				s.Refusals = make([]RefusalStatus, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem RefusalStatus
+					if err := elem.Decode(d); err != nil {
+						return err
+					}
+					s.Refusals = append(s.Refusals, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"refusals\"")
+			}
+		case "spread":
+			requiredBitSet[0] |= 1 << 5
+			if err := func() error {
+				s.Spread = make([]SpreadStatus, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem SpreadStatus
+					if err := elem.Decode(d); err != nil {
+						return err
+					}
+					s.Spread = append(s.Spread, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"spread\"")
+			}
+		case "hosts":
+			requiredBitSet[0] |= 1 << 6
+			if err := func() error {
+				s.Hosts = make([]HostStatus, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem HostStatus
+					if err := elem.Decode(d); err != nil {
+						return err
+					}
+					s.Hosts = append(s.Hosts, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"hosts\"")
+			}
+		case "databases":
+			requiredBitSet[0] |= 1 << 7
+			if err := func() error {
+				s.Databases = make([]DatabaseStatus, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem DatabaseStatus
+					if err := elem.Decode(d); err != nil {
+						return err
+					}
+					s.Databases = append(s.Databases, elem)
+					return nil
+				}); err != nil {
+					return err
 				}
 				return nil
 			}(); err != nil {
@@ -2470,7 +3149,7 @@
 	// Validate required fields.
 	var failures []validate.FieldError
 	for i, mask := range [1]uint8{
-		0b00001111,
+		0b11111111,
 	} {
 		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
 			// Mask only required fields and check equality to mask using XOR.
@@ -2515,3 +3194,184 @@
 	d := jx.DecodeBytes(data)
 	return s.Decode(d)
 }
+
+// Encode implements json.Marshaler.
+func (s *Token) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *Token) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("name")
+		e.Str(s.Name)
+	}
+	{
+		e.FieldStart("role")
+		e.Str(s.Role)
+	}
+	{
+		e.FieldStart("hash")
+		e.Str(s.Hash)
+	}
+	{
+		e.FieldStart("reason")
+		e.Str(s.Reason)
+	}
+	{
+		e.FieldStart("author")
+		e.Str(s.Author)
+	}
+	{
+		e.FieldStart("date")
+		e.Str(s.Date)
+	}
+}
+
+var jsonFieldsNameOfToken = [6]string{
+	0: "name",
+	1: "role",
+	2: "hash",
+	3: "reason",
+	4: "author",
+	5: "date",
+}
+
+// Decode decodes Token from json.
+func (s *Token) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode Token to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "name":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Str()
+				s.Name = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"name\"")
+			}
+		case "role":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				v, err := d.Str()
+				s.Role = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"role\"")
+			}
+		case "hash":
+			requiredBitSet[0] |= 1 << 2
+			if err := func() error {
+				v, err := d.Str()
+				s.Hash = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"hash\"")
+			}
+		case "reason":
+			requiredBitSet[0] |= 1 << 3
+			if err := func() error {
+				v, err := d.Str()
+				s.Reason = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"reason\"")
+			}
+		case "author":
+			requiredBitSet[0] |= 1 << 4
+			if err := func() error {
+				v, err := d.Str()
+				s.Author = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"author\"")
+			}
+		case "date":
+			requiredBitSet[0] |= 1 << 5
+			if err := func() error {
+				v, err := d.Str()
+				s.Date = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"date\"")
+			}
+		default:
+			return errors.Errorf("unexpected field %q", k)
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode Token")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00111111,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfToken) {
+					name = jsonFieldsNameOfToken[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *Token) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *Token) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
--- a/pkg/api/operatorapi/oas_operations_gen.go
+++ b/pkg/api/operatorapi/oas_operations_gen.go
@@ -6,7 +6,9 @@
 type OperationName = string
 
 const (
-	GetConfigurationOperation OperationName = "GetConfiguration"
-	GetStatusOperation        OperationName = "GetStatus"
-	PutConfigurationOperation OperationName = "PutConfiguration"
+	GetAcceptedOperation        OperationName = "GetAccepted"
+	GetConfigurationOperation   OperationName = "GetConfiguration"
+	GetStatusOperation          OperationName = "GetStatus"
+	ListConfigurationsOperation OperationName = "ListConfigurations"
+	PutConfigurationOperation   OperationName = "PutConfiguration"
 )
--- a/pkg/api/operatorapi/oas_response_encoders_gen.go
+++ b/pkg/api/operatorapi/oas_response_encoders_gen.go
@@ -10,6 +10,27 @@
 	ht "github.com/ogen-go/ogen/http"
 )
 
+func encodeGetAcceptedResponse(response *Configuration, w http.ResponseWriter) error {
+	if err := func() error {
+		if err := response.Validate(); err != nil {
+			return err
+		}
+		return nil
+	}(); err != nil {
+		return errors.Wrap(err, "validate")
+	}
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	w.WriteHeader(200)
+
+	e := new(jx.Encoder)
+	response.Encode(e)
+	if _, err := e.WriteTo(w); err != nil {
+		return errors.Wrap(err, "write")
+	}
+
+	return nil
+}
+
 func encodeGetConfigurationResponse(response *Configuration, w http.ResponseWriter) error {
 	if err := func() error {
 		if err := response.Validate(); err != nil {
@@ -52,6 +73,27 @@
 	return nil
 }
 
+func encodeListConfigurationsResponse(response *History, w http.ResponseWriter) error {
+	if err := func() error {
+		if err := response.Validate(); err != nil {
+			return err
+		}
+		return nil
+	}(); err != nil {
+		return errors.Wrap(err, "validate")
+	}
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	w.WriteHeader(200)
+
+	e := new(jx.Encoder)
+	response.Encode(e)
+	if _, err := e.WriteTo(w); err != nil {
+		return errors.Wrap(err, "write")
+	}
+
+	return nil
+}
+
 func encodePutConfigurationResponse(response *Configuration, w http.ResponseWriter) error {
 	if err := func() error {
 		if err := response.Validate(); err != nil {
--- a/pkg/api/operatorapi/oas_router_gen.go
+++ b/pkg/api/operatorapi/oas_router_gen.go
@@ -11,7 +11,7 @@
 )
 
 var (
-	rn1AllowedHeaders = map[string]string{
+	rn3AllowedHeaders = map[string]string{
 		"PUT": "Content-Type",
 	}
 )
@@ -46,6 +46,7 @@
 		s.notFound(w, r)
 		return
 	}
+	args := [1]string{}
 
 	// Static code generated router with unwrapped path search.
 	switch {
@@ -75,7 +76,6 @@
 				}
 
 				if len(elem) == 0 {
-					// Leaf node.
 					switch r.Method {
 					case "GET":
 						s.handleGetConfigurationRequest([0]string{}, elemIsEscaped, w, r)
@@ -84,7 +84,7 @@
 					default:
 						s.notAllowed(w, r, notAllowedParams{
 							allowedMethods: "GET,PUT",
-							allowedHeaders: rn1AllowedHeaders,
+							allowedHeaders: rn3AllowedHeaders,
 							acceptPost:     "",
 							acceptPatch:    "",
 						})
@@ -92,6 +92,70 @@
 
 					return
 				}
+				switch elem[0] {
+				case 's': // Prefix: "s"
+
+					if l := len("s"); len(elem) >= l && elem[0:l] == "s" {
+						elem = elem[l:]
+					} else {
+						break
+					}
+
+					if len(elem) == 0 {
+						switch r.Method {
+						case "GET":
+							s.handleListConfigurationsRequest([0]string{}, elemIsEscaped, w, r)
+						default:
+							s.notAllowed(w, r, notAllowedParams{
+								allowedMethods: "GET",
+								allowedHeaders: nil,
+								acceptPost:     "",
+								acceptPatch:    "",
+							})
+						}
+
+						return
+					}
+					switch elem[0] {
+					case '/': // Prefix: "/"
+
+						if l := len("/"); len(elem) >= l && elem[0:l] == "/" {
+							elem = elem[l:]
+						} else {
+							break
+						}
+
+						// Param: "version"
+						// Leaf parameter, slashes are prohibited
+						idx := strings.IndexByte(elem, '/')
+						if idx >= 0 {
+							break
+						}
+						args[0] = elem
+						elem = ""
+
+						if len(elem) == 0 {
+							// Leaf node.
+							switch r.Method {
+							case "GET":
+								s.handleGetAcceptedRequest([1]string{
+									args[0],
+								}, elemIsEscaped, w, r)
+							default:
+								s.notAllowed(w, r, notAllowedParams{
+									allowedMethods: "GET",
+									allowedHeaders: nil,
+									acceptPost:     "",
+									acceptPatch:    "",
+								})
+							}
+
+							return
+						}
+
+					}
+
+				}
 
 			case 's': // Prefix: "status"
 
@@ -133,7 +197,7 @@
 	operationGroup string
 	pathPattern    string
 	count          int
-	args           [0]string
+	args           [1]string
 }
 
 // Name returns ogen operation name.
@@ -227,7 +291,6 @@
 				}
 
 				if len(elem) == 0 {
-					// Leaf node.
 					switch method {
 					case "GET":
 						r.name = GetConfigurationOperation
@@ -251,6 +314,68 @@
 						return
 					}
 				}
+				switch elem[0] {
+				case 's': // Prefix: "s"
+
+					if l := len("s"); len(elem) >= l && elem[0:l] == "s" {
+						elem = elem[l:]
+					} else {
+						break
+					}
+
+					if len(elem) == 0 {
+						switch method {
+						case "GET":
+							r.name = ListConfigurationsOperation
+							r.summary = "Returns the accepted configurations, the newest first."
+							r.operationID = "listConfigurations"
+							r.operationGroup = ""
+							r.pathPattern = "/v1/configurations"
+							r.args = args
+							r.count = 0
+							return r, true
+						default:
+							return
+						}
+					}
+					switch elem[0] {
+					case '/': // Prefix: "/"
+
+						if l := len("/"); len(elem) >= l && elem[0:l] == "/" {
+							elem = elem[l:]
+						} else {
+							break
+						}
+
+						// Param: "version"
+						// Leaf parameter, slashes are prohibited
+						idx := strings.IndexByte(elem, '/')
+						if idx >= 0 {
+							break
+						}
+						args[0] = elem
+						elem = ""
+
+						if len(elem) == 0 {
+							// Leaf node.
+							switch method {
+							case "GET":
+								r.name = GetAcceptedOperation
+								r.summary = "Returns one accepted configuration."
+								r.operationID = "getAccepted"
+								r.operationGroup = ""
+								r.pathPattern = "/v1/configurations/{version}"
+								r.args = args
+								r.count = 1
+								return r, true
+							default:
+								return
+							}
+						}
+
+					}
+
+				}
 
 			case 's': // Prefix: "status"
 
--- a/pkg/api/operatorapi/oas_schemas_gen.go
+++ b/pkg/api/operatorapi/oas_schemas_gen.go
@@ -13,6 +13,43 @@
 	return fmt.Sprintf("code %d: %+v", s.StatusCode, s.Response)
 }
 
+// Ref: #/components/schemas/Accepted
+type Accepted struct {
+	Version uint64    `json:"version"`
+	Author  string    `json:"author"`
+	Time    time.Time `json:"time"`
+}
+
+// GetVersion returns the value of Version.
+func (s *Accepted) GetVersion() uint64 {
+	return s.Version
+}
+
+// GetAuthor returns the value of Author.
+func (s *Accepted) GetAuthor() string {
+	return s.Author
+}
+
+// GetTime returns the value of Time.
+func (s *Accepted) GetTime() time.Time {
+	return s.Time
+}
+
+// SetVersion sets the value of Version.
+func (s *Accepted) SetVersion(val uint64) {
+	s.Version = val
+}
+
+// SetAuthor sets the value of Author.
+func (s *Accepted) SetAuthor(val string) {
+	s.Author = val
+}
+
+// SetTime sets the value of Time.
+func (s *Accepted) SetTime(val time.Time) {
+	s.Time = val
+}
+
 // Ref: #/components/schemas/Change
 type Change struct {
 	Expected uint64   `json:"expected"`
@@ -52,8 +89,11 @@
 
 // Ref: #/components/schemas/Configuration
 type Configuration struct {
-	Version  uint64   `json:"version"`
-	Document Document `json:"document"`
+	Version  uint64    `json:"version"`
+	Document Document  `json:"document"`
+	Author   OptString `json:"author"`
+	// When the host that took the change wrote it.
+	Time OptDateTime `json:"time"`
 }
 
 // GetVersion returns the value of Version.
@@ -66,6 +106,16 @@
 	return s.Document
 }
 
+// GetAuthor returns the value of Author.
+func (s *Configuration) GetAuthor() OptString {
+	return s.Author
+}
+
+// GetTime returns the value of Time.
+func (s *Configuration) GetTime() OptDateTime {
+	return s.Time
+}
+
 // SetVersion sets the value of Version.
 func (s *Configuration) SetVersion(val uint64) {
 	s.Version = val
@@ -76,6 +126,16 @@
 	s.Document = val
 }
 
+// SetAuthor sets the value of Author.
+func (s *Configuration) SetAuthor(val OptString) {
+	s.Author = val
+}
+
+// SetTime sets the value of Time.
+func (s *Configuration) SetTime(val OptDateTime) {
+	s.Time = val
+}
+
 // Ref: #/components/schemas/DatabaseStatus
 type DatabaseStatus struct {
 	Database  string           `json:"database"`
@@ -148,10 +208,13 @@
 
 // Ref: #/components/schemas/Defaults
 type Defaults struct {
+	// Time that work has when the caller names none.
 	DeadlineMs int64 `json:"deadlineMs"`
 	// Requests that may wait for one instance.
-	QueueLimit         int   `json:"queueLimit"`
-	TransactionIdleMs  int64 `json:"transactionIdleMs"`
+	QueueLimit int `json:"queueLimit"`
+	// Time that a transaction may wait for its caller.
+	TransactionIdleMs int64 `json:"transactionIdleMs"`
+	// Time that a transaction may take in all.
 	TransactionLimitMs int64 `json:"transactionLimitMs"`
 	// Guaranteed share of capacity in percent for ranks one to three.
 	RankFloors []int `json:"rankFloors"`
@@ -207,11 +270,14 @@
 	s.RankFloors = val
 }
 
+// The whole configuration. Values are checked by package config in one place, so that every bad one is
+// named at once.
 // Ref: #/components/schemas/Document
 type Document struct {
 	Defaults   Defaults    `json:"defaults"`
 	Kinds      []Kind      `json:"kinds"`
 	Exceptions []Exception `json:"exceptions"`
+	Tokens     []Token     `json:"tokens"`
 }
 
 // GetDefaults returns the value of Defaults.
@@ -229,6 +295,11 @@
 	return s.Exceptions
 }
 
+// GetTokens returns the value of Tokens.
+func (s *Document) GetTokens() []Token {
+	return s.Tokens
+}
+
 // SetDefaults sets the value of Defaults.
 func (s *Document) SetDefaults(val Defaults) {
 	s.Defaults = val
@@ -244,20 +315,29 @@
 	s.Exceptions = val
 }
 
+// SetTokens sets the value of Tokens.
+func (s *Document) SetTokens(val []Token) {
+	s.Tokens = val
+}
+
 // Ref: #/components/schemas/Exception
 type Exception struct {
-	Name       string           `json:"name"`
-	Database   OptString        `json:"database"`
-	Kind       OptString        `json:"kind"`
-	Rank       OptInt           `json:"rank"`
-	DataCentre OptString        `json:"dataCentre"`
-	Region     OptString        `json:"region"`
-	Setting    ExceptionSetting `json:"setting"`
-	Value      string           `json:"value"`
-	Reason     string           `json:"reason"`
-	Author     string           `json:"author"`
-	Date       time.Time        `json:"date"`
-	Review     OptDate          `json:"review"`
+	Name       string    `json:"name"`
+	Database   OptString `json:"database"`
+	Kind       OptString `json:"kind"`
+	Rank       OptInt    `json:"rank"`
+	DataCentre OptString `json:"dataCentre"`
+	Region     OptString `json:"region"`
+	// DeadlineMs, queueLimit, transactionIdleMs, transactionLimitMs, rank, maxAgeMs, durability or floor.
+	Setting string `json:"setting"`
+	Value   string `json:"value"`
+	// Why the exception exists.
+	Reason string `json:"reason"`
+	Author string `json:"author"`
+	// Day as YYYY-MM-DD.
+	Date string `json:"date"`
+	// Day on which to ask whether it is still needed.
+	Review OptString `json:"review"`
 }
 
 // GetName returns the value of Name.
@@ -291,7 +371,7 @@
 }
 
 // GetSetting returns the value of Setting.
-func (s *Exception) GetSetting() ExceptionSetting {
+func (s *Exception) GetSetting() string {
 	return s.Setting
 }
 
@@ -311,12 +391,12 @@
 }
 
 // GetDate returns the value of Date.
-func (s *Exception) GetDate() time.Time {
+func (s *Exception) GetDate() string {
 	return s.Date
 }
 
 // GetReview returns the value of Review.
-func (s *Exception) GetReview() OptDate {
+func (s *Exception) GetReview() OptString {
 	return s.Review
 }
 
@@ -351,7 +431,7 @@
 }
 
 // SetSetting sets the value of Setting.
-func (s *Exception) SetSetting(val ExceptionSetting) {
+func (s *Exception) SetSetting(val string) {
 	s.Setting = val
 }
 
@@ -371,96 +451,28 @@
 }
 
 // SetDate sets the value of Date.
-func (s *Exception) SetDate(val time.Time) {
+func (s *Exception) SetDate(val string) {
 	s.Date = val
 }
 
 // SetReview sets the value of Review.
-func (s *Exception) SetReview(val OptDate) {
+func (s *Exception) SetReview(val OptString) {
 	s.Review = val
 }
 
-type ExceptionSetting string
-
-const (
-	ExceptionSettingDeadlineMs         ExceptionSetting = "deadlineMs"
-	ExceptionSettingQueueLimit         ExceptionSetting = "queueLimit"
-	ExceptionSettingTransactionIdleMs  ExceptionSetting = "transactionIdleMs"
-	ExceptionSettingTransactionLimitMs ExceptionSetting = "transactionLimitMs"
-	ExceptionSettingRank               ExceptionSetting = "rank"
-	ExceptionSettingMaxAgeMs           ExceptionSetting = "maxAgeMs"
-	ExceptionSettingDurability         ExceptionSetting = "durability"
-	ExceptionSettingFloor              ExceptionSetting = "floor"
-)
-
-// AllValues returns all ExceptionSetting values.
-func (ExceptionSetting) AllValues() []ExceptionSetting {
-	return []ExceptionSetting{
-		ExceptionSettingDeadlineMs,
-		ExceptionSettingQueueLimit,
-		ExceptionSettingTransactionIdleMs,
-		ExceptionSettingTransactionLimitMs,
-		ExceptionSettingRank,
-		ExceptionSettingMaxAgeMs,
-		ExceptionSettingDurability,
-		ExceptionSettingFloor,
-	}
+// Ref: #/components/schemas/History
+type History struct {
+	Versions []Accepted `json:"versions"`
 }
 
-// MarshalText implements encoding.TextMarshaler.
-func (s ExceptionSetting) MarshalText() ([]byte, error) {
-	switch s {
-	case ExceptionSettingDeadlineMs:
-		return []byte(s), nil
-	case ExceptionSettingQueueLimit:
-		return []byte(s), nil
-	case ExceptionSettingTransactionIdleMs:
-		return []byte(s), nil
-	case ExceptionSettingTransactionLimitMs:
-		return []byte(s), nil
-	case ExceptionSettingRank:
-		return []byte(s), nil
-	case ExceptionSettingMaxAgeMs:
-		return []byte(s), nil
-	case ExceptionSettingDurability:
-		return []byte(s), nil
-	case ExceptionSettingFloor:
-		return []byte(s), nil
-	default:
-		return nil, errors.Errorf("invalid value: %q", s)
-	}
+// GetVersions returns the value of Versions.
+func (s *History) GetVersions() []Accepted {
+	return s.Versions
 }
 
-// UnmarshalText implements encoding.TextUnmarshaler.
-func (s *ExceptionSetting) UnmarshalText(data []byte) error {
-	switch ExceptionSetting(data) {
-	case ExceptionSettingDeadlineMs:
-		*s = ExceptionSettingDeadlineMs
-		return nil
-	case ExceptionSettingQueueLimit:
-		*s = ExceptionSettingQueueLimit
-		return nil
-	case ExceptionSettingTransactionIdleMs:
-		*s = ExceptionSettingTransactionIdleMs
-		return nil
-	case ExceptionSettingTransactionLimitMs:
-		*s = ExceptionSettingTransactionLimitMs
-		return nil
-	case ExceptionSettingRank:
-		*s = ExceptionSettingRank
-		return nil
-	case ExceptionSettingMaxAgeMs:
-		*s = ExceptionSettingMaxAgeMs
-		return nil
-	case ExceptionSettingDurability:
-		*s = ExceptionSettingDurability
-		return nil
-	case ExceptionSettingFloor:
-		*s = ExceptionSettingFloor
-		return nil
-	default:
-		return errors.Errorf("invalid value: %q", data)
-	}
+// SetVersions sets the value of Versions.
+func (s *History) SetVersions(val []Accepted) {
+	s.Versions = val
 }
 
 // Ref: #/components/schemas/HostStatus
@@ -737,15 +749,17 @@
 
 // Ref: #/components/schemas/Kind
 type Kind struct {
-	Name   string     `json:"name"`
-	Rank   int        `json:"rank"`
-	Access KindAccess `json:"access"`
+	Name string `json:"name"`
+	// 1 to 3; 1 is the most urgent.
+	Rank int `json:"rank"`
+	// Read or write.
+	Access string `json:"access"`
 	// Default age a read accepts; absent for read-your-writes.
 	MaxAgeMs OptInt64 `json:"maxAgeMs"`
 	// True when running it twice does no harm.
 	Repeatable bool `json:"repeatable"`
-	// What an acknowledged write must survive.
-	Durability KindDurability `json:"durability"`
+	// What an acknowledged write must survive: none, primary or replica.
+	Durability string `json:"durability"`
 	// Guaranteed share of its rank in percent.
 	Floor OptInt `json:"floor"`
 }
@@ -761,7 +775,7 @@
 }
 
 // GetAccess returns the value of Access.
-func (s *Kind) GetAccess() KindAccess {
+func (s *Kind) GetAccess() string {
 	return s.Access
 }
 
@@ -776,7 +790,7 @@
 }
 
 // GetDurability returns the value of Durability.
-func (s *Kind) GetDurability() KindDurability {
+func (s *Kind) GetDurability() string {
 	return s.Durability
 }
 
@@ -796,7 +810,7 @@
 }
 
 // SetAccess sets the value of Access.
-func (s *Kind) SetAccess(val KindAccess) {
+func (s *Kind) SetAccess(val string) {
 	s.Access = val
 }
 
@@ -811,7 +825,7 @@
 }
 
 // SetDurability sets the value of Durability.
-func (s *Kind) SetDurability(val KindDurability) {
+func (s *Kind) SetDurability(val string) {
 	s.Durability = val
 }
 
@@ -820,96 +834,6 @@
 	s.Floor = val
 }
 
-type KindAccess string
-
-const (
-	KindAccessRead  KindAccess = "read"
-	KindAccessWrite KindAccess = "write"
-)
-
-// AllValues returns all KindAccess values.
-func (KindAccess) AllValues() []KindAccess {
-	return []KindAccess{
-		KindAccessRead,
-		KindAccessWrite,
-	}
-}
-
-// MarshalText implements encoding.TextMarshaler.
-func (s KindAccess) MarshalText() ([]byte, error) {
-	switch s {
-	case KindAccessRead:
-		return []byte(s), nil
-	case KindAccessWrite:
-		return []byte(s), nil
-	default:
-		return nil, errors.Errorf("invalid value: %q", s)
-	}
-}
-
-// UnmarshalText implements encoding.TextUnmarshaler.
-func (s *KindAccess) UnmarshalText(data []byte) error {
-	switch KindAccess(data) {
-	case KindAccessRead:
-		*s = KindAccessRead
-		return nil
-	case KindAccessWrite:
-		*s = KindAccessWrite
-		return nil
-	default:
-		return errors.Errorf("invalid value: %q", data)
-	}
-}
-
-// What an acknowledged write must survive.
-type KindDurability string
-
-const (
-	KindDurabilityNone    KindDurability = "none"
-	KindDurabilityPrimary KindDurability = "primary"
-	KindDurabilityReplica KindDurability = "replica"
-)
-
-// AllValues returns all KindDurability values.
-func (KindDurability) AllValues() []KindDurability {
-	return []KindDurability{
-		KindDurabilityNone,
-		KindDurabilityPrimary,
-		KindDurabilityReplica,
-	}
-}
-
-// MarshalText implements encoding.TextMarshaler.
-func (s KindDurability) MarshalText() ([]byte, error) {
-	switch s {
-	case KindDurabilityNone:
-		return []byte(s), nil
-	case KindDurabilityPrimary:
-		return []byte(s), nil
-	case KindDurabilityReplica:
-		return []byte(s), nil
-	default:
-		return nil, errors.Errorf("invalid value: %q", s)
-	}
-}
-
-// UnmarshalText implements encoding.TextUnmarshaler.
-func (s *KindDurability) UnmarshalText(data []byte) error {
-	switch KindDurability(data) {
-	case KindDurabilityNone:
-		*s = KindDurabilityNone
-		return nil
-	case KindDurabilityPrimary:
-		*s = KindDurabilityPrimary
-		return nil
-	case KindDurabilityReplica:
-		*s = KindDurabilityReplica
-		return nil
-	default:
-		return errors.Errorf("invalid value: %q", data)
-	}
-}
-
 // NewOptConfiguration returns new OptConfiguration with value set to v.
 func NewOptConfiguration(v Configuration) OptConfiguration {
 	return OptConfiguration{
@@ -956,38 +880,38 @@
 	return d
 }
 
-// NewOptDate returns new OptDate with value set to v.
-func NewOptDate(v time.Time) OptDate {
-	return OptDate{
+// NewOptDateTime returns new OptDateTime with value set to v.
+func NewOptDateTime(v time.Time) OptDateTime {
+	return OptDateTime{
 		Value: v,
 		Set:   true,
 	}
 }
 
-// OptDate is optional time.Time.
-type OptDate struct {
+// OptDateTime is optional time.Time.
+type OptDateTime struct {
 	Value time.Time
 	Set   bool
 }
 
-// IsSet returns true if OptDate was set.
-func (o OptDate) IsSet() bool { return o.Set }
+// IsSet returns true if OptDateTime was set.
+func (o OptDateTime) IsSet() bool { return o.Set }
 
 // Reset unsets value.
-func (o *OptDate) Reset() {
+func (o *OptDateTime) Reset() {
 	var v time.Time
 	o.Value = v
 	o.Set = false
 }
 
 // SetTo sets value to v.
-func (o *OptDate) SetTo(v time.Time) {
+func (o *OptDateTime) SetTo(v time.Time) {
 	o.Set = true
 	o.Value = v
 }
 
 // Get returns value and boolean that denotes whether value was set.
-func (o OptDate) Get() (v time.Time, ok bool) {
+func (o OptDateTime) Get() (v time.Time, ok bool) {
 	if !o.Set {
 		return v, false
 	}
@@ -995,7 +919,7 @@
 }
 
 // Or returns value if set, or given parameter if does not.
-func (o OptDate) Or(d time.Time) time.Time {
+func (o OptDateTime) Or(d time.Time) time.Time {
 	if v, ok := o.Get(); ok {
 		return v
 	}
@@ -1166,6 +1090,54 @@
 	s.Message = val
 }
 
+// Ref: #/components/schemas/QueueStatus
+type QueueStatus struct {
+	Database string `json:"database"`
+	Instance string `json:"instance"`
+	Rank     int    `json:"rank"`
+	Waiting  int    `json:"waiting"`
+}
+
+// GetDatabase returns the value of Database.
+func (s *QueueStatus) GetDatabase() string {
+	return s.Database
+}
+
+// GetInstance returns the value of Instance.
+func (s *QueueStatus) GetInstance() string {
+	return s.Instance
+}
+
+// GetRank returns the value of Rank.
+func (s *QueueStatus) GetRank() int {
+	return s.Rank
+}
+
+// GetWaiting returns the value of Waiting.
+func (s *QueueStatus) GetWaiting() int {
+	return s.Waiting
+}
+
+// SetDatabase sets the value of Database.
+func (s *QueueStatus) SetDatabase(val string) {
+	s.Database = val
+}
+
+// SetInstance sets the value of Instance.
+func (s *QueueStatus) SetInstance(val string) {
+	s.Instance = val
+}
+
+// SetRank sets the value of Rank.
+func (s *QueueStatus) SetRank(val int) {
+	s.Rank = val
+}
+
+// SetWaiting sets the value of Waiting.
+func (s *QueueStatus) SetWaiting(val int) {
+	s.Waiting = val
+}
+
 // Ref: #/components/schemas/Refusal
 type Refusal struct {
 	Code     RefusalCode      `json:"code"`
@@ -1217,13 +1189,15 @@
 type RefusalCode string
 
 const (
-	RefusalCodeInvalid      RefusalCode = "invalid"
-	RefusalCodeConflict     RefusalCode = "conflict"
-	RefusalCodeUnauthorized RefusalCode = "unauthorized"
-	RefusalCodeForbidden    RefusalCode = "forbidden"
-	RefusalCodeNotFound     RefusalCode = "not_found"
-	RefusalCodeUnavailable  RefusalCode = "unavailable"
-	RefusalCodeInternal     RefusalCode = "internal"
+	RefusalCodeInvalid        RefusalCode = "invalid"
+	RefusalCodeConflict       RefusalCode = "conflict"
+	RefusalCodeUnauthorized   RefusalCode = "unauthorized"
+	RefusalCodeForbidden      RefusalCode = "forbidden"
+	RefusalCodeNotFound       RefusalCode = "not_found"
+	RefusalCodeUnavailable    RefusalCode = "unavailable"
+	RefusalCodeOutcomeUnknown RefusalCode = "outcome_unknown"
+	RefusalCodeTooLarge       RefusalCode = "too_large"
+	RefusalCodeInternal       RefusalCode = "internal"
 )
 
 // AllValues returns all RefusalCode values.
@@ -1235,6 +1209,8 @@
 		RefusalCodeForbidden,
 		RefusalCodeNotFound,
 		RefusalCodeUnavailable,
+		RefusalCodeOutcomeUnknown,
+		RefusalCodeTooLarge,
 		RefusalCodeInternal,
 	}
 }
@@ -1254,6 +1230,10 @@
 		return []byte(s), nil
 	case RefusalCodeUnavailable:
 		return []byte(s), nil
+	case RefusalCodeOutcomeUnknown:
+		return []byte(s), nil
+	case RefusalCodeTooLarge:
+		return []byte(s), nil
 	case RefusalCodeInternal:
 		return []byte(s), nil
 	default:
@@ -1282,6 +1262,12 @@
 	case RefusalCodeUnavailable:
 		*s = RefusalCodeUnavailable
 		return nil
+	case RefusalCodeOutcomeUnknown:
+		*s = RefusalCodeOutcomeUnknown
+		return nil
+	case RefusalCodeTooLarge:
+		*s = RefusalCodeTooLarge
+		return nil
 	case RefusalCodeInternal:
 		*s = RefusalCodeInternal
 		return nil
@@ -1290,6 +1276,43 @@
 	}
 }
 
+// Ref: #/components/schemas/RefusalStatus
+type RefusalStatus struct {
+	Code  string `json:"code"`
+	Rank  int    `json:"rank"`
+	Count int64  `json:"count"`
+}
+
+// GetCode returns the value of Code.
+func (s *RefusalStatus) GetCode() string {
+	return s.Code
+}
+
+// GetRank returns the value of Rank.
+func (s *RefusalStatus) GetRank() int {
+	return s.Rank
+}
+
+// GetCount returns the value of Count.
+func (s *RefusalStatus) GetCount() int64 {
+	return s.Count
+}
+
+// SetCode sets the value of Code.
+func (s *RefusalStatus) SetCode(val string) {
+	s.Code = val
+}
+
+// SetRank sets the value of Rank.
+func (s *RefusalStatus) SetRank(val int) {
+	s.Rank = val
+}
+
+// SetCount sets the value of Count.
+func (s *RefusalStatus) SetCount(val int64) {
+	s.Count = val
+}
+
 // RefusalStatusCode wraps Refusal with StatusCode.
 type RefusalStatusCode struct {
 	StatusCode int
@@ -1316,12 +1339,56 @@
 	s.Response = val
 }
 
+// Ref: #/components/schemas/SpreadStatus
+type SpreadStatus struct {
+	Host    string `json:"host"`
+	Version uint64 `json:"version"`
+	// From the acceptance to the host's first report of the version.
+	DelayMs int64 `json:"delayMs"`
+}
+
+// GetHost returns the value of Host.
+func (s *SpreadStatus) GetHost() string {
+	return s.Host
+}
+
+// GetVersion returns the value of Version.
+func (s *SpreadStatus) GetVersion() uint64 {
+	return s.Version
+}
+
+// GetDelayMs returns the value of DelayMs.
+func (s *SpreadStatus) GetDelayMs() int64 {
+	return s.DelayMs
+}
+
+// SetHost sets the value of Host.
+func (s *SpreadStatus) SetHost(val string) {
+	s.Host = val
+}
+
+// SetVersion sets the value of Version.
+func (s *SpreadStatus) SetVersion(val uint64) {
+	s.Version = val
+}
+
+// SetDelayMs sets the value of DelayMs.
+func (s *SpreadStatus) SetDelayMs(val int64) {
+	s.DelayMs = val
+}
+
 // Ref: #/components/schemas/Status
 type Status struct {
-	Host          string           `json:"host"`
-	Configuration uint64           `json:"configuration"`
-	Hosts         []HostStatus     `json:"hosts"`
-	Databases     []DatabaseStatus `json:"databases"`
+	Host string `json:"host"`
+	// True when a configuration is in force on this host.
+	Ready         bool            `json:"ready"`
+	Configuration uint64          `json:"configuration"`
+	Queues        []QueueStatus   `json:"queues"`
+	Refusals      []RefusalStatus `json:"refusals"`
+	// Time until each host had the newest configuration that this host took from an operator.
+	Spread    []SpreadStatus   `json:"spread"`
+	Hosts     []HostStatus     `json:"hosts"`
+	Databases []DatabaseStatus `json:"databases"`
 }
 
 // GetHost returns the value of Host.
@@ -1329,11 +1396,31 @@
 	return s.Host
 }
 
+// GetReady returns the value of Ready.
+func (s *Status) GetReady() bool {
+	return s.Ready
+}
+
 // GetConfiguration returns the value of Configuration.
 func (s *Status) GetConfiguration() uint64 {
 	return s.Configuration
 }
 
+// GetQueues returns the value of Queues.
+func (s *Status) GetQueues() []QueueStatus {
+	return s.Queues
+}
+
+// GetRefusals returns the value of Refusals.
+func (s *Status) GetRefusals() []RefusalStatus {
+	return s.Refusals
+}
+
+// GetSpread returns the value of Spread.
+func (s *Status) GetSpread() []SpreadStatus {
+	return s.Spread
+}
+
 // GetHosts returns the value of Hosts.
 func (s *Status) GetHosts() []HostStatus {
 	return s.Hosts
@@ -1349,11 +1436,31 @@
 	s.Host = val
 }
 
+// SetReady sets the value of Ready.
+func (s *Status) SetReady(val bool) {
+	s.Ready = val
+}
+
 // SetConfiguration sets the value of Configuration.
 func (s *Status) SetConfiguration(val uint64) {
 	s.Configuration = val
 }
 
+// SetQueues sets the value of Queues.
+func (s *Status) SetQueues(val []QueueStatus) {
+	s.Queues = val
+}
+
+// SetRefusals sets the value of Refusals.
+func (s *Status) SetRefusals(val []RefusalStatus) {
+	s.Refusals = val
+}
+
+// SetSpread sets the value of Spread.
+func (s *Status) SetSpread(val []SpreadStatus) {
+	s.Spread = val
+}
+
 // SetHosts sets the value of Hosts.
 func (s *Status) SetHosts(val []HostStatus) {
 	s.Hosts = val
@@ -1363,3 +1470,76 @@
 func (s *Status) SetDatabases(val []DatabaseStatus) {
 	s.Databases = val
 }
+
+// Ref: #/components/schemas/Token
+type Token struct {
+	Name string `json:"name"`
+	// Caller, reader or operator; each may do what those before it may.
+	Role string `json:"role"`
+	// SHA-256 of the bearer token in hexadecimal.
+	Hash   string `json:"hash"`
+	Reason string `json:"reason"`
+	Author string `json:"author"`
+	// Day as YYYY-MM-DD.
+	Date string `json:"date"`
+}
+
+// GetName returns the value of Name.
+func (s *Token) GetName() string {
+	return s.Name
+}
+
+// GetRole returns the value of Role.
+func (s *Token) GetRole() string {
+	return s.Role
+}
+
+// GetHash returns the value of Hash.
+func (s *Token) GetHash() string {
+	return s.Hash
+}
+
+// GetReason returns the value of Reason.
+func (s *Token) GetReason() string {
+	return s.Reason
+}
+
+// GetAuthor returns the value of Author.
+func (s *Token) GetAuthor() string {
+	return s.Author
+}
+
+// GetDate returns the value of Date.
+func (s *Token) GetDate() string {
+	return s.Date
+}
+
+// SetName sets the value of Name.
+func (s *Token) SetName(val string) {
+	s.Name = val
+}
+
+// SetRole sets the value of Role.
+func (s *Token) SetRole(val string) {
+	s.Role = val
+}
+
+// SetHash sets the value of Hash.
+func (s *Token) SetHash(val string) {
+	s.Hash = val
+}
+
+// SetReason sets the value of Reason.
+func (s *Token) SetReason(val string) {
+	s.Reason = val
+}
+
+// SetAuthor sets the value of Author.
+func (s *Token) SetAuthor(val string) {
+	s.Author = val
+}
+
+// SetDate sets the value of Date.
+func (s *Token) SetDate(val string) {
+	s.Date = val
+}
--- a/pkg/api/operatorapi/oas_server_gen.go
+++ b/pkg/api/operatorapi/oas_server_gen.go
@@ -8,6 +8,12 @@
 
 // Handler handles operations described by OpenAPI v3 specification.
 type Handler interface {
+	// GetAccepted implements getAccepted operation.
+	//
+	// Returns one accepted configuration.
+	//
+	// GET /v1/configurations/{version}
+	GetAccepted(ctx context.Context, params GetAcceptedParams) (*Configuration, error)
 	// GetConfiguration implements getConfiguration operation.
 	//
 	// Returns the configuration in force on this host.
@@ -20,6 +26,12 @@
 	//
 	// GET /v1/status
 	GetStatus(ctx context.Context) (*Status, error)
+	// ListConfigurations implements listConfigurations operation.
+	//
+	// Returns the accepted configurations, the newest first.
+	//
+	// GET /v1/configurations
+	ListConfigurations(ctx context.Context, params ListConfigurationsParams) (*History, error)
 	// PutConfiguration implements putConfiguration operation.
 	//
 	// Replaces the configuration when the version is still the expected one.
--- a/pkg/api/operatorapi/oas_validators_gen.go
+++ b/pkg/api/operatorapi/oas_validators_gen.go
@@ -124,129 +124,10 @@
 	}
 
 	var failures []validate.FieldError
-	if err := func() error {
-		if err := (validate.Int{
-			MinSet:        true,
-			Min:           1,
-			MaxSet:        true,
-			Max:           600000,
-			MinExclusive:  false,
-			MaxExclusive:  false,
-			MultipleOfSet: false,
-			MultipleOf:    0,
-			Pattern:       nil,
-		}).Validate(int64(s.DeadlineMs)); err != nil {
-			return errors.Wrap(err, "int")
-		}
-		return nil
-	}(); err != nil {
-		failures = append(failures, validate.FieldError{
-			Name:  "deadlineMs",
-			Error: err,
-		})
-	}
-	if err := func() error {
-		if err := (validate.Int{
-			MinSet:        true,
-			Min:           1,
-			MaxSet:        true,
-			Max:           100000,
-			MinExclusive:  false,
-			MaxExclusive:  false,
-			MultipleOfSet: false,
-			MultipleOf:    0,
-			Pattern:       nil,
-		}).Validate(int64(s.QueueLimit)); err != nil {
-			return errors.Wrap(err, "int")
-		}
-		return nil
-	}(); err != nil {
-		failures = append(failures, validate.FieldError{
-			Name:  "queueLimit",
-			Error: err,
-		})
-	}
-	if err := func() error {
-		if err := (validate.Int{
-			MinSet:        true,
-			Min:           1,
-			MaxSet:        true,
-			Max:           600000,
-			MinExclusive:  false,
-			MaxExclusive:  false,
-			MultipleOfSet: false,
-			MultipleOf:    0,
-			Pattern:       nil,
-		}).Validate(int64(s.TransactionIdleMs)); err != nil {
-			return errors.Wrap(err, "int")
-		}
-		return nil
-	}(); err != nil {
-		failures = append(failures, validate.FieldError{
-			Name:  "transactionIdleMs",
-			Error: err,
-		})
-	}
-	if err := func() error {
-		if err := (validate.Int{
-			MinSet:        true,
-			Min:           1,
-			MaxSet:        true,
-			Max:           600000,
-			MinExclusive:  false,
-			MaxExclusive:  false,
-			MultipleOfSet: false,
-			MultipleOf:    0,
-			Pattern:       nil,
-		}).Validate(int64(s.TransactionLimitMs)); err != nil {
-			return errors.Wrap(err, "int")
-		}
-		return nil
-	}(); err != nil {
-		failures = append(failures, validate.FieldError{
-			Name:  "transactionLimitMs",
-			Error: err,
-		})
-	}
 	if err := func() error {
 		if s.RankFloors == nil {
 			return errors.New("nil is invalid value")
 		}
-		if err := (validate.Array{
-			MinLength:    3,
-			MinLengthSet: true,
-			MaxLength:    3,
-			MaxLengthSet: true,
-		}).ValidateLength(len(s.RankFloors)); err != nil {
-			return errors.Wrap(err, "array")
-		}
-		var failures []validate.FieldError
-		for i, elem := range s.RankFloors {
-			if err := func() error {
-				if err := (validate.Int{
-					MinSet:        true,
-					Min:           0,
-					MaxSet:        true,
-					Max:           100,
-					MinExclusive:  false,
-					MaxExclusive:  false,
-					MultipleOfSet: false,
-					MultipleOf:    0,
-					Pattern:       nil,
-				}).Validate(int64(elem)); err != nil {
-					return errors.Wrap(err, "int")
-				}
-				return nil
-			}(); err != nil {
-				failures = append(failures, validate.FieldError{
-					Name:  fmt.Sprintf("[%d]", i),
-					Error: err,
-				})
-			}
-		}
-		if len(failures) > 0 {
-			return &validate.Error{Fields: failures}
-		}
 		return nil
 	}(); err != nil {
 		failures = append(failures, validate.FieldError{
@@ -281,31 +162,6 @@
 		if s.Kinds == nil {
 			return errors.New("nil is invalid value")
 		}
-		if err := (validate.Array{
-			MinLength:    0,
-			MinLengthSet: false,
-			MaxLength:    256,
-			MaxLengthSet: true,
-		}).ValidateLength(len(s.Kinds)); err != nil {
-			return errors.Wrap(err, "array")
-		}
-		var failures []validate.FieldError
-		for i, elem := range s.Kinds {
-			if err := func() error {
-				if err := elem.Validate(); err != nil {
-					return err
-				}
-				return nil
-			}(); err != nil {
-				failures = append(failures, validate.FieldError{
-					Name:  fmt.Sprintf("[%d]", i),
-					Error: err,
-				})
-			}
-		}
-		if len(failures) > 0 {
-			return &validate.Error{Fields: failures}
-		}
 		return nil
 	}(); err != nil {
 		failures = append(failures, validate.FieldError{
@@ -317,31 +173,6 @@
 		if s.Exceptions == nil {
 			return errors.New("nil is invalid value")
 		}
-		if err := (validate.Array{
-			MinLength:    0,
-			MinLengthSet: false,
-			MaxLength:    1024,
-			MaxLengthSet: true,
-		}).ValidateLength(len(s.Exceptions)); err != nil {
-			return errors.Wrap(err, "array")
-		}
-		var failures []validate.FieldError
-		for i, elem := range s.Exceptions {
-			if err := func() error {
-				if err := elem.Validate(); err != nil {
-					return err
-				}
-				return nil
-			}(); err != nil {
-				failures = append(failures, validate.FieldError{
-					Name:  fmt.Sprintf("[%d]", i),
-					Error: err,
-				})
-			}
-		}
-		if len(failures) > 0 {
-			return &validate.Error{Fields: failures}
-		}
 		return nil
 	}(); err != nil {
 		failures = append(failures, validate.FieldError{
@@ -355,260 +186,20 @@
 	return nil
 }
 
-func (s *Exception) Validate() error {
+func (s *History) Validate() error {
 	if s == nil {
 		return validate.ErrNilPointer
 	}
 
 	var failures []validate.FieldError
 	if err := func() error {
-		if err := (validate.String{
-			MinLength:     1,
-			MinLengthSet:  true,
-			MaxLength:     64,
-			MaxLengthSet:  true,
-			Email:         false,
-			Hostname:      false,
-			Regex:         nil,
-			MinNumeric:    0,
-			MinNumericSet: false,
-			MaxNumeric:    0,
-			MaxNumericSet: false,
-		}).Validate(string(s.Name)); err != nil {
-			return errors.Wrap(err, "string")
-		}
-		return nil
-	}(); err != nil {
-		failures = append(failures, validate.FieldError{
-			Name:  "name",
-			Error: err,
-		})
-	}
-	if err := func() error {
-		if value, ok := s.Database.Get(); ok {
-			if err := func() error {
-				if err := (validate.String{
-					MinLength:     0,
-					MinLengthSet:  false,
-					MaxLength:     64,
-					MaxLengthSet:  true,
-					Email:         false,
-					Hostname:      false,
-					Regex:         nil,
-					MinNumeric:    0,
-					MinNumericSet: false,
-					MaxNumeric:    0,
-					MaxNumericSet: false,
-				}).Validate(string(value)); err != nil {
-					return errors.Wrap(err, "string")
-				}
-				return nil
-			}(); err != nil {
-				return err
-			}
-		}
-		return nil
-	}(); err != nil {
-		failures = append(failures, validate.FieldError{
-			Name:  "database",
-			Error: err,
-		})
-	}
-	if err := func() error {
-		if value, ok := s.Kind.Get(); ok {
-			if err := func() error {
-				if err := (validate.String{
-					MinLength:     0,
-					MinLengthSet:  false,
-					MaxLength:     64,
-					MaxLengthSet:  true,
-					Email:         false,
-					Hostname:      false,
-					Regex:         nil,
-					MinNumeric:    0,
-					MinNumericSet: false,
-					MaxNumeric:    0,
-					MaxNumericSet: false,
-				}).Validate(string(value)); err != nil {
-					return errors.Wrap(err, "string")
-				}
-				return nil
-			}(); err != nil {
-				return err
-			}
-		}
-		return nil
-	}(); err != nil {
-		failures = append(failures, validate.FieldError{
-			Name:  "kind",
-			Error: err,
-		})
-	}
-	if err := func() error {
-		if value, ok := s.Rank.Get(); ok {
-			if err := func() error {
-				if err := (validate.Int{
-					MinSet:        true,
-					Min:           1,
-					MaxSet:        true,
-					Max:           3,
-					MinExclusive:  false,
-					MaxExclusive:  false,
-					MultipleOfSet: false,
-					MultipleOf:    0,
-					Pattern:       nil,
-				}).Validate(int64(value)); err != nil {
-					return errors.Wrap(err, "int")
-				}
-				return nil
-			}(); err != nil {
-				return err
-			}
-		}
-		return nil
-	}(); err != nil {
-		failures = append(failures, validate.FieldError{
-			Name:  "rank",
-			Error: err,
-		})
-	}
-	if err := func() error {
-		if value, ok := s.DataCentre.Get(); ok {
-			if err := func() error {
-				if err := (validate.String{
-					MinLength:     0,
-					MinLengthSet:  false,
-					MaxLength:     64,
-					MaxLengthSet:  true,
-					Email:         false,
-					Hostname:      false,
-					Regex:         nil,
-					MinNumeric:    0,
-					MinNumericSet: false,
-					MaxNumeric:    0,
-					MaxNumericSet: false,
-				}).Validate(string(value)); err != nil {
-					return errors.Wrap(err, "string")
-				}
-				return nil
-			}(); err != nil {
-				return err
-			}
-		}
-		return nil
-	}(); err != nil {
-		failures = append(failures, validate.FieldError{
-			Name:  "dataCentre",
-			Error: err,
-		})
-	}
-	if err := func() error {
-		if value, ok := s.Region.Get(); ok {
-			if err := func() error {
-				if err := (validate.String{
-					MinLength:     0,
-					MinLengthSet:  false,
-					MaxLength:     64,
-					MaxLengthSet:  true,
-					Email:         false,
-					Hostname:      false,
-					Regex:         nil,
-					MinNumeric:    0,
-					MinNumericSet: false,
-					MaxNumeric:    0,
-					MaxNumericSet: false,
-				}).Validate(string(value)); err != nil {
-					return errors.Wrap(err, "string")
-				}
-				return nil
-			}(); err != nil {
-				return err
-			}
-		}
-		return nil
-	}(); err != nil {
-		failures = append(failures, validate.FieldError{
-			Name:  "region",
-			Error: err,
-		})
-	}
-	if err := func() error {
-		if err := s.Setting.Validate(); err != nil {
-			return err
-		}
-		return nil
-	}(); err != nil {
-		failures = append(failures, validate.FieldError{
-			Name:  "setting",
-			Error: err,
-		})
-	}
-	if err := func() error {
-		if err := (validate.String{
-			MinLength:     1,
-			MinLengthSet:  true,
-			MaxLength:     64,
-			MaxLengthSet:  true,
-			Email:         false,
-			Hostname:      false,
-			Regex:         nil,
-			MinNumeric:    0,
-			MinNumericSet: false,
-			MaxNumeric:    0,
-			MaxNumericSet: false,
-		}).Validate(string(s.Value)); err != nil {
-			return errors.Wrap(err, "string")
-		}
-		return nil
-	}(); err != nil {
-		failures = append(failures, validate.FieldError{
-			Name:  "value",
-			Error: err,
-		})
-	}
-	if err := func() error {
-		if err := (validate.String{
-			MinLength:     1,
-			MinLengthSet:  true,
-			MaxLength:     1024,
-			MaxLengthSet:  true,
-			Email:         false,
-			Hostname:      false,
-			Regex:         nil,
-			MinNumeric:    0,
-			MinNumericSet: false,
-			MaxNumeric:    0,
-			MaxNumericSet: false,
-		}).Validate(string(s.Reason)); err != nil {
-			return errors.Wrap(err, "string")
-		}
-		return nil
-	}(); err != nil {
-		failures = append(failures, validate.FieldError{
-			Name:  "reason",
-			Error: err,
-		})
-	}
-	if err := func() error {
-		if err := (validate.String{
-			MinLength:     1,
-			MinLengthSet:  true,
-			MaxLength:     64,
-			MaxLengthSet:  true,
-			Email:         false,
-			Hostname:      false,
-			Regex:         nil,
-			MinNumeric:    0,
-			MinNumericSet: false,
-			MaxNumeric:    0,
-			MaxNumericSet: false,
-		}).Validate(string(s.Author)); err != nil {
-			return errors.Wrap(err, "string")
+		if s.Versions == nil {
+			return errors.New("nil is invalid value")
 		}
 		return nil
 	}(); err != nil {
 		failures = append(failures, validate.FieldError{
-			Name:  "author",
+			Name:  "versions",
 			Error: err,
 		})
 	}
@@ -618,29 +209,6 @@
 	return nil
 }
 
-func (s ExceptionSetting) Validate() error {
-	switch s {
-	case "deadlineMs":
-		return nil
-	case "queueLimit":
-		return nil
-	case "transactionIdleMs":
-		return nil
-	case "transactionLimitMs":
-		return nil
-	case "rank":
-		return nil
-	case "maxAgeMs":
-		return nil
-	case "durability":
-		return nil
-	case "floor":
-		return nil
-	default:
-		return errors.Errorf("invalid value: %v", s)
-	}
-}
-
 func (s *HostStatus) Validate() error {
 	if s == nil {
 		return validate.ErrNilPointer
@@ -717,164 +285,6 @@
 	}
 }
 
-func (s *Kind) Validate() error {
-	if s == nil {
-		return validate.ErrNilPointer
-	}
-
-	var failures []validate.FieldError
-	if err := func() error {
-		if err := (validate.String{
-			MinLength:     1,
-			MinLengthSet:  true,
-			MaxLength:     64,
-			MaxLengthSet:  true,
-			Email:         false,
-			Hostname:      false,
-			Regex:         nil,
-			MinNumeric:    0,
-			MinNumericSet: false,
-			MaxNumeric:    0,
-			MaxNumericSet: false,
-		}).Validate(string(s.Name)); err != nil {
-			return errors.Wrap(err, "string")
-		}
-		return nil
-	}(); err != nil {
-		failures = append(failures, validate.FieldError{
-			Name:  "name",
-			Error: err,
-		})
-	}
-	if err := func() error {
-		if err := (validate.Int{
-			MinSet:        true,
-			Min:           1,
-			MaxSet:        true,
-			Max:           3,
-			MinExclusive:  false,
-			MaxExclusive:  false,
-			MultipleOfSet: false,
-			MultipleOf:    0,
-			Pattern:       nil,
-		}).Validate(int64(s.Rank)); err != nil {
-			return errors.Wrap(err, "int")
-		}
-		return nil
-	}(); err != nil {
-		failures = append(failures, validate.FieldError{
-			Name:  "rank",
-			Error: err,
-		})
-	}
-	if err := func() error {
-		if err := s.Access.Validate(); err != nil {
-			return err
-		}
-		return nil
-	}(); err != nil {
-		failures = append(failures, validate.FieldError{
-			Name:  "access",
-			Error: err,
-		})
-	}
-	if err := func() error {
-		if value, ok := s.MaxAgeMs.Get(); ok {
-			if err := func() error {
-				if err := (validate.Int{
-					MinSet:        true,
-					Min:           0,
-					MaxSet:        false,
-					Max:           0,
-					MinExclusive:  false,
-					MaxExclusive:  false,
-					MultipleOfSet: false,
-					MultipleOf:    0,
-					Pattern:       nil,
-				}).Validate(int64(value)); err != nil {
-					return errors.Wrap(err, "int")
-				}
-				return nil
-			}(); err != nil {
-				return err
-			}
-		}
-		return nil
-	}(); err != nil {
-		failures = append(failures, validate.FieldError{
-			Name:  "maxAgeMs",
-			Error: err,
-		})
-	}
-	if err := func() error {
-		if err := s.Durability.Validate(); err != nil {
-			return err
-		}
-		return nil
-	}(); err != nil {
-		failures = append(failures, validate.FieldError{
-			Name:  "durability",
-			Error: err,
-		})
-	}
-	if err := func() error {
-		if value, ok := s.Floor.Get(); ok {
-			if err := func() error {
-				if err := (validate.Int{
-					MinSet:        true,
-					Min:           0,
-					MaxSet:        true,
-					Max:           100,
-					MinExclusive:  false,
-					MaxExclusive:  false,
-					MultipleOfSet: false,
-					MultipleOf:    0,
-					Pattern:       nil,
-				}).Validate(int64(value)); err != nil {
-					return errors.Wrap(err, "int")
-				}
-				return nil
-			}(); err != nil {
-				return err
-			}
-		}
-		return nil
-	}(); err != nil {
-		failures = append(failures, validate.FieldError{
-			Name:  "floor",
-			Error: err,
-		})
-	}
-	if len(failures) > 0 {
-		return &validate.Error{Fields: failures}
-	}
-	return nil
-}
-
-func (s KindAccess) Validate() error {
-	switch s {
-	case "read":
-		return nil
-	case "write":
-		return nil
-	default:
-		return errors.Errorf("invalid value: %v", s)
-	}
-}
-
-func (s KindDurability) Validate() error {
-	switch s {
-	case "none":
-		return nil
-	case "primary":
-		return nil
-	case "replica":
-		return nil
-	default:
-		return errors.Errorf("invalid value: %v", s)
-	}
-}
-
 func (s *Refusal) Validate() error {
 	if s == nil {
 		return validate.ErrNilPointer
@@ -930,6 +340,10 @@
 		return nil
 	case "unavailable":
 		return nil
+	case "outcome_unknown":
+		return nil
+	case "too_large":
+		return nil
 	case "internal":
 		return nil
 	default:
@@ -966,6 +380,39 @@
 	}
 
 	var failures []validate.FieldError
+	if err := func() error {
+		if s.Queues == nil {
+			return errors.New("nil is invalid value")
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "queues",
+			Error: err,
+		})
+	}
+	if err := func() error {
+		if s.Refusals == nil {
+			return errors.New("nil is invalid value")
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "refusals",
+			Error: err,
+		})
+	}
+	if err := func() error {
+		if s.Spread == nil {
+			return errors.New("nil is invalid value")
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "spread",
+			Error: err,
+		})
+	}
 	if err := func() error {
 		if s.Hosts == nil {
 			return errors.New("nil is invalid value")
