Add the spread of configurations, the operator server and trust

Cause: an accepted configuration must reach every host and never revert; nobody gets in without a right. Change: internal/spread decides what is in force (pure) and keeps accepted versions by compare-and-set; internal/operator serves configuration, status, metrics and a page; internal/trust holds certificates, tokens and limits.

--- /dev/null
+++ b/internal/operator/configuration.go
@@ -0,0 +1,162 @@
+package operator
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"redwingspread/internal/config"
+	"redwingspread/internal/event"
+	"redwingspread/internal/model"
+	"redwingspread/internal/spread"
+	"redwingspread/pkg/api/operatorapi"
+)
+
+// The times that the platform has to answer.
+const (
+	changeTimeout = 5 * time.Second
+	readTimeout   = 5 * time.Second
+)
+
+// GetConfiguration returns the configuration in force on this host.
+func (s *Server) GetConfiguration(context.Context) (*operatorapi.Configuration, error) {
+	policy := s.View().Policy
+	if policy == nil {
+		return nil, model.Refuse(model.CodeUnavailable, "no configuration is in force on this host yet")
+	}
+	document, err := Message(policy.Document)
+	if err != nil {
+		return nil, err
+	}
+	return &operatorapi.Configuration{Version: uint64(policy.Version), Document: document}, nil
+}
+
+// PutConfiguration accepts a checked configuration when the expected version is still the newest.
+func (s *Server) PutConfiguration(ctx context.Context, change *operatorapi.Change) (*operatorapi.Configuration, error) {
+	// A change that has begun is settled even when the operator goes away.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), changeTimeout)
+	defer cancel()
+	head, policy, err := s.commit(ctx, change)
+	if err != nil {
+		s.report(change, err)
+		return nil, s.withCurrent(err)
+	}
+	event.ConfigurationAccepted(s.Log, change.Author, head.Version)
+	count(metricAccepted)
+	return configuration(head, policy.Document)
+}
+
+// commit checks a change, commits it and puts it into force on this host.
+func (s *Server) commit(ctx context.Context, change *operatorapi.Change) (head spread.Head, policy *config.Policy, err error) {
+	document, err := Document(change.Document)
+	if err != nil {
+		return spread.Head{}, nil, model.Refuse(model.CodeInvalid, "%v", err)
+	}
+	if err := document.Check(); err != nil {
+		return spread.Head{}, nil, err
+	}
+	text, err := config.Encode(document)
+	if err != nil {
+		return spread.Head{}, nil, err
+	}
+	head, err = s.Ledger.Commit(ctx, model.Version(change.Expected), config.Author(change.Author), text)
+	if err != nil {
+		return spread.Head{}, nil, err
+	}
+	policy, err = config.Compile(head.Version, document)
+	if err != nil {
+		return spread.Head{}, nil, err
+	}
+	s.tracker.begin(head.Version, s.Now())
+	s.Accept(head.Version, text, policy)
+	return head, policy, nil
+}
+
+// report logs and counts a change that was not accepted.
+func (s *Server) report(change *operatorapi.Change, err error) {
+	var conflict *spread.Conflict
+	var refusal *model.Refusal
+	switch {
+	case errors.As(err, &conflict):
+		event.ConfigurationConflict(s.Log, change.Author, conflict.Expected, conflict.Current.Version)
+		count(metricConflicts)
+	case errors.As(err, &refusal) && !refusal.NotRun:
+		event.ConfigurationUnknown(s.Log, change.Author, model.Version(change.Expected), err)
+		count(metricUnknown)
+	default:
+		event.ConfigurationRefused(s.Log, change.Author, err)
+		count(metricRefused)
+	}
+}
+
+// lostRace is a conflict together with the configuration that won.
+type lostRace struct {
+	error
+	current *operatorapi.Configuration
+}
+
+// withCurrent adds the newest configuration to a conflict, so that the loser sees what changed.
+func (s *Server) withCurrent(err error) error {
+	var conflict *spread.Conflict
+	if !errors.As(err, &conflict) {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), readTimeout)
+	defer cancel()
+	current, loadErr := s.load(ctx, conflict.Current)
+	if loadErr != nil {
+		return err
+	}
+	return lostRace{error: err, current: current}
+}
+
+// load returns the configuration of a head; a zero head is the built-in one.
+func (s *Server) load(ctx context.Context, head spread.Head) (*operatorapi.Configuration, error) {
+	if head.Version == 0 {
+		return configuration(head, config.Default())
+	}
+	entry, err := s.Ledger.Load(ctx, head)
+	if err != nil {
+		return nil, err
+	}
+	document, err := config.Decode(entry.Text)
+	if err != nil {
+		return nil, err
+	}
+	return configuration(head, document)
+}
+
+// ListConfigurations returns the newest accepted configurations.
+func (s *Server) ListConfigurations(ctx context.Context, params operatorapi.ListConfigurationsParams) (*operatorapi.History, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	heads, err := s.Ledger.History(ctx, params.Limit.Or(defaultHistory))
+	if err != nil {
+		return nil, err
+	}
+	history := &operatorapi.History{Versions: []operatorapi.Accepted{}}
+	for _, head := range heads {
+		history.Versions = append(history.Versions, operatorapi.Accepted{
+			Version: uint64(head.Version), Author: string(head.Author), Time: head.Time,
+		})
+	}
+	return history, nil
+}
+
+// defaultHistory is the number of versions that a history has unless the operator asks for another.
+const defaultHistory = 20
+
+// GetAccepted returns one accepted configuration.
+func (s *Server) GetAccepted(ctx context.Context, params operatorapi.GetAcceptedParams) (*operatorapi.Configuration, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	entry, err := s.Ledger.Version(ctx, model.Version(params.Version))
+	if err != nil {
+		return nil, err
+	}
+	document, err := config.Decode(entry.Text)
+	if err != nil {
+		return nil, err
+	}
+	return configuration(entry.Head, document)
+}
--- /dev/null
+++ b/internal/operator/server.go
@@ -0,0 +1,105 @@
+package operator
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/apex/log"
+
+	"redwingspread/internal/config"
+	"redwingspread/internal/model"
+	"redwingspread/internal/spread"
+	"redwingspread/internal/trust"
+	"redwingspread/internal/view"
+	"redwingspread/pkg/api/operatorapi"
+)
+
+// apiName names the interface in the log.
+const apiName = "operator"
+
+// maxBody is the largest body of an operator's request in bytes: a document and what is about it.
+const maxBody = config.MaxText + 64<<10
+
+// Queue is the work that waits for one instance on this host, of one rank.
+type Queue struct {
+	Database model.DatabaseID
+	Instance model.InstanceID
+	Rank     model.Rank
+	Waiting  int
+}
+
+// RefusalCount counts the requests that this host refused for one reason.
+type RefusalCount struct {
+	Code  model.Code
+	Rank  model.Rank
+	Count int64
+}
+
+// Server serves the operator interface of one host.
+type Server struct {
+	// View returns the newest view.
+	View func() *view.View
+	// Ledger keeps the accepted configurations.
+	Ledger *spread.Ledger
+	// Accept takes a configuration that was committed, to put it into force on this host.
+	Accept func(version model.Version, document string, policy *config.Policy)
+	// Queues returns the work that waits on this host.
+	Queues func() []Queue
+	// Refusals returns the counts of refused requests.
+	Refusals func() []RefusalCount
+	// First is the token of the first operator.
+	First config.Token
+	// Open lets every request in, for trials on the loopback.
+	Open bool
+	// Now reads the clock.
+	Now func() time.Time
+	// Log takes the events.
+	Log log.Interface
+
+	tracker *tracker
+}
+
+// New returns a server whose required fields View, Ledger, Accept and Log are to be set before Handler.
+func New() *Server {
+	return &Server{
+		Queues:   func() []Queue { return nil },
+		Refusals: func() []RefusalCount { return nil },
+		Now:      time.Now,
+		tracker:  newTracker(),
+	}
+}
+
+// Run measures how soon accepted configurations are in force until the context ends, and reports its end on done.
+func (s *Server) Run(ctx context.Context, done chan<- error) {
+	done <- s.tracker.run(ctx, s.Now, s.View)
+}
+
+// Handler returns the interface with its checks of tokens and limits on sizes.
+func (s *Server) Handler() (handler http.Handler, err error) {
+	api, err := operatorapi.NewServer(s, operatorapi.WithErrorHandler(refuseRequest))
+	if err != nil {
+		return nil, err
+	}
+	mux := http.NewServeMux()
+	mux.Handle("/v1/", api)
+	mux.HandleFunc("GET /debug/vars", writeMetrics)
+	mux.HandleFunc("GET /{$}", s.writePage)
+	guard := &trust.Guard{
+		Policy: func() *config.Policy { return s.View().Policy },
+		First:  s.First,
+		Open:   s.Open,
+		API:    apiName,
+		Log:    s.Log,
+		Refuse: writeRefusal,
+	}
+	return http.MaxBytesHandler(guard.Require(needed, mux), maxBody), nil
+}
+
+// needed returns the right that a request needs: to change takes an operator, to look a reader.
+func needed(r *http.Request) config.Right {
+	if r.Method == http.MethodGet || r.Method == http.MethodHead {
+		return config.RightReader
+	}
+	return config.RightOperator
+}
--- /dev/null
+++ b/internal/spread/ledger.go
@@ -0,0 +1,280 @@
+package spread
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"redwingspread/internal/config"
+	"redwingspread/internal/model"
+	"redwingspread/internal/platform"
+)
+
+// settlePause is the time between two tries to settle a lost answer.
+const settlePause = 50 * time.Millisecond
+
+// Ledger keeps every accepted configuration on the platform.
+type Ledger struct {
+	Store platform.Store
+	// Nonce returns a new mark for one attempt.
+	Nonce func() model.Nonce
+	// Now reads the clock.
+	Now func() time.Time
+	// InForce returns the version in force on this host, which may be newer than the row of a store that was set back.
+	InForce func() model.Version
+}
+
+// Entry is one accepted configuration with its document's text.
+type Entry struct {
+	Head     Head
+	Previous *Head
+	Text     string
+}
+
+// Conflict is the error of a change that lost a race: another configuration was accepted first.
+type Conflict struct {
+	Expected model.Version
+	Current  Head // zero when there is no configuration yet
+}
+
+// Error names both versions.
+func (c *Conflict) Error() string {
+	return fmt.Sprintf("conflict: expected version %d, but version %d by %s is accepted", c.Expected, c.Current.Version, c.Current.Author)
+}
+
+// Commit accepts the text as the version after the expected one; *Conflict means that it did not, a *model.Refusal with CodeOutcomeUnknown that nobody knows.
+func (l *Ledger) Commit(ctx context.Context, expected model.Version, author config.Author, text string) (head Head, err error) {
+	defer annotate(&err, "commit configuration")
+	state, err := l.read(ctx)
+	if err != nil {
+		return Head{}, notRun(err)
+	}
+	current := state.newest()
+	if current.Version != expected && (current.Version > expected || l.InForce() != expected) {
+		return Head{}, &Conflict{Expected: expected, Current: current}
+	}
+	head = l.head(expected+1, author)
+	value, err := l.store(ctx, head, state.heads, text)
+	if err != nil {
+		return Head{}, notRun(err)
+	}
+	return l.settle(ctx, attempt{expected: expected, head: head, row: state.version, value: value})
+}
+
+// attempt is one try to accept a configuration.
+type attempt struct {
+	expected model.Version
+	head     Head
+	row      model.Version // the row's version that must still hold
+	value    string        // the row's new value
+}
+
+// head makes the head of a new attempt.
+func (l *Ledger) head(version model.Version, author config.Author) Head {
+	nonce := l.Nonce()
+	return Head{Version: version, Nonce: nonce, Object: objectName(version, nonce), Author: author, Time: l.Now().UTC()}
+}
+
+// store writes the attempt's object, which nobody reads before the row names it, and returns the row's value.
+func (l *Ledger) store(ctx context.Context, head Head, heads []Head, text string) (value string, err error) {
+	content := object{Head: head, Document: text}
+	if len(heads) > 0 {
+		content.Previous = &heads[0]
+	}
+	encoded, err := json.Marshal(content)
+	if err != nil {
+		return "", err
+	}
+	if err := l.Store.PutObject(ctx, head.Object, string(encoded)); err != nil {
+		return "", err
+	}
+	return encodeRow(head, heads)
+}
+
+// settle commits the row and repeats the same attempt after a lost answer, until the table service tells what became of it.
+func (l *Ledger) settle(ctx context.Context, a attempt) (Head, error) {
+	checks := []platform.Check{{Key: RowKey, Version: a.row}}
+	puts := []platform.Put{{Key: RowKey, Value: a.value}}
+	doubt := false
+	for {
+		commit, err := l.Store.Commit(ctx, checks, puts)
+		if err == nil && commit.Committed {
+			return a.head, nil
+		}
+		if err == nil {
+			return a.resolve(commit.Rows)
+		}
+		doubt = doubt || !certainlyNotRun(err)
+		if pause(ctx, settlePause) == nil {
+			continue
+		}
+		if doubt {
+			return Head{}, model.Doubt("the platform does not answer: %v", err)
+		}
+		return Head{}, notRun(err)
+	}
+}
+
+// resolve tells whether a failed check means that an earlier try of the same attempt was committed, or another attempt.
+func (a attempt) resolve(rows []platform.Row) (Head, error) {
+	conflict := &Conflict{Expected: a.expected}
+	for _, current := range rows {
+		if current.Key != RowKey || current.Version == 0 {
+			continue
+		}
+		heads, err := parseHeads(current.Value)
+		if err != nil {
+			return Head{}, err
+		}
+		for _, accepted := range heads {
+			if accepted.Nonce == a.head.Nonce {
+				return a.head, nil
+			}
+		}
+		conflict.Current = heads[0]
+	}
+	return Head{}, conflict
+}
+
+// Newest returns the newest head, zero when there is no configuration yet.
+func (l *Ledger) Newest(ctx context.Context) (head Head, err error) {
+	defer annotate(&err, "read configuration's row")
+	state, err := l.read(ctx)
+	return state.newest(), err
+}
+
+// state is the row as read: its own version and its heads, newest first.
+type state struct {
+	version model.Version
+	heads   []Head
+}
+
+// newest returns the newest head, or a zero one.
+func (s state) newest() Head {
+	if len(s.heads) == 0 {
+		return Head{}
+	}
+	return s.heads[0]
+}
+
+// read reads the row.
+func (l *Ledger) read(ctx context.Context) (state, error) {
+	rows, _, err := l.Store.Rows(ctx, RowKey, 0)
+	if err != nil {
+		return state{}, err
+	}
+	for _, found := range rows {
+		if found.Key == RowKey && found.Version > 0 {
+			heads, err := parseHeads(found.Value)
+			return state{version: found.Version, heads: heads}, err
+		}
+	}
+	return state{}, nil
+}
+
+// Load reads the accepted configuration of a head.
+func (l *Ledger) Load(ctx context.Context, head Head) (entry Entry, err error) {
+	defer annotate(&err, fmt.Sprintf("load configuration %d", head.Version))
+	text, err := l.Store.Object(ctx, head.Object)
+	if err != nil {
+		return Entry{}, err
+	}
+	content, err := parseObject(text, head)
+	if err != nil {
+		return Entry{}, err
+	}
+	return Entry{Head: content.Head, Previous: content.Previous, Text: content.Document}, nil
+}
+
+// History returns the newest accepted configurations, at most limit, newest first.
+func (l *Ledger) History(ctx context.Context, limit int) (heads []Head, err error) {
+	defer annotate(&err, "read configuration's history")
+	state, err := l.read(ctx)
+	heads = state.heads
+	if err != nil || len(heads) >= limit {
+		return heads[:min(len(heads), limit)], err
+	}
+	for len(heads) > 0 && len(heads) < limit {
+		entry, err := l.Load(ctx, heads[len(heads)-1])
+		if err != nil {
+			return nil, err
+		}
+		if entry.Previous == nil {
+			break
+		}
+		heads = append(heads, *entry.Previous)
+	}
+	return heads, nil
+}
+
+// Version returns one accepted configuration; version 0 is the built-in one.
+func (l *Ledger) Version(ctx context.Context, version model.Version) (entry Entry, err error) {
+	if version == 0 {
+		text, err := config.Encode(config.Default())
+		return Entry{Text: text}, err
+	}
+	defer annotate(&err, fmt.Sprintf("find configuration %d", version))
+	state, err := l.read(ctx)
+	if err != nil {
+		return Entry{}, err
+	}
+	heads := state.heads
+	for _, head := range heads {
+		if head.Version == version {
+			return l.Load(ctx, head)
+		}
+	}
+	if len(heads) == 0 || version > heads[0].Version {
+		return Entry{}, model.Refuse(model.CodeNotFound, "no configuration has version %d", version)
+	}
+	return l.walk(ctx, heads[len(heads)-1], version)
+}
+
+// walk goes back from an accepted configuration to an earlier version.
+func (l *Ledger) walk(ctx context.Context, from Head, version model.Version) (Entry, error) {
+	for {
+		entry, err := l.Load(ctx, from)
+		if err != nil || entry.Head.Version == version {
+			return entry, err
+		}
+		if entry.Previous == nil {
+			return Entry{}, model.Refuse(model.CodeNotFound, "no configuration has version %d", version)
+		}
+		from = *entry.Previous
+	}
+}
+
+// notRun marks a failure before the row was touched: the change certainly had no effect.
+func notRun(err error) error {
+	if certainlyNotRun(err) {
+		return err
+	}
+	return fmt.Errorf("%w: %w", model.Refuse(model.CodeUnavailable, "nothing was changed"), err)
+}
+
+// certainlyNotRun reports whether an error says that nothing happened.
+func certainlyNotRun(err error) bool {
+	var refusal *model.Refusal
+	return errors.As(err, &refusal) && refusal.NotRun
+}
+
+// pause waits for the time or the context's end.
+func pause(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// annotate adds what was tried to an error.
+func annotate(err *error, tried string) {
+	if *err != nil {
+		*err = fmt.Errorf("%s: %w", tried, *err)
+	}
+}
