--- /dev/null
+++ b/internal/retry/rule.go
@@ -0,0 +1,37 @@
+package retry
+
+import (
+	"errors"
+	"time"
+
+	"redwingspread/internal/model"
+)
+
+// Allowed reports whether work that ended with the error may be tried again in the time left; repeatable work may run more than once.
+func Allowed(err error, access model.Access, repeatable bool, left time.Duration) bool {
+	if err == nil || left <= 0 {
+		return false
+	}
+	var refusal *model.Refusal
+	if !errors.As(err, &refusal) {
+		return access == model.Read || repeatable
+	}
+	if left <= refusal.RetryAfter {
+		return false
+	}
+	if !refusal.NotRun {
+		return refusal.Code != model.CodeTransactionEnded && (access == model.Read || repeatable)
+	}
+	return passing(refusal.Code)
+}
+
+// passing reports whether the reason of a refusal may be gone at the next try.
+func passing(code model.Code) bool {
+	switch code {
+	case model.CodeUnavailable, model.CodeOverloaded, model.CodeStopping, model.CodeNotOwner,
+		model.CodeWrongTerm, model.CodeNotPrimary, model.CodeBehind, model.CodeSlotsFull,
+		model.CodeConnectionsFull, model.CodeUnknownConnection, model.CodeLeaving:
+		return true
+	}
+	return false
+}
--- /dev/null
+++ b/internal/session/codec.go
@@ -0,0 +1,211 @@
+package session
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/binary"
+
+	"redwingspread/internal/model"
+)
+
+// MaxEncoded is the greatest length of an encoded token in characters.
+const MaxEncoded = 4096
+
+const (
+	formatVersion = 1
+	macBytes      = 16
+	maxNameBytes  = 128  // of a session, a database or a request
+	flagPartial   = 0x01 // entries were dropped
+	macContext    = "redwingspread session token"
+)
+
+// encoding is strict, so that each token has one encoded form.
+var encoding = base64.RawURLEncoding.Strict()
+
+// maxPayload is the number of bytes that fit before the code of authentication.
+var maxPayload = encoding.DecodedLen(MaxEncoded) - macBytes
+
+// Codec signs and checks tokens; tokens of the old key stay good while it is set.
+type Codec struct {
+	// Key signs new tokens.
+	Key []byte
+	// Old is still accepted during a change of keys; empty when there is none.
+	Old []byte
+}
+
+// Encode returns the signed text of the token, without its least recent entries when they do not fit.
+func (c *Codec) Encode(token Token) (string, error) {
+	if len(c.Key) == 0 {
+		return "", model.Refuse(model.CodeInternal, "no key signs session tokens")
+	}
+	if !fits(token) {
+		return "", model.Refuse(model.CodeInvalid, "a name in the session token is longer than %d bytes", maxNameBytes)
+	}
+	payload := appendToken(nil, token)
+	for len(payload) > maxPayload {
+		smaller, dropped := evict(token)
+		if !dropped {
+			return "", model.Refuse(model.CodeTooLarge, "the session has too many writes whose outcome is unknown")
+		}
+		token = smaller
+		payload = appendToken(payload[:0], token)
+	}
+	payload = append(payload, authenticate(c.Key, payload)...)
+	return encoding.EncodeToString(payload), nil
+}
+
+// Decode returns the token of a signed text, or a refusal with CodeBadToken.
+func (c *Codec) Decode(text string) (Token, error) {
+	if len(text) > MaxEncoded {
+		return Token{}, bad("it is longer than %d characters", MaxEncoded)
+	}
+	signed, err := encoding.DecodeString(text)
+	if err != nil || len(signed) <= macBytes {
+		return Token{}, bad("it is no session token")
+	}
+	payload, mac := signed[:len(signed)-macBytes], signed[len(signed)-macBytes:]
+	if !c.genuine(payload, mac) {
+		return Token{}, bad("it was not signed by this system")
+	}
+	if payload[0] != formatVersion {
+		return Token{}, bad("its version is %d, and this host reads version %d", payload[0], formatVersion)
+	}
+	r := reader{rest: payload[1:]}
+	token := r.token()
+	if r.broken || len(r.rest) > 0 {
+		return Token{}, bad("its content is broken")
+	}
+	return token, nil
+}
+
+// genuine reports whether one of the keys made the code of authentication.
+func (c *Codec) genuine(payload, mac []byte) bool {
+	if len(c.Key) > 0 && hmac.Equal(mac, authenticate(c.Key, payload)) {
+		return true
+	}
+	return len(c.Old) > 0 && hmac.Equal(mac, authenticate(c.Old, payload))
+}
+
+// authenticate returns the code of authentication of the payload.
+func authenticate(key, payload []byte) []byte {
+	h := hmac.New(sha256.New, key)
+	h.Write([]byte(macContext))
+	h.Write(payload)
+	return h.Sum(nil)[:macBytes]
+}
+
+// bad returns a refusal of a token.
+func bad(format string, arguments ...any) *model.Refusal {
+	return model.Refuse(model.CodeBadToken, "the session token can't be used: "+format, arguments...)
+}
+
+// fits reports whether every name of the token is short enough to be read again.
+func fits(token Token) bool {
+	if len(token.Session) > maxNameBytes {
+		return false
+	}
+	for _, entry := range token.Entries {
+		if len(entry.Database) > maxNameBytes || len(entry.Pending) > maxNameBytes {
+			return false
+		}
+	}
+	return true
+}
+
+// evict returns the token without its least recent entry that has no pending write, and whether there was one.
+func evict(token Token) (Token, bool) {
+	for i := len(token.Entries) - 1; i >= 0; i-- {
+		if token.Entries[i].Pending == "" {
+			token = token.Forget(token.Entries[i].Database)
+			token.Partial = true
+			return token, true
+		}
+	}
+	return token, false
+}
+
+// appendToken appends the token's content to the payload.
+func appendToken(payload []byte, token Token) []byte {
+	var flags byte
+	if token.Partial {
+		flags |= flagPartial
+	}
+	payload = append(payload, formatVersion, flags)
+	payload = appendText(payload, string(token.Session))
+	payload = binary.AppendUvarint(payload, uint64(len(token.Entries)))
+	for _, entry := range token.Entries {
+		payload = appendText(payload, string(entry.Database))
+		payload = binary.AppendUvarint(payload, uint64(entry.Point.Term))
+		payload = binary.AppendUvarint(payload, uint64(entry.Point.Position))
+		payload = appendText(payload, string(entry.Pending))
+	}
+	return payload
+}
+
+// appendText appends a text with its length before it.
+func appendText(payload []byte, text string) []byte {
+	payload = binary.AppendUvarint(payload, uint64(len(text)))
+	return append(payload, text...)
+}
+
+// reader reads a token's content and remembers whether it was broken.
+type reader struct {
+	rest   []byte
+	broken bool
+}
+
+// token reads the whole content.
+func (r *reader) token() Token {
+	var token Token
+	token.Partial = r.flags()&flagPartial != 0
+	token.Session = model.SessionID(r.text())
+	count := r.number()
+	for ; count > 0 && !r.broken; count-- {
+		token.Entries = append(token.Entries, r.entry())
+	}
+	return token
+}
+
+// entry reads one entry.
+func (r *reader) entry() Entry {
+	return Entry{
+		Database: model.DatabaseID(r.text()),
+		Point:    model.Point{Term: model.Term(r.number()), Position: model.Position(r.number())},
+		Pending:  model.RequestID(r.text()),
+	}
+}
+
+// flags reads the byte of flags.
+func (r *reader) flags() byte {
+	if len(r.rest) == 0 {
+		r.broken = true
+		return 0
+	}
+	flags := r.rest[0]
+	r.rest = r.rest[1:]
+	return flags
+}
+
+// number reads one number.
+func (r *reader) number() uint64 {
+	number, size := binary.Uvarint(r.rest)
+	if size <= 0 {
+		r.broken = true
+		return 0
+	}
+	r.rest = r.rest[size:]
+	return number
+}
+
+// text reads one text.
+func (r *reader) text() string {
+	length := r.number()
+	if length > maxNameBytes || length > uint64(len(r.rest)) {
+		r.broken = true
+		return ""
+	}
+	text := string(r.rest[:length])
+	r.rest = r.rest[length:]
+	return text
+}
