Add the callers' library and the command that runs one statement

Cause: each caller would else keep tokens, deadlines and request ids itself, and repeat what may not be repeated.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -46,5 +46,7 @@
 
 // commands returns every command of the program.
 func commands() []*cli.Command {
-	return []*cli.Command{}
+	return []*cli.Command{
+		newRun(),
+	}
 }
--- a/pkg/api/callerapi/oas_json_gen.go
+++ b/pkg/api/callerapi/oas_json_gen.go
@@ -1044,14 +1044,21 @@
 			s.RetryAfterMs.Encode(e)
 		}
 	}
+	{
+		if s.Token.Set {
+			e.FieldStart("token")
+			s.Token.Encode(e)
+		}
+	}
 }
 
-var jsonFieldsNameOfRefusal = [5]string{
+var jsonFieldsNameOfRefusal = [6]string{
 	0: "code",
 	1: "outcome",
 	2: "message",
 	3: "request",
 	4: "retryAfterMs",
+	5: "token",
 }
 
 // Decode decodes Refusal from json.
@@ -1115,6 +1122,16 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"retryAfterMs\"")
 			}
+		case "token":
+			if err := func() error {
+				s.Token.Reset()
+				if err := s.Token.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"token\"")
+			}
 		default:
 			return d.Skip()
 		}
--- a/pkg/api/callerapi/oas_schemas_gen.go
+++ b/pkg/api/callerapi/oas_schemas_gen.go
@@ -549,6 +549,8 @@
 	Message      string         `json:"message"`
 	Request      OptString      `json:"request"`
 	RetryAfterMs OptInt64       `json:"retryAfterMs"`
+	// Session token to send next, when it changed; it remembers a write whose outcome is unknown.
+	Token OptString `json:"token"`
 }
 
 // GetCode returns the value of Code.
@@ -576,6 +578,11 @@
 	return s.RetryAfterMs
 }
 
+// GetToken returns the value of Token.
+func (s *Refusal) GetToken() OptString {
+	return s.Token
+}
+
 // SetCode sets the value of Code.
 func (s *Refusal) SetCode(val RefusalCode) {
 	s.Code = val
@@ -601,6 +608,11 @@
 	s.RetryAfterMs = val
 }
 
+// SetToken sets the value of Token.
+func (s *Refusal) SetToken(val OptString) {
+	s.Token = val
+}
+
 type RefusalCode string
 
 const (
--- /dev/null
+++ b/pkg/client/transport.go
@@ -0,0 +1,42 @@
+package client
+
+import (
+	"errors"
+	"io"
+	"net/http"
+)
+
+// errTooLarge ends the reading of an answer that is larger than the limit.
+var errTooLarge = errors.New("the answer is larger than the client's limit")
+
+// limiter is a transport that reads no more of an answer than its limit in bytes.
+type limiter struct {
+	next  http.RoundTripper
+	limit int64
+}
+
+// RoundTrip sends the request and limits the body of its response.
+func (l limiter) RoundTrip(request *http.Request) (*http.Response, error) {
+	response, err := l.next.RoundTrip(request)
+	if err != nil {
+		return nil, err
+	}
+	response.Body = &limitedBody{ReadCloser: response.Body, left: l.limit}
+	return response, nil
+}
+
+// limitedBody is a body that fails past its limit.
+type limitedBody struct {
+	io.ReadCloser
+	left int64
+}
+
+// Read reads a part of the body.
+func (b *limitedBody) Read(part []byte) (int, error) {
+	n, err := b.ReadCloser.Read(part)
+	b.left -= int64(n)
+	if b.left < 0 {
+		return n, errTooLarge
+	}
+	return n, err
+}
