--- a/internal/operator/configuration.go
+++ b/internal/operator/configuration.go
@@ -95,6 +95,11 @@
 	current *operatorapi.Configuration
 }
 
+// Unwrap returns the conflict.
+func (l lostRace) Unwrap() error {
+	return l.error
+}
+
 // withCurrent adds the newest configuration to a conflict, so that the loser sees what changed.
 func (s *Server) withCurrent(err error) error {
 	var conflict *spread.Conflict
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -85,14 +85,13 @@
 	mux.Handle("/v1/", api)
 	mux.HandleFunc("GET /debug/vars", writeMetrics)
 	mux.HandleFunc("GET /{$}", s.writePage)
-	guard := &trust.Guard{
-		Policy: func() *config.Policy { return s.View().Policy },
-		First:  s.First,
-		Open:   s.Open,
-		API:    apiName,
-		Log:    s.Log,
-		Refuse: writeRefusal,
-	}
+	guard := trust.NewGuard()
+	guard.Policy = func() *config.Policy { return s.View().Policy }
+	guard.First = s.First
+	guard.Open = s.Open
+	guard.API = apiName
+	guard.Log = s.Log
+	guard.Refuse = writeRefusal
 	return http.MaxBytesHandler(guard.Require(needed, mux), maxBody), nil
 }
 
--- /dev/null
+++ b/internal/operator/server_test.go
@@ -0,0 +1,327 @@
+package operator
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	logjson "github.com/apex/log/handlers/json"
+
+	"redwingspread/internal/config"
+	"redwingspread/internal/model"
+	"redwingspread/internal/spread"
+	"redwingspread/internal/spread/spreadtest"
+	"redwingspread/internal/trust"
+	"redwingspread/internal/view"
+	"redwingspread/pkg/api/operatorapi"
+)
+
+// The tokens of the tests.
+const (
+	operatorToken = "rws_operator_of_the_tests"
+	readerToken   = "rws_reader_of_the_tests"
+)
+
+// fixture is a server on a fake platform.
+type fixture struct {
+	store  *spreadtest.Store
+	view   atomic.Pointer[view.View]
+	server *Server
+	http   *httptest.Server
+	log    bytes.Buffer
+}
+
+// newFixture returns a server whose configuration in force is the built-in one.
+func newFixture(t *testing.T) *fixture {
+	t.Helper()
+	f := &fixture{store: spreadtest.New(), server: New()}
+	policy, err := config.Compile(0, config.Default())
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.view.Store(fleetView(policy))
+	f.server.View = f.view.Load
+	f.server.Log = &log.Logger{Handler: logjson.New(&f.log), Level: log.DebugLevel}
+	f.server.First = config.Token{Name: "first", Right: config.RightOperator, Hash: trust.Hash(operatorToken)}
+	f.server.Accept = func(_ model.Version, _ string, policy *config.Policy) { f.view.Store(fleetView(policy)) }
+	f.server.Ledger = &spread.Ledger{
+		Store:   f.store,
+		Nonce:   func() model.Nonce { return model.Nonce(trust.NewToken()) },
+		Now:     time.Now,
+		InForce: func() model.Version { return f.view.Load().Policy.Version },
+	}
+	handler, err := f.server.Handler()
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.http = httptest.NewServer(handler)
+	t.Cleanup(f.http.Close)
+	return f
+}
+
+// fleetView returns a view of two hosts and one database.
+func fleetView(policy *config.Policy) *view.View {
+	primary := view.Instance{Instance: model.Instance{ID: "enrol-1-a"}, Reachable: true, Observed: time.Now()}
+	primary.State.Role = model.RolePrimary
+	return &view.View{
+		Self:   "h1",
+		Policy: policy,
+		Hosts: map[model.HostID]view.Host{
+			"h1": {Host: model.Host{ID: "h1", Region: "coastal"}, State: view.Alive, Configuration: policy.Version},
+			"h2": {Host: model.Host{ID: "h2", Region: "<brazos>"}, State: view.Suspect},
+		},
+		Databases: map[model.DatabaseID]*view.Database{
+			"enrol-1": {ID: "enrol-1", Owner: "h1", Term: 7, Primary: "enrol-1-a", Serving: true,
+				Instances: []view.Instance{primary, {Instance: model.Instance{ID: "enrol-1-b"}}}},
+		},
+	}
+}
+
+// answer is one HTTP answer.
+type answer struct {
+	status int
+	body   string
+}
+
+// send makes one request with a token.
+func (f *fixture) send(t *testing.T, method, path, token, body string) answer {
+	t.Helper()
+	request, err := http.NewRequestWithContext(t.Context(), method, f.http.URL+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header.Set("Content-Type", "application/json")
+	if token != "" {
+		request.Header.Set("Authorization", "Bearer "+token)
+	}
+	response, err := f.http.Client().Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return answer{status: response.StatusCode, body: string(text)}
+}
+
+// changeText returns the body of a change.
+func changeText(t *testing.T, expected model.Version, document config.Document) string {
+	t.Helper()
+	message, err := Message(document)
+	if err != nil {
+		t.Fatal(err)
+	}
+	change := operatorapi.Change{Expected: uint64(expected), Author: "Dana", Document: message}
+	text, err := change.MarshalJSON()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(text)
+}
+
+// withLimit returns the built-in document with another queue limit.
+func withLimit(limit int) config.Document {
+	document := config.Default()
+	document.Defaults.QueueLimit = limit
+	return document
+}
+
+func TestPutConfiguration(t *testing.T) {
+	tests := map[string]struct {
+		prepare func(t *testing.T, f *fixture)
+		body    func(t *testing.T) string
+		status  int
+		want    []string // parts of the answer
+		version model.Version
+	}{
+		"accepted": {status: http.StatusOK, want: []string{`"version":1`, `"author":"Dana"`}, version: 1},
+		"answer of the platform lost": {
+			prepare: func(_ *testing.T, f *fixture) { f.store.Fail(spreadtest.AnswersLost, 1) },
+			status:  http.StatusOK, want: []string{`"version":1`}, version: 1,
+		},
+		"lost a race": {
+			prepare: func(t *testing.T, f *fixture) {
+				f.send(t, http.MethodPut, "/v1/configuration", operatorToken, changeText(t, 0, withLimit(33)))
+			},
+			status: http.StatusConflict, want: []string{"version 1 by Dana", `"queueLimit":33`, `"current"`}, version: 1,
+		},
+		"platform down": {
+			prepare: func(_ *testing.T, f *fixture) { f.store.Fail(spreadtest.Down, 1) },
+			status:  http.StatusServiceUnavailable, want: []string{"nothing was changed"},
+		},
+		"every problem at once": {
+			body: func(t *testing.T) string {
+				document := withLimit(0)
+				document.Exceptions = []config.Exception{{Name: "x", Database: "enrol-1", Setting: "rank", Value: "9"}}
+				return changeText(t, 0, document)
+			},
+			status: http.StatusBadRequest,
+			want:   []string{"defaults.queueLimit", "exceptions[0].value", "exceptions[0].reason", "exceptions[0].author", "exceptions[0].date"},
+		},
+		"host in a scope": {
+			body: func(t *testing.T) string {
+				return strings.Replace(changeText(t, 0, withLimit(1)), `"exceptions":[]`, `"exceptions":[{"host":"h1"}]`, 1)
+			},
+			status: http.StatusBadRequest, want: []string{"invalid", "host"},
+		},
+		"not JSON":  {body: func(*testing.T) string { return "queueLimit: 3" }, status: http.StatusBadRequest, want: []string{"invalid"}},
+		"too large": {body: func(*testing.T) string { return strings.Repeat(" ", maxBody+1) }, status: http.StatusRequestEntityTooLarge, want: []string{"too_large"}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			if test.prepare != nil {
+				test.prepare(t, f)
+			}
+			body := changeText(t, 0, withLimit(44))
+			if test.body != nil {
+				body = test.body(t)
+			}
+			got := f.send(t, http.MethodPut, "/v1/configuration", operatorToken, body)
+			if got.status != test.status {
+				t.Fatalf("got status %d (%s), want %d", got.status, got.body, test.status)
+			}
+			for _, part := range test.want {
+				if !strings.Contains(got.body, part) {
+					t.Errorf("got %s, want %s in it", got.body, part)
+				}
+			}
+			if got := f.view.Load().Policy.Version; got != test.version {
+				t.Errorf("got version %d in force, want %d", got, test.version)
+			}
+		})
+	}
+}
+
+func TestRights(t *testing.T) {
+	tests := map[string]struct {
+		method, path, token string
+		want                int
+	}{
+		"status without a token":        {http.MethodGet, "/v1/status", "", http.StatusUnauthorized},
+		"status of a reader":            {http.MethodGet, "/v1/status", readerToken, http.StatusOK},
+		"page without a token":          {http.MethodGet, "/", "", http.StatusUnauthorized},
+		"page of a reader":              {http.MethodGet, "/", readerToken, http.StatusOK},
+		"metrics without a token":       {http.MethodGet, "/debug/vars", "", http.StatusUnauthorized},
+		"metrics of a reader":           {http.MethodGet, "/debug/vars", readerToken, http.StatusOK},
+		"configuration without a token": {http.MethodGet, "/v1/configuration", "", http.StatusUnauthorized},
+		"history of a reader":           {http.MethodGet, "/v1/configurations", readerToken, http.StatusOK},
+		"version of a reader":           {http.MethodGet, "/v1/configurations/1", readerToken, http.StatusOK},
+		"version that is not there":     {http.MethodGet, "/v1/configurations/9", readerToken, http.StatusNotFound},
+		"change of a reader":            {http.MethodPut, "/v1/configuration", readerToken, http.StatusForbidden},
+		"change without a token":        {http.MethodPut, "/v1/configuration", "", http.StatusUnauthorized},
+		"unknown path":                  {http.MethodGet, "/v2/status", readerToken, http.StatusNotFound},
+	}
+	f := newFixture(t)
+	document := config.Default()
+	document.Tokens = []config.Token{{
+		Name: "screen", Right: config.RightReader, Hash: trust.Hash(readerToken), Reason: "Screen in the office.", Author: "Dana", Date: "2026-03-02",
+	}}
+	if got := f.send(t, http.MethodPut, "/v1/configuration", operatorToken, changeText(t, 0, document)); got.status != http.StatusOK {
+		t.Fatalf("got %+v, want the token accepted", got)
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			got := f.send(t, test.method, test.path, test.token, "{}")
+			if got.status != test.want {
+				t.Errorf("got status %d (%s), want %d", got.status, got.body, test.want)
+			}
+		})
+	}
+	for _, secret := range []string{readerToken, operatorToken} {
+		if strings.Contains(f.log.String(), secret) {
+			t.Errorf("got %s in the log, want it hidden", secret)
+		}
+	}
+}
+
+func TestMetricsHideTheCommandLine(t *testing.T) {
+	f := newFixture(t)
+	got := f.send(t, http.MethodGet, "/debug/vars", operatorToken, "")
+	var variables map[string]any
+	if err := json.Unmarshal([]byte(got.body), &variables); err != nil {
+		t.Fatalf("got %v in %s, want JSON", err, got.body)
+	}
+	if _, shown := variables["cmdline"]; shown || variables["configuration"] == nil {
+		t.Errorf("got %v, want the metrics without the command line", variables)
+	}
+}
+
+func TestPage(t *testing.T) {
+	f := newFixture(t)
+	f.server.Queues = func() []Queue { return []Queue{{Database: "enrol-1", Instance: "enrol-1-a", Rank: 2, Waiting: 91}} }
+	f.server.Refusals = func() []RefusalCount { return []RefusalCount{{Code: model.CodeOverloaded, Rank: 3, Count: 1234}} }
+	got := f.send(t, http.MethodGet, "/", operatorToken, "")
+	for _, part := range []string{"enrol-1-b", "suspect", "&lt;brazos&gt;", "<td>91</td>", "<td>1234</td>", "overloaded"} {
+		if !strings.Contains(got.body, part) {
+			t.Errorf("got a page without %s", part)
+		}
+	}
+}
+
+func TestStatusWithoutConfiguration(t *testing.T) {
+	f := newFixture(t)
+	f.view.Store(&view.View{Self: "h1"})
+	if got := f.send(t, http.MethodGet, "/v1/status", operatorToken, ""); !strings.Contains(got.body, `"ready":false`) {
+		t.Errorf("got %s, want a host that is not ready", got.body)
+	}
+	if got := f.send(t, http.MethodGet, "/v1/configuration", operatorToken, ""); got.status != http.StatusServiceUnavailable {
+		t.Errorf("got status %d, want %d", got.status, http.StatusServiceUnavailable)
+	}
+}
+
+func TestTranslation(t *testing.T) {
+	age := config.Milliseconds(7)
+	document := config.Default()
+	document.Kinds[0].MaxAge = &age
+	document.Exceptions = []config.Exception{{
+		Name: "n", Database: "d", Kind: "k", Rank: 2, DataCentre: "c", Region: "r", Setting: "s",
+		Value: "v", Reason: "why", Author: "a", Date: "2026-03-02", Review: "2026-04-02",
+	}}
+	document.Tokens = []config.Token{{Name: "n", Right: "reader", Hash: "h", Reason: "why", Author: "a", Date: "2026-03-02"}}
+	message, err := Message(document)
+	if err != nil {
+		t.Fatal(err)
+	}
+	back, err := Document(message)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := config.Diff(document, back); got != nil {
+		t.Errorf("got %v, want the same document", got)
+	}
+}
+
+func TestTracker(t *testing.T) {
+	at := time.Unix(100, 0)
+	measured := newTracker()
+	measured.begin(5, at)
+	policy := &config.Policy{Version: 5}
+	shown := fleetView(policy)
+	if over := measured.observe(shown, at.Add(time.Second)); !over {
+		t.Error("got a measurement that goes on, want it over: the only live host has the version")
+	}
+	suspect := shown.Hosts["h2"]
+	suspect.State = view.Alive
+	shown.Hosts["h2"] = suspect
+	if over := measured.observe(shown, at.Add(2*time.Second)); over {
+		t.Error("got a measurement that is over, want it to wait for h2")
+	}
+	suspect.Configuration = 6
+	shown.Hosts["h2"] = suspect
+	measured.observe(shown, at.Add(3*time.Second))
+	want := []delay{{"h1", 5, time.Second}, {"h2", 5, 3 * time.Second}}
+	if got := measured.list(); !slices.Equal(got, want) {
+		t.Errorf("got %v, want %v", got, want)
+	}
+}
--- /dev/null
+++ b/internal/spread/ledger_test.go
@@ -0,0 +1,246 @@
+package spread
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"redwingspread/internal/model"
+	"redwingspread/internal/spread/spreadtest"
+)
+
+// newLedger returns a ledger on the store with counted nonces that begin with the label.
+func newLedger(store *spreadtest.Store, label string) *Ledger {
+	count := 0
+	return &Ledger{
+		Store:   store,
+		Now:     time.Now,
+		InForce: func() model.Version { return 0 },
+		Nonce: func() model.Nonce {
+			count++
+			return model.Nonce(fmt.Sprintf("%s-%d", label, count))
+		},
+	}
+}
+
+// change commits a text and fails the test when it is not accepted.
+func change(t *testing.T, l *Ledger, expected model.Version, text string) {
+	t.Helper()
+	if _, err := l.Commit(t.Context(), expected, "Dana", text); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// outcome is what an operator is told of a change.
+type outcome string
+
+// The outcomes of a change.
+const (
+	accepted  outcome = "accepted"
+	conflict  outcome = "conflict"
+	unchanged outcome = "not run"
+	unknown   outcome = "unknown"
+)
+
+// outcomeOf tells an error's outcome.
+func outcomeOf(err error) outcome {
+	var lost *Conflict
+	var refusal *model.Refusal
+	switch {
+	case err == nil:
+		return accepted
+	case errors.As(err, &lost):
+		return conflict
+	case errors.As(err, &refusal) && refusal.NotRun:
+		return unchanged
+	case errors.As(err, &refusal):
+		return unknown
+	default:
+		return outcome(err.Error())
+	}
+}
+
+func TestCommit(t *testing.T) {
+	const forever = 1 << 30
+	tests := map[string]struct {
+		prepare  func(t *testing.T, store *spreadtest.Store)
+		expected model.Version
+		want     outcome
+		version  model.Version // newest accepted version afterwards
+		text     string        // its text
+	}{
+		"first": {want: accepted, version: 1, text: "mine"},
+		"second": {
+			prepare:  func(t *testing.T, s *spreadtest.Store) { change(t, newLedger(s, "other"), 0, "theirs") },
+			expected: 1, want: accepted, version: 2, text: "mine",
+		},
+		"older than the newest": {
+			prepare: func(t *testing.T, s *spreadtest.Store) { change(t, newLedger(s, "other"), 0, "theirs") },
+			want:    conflict, version: 1, text: "theirs",
+		},
+		"of a version that is not there": {expected: 7, want: conflict, version: 0},
+		"another one between read and commit": {
+			prepare: func(t *testing.T, s *spreadtest.Store) {
+				s.OnCommit(func() { change(t, newLedger(s, "other"), 0, "theirs") })
+			},
+			want: conflict, version: 1, text: "theirs",
+		},
+		"answer lost after the effect": {
+			prepare: func(_ *testing.T, s *spreadtest.Store) { s.Fail(spreadtest.AnswersLost, 1) },
+			want:    accepted, version: 1, text: "mine",
+		},
+		"answer lost, then a later change on top": {
+			prepare: func(t *testing.T, s *spreadtest.Store) {
+				s.Fail(spreadtest.AnswersLost, 1)
+				go func() {
+					time.Sleep(settlePause / 2) // the bubble's clock
+					change(t, newLedger(s, "other"), 1, "theirs")
+				}()
+			},
+			want: accepted, version: 2, text: "theirs",
+		},
+		"answers lost without effect, then another wins": {
+			prepare: func(t *testing.T, s *spreadtest.Store) {
+				s.Fail(spreadtest.CommitsLost, 1)
+				go func() {
+					time.Sleep(settlePause / 2) // the bubble's clock
+					change(t, newLedger(s, "other"), 0, "theirs")
+				}()
+			},
+			want: conflict, version: 1, text: "theirs",
+		},
+		"three commits lost without effect": {
+			prepare: func(_ *testing.T, s *spreadtest.Store) { s.Fail(spreadtest.CommitsLost, 3) },
+			want:    accepted, version: 1, text: "mine",
+		},
+		"commits lost for good": {
+			prepare: func(_ *testing.T, s *spreadtest.Store) { s.Fail(spreadtest.CommitsLost, forever) },
+			want:    unknown, version: 0,
+		},
+		"commits refused for good": {
+			prepare: func(_ *testing.T, s *spreadtest.Store) { s.Fail(spreadtest.CommitsRefused, forever) },
+			want:    unchanged, version: 0,
+		},
+		"object store down": {
+			prepare: func(_ *testing.T, s *spreadtest.Store) { s.Fail(spreadtest.ObjectsDown, 1) },
+			want:    unchanged, version: 0,
+		},
+		"platform down": {
+			prepare: func(_ *testing.T, s *spreadtest.Store) { s.Fail(spreadtest.Down, 1) },
+			want:    unchanged, version: 0,
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := spreadtest.New()
+				if test.prepare != nil {
+					test.prepare(t, store)
+				}
+				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+				defer cancel()
+				_, err := newLedger(store, "mine").Commit(ctx, test.expected, "Dana", "mine")
+				if got := outcomeOf(err); got != test.want {
+					t.Fatalf("got %s (%v), want %s", got, err, test.want)
+				}
+				synctest.Wait()
+				store.Fail(spreadtest.None, 0)
+				checkNewest(t, newLedger(store, "reader"), test.version, test.text)
+			})
+		})
+	}
+}
+
+// checkNewest fails the test unless the newest accepted configuration has the version and the text.
+func checkNewest(t *testing.T, l *Ledger, version model.Version, text string) {
+	t.Helper()
+	head, err := l.Newest(t.Context())
+	if err != nil || head.Version != version {
+		t.Fatalf("got version %d (%v), want %d", head.Version, err, version)
+	}
+	if version == 0 {
+		return
+	}
+	entry, err := l.Load(t.Context(), head)
+	if err != nil || entry.Text != text {
+		t.Errorf("got %q (%v), want %q", entry.Text, err, text)
+	}
+}
+
+func TestStoreSetBack(t *testing.T) {
+	store := spreadtest.New()
+	ledger := newLedger(store, "mine")
+	for version := range model.Version(3) {
+		change(t, ledger, version, "text")
+	}
+	store.Reset()
+	if _, err := ledger.Commit(t.Context(), 3, "Dana", "again"); outcomeOf(err) != conflict {
+		t.Fatalf("got %v, want a conflict for a version that no host has in force", err)
+	}
+	ledger.InForce = func() model.Version { return 3 }
+	change(t, ledger, 3, "again")
+	checkNewest(t, ledger, 4, "again")
+}
+
+func TestHistory(t *testing.T) {
+	store := spreadtest.New()
+	ledger := newLedger(store, "mine")
+	const changes = 40 // more than the row keeps
+	for version := range model.Version(changes) {
+		change(t, ledger, version, fmt.Sprint(version+1))
+	}
+	tests := map[string]struct {
+		limit int
+		want  int
+	}{
+		"within the row": {5, 5},
+		"past the row":   {30, 30},
+		"all":            {1000, changes},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			heads, err := ledger.History(t.Context(), test.limit)
+			if err != nil || len(heads) != test.want {
+				t.Fatalf("got %d versions (%v), want %d", len(heads), err, test.want)
+			}
+			for i, head := range heads {
+				if want := model.Version(changes - i); head.Version != want {
+					t.Errorf("got version %d, want %d", head.Version, want)
+				}
+			}
+		})
+	}
+	for _, version := range []model.Version{1, 24, 25, 40} {
+		entry, err := ledger.Version(t.Context(), version)
+		if err != nil || entry.Text != fmt.Sprint(version) {
+			t.Errorf("got %q (%v), want the text of version %d", entry.Text, err, version)
+		}
+	}
+	if _, err := ledger.Version(t.Context(), changes+1); outcomeOf(err) != unchanged {
+		t.Errorf("got %v, want not found", err)
+	}
+	if entry, err := ledger.Version(t.Context(), 0); err != nil || entry.Text == "" {
+		t.Errorf("got %q (%v), want the built-in configuration", entry.Text, err)
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	value, err := encodeRow(Head{Version: 3, Nonce: "n", Object: "config/3-n"}, []Head{{Version: 2}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(value)
+	f.Add(`{"heads":[{}]}`)
+	f.Fuzz(func(t *testing.T, text string) {
+		head, err := ParseRow(text)
+		if err != nil && head != (Head{}) {
+			t.Errorf("got %+v with %v, want no head", head, err)
+		}
+		if content, err := parseObject(text, Head{Version: 1, Nonce: "x"}); err == nil && content.Head.Nonce != "x" {
+			t.Errorf("got the object of attempt %q, want only that of x", content.Head.Nonce)
+		}
+	})
+}
--- a/internal/spread/machine.go
+++ b/internal/spread/machine.go
@@ -133,6 +133,9 @@
 	}
 	m.failures = 0
 	m.nextTry = time.Time{}
+	if m.inForce == nil && e.Policy.Version < m.newest() {
+		return // a host that starts serves the newest that it knows of, or nothing
+	}
 	m.force(e.Policy, outcome)
 }
 
--- /dev/null
+++ b/internal/spread/machine_test.go
@@ -0,0 +1,151 @@
+package spread
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"redwingspread/internal/config"
+	"redwingspread/internal/model"
+)
+
+// policyOf returns a policy of the version.
+func policyOf(version model.Version) *config.Policy {
+	return &config.Policy{Version: version}
+}
+
+// headOf returns the head of the version.
+func headOf(version model.Version) *Head {
+	return &Head{Version: version, Object: objectName(version, "n")}
+}
+
+// fetched returns the end of a fetch that brought the version.
+func fetched(version model.Version) Fetched {
+	return Fetched{Policy: policyOf(version)}
+}
+
+// errFetch is the error of a fetch.
+var errFetch = errors.New("no answer")
+
+func TestMachine(t *testing.T) {
+	failed := Fetched{Err: errFetch}
+	tests := map[string]struct {
+		events []Event // 100 ms apart
+		want   string  // version in force, or none; and the last fetch that was asked for
+	}{
+		"nothing is known":                          {[]Event{Ticked{}}, "none, no fetch"},
+		"store without a row":                       {[]Event{RowSeen{}}, "0, no fetch"},
+		"store without a row, peer knows more":      {[]Event{PeerSeen{"a", 3}, fetched(3), RowSeen{}}, "3, host a"},
+		"row, then its object":                      {[]Event{RowSeen{headOf(2)}, fetched(2)}, "2, object 2"},
+		"row, object not there yet":                 {[]Event{RowSeen{headOf(2)}}, "none, object 2"},
+		"same row again":                            {[]Event{RowSeen{headOf(2)}, fetched(2), RowSeen{headOf(2)}}, "2, object 2"},
+		"newer row":                                 {[]Event{RowSeen{headOf(2)}, fetched(2), RowSeen{headOf(3)}, fetched(3)}, "3, object 3"},
+		"newer row while fetching":                  {[]Event{RowSeen{headOf(1)}, fetched(1), RowSeen{headOf(2)}, RowSeen{headOf(3)}, fetched(2)}, "2, object 3"},
+		"newer row while fetching at the start":     {[]Event{RowSeen{headOf(2)}, RowSeen{headOf(3)}, fetched(2)}, "none, object 3"},
+		"older row":                                 {[]Event{RowSeen{headOf(3)}, fetched(3), RowSeen{headOf(2)}}, "3, object 3"},
+		"store set back to nothing":                 {[]Event{RowSeen{headOf(3)}, fetched(3), RowSeen{}}, "3, object 3"},
+		"object store down, a peer has it":          {[]Event{PeerSeen{"a", 2}, failed, RowSeen{headOf(2)}, failed, Ticked{}, Ticked{}, fetched(2)}, "2, object 2"},
+		"object store down, then the peer is asked": {[]Event{RowSeen{headOf(2)}, PeerSeen{"a", 2}, failed, Ticked{}, Ticked{}}, "none, host a"},
+		"no early retry":                            {[]Event{RowSeen{headOf(2)}, PeerSeen{"a", 2}, failed, Ticked{}}, "none, object 2"},
+		"start in an outage":                        {[]Event{PeerSeen{"a", 4}, PeerSeen{"b", 5}, fetched(4)}, "none, host b"},
+		"start in an outage, newest wins":           {[]Event{PeerSeen{"a", 4}, PeerSeen{"b", 5}, fetched(4), fetched(5)}, "5, host b"},
+		"start in an outage, peers have none":       {[]Event{PeerSeen{"a", 0}, failed}, "none, host a"},
+		"start in an outage, peer has the built-in": {[]Event{PeerSeen{"a", 0}, fetched(0)}, "0, host a"},
+		"start in an outage, newest peer is gone":   {[]Event{PeerSeen{"a", 4}, PeerSeen{"b", 5}, fetched(4), PeerGone{"b"}, failed, Ticked{}, Ticked{}, fetched(4)}, "4, host a"},
+		"peer is gone":                              {[]Event{PeerSeen{"a", 4}, failed, PeerGone{"a"}, Ticked{}, Ticked{}, Ticked{}}, "none, host a"},
+		"peer with an older one":                    {[]Event{RowSeen{headOf(3)}, fetched(3), PeerSeen{"a", 2}}, "3, object 3"},
+		"peer with a newer one":                     {[]Event{RowSeen{headOf(3)}, fetched(3), PeerSeen{"a", 4}, fetched(4)}, "4, host a"},
+		"late answer with an older one":             {[]Event{PeerSeen{"a", 4}, Accepted{policyOf(5)}, fetched(4)}, "5, host a"},
+		"operator's change on this host":            {[]Event{RowSeen{}, Accepted{policyOf(1)}}, "1, no fetch"},
+		"operator's change doubled":                 {[]Event{Accepted{policyOf(2)}, Accepted{policyOf(1)}}, "2, no fetch"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			machine := New()
+			now := time.Unix(0, 0)
+			fetch := "no fetch"
+			for _, event := range test.events {
+				now = now.Add(100 * time.Millisecond)
+				if asked := machine.Handle(now, event).Fetch; asked != nil {
+					fetch = asked.short()
+				}
+			}
+			got := "none, " + fetch
+			if policy := machine.InForce(); policy != nil {
+				got = fmt.Sprintf("%d, %s", policy.Version, fetch)
+			}
+			if got != test.want {
+				t.Errorf("got %s, want %s", got, test.want)
+			}
+		})
+	}
+}
+
+// short names where an action fetches from.
+func (a Action) short() string {
+	if a.Head != nil {
+		return fmt.Sprintf("object %d", a.Head.Version)
+	}
+	return a.Source()
+}
+
+func TestStale(t *testing.T) {
+	machine := New()
+	machine.Handle(time.Unix(1, 0), Accepted{policyOf(3)})
+	want := Stale{Stored: 2, InForce: 3}
+	if got := machine.Handle(time.Unix(2, 0), RowSeen{headOf(2)}).Stale; got == nil || *got != want {
+		t.Errorf("got %v, want %v", got, want)
+	}
+	if got := machine.Handle(time.Unix(3, 0), RowSeen{headOf(2)}).Stale; got != nil {
+		t.Errorf("got %v a second time, want it once", got)
+	}
+}
+
+// TestNeverReverts runs random events and checks after each that the version in force never falls.
+func TestNeverReverts(t *testing.T) {
+	for seed := range uint64(200) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		machine := New()
+		var highest model.Version
+		for step := range 300 {
+			machine.Handle(time.Unix(0, int64(step)*int64(time.Millisecond)*50), randomEvent(random))
+			policy := machine.InForce()
+			if policy == nil {
+				continue
+			}
+			if policy.Version < highest {
+				t.Fatalf("seed %d, step %d: got version %d after %d", seed, step, policy.Version, highest)
+			}
+			highest = policy.Version
+		}
+		if highest == 0 {
+			t.Errorf("seed %d: got no version in force, want one", seed)
+		}
+	}
+}
+
+// randomEvent returns any event.
+func randomEvent(random *rand.Rand) Event {
+	version := model.Version(random.IntN(20))
+	host := model.HostID(rune('a' + random.IntN(4)))
+	switch random.IntN(8) {
+	case 0:
+		return RowSeen{}
+	case 1:
+		return RowSeen{headOf(version)}
+	case 2:
+		return PeerSeen{host, version}
+	case 3:
+		return PeerGone{host}
+	case 4:
+		return Accepted{policyOf(version)}
+	case 5:
+		return Fetched{Err: errFetch}
+	case 6:
+		return Ticked{}
+	default:
+		return fetched(version)
+	}
+}
--- /dev/null
+++ b/internal/spread/spreadtest/store.go
@@ -0,0 +1,187 @@
+package spreadtest
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"strings"
+	"sync"
+
+	"redwingspread/internal/model"
+	"redwingspread/internal/platform"
+)
+
+// Fault is what goes wrong with the calls of the store.
+type Fault string
+
+// The faults.
+const (
+	None           Fault = ""
+	Down           Fault = "down"            // no call has an effect or an answer
+	ObjectsDown    Fault = "objects down"    // the object store alone is down
+	AnswersLost    Fault = "answers lost"    // commits take effect, but their answers are lost
+	CommitsLost    Fault = "commits lost"    // commits have no effect and no answer
+	CommitsRefused Fault = "commits refused" // commits certainly have no effect
+)
+
+// errNoAnswer is the error of a call whose effect is unknown.
+var errNoAnswer = errors.New("no answer")
+
+// Store is a platform in memory; a fault lasts for a number of calls that it concerns.
+type Store struct {
+	mu       sync.Mutex
+	fault    Fault
+	left     int
+	rows     map[model.RowKey]platform.Row
+	objects  map[model.ObjectName]string
+	revision model.Revision
+	onCommit func()
+}
+
+// New returns an empty store.
+func New() *Store {
+	return &Store{rows: map[model.RowKey]platform.Row{}, objects: map[model.ObjectName]string{}}
+}
+
+// Fail sets a fault for the next calls that it concerns.
+func (s *Store) Fail(fault Fault, calls int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fault = fault
+	s.left = calls
+}
+
+// OnCommit sets a function that runs once, before the next commit is looked at.
+func (s *Store) OnCommit(run func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.onCommit = run
+}
+
+// Reset forgets everything, as a store that was set back to its start.
+func (s *Store) Reset() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	clear(s.rows)
+	clear(s.objects)
+}
+
+// strike uses up one call of a fault and reports whether it is one of those given.
+func (s *Store) strike(faults ...Fault) bool {
+	if s.left == 0 || !slices.Contains(faults, s.fault) {
+		return false
+	}
+	s.left--
+	return true
+}
+
+// Rows returns the rows with the prefix that changed after the revision.
+func (s *Store) Rows(_ context.Context, prefix model.RowKey, after model.Revision) ([]platform.Row, model.Revision, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.strike(Down) {
+		return nil, 0, errNoAnswer
+	}
+	var found []platform.Row
+	for key, row := range s.rows {
+		if strings.HasPrefix(string(key), string(prefix)) && row.Revision > after {
+			found = append(found, row)
+		}
+	}
+	return found, s.revision, nil
+}
+
+// Commit writes all rows when every check holds.
+func (s *Store) Commit(_ context.Context, checks []platform.Check, puts []platform.Put) (platform.Commit, error) {
+	s.race()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.strike(CommitsRefused) {
+		return platform.Commit{}, model.Refuse(model.CodeUnavailable, "busy")
+	}
+	if s.strike(Down, CommitsLost) {
+		return platform.Commit{}, errNoAnswer
+	}
+	commit := s.apply(checks, puts)
+	if s.strike(AnswersLost) {
+		return platform.Commit{}, errNoAnswer
+	}
+	return commit, nil
+}
+
+// race runs the function that is set for the next commit.
+func (s *Store) race() {
+	s.mu.Lock()
+	run := s.onCommit
+	s.onCommit = nil
+	s.mu.Unlock()
+	if run != nil {
+		run()
+	}
+}
+
+// apply does a commit.
+func (s *Store) apply(checks []platform.Check, puts []platform.Put) platform.Commit {
+	var failed []platform.Row
+	for _, check := range checks {
+		if row := s.rows[check.Key]; row.Version != check.Version {
+			row.Key = check.Key
+			failed = append(failed, row)
+		}
+	}
+	if len(failed) > 0 {
+		return platform.Commit{Rows: failed}
+	}
+	s.revision++
+	commit := platform.Commit{Committed: true}
+	for _, put := range puts {
+		row := platform.Row{Key: put.Key, Version: s.rows[put.Key].Version + 1, Revision: s.revision, Value: put.Value}
+		s.rows[put.Key] = row
+		commit.Rows = append(commit.Rows, row)
+	}
+	return commit
+}
+
+// Object returns one object.
+func (s *Store) Object(_ context.Context, name model.ObjectName) (string, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.strike(Down, ObjectsDown) {
+		return "", errNoAnswer
+	}
+	content, found := s.objects[name]
+	if !found {
+		return "", model.Refuse(model.CodeNotFound, "no object %s", name)
+	}
+	return content, nil
+}
+
+// PutObject writes one object.
+func (s *Store) PutObject(_ context.Context, name model.ObjectName, content string) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.strike(Down, ObjectsDown) {
+		return errNoAnswer
+	}
+	s.objects[name] = content
+	return nil
+}
+
+// Objects returns the names of the objects with the prefix.
+func (s *Store) Objects(_ context.Context, prefix model.ObjectName) ([]model.ObjectName, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var names []model.ObjectName
+	for name := range s.objects {
+		if strings.HasPrefix(string(name), string(prefix)) {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names, nil
+}
+
+// Members returns no members.
+func (s *Store) Members(context.Context) (platform.Members, error) {
+	return platform.Members{}, nil
+}
--- a/internal/trust/guard.go
+++ b/internal/trust/guard.go
@@ -3,7 +3,6 @@
 import (
 	"net/http"
 	"slices"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -39,10 +38,17 @@
 	Refuse func(w http.ResponseWriter, refusal *model.Refusal)
 
 	newest atomic.Pointer[granted]
-	often  sync.Once
 	logged rate.Sometimes
 }
 
+// logEvery is the least time between two log events of refused requests, so that a flood of them does not fill the log.
+const logEvery = time.Second
+
+// NewGuard returns a guard whose exported fields are to be set before use.
+func NewGuard() *Guard {
+	return &Guard{logged: rate.Sometimes{Interval: logEvery}}
+}
+
 // granted is a policy with the grants made of it.
 type granted struct {
 	policy *config.Policy
@@ -60,15 +66,6 @@
 	})
 }
 
-// logEvery is the least time between two log events of refused requests.
-const logEvery = time.Second
-
-// report limits the log to one event a time, so that a flood of bad requests does not fill it.
-func (g *Guard) report(log func()) {
-	g.often.Do(func() { g.logged.Interval = logEvery })
-	g.logged.Do(log)
-}
-
 // Check returns why a request may not go on, or nil.
 func (g *Guard) Check(r *http.Request, needed config.Right) *model.Refusal {
 	if g.Open || needed == "" {
@@ -77,11 +74,11 @@
 	token, shown := shownToken(r)
 	holder, known := g.grants().Holder(token)
 	if !shown || !known {
-		g.report(func() { event.TokenRefused(g.Log, g.API, r.RemoteAddr, r.URL.Path) })
+		g.logged.Do(func() { event.TokenRefused(g.Log, g.API, r.RemoteAddr, r.URL.Path) })
 		return model.Refuse(model.CodeUnauthorized, "no valid bearer token in the Authorization header")
 	}
 	if !Allows(holder.Right, needed) {
-		g.report(func() { event.RightMissing(g.Log, g.API, string(holder.Name), r.URL.Path) })
+		g.logged.Do(func() { event.RightMissing(g.Log, g.API, string(holder.Name), r.URL.Path) })
 		return model.Refuse(model.CodeForbidden, "token %s has the role %s, but %s is needed", holder.Name, holder.Right, needed)
 	}
 	return nil
--- /dev/null
+++ b/internal/trust/keys_test.go
@@ -0,0 +1,157 @@
+package trust
+
+import (
+	"crypto/tls"
+	"errors"
+	"io"
+	"net"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"redwingspread/internal/model"
+)
+
+// loopback is the address of every host of the tests.
+var loopback = []netip.Addr{netip.MustParseAddr("127.0.0.1")}
+
+// authority returns a new authority whose certificates last from the time for an hour.
+func authority(t *testing.T, from time.Time) *Authority {
+	t.Helper()
+	made, err := NewAuthority(from, time.Hour)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return made
+}
+
+// sign returns a host's keys after a change of its material.
+func sign(t *testing.T, a *Authority, host model.HostID, at []netip.Addr, accepts ...*Authority) *Keys {
+	t.Helper()
+	material, err := a.Sign(host, at, a.certificate.NotBefore)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, other := range accepts {
+		material.Authorities += other.PEM()
+	}
+	keys, err := Load(material)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return keys
+}
+
+func TestMutualTLS(t *testing.T) {
+	now := time.Now()
+	current, other := authority(t, now), authority(t, now)
+	expired := authority(t, now.Add(-24*time.Hour))
+	future := authority(t, now.Add(24*time.Hour))
+	tests := map[string]struct {
+		server, client *Keys
+		want           bool
+	}{
+		"same authority":                {sign(t, current, "a", loopback), sign(t, current, "b", loopback), true},
+		"server of another authority":   {sign(t, other, "a", loopback, current), sign(t, current, "b", loopback), false},
+		"client of another authority":   {sign(t, current, "a", loopback), sign(t, other, "b", loopback, current), false},
+		"expired server":                {sign(t, expired, "a", loopback, current), sign(t, current, "b", loopback, expired), false},
+		"expired client":                {sign(t, current, "a", loopback, expired), sign(t, expired, "b", loopback, current), false},
+		"client of tomorrow":            {sign(t, current, "a", loopback, future), sign(t, future, "b", loopback, current), false},
+		"server at another address":     {sign(t, current, "a", []netip.Addr{netip.MustParseAddr("127.0.0.9")}), sign(t, current, "b", loopback), false},
+		"change of keys, both accepted": {sign(t, current, "a", loopback, other), sign(t, other, "b", loopback, current), true},
+		"change of keys, new to old":    {sign(t, other, "a", loopback, current), sign(t, current, "b", loopback, other), true},
+		"client without certificate":    {sign(t, current, "a", loopback), nil, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			peer, err := handshake(t, test.server, test.client)
+			if got := err == nil; got != test.want {
+				t.Fatalf("got %v (%v), want %v", got, err, test.want)
+			}
+			if test.want && peer != "b" {
+				t.Errorf("got peer %q, want b", peer)
+			}
+		})
+	}
+}
+
+// handshake connects a client to a server and returns the host that the server saw.
+func handshake(t *testing.T, server, client *Keys) (peer model.HostID, err error) {
+	t.Helper()
+	listener, err := tls.Listen("tcp", "127.0.0.1:0", server.ServerTLS())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { err = errors.Join(err, listener.Close()) }()
+	seen := make(chan error, 1)
+	go func() { seen <- serveOne(listener, &peer) }()
+	dialErr := dialOne(listener.Addr().String(), client)
+	return peer, errors.Join(dialErr, <-seen)
+}
+
+// serveOne takes one connection, notes its host and sends one byte.
+func serveOne(listener net.Listener, peer *model.HostID) error {
+	connection, err := listener.Accept()
+	if err != nil {
+		return err
+	}
+	defer connection.Close()
+	secured := connection.(*tls.Conn)
+	if err := secured.Handshake(); err != nil {
+		return err
+	}
+	if *peer, err = Peer(secured.ConnectionState()); err != nil {
+		return err
+	}
+	_, err = connection.Write([]byte{1})
+	return err
+}
+
+// dialOne connects and reads one byte, which tells that the server took the client.
+func dialOne(address string, client *Keys) error {
+	settings := &tls.Config{InsecureSkipVerify: true}
+	if client != nil {
+		settings = client.ClientTLS()
+	}
+	connection, err := tls.Dial("tcp", address, settings)
+	if err != nil {
+		return err
+	}
+	defer connection.Close()
+	_, err = io.ReadFull(connection, make([]byte, 1))
+	return err
+}
+
+func TestLoad(t *testing.T) {
+	sound, err := authority(t, time.Now()).Sign("a", loopback, time.Now())
+	if err != nil {
+		t.Fatal(err)
+	}
+	other, err := authority(t, time.Now()).Sign("a", loopback, time.Now())
+	if err != nil {
+		t.Fatal(err)
+	}
+	tests := map[string]struct {
+		material Material
+		want     string
+	}{
+		"sound":              {sound, ""},
+		"nothing":            {Material{}, "load keys"},
+		"key of another":     {Material{sound.Certificate, other.Key, sound.Authorities}, "private key does not match"},
+		"key cut short":      {Material{sound.Certificate, sound.Key[:80], sound.Authorities}, "load keys"},
+		"no authority":       {Material{sound.Certificate, sound.Key, ""}, "no authority"},
+		"authority in words": {Material{sound.Certificate, sound.Key, "ours"}, "no authority"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			_, err := Load(test.material)
+			if (err == nil) != (test.want == "") || err != nil && !strings.Contains(err.Error(), test.want) {
+				t.Errorf("got %v, want %q", err, test.want)
+			}
+			if err != nil && test.material.Key != "" && strings.Contains(err.Error(), test.material.Key[40:70]) {
+				t.Error("got the private key in the error, want it hidden")
+			}
+		})
+	}
+}
