Add the commands config, status and keys

Cause: operators drive the system by defaults and exceptions, never by tuning hosts. Change: config show, set, explain, diff, history, exception, status, export and import; status; keys. A change that is not accepted keeps its text in a file or prints it. Setting one value no longer shares memory with the document before.

--- /dev/null
+++ b/internal/cli/change.go
@@ -0,0 +1,128 @@
+package cli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/urfave/cli/v3"
+
+	"redwingspread/internal/config"
+	"redwingspread/internal/operator"
+	"redwingspread/pkg/api/operatorapi"
+)
+
+// keptMode lets only the operator read the kept text.
+const keptMode = 0o600
+
+// submit shows the effect of a change, makes it unless it is a dry run, and keeps the operator's text when it is not accepted.
+func (o *operating) submit(ctx context.Context, command *cli.Command, from base, document config.Document) error {
+	if err := document.Check(); err != nil {
+		return err
+	}
+	if err := o.printEffect(from.document, document); err != nil {
+		return err
+	}
+	if command.Bool("dry-run") {
+		return nil
+	}
+	err := o.put(ctx, from, document)
+	if err == nil {
+		return nil
+	}
+	return errors.Join(err, o.printRace(err, from), o.keep(command.String("keep"), from, document))
+}
+
+// put sends a change and prints the version that it became.
+func (o *operating) put(ctx context.Context, from base, document config.Document) error {
+	if o.settings.Author == "" {
+		return exitError{error: errors.New("--author (REDWINGSPREAD_AUTHOR) is empty, allowed: the name that stands with the change"), code: exitUsage}
+	}
+	message, err := operator.Message(document)
+	if err != nil {
+		return err
+	}
+	accepted, err := o.api.PutConfiguration(ctx, &operatorapi.Change{
+		Expected: uint64(from.version), Author: o.settings.Author, Document: message,
+	})
+	if err != nil {
+		return explainChange(err)
+	}
+	if o.settings.Format == formatJSON {
+		return printJSON(o.out, accepted)
+	}
+	_, err = fmt.Fprintf(o.out, "accepted as version %d\n", accepted.Version)
+	return err
+}
+
+// explainChange marks a change whose answer did not come back as unknown.
+func explainChange(err error) error {
+	var refusal *operatorapi.RefusalStatusCode
+	if errors.As(err, &refusal) {
+		return err
+	}
+	return exitError{error: fmt.Errorf("no answer, read `redwingspread config history`: %w", err), code: exitUnknown}
+}
+
+// keep writes the operator's text to a file, or prints it when that fails, so that it is not lost.
+func (o *operating) keep(file string, from base, document config.Document) error {
+	text, err := exportText(from.version, document)
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(file, text, keptMode); err != nil {
+		_, printErr := fmt.Fprintf(o.notes, "your text could not be written to %s and follows:\n%s\n", file, text)
+		return errors.Join(err, printErr)
+	}
+	_, err = fmt.Fprintf(o.notes, "your text is kept in %s; `redwingspread config diff %s` compares it with what is in force\n", file, file)
+	return err
+}
+
+// printRace prints what the winner of a race changed.
+func (o *operating) printRace(err error, from base) error {
+	var refusal *operatorapi.RefusalStatusCode
+	if !errors.As(err, &refusal) || !refusal.Response.Current.Set {
+		return nil
+	}
+	current, err := newBase(&refusal.Response.Current.Value, nil)
+	if err != nil {
+		return err
+	}
+	if _, err := fmt.Fprintf(o.notes, "version %d changed since version %d:\n", current.version, from.version); err != nil {
+		return err
+	}
+	return printDifferences(o.notes, config.Diff(from.document, current.document))
+}
+
+// printEffect prints what a change does, unless the output is for programs.
+func (o *operating) printEffect(before, after config.Document) error {
+	if o.settings.Format == formatJSON {
+		return nil
+	}
+	return printComparison(o.out, newComparison(before, after))
+}
+
+// comparison is what differs between two configurations.
+type comparison struct {
+	Differences []config.Difference `json:"differences"`
+	Effects     []config.Effect     `json:"effects"`
+}
+
+// newComparison compares two configurations.
+func newComparison(before, after config.Document) comparison {
+	return comparison{Differences: config.Diff(before, after), Effects: config.Effects(before, after)}
+}
+
+// printComparison prints the differences, then their effects.
+func printComparison(w io.Writer, c comparison) error {
+	if len(c.Differences) == 0 {
+		_, err := fmt.Fprintln(w, "nothing changes")
+		return err
+	}
+	if err := printDifferences(w, c.Differences); err != nil {
+		return err
+	}
+	return printEffects(w, c.Effects)
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -8,14 +8,18 @@
 
 	"github.com/urfave/cli/v3"
 
+	"redwingspread/internal/config"
 	"redwingspread/internal/settings"
 )
 
 // The exit codes of the program.
 const (
-	exitDone   = 0
-	exitFailed = 1
-	exitUsage  = 2
+	exitDone     = 0
+	exitFailed   = 1
+	exitUsage    = 2 // a bad setting, flag or configuration
+	exitConflict = 3 // another configuration was accepted first
+	exitUnknown  = 4 // the outcome of a change is unknown
+	exitDenied   = 5 // no token, or one whose role is not enough
 )
 
 // Run runs the command that the arguments name and returns the process's exit code.
@@ -25,8 +29,18 @@
 		return exitDone
 	}
 	fmt.Fprintln(os.Stderr, err)
-	var problems settings.Problems
-	if errors.As(err, &problems) {
+	return exitCode(err)
+}
+
+// exitCode returns the exit code of an error.
+func exitCode(err error) int {
+	var coded exitError
+	if errors.As(err, &coded) {
+		return coded.code
+	}
+	var bad settings.Problems
+	var document config.Problems
+	if errors.As(err, &bad) || errors.As(err, &document) {
 		return exitUsage
 	}
 	return exitFailed
@@ -48,5 +62,8 @@
 func commands() []*cli.Command {
 	return []*cli.Command{
 		newRun(),
+		newConfig(),
+		newStatus(),
+		newKeys(),
 	}
 }
--- /dev/null
+++ b/internal/cli/config_explain.go
@@ -0,0 +1,70 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/urfave/cli/v3"
+
+	"redwingspread/internal/config"
+	"redwingspread/internal/model"
+)
+
+// newConfigExplain returns the command that tells where each value in force comes from.
+func newConfigExplain() *cli.Command {
+	return &cli.Command{
+		Name:      "explain",
+		Usage:     "tell what is in force for a kind of work at a database, and why",
+		ArgsUsage: "DATABASE KIND",
+		Description: `Examples:
+  redwingspread config explain enrol-1 payment
+  redwingspread config explain enrol-1 roster --region coastal`,
+		Flags: operateFlags(
+			&cli.StringFlag{Name: "at-data-centre", Usage: "data centre of the work"},
+			&cli.StringFlag{Name: "at-region", Usage: "region of the work"},
+		),
+		Action: operateAction(explainConfig),
+	}
+}
+
+// explainConfig prints every setting in force with its origin.
+func explainConfig(ctx context.Context, o *operating, command *cli.Command) error {
+	if command.Args().Len() != 2 {
+		return exitError{error: errArguments, code: exitUsage}
+	}
+	from, err := o.inForce(ctx)
+	if err != nil {
+		return err
+	}
+	at := config.Scope{
+		Database:   model.DatabaseID(command.Args().Get(0)),
+		Kind:       model.KindID(command.Args().Get(1)),
+		DataCentre: model.DataCentreID(command.String("at-data-centre")),
+		Region:     model.RegionID(command.String("at-region")),
+	}
+	origins, known := from.document.Explain(at)
+	if !known {
+		return exitError{error: fmt.Errorf("the configuration has no kind of work %q", at.Kind), code: exitUsage}
+	}
+	if o.settings.Format == formatJSON {
+		return printJSON(o.out, origins)
+	}
+	return printOrigins(o.out, origins)
+}
+
+// printOrigins prints where the values come from.
+func printOrigins(w io.Writer, origins []config.Origin) error {
+	t := newTable(w, "SETTING", "VALUE", "FROM", "WHY")
+	for _, origin := range origins {
+		from, why := string(origin.Source), ""
+		if origin.Exception != nil {
+			from, why = "exception "+string(origin.Exception.Name), origin.Exception.Reason
+		}
+		t.add(string(origin.Setting), origin.Value, from, why)
+		for _, beaten := range origin.Beaten {
+			t.add("", "("+beaten.Value+")", "beaten: exception "+string(beaten.Name), "it names less of the scope")
+		}
+	}
+	return t.print()
+}
--- /dev/null
+++ b/internal/cli/keys.go
@@ -0,0 +1,166 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"redwingspread/internal/config"
+	"redwingspread/internal/model"
+	"redwingspread/internal/trust"
+)
+
+// The modes of what keys writes: the owner alone reads it.
+const (
+	keysDirectoryMode = 0o700
+	keysFileMode      = 0o600
+)
+
+// trialLasts is how long the certificates of a trial last.
+const trialLasts = 30 * 24 * time.Hour
+
+// newKeys returns the commands of certificates and tokens.
+func newKeys() *cli.Command {
+	return &cli.Command{
+		Name:  "keys",
+		Usage: "make certificates for a trial, and grant or revoke tokens",
+		Description: `Examples:
+  redwingspread keys make --hosts h1,h2,h3,h4 --directory keys
+  redwingspread keys grant --name counter-app --role caller --reason "Counter application" --author Dana
+  redwingspread keys revoke counter-app --author Dana
+  redwingspread keys first`,
+		Commands: []*cli.Command{newKeysMake(), newKeysGrant(), newKeysRevoke(), newKeysFirst()},
+	}
+}
+
+// newKeysMake returns the command that makes the certificates of a trial.
+func newKeysMake() *cli.Command {
+	return &cli.Command{
+		Name:  "make",
+		Usage: "make an authority and a certificate for each host of a trial at 127.0.0.1",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "hosts", Required: true, Usage: "names of the hosts, separated by commas"},
+			&cli.StringFlag{Name: "directory", Value: "keys", Usage: "where the files go"},
+			&cli.DurationFlag{Name: "lasts", Value: trialLasts, Usage: "time until the certificates end"},
+		},
+		Action: func(_ context.Context, command *cli.Command) error {
+			return makeKeys(command.Root().Writer, command.String("directory"), command.String("hosts"), command.Duration("lasts"))
+		},
+	}
+}
+
+// makeKeys writes the files of each host and prints their names.
+func makeKeys(w io.Writer, directory, list string, lasts time.Duration) (err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("make keys: %w", err)
+		}
+	}()
+	var hosts []model.HostID
+	for _, name := range strings.Split(list, ",") {
+		hosts = append(hosts, model.HostID(strings.TrimSpace(name)))
+	}
+	made, err := trust.Generate(hosts, time.Now(), lasts)
+	if err != nil {
+		return err
+	}
+	if err := os.MkdirAll(directory, keysDirectoryMode); err != nil {
+		return err
+	}
+	for _, host := range hosts {
+		if err := writeMaterial(w, filepath.Join(directory, filepath.Base(string(host))), made[host]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// writeMaterial writes one host's files.
+func writeMaterial(w io.Writer, prefix string, material trust.Material) error {
+	files := []struct{ suffix, text string }{
+		{"-certificate.pem", material.Certificate}, {"-key.pem", material.Key}, {"-authorities.pem", material.Authorities},
+	}
+	for _, file := range files {
+		if err := os.WriteFile(prefix+file.suffix, []byte(file.text), keysFileMode); err != nil {
+			return err
+		}
+		if _, err := fmt.Fprintln(w, prefix+file.suffix); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// newKeysGrant returns the command that makes a token.
+func newKeysGrant() *cli.Command {
+	return &cli.Command{
+		Name:  "grant",
+		Usage: "make a token, print it once and keep its hash in the configuration",
+		Flags: changeFlags(
+			&cli.StringFlag{Name: "name", Required: true, Usage: "name of the holder"},
+			&cli.StringFlag{Name: "role", Required: true, Usage: "caller, reader or operator"},
+			&cli.StringFlag{Name: "reason", Required: true, Usage: "why the holder needs it"},
+		),
+		Action: operateAction(func(ctx context.Context, o *operating, command *cli.Command) error {
+			from, err := o.inForce(ctx)
+			if err != nil {
+				return err
+			}
+			text := trust.NewToken()
+			token := config.Token{
+				Name:   config.Name(command.String("name")),
+				Right:  config.Right(command.String("role")),
+				Hash:   trust.Hash(text),
+				Reason: command.String("reason"),
+				Author: config.Author(o.settings.Author),
+				Date:   today(),
+			}
+			if err := o.submit(ctx, command, from, from.document.Grant(token)); err != nil || command.Bool("dry-run") {
+				return err
+			}
+			_, err = fmt.Fprintf(o.out, "token of %s, shown this once: %s\n", token.Name, text)
+			return err
+		}),
+	}
+}
+
+// newKeysRevoke returns the command that takes a token away.
+func newKeysRevoke() *cli.Command {
+	return &cli.Command{
+		Name:      "revoke",
+		Usage:     "take a token away",
+		ArgsUsage: "NAME",
+		Flags:     changeFlags(),
+		Action: operateAction(func(ctx context.Context, o *operating, command *cli.Command) error {
+			from, err := o.inForce(ctx)
+			if err != nil {
+				return err
+			}
+			name := config.Name(command.Args().First())
+			changed, found := from.document.Revoke(name)
+			if !found {
+				return exitError{error: fmt.Errorf("no token is named %q", name), code: exitUsage}
+			}
+			return o.submit(ctx, command, from, changed)
+		}),
+	}
+}
+
+// newKeysFirst returns the command that makes the token of the first operator.
+func newKeysFirst() *cli.Command {
+	return &cli.Command{
+		Name:  "first",
+		Usage: "make the first operator's token and the hash for the hosts' settings",
+		Action: func(_ context.Context, command *cli.Command) error {
+			token := trust.NewToken()
+			_, err := fmt.Fprintf(command.Root().Writer, "token %s\nhash  %s\n", token, trust.Hash(token))
+			return err
+		},
+	}
+}
--- /dev/null
+++ b/internal/cli/status.go
@@ -0,0 +1,95 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/urfave/cli/v3"
+
+	"redwingspread/pkg/api/operatorapi"
+)
+
+// newStatus returns the command that prints what a host knows of the fleet.
+func newStatus() *cli.Command {
+	return &cli.Command{
+		Name:  "status",
+		Usage: "print hosts, owners, terms, primaries, lags, queues and refusals",
+		Description: `Queues and refusals are those of the asked host; all else is what it knows of the fleet.
+
+Examples:
+  redwingspread status
+  redwingspread status --operator-address 127.0.0.1:7012 --format json`,
+		Flags: operateFlags(),
+		Action: operateAction(func(ctx context.Context, o *operating, _ *cli.Command) error {
+			status, err := o.api.GetStatus(ctx)
+			if err != nil {
+				return err
+			}
+			if o.settings.Format == formatJSON {
+				return printJSON(o.out, status)
+			}
+			return printStatus(o.out, status)
+		}),
+	}
+}
+
+// printStatus prints the status as tables.
+func printStatus(w io.Writer, status *operatorapi.Status) error {
+	ready := "ready"
+	if !status.Ready {
+		ready = "NOT READY"
+	}
+	if _, err := fmt.Fprintf(w, "%s, %s, configuration %d\n\n", status.Host, ready, status.Configuration); err != nil {
+		return err
+	}
+	for _, print := range []func(io.Writer, *operatorapi.Status) error{printHosts, printDatabases, printQueues, printRefusals} {
+		if err := print(w, status); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// printHosts prints the hosts.
+func printHosts(w io.Writer, status *operatorapi.Status) error {
+	t := newTable(w, "HOST", "STATE", "DATA CENTRE", "REGION", "CONFIGURATION", "ADDRESS")
+	for _, host := range status.Hosts {
+		t.add(host.Host, string(host.State), host.DataCentre, host.Region, fmt.Sprint(host.Configuration), host.Address)
+	}
+	return t.print()
+}
+
+// printDatabases prints the instances of each database with its owner.
+func printDatabases(w io.Writer, status *operatorapi.Status) error {
+	t := newTable(w, "\nDATABASE", "OWNER", "TERM", "INSTANCE", "ROLE", "POSITION", "LAG", "DATA CENTRE")
+	for _, database := range status.Databases {
+		for _, instance := range database.Instances {
+			role := string(instance.Role)
+			if instance.Leaving {
+				role += ", leaving"
+			}
+			t.add(database.Database, orDash(database.Owner), fmt.Sprint(database.Term), instance.Instance, role,
+				fmt.Sprint(instance.Position), fmt.Sprintf("%d ms", instance.AgeMs), instance.DataCentre)
+		}
+	}
+	return t.print()
+}
+
+// printQueues prints the work that waits.
+func printQueues(w io.Writer, status *operatorapi.Status) error {
+	t := newTable(w, "\nDATABASE", "INSTANCE", "RANK", "WAITING")
+	for _, queue := range status.Queues {
+		t.add(queue.Database, queue.Instance, fmt.Sprint(queue.Rank), fmt.Sprint(queue.Waiting))
+	}
+	return t.print()
+}
+
+// printRefusals prints what was refused and why.
+func printRefusals(w io.Writer, status *operatorapi.Status) error {
+	t := newTable(w, "\nREFUSED BECAUSE", "RANK", "COUNT")
+	for _, refusal := range status.Refusals {
+		t.add(refusal.Code, fmt.Sprint(refusal.Rank), fmt.Sprint(refusal.Count))
+	}
+	return t.print()
+}
--- a/internal/config/diff.go
+++ b/internal/config/diff.go
@@ -9,17 +9,17 @@
 
 // Difference is one place in which two documents differ; a missing side is empty.
 type Difference struct {
-	Path string
-	Old  string
-	New  string
+	Path string `json:"path"`
+	Old  string `json:"old,omitempty"`
+	New  string `json:"new,omitempty"`
 }
 
 // Effect is one setting in force that differs between two documents.
 type Effect struct {
-	Scope   Scope // parts that are empty mean every other place
-	Setting Setting
-	Old     string
-	New     string
+	Scope   Scope   `json:"scope"` // parts that are empty mean every other place
+	Setting Setting `json:"setting"`
+	Old     string  `json:"old,omitempty"`
+	New     string  `json:"new,omitempty"`
 }
 
 // Diff returns the places in which the documents differ, entries matched by their names.
--- /dev/null
+++ b/internal/config/edit.go
@@ -0,0 +1,108 @@
+package config
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+
+	"redwingspread/internal/model"
+)
+
+// The first parts of paths that Set takes.
+const (
+	pathDefaults = "defaults"
+	pathKinds    = "kinds"
+)
+
+// Set returns a copy of the document with one value changed, at a path such as defaults.queueLimit or kinds.roster.maxAgeMs.
+func (d Document) Set(path, value string) (changed Document, err error) {
+	parts := strings.Split(path, ".")
+	switch {
+	case len(parts) == 2 && parts[0] == pathDefaults:
+		d.Defaults, err = assign(d.Defaults, parts[1], value)
+		return d, err
+	case len(parts) == 3 && parts[0] == pathKinds:
+		d.Kinds = slices.Clone(d.Kinds)
+		kind := d.kind(model.KindID(parts[1]))
+		if kind == nil {
+			return Document{}, fmt.Errorf("set %s: kind is %q, allowed: one of %s", path, parts[1], d.kindNames())
+		}
+		*kind, err = assign(*kind, parts[2], value)
+		return d, err
+	default:
+		return Document{}, fmt.Errorf("set %q, allowed: defaults.SETTING or kinds.KIND.SETTING", path)
+	}
+}
+
+// Add returns a copy of the document with one more exception.
+func (d Document) Add(e Exception) Document {
+	d.Exceptions = append(slices.Clone(d.Exceptions), e)
+	return d
+}
+
+// Retire returns a copy of the document without the exception, and whether there was one.
+func (d Document) Retire(name Name) (Document, bool) {
+	kept := slices.DeleteFunc(slices.Clone(d.Exceptions), func(e Exception) bool { return e.Name == name })
+	found := len(kept) < len(d.Exceptions)
+	d.Exceptions = kept
+	return d, found
+}
+
+// Grant returns a copy of the document with one more token.
+func (d Document) Grant(t Token) Document {
+	d.Tokens = append(slices.Clone(d.Tokens), t)
+	return d
+}
+
+// Revoke returns a copy of the document without the token, and whether there was one.
+func (d Document) Revoke(name Name) (Document, bool) {
+	kept := slices.DeleteFunc(slices.Clone(d.Tokens), func(t Token) bool { return t.Name == name })
+	found := len(kept) < len(d.Tokens)
+	d.Tokens = kept
+	return d, found
+}
+
+// assign returns a copy of an entry with the field of the JSON name changed; a value that is no JSON is a text.
+func assign[T any](entry T, field, value string) (changed T, err error) {
+	if value == noAge && field == string(SettingMaxAge) {
+		value = "null"
+	}
+	raw := json.RawMessage(value)
+	if !json.Valid(raw) {
+		raw, err = json.Marshal(value)
+		if err != nil {
+			return entry, err
+		}
+	}
+	patch, err := json.Marshal(map[string]json.RawMessage{field: raw})
+	if err != nil {
+		return entry, err
+	}
+	changed, err = clone(entry)
+	if err != nil {
+		return entry, err
+	}
+	decoder := json.NewDecoder(bytes.NewReader(patch))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&changed); err != nil {
+		return entry, fmt.Errorf("set %s to %s: %w", field, value, err)
+	}
+	return changed, nil
+}
+
+// clone returns a copy of an entry that shares no memory with it.
+func clone[T any](entry T) (copied T, err error) {
+	text, err := json.Marshal(entry)
+	if err != nil {
+		return copied, err
+	}
+	err = json.Unmarshal(text, &copied)
+	return copied, err
+}
+
+// Due returns the exceptions whose review date has come.
+func (d Document) Due(today Date) []Exception {
+	return slices.DeleteFunc(slices.Clone(d.Exceptions), func(e Exception) bool { return e.Review == "" || e.Review > today })
+}
--- a/internal/config/explain.go
+++ b/internal/config/explain.go
@@ -20,11 +20,11 @@
 
 // Origin is one setting in force and where its value comes from.
 type Origin struct {
-	Setting   Setting
-	Value     string
-	Source    Source
-	Exception *Exception  // set with SourceException
-	Beaten    []Exception // exceptions that a more specific one beats, the least specific first
+	Setting   Setting     `json:"setting"`
+	Value     string      `json:"value"`
+	Source    Source      `json:"source"`
+	Exception *Exception  `json:"exception,omitempty"` // set with SourceException
+	Beaten    []Exception `json:"beaten,omitempty"`    // exceptions that a more specific one beats, the least specific first
 }
 
 // Explain returns every setting in force for the scope with its origin, and whether the kind of work is known.
--- a/internal/config/policy.go
+++ b/internal/config/policy.go
@@ -11,10 +11,10 @@
 
 // Scope is the place a setting is looked up for.
 type Scope struct {
-	Database   model.DatabaseID
-	Kind       model.KindID
-	DataCentre model.DataCentreID
-	Region     model.RegionID
+	Database   model.DatabaseID   `json:"database,omitempty"`
+	Kind       model.KindID       `json:"kind,omitempty"`
+	DataCentre model.DataCentreID `json:"dataCentre,omitempty"`
+	Region     model.RegionID     `json:"region,omitempty"`
 }
 
 // Effective is every setting in force for one scope.
--- a/internal/config/policy_test.go
+++ b/internal/config/policy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -148,6 +149,40 @@
 	}
 }
 
+func TestSet(t *testing.T) {
+	tests := map[string]struct {
+		path, value string
+		want        string // what differs afterwards, or part of the error
+	}{
+		"default":              {"defaults.queueLimit", "99", `"queueLimit":99`},
+		"list":                 {"defaults.rankFloors", "[1,2,3]", `"rankFloors":[1,2,3]`},
+		"number of a kind":     {"kinds.roster.maxAgeMs", "77", `"maxAgeMs":77`},
+		"no age":               {"kinds.roster.maxAgeMs", "none", `"access":"read","repeatable"`},
+		"text of a kind":       {"kinds.payment.durability", "primary", `"durability":"primary"`},
+		"unknown default":      {"defaults.dedline", "1", "unknown field"},
+		"unknown kind":         {"kinds.dancing.rank", "1", "allowed: one of registration"},
+		"unknown part":         {"hosts.h1.queueLimit", "1", "allowed: defaults.SETTING"},
+		"text where a number":  {"defaults.queueLimit", "many", "queueLimit"},
+		"number out of a byte": {"kinds.payment.rank", "300", "300"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			before := Default()
+			after, err := before.Set(test.path, test.value)
+			got := fmt.Sprint(err)
+			if err == nil {
+				got = fmt.Sprint(Diff(before, after))
+			}
+			if !strings.Contains(got, test.want) {
+				t.Errorf("got %s, want %s in it", got, test.want)
+			}
+			if encoded(t, before) != encoded(t, Default()) {
+				t.Error("got the first document changed, want it kept")
+			}
+		})
+	}
+}
+
 // encoded returns the text of a document.
 func encoded(t testing.TB, d Document) string {
 	text, err := Encode(d)
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -65,6 +65,37 @@
 	return loaded, r.err()
 }
 
+// Operate holds the settings of the operators' commands.
+type Operate struct {
+	OperatorAddress     model.Address // Operator address of any host.
+	OperatorToken       Secret        // Bearer token of the operator or reader.
+	OperatorAuthorities string        // File with the authorities' certificates in PEM; empty for an operator interface without TLS.
+	Author              string        // Name that stands with a change.
+	Format              string        // Form of the output.
+}
+
+// OperateFlags returns the command-line flags of Operate.
+func OperateFlags() []cli.Flag {
+	return []cli.Flag{
+		textFlag("operator-address", "REDWINGSPREAD_OPERATOR_ADDRESS", "127.0.0.1:7002", "Operator address of any host."),
+		textFlag("operator-token", "REDWINGSPREAD_OPERATOR_TOKEN", "", "Bearer token of the operator or reader."),
+		textFlag("operator-authorities", "REDWINGSPREAD_OPERATOR_AUTHORITIES", "", "File with the authorities' certificates in PEM; empty for an operator interface without TLS."),
+		textFlag("author", "REDWINGSPREAD_AUTHOR", "", "Name that stands with a change."),
+		textFlag("format", "REDWINGSPREAD_FORMAT", "text", "Form of the output."),
+	}
+}
+
+// LoadOperate reads and checks every setting of Operate and returns Problems that name all bad ones.
+func LoadOperate(source Source) (loaded Operate, err error) {
+	r := reader{source: source}
+	loaded.OperatorAddress = r.address(rule{flag: "operator-address", env: "REDWINGSPREAD_OPERATOR_ADDRESS", allows: "an IP number and a port", required: false})
+	loaded.OperatorToken = r.secret(rule{flag: "operator-token", env: "REDWINGSPREAD_OPERATOR_TOKEN", allows: "a secret text, or nothing", required: false})
+	loaded.OperatorAuthorities = r.string(rule{flag: "operator-authorities", env: "REDWINGSPREAD_OPERATOR_AUTHORITIES", allows: "a text, or nothing", required: false})
+	loaded.Author = r.string(rule{flag: "author", env: "REDWINGSPREAD_AUTHOR", allows: "a text, or nothing", required: false})
+	loaded.Format = r.enum(rule{flag: "format", env: "REDWINGSPREAD_FORMAT", allows: "one of text, json", required: false, allowed: []string{"text", "json"}})
+	return loaded, r.err()
+}
+
 // Endpoint holds the settings of one stand-in instance of a database.
 type Endpoint struct {
 	Instance       model.InstanceID  // Name of this instance.
