Relate a point of a dead branch to a log as lost

Cause: rapid found that point (2,1) counted as covered by a log of terms 1 and 4 when term 2 wrote on a branch that was given up: a stale read without an error. Change: a term that is missing in a timeline after its first never wrote to the log, so its points are lost. Timelines must list every term that may have written, those of a change of owner included. Conclusion: the relation is checked against logs written out in full.

--- /dev/null
+++ b/internal/history/fake_test.go
@@ -0,0 +1,417 @@
+package history_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"redwingspread/internal/endpoint"
+	"redwingspread/internal/model"
+)
+
+// errLost is the error of an answer that stayed away.
+var errLost = errors.New("the answer was lost")
+
+// entry is one place of a log: a request that appended its id to a list.
+type entry struct {
+	point   model.Point
+	request model.RequestID
+	lists   []string
+	written time.Time
+}
+
+// faults are the shares of calls that go wrong, and who can't be reached.
+type faults struct {
+	loseBefore float64 // the call has no effect and no answer
+	loseAfter  float64 // the call has its effect and no answer
+	double     float64 // the call arrives twice
+	late       time.Duration
+}
+
+// group is a fake database: its instances live in memory behind the endpoint interface.
+type group struct {
+	mutex     sync.Mutex
+	random    *rand.Rand
+	faults    faults
+	instances map[model.InstanceID]*fake
+	opened    int
+}
+
+// fake is one instance; the group's mutex guards it.
+type fake struct {
+	group    *group
+	info     model.Instance
+	role     model.Role
+	term     model.Term
+	primary  model.InstanceID
+	log      []entry
+	timeline model.Timeline
+	lag      time.Duration
+	isolated bool
+	leaving  bool
+}
+
+// newGroup returns a database of the named instances, the first of which is primary of term 1.
+func newGroup(seed uint64, database model.DatabaseID, ids ...model.InstanceID) *group {
+	g := &group{random: rand.New(rand.NewPCG(seed, seed)), instances: map[model.InstanceID]*fake{}}
+	for _, id := range ids {
+		g.instances[id] = &fake{
+			group: g, info: model.Instance{ID: id, Database: database}, role: model.RoleReplica,
+			term: 1, primary: ids[0], timeline: model.Timeline{{Term: 1}},
+		}
+	}
+	g.instances[ids[0]].role = model.RolePrimary
+	return g
+}
+
+// chance reports true with the probability.
+func (g *group) chance(probability float64) bool {
+	return g.random.Float64() < probability
+}
+
+// call runs an effect under the group's faults.
+func (g *group) call(ctx context.Context, f *fake, effect func() error) error {
+	g.mutex.Lock()
+	late, before, double, after := g.faults.late, g.chance(g.faults.loseBefore), g.chance(g.faults.double), g.chance(g.faults.loseAfter)
+	g.mutex.Unlock()
+	if late > 0 {
+		time.Sleep(late)
+	}
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if f.isolated || before {
+		return errLost
+	}
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	err := effect()
+	if double {
+		_ = effect()
+	}
+	if after {
+		return errLost
+	}
+	return err
+}
+
+// replicate copies to every replica what its primary wrote longer ago than its lag.
+func (g *group) replicate(now time.Time) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	for _, f := range g.instances {
+		source := g.instances[f.primary]
+		if f.role != model.RoleReplica || f.isolated || source == nil || source.isolated || source.role != model.RolePrimary || source.term != f.term {
+			continue
+		}
+		f.timeline = slices.Clone(source.timeline)
+		for _, e := range source.log[min(len(f.log), len(source.log)):] {
+			if now.Sub(e.written) >= f.lag {
+				f.log = append(f.log, e)
+			}
+		}
+	}
+}
+
+// promote makes the instance primary of a later term, after fencing every instance that can be reached.
+func (g *group) promote(term model.Term, id model.InstanceID) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	chosen := g.instances[id]
+	chosen.promote(term)
+	for _, f := range g.instances {
+		if f != chosen && !f.isolated {
+			f.follow(term, chosen)
+		}
+	}
+}
+
+// best returns the reachable instance with the longest log that fencing finds.
+func (g *group) best() model.InstanceID {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	var best *fake
+	for _, id := range []model.InstanceID{"p", "q", "r"} {
+		f := g.instances[id]
+		if !f.isolated && (best == nil || f.point().Compare(best.point()) > 0) {
+			best = f
+		}
+	}
+	return best.info.ID
+}
+
+// point returns the point of the last entry.
+func (f *fake) point() model.Point {
+	if len(f.log) == 0 {
+		return model.Point{Term: 1}
+	}
+	return f.log[len(f.log)-1].point
+}
+
+// state returns what the instance says of itself.
+func (f *fake) state() model.InstanceState {
+	age := model.Age(f.lag)
+	if f.role == model.RolePrimary {
+		age = 0
+	}
+	return model.InstanceState{
+		Instance: f.info.ID, Database: f.info.Database, Role: f.role, Term: f.term, Point: f.point(),
+		Timeline: slices.Clone(f.timeline), Age: age, Slots: 4, Connections: 16, Leaving: f.leaving,
+	}
+}
+
+// promote makes the instance primary of the term.
+func (f *fake) promote(term model.Term) {
+	if term > f.term || f.role != model.RolePrimary {
+		f.timeline = append(f.timeline, model.Point{Term: term, Position: model.Position(len(f.log))})
+	}
+	f.role, f.term = model.RolePrimary, term
+}
+
+// follow makes the instance a replica and cuts its log back to where it agrees with the primary's.
+func (f *fake) follow(term model.Term, primary *fake) {
+	f.role, f.term, f.primary = model.RoleReplica, term, primary.info.ID
+	same := 0
+	for same < min(len(f.log), len(primary.log)) && f.log[same].point == primary.log[same].point {
+		same++
+	}
+	f.log = f.log[:same]
+}
+
+// refuse returns a refusal with the instance's state.
+func (f *fake) refuse(code model.Code, message string) error {
+	refusal := model.Refuse(code, "%s: %s", f.info.ID, message)
+	state := f.state()
+	refusal.State, refusal.Term = &state, f.term
+	return refusal
+}
+
+// recorded returns the entry of a request id.
+func (f *fake) recorded(request model.RequestID) (entry, bool) {
+	i := slices.IndexFunc(f.log, func(e entry) bool { return e.request == request })
+	if i < 0 {
+		return entry{}, false
+	}
+	return f.log[i], true
+}
+
+// append writes one entry, or returns the one that the request wrote before.
+func (f *fake) append(request model.RequestID, lists []string) model.Result {
+	if old, found := f.recorded(request); found {
+		return model.Result{Request: request, Done: true, Repeated: true, Point: old.point, Instance: f.info.ID, Role: f.role}
+	}
+	point := model.Point{Term: f.term, Position: model.Position(len(f.log) + 1)}
+	f.log = append(f.log, entry{point: point, request: request, lists: lists, written: time.Now()})
+	return model.Result{Request: request, Done: true, Point: point, Instance: f.info.ID, Role: f.role}
+}
+
+// list returns the request ids that were appended to a list.
+func (f *fake) list(name string) []model.Row {
+	rows := []model.Row{}
+	for _, e := range f.log {
+		if slices.Contains(e.lists, name) {
+			rows = append(rows, model.Row{"request": string(e.request)})
+		}
+	}
+	return rows
+}
+
+// Open opens a connection.
+func (f *fake) Open(ctx context.Context, _ model.HostID, _ model.DatabaseID, term model.Term) (endpoint.Conn, model.InstanceState, error) {
+	var connection *conn
+	err := f.group.call(ctx, f, func() error {
+		if term < f.term {
+			return f.refuse(model.CodeWrongTerm, "fenced")
+		}
+		f.group.opened++
+		connection = &conn{fake: f, id: model.ConnectionID(fmt.Sprint(f.info.ID, "-", f.group.opened))}
+		return nil
+	})
+	if err != nil {
+		return nil, model.InstanceState{}, err
+	}
+	state, err := f.State(ctx)
+	return connection, state, err
+}
+
+// State returns what the instance says of itself.
+func (f *fake) State(ctx context.Context) (state model.InstanceState, err error) {
+	err = f.group.call(ctx, f, func() error {
+		state = f.state()
+		return nil
+	})
+	return state, err
+}
+
+// Await returns the state when the instance holds the point or the limit has passed.
+func (f *fake) Await(ctx context.Context, least model.Point, limit time.Duration) (model.InstanceState, error) {
+	end := time.Now().Add(limit)
+	for {
+		state, err := f.State(ctx)
+		if err != nil || state.Timeline.Relate(state.Point, least) == model.Covered || !time.Now().Before(end) {
+			return state, err
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// Fence raises the term.
+func (f *fake) Fence(ctx context.Context, term model.Term) (state model.InstanceState, err error) {
+	err = f.group.call(ctx, f, func() error {
+		if term > f.term {
+			f.term, f.role = term, model.RoleFenced
+		}
+		state = f.state()
+		return nil
+	})
+	return state, err
+}
+
+// Promote makes the instance primary.
+func (f *fake) Promote(ctx context.Context, term model.Term) (state model.InstanceState, err error) {
+	err = f.group.call(ctx, f, func() error {
+		f.promote(term)
+		state = f.state()
+		return nil
+	})
+	return state, err
+}
+
+// Follow makes the instance a replica.
+func (f *fake) Follow(ctx context.Context, term model.Term, primary model.Instance) (state model.InstanceState, err error) {
+	err = f.group.call(ctx, f, func() error {
+		f.follow(term, f.group.instances[primary.ID])
+		state = f.state()
+		return nil
+	})
+	return state, err
+}
+
+// Outcome returns the recorded result of a request id.
+func (f *fake) Outcome(ctx context.Context, term model.Term, request model.RequestID) (result model.Result, found bool, err error) {
+	err = f.group.call(ctx, f, func() error {
+		if term != f.term || f.role != model.RolePrimary {
+			return f.refuse(model.CodeWrongTerm, "not primary of the term")
+		}
+		var old entry
+		old, found = f.recorded(request)
+		result = model.Result{Request: request, Done: found, Repeated: found, Point: old.point, Instance: f.info.ID, Role: f.role}
+		return nil
+	})
+	return result, found, err
+}
+
+// conn is one connection of a fake.
+type conn struct {
+	fake   *fake
+	id     model.ConnectionID
+	open   bool
+	closed bool
+	lists  []string
+}
+
+// ID returns the connection's name.
+func (c *conn) ID() model.ConnectionID { return c.id }
+
+// check returns the refusal of a call in the term; the group is locked.
+func (c *conn) check(term model.Term, write bool) error {
+	switch {
+	case c.closed:
+		return c.fake.refuse(model.CodeUnknownConnection, "closed")
+	case term != c.fake.term:
+		return c.fake.refuse(model.CodeWrongTerm, "of another term")
+	case write && c.fake.role != model.RolePrimary:
+		return c.fake.refuse(model.CodeNotPrimary, "no primary")
+	case c.fake.role == model.RoleFenced:
+		return c.fake.refuse(model.CodeWrongTerm, "fenced")
+	}
+	return nil
+}
+
+// Run runs one statement: "append" and "list" of the argument "list".
+func (c *conn) Run(ctx context.Context, term model.Term, work model.Work) (result model.Result, state model.InstanceState, err error) {
+	if work.Wait > 0 {
+		if _, err = c.fake.Await(ctx, work.Least, work.Wait); err != nil {
+			return result, state, err
+		}
+	}
+	err = c.fake.group.call(ctx, c.fake, func() error {
+		if err := c.check(term, work.Statement.Access == model.Write); err != nil {
+			return err
+		}
+		if c.fake.timeline.Relate(c.fake.point(), work.Least) != model.Covered {
+			return c.fake.refuse(model.CodeBehind, "the least point is not held")
+		}
+		if work.MaxAge != nil && c.fake.state().Age > *work.MaxAge {
+			return c.fake.refuse(model.CodeBehind, "the data is too old")
+		}
+		result = c.apply(work)
+		state = c.fake.state()
+		return nil
+	})
+	return result, state, err
+}
+
+// apply runs a checked statement; the group is locked.
+func (c *conn) apply(work model.Work) model.Result {
+	list := work.Statement.Arguments["list"]
+	if work.Statement.Access == model.Read {
+		rows := c.fake.list(list)
+		return model.Result{Request: work.Request, Done: true, Rows: rows, Point: c.fake.point(), Instance: c.fake.info.ID, Role: c.fake.role}
+	}
+	if c.open {
+		c.lists = append(c.lists, list)
+		return model.Result{Request: work.Request, Done: true, Point: c.fake.point(), Instance: c.fake.info.ID, Role: c.fake.role}
+	}
+	return c.fake.append(work.Request, []string{list})
+}
+
+// Begin begins a transaction.
+func (c *conn) Begin(ctx context.Context, term model.Term) (state model.InstanceState, err error) {
+	err = c.fake.group.call(ctx, c.fake, func() error {
+		if err := c.check(term, true); err != nil {
+			return err
+		}
+		c.open, c.lists = true, nil
+		state = c.fake.state()
+		return nil
+	})
+	return state, err
+}
+
+// Commit commits the open transaction.
+func (c *conn) Commit(ctx context.Context, term model.Term, request model.RequestID) (result model.Result, state model.InstanceState, err error) {
+	err = c.fake.group.call(ctx, c.fake, func() error {
+		if err := c.check(term, true); err != nil {
+			return err
+		}
+		if !c.open {
+			return c.fake.refuse(model.CodeNoTransaction, "none is open")
+		}
+		result = c.fake.append(request, c.lists)
+		c.open, c.lists = false, nil
+		state = c.fake.state()
+		return nil
+	})
+	return result, state, err
+}
+
+// Rollback rolls the open transaction back.
+func (c *conn) Rollback(ctx context.Context) error {
+	return c.fake.group.call(ctx, c.fake, func() error {
+		c.open, c.lists = false, nil
+		return nil
+	})
+}
+
+// Close closes the connection, which rolls its transaction back.
+func (c *conn) Close(context.Context) error {
+	c.fake.group.mutex.Lock()
+	defer c.fake.group.mutex.Unlock()
+	c.closed, c.open = true, false
+	return nil
+}
--- a/internal/model/point.go
+++ b/internal/model/point.go
@@ -23,7 +23,9 @@
 	Lost                    // the log has gone on without the point
 )
 
-// Timeline holds the start point of each recent term of a log, oldest first: the last position before the term.
+// Timeline holds the start point of each term that may have written to a log, oldest first: the last position before the term.
+//
+// Old terms may be left out at the front, but none after the first: a term that is missing there never wrote to the log.
 type Timeline []Point
 
 // Relate tells how the wanted point lies to the log that has this timeline and reaches the given point.
@@ -34,13 +36,25 @@
 	if want.Term > reached.Term {
 		return Ahead
 	}
-	for _, start := range t {
-		if start.Term > want.Term && start.Position < want.Position {
-			return Lost
-		}
+	if t.lost(want) {
+		return Lost
 	}
 	if reached.Position < want.Position {
 		return Ahead
 	}
 	return Covered
 }
+
+// lost reports whether the log of the timeline went on without the point.
+func (t Timeline) lost(want Point) bool {
+	wrote := len(t) == 0 || want.Term < t[0].Term
+	for _, start := range t {
+		if start.Term == want.Term {
+			wrote = true
+		}
+		if start.Term > want.Term && start.Position < want.Position {
+			return true
+		}
+	}
+	return !wrote
+}
--- /dev/null
+++ b/internal/model/point_test.go
@@ -0,0 +1,104 @@
+package model
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+func TestRelate(t *testing.T) {
+	timeline := Timeline{{Term: 2, Position: 40}, {Term: 3, Position: 80}, {Term: 6, Position: 100}}
+	tests := map[string]struct {
+		timeline      Timeline
+		reached, want Point
+		relation      Relation
+	}{
+		"nothing wanted":            {timeline: timeline, reached: Point{Term: 3, Position: 90}, relation: Covered},
+		"held":                      {timeline: timeline, reached: Point{Term: 6, Position: 120}, want: Point{Term: 6, Position: 120}, relation: Covered},
+		"next position":             {timeline: timeline, reached: Point{Term: 6, Position: 120}, want: Point{Term: 6, Position: 121}, relation: Ahead},
+		"later term":                {timeline: timeline, reached: Point{Term: 6, Position: 120}, want: Point{Term: 7, Position: 10}, relation: Ahead},
+		"last of an older term":     {timeline: timeline, reached: Point{Term: 6, Position: 120}, want: Point{Term: 3, Position: 100}, relation: Covered},
+		"past the end of its term":  {timeline: timeline, reached: Point{Term: 6, Position: 120}, want: Point{Term: 3, Position: 101}, relation: Lost},
+		"lost two terms ago":        {timeline: timeline, reached: Point{Term: 6, Position: 120}, want: Point{Term: 2, Position: 90}, relation: Lost},
+		"of a term without a place": {timeline: timeline, reached: Point{Term: 6, Position: 120}, want: Point{Term: 4, Position: 90}, relation: Lost},
+		"before the first start":    {timeline: timeline, reached: Point{Term: 6, Position: 120}, want: Point{Term: 1, Position: 40}, relation: Covered},
+		"first term, lost":          {timeline: timeline, reached: Point{Term: 6, Position: 120}, want: Point{Term: 1, Position: 41}, relation: Lost},
+		"no timeline":               {reached: Point{Term: 1, Position: 5}, want: Point{Term: 1, Position: 5}, relation: Covered},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			if got := test.timeline.Relate(test.reached, test.want); got != test.relation {
+				t.Errorf("got relation %d, want %d", got, test.relation)
+			}
+		})
+	}
+}
+
+// branch is the log of one term: the term that wrote each position, and the starts of the terms in it.
+type branch struct {
+	terms    []Term
+	timeline Timeline
+}
+
+// drawBranches makes the logs of several terms, each of which goes on from a part of an earlier one.
+func drawBranches(t *rapid.T) []branch {
+	branches := []branch{{timeline: Timeline{{Term: 1}}}}
+	count := rapid.IntRange(1, 6).Draw(t, "terms")
+	for term := Term(1); term <= Term(count); term++ {
+		log := branches[0]
+		if term > 1 {
+			parent := branches[rapid.IntRange(0, len(branches)-1).Draw(t, "parent")]
+			log = fork(parent, term, rapid.IntRange(0, len(parent.terms)).Draw(t, "kept"))
+		}
+		for range rapid.IntRange(0, 4).Draw(t, "writes") {
+			log.terms = append(log.terms, term)
+		}
+		if term == 1 {
+			branches[0] = log
+		} else {
+			branches = append(branches, log)
+		}
+	}
+	return branches
+}
+
+// fork returns the log of a new term that keeps the first positions of its parent.
+func fork(parent branch, term Term, kept int) branch {
+	log := branch{terms: append([]Term(nil), parent.terms[:kept]...)}
+	for _, start := range parent.timeline {
+		if start.Position < Position(kept) || start.Term == 1 {
+			log.timeline = append(log.timeline, start)
+		}
+	}
+	log.timeline = append(log.timeline, Point{Term: term, Position: Position(kept)})
+	return log
+}
+
+func TestRelateNeverCoversAnotherLog(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		branches := drawBranches(t)
+		log := branches[rapid.IntRange(0, len(branches)-1).Draw(t, "log")]
+		other := branches[rapid.IntRange(0, len(branches)-1).Draw(t, "other")]
+		if len(log.terms) == 0 || len(other.terms) == 0 {
+			return
+		}
+		length := rapid.IntRange(1, len(log.terms)).Draw(t, "reached")
+		reached := Point{Term: log.terms[length-1], Position: Position(length)}
+		position := rapid.IntRange(1, len(other.terms)).Draw(t, "wanted")
+		want := Point{Term: other.terms[position-1], Position: Position(position)}
+
+		got := log.timeline.Relate(reached, want)
+		inLog := position <= len(log.terms) && log.terms[position-1] == want.Term
+		held := inLog && position <= length
+		switch {
+		case got == Covered && !held:
+			t.Errorf("got %v covered by the log %v up to %v, want it not covered", want, log.terms, reached)
+		case got != Covered && held:
+			t.Errorf("got relation %d of %v to the log %v, want it covered", got, want, log.terms)
+		case got == Lost && inLog:
+			t.Errorf("got %v lost from the log %v, want it ahead", want, log.terms)
+		case got == Ahead && !inLog && want.Term <= reached.Term:
+			t.Errorf("got %v ahead of the log %v at %v, want it lost", want, log.terms, reached)
+		}
+	})
+}
