--- /dev/null
+++ b/internal/history/direct_test.go
@@ -0,0 +1,144 @@
+package history_test
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"redwingspread/internal/endpoint"
+	"redwingspread/internal/model"
+	"redwingspread/internal/route"
+	"redwingspread/internal/session"
+	"redwingspread/internal/view"
+)
+
+// direct serves requests from the decisions alone: a token, a choice and a connection for each request.
+type direct struct {
+	group   *group
+	db      *view.Database
+	codec   session.Codec
+	track   route.Track
+	handles map[model.InstanceID]endpoint.Instance
+}
+
+// newDirect returns a front of the group.
+func newDirect(g *group) *direct {
+	d := &direct{
+		group:   g,
+		db:      &view.Database{ID: "seats", Term: 1, Primary: "p", Serving: true},
+		codec:   session.Codec{Key: []byte("a key of the tests")},
+		handles: map[model.InstanceID]endpoint.Instance{},
+	}
+	for _, id := range []model.InstanceID{"p", "q", "r"} {
+		d.handles[id] = g.instances[id]
+		d.db.Instances = append(d.db.Instances, view.Instance{Instance: g.instances[id].info, Reachable: true})
+	}
+	d.observe()
+	return d
+}
+
+// observe reads the state of every instance that can be reached.
+func (d *direct) observe() {
+	d.group.mutex.Lock()
+	defer d.group.mutex.Unlock()
+	for i := range d.db.Instances {
+		f := d.group.instances[d.db.Instances[i].ID]
+		if f.isolated {
+			continue
+		}
+		d.db.Instances[i].State = f.state()
+		d.db.Instances[i].Observed = time.Now()
+		if f.role == model.RolePrimary && f.term >= d.db.Term {
+			d.db.Term, d.db.Primary, d.db.Timeline = f.term, f.info.ID, f.state().Timeline
+		}
+	}
+}
+
+// run serves one request and returns the token of its answer; the token is good also when there is an error.
+func (d *direct) run(ctx context.Context, text string, work model.Work) (model.Result, string, error) {
+	token := session.New("s")
+	if text != "" {
+		var err error
+		if token, err = d.codec.Decode(text); err != nil {
+			return model.Result{}, text, err
+		}
+	}
+	token, err := d.settle(ctx, token)
+	if err != nil {
+		return model.Result{}, text, err
+	}
+	result, token, err := d.serve(ctx, token, work, text != "")
+	text, encodeErr := d.codec.Encode(token)
+	return result, text, errors.Join(err, encodeErr)
+}
+
+// settle resolves the session's pending write.
+func (d *direct) settle(ctx context.Context, token session.Token) (session.Token, error) {
+	pending := token.Pending("seats")
+	if pending == "" {
+		return token, nil
+	}
+	result, found, err := d.handles[d.db.Primary].Outcome(ctx, d.db.Term, pending)
+	if err != nil {
+		return token, model.Refuse(model.CodeUnavailable, "the earlier outcome is not known: %v", err)
+	}
+	if !found && !d.final(ctx) {
+		return token, model.Refuse(model.CodeUnavailable, "the earlier request may still come back")
+	}
+	if found {
+		token = token.Raise("seats", result.Point)
+	}
+	return token.Settle("seats"), nil
+}
+
+// final reports whether a replica holds all that the primary holds, so that any later primary goes on from there.
+func (d *direct) final(ctx context.Context) bool {
+	primary, err := d.handles[d.db.Primary].State(ctx)
+	if err != nil || primary.Role != model.RolePrimary || primary.Term != d.db.Term {
+		return false
+	}
+	for id, handle := range d.handles {
+		state, err := handle.State(ctx)
+		if id != d.db.Primary && err == nil && state.Term == d.db.Term && state.Timeline.Relate(state.Point, primary.Point) == model.Covered {
+			return true
+		}
+	}
+	return false
+}
+
+// serve tries instances until one serves the work.
+func (d *direct) serve(ctx context.Context, token session.Token, work model.Work, hasToken bool) (model.Result, session.Token, error) {
+	work.Least = token.Point("seats")
+	want := route.Want{Access: work.Statement.Access, HasToken: hasToken, Least: work.Least, Written: d.track.Written(work.Least)}
+	for {
+		choice := route.Choose(d.db, want, time.Now())
+		if choice.Reason == route.Lost {
+			return model.Result{}, token, model.Refuse(model.CodeLostWrite, "lost")
+		}
+		if choice.Instance == "" {
+			return model.Result{}, token, model.Refuse(model.CodeUnavailable, "none is left")
+		}
+		result, err := d.attempt(ctx, choice, work)
+		var refusal *model.Refusal
+		switch {
+		case err == nil:
+			d.track.Add(result.Point, time.Now())
+			return result, token.Raise("seats", result.Point), nil
+		case work.Statement.Access == model.Write && !(errors.As(err, &refusal) && refusal.NotRun):
+			return model.Result{}, token.Suspend("seats", work.Request), model.Doubt("%v", err)
+		}
+		want.Tried = want.Tried.With(choice.Place)
+	}
+}
+
+// attempt runs the work on the chosen instance over a connection of its own.
+func (d *direct) attempt(ctx context.Context, choice route.Choice, work model.Work) (result model.Result, err error) {
+	connection, _, err := d.handles[choice.Instance].Open(ctx, "h-1", "seats", choice.Term)
+	if err != nil {
+		return result, model.Refuse(model.CodeUnavailable, "%v", err)
+	}
+	defer func() { err = errors.Join(err, connection.Close(ctx)) }()
+	work.Wait = choice.Wait
+	result, _, err = connection.Run(ctx, choice.Term, work)
+	return result, err
+}
--- a/internal/history/fake_test.go
+++ b/internal/history/fake_test.go
@@ -144,12 +144,15 @@
 	return best.info.ID
 }
 
-// point returns the point of the last entry.
+// point returns the newest term whose start the log reaches, and the log's length.
 func (f *fake) point() model.Point {
-	if len(f.log) == 0 {
-		return model.Point{Term: 1}
+	point := model.Point{Position: model.Position(len(f.log))}
+	for _, start := range f.timeline {
+		if start.Position <= point.Position {
+			point.Term = start.Term
+		}
 	}
-	return f.log[len(f.log)-1].point
+	return point
 }
 
 // state returns what the instance says of itself.
@@ -180,6 +183,7 @@
 		same++
 	}
 	f.log = f.log[:same]
+	f.timeline = slices.Clone(primary.timeline)
 }
 
 // refuse returns a refusal with the instance's state.
--- a/internal/model/instance.go
+++ b/internal/model/instance.go
@@ -26,7 +26,7 @@
 	Database        DatabaseID
 	Role            Role
 	Term            Term
-	Point           Point
+	Point           Point // newest term whose start the log reaches, and the log's length
 	Timeline        Timeline
 	Age             Age
 	Slots           Slots
