--- /dev/null
+++ b/internal/bounded/doc.go
@@ -0,0 +1,2 @@
+// Package bounded holds containers that never outgrow a limit.
+package bounded
--- /dev/null
+++ b/internal/transaction/table_test.go
@@ -0,0 +1,92 @@
+package transaction
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"redwingspread/internal/model"
+)
+
+func TestHostOf(t *testing.T) {
+	tests := map[string]struct {
+		id   model.TransactionID
+		host model.HostID
+		ok   bool
+	}{
+		"own name":     {id: NewID("h-1"), host: "h-1", ok: true},
+		"empty":        {},
+		"no host":      {id: "/x"},
+		"nothing else": {id: "h-1/", host: "h-1"},
+		"no separator": {id: "h-1", host: "h-1"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			host, ok := HostOf(test.id)
+			if host != test.host || ok != test.ok {
+				t.Errorf("got host %q and %v, want %q and %v", host, ok, test.host, test.ok)
+			}
+		})
+	}
+}
+
+func TestTable(t *testing.T) {
+	tests := map[string]struct {
+		play func(table *Table[int], open *Open[int], wait func(time.Duration))
+		code model.Code // of the refusal of the next call; empty when it is taken
+		ends int        // transactions that expire after it
+	}{
+		"next call": {play: func(*Table[int], *Open[int], func(time.Duration)) {}},
+		"used often": {play: func(table *Table[int], open *Open[int], wait func(time.Duration)) {
+			for range 5 {
+				wait(900 * time.Millisecond)
+				if taken, err := table.Take(open.ID); err == nil {
+					table.Return(taken)
+				}
+			}
+		}},
+		"idle for too long": {play: func(_ *Table[int], _ *Open[int], wait func(time.Duration)) { wait(2 * time.Second) }, code: model.CodeTransactionEnded, ends: 1},
+		"open for too long": {play: func(table *Table[int], open *Open[int], wait func(time.Duration)) {
+			for range 12 {
+				wait(900 * time.Millisecond)
+				if taken, err := table.Take(open.ID); err == nil {
+					table.Return(taken)
+				}
+			}
+		}, code: model.CodeTransactionEnded, ends: 1},
+		"two calls at once": {play: func(table *Table[int], open *Open[int], _ func(time.Duration)) { _, _ = table.Take(open.ID) }, code: model.CodeInvalid},
+		"busy past its time": {play: func(table *Table[int], open *Open[int], wait func(time.Duration)) {
+			_, _ = table.Take(open.ID)
+			wait(time.Hour)
+		}, code: model.CodeInvalid},
+		"removed":     {play: func(table *Table[int], open *Open[int], _ func(time.Duration)) { table.Remove(open) }, code: model.CodeTransactionEnded},
+		"proxy lost":  {play: func(table *Table[int], _ *Open[int], _ func(time.Duration)) { table.Abandon("h-2") }, code: model.CodeTransactionEnded},
+		"other proxy": {play: func(table *Table[int], _ *Open[int], _ func(time.Duration)) { table.Abandon("h-3") }},
+		"owner lost":  {play: func(table *Table[int], _ *Open[int], _ func(time.Duration)) { table.Drop("seats") }, code: model.CodeTransactionEnded},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(0, 0)
+			table := New[int]()
+			table.Now = func() time.Time { return now }
+			open := &Open[int]{ID: NewID("h-1"), Database: "seats", Origin: "h-2", Idle: time.Second, Limit: 10 * time.Second}
+			table.Add(open)
+			test.play(table, open, func(d time.Duration) { now = now.Add(d) })
+			taken, err := table.Take(open.ID)
+			var refusal *model.Refusal
+			var code model.Code
+			if errors.As(err, &refusal) {
+				code = refusal.Code
+			}
+			if code != test.code {
+				t.Errorf("got code %q, want %q", code, test.code)
+			}
+			if err == nil {
+				table.Return(taken)
+			}
+			if got := len(table.Expire()); got != test.ends {
+				t.Errorf("got %d transactions ended, want %d", got, test.ends)
+			}
+		})
+	}
+}
