Add membership, the control machine, the rule of acknowledgement and the model of their safety

Change: package member (heartbeats, suspicion confirmed by a second host, news), package fleet (rows by compare-and-set, takeover, fencing of a majority, promotion, its runner), package ack (tally and gate), view.Group. A model with faults at random times drives the same machine and tally, and is shown to notice each rule taken out.

--- /dev/null
+++ b/internal/fleet/database.go
@@ -0,0 +1,112 @@
+package fleet
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"redwingspread/internal/model"
+)
+
+// database is what the machine knows of one database.
+type database struct {
+	id        model.DatabaseID
+	row       model.Ownership // version 0 when no row is known
+	instances map[model.InstanceID]*instance
+	changed   time.Time // when the row's last change was learnt
+	returned  bool      // the owner changed the row after this host held it for dead
+	hint      OwnerNews // newest news of an owner, for routing
+	since     time.Time // when this host first saw that the database needs another owner
+	commit    bool      // a change of the row is under way
+	retry     time.Time // no change of the row before then
+	doubt     bool      // the row must be read before it is changed again
+	duty      duty
+	fresh     bool // an instance told its state since the last view
+
+	candidates []model.HostID // order of candidates, for the epoch and the primary below
+	epoch      int
+	near       model.InstanceID
+}
+
+// duty is what an owner has done in the term of its row.
+type duty struct {
+	term     model.Term
+	fenced   map[model.InstanceID]model.InstanceState
+	majority time.Time        // when a majority was fenced
+	chosen   model.InstanceID // instance to promote; never changed within a term
+	serving  bool
+	replaced bool // an instance or a peer knows a higher term
+}
+
+// newDatabase returns a database without row and instances.
+func newDatabase(id model.DatabaseID) *database {
+	return &database{id: id, instances: make(map[model.InstanceID]*instance)}
+}
+
+// newDuty returns the empty duty of a term.
+func newDuty(term model.Term) duty {
+	return duty{term: term, fenced: make(map[model.InstanceID]model.InstanceState)}
+}
+
+// group returns the instances whose majority decides: those of the row.
+func (d *database) group() []*instance {
+	group := make([]*instance, 0, len(d.row.Instances))
+	for _, id := range d.row.Instances {
+		if known := d.instances[id]; known != nil {
+			group = append(group, known)
+		}
+	}
+	return group
+}
+
+// listed returns the ids of all known instances in order.
+func (d *database) listed() []model.InstanceID {
+	return slices.Sorted(maps.Keys(d.instances))
+}
+
+// majority returns the number of instances that any two majorities of the group share one of.
+func (d *database) majority() int {
+	return len(d.row.Instances)/2 + 1
+}
+
+// primary returns the instance that is or becomes primary in the term, or nil.
+func (d *database) primary() *instance {
+	if d.duty.term == d.row.Term && d.duty.chosen != "" {
+		return d.instances[d.duty.chosen]
+	}
+	return d.instances[d.row.Primary]
+}
+
+// answering counts the group's instances that answer.
+func (d *database) answering() int {
+	count := 0
+	for _, member := range d.group() {
+		if member.answers() {
+			count++
+		}
+	}
+	return count
+}
+
+// highest returns the highest term that the row or an instance has.
+func (d *database) highest() model.Term {
+	term := d.row.Term
+	for _, member := range d.instances {
+		term = max(term, member.state.Term)
+	}
+	return term
+}
+
+// learn takes a row unless a newer one is known, and reports whether it was new.
+func (d *database) learn(now time.Time, row model.Ownership) bool {
+	if row.Version <= d.row.Version {
+		return false
+	}
+	if row.Term != d.row.Term {
+		d.duty = newDuty(row.Term)
+		d.since = time.Time{}
+	}
+	d.row = row
+	d.changed = now
+	return true
+}
--- /dev/null
+++ b/internal/fleet/event.go
@@ -0,0 +1,99 @@
+package fleet
+
+import (
+	"redwingspread/internal/config"
+	"redwingspread/internal/model"
+)
+
+// Event is what the control machine is told.
+type Event interface{ event() }
+
+// Tick tells that time has passed.
+type Tick struct{}
+
+// Observed tells that traffic or a probe saw an instance's state.
+type Observed struct{ State model.InstanceState }
+
+// Failed tells that traffic could not reach an instance.
+type Failed struct {
+	Instance model.InstanceID
+	Term     model.Term
+}
+
+// HeartbeatIn is a heartbeat from another host; Answer, when set, takes this host's own.
+type HeartbeatIn struct {
+	Beat   Heartbeat
+	Answer func(Heartbeat)
+}
+
+// Redirected tells that a peer refused work because another host owns the database.
+type Redirected struct {
+	Database model.DatabaseID
+	Owner    model.HostID
+	Term     model.Term
+}
+
+// PolicyAccepted brings a checked configuration and its text.
+type PolicyAccepted struct {
+	Policy   *config.Policy
+	Document string
+}
+
+// Stop begins the graceful stop: every database is handed over.
+type Stop struct{}
+
+// Ended reports an action without a result.
+type Ended struct{}
+
+// RowsRead is the result of ReadRows.
+type RowsRead struct {
+	Rows     []model.Ownership
+	Revision model.Revision
+	Err      error
+}
+
+// RowCommitted is the result of CommitRow; with Err set its effect is unknown.
+type RowCommitted struct {
+	Database  model.DatabaseID
+	Committed bool
+	Row       model.Ownership // the row as it is now
+	Err       error
+}
+
+// MembersRead is the result of ReadMembers.
+type MembersRead struct {
+	Hosts     []model.Host
+	Instances []model.Instance
+	Err       error
+}
+
+// HeartbeatSent is the result of SendHeartbeat: the peer's own heartbeat.
+type HeartbeatSent struct {
+	Host model.HostID
+	Beat Heartbeat
+	Err  error
+}
+
+// InstanceResult is the result of an action on an instance.
+type InstanceResult struct {
+	Call     Call
+	Database model.DatabaseID
+	Instance model.InstanceID
+	Term     model.Term
+	State    model.InstanceState
+	Err      error
+}
+
+func (Tick) event()           {}
+func (Observed) event()       {}
+func (Failed) event()         {}
+func (HeartbeatIn) event()    {}
+func (Redirected) event()     {}
+func (PolicyAccepted) event() {}
+func (Stop) event()           {}
+func (Ended) event()          {}
+func (RowsRead) event()       {}
+func (RowCommitted) event()   {}
+func (MembersRead) event()    {}
+func (HeartbeatSent) event()  {}
+func (InstanceResult) event() {}
--- /dev/null
+++ b/internal/fleet/fake_test.go
@@ -0,0 +1,161 @@
+package fleet
+
+import (
+	"redwingspread/internal/model"
+)
+
+// entry is one write in a fake log.
+type entry struct {
+	term  model.Term
+	value int
+}
+
+// fakeInstance follows the rules of the endpoint interface.
+type fakeInstance struct {
+	world    *world
+	place    model.Instance
+	term     model.Term
+	role     model.Role
+	log      []entry
+	timeline model.Timeline
+	leader   model.InstanceID
+	leaving  bool
+	down     bool
+	unfenced bool // a fence has no effect: a rule taken out
+}
+
+// resultOf returns the frame of an action's result.
+func (w *world) resultOf(action InstanceAction) InstanceResult {
+	return InstanceResult{
+		Call:     action.Call,
+		Database: action.Instance.Database,
+		Instance: action.Instance.ID,
+		Term:     action.Term,
+	}
+}
+
+// serve runs one call.
+func (f *fakeInstance) serve(w *world, action InstanceAction) Event {
+	result := w.resultOf(action)
+	if f.down {
+		result.Err = errLost
+		return result
+	}
+	refusal := f.apply(action)
+	if refusal == nil && w.onCall != nil {
+		w.onCall(f, action)
+	}
+	result.State = f.state()
+	if f.unfenced && action.Call == CallFence {
+		result.State.Term = max(f.term, action.Term)
+	}
+	if refusal != nil {
+		state := f.state()
+		refusal.State = &state
+		result.Err = refusal
+	}
+	return result
+}
+
+// apply changes the instance as a call asks.
+func (f *fakeInstance) apply(action InstanceAction) *model.Refusal {
+	if action.Call == CallState || action.Call == CallAwait {
+		return nil
+	}
+	if action.Term < f.term {
+		return model.Refuse(model.CodeWrongTerm, "term %d", f.term)
+	}
+	switch action.Call {
+	case CallFence:
+		if !f.unfenced {
+			f.fence(action.Term)
+		}
+	case CallPromote:
+		f.promote(action.Term)
+	case CallFollow:
+		f.follow(action.Term, action.Primary.ID)
+	}
+	return nil
+}
+
+// fence raises the term.
+func (f *fakeInstance) fence(term model.Term) {
+	if term > f.term {
+		f.term = term
+		f.role = model.RoleFenced
+		f.leader = ""
+	}
+}
+
+// promote makes the instance primary of the term.
+func (f *fakeInstance) promote(term model.Term) {
+	if f.role == model.RolePrimary && f.term == term {
+		return
+	}
+	f.term = term
+	f.role = model.RolePrimary
+	f.leader = ""
+	f.timeline = append(f.timeline[:len(f.timeline):len(f.timeline)], model.Point{Term: term, Position: f.point().Position})
+}
+
+// follow makes the instance a replica.
+func (f *fakeInstance) follow(term model.Term, leader model.InstanceID) {
+	f.term = term
+	f.role = model.RoleReplica
+	f.leader = leader
+}
+
+// replicate takes the next entries of the leader, and cuts back what the leader does not have.
+func (f *fakeInstance) replicate(entries int) {
+	leader := f.world.instances[f.leader]
+	if f.down || leader == nil || leader.down || leader.role != model.RolePrimary || leader.term != f.term {
+		return
+	}
+	common := 0
+	for common < len(f.log) && common < len(leader.log) && f.log[common] == leader.log[common] {
+		common++
+	}
+	f.log = f.log[:common:common]
+	f.log = append(f.log, leader.log[common:min(len(leader.log), common+entries)]...)
+	f.timeline = leader.timeline
+}
+
+// write runs a write in a term and returns its point.
+func (f *fakeInstance) write(term model.Term, value int) (model.Point, bool) {
+	if f.down || f.role != model.RolePrimary || term != f.term {
+		return model.Point{}, false
+	}
+	f.log = append(f.log, entry{term: f.term, value: value})
+	return f.point(), true
+}
+
+// point returns the end of the log.
+func (f *fakeInstance) point() model.Point {
+	if len(f.log) == 0 {
+		return model.Point{}
+	}
+	return model.Point{Term: f.log[len(f.log)-1].term, Position: model.Position(len(f.log))}
+}
+
+// holds reports whether the log has the value.
+func (f *fakeInstance) holds(value int) bool {
+	for _, item := range f.log {
+		if item.value == value {
+			return true
+		}
+	}
+	return false
+}
+
+// state returns what the instance says of itself.
+func (f *fakeInstance) state() model.InstanceState {
+	return model.InstanceState{
+		Instance: f.place.ID,
+		Database: f.place.Database,
+		Role:     f.role,
+		Term:     f.term,
+		Point:    f.point(),
+		Timeline: f.timeline,
+		Leaving:  f.leaving,
+	}
+}
--- /dev/null
+++ b/internal/fleet/heartbeat.go
@@ -0,0 +1,34 @@
+package fleet
+
+import (
+	"redwingspread/internal/member"
+	"redwingspread/internal/model"
+)
+
+// Heartbeat is what one host tells another: that it lives, and its news.
+type Heartbeat struct {
+	From          model.HostID
+	Incarnation   model.Incarnation
+	Sequence      model.Sequence
+	Configuration model.Version
+	Leaving       bool
+	Members       []member.News
+	Owners        []OwnerNews
+	Instances     []InstanceNews
+}
+
+// OwnerNews tells who owns a database; it says where to send work and never who may write.
+type OwnerNews struct {
+	Database model.DatabaseID
+	Owner    model.HostID
+	Term     model.Term
+	Primary  model.InstanceID
+}
+
+// InstanceNews tells whether the sender reaches an instance.
+type InstanceNews struct {
+	Instance  model.InstanceID
+	Term      model.Term
+	Reachable bool
+	Asked     bool // the sender is the owner and asks others whether they reach the instance
+}
--- /dev/null
+++ b/internal/fleet/serve.go
@@ -0,0 +1,157 @@
+package fleet
+
+import (
+	"time"
+
+	"redwingspread/internal/model"
+)
+
+// reconcile does what the database needs of this host now.
+func (m *Machine) reconcile(now time.Time, d *database) []Action {
+	if !m.loaded {
+		return nil
+	}
+	actions := m.probes(now, d)
+	if !m.mine(d) {
+		return append(actions, m.covet(now, d)...)
+	}
+	return append(actions, m.serve(now, d)...)
+}
+
+// serve does the owner's work in the term of its row.
+func (m *Machine) serve(now time.Time, d *database) []Action {
+	switch {
+	case d.doubt:
+		return nil
+	case d.duty.replaced:
+		return m.claim(now, d, "")
+	case d.duty.chosen == "" && d.row.Primary != "":
+		d.duty.chosen = d.row.Primary
+	case d.duty.chosen == "":
+		return m.elect(now, d)
+	}
+	primary := d.primary()
+	if primary == nil {
+		return nil
+	}
+	if m.primaryLost(now, d, primary) {
+		return m.claim(now, d, "")
+	}
+	if !d.duty.serving {
+		return m.install(now, d, primary)
+	}
+	actions := m.follow(now, d, primary)
+	if d.row.Primary == "" {
+		actions = append(actions, m.record(now, d)...)
+	}
+	return actions
+}
+
+// elect fences the group and chooses the best log of a fenced majority.
+func (m *Machine) elect(now time.Time, d *database) []Action {
+	var actions []Action
+	for _, member := range d.group() {
+		if _, fenced := d.duty.fenced[member.ID]; !fenced {
+			actions = append(actions, m.call(now, d, member, CallFence)...)
+		}
+	}
+	if len(d.duty.fenced) < d.majority() {
+		return actions
+	}
+	if d.duty.majority.IsZero() {
+		d.duty.majority = now
+	}
+	best := m.best(d)
+	if m.betterMayCome(d, best) && now.Sub(d.duty.majority) < m.Timing.Settle {
+		return actions
+	}
+	d.duty.chosen = best
+	return append(actions, m.serve(now, d)...)
+}
+
+// best returns the fenced instance with the highest point; among equals one that stays and is near this host.
+func (m *Machine) best(d *database) model.InstanceID {
+	var best model.InstanceID
+	for _, id := range d.row.Instances {
+		state, fenced := d.duty.fenced[id]
+		if fenced && (best == "" || m.better(d, state, d.duty.fenced[best])) {
+			best = id
+		}
+	}
+	return best
+}
+
+// better reports whether the first fenced state makes the better primary.
+func (m *Machine) better(d *database, a, b model.InstanceState) bool {
+	if order := a.Point.Compare(b.Point); order != 0 {
+		return order > 0
+	}
+	if m.leaves(d, a) != m.leaves(d, b) {
+		return m.leaves(d, b)
+	}
+	return m.isNear(d, a) && !m.isNear(d, b)
+}
+
+// leaves reports whether an instance is announced to leave.
+func (m *Machine) leaves(d *database, state model.InstanceState) bool {
+	known := d.instances[state.Instance]
+	return state.Leaving || known != nil && known.Leaving
+}
+
+// isNear reports whether an instance is in this host's data centre.
+func (m *Machine) isNear(d *database, state model.InstanceState) bool {
+	known := d.instances[state.Instance]
+	return known != nil && known.DataCentre == m.Self.DataCentre
+}
+
+// betterMayCome reports whether an instance that still answers is known to hold more than the best fenced one.
+func (m *Machine) betterMayCome(d *database, best model.InstanceID) bool {
+	for _, member := range d.group() {
+		_, fenced := d.duty.fenced[member.ID]
+		if !fenced && member.answers() && member.state.Point.Compare(d.duty.fenced[best].Point) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// install fences the chosen instance and makes it primary.
+func (m *Machine) install(now time.Time, d *database, primary *instance) []Action {
+	if _, fenced := d.duty.fenced[primary.ID]; !fenced {
+		return m.call(now, d, primary, CallFence)
+	}
+	return m.call(now, d, primary, CallPromote)
+}
+
+// follow makes every other instance a replica of the primary in this term.
+func (m *Machine) follow(now time.Time, d *database, primary *instance) []Action {
+	var actions []Action
+	for _, id := range d.listed() {
+		member := d.instances[id]
+		follows := member.state.Term == d.row.Term && member.state.Role == model.RoleReplica
+		if member.ID == primary.ID || follows {
+			continue
+		}
+		actions = append(actions, m.call(now, d, member, CallFollow)...)
+	}
+	return actions
+}
+
+// record writes the promoted primary into the row, so that a successor may keep it.
+func (m *Machine) record(now time.Time, d *database) []Action {
+	row := d.row
+	row.Primary = d.duty.chosen
+	row.Timeline = m.timelineOf(d)
+	return m.write(now, d, row)
+}
+
+// primaryLost reports whether this host and another find the primary silent while a majority answers.
+func (m *Machine) primaryLost(now time.Time, d *database, primary *instance) bool {
+	if !primary.silent(now, m.Timing.Unanswered) || d.answering() < d.majority() {
+		return false
+	}
+	if m.members.Alone() {
+		return primary.silent(now, 2*m.Timing.Unanswered)
+	}
+	return primary.confirmed()
+}
--- /dev/null
+++ b/internal/fleet/snapshot.go
@@ -0,0 +1,55 @@
+package fleet
+
+import (
+	"redwingspread/internal/model"
+	"redwingspread/internal/view"
+)
+
+// Snapshot returns the view for traffic; parts that did not change are shared with the former one.
+func (m *Machine) Snapshot() *view.View {
+	if !m.dirty && m.published != nil {
+		return m.published
+	}
+	m.dirty = false
+	published := &view.View{
+		Self:      m.Self.ID,
+		Hosts:     m.members.Hosts(),
+		Databases: make(map[model.DatabaseID]*view.Database, len(m.databases)),
+		Policy:    m.Policy,
+		Stopping:  m.stopping,
+	}
+	for id, known := range m.databases {
+		published.Databases[id] = m.viewOf(known)
+	}
+	m.published = published
+	return published
+}
+
+// viewOf returns one database as traffic sees it.
+func (m *Machine) viewOf(d *database) *view.Database {
+	seen := &view.Database{
+		ID:       d.id,
+		Owner:    d.row.Owner,
+		Term:     d.row.Term,
+		Primary:  d.row.Primary,
+		Timeline: m.timelineOf(d),
+		Serving:  m.mine(d) && d.duty.serving && !d.duty.replaced,
+		Group:    d.row.Instances,
+	}
+	if d.hint.Term > d.row.Term {
+		seen.Owner, seen.Term, seen.Primary = d.hint.Owner, d.hint.Term, d.hint.Primary
+	}
+	if seen.Primary == "" && d.duty.chosen != "" {
+		seen.Primary = d.duty.chosen
+	}
+	for _, id := range d.listed() {
+		known := d.instances[id]
+		seen.Instances = append(seen.Instances, view.Instance{
+			Instance:  known.Instance,
+			State:     known.state,
+			Observed:  known.observed,
+			Reachable: known.answers(),
+		})
+	}
+	return seen
+}
--- /dev/null
+++ b/internal/member/table.go
@@ -0,0 +1,219 @@
+package member
+
+import (
+	"math/bits"
+	"slices"
+	"time"
+
+	"redwingspread/internal/model"
+	"redwingspread/internal/view"
+)
+
+// newsPerBeat is the number of hosts that one heartbeat tells of.
+const newsPerBeat = 8
+
+// fullMesh is the greatest number of hosts that all send heartbeats to each other.
+const fullMesh = 6
+
+// ringNeighbours is the number of next hosts on the ring that a host of a large fleet watches.
+const ringNeighbours = 2
+
+// Table is one host's knowledge of all hosts.
+type Table struct {
+	// Self is this host.
+	Self model.Host
+	// Incarnation tells this run from earlier runs.
+	Incarnation model.Incarnation
+	// Timing holds the times.
+	Timing Timing
+
+	hosts    map[model.HostID]*host
+	ring     []model.HostID
+	news     Spread[model.HostID, News]
+	sequence model.Sequence
+	leaving  bool
+	epoch    int
+	round    int
+	nextBeat time.Time
+}
+
+// host is what the table knows of one other host.
+type host struct {
+	model.Host
+	incarnation   model.Incarnation
+	sequence      model.Sequence
+	state         view.Liveness
+	listed        bool
+	configuration model.Version
+	heard         time.Time // last direct contact, either way
+	missed        int       // own heartbeats without an answer since then
+	missedSince   time.Time
+	probe         bool // a heartbeat is due at once
+	busy          bool // a heartbeat is under way
+	accusers      map[model.HostID]time.Time
+}
+
+// New returns an empty table with the daemon's times.
+func New() *Table {
+	return &Table{
+		Timing: DefaultTiming(),
+		hosts:  make(map[model.HostID]*host),
+		news:   Spread[model.HostID, News]{Limit: newsPerBeat},
+	}
+}
+
+// Epoch counts the changes of the set of live hosts.
+func (t *Table) Epoch() int {
+	return t.epoch
+}
+
+// Size returns the number of hosts, this one included.
+func (t *Table) Size() int {
+	return len(t.ring) + 1
+}
+
+// List takes the platform's list: it says who exists and who leaves.
+func (t *Table) List(now time.Time, hosts []model.Host) {
+	listed := make(map[model.HostID]bool, len(hosts))
+	for _, item := range hosts {
+		listed[item.ID] = true
+		if item.ID != t.Self.ID {
+			t.list(now, item)
+		} else if item.Leaving {
+			t.Leave()
+		}
+	}
+	for id, known := range t.hosts {
+		if !listed[id] && known.listed {
+			delete(t.hosts, id)
+			t.epoch++
+		}
+	}
+	t.ring = t.ring[:0]
+	for id := range t.hosts {
+		t.ring = append(t.ring, id)
+	}
+	slices.Sort(t.ring)
+}
+
+// list takes one entry of the platform's list.
+func (t *Table) list(now time.Time, item model.Host) {
+	known := t.hosts[item.ID]
+	if known == nil {
+		known = &host{state: view.Alive, heard: now, accusers: make(map[model.HostID]time.Time)}
+		t.hosts[item.ID] = known
+		t.epoch++
+	}
+	if known.Address != "" && known.Address != item.Address {
+		known.probe = true
+	}
+	known.Host = item
+	known.listed = true
+	if item.Leaving && known.state == view.Alive {
+		t.set(known, view.Leaving)
+	}
+}
+
+// Leave marks this host as leaving.
+func (t *Table) Leave() {
+	if t.leaving {
+		return
+	}
+	t.leaving = true
+	t.epoch++
+	t.probeAll()
+}
+
+// IsLeaving reports whether this host is leaving.
+func (t *Table) IsLeaving() bool {
+	return t.leaving
+}
+
+// State returns what is known of a host's run: a run older than the known one is dead.
+func (t *Table) State(id model.HostID, incarnation model.Incarnation) view.Liveness {
+	if id == t.Self.ID {
+		return t.selfState(incarnation)
+	}
+	known := t.hosts[id]
+	if known == nil || incarnation < known.incarnation {
+		return view.Dead
+	}
+	return known.state
+}
+
+// selfState returns the state of a run of this host.
+func (t *Table) selfState(incarnation model.Incarnation) view.Liveness {
+	switch {
+	case incarnation != t.Incarnation:
+		return view.Dead
+	case t.leaving:
+		return view.Leaving
+	}
+	return view.Alive
+}
+
+// Live returns the hosts that may own databases, this one included, in order of their ids.
+func (t *Table) Live() []model.Host {
+	live := make([]model.Host, 0, len(t.hosts)+1)
+	if !t.leaving {
+		live = append(live, t.Self)
+	}
+	for _, id := range t.ring {
+		if t.hosts[id].state == view.Alive {
+			live = append(live, t.hosts[id].Host)
+		}
+	}
+	slices.SortFunc(live, func(a, b model.Host) int { return compareIDs(a.ID, b.ID) })
+	return live
+}
+
+// Hosts returns the other hosts as traffic sees them.
+func (t *Table) Hosts() map[model.HostID]view.Host {
+	hosts := make(map[model.HostID]view.Host, len(t.hosts))
+	for id, known := range t.hosts {
+		hosts[id] = view.Host{
+			Host:          known.Host,
+			Incarnation:   known.incarnation,
+			State:         known.state,
+			Configuration: known.configuration,
+			Heard:         known.heard,
+		}
+	}
+	return hosts
+}
+
+// compareIDs orders hosts by id.
+func compareIDs(a, b model.HostID) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+// tellings returns how often an item is told so that it reaches a fleet of the size.
+func (t *Table) tellings() int {
+	return 3 * t.Rounds()
+}
+
+// set changes a host's state and spreads the news.
+func (t *Table) set(known *host, state view.Liveness) {
+	if known.state == state {
+		return
+	}
+	known.state = state
+	t.epoch++
+	t.tell(known)
+}
+
+// tell spreads what is known of a host.
+func (t *Table) tell(known *host) {
+	t.news.Add(known.ID, News{known.ID, known.incarnation, known.sequence, known.state}, t.tellings())
+}
+
+// Rounds returns the number of rounds that news needs to reach the whole fleet.
+func (t *Table) Rounds() int {
+	return 1 + bits.Len(uint(t.Size()))
+}
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -43,8 +43,9 @@
 	Term      model.Term
 	Primary   model.InstanceID
 	Timeline  model.Timeline
-	Serving   bool // this host owns the database and has fenced its primary at the term
-	Switching bool // a planned switchover is under way: writes wait
+	Serving   bool               // this host owns the database and has fenced its primary at the term
+	Switching bool               // a planned switchover is under way: writes wait
+	Group     []model.InstanceID // the instances whose majority decides
 	Instances []Instance
 }
 
