--- a/internal/cli/config_exception.go
+++ b/internal/cli/config_exception.go
@@ -26,7 +26,7 @@
 		Name:  "add",
 		Usage: "add an exception with its reason",
 		Description: `Example:
-  redwingspread config exception add --name fresh-roster --kind roster --at-region coastal \
+  redwingspread config exception add --name fresh-roster --kind roster --region coastal \
     --setting maxAgeMs --value none --reason "Auditors read rosters in May" \
     --review 2026-06-01 --author Dana`,
 		Flags: changeFlags(
@@ -34,8 +34,8 @@
 			&cli.StringFlag{Name: "database", Usage: "scope: database"},
 			&cli.StringFlag{Name: "kind", Usage: "scope: kind of work"},
 			&cli.UintFlag{Name: "rank", Usage: "scope: rank, 1 to 3"},
-			&cli.StringFlag{Name: "at-data-centre", Usage: "scope: data centre"},
-			&cli.StringFlag{Name: "at-region", Usage: "scope: region"},
+			&cli.StringFlag{Name: "data-centre", Usage: "scope: data centre"},
+			&cli.StringFlag{Name: "region", Usage: "scope: region"},
 			&cli.StringFlag{Name: "setting", Required: true, Usage: "setting to change"},
 			&cli.StringFlag{Name: "value", Required: true, Usage: "value in the scope"},
 			&cli.StringFlag{Name: "reason", Required: true, Usage: "why the exception exists"},
@@ -58,8 +58,8 @@
 		Database:   model.DatabaseID(command.String("database")),
 		Kind:       model.KindID(command.String("kind")),
 		Rank:       model.Rank(min(command.Uint("rank"), maxRankFlag)),
-		DataCentre: model.DataCentreID(command.String("at-data-centre")),
-		Region:     model.RegionID(command.String("at-region")),
+		DataCentre: model.DataCentreID(command.String("data-centre")),
+		Region:     model.RegionID(command.String("region")),
 		Setting:    config.Setting(command.String("setting")),
 		Value:      command.String("value"),
 		Reason:     command.String("reason"),
--- a/internal/cli/config_explain.go
+++ b/internal/cli/config_explain.go
@@ -21,8 +21,8 @@
   redwingspread config explain enrol-1 payment
   redwingspread config explain enrol-1 roster --region coastal`,
 		Flags: operateFlags(
-			&cli.StringFlag{Name: "at-data-centre", Usage: "data centre of the work"},
-			&cli.StringFlag{Name: "at-region", Usage: "region of the work"},
+			&cli.StringFlag{Name: "data-centre", Usage: "data centre of the work"},
+			&cli.StringFlag{Name: "region", Usage: "region of the work"},
 		),
 		Action: operateAction(explainConfig),
 	}
@@ -40,8 +40,8 @@
 	at := config.Scope{
 		Database:   model.DatabaseID(command.Args().Get(0)),
 		Kind:       model.KindID(command.Args().Get(1)),
-		DataCentre: model.DataCentreID(command.String("at-data-centre")),
-		Region:     model.RegionID(command.String("at-region")),
+		DataCentre: model.DataCentreID(command.String("data-centre")),
+		Region:     model.RegionID(command.String("region")),
 	}
 	origins, known := from.document.Explain(at)
 	if !known {
