Don't call a point lost that is newer than the timeline

Cause: the view may know a newer term, by news of an owner, than the timeline that it has; a point of that term then counted as lost. Change: such a point is ahead; the endpoint, whose timeline is its own, decides. Conclusion: a stale view costs a retry and no false report of a lost write.

--- a/internal/model/point_test.go
+++ b/internal/model/point_test.go
@@ -23,6 +23,7 @@
 		"of a term without a place": {timeline: timeline, reached: Point{Term: 6, Position: 120}, want: Point{Term: 4, Position: 90}, relation: Lost},
 		"before the first start":    {timeline: timeline, reached: Point{Term: 6, Position: 120}, want: Point{Term: 1, Position: 40}, relation: Covered},
 		"first term, lost":          {timeline: timeline, reached: Point{Term: 6, Position: 120}, want: Point{Term: 1, Position: 41}, relation: Lost},
+		"newer than the timeline":   {timeline: timeline, reached: Point{Term: 8, Position: 120}, want: Point{Term: 8, Position: 110}, relation: Ahead},
 		"no timeline":               {reached: Point{Term: 1, Position: 5}, want: Point{Term: 1, Position: 5}, relation: Covered},
 	}
 	for name, test := range tests {
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -126,6 +126,10 @@
 		"write after refusal": {want: Want{Access: model.Write, Tried: Set(0).With(0)}, reason: None},
 		"older term, kept":    {want: read(2, 75), choice: "near", reason: Current},
 		"older term, lost":    {want: read(2, 85), reason: Lost},
+		"term newer than the timeline": {
+			db:   seats(func(db *view.Database) { db.Term = 4 }),
+			want: with(read(4, 100), func(w *Want) { w.Written = start.Add(-time.Second) }), choice: "near", reason: Catching, wait: slack,
+		},
 		"replica without the fork": {
 			db:   seats(func(db *view.Database) { db.Instances[1].State.Point = model.Point{Term: 2, Position: 90} }),
 			want: read(3, 81), choice: "near", reason: Catching, wait: 20 * time.Millisecond,
