Let the fleet's machine spread configurations

Cause: hosts took a newer configuration from peers only, and a host without one could not be told from one with the built-in. Change: the control machine hands rows, heartbeats and accepted changes to spread.Machine; one poll reads owners and the configuration; a new version is told to the neighbours at once; a host without a configuration has an empty policy. Before: no spread through the store.

--- a/internal/config/encode.go
+++ b/internal/config/encode.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"io"
 	"strings"
+
+	"redwingspread/internal/model"
 )
 
 // MaxText is the largest encoded document in bytes.
@@ -46,3 +48,12 @@
 	}
 	return d, nil
 }
+
+// Parse decodes, checks and compiles a document's text.
+func Parse(version model.Version, text string) (*Policy, error) {
+	document, err := Decode(text)
+	if err != nil {
+		return nil, err
+	}
+	return Compile(version, document)
+}
--- a/internal/config/policy.go
+++ b/internal/config/policy.go
@@ -67,8 +67,16 @@
 	return policy, nil
 }
 
+// Ready reports whether there is a configuration; a host without one serves nothing.
+func (p *Policy) Ready() bool {
+	return p != nil && p.kinds != nil
+}
+
 // Lookup returns the settings in force for the scope, and whether its kind of work is known.
 func (p *Policy) Lookup(scope Scope) (Effective, bool) {
+	if p == nil {
+		return Effective{}, false
+	}
 	kind, found := p.kinds[scope.Kind]
 	if !found {
 		return Effective{}, false
--- a/internal/event/events_gen.go
+++ b/internal/event/events_gen.go
@@ -103,12 +103,10 @@
 }
 
 // ConfigurationFetchFailed logs event 4005: a newer configuration could not be fetched.
-func ConfigurationFetchFailed(logger log.Interface, version model.Version, source string, error error) {
+func ConfigurationFetchFailed(logger log.Interface, error error) {
 	logger.WithFields(log.Fields{
-		"event":   NumberConfigurationFetchFailed,
-		"version": version,
-		"source":  source,
-		"error":   text(error),
+		"event": NumberConfigurationFetchFailed,
+		"error": text(error),
 	}).Warn("a newer configuration could not be fetched")
 }
 
--- a/internal/fleet/action.go
+++ b/internal/fleet/action.go
@@ -1,6 +1,9 @@
 package fleet
 
-import "redwingspread/internal/model"
+import (
+	"redwingspread/internal/model"
+	"redwingspread/internal/spread"
+)
 
 // Action is what the control machine asks its runner to do.
 type Action interface{ action() }
@@ -26,8 +29,14 @@
 	Beat   Heartbeat
 }
 
-// FetchConfiguration asks a peer for its newer configuration.
-type FetchConfiguration struct{ Host model.Host }
+// FetchConfiguration asks the store, or a peer, for a newer configuration.
+type FetchConfiguration struct {
+	Fetch spread.Action
+	Host  model.Host // the peer, when the fetch names one
+}
+
+// ReportConfiguration logs what became of a configuration.
+type ReportConfiguration struct{ Outcome spread.Outcome }
 
 // Call names one action on an instance.
 type Call string
@@ -50,10 +59,11 @@
 	Primary  model.Instance // set with CallFollow
 }
 
-func (ReadRows) action()           {}
-func (CommitRow) action()          {}
-func (ReadMembers) action()        {}
-func (SendHeartbeat) action()      {}
-func (AnswerHeartbeat) action()    {}
-func (FetchConfiguration) action() {}
-func (InstanceAction) action()     {}
+func (ReadRows) action()            {}
+func (CommitRow) action()           {}
+func (ReadMembers) action()         {}
+func (SendHeartbeat) action()       {}
+func (AnswerHeartbeat) action()     {}
+func (FetchConfiguration) action()  {}
+func (ReportConfiguration) action() {}
+func (InstanceAction) action()      {}
--- a/internal/fleet/beat.go
+++ b/internal/fleet/beat.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"redwingspread/internal/model"
+	"redwingspread/internal/spread"
 )
 
 // beats sends the heartbeats that are due.
@@ -26,7 +27,7 @@
 		From:          m.Self.ID,
 		Incarnation:   m.Incarnation,
 		Sequence:      m.members.NextSequence(),
-		Configuration: m.Policy.Version,
+		Configuration: m.policy().Version,
 		Leaving:       m.members.IsLeaving(),
 		Members:       m.members.TakeNews(),
 		Owners:        m.owners.Take(),
@@ -75,16 +76,7 @@
 		m.dirty = true
 		actions = append(actions, m.tick(now)...)
 	}
-	return append(actions, m.fetch(beat)...)
-}
-
-// fetch asks the sender for its configuration when it is newer.
-func (m *Machine) fetch(beat Heartbeat) []Action {
-	if beat.Configuration <= m.Policy.Version || m.fetching {
-		return nil
-	}
-	m.fetching = true
-	return []Action{FetchConfiguration{Host: m.members.Host(beat.From)}}
+	return append(actions, m.configure(now, spread.PeerSeen{Host: beat.From, Version: beat.Configuration})...)
 }
 
 // reached takes a question about an instance, or the answer to one.
--- /dev/null
+++ b/internal/fleet/configuration.go
@@ -0,0 +1,61 @@
+package fleet
+
+import (
+	"time"
+
+	"redwingspread/internal/config"
+	"redwingspread/internal/spread"
+	"redwingspread/internal/view"
+)
+
+// noPolicy is the policy of a host that is not ready; it knows no kind of work.
+var noPolicy = &config.Policy{}
+
+// policy returns the configuration in force, or one without any kind of work.
+func (m *Machine) policy() *config.Policy {
+	if inForce := m.spread.InForce(); inForce != nil {
+		return inForce
+	}
+	return noPolicy
+}
+
+// headRead takes a read of the configuration's row; only the first read, which is of the whole table, tells that there is none.
+func (m *Machine) headRead(now time.Time, head *spread.Head) []Action {
+	if head == nil && m.loaded {
+		return nil
+	}
+	return m.configure(now, spread.RowSeen{Head: head})
+}
+
+// configure hands one event to the machine of configurations; a newly accepted one is told to the neighbours at once.
+func (m *Machine) configure(now time.Time, event spread.Event) []Action {
+	m.forgetPeers(now)
+	outcome := m.spread.Handle(now, event)
+	var actions []Action
+	if outcome.Fetch != nil {
+		actions = append(actions, FetchConfiguration{Fetch: *outcome.Fetch, Host: m.members.Host(outcome.Fetch.Peer)})
+	}
+	if outcome.Policy != nil || outcome.Stale != nil || outcome.Failed != nil {
+		actions = append(actions, ReportConfiguration{Outcome: outcome})
+	}
+	if outcome.Policy != nil {
+		m.dirty = true
+		m.members.Hurry()
+		actions = append(actions, m.beats(now)...)
+	}
+	return actions
+}
+
+// forgetPeers takes dead hosts out of the choice of a configuration when the set of live hosts changed.
+func (m *Machine) forgetPeers(now time.Time) {
+	if m.spreadEpoch == m.members.Epoch() {
+		return
+	}
+	m.spreadEpoch = m.members.Epoch()
+	hosts := m.members.Hosts()
+	for _, id := range m.spread.Peers() {
+		if known, listed := hosts[id]; !listed || known.State == view.Dead {
+			m.spread.Handle(now, spread.PeerGone{Host: id})
+		}
+	}
+}
--- /dev/null
+++ b/internal/fleet/configuration_test.go
@@ -0,0 +1,219 @@
+package fleet
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"redwingspread/internal/config"
+	"redwingspread/internal/model"
+	"redwingspread/internal/spread"
+)
+
+// inForceTarget is the time in which an accepted configuration must be in force everywhere.
+const inForceTarget = 2 * time.Second
+
+// from names the machine that a fetch goes to.
+func (f FetchConfiguration) from() string {
+	if f.Fetch.Head != nil {
+		return "store"
+	}
+	return string(f.Host.ID)
+}
+
+// configuration answers a fetch.
+func (w *world) configuration(action FetchConfiguration) Event {
+	fetched := ConfigurationFetched{Action: action.Fetch, Err: errLost}
+	if action.Fetch.Head != nil {
+		if !w.store.down && !w.store.objectsDown {
+			fetched.Policy, fetched.Err = &config.Policy{Version: action.Fetch.Head.Version}, nil
+		}
+		return fetched
+	}
+	peer := w.hosts[action.Host.ID]
+	if action.Host.DataCentre == "" {
+		return fetched // the list did not tell where the host is
+	}
+	if policy := peer.machine.spread.InForce(); policy != nil && !peer.down {
+		fetched.Policy, fetched.Err = policy, nil
+	}
+	return fetched
+}
+
+// commit writes the next version of the configuration's row.
+func (w *world) commit() model.Version {
+	next := model.Version(1)
+	if w.store.head != nil {
+		next = w.store.head.Version + 1
+	}
+	w.store.revision++
+	w.store.headChanged = w.store.revision
+	w.store.head = &spread.Head{Version: next}
+	return next
+}
+
+// accept commits the next version as an operator's change at the host.
+func (w *world) accept(host model.HostID) model.Version {
+	version := w.commit()
+	h := w.hosts[host]
+	w.deliver(h, h.machine, PolicyAccepted{Policy: &config.Policy{Version: version}})
+	return version
+}
+
+// version returns the version in force on a host, and whether there is one.
+func (w *world) version(host model.HostID) (model.Version, bool) {
+	policy := w.hosts[host].machine.spread.InForce()
+	if policy == nil {
+		return 0, false
+	}
+	return policy.Version, true
+}
+
+// everywhere waits until every running host has the version and returns how long each took.
+func (w *world) everywhere(version model.Version, limit time.Duration) []time.Duration {
+	start := w.now
+	seen := map[model.HostID]bool{}
+	var delays []time.Duration
+	for w.now.Sub(start) < limit {
+		for id, h := range w.hosts {
+			got, ready := w.version(id)
+			if !seen[id] && !h.down && ready && got >= version {
+				seen[id] = true
+				delays = append(delays, w.now.Sub(start))
+			}
+		}
+		w.run(time.Millisecond)
+	}
+	slices.Sort(delays)
+	return delays
+}
+
+func TestConfigurationInForce(t *testing.T) {
+	tests := map[string]struct {
+		hosts int
+		cause func(w *world)
+	}{
+		"4 hosts":                         {hosts: 4},
+		"16 hosts":                        {hosts: 16},
+		"4 hosts, store down":             {hosts: 4, cause: func(w *world) { w.store.down = true }},
+		"16 hosts, store down":            {hosts: 16, cause: func(w *world) { w.store.down = true }},
+		"16 hosts, object store down":     {hosts: 16, cause: func(w *world) { w.store.objectsDown = true }},
+		"4 hosts, accepting host is lost": {hosts: 4, cause: func(w *world) { w.isolate("h0") }},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var all []time.Duration
+			for seed := range uint64(10) {
+				w := newWorld(test.hosts, 1)
+				random := rand.New(rand.NewPCG(seed, 7))
+				w.delay = func() time.Duration {
+					return time.Millisecond + time.Duration(random.Int64N(int64(10*time.Millisecond)))
+				}
+				w.run(settled + time.Duration(random.Int64N(int64(time.Second))))
+				version := w.accept("h0")
+				if test.cause != nil {
+					test.cause(w)
+				}
+				delays := w.everywhere(version, inForceTarget)
+				if len(delays) != test.hosts {
+					t.Fatalf("seed %d: got version %d on %d hosts after %v, want %d", seed, version, len(delays), inForceTarget, test.hosts)
+				}
+				all = append(all, delays...)
+			}
+			slices.Sort(all)
+			t.Logf("trial in virtual time: median %v, worst %v", all[len(all)/2], all[len(all)-1])
+		})
+	}
+}
+
+func TestConfigurationAtStart(t *testing.T) {
+	tests := map[string]struct {
+		cause func(w *world)
+		want  string // version in force on the host that starts
+	}{
+		"store is up":                       {func(*world) {}, "3 true"},
+		"table down, peers know":            {func(w *world) { w.store.down, w.store.listUp = true, true }, "3 true"},
+		"table and list down":               {func(w *world) { w.store.down = true }, "0 false"},
+		"objects down, peers know":          {func(w *world) { w.store.objectsDown = true }, "3 true"},
+		"objects down, no peer":             {func(w *world) { w.store.objectsDown = true; w.isolateHosts() }, "0 false"},
+		"store is down, no peer":            {func(w *world) { w.store.down = true; w.isolateHosts() }, "0 false"},
+		"store is back":                     {func(w *world) { w.store.down = true; w.isolateHosts(); w.run(time.Second); w.store.down = false }, "3 true"},
+		"another change at the same moment": {func(w *world) { w.accept("h1") }, "4 true"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(4, 1)
+			w.run(settled)
+			for range 3 {
+				w.accept("h0")
+			}
+			w.run(settled)
+			w.boot("h3")
+			test.cause(w)
+			w.run(settled)
+			version, ready := w.version("h3")
+			if got := fmt.Sprint(version, ready); got != test.want {
+				t.Errorf("got %s, want %s", got, test.want)
+			}
+		})
+	}
+}
+
+// isolateHosts cuts the hosts off from each other, but not from the store.
+func (w *world) isolateHosts() {
+	for from := range w.hosts {
+		for to := range w.hosts {
+			w.cut[[2]string{string(from), string(to)}] = true
+		}
+	}
+}
+
+func TestConfigurationNeverReverts(t *testing.T) {
+	for seed := range uint64(10) {
+		random := rand.New(rand.NewPCG(seed, 3))
+		w := newWorld(4, 1)
+		highest := map[*Machine]model.Version{}
+		for range 60 {
+			w.disturb(random)
+			w.run(time.Duration(random.Int64N(int64(300 * time.Millisecond))))
+			for id, h := range w.hosts {
+				version, _ := w.version(id)
+				if version < highest[h.machine] {
+					t.Fatalf("seed %d: got version %d on %s after %d", seed, version, id, highest[h.machine])
+				}
+				highest[h.machine] = version
+			}
+		}
+		w.heal()
+		w.store.down, w.store.objectsDown = false, false
+		w.run(2 * settled)
+		for id := range w.hosts {
+			if version, ready := w.version(id); !ready || w.store.head != nil && version != w.store.head.Version {
+				t.Errorf("seed %d: got version %d (%v) on %s in the end, want the newest", seed, version, ready, id)
+			}
+		}
+	}
+}
+
+// disturb causes one random fault or change.
+func (w *world) disturb(random *rand.Rand) {
+	host := model.HostID(fmt.Sprintf("h%d", random.IntN(4)))
+	switch random.IntN(7) {
+	case 0, 1:
+		if !w.store.down {
+			w.accept(host)
+		}
+	case 2:
+		w.boot(host)
+	case 3:
+		w.isolate(string(host))
+	case 4:
+		w.heal()
+	case 5:
+		w.store.down = !w.store.down
+	case 6:
+		w.store.objectsDown = !w.store.objectsDown
+	}
+}
--- a/internal/fleet/event.go
+++ b/internal/fleet/event.go
@@ -3,6 +3,7 @@
 import (
 	"redwingspread/internal/config"
 	"redwingspread/internal/model"
+	"redwingspread/internal/spread"
 )
 
 // Event is what the control machine is told.
@@ -39,6 +40,9 @@
 	Document string
 }
 
+// ConfigurationFetched is the result of FetchConfiguration.
+type ConfigurationFetched spread.Fetched
+
 // Stop begins the graceful stop: every database is handed over.
 type Stop struct{}
 
@@ -48,6 +52,7 @@
 // RowsRead is the result of ReadRows.
 type RowsRead struct {
 	Rows     []model.Ownership
+	Head     *spread.Head // the configuration's row, when it changed
 	Revision model.Revision
 	Err      error
 }
@@ -84,16 +89,17 @@
 	Err      error
 }
 
-func (Tick) event()           {}
-func (Observed) event()       {}
-func (Failed) event()         {}
-func (HeartbeatIn) event()    {}
-func (Redirected) event()     {}
-func (PolicyAccepted) event() {}
-func (Stop) event()           {}
-func (Ended) event()          {}
-func (RowsRead) event()       {}
-func (RowCommitted) event()   {}
-func (MembersRead) event()    {}
-func (HeartbeatSent) event()  {}
-func (InstanceResult) event() {}
+func (Tick) event()                 {}
+func (ConfigurationFetched) event() {}
+func (Observed) event()             {}
+func (Failed) event()               {}
+func (HeartbeatIn) event()          {}
+func (Redirected) event()           {}
+func (PolicyAccepted) event()       {}
+func (Stop) event()                 {}
+func (Ended) event()                {}
+func (RowsRead) event()             {}
+func (RowCommitted) event()         {}
+func (MembersRead) event()          {}
+func (HeartbeatSent) event()        {}
+func (InstanceResult) event()       {}
--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -7,6 +7,7 @@
 	"redwingspread/internal/config"
 	"redwingspread/internal/member"
 	"redwingspread/internal/model"
+	"redwingspread/internal/spread"
 	"redwingspread/internal/view"
 )
 
@@ -18,11 +19,12 @@
 	Incarnation model.Incarnation
 	// Timing holds the times.
 	Timing Timing
-	// Policy is the first configuration in force.
+	// Policy is the first configuration in force; nil for a host that asks the platform and its peers first.
 	Policy *config.Policy
 	// NewNonce returns a fresh mark for an attempt to change a row.
 	NewNonce func() model.Nonce
 
+	spread    *spread.Machine
 	members   *member.Table
 	databases map[model.DatabaseID]*database
 	order     []model.DatabaseID
@@ -30,13 +32,14 @@
 	reach     member.Spread[model.InstanceID, InstanceNews]
 	instances map[model.InstanceID]*database
 
+	spreadEpoch int // epoch of the members when dead peers were last forgotten
+
 	started   time.Time
 	rows      poll
 	list      poll
 	revision  model.Revision
 	loaded    bool // the table has been read
 	listed    bool // the platform's list has been read
-	fetching  bool
 	stopping  bool
 	nextMove  time.Time // no move for balance before then
 	dirty     bool
@@ -82,7 +85,7 @@
 func New() *Machine {
 	return &Machine{
 		Timing:    DefaultTiming(),
-		Policy:    &config.Policy{},
+		spread:    spread.New(),
 		members:   member.New(),
 		databases: make(map[model.DatabaseID]*database),
 		instances: make(map[model.InstanceID]*database),
@@ -111,7 +114,9 @@
 	case Redirected:
 		m.hint(OwnerNews{Database: event.Database, Owner: event.Owner, Term: event.Term})
 	case PolicyAccepted:
-		m.accept(event.Policy)
+		return m.configure(now, spread.Accepted{Policy: event.Policy})
+	case ConfigurationFetched:
+		return m.configure(now, spread.Fetched(event))
 	case Stop:
 		m.stopping = true
 		m.dirty = true
@@ -135,6 +140,7 @@
 	m.members.Self = m.Self
 	m.members.Incarnation = m.Incarnation
 	m.members.Timing = m.Timing.Member
+	m.spread.Handle(now, spread.Accepted{Policy: m.Policy})
 }
 
 // tick does everything whose time has come.
@@ -155,18 +161,10 @@
 		known.fresh = false
 		actions = append(actions, m.reconcile(now, known)...)
 	}
+	actions = append(actions, m.configure(now, spread.Ticked{})...)
 	return append(actions, m.beats(now)...)
 }
 
-// accept puts a newer configuration in force; an older one never replaces it.
-func (m *Machine) accept(policy *config.Policy) {
-	m.fetching = false
-	if policy != nil && policy.Version > m.Policy.Version {
-		m.Policy = policy
-		m.dirty = true
-	}
-}
-
 // database returns the database with the id, which it adds when new.
 func (m *Machine) database(id model.DatabaseID) *database {
 	known := m.databases[id]
@@ -186,12 +184,12 @@
 	if event.Err != nil {
 		return nil
 	}
+	actions := m.headRead(now, event.Head)
 	m.loaded = true
 	m.revision = max(m.revision, event.Revision)
 	for _, row := range event.Rows {
 		m.learn(now, row)
 	}
-	var actions []Action
 	for _, id := range m.order {
 		if known := m.databases[id]; known.doubt {
 			known.doubt = m.rows.next.IsZero()
--- a/internal/fleet/runner.go
+++ b/internal/fleet/runner.go
@@ -4,17 +4,24 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"strings"
 	"time"
 
-	"redwingspread/internal/config"
+	"github.com/apex/log"
+
 	"redwingspread/internal/endpoint"
+	"redwingspread/internal/event"
 	"redwingspread/internal/model"
 	"redwingspread/internal/platform"
+	"redwingspread/internal/spread"
 )
 
 // RowPrefix is the common start of the keys of ownership rows.
 const RowPrefix model.RowKey = "owner/"
 
+// allRows is the prefix of every row of the table, so that one poll reads what changed of owners and of the configuration.
+const allRows model.RowKey = ""
+
 // Peers calls other hosts.
 type Peers interface {
 	// Heartbeat sends a heartbeat and returns the other host's own.
@@ -31,8 +38,8 @@
 	Instance func(model.Instance) endpoint.Instance
 	// Peers calls other hosts.
 	Peers Peers
-	// Parse checks a configuration and makes its policy.
-	Parse func(version model.Version, document string) (*config.Policy, error)
+	// Log takes the events.
+	Log log.Interface
 	// Limit is the time that one call of a peer or an instance may take.
 	Limit time.Duration
 	// StoreLimit is the time that one call of the platform may take.
@@ -41,7 +48,7 @@
 
 // NewRunner returns a runner with the daemon's limits.
 func NewRunner() *Runner {
-	return &Runner{Limit: 150 * time.Millisecond, StoreLimit: time.Second}
+	return &Runner{Log: log.Log, Limit: 150 * time.Millisecond, StoreLimit: time.Second}
 }
 
 // Do performs one action and returns its result.
@@ -57,6 +64,8 @@
 		return r.sendHeartbeat(ctx, action)
 	case AnswerHeartbeat:
 		action.Answer(action.Beat)
+	case ReportConfiguration:
+		r.reportConfiguration(action.Outcome)
 	case FetchConfiguration:
 		return r.fetchConfiguration(ctx, action)
 	case InstanceAction:
@@ -65,25 +74,38 @@
 	return Ended{}
 }
 
-// readRows reads the changed rows.
+// readRows reads the changed rows: those of owners and the one of the configuration.
 func (r *Runner) readRows(ctx context.Context, action ReadRows) Event {
 	ctx, cancel := context.WithTimeout(ctx, r.StoreLimit)
 	defer cancel()
-	rows, revision, err := r.Store.Rows(ctx, RowPrefix, action.After)
+	rows, revision, err := r.Store.Rows(ctx, allRows, action.After)
 	if err != nil {
 		return RowsRead{Err: err}
 	}
 	result := RowsRead{Revision: revision}
 	for _, row := range rows {
-		ownership, err := decodeRow(row)
-		if err != nil {
+		if err := result.add(row); err != nil {
 			return RowsRead{Err: err}
 		}
-		result.Rows = append(result.Rows, ownership)
 	}
 	return result
 }
 
+// add takes one row of the table.
+func (r *RowsRead) add(row platform.Row) error {
+	if row.Key == spread.RowKey {
+		head, err := spread.ParseRow(row.Value)
+		r.Head = &head
+		return err
+	}
+	if !strings.HasPrefix(string(row.Key), string(RowPrefix)) {
+		return nil
+	}
+	ownership, err := decodeRow(row)
+	r.Rows = append(r.Rows, ownership)
+	return err
+}
+
 // commitRow writes one row by compare-and-set.
 func (r *Runner) commitRow(ctx context.Context, action CommitRow) Event {
 	ctx, cancel := context.WithTimeout(ctx, r.StoreLimit)
@@ -126,19 +148,28 @@
 	return HeartbeatSent{Host: action.Host.ID, Beat: beat, Err: err}
 }
 
-// fetchConfiguration gets a peer's configuration and checks it.
+// fetchConfiguration gets a configuration from the store or from a peer and checks it.
 func (r *Runner) fetchConfiguration(ctx context.Context, action FetchConfiguration) Event {
-	ctx, cancel := context.WithTimeout(ctx, r.StoreLimit)
-	defer cancel()
-	version, document, err := r.Peers.Configuration(ctx, action.Host)
-	if err != nil || r.Parse == nil {
-		return PolicyAccepted{}
+	runner := spread.Runner{
+		Ledger: &spread.Ledger{Store: r.Store},
+		Peer: func(ctx context.Context, _ model.HostID) (model.Version, string, error) {
+			return r.Peers.Configuration(ctx, action.Host)
+		},
 	}
-	policy, err := r.Parse(version, document)
-	if err != nil {
-		return PolicyAccepted{}
+	return ConfigurationFetched(runner.Do(ctx, action.Fetch))
+}
+
+// reportConfiguration logs what became of a configuration.
+func (r *Runner) reportConfiguration(outcome spread.Outcome) {
+	if outcome.Policy != nil {
+		event.ConfigurationInForce(r.Log, outcome.Policy.Version, outcome.Source)
+	}
+	if outcome.Failed != nil {
+		event.ConfigurationFetchFailed(r.Log, outcome.Failed)
+	}
+	if outcome.Stale != nil {
+		event.ConfigurationOlder(r.Log, outcome.Stale.Stored, outcome.Stale.InForce)
 	}
-	return PolicyAccepted{Policy: policy, Document: document}
 }
 
 // callInstance makes one call of an instance.
--- a/internal/fleet/snapshot.go
+++ b/internal/fleet/snapshot.go
@@ -15,7 +15,7 @@
 		Self:      m.Self.ID,
 		Hosts:     m.members.Hosts(),
 		Databases: make(map[model.DatabaseID]*view.Database, len(m.databases)),
-		Policy:    m.Policy,
+		Policy:    m.policy(),
 		Stopping:  m.stopping,
 	}
 	for id, known := range m.databases {
--- a/internal/fleet/world_test.go
+++ b/internal/fleet/world_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"redwingspread/internal/model"
+	"redwingspread/internal/spread"
 	"redwingspread/internal/view"
 )
 
@@ -58,6 +59,11 @@
 	lose     int // answers of writes still to be lost
 	writes   int
 	reads    int
+
+	head        *spread.Head // the configuration's row
+	headChanged model.Revision
+	objectsDown bool
+	listUp      bool // the list of members answers although the table is down
 }
 
 // hop is the time of one message, unless the world has another.
@@ -267,6 +273,9 @@
 		w.beat(h, machine, action)
 	case AnswerHeartbeat:
 		action.Answer(action.Beat)
+	case FetchConfiguration:
+		lost := ConfigurationFetched{Action: action.Fetch, Err: errLost}
+		call(action.from(), lost, func() Event { return w.configuration(action) })
 	case InstanceAction:
 		lost := w.resultOf(action)
 		lost.Err = errLost
@@ -309,7 +318,7 @@
 
 // members is the platform's list.
 func (w *world) members() Event {
-	if w.store.down {
+	if w.store.down && !w.store.listUp {
 		return MembersRead{Err: errLost}
 	}
 	var read MembersRead
@@ -336,6 +345,9 @@
 			read.Rows = append(read.Rows, row)
 		}
 	}
+	if s.headChanged > action.After {
+		read.Head = s.head
+	}
 	slices.SortFunc(read.Rows, func(a, b model.Ownership) int { return cmp.Compare(a.Database, b.Database) })
 	return read
 }
--- a/internal/operator/configuration.go
+++ b/internal/operator/configuration.go
@@ -21,7 +21,7 @@
 // GetConfiguration returns the configuration in force on this host.
 func (s *Server) GetConfiguration(context.Context) (*operatorapi.Configuration, error) {
 	policy := s.View().Policy
-	if policy == nil {
+	if !policy.Ready() {
 		return nil, model.Refuse(model.CodeUnavailable, "no configuration is in force on this host yet")
 	}
 	document, err := Message(policy.Document)
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -21,7 +21,7 @@
 	v := s.View()
 	made := &operatorapi.Status{
 		Host:      string(v.Self),
-		Ready:     v.Policy != nil && !v.Stopping,
+		Ready:     v.Policy.Ready() && !v.Stopping,
 		Hosts:     []operatorapi.HostStatus{},
 		Databases: []operatorapi.DatabaseStatus{},
 		Queues:    []operatorapi.QueueStatus{},
--- a/internal/spread/machine.go
+++ b/internal/spread/machine.go
@@ -1,6 +1,7 @@
 package spread
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -56,6 +57,8 @@
 type Outcome struct {
 	Fetch  *Action        // to be run; its end is reported as Fetched
 	Policy *config.Policy // newly in force, or nil
+	Source string         // where the policy came from
+	Failed error          // why a fetch brought nothing
 	Stale  *Stale         // the store has an older version than the one in force
 }
 
@@ -81,6 +84,11 @@
 	return &Machine{peers: map[model.HostID]model.Version{}}
 }
 
+// Peers returns the hosts whose versions count.
+func (m *Machine) Peers() []model.HostID {
+	return slices.Sorted(maps.Keys(m.peers))
+}
+
 // InForce returns the configuration in force, or nil for a host that is not ready.
 func (m *Machine) InForce() *config.Policy {
 	return m.inForce
@@ -98,7 +106,7 @@
 	case Fetched:
 		m.endFetch(now, e, &outcome)
 	case Accepted:
-		m.force(e.Policy, &outcome)
+		m.force(e.Policy, "operator", &outcome)
 	case Ticked:
 	}
 	m.fetch(now, &outcome)
@@ -109,7 +117,7 @@
 func (m *Machine) seeRow(head *Head, outcome *Outcome) {
 	if head == nil {
 		if m.inForce == nil && m.newest() == 0 {
-			m.force(builtIn(), outcome)
+			m.force(builtIn(), "built in", outcome)
 		}
 		head = &Head{}
 	}
@@ -127,6 +135,7 @@
 func (m *Machine) endFetch(now time.Time, e Fetched, outcome *Outcome) {
 	m.fetching = false
 	if e.Err != nil || e.Policy == nil || !m.newer(e.Policy.Version) {
+		outcome.Failed = e.Err
 		m.failures++
 		m.nextTry = now.Add(retryAfter)
 		return
@@ -136,16 +145,17 @@
 	if m.inForce == nil && e.Policy.Version < m.newest() {
 		return // a host that starts serves the newest that it knows of, or nothing
 	}
-	m.force(e.Policy, outcome)
+	m.force(e.Policy, e.Action.Source(), outcome)
 }
 
 // force puts a configuration into force unless it is not newer.
-func (m *Machine) force(policy *config.Policy, outcome *Outcome) {
+func (m *Machine) force(policy *config.Policy, source string, outcome *Outcome) {
 	if policy == nil || !m.newer(policy.Version) {
 		return
 	}
 	m.inForce = policy
 	outcome.Policy = policy
+	outcome.Source = source
 }
 
 // newer reports whether a version is newer than the one in force.
--- a/internal/spread/runner.go
+++ b/internal/spread/runner.go
@@ -12,15 +12,12 @@
 // fetchTimeout is the time that one fetch may take.
 const fetchTimeout = 2 * time.Second
 
-// Peers asks other hosts for the newest configuration that they know.
-type Peers interface {
-	Configuration(ctx context.Context, host model.HostID) (version model.Version, document string, err error)
-}
-
 // Runner runs the machine's actions.
 type Runner struct {
+	// Ledger reads the accepted configurations from the platform.
 	Ledger *Ledger
-	Peers  Peers
+	// Peer asks another host for the newest configuration that it knows.
+	Peer func(ctx context.Context, host model.HostID) (version model.Version, document string, err error)
 }
 
 // Do fetches and checks one configuration.
@@ -35,17 +32,17 @@
 func (r *Runner) fetch(ctx context.Context, action Action) (policy *config.Policy, err error) {
 	defer annotate(&err, "fetch configuration from "+action.Source())
 	if action.Head == nil {
-		version, text, err := r.Peers.Configuration(ctx, action.Peer)
+		version, text, err := r.Peer(ctx, action.Peer)
 		if err != nil {
 			return nil, err
 		}
-		return compile(version, text)
+		return config.Parse(version, text)
 	}
 	entry, err := r.Ledger.Load(ctx, *action.Head)
 	if err != nil {
 		return nil, err
 	}
-	return compile(action.Head.Version, entry.Text)
+	return config.Parse(action.Head.Version, entry.Text)
 }
 
 // Source names where the action fetches from.
@@ -55,12 +52,3 @@
 	}
 	return fmt.Sprintf("host %s", a.Peer)
 }
-
-// compile decodes and compiles a document's text.
-func compile(version model.Version, text string) (*config.Policy, error) {
-	document, err := config.Decode(text)
-	if err != nil {
-		return nil, err
-	}
-	return config.Compile(version, document)
-}
