--- a/internal/event/events_gen.go
+++ b/internal/event/events_gen.go
@@ -14,6 +14,18 @@
 	NumberStopping                 Number = 1002
 	NumberStopped                  Number = 1003
 	NumberFailed                   Number = 1004
+	NumberHostStateChanged         Number = 2001
+	NumberDatabaseClaimed          Number = 2002
+	NumberDatabaseServing          Number = 2003
+	NumberDatabaseReplaced         Number = 2004
+	NumberPrimarySilent            Number = 2005
+	NumberSwitchoverBegun          Number = 2006
+	NumberSwitchoverMissed         Number = 2007
+	NumberGroupChanged             Number = 2008
+	NumberRowUnreadable            Number = 2009
+	NumberStoreUnreachable         Number = 2010
+	NumberStoreReachable           Number = 2011
+	NumberFleetLearnt              Number = 2012
 	NumberConfigurationAccepted    Number = 4001
 	NumberConfigurationInForce     Number = 4002
 	NumberConfigurationConflict    Number = 4003
@@ -65,6 +77,120 @@
 	}).Error("process failed")
 }
 
+// HostStateChanged logs event 2001: a host's state changed.
+func HostStateChanged(logger log.Interface, host model.HostID, state string) {
+	logger.WithFields(log.Fields{
+		"event": NumberHostStateChanged,
+		"host":  host,
+		"state": state,
+	}).Info("a host's state changed")
+}
+
+// DatabaseClaimed logs event 2002: this host claims a database.
+func DatabaseClaimed(logger log.Interface, database model.DatabaseID, term model.Term, primary model.InstanceID, reason string) {
+	logger.WithFields(log.Fields{
+		"event":    NumberDatabaseClaimed,
+		"database": database,
+		"term":     term,
+		"primary":  primary,
+		"reason":   reason,
+	}).Info("this host claims a database")
+}
+
+// DatabaseServing logs event 2003: this host serves a database.
+func DatabaseServing(logger log.Interface, database model.DatabaseID, term model.Term, primary model.InstanceID) {
+	logger.WithFields(log.Fields{
+		"event":    NumberDatabaseServing,
+		"database": database,
+		"term":     term,
+		"primary":  primary,
+	}).Info("this host serves a database")
+}
+
+// DatabaseReplaced logs event 2004: another host has taken a database over.
+func DatabaseReplaced(logger log.Interface, database model.DatabaseID, term model.Term, owner model.HostID) {
+	logger.WithFields(log.Fields{
+		"event":    NumberDatabaseReplaced,
+		"database": database,
+		"term":     term,
+		"owner":    owner,
+	}).Info("another host has taken a database over")
+}
+
+// PrimarySilent logs event 2005: a primary does not answer this host.
+func PrimarySilent(logger log.Interface, database model.DatabaseID, term model.Term, instance model.InstanceID) {
+	logger.WithFields(log.Fields{
+		"event":    NumberPrimarySilent,
+		"database": database,
+		"term":     term,
+		"instance": instance,
+	}).Warn("a primary does not answer this host")
+}
+
+// SwitchoverBegun logs event 2006: a planned switchover has begun.
+func SwitchoverBegun(logger log.Interface, database model.DatabaseID, term model.Term, from model.InstanceID, to model.InstanceID) {
+	logger.WithFields(log.Fields{
+		"event":    NumberSwitchoverBegun,
+		"database": database,
+		"term":     term,
+		"from":     from,
+		"to":       to,
+	}).Info("a planned switchover has begun")
+}
+
+// SwitchoverMissed logs event 2007: a planned switchover kept its primary and is tried again.
+func SwitchoverMissed(logger log.Interface, database model.DatabaseID, term model.Term, primary model.InstanceID) {
+	logger.WithFields(log.Fields{
+		"event":    NumberSwitchoverMissed,
+		"database": database,
+		"term":     term,
+		"primary":  primary,
+	}).Warn("a planned switchover kept its primary and is tried again")
+}
+
+// GroupChanged logs event 2008: an instance joins or leaves a database's group.
+func GroupChanged(logger log.Interface, database model.DatabaseID, term model.Term, instance model.InstanceID, change string) {
+	logger.WithFields(log.Fields{
+		"event":    NumberGroupChanged,
+		"database": database,
+		"term":     term,
+		"instance": instance,
+		"change":   change,
+	}).Info("an instance joins or leaves a database's group")
+}
+
+// RowUnreadable logs event 2009: a row of the table service can't be read.
+func RowUnreadable(logger log.Interface, key model.RowKey, error error) {
+	logger.WithFields(log.Fields{
+		"event": NumberRowUnreadable,
+		"key":   key,
+		"error": text(error),
+	}).Error("a row of the table service can't be read")
+}
+
+// StoreUnreachable logs event 2010: the platform's table service does not answer.
+func StoreUnreachable(logger log.Interface, error error) {
+	logger.WithFields(log.Fields{
+		"event": NumberStoreUnreachable,
+		"error": text(error),
+	}).Warn("the platform's table service does not answer")
+}
+
+// StoreReachable logs event 2011: the platform's table service answers again.
+func StoreReachable(logger log.Interface) {
+	logger.WithFields(log.Fields{
+		"event": NumberStoreReachable,
+	}).Info("the platform's table service answers again")
+}
+
+// FleetLearnt logs event 2012: this host started from what a peer knows.
+func FleetLearnt(logger log.Interface, host model.HostID) {
+	logger.WithFields(log.Fields{
+		"event": NumberFleetLearnt,
+		"host":  host,
+	}).Info("this host started from what a peer knows")
+}
+
 // ConfigurationAccepted logs event 4001: an operator's configuration is accepted.
 func ConfigurationAccepted(logger log.Interface, author string, version model.Version) {
 	logger.WithFields(log.Fields{
--- a/internal/fleet/action.go
+++ b/internal/fleet/action.go
@@ -1,18 +1,29 @@
 package fleet
 
-import "redwingspread/internal/model"
+import (
+	"time"
+
+	"redwingspread/internal/model"
+	"redwingspread/internal/view"
+)
 
 // Action is what the control machine asks its runner to do.
 type Action interface{ action() }
 
 // ReadRows asks for the ownership rows that changed after a revision.
-type ReadRows struct{ After model.Revision }
+type ReadRows struct {
+	After model.Revision
+	Limit time.Duration
+}
 
 // CommitRow asks to write a row if it still has the version that the new row carries.
-type CommitRow struct{ Row model.Ownership }
+type CommitRow struct {
+	Row   model.Ownership
+	Limit time.Duration
+}
 
 // ReadMembers asks for the platform's list.
-type ReadMembers struct{}
+type ReadMembers struct{ Limit time.Duration }
 
 // SendHeartbeat sends a heartbeat to another host.
 type SendHeartbeat struct {
@@ -26,8 +37,45 @@
 	Beat   Heartbeat
 }
 
-// FetchConfiguration asks a peer for its newer configuration.
-type FetchConfiguration struct{ Host model.Host }
+// ReadFleet asks a peer for the members and the owners.
+type ReadFleet struct{ Host model.Host }
+
+// AnswerFleet hands the members and the owners to the peer interface.
+type AnswerFleet struct {
+	Answer func(Fleet)
+	Fleet  Fleet
+}
+
+// NoteKind names what a note tells.
+type NoteKind int
+
+// The kinds of notes.
+const (
+	NoteHostState NoteKind = iota
+	NoteClaimed
+	NoteServing
+	NoteReplaced
+	NotePrimarySilent
+	NoteSwitchover
+	NoteSwitchoverMissed
+	NoteGroup
+	NoteStoreDown
+	NoteStoreUp
+	NoteFleetLearnt
+)
+
+// Note asks to log what was decided; the fields that its kind needs are set.
+type Note struct {
+	Kind     NoteKind
+	Database model.DatabaseID
+	Host     model.HostID
+	State    view.Liveness
+	Instance model.InstanceID
+	To       model.InstanceID
+	Term     model.Term
+	Reason   string
+	Err      error
+}
 
 // Call names one action on an instance.
 type Call string
@@ -36,6 +84,7 @@
 const (
 	CallState   Call = "state"
 	CallAwait   Call = "await"
+	CallDrain   Call = "drain" // state, after the time in which work in progress ends
 	CallFence   Call = "fence"
 	CallPromote Call = "promote"
 	CallFollow  Call = "follow"
@@ -50,10 +99,12 @@
 	Primary  model.Instance // set with CallFollow
 }
 
-func (ReadRows) action()           {}
-func (CommitRow) action()          {}
-func (ReadMembers) action()        {}
-func (SendHeartbeat) action()      {}
-func (AnswerHeartbeat) action()    {}
-func (FetchConfiguration) action() {}
-func (InstanceAction) action()     {}
+func (ReadRows) action()        {}
+func (CommitRow) action()       {}
+func (ReadMembers) action()     {}
+func (SendHeartbeat) action()   {}
+func (AnswerHeartbeat) action() {}
+func (ReadFleet) action()       {}
+func (AnswerFleet) action()     {}
+func (Note) action()            {}
+func (InstanceAction) action()  {}
--- a/internal/fleet/beat.go
+++ b/internal/fleet/beat.go
@@ -24,6 +24,7 @@
 func (m *Machine) beat() Heartbeat {
 	return Heartbeat{
 		From:          m.Self.ID,
+		Address:       m.Self.Address,
 		Incarnation:   m.Incarnation,
 		Sequence:      m.members.NextSequence(),
 		Configuration: m.Policy.Version,
@@ -59,6 +60,9 @@
 // heard takes everything that a heartbeat tells.
 func (m *Machine) heard(now time.Time, beat Heartbeat) []Action {
 	epoch := m.members.Epoch()
+	if beat.Address != "" {
+		m.helper = model.Host{ID: beat.From, Address: beat.Address}
+	}
 	m.members.Heard(now, beat.From, beat.Incarnation, beat.Sequence, beat.Leaving, beat.Configuration)
 	for _, news := range beat.Members {
 		m.members.Told(now, beat.From, news)
@@ -75,16 +79,7 @@
 		m.dirty = true
 		actions = append(actions, m.tick(now)...)
 	}
-	return append(actions, m.fetch(beat)...)
-}
-
-// fetch asks the sender for its configuration when it is newer.
-func (m *Machine) fetch(beat Heartbeat) []Action {
-	if beat.Configuration <= m.Policy.Version || m.fetching {
-		return nil
-	}
-	m.fetching = true
-	return []Action{FetchConfiguration{Host: m.members.Host(beat.From)}}
+	return actions
 }
 
 // reached takes a question about an instance, or the answer to one.
--- a/internal/fleet/claim.go
+++ b/internal/fleet/claim.go
@@ -20,6 +20,20 @@
 	needRow           // there is no row yet
 )
 
+// needNames are the reasons as the log tells them.
+var needNames = map[need]string{
+	needBalance:  "balance",
+	needHandover: "owner leaves",
+	needReach:    "owner does not reach the primary",
+	needOwner:    "owner is dead",
+	needRow:      "new database",
+}
+
+// String returns the reason as the log tells it.
+func (n need) String() string {
+	return needNames[n]
+}
+
 // questionFor is the time for which a question about an instance counts.
 const questionFor = time.Second
 
@@ -123,14 +137,14 @@
 	case why == needBalance && now.Before(m.nextMove):
 		return nil
 	case d.row.Primary == "" && d.answering() >= d.majority():
-		return m.claim(now, d, "")
+		return m.claim(now, d, "", why.String())
 	case primary == nil:
 		return nil
 	case primary.answers():
 		m.nextMove = now.Add(moveEvery)
-		return m.claim(now, d, primary.ID)
+		return m.claim(now, d, primary.ID, why.String())
 	case why == needOwner && m.primaryLost(now, d, primary):
-		return m.claim(now, d, "")
+		return m.claim(now, d, "", why.String()+", primary is lost")
 	}
 	return nil
 }
@@ -153,21 +167,32 @@
 	if first == nil {
 		return nil
 	}
-	return m.claim(now, d, first.ID)
+	return m.claim(now, d, first.ID, needRow.String())
 }
 
 // claim makes this host the owner in a new term; without a primary a majority has to be fenced and the best one promoted.
-func (m *Machine) claim(now time.Time, d *database, primary model.InstanceID) []Action {
+func (m *Machine) claim(now time.Time, d *database, primary model.InstanceID, reason string) []Action {
+	return m.claimWith(now, d, primary, m.groupOf(d), reason)
+}
+
+// claimWith claims the database with the group.
+func (m *Machine) claimWith(now time.Time, d *database, primary model.InstanceID, group []model.InstanceID, reason string) []Action {
 	row := model.Ownership{
 		Database:    d.id,
 		Owner:       m.Self.ID,
 		Incarnation: m.Incarnation,
 		Term:        d.highest() + 1,
 		Primary:     primary,
-		Instances:   m.groupOf(d),
+		Instances:   group,
 		Timeline:    m.timelineOf(d),
 	}
-	return m.write(now, d, row)
+	actions := m.write(now, d, row)
+	if len(actions) > 0 {
+		d.plan = nil
+		d.planned = false
+		m.note(Note{Kind: NoteClaimed, Database: d.id, Term: row.Term, Instance: primary, Reason: reason})
+	}
+	return actions
 }
 
 // groupOf returns the row's group, or all listed instances of a database without a row.
@@ -194,7 +219,8 @@
 	row.Nonce = m.NewNonce()
 	row.Version = d.row.Version
 	d.commit = true
-	return []Action{CommitRow{Row: row}}
+	d.sent = now
+	return []Action{CommitRow{Row: row, Limit: m.commits.limit}}
 }
 
 // rowCommitted takes the end of a change: a lost answer is settled by reading the row.
@@ -205,6 +231,7 @@
 	}
 	d.commit = false
 	d.retry = now.Add(m.Timing.Retry)
+	m.commits.learn(now.Sub(d.sent), event.Err)
 	if event.Err != nil {
 		d.doubt = true
 		m.rows.soon()
@@ -212,6 +239,8 @@
 	}
 	if event.Committed {
 		d.retry = time.Time{}
+	} else {
+		d.plan = nil
 	}
 	if event.Row.Version > 0 {
 		m.learn(now, event.Row)
--- a/internal/fleet/database.go
+++ b/internal/fleet/database.go
@@ -19,7 +19,11 @@
 	since     time.Time // when this host first saw that the database needs another owner
 	commit    bool      // a change of the row is under way
 	retry     time.Time // no change of the row before then
+	sent      time.Time // when the change was sent
 	doubt     bool      // the row must be read before it is changed again
+	plan      *handover // switchover that the change under way begins
+	planned   bool      // the change under way is this owner's own wish
+	nextPlan  time.Time // no planned change before then
 	duty      duty
 	fresh     bool // an instance told its state since the last view
 
@@ -30,12 +34,22 @@
 
 // duty is what an owner has done in the term of its row.
 type duty struct {
-	term     model.Term
-	fenced   map[model.InstanceID]model.InstanceState
-	majority time.Time        // when a majority was fenced
-	chosen   model.InstanceID // instance to promote; never changed within a term
-	serving  bool
-	replaced bool // an instance or a peer knows a higher term
+	term      model.Term
+	fenced    map[model.InstanceID]model.InstanceState
+	majority  time.Time        // when a majority was fenced
+	chosen    model.InstanceID // instance to promote; never changed within a term
+	serving   bool
+	switching *handover
+	replaced  bool // an instance or a peer knows a higher term
+}
+
+// handover is a planned switchover in the term of the row.
+type handover struct {
+	from  model.InstanceID
+	to    model.InstanceID
+	point model.Point // end of the former primary's log
+	drawn bool        // the point is known
+	ready bool        // the next primary holds the point, or the wait is over
 }
 
 // newDatabase returns a database without row and instances.
--- a/internal/fleet/event.go
+++ b/internal/fleet/event.go
@@ -74,6 +74,16 @@
 	Err  error
 }
 
+// FleetAsked is a starting peer's question for the members and the owners.
+type FleetAsked struct{ Answer func(Fleet) }
+
+// FleetRead is the result of ReadFleet.
+type FleetRead struct {
+	Host  model.HostID
+	Fleet Fleet
+	Err   error
+}
+
 // InstanceResult is the result of an action on an instance.
 type InstanceResult struct {
 	Call     Call
@@ -96,4 +106,6 @@
 func (RowCommitted) event()   {}
 func (MembersRead) event()    {}
 func (HeartbeatSent) event()  {}
+func (FleetAsked) event()     {}
+func (FleetRead) event()      {}
 func (InstanceResult) event() {}
--- a/internal/fleet/fake_test.go
+++ b/internal/fleet/fake_test.go
@@ -21,6 +21,7 @@
 	leader   model.InstanceID
 	leaving  bool
 	down     bool
+	listed   bool
 	unfenced bool // a fence has no effect: a rule taken out
 }
 
@@ -59,7 +60,7 @@
 
 // apply changes the instance as a call asks.
 func (f *fakeInstance) apply(action InstanceAction) *model.Refusal {
-	if action.Call == CallState || action.Call == CallAwait {
+	if action.Call == CallState || action.Call == CallAwait || action.Call == CallDrain {
 		return nil
 	}
 	if action.Term < f.term {
@@ -129,12 +130,15 @@
 	return f.point(), true
 }
 
-// point returns the end of the log.
+// point returns the newest term whose start the log reaches, and the log's length.
 func (f *fakeInstance) point() model.Point {
-	if len(f.log) == 0 {
-		return model.Point{}
+	end := model.Point{Position: model.Position(len(f.log))}
+	for _, start := range f.timeline {
+		if start.Position <= end.Position {
+			end.Term = start.Term
+		}
 	}
-	return model.Point{Term: f.log[len(f.log)-1].term, Position: model.Position(len(f.log))}
+	return end
 }
 
 // holds reports whether the log has the value.
--- a/internal/fleet/heartbeat.go
+++ b/internal/fleet/heartbeat.go
@@ -8,6 +8,7 @@
 // Heartbeat is what one host tells another: that it lives, and its news.
 type Heartbeat struct {
 	From          model.HostID
+	Address       model.Address // where the sender answers its peers
 	Incarnation   model.Incarnation
 	Sequence      model.Sequence
 	Configuration model.Version
@@ -32,3 +33,11 @@
 	Reachable bool
 	Asked     bool // the sender is the owner and asks others whether they reach the instance
 }
+
+// Fleet is what a host knows of the members and the owners, for one that starts while the platform is down.
+type Fleet struct {
+	Revision  model.Revision
+	Hosts     []model.Host
+	Instances []model.Instance
+	Rows      []model.Ownership
+}
--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -22,6 +22,7 @@
 	asked    time.Time             // last question of another host
 	asker    model.HostID
 	reported bool // the newest question has been answered
+	gone     bool // no longer in the platform's list
 }
 
 // newInstance returns an instance that nothing is known of.
--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -33,46 +33,16 @@
 	started   time.Time
 	rows      poll
 	list      poll
+	commits   poll // only the limit of a call is used
 	revision  model.Revision
-	loaded    bool // the table has been read
-	listed    bool // the platform's list has been read
-	fetching  bool
+	loaded    bool       // the table has been read, here or by a peer
+	listed    bool       // the platform's list has been read, here or by a peer
+	helper    model.Host // a peer that can tell what the platform can't
 	stopping  bool
 	nextMove  time.Time // no move for balance before then
 	dirty     bool
 	published *view.View
-}
-
-// poll is a repeated read of the platform.
-type poll struct {
-	busy  bool
-	again bool
-	next  time.Time
-}
-
-// due reports whether the read is to be sent now, and marks it as under way when so.
-func (p *poll) due(now time.Time) bool {
-	if p.busy || now.Before(p.next) {
-		return false
-	}
-	p.busy = true
-	return true
-}
-
-// end ends the read; another follows at once when it was asked for meanwhile.
-func (p *poll) end(next time.Time) {
-	p.busy = false
-	p.next = next
-	if p.again {
-		p.next = time.Time{}
-	}
-	p.again = false
-}
-
-// soon asks for a read that starts after this moment.
-func (p *poll) soon() {
-	p.next = time.Time{}
-	p.again = p.busy
+	notes     []Action
 }
 
 // newsPerBeat is the number of databases or instances that one heartbeat tells of.
@@ -88,6 +58,9 @@
 		instances: make(map[model.InstanceID]*database),
 		owners:    member.Spread[model.DatabaseID, OwnerNews]{Limit: newsPerBeat},
 		reach:     member.Spread[model.InstanceID, InstanceNews]{Limit: newsPerBeat},
+		rows:      newPoll(),
+		list:      newPoll(),
+		commits:   newPoll(),
 		dirty:     true,
 	}
 }
@@ -97,6 +70,13 @@
 	if m.started.IsZero() {
 		m.start(now)
 	}
+	actions := append(m.handle(now, event), m.notes...)
+	m.notes = nil
+	return actions
+}
+
+// handle takes one event by its kind.
+func (m *Machine) handle(now time.Time, event Event) []Action {
 	switch event := event.(type) {
 	case Tick:
 		return m.tick(now)
@@ -113,10 +93,11 @@
 	case PolicyAccepted:
 		m.accept(event.Policy)
 	case Stop:
-		m.stopping = true
-		m.dirty = true
-		m.members.Leave()
-		return m.tick(now)
+		return m.stop(now)
+	case FleetAsked:
+		return []Action{AnswerFleet{Answer: event.Answer, Fleet: m.fleet()}}
+	case FleetRead:
+		return m.fleetRead(now, event)
 	case RowsRead:
 		return m.rowsRead(now, event)
 	case RowCommitted:
@@ -141,14 +122,15 @@
 func (m *Machine) tick(now time.Time) []Action {
 	var actions []Action
 	if m.rows.due(now) {
-		actions = append(actions, ReadRows{After: m.revision})
+		actions = append(actions, ReadRows{After: m.revision, Limit: m.rows.limit})
 	}
 	if m.list.due(now) {
-		actions = append(actions, ReadMembers{})
+		actions = append(actions, ReadMembers{Limit: m.list.limit})
 	}
 	if m.members.Judge(now) {
 		m.dirty = true
 	}
+	m.noteHosts()
 	for _, id := range m.order {
 		known := m.databases[id]
 		m.dirty = m.dirty || known.fresh
@@ -158,9 +140,16 @@
 	return append(actions, m.beats(now)...)
 }
 
+// stop begins the graceful stop: the other hosts learn that this one leaves and take its databases over.
+func (m *Machine) stop(now time.Time) []Action {
+	m.stopping = true
+	m.dirty = true
+	m.members.Leave()
+	return m.tick(now)
+}
+
 // accept puts a newer configuration in force; an older one never replaces it.
 func (m *Machine) accept(policy *config.Policy) {
-	m.fetching = false
 	if policy != nil && policy.Version > m.Policy.Version {
 		m.Policy = policy
 		m.dirty = true
@@ -179,110 +168,3 @@
 	}
 	return known
 }
-
-// rowsRead takes the table's changes.
-func (m *Machine) rowsRead(now time.Time, event RowsRead) []Action {
-	m.rows.end(now.Add(m.Timing.Poll(m.members.Size())))
-	if event.Err != nil {
-		return nil
-	}
-	m.loaded = true
-	m.revision = max(m.revision, event.Revision)
-	for _, row := range event.Rows {
-		m.learn(now, row)
-	}
-	var actions []Action
-	for _, id := range m.order {
-		if known := m.databases[id]; known.doubt {
-			known.doubt = m.rows.next.IsZero()
-			actions = append(actions, m.reconcile(now, known)...)
-		}
-	}
-	return actions
-}
-
-// learn takes one row.
-func (m *Machine) learn(now time.Time, row model.Ownership) {
-	known := m.database(row.Database)
-	dead := m.members.State(row.Owner, row.Incarnation) == view.Dead
-	if known.learn(now, row) {
-		known.returned = dead
-		m.hint(OwnerNews{row.Database, row.Owner, row.Term, row.Primary})
-		m.tell(known)
-		m.dirty = true
-	}
-}
-
-// tell spreads who owns a database.
-func (m *Machine) tell(d *database) {
-	const tellings = 6
-	m.owners.Add(d.id, d.hint, tellings*m.members.Rounds())
-}
-
-// hint takes news of an owner; it only steers traffic, and makes a replaced owner read the table.
-func (m *Machine) hint(news OwnerNews) {
-	known := m.databases[news.Database]
-	if known == nil || news.Term < known.hint.Term || news == known.hint {
-		return
-	}
-	if news.Term == known.hint.Term && (news.Primary == "" || known.hint.Primary != "") {
-		return
-	}
-	known.hint = news
-	m.dirty = true
-	if news.Term > known.row.Term {
-		m.tell(known)
-		m.replaced(known, news.Term)
-	}
-}
-
-// replaced stops this host's service of a database when a higher term is known, and has the table read.
-func (m *Machine) replaced(d *database, term model.Term) {
-	if term <= d.row.Term || !m.mine(d) || d.duty.replaced {
-		return
-	}
-	d.duty.replaced = true
-	d.duty.serving = false
-	d.doubt = true
-	m.rows.soon()
-	m.dirty = true
-}
-
-// mine reports whether the row names this run of this host.
-func (m *Machine) mine(d *database) bool {
-	return d.row.Version > 0 && d.row.Owner == m.Self.ID && d.row.Incarnation == m.Incarnation
-}
-
-// membersRead takes the platform's list.
-func (m *Machine) membersRead(now time.Time, event MembersRead) []Action {
-	m.list.end(now.Add(2 * m.Timing.Poll(m.members.Size())))
-	if event.Err != nil {
-		return nil
-	}
-	m.listed = true
-	m.dirty = true
-	m.members.List(now, event.Hosts)
-	m.listInstances(event.Instances)
-	return m.tick(now)
-}
-
-// listInstances takes the instances of the platform's list; one that a row still names is kept when it has gone.
-func (m *Machine) listInstances(items []model.Instance) {
-	present := make(map[model.InstanceID]bool, len(items))
-	for _, item := range items {
-		present[item.ID] = true
-		d := m.database(item.Database)
-		m.instances[item.ID] = d
-		if known := d.instances[item.ID]; known != nil {
-			known.Instance = item
-		} else {
-			d.instances[item.ID] = newInstance(item)
-		}
-	}
-	for id, d := range m.instances {
-		if !present[id] && !slices.Contains(d.row.Instances, id) {
-			delete(d.instances, id)
-			delete(m.instances, id)
-		}
-	}
-}
--- a/internal/fleet/probe.go
+++ b/internal/fleet/probe.go
@@ -47,6 +47,9 @@
 	if primary := d.primary(); call == CallFollow && primary != nil {
 		action.Primary = primary.Instance
 	}
+	if change := d.duty.switching; call == CallAwait && change != nil {
+		action.Point = change.point
+	}
 	return []Action{action}
 }
 
@@ -65,8 +68,9 @@
 	} else {
 		m.unanswered(now, d, member)
 	}
-	if event.Err == nil && event.Term == d.row.Term && m.mine(d) {
-		m.advance(d, event)
+	if event.Term == d.row.Term && m.mine(d) {
+		m.caughtUp(d, event)
+		m.advance(now, d, event)
 	}
 	return append(m.report(now, member), m.reconcile(now, d)...)
 }
@@ -112,6 +116,9 @@
 		m.dirty = true
 	}
 	member.unseen(now)
+	if member.missed == missesOfSilence && m.mine(d) && member == d.primary() {
+		m.note(Note{Kind: NotePrimarySilent, Database: d.id, Term: d.row.Term, Instance: member.ID})
+	}
 	if member.missed < missesOfSilence {
 		member.next[CallState] = now
 	}
@@ -127,8 +134,8 @@
 }
 
 // advance takes a success in the term of the row.
-func (m *Machine) advance(d *database, event InstanceResult) {
-	if event.State.Term != d.row.Term {
+func (m *Machine) advance(now time.Time, d *database, event InstanceResult) {
+	if event.Err != nil || event.State.Term != d.row.Term {
 		return
 	}
 	switch event.Call {
@@ -136,12 +143,26 @@
 		d.duty.fenced[event.Instance] = event.State
 	case CallPromote:
 		if event.Instance == d.duty.chosen && event.State.Role == model.RolePrimary {
-			d.duty.serving = !d.duty.replaced
-			m.dirty = true
+			m.installed(now, d)
 		}
 	}
 }
 
+// installed begins the service in a term.
+func (m *Machine) installed(now time.Time, d *database) {
+	if d.duty.serving || d.duty.replaced {
+		return
+	}
+	d.duty.serving = true
+	d.planned = false
+	d.nextPlan = now.Add(m.Timing.Replan)
+	m.dirty = true
+	m.note(Note{Kind: NoteServing, Database: d.id, Term: d.row.Term, Instance: d.duty.chosen})
+	if change := d.duty.switching; change != nil && change.to != d.duty.chosen {
+		m.note(Note{Kind: NoteSwitchoverMissed, Database: d.id, Term: d.row.Term, Instance: d.duty.chosen})
+	}
+}
+
 // observed takes a state that traffic saw.
 func (m *Machine) observed(now time.Time, state model.InstanceState) []Action {
 	d := m.instances[state.Instance]
--- a/internal/fleet/runner.go
+++ b/internal/fleet/runner.go
@@ -2,25 +2,23 @@
 
 import (
 	"context"
-	"encoding/json"
-	"fmt"
 	"time"
 
-	"redwingspread/internal/config"
+	"github.com/apex/log"
+
 	"redwingspread/internal/endpoint"
+	"redwingspread/internal/event"
 	"redwingspread/internal/model"
 	"redwingspread/internal/platform"
+	"redwingspread/internal/row"
 )
 
-// RowPrefix is the common start of the keys of ownership rows.
-const RowPrefix model.RowKey = "owner/"
-
 // Peers calls other hosts.
 type Peers interface {
 	// Heartbeat sends a heartbeat and returns the other host's own.
 	Heartbeat(ctx context.Context, host model.Host, beat Heartbeat) (Heartbeat, error)
-	// Configuration returns the newest configuration that the other host knows.
-	Configuration(ctx context.Context, host model.Host) (model.Version, string, error)
+	// Fleet returns what the other host knows of the members and the owners.
+	Fleet(ctx context.Context, host model.Host) (Fleet, error)
 }
 
 // Runner performs the machine's actions; its exported fields are set before use.
@@ -31,17 +29,24 @@
 	Instance func(model.Instance) endpoint.Instance
 	// Peers calls other hosts.
 	Peers Peers
-	// Parse checks a configuration and makes its policy.
-	Parse func(version model.Version, document string) (*config.Policy, error)
+	// Logger takes the events of ownership.
+	Logger log.Interface
 	// Limit is the time that one call of a peer or an instance may take.
 	Limit time.Duration
-	// StoreLimit is the time that one call of the platform may take.
-	StoreLimit time.Duration
+	// Drain is the time that work in progress has to end before a planned switchover.
+	Drain time.Duration
+	// FleetLimit is the time that reading the members and the owners from a peer may take.
+	FleetLimit time.Duration
 }
 
 // NewRunner returns a runner with the daemon's limits.
 func NewRunner() *Runner {
-	return &Runner{Limit: 150 * time.Millisecond, StoreLimit: time.Second}
+	return &Runner{
+		Logger:     log.Log,
+		Limit:      150 * time.Millisecond,
+		Drain:      10 * time.Millisecond,
+		FleetLimit: 5 * time.Second,
+	}
 }
 
 // Do performs one action and returns its result.
@@ -52,67 +57,50 @@
 	case CommitRow:
 		return r.commitRow(ctx, action)
 	case ReadMembers:
-		return r.readMembers(ctx)
+		return r.readMembers(ctx, action)
 	case SendHeartbeat:
 		return r.sendHeartbeat(ctx, action)
-	case AnswerHeartbeat:
-		action.Answer(action.Beat)
-	case FetchConfiguration:
-		return r.fetchConfiguration(ctx, action)
+	case ReadFleet:
+		return r.readFleet(ctx, action)
 	case InstanceAction:
 		return r.callInstance(ctx, action)
+	case AnswerHeartbeat:
+		action.Answer(action.Beat)
+	case AnswerFleet:
+		action.Answer(action.Fleet)
+	case Note:
+		r.log(action)
 	}
 	return Ended{}
 }
 
+// table returns the ownership rows.
+func (r *Runner) table() *row.Table {
+	return &row.Table{
+		Store:      r.Store,
+		Unreadable: func(key model.RowKey, err error) { event.RowUnreadable(r.Logger, key, err) },
+	}
+}
+
 // readRows reads the changed rows.
 func (r *Runner) readRows(ctx context.Context, action ReadRows) Event {
-	ctx, cancel := context.WithTimeout(ctx, r.StoreLimit)
+	ctx, cancel := context.WithTimeout(ctx, action.Limit)
 	defer cancel()
-	rows, revision, err := r.Store.Rows(ctx, RowPrefix, action.After)
-	if err != nil {
-		return RowsRead{Err: err}
-	}
-	result := RowsRead{Revision: revision}
-	for _, row := range rows {
-		ownership, err := decodeRow(row)
-		if err != nil {
-			return RowsRead{Err: err}
-		}
-		result.Rows = append(result.Rows, ownership)
-	}
-	return result
+	rows, revision, err := r.table().Changed(ctx, action.After)
+	return RowsRead{Rows: rows, Revision: revision, Err: err}
 }
 
 // commitRow writes one row by compare-and-set.
 func (r *Runner) commitRow(ctx context.Context, action CommitRow) Event {
-	ctx, cancel := context.WithTimeout(ctx, r.StoreLimit)
+	ctx, cancel := context.WithTimeout(ctx, action.Limit)
 	defer cancel()
-	key := RowPrefix + model.RowKey(action.Row.Database)
-	result := RowCommitted{Database: action.Row.Database}
-	value, err := encodeRow(action.Row)
-	if err != nil {
-		result.Err = err
-		return result
-	}
-	checks := []platform.Check{{Key: key, Version: action.Row.Version}}
-	commit, err := r.Store.Commit(ctx, checks, []platform.Put{{Key: key, Value: value}})
-	if err != nil {
-		result.Err = err
-		return result
-	}
-	result.Committed = commit.Committed
-	for _, row := range commit.Rows {
-		if row.Key == key && row.Version > 0 {
-			result.Row, result.Err = decodeRow(row)
-		}
-	}
-	return result
+	committed, now, err := r.table().Commit(ctx, action.Row)
+	return RowCommitted{Database: action.Row.Database, Committed: committed, Row: now, Err: err}
 }
 
 // readMembers reads the platform's list.
-func (r *Runner) readMembers(ctx context.Context) Event {
-	ctx, cancel := context.WithTimeout(ctx, r.StoreLimit)
+func (r *Runner) readMembers(ctx context.Context, action ReadMembers) Event {
+	ctx, cancel := context.WithTimeout(ctx, action.Limit)
 	defer cancel()
 	members, err := r.Store.Members(ctx)
 	return MembersRead{Hosts: members.Hosts, Instances: members.Instances, Err: err}
@@ -126,19 +114,12 @@
 	return HeartbeatSent{Host: action.Host.ID, Beat: beat, Err: err}
 }
 
-// fetchConfiguration gets a peer's configuration and checks it.
-func (r *Runner) fetchConfiguration(ctx context.Context, action FetchConfiguration) Event {
-	ctx, cancel := context.WithTimeout(ctx, r.StoreLimit)
+// readFleet asks a peer for the members and the owners.
+func (r *Runner) readFleet(ctx context.Context, action ReadFleet) Event {
+	ctx, cancel := context.WithTimeout(ctx, r.FleetLimit)
 	defer cancel()
-	version, document, err := r.Peers.Configuration(ctx, action.Host)
-	if err != nil || r.Parse == nil {
-		return PolicyAccepted{}
-	}
-	policy, err := r.Parse(version, document)
-	if err != nil {
-		return PolicyAccepted{}
-	}
-	return PolicyAccepted{Policy: policy, Document: document}
+	known, err := r.Peers.Fleet(ctx, action.Host)
+	return FleetRead{Host: action.Host.ID, Fleet: known, Err: err}
 }
 
 // callInstance makes one call of an instance.
@@ -155,6 +136,8 @@
 	switch action.Call {
 	case CallState:
 		result.State, result.Err = client.State(ctx)
+	case CallDrain:
+		result.State, result.Err = r.drain(ctx, client)
 	case CallAwait:
 		result.State, result.Err = client.Await(ctx, action.Point, r.Limit)
 	case CallFence:
@@ -167,43 +150,42 @@
 	return result
 }
 
-// ownerRow is the text of a row.
-type ownerRow struct {
-	Owner       model.HostID       `json:"owner"`
-	Incarnation model.Incarnation  `json:"incarnation"`
-	Term        model.Term         `json:"term"`
-	Primary     model.InstanceID   `json:"primary"`
-	Instances   []model.InstanceID `json:"instances"`
-	Timeline    model.Timeline     `json:"timeline"`
-	Nonce       model.Nonce        `json:"nonce"`
-}
-
-// encodeRow returns the text of a row.
-func encodeRow(row model.Ownership) (string, error) {
-	text, err := json.Marshal(ownerRow{row.Owner, row.Incarnation, row.Term, row.Primary, row.Instances, row.Timeline, row.Nonce})
-	return string(text), err
+// drain reads an instance's state after the time in which work in progress ends.
+func (r *Runner) drain(ctx context.Context, client endpoint.Instance) (model.InstanceState, error) {
+	timer := time.NewTimer(r.Drain)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return client.State(ctx)
+	case <-ctx.Done():
+		return model.InstanceState{}, ctx.Err()
+	}
 }
 
-// decodeRow reads a row.
-func decodeRow(row platform.Row) (ownership model.Ownership, err error) {
-	defer func() {
-		if err != nil {
-			err = fmt.Errorf("row %s: %w", row.Key, err)
-		}
-	}()
-	var text ownerRow
-	if err := json.Unmarshal([]byte(row.Value), &text); err != nil {
-		return model.Ownership{}, err
+// log writes one event of the catalogue.
+func (r *Runner) log(note Note) {
+	switch note.Kind {
+	case NoteHostState:
+		event.HostStateChanged(r.Logger, note.Host, string(note.State))
+	case NoteClaimed:
+		event.DatabaseClaimed(r.Logger, note.Database, note.Term, note.Instance, note.Reason)
+	case NoteServing:
+		event.DatabaseServing(r.Logger, note.Database, note.Term, note.Instance)
+	case NoteReplaced:
+		event.DatabaseReplaced(r.Logger, note.Database, note.Term, note.Host)
+	case NotePrimarySilent:
+		event.PrimarySilent(r.Logger, note.Database, note.Term, note.Instance)
+	case NoteSwitchover:
+		event.SwitchoverBegun(r.Logger, note.Database, note.Term, note.Instance, note.To)
+	case NoteSwitchoverMissed:
+		event.SwitchoverMissed(r.Logger, note.Database, note.Term, note.Instance)
+	case NoteGroup:
+		event.GroupChanged(r.Logger, note.Database, note.Term, note.Instance, note.Reason)
+	case NoteStoreDown:
+		event.StoreUnreachable(r.Logger, note.Err)
+	case NoteStoreUp:
+		event.StoreReachable(r.Logger)
+	case NoteFleetLearnt:
+		event.FleetLearnt(r.Logger, note.Host)
 	}
-	return model.Ownership{
-		Database:    model.DatabaseID(row.Key[len(RowPrefix):]),
-		Owner:       text.Owner,
-		Incarnation: text.Incarnation,
-		Term:        text.Term,
-		Primary:     text.Primary,
-		Instances:   text.Instances,
-		Timeline:    text.Timeline,
-		Nonce:       text.Nonce,
-		Version:     row.Version,
-	}, nil
 }
--- a/internal/fleet/serve.go
+++ b/internal/fleet/serve.go
@@ -21,30 +21,36 @@
 // serve does the owner's work in the term of its row.
 func (m *Machine) serve(now time.Time, d *database) []Action {
 	switch {
-	case d.doubt:
+	case d.duty.replaced && d.doubt:
 		return nil
 	case d.duty.replaced:
-		return m.claim(now, d, "")
+		return m.claim(now, d, "", "an instance has a higher term")
 	case d.duty.chosen == "" && d.row.Primary != "":
 		d.duty.chosen = d.row.Primary
+	case d.duty.chosen == "" && !d.switched():
+		return m.catchUp(now, d)
 	case d.duty.chosen == "":
 		return m.elect(now, d)
 	}
 	primary := d.primary()
-	if primary == nil {
+	switch {
+	case primary == nil:
 		return nil
-	}
-	if m.primaryLost(now, d, primary) {
-		return m.claim(now, d, "")
-	}
-	if !d.duty.serving {
+	case m.primaryLost(now, d, primary):
+		return m.claim(now, d, "", "primary is lost")
+	case !d.duty.serving:
 		return m.install(now, d, primary)
 	}
+	return m.maintain(now, d, primary)
+}
+
+// maintain keeps a served database in order: the row, the replicas, the group and the primary's place.
+func (m *Machine) maintain(now time.Time, d *database, primary *instance) []Action {
 	actions := m.follow(now, d, primary)
 	if d.row.Primary == "" {
-		actions = append(actions, m.record(now, d)...)
+		return append(actions, m.record(now, d)...)
 	}
-	return actions
+	return append(actions, m.improve(now, d, primary)...)
 }
 
 // elect fences the group and chooses the best log of a fenced majority.
@@ -104,10 +110,13 @@
 	return known != nil && known.DataCentre == m.Self.DataCentre
 }
 
-// betterMayCome reports whether an instance that still answers is known to hold more than the best fenced one.
+// betterMayCome reports whether an instance that is not fenced yet would be preferred to the best fenced one.
 func (m *Machine) betterMayCome(d *database, best model.InstanceID) bool {
 	for _, member := range d.group() {
 		_, fenced := d.duty.fenced[member.ID]
+		if !fenced && d.duty.switching != nil && member.ID == d.duty.switching.to {
+			return true
+		}
 		if !fenced && member.answers() && member.state.Point.Compare(d.duty.fenced[best].Point) > 0 {
 			return true
 		}
--- a/internal/fleet/timing.go
+++ b/internal/fleet/timing.go
@@ -20,6 +20,8 @@
 	Hold       time.Duration // before a database is taken from an owner that changed its row after it was judged dead
 	Settle     time.Duration // wait for a better log once a majority is fenced
 	Switch     time.Duration // limit of a planned switchover's catching up
+	Lag        time.Duration // greatest lag of a replica that a planned change relies on
+	Replan     time.Duration // between two planned changes of a database
 }
 
 // DefaultTiming returns the times that the daemon uses.
@@ -36,7 +38,9 @@
 		Stable:     10 * time.Second,
 		Hold:       10 * time.Second,
 		Settle:     50 * time.Millisecond,
-		Switch:     2 * time.Second,
+		Switch:     250 * time.Millisecond,
+		Lag:        500 * time.Millisecond,
+		Replan:     2 * time.Second,
 	}
 }
 
--- a/internal/fleet/world_test.go
+++ b/internal/fleet/world_test.go
@@ -63,6 +63,9 @@
 // hop is the time of one message, unless the world has another.
 const hop = 2 * time.Millisecond
 
+// copies is the time between two copies of a log in the tests of planned changes.
+const copies = 10 * time.Millisecond
+
 // timeout is the time after which a caller gives up.
 const timeout = 150 * time.Millisecond
 
@@ -106,6 +109,7 @@
 			world:    w,
 			place:    model.Instance{ID: name, Database: id, DataCentre: place(i), Address: model.Address(name)},
 			term:     1,
+			listed:   true,
 			role:     model.RoleReplica,
 			timeline: model.Timeline{{Term: 1}},
 		}
@@ -119,7 +123,7 @@
 
 // addHost adds a running host.
 func (w *world) addHost(id model.HostID, number int) {
-	w.hosts[id] = &fakeHost{host: model.Host{ID: id, DataCentre: place(number)}, listed: true}
+	w.hosts[id] = &fakeHost{host: model.Host{ID: id, Address: model.Address(id), DataCentre: place(number)}, listed: true}
 	w.boot(id)
 }
 
@@ -267,16 +271,41 @@
 		w.beat(h, machine, action)
 	case AnswerHeartbeat:
 		action.Answer(action.Beat)
+	case ReadFleet:
+		lost := FleetRead{Host: action.Host.ID, Err: errLost}
+		call(string(action.Host.ID), lost, func() Event { return w.fleet(action, lost) })
+	case AnswerFleet:
+		action.Answer(action.Fleet)
 	case InstanceAction:
 		lost := w.resultOf(action)
 		lost.Err = errLost
 		if w.forge != nil {
 			lost = w.forge(action, lost)
 		}
+		if action.Call == CallAwait && w.awaits(action) {
+			w.after(copies, func() { w.act(h, machine, action) })
+			return
+		}
 		call(string(action.Instance.ID), lost, func() Event { return w.instances[action.Instance.ID].serve(w, action) })
 	}
 }
 
+// awaits reports whether an instance has yet to copy the point that a call awaits.
+func (w *world) awaits(action InstanceAction) bool {
+	f := w.instances[action.Instance.ID]
+	return f.timeline.Relate(f.point(), action.Point) != model.Covered && !f.down && f.role == model.RoleReplica
+}
+
+// copyAll lets every replica copy all entries of its leader, again and again.
+func (w *world) copyAll() {
+	for _, f := range w.instances {
+		if f.role == model.RoleReplica && w.reaches(string(f.place.ID), string(f.leader)) {
+			f.replicate(1000)
+		}
+	}
+	w.after(copies, w.copyAll)
+}
+
 // beat carries a heartbeat to another host and its answer back.
 func (w *world) beat(h *fakeHost, machine *Machine, action SendHeartbeat) {
 	from, to := string(h.host.ID), string(action.Host.ID)
@@ -307,6 +336,17 @@
 	w.after(w.delay(), func() { w.deliver(peer, run, HeartbeatIn{Beat: action.Beat, Answer: answer}) })
 }
 
+// fleet asks a host for all that it knows.
+func (w *world) fleet(action ReadFleet, lost Event) Event {
+	peer := w.hosts[action.Host.ID]
+	result := lost
+	if !peer.down && !peer.paused {
+		answer := func(known Fleet) { result = FleetRead{Host: action.Host.ID, Fleet: known} }
+		w.deliver(peer, peer.machine, FleetAsked{Answer: answer})
+	}
+	return result
+}
+
 // members is the platform's list.
 func (w *world) members() Event {
 	if w.store.down {
@@ -319,7 +359,9 @@
 		}
 	}
 	for _, item := range w.instances {
-		read.Instances = append(read.Instances, item.place)
+		if item.listed {
+			read.Instances = append(read.Instances, item.place)
+		}
 	}
 	return read
 }
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"cmp"
 	"math/bits"
 	"slices"
 	"time"
@@ -35,6 +36,7 @@
 	epoch    int
 	round    int
 	nextBeat time.Time
+	changes  []News
 }
 
 // host is what the table knows of one other host.
@@ -163,10 +165,26 @@
 			live = append(live, t.hosts[id].Host)
 		}
 	}
-	slices.SortFunc(live, func(a, b model.Host) int { return compareIDs(a.ID, b.ID) })
+	slices.SortFunc(live, func(a, b model.Host) int { return cmp.Compare(a.ID, b.ID) })
 	return live
 }
 
+// Listed returns the other hosts of the platform's list, in order of their ids.
+func (t *Table) Listed() []model.Host {
+	listed := make([]model.Host, 0, len(t.ring)+1)
+	for _, id := range t.ring {
+		listed = append(listed, t.hosts[id].Host)
+	}
+	return listed
+}
+
+// Changes returns the states that changed since the last call, for the log.
+func (t *Table) Changes() []News {
+	changes := t.changes
+	t.changes = nil
+	return changes
+}
+
 // Hosts returns the other hosts as traffic sees them.
 func (t *Table) Hosts() map[model.HostID]view.Host {
 	hosts := make(map[model.HostID]view.Host, len(t.hosts))
@@ -182,17 +200,6 @@
 	return hosts
 }
 
-// compareIDs orders hosts by id.
-func compareIDs(a, b model.HostID) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
-}
-
 // tellings returns how often an item is told so that it reaches a fleet of the size.
 func (t *Table) tellings() int {
 	return 3 * t.Rounds()
@@ -205,6 +212,7 @@
 	}
 	known.state = state
 	t.epoch++
+	t.changes = append(t.changes, News{known.ID, known.incarnation, known.sequence, state})
 	t.tell(known)
 }
 
--- /dev/null
+++ b/internal/row/table.go
@@ -0,0 +1,92 @@
+package row
+
+import (
+	"context"
+	"fmt"
+
+	"redwingspread/internal/model"
+	"redwingspread/internal/platform"
+)
+
+// Table is the ownership rows of the table service; its exported fields are set before use.
+type Table struct {
+	// Store is the platform's service.
+	Store platform.Store
+	// Unreadable is told of rows that are left out because they can't be read; it may be nil.
+	Unreadable func(key model.RowKey, err error)
+}
+
+// Changed returns the rows that changed after a revision, and the table's revision.
+func (t *Table) Changed(ctx context.Context, after model.Revision) (rows []model.Ownership, revision model.Revision, err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("read ownership rows: %w", err)
+		}
+	}()
+	stored, revision, err := t.Store.Rows(ctx, Prefix, after)
+	if err != nil {
+		return nil, 0, err
+	}
+	for _, item := range stored {
+		row, err := Decode(item)
+		if err != nil {
+			t.report(item.Key, err)
+			continue
+		}
+		rows = append(rows, row)
+	}
+	return rows, revision, nil
+}
+
+// report tells of a row that can't be read.
+func (t *Table) report(key model.RowKey, err error) {
+	if t.Unreadable != nil {
+		t.Unreadable(key, err)
+	}
+}
+
+// Get returns one database's row as it is now; its version is 0 when there is none.
+func (t *Table) Get(ctx context.Context, database model.DatabaseID) (row model.Ownership, err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("read the row of database %s: %w", database, err)
+		}
+	}()
+	key := Key(database)
+	stored, _, err := t.Store.Rows(ctx, key, 0)
+	if err != nil {
+		return model.Ownership{}, err
+	}
+	for _, item := range stored {
+		if item.Key == key {
+			return Decode(item)
+		}
+	}
+	return model.Ownership{Database: database}, nil
+}
+
+// Commit writes a row if the table still has the version that it carries, and returns the row as it is then.
+func (t *Table) Commit(ctx context.Context, row model.Ownership) (committed bool, now model.Ownership, err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("change the row of database %s: %w", row.Database, err)
+		}
+	}()
+	key := Key(row.Database)
+	text, err := Encode(row)
+	if err != nil {
+		return false, model.Ownership{}, err
+	}
+	checks := []platform.Check{{Key: key, Version: row.Version}}
+	commit, err := t.Store.Commit(ctx, checks, []platform.Put{{Key: key, Value: text}})
+	if err != nil {
+		return false, model.Ownership{}, err
+	}
+	for _, item := range commit.Rows {
+		if item.Key == key && item.Version > 0 {
+			now, err = Decode(item)
+			return commit.Committed, now, err
+		}
+	}
+	return commit.Committed, model.Ownership{Database: row.Database}, nil
+}
--- /dev/null
+++ b/internal/row/table_test.go
@@ -0,0 +1,126 @@
+package row
+
+import (
+	"context"
+	"errors"
+	"reflect"
+	"testing"
+
+	"redwingspread/internal/model"
+	"redwingspread/internal/platform"
+)
+
+// fakeStore has rows, and answers commits as it is told.
+type fakeStore struct {
+	platform.Store
+	rows   []platform.Row
+	commit platform.Commit
+	err    error
+	puts   []platform.Put
+}
+
+func (s *fakeStore) Rows(context.Context, model.RowKey, model.Revision) ([]platform.Row, model.Revision, error) {
+	return s.rows, 7, s.err
+}
+
+func (s *fakeStore) Commit(_ context.Context, _ []platform.Check, puts []platform.Put) (platform.Commit, error) {
+	s.puts = puts
+	return s.commit, s.err
+}
+
+// sample is a row with every field set.
+var sample = model.Ownership{
+	Database:    "d1",
+	Owner:       "h1",
+	Incarnation: 5,
+	Term:        3,
+	Primary:     "i1",
+	Instances:   []model.InstanceID{"i1", "i2", "i3"},
+	Timeline:    model.Timeline{{Term: 1}, {Term: 3, Position: 40}},
+	Nonce:       "n",
+	Version:     4,
+}
+
+// stored returns the sample as the table holds it.
+func stored(t *testing.T, key model.RowKey) platform.Row {
+	t.Helper()
+	text, err := Encode(sample)
+	if err != nil {
+		t.Fatalf("got %v, want no error", err)
+	}
+	return platform.Row{Key: key, Version: sample.Version, Value: text}
+}
+
+func TestGet(t *testing.T) {
+	down := errors.New("down")
+	tests := map[string]struct {
+		rows []platform.Row
+		err  error
+		want model.Ownership
+		fail bool
+	}{
+		"the row":                       {rows: []platform.Row{stored(t, "owner/d1")}, want: sample},
+		"a row whose key starts alike":  {rows: []platform.Row{stored(t, "owner/d10")}, want: model.Ownership{Database: "d1"}},
+		"no row":                        {want: model.Ownership{Database: "d1"}},
+		"the store is down":             {err: down, fail: true},
+		"a row that is not a message":   {rows: []platform.Row{{Key: "owner/d1", Value: "x"}}, fail: true},
+		"a row without required fields": {rows: []platform.Row{{Key: "owner/d1", Value: `{"owner":"h1"}`}}, fail: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			table := &Table{Store: &fakeStore{rows: test.rows, err: test.err}}
+			got, err := table.Get(t.Context(), "d1")
+			if (err != nil) != test.fail {
+				t.Fatalf("got error %v, want an error %v", err, test.fail)
+			}
+			if err == nil && !reflect.DeepEqual(got, test.want) {
+				t.Errorf("got row %+v, want %+v", got, test.want)
+			}
+		})
+	}
+}
+
+func TestChangedLeavesOutUnreadableRows(t *testing.T) {
+	var bad []model.RowKey
+	table := &Table{
+		Store:      &fakeStore{rows: []platform.Row{{Key: "owner/d0", Value: "x"}, stored(t, "owner/d1"), {Key: "owner/"}}},
+		Unreadable: func(key model.RowKey, _ error) { bad = append(bad, key) },
+	}
+	rows, revision, err := table.Changed(t.Context(), 0)
+	if err != nil || revision != 7 {
+		t.Fatalf("got revision %d and error %v, want 7 and none", revision, err)
+	}
+	if len(rows) != 1 || !reflect.DeepEqual(rows[0], sample) {
+		t.Errorf("got rows %+v, want only %+v", rows, sample)
+	}
+	if want := []model.RowKey{"owner/d0", "owner/"}; !reflect.DeepEqual(bad, want) {
+		t.Errorf("got unreadable %v, want %v", bad, want)
+	}
+}
+
+func TestCommit(t *testing.T) {
+	tests := map[string]struct {
+		commit    platform.Commit
+		err       error
+		committed bool
+		now       model.Ownership
+		fail      bool
+	}{
+		"committed":          {commit: platform.Commit{Committed: true, Rows: []platform.Row{stored(t, "owner/d1")}}, committed: true, now: sample},
+		"another was first":  {commit: platform.Commit{Rows: []platform.Row{stored(t, "owner/d1")}}, now: sample},
+		"the row is missing": {commit: platform.Commit{}, now: model.Ownership{Database: "d1"}},
+		"the answer is lost": {err: errors.New("lost"), fail: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			table := &Table{Store: &fakeStore{commit: test.commit, err: test.err}}
+			committed, now, err := table.Commit(t.Context(), sample)
+			if (err != nil) != test.fail || committed != test.committed {
+				t.Fatalf("got committed %v and error %v, want %v and an error %v", committed, err, test.committed, test.fail)
+			}
+			if err == nil && !reflect.DeepEqual(now, test.now) {
+				t.Errorf("got row %+v, want %+v", now, test.now)
+			}
+		})
+	}
+}
--- a/pkg/api/peerapi/oas_client_gen.go
+++ b/pkg/api/peerapi/oas_client_gen.go
@@ -56,6 +56,13 @@
 	//
 	// GET /v1/configuration
 	GetConfiguration(ctx context.Context) (*Configuration, error)
+	// GetFleet invokes getFleet operation.
+	//
+	// Returns the members and the owners as the host knows them, for a host that starts while the platform
+	// is down.
+	//
+	// GET /v1/fleet
+	GetFleet(ctx context.Context) (*Fleet, error)
 	// Heartbeat invokes heartbeat operation.
 	//
 	// Exchanges liveness, configuration version and recent changes of owners.
@@ -427,6 +434,50 @@
 	return result, nil
 }
 
+// GetFleet invokes getFleet operation.
+//
+// Returns the members and the owners as the host knows them, for a host that starts while the platform
+// is down.
+//
+// GET /v1/fleet
+func (c *Client) GetFleet(ctx context.Context) (*Fleet, error) {
+	res, err := c.sendGetFleet(ctx)
+	return res, err
+}
+
+func (c *Client) sendGetFleet(ctx context.Context) (res *Fleet, err error) {
+
+	u := uri.Clone(c.requestURL(ctx))
+	var pathParts [1]string
+	pathParts[0] = "/v1/fleet"
+	uri.AddPathParts(u, pathParts[:]...)
+
+	r, err := ht.NewRequest(ctx, "GET", u)
+	if err != nil {
+		return res, errors.Wrap(err, "create request")
+	}
+
+	resp, err := c.cfg.Client.Do(r)
+	if err != nil {
+		return res, errors.Wrap(err, "do request")
+	}
+	body := resp.Body
+	defer func() {
+		// Drain the body to EOF before closing, so the underlying
+		// connection can be reused by the Transport regardless of the
+		// response status code. See https://github.com/ogen-go/ogen/issues/1670.
+		_, _ = io.Copy(io.Discard, body)
+		_ = body.Close()
+	}()
+
+	result, err := decodeGetFleetResponse(resp)
+	if err != nil {
+		return res, errors.Wrap(err, "decode response")
+	}
+
+	return result, nil
+}
+
 // Heartbeat invokes heartbeat operation.
 //
 // Exchanges liveness, configuration version and recent changes of owners.
--- a/pkg/api/peerapi/oas_handlers_gen.go
+++ b/pkg/api/peerapi/oas_handlers_gen.go
@@ -579,6 +579,83 @@
 	}
 }
 
+// handleGetFleetRequest handles getFleet operation.
+//
+// Returns the members and the owners as the host knows them, for a host that starts while the platform
+// is down.
+//
+// GET /v1/fleet
+func (s *Server) handleGetFleetRequest(args [0]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
+	statusWriter := &codeRecorder{ResponseWriter: w}
+	w = statusWriter
+	ctx := r.Context()
+
+	var (
+		err error
+	)
+
+	var rawBody []byte
+
+	var response *Fleet
+	if m := s.cfg.Middleware; m != nil {
+		mreq := middleware.Request{
+			Context:          ctx,
+			OperationName:    GetFleetOperation,
+			OperationSummary: "Returns the members and the owners as the host knows them, for a host that starts while the platform is down.",
+			OperationID:      "getFleet",
+			Body:             nil,
+			RawBody:          rawBody,
+			Params:           middleware.Parameters{},
+			Raw:              r,
+		}
+
+		type (
+			Request  = struct{}
+			Params   = struct{}
+			Response = *Fleet
+		)
+		response, err = middleware.HookMiddleware[
+			Request,
+			Params,
+			Response,
+		](
+			m,
+			mreq,
+			nil,
+			func(ctx context.Context, request Request, params Params) (response Response, err error) {
+				response, err = s.h.GetFleet(ctx)
+				return response, err
+			},
+		)
+	} else {
+		response, err = s.h.GetFleet(ctx)
+	}
+	if err != nil {
+		if errRes, ok := errors.Into[*RefusalStatusCode](err); ok {
+			if err := encodeErrorResponse(errRes, w); err != nil {
+				defer recordError("Internal", err)
+			}
+			return
+		}
+		if errors.Is(err, ht.ErrNotImplemented) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+			return
+		}
+		if err := encodeErrorResponse(s.h.NewError(ctx, err), w); err != nil {
+			defer recordError("Internal", err)
+		}
+		return
+	}
+
+	if err := encodeGetFleetResponse(response, w); err != nil {
+		defer recordError("EncodeResponse", err)
+		if !errors.Is(err, ht.ErrInternalServerErrorResponse) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+		}
+		return
+	}
+}
+
 // handleHeartbeatRequest handles heartbeat operation.
 //
 // Exchanges liveness, configuration version and recent changes of owners.
--- a/pkg/api/peerapi/oas_json_gen.go
+++ b/pkg/api/peerapi/oas_json_gen.go
@@ -124,6 +124,520 @@
 	return s.Decode(d)
 }
 
+// Encode implements json.Marshaler.
+func (s *Fleet) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *Fleet) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("revision")
+		e.UInt64(s.Revision)
+	}
+	{
+		e.FieldStart("members")
+		e.ArrStart()
+		for _, elem := range s.Members {
+			elem.Encode(e)
+		}
+		e.ArrEnd()
+	}
+	{
+		e.FieldStart("rows")
+		e.ArrStart()
+		for _, elem := range s.Rows {
+			elem.Encode(e)
+		}
+		e.ArrEnd()
+	}
+}
+
+var jsonFieldsNameOfFleet = [3]string{
+	0: "revision",
+	1: "members",
+	2: "rows",
+}
+
+// Decode decodes Fleet from json.
+func (s *Fleet) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode Fleet to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "revision":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.UInt64()
+				s.Revision = uint64(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"revision\"")
+			}
+		case "members":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				s.Members = make([]FleetMember, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem FleetMember
+					if err := elem.Decode(d); err != nil {
+						return err
+					}
+					s.Members = append(s.Members, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"members\"")
+			}
+		case "rows":
+			requiredBitSet[0] |= 1 << 2
+			if err := func() error {
+				s.Rows = make([]FleetRow, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem FleetRow
+					if err := elem.Decode(d); err != nil {
+						return err
+					}
+					s.Rows = append(s.Rows, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"rows\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode Fleet")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00000111,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfFleet) {
+					name = jsonFieldsNameOfFleet[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *Fleet) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *Fleet) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
+// Encode implements json.Marshaler.
+func (s *FleetMember) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *FleetMember) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("role")
+		s.Role.Encode(e)
+	}
+	{
+		e.FieldStart("id")
+		e.Str(s.ID)
+	}
+	{
+		e.FieldStart("address")
+		e.Str(s.Address)
+	}
+	{
+		e.FieldStart("dataCentre")
+		e.Str(s.DataCentre)
+	}
+	{
+		e.FieldStart("region")
+		e.Str(s.Region)
+	}
+	{
+		if s.Database.Set {
+			e.FieldStart("database")
+			s.Database.Encode(e)
+		}
+	}
+	{
+		e.FieldStart("leaving")
+		e.Bool(s.Leaving)
+	}
+}
+
+var jsonFieldsNameOfFleetMember = [7]string{
+	0: "role",
+	1: "id",
+	2: "address",
+	3: "dataCentre",
+	4: "region",
+	5: "database",
+	6: "leaving",
+}
+
+// Decode decodes FleetMember from json.
+func (s *FleetMember) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode FleetMember to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "role":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				if err := s.Role.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"role\"")
+			}
+		case "id":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				v, err := d.Str()
+				s.ID = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"id\"")
+			}
+		case "address":
+			requiredBitSet[0] |= 1 << 2
+			if err := func() error {
+				v, err := d.Str()
+				s.Address = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"address\"")
+			}
+		case "dataCentre":
+			requiredBitSet[0] |= 1 << 3
+			if err := func() error {
+				v, err := d.Str()
+				s.DataCentre = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"dataCentre\"")
+			}
+		case "region":
+			requiredBitSet[0] |= 1 << 4
+			if err := func() error {
+				v, err := d.Str()
+				s.Region = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"region\"")
+			}
+		case "database":
+			if err := func() error {
+				s.Database.Reset()
+				if err := s.Database.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"database\"")
+			}
+		case "leaving":
+			requiredBitSet[0] |= 1 << 6
+			if err := func() error {
+				v, err := d.Bool()
+				s.Leaving = bool(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"leaving\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode FleetMember")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b01011111,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfFleetMember) {
+					name = jsonFieldsNameOfFleetMember[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *FleetMember) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *FleetMember) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
+// Encode encodes FleetMemberRole as json.
+func (s FleetMemberRole) Encode(e *jx.Encoder) {
+	e.Str(string(s))
+}
+
+// Decode decodes FleetMemberRole from json.
+func (s *FleetMemberRole) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode FleetMemberRole to nil")
+	}
+	v, err := d.StrBytes()
+	if err != nil {
+		return err
+	}
+	// Try to use constant string.
+	switch FleetMemberRole(v) {
+	case FleetMemberRoleHost:
+		*s = FleetMemberRoleHost
+	case FleetMemberRoleEndpoint:
+		*s = FleetMemberRoleEndpoint
+	default:
+		*s = FleetMemberRole(v)
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s FleetMemberRole) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *FleetMemberRole) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
+// Encode implements json.Marshaler.
+func (s *FleetRow) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *FleetRow) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("database")
+		e.Str(s.Database)
+	}
+	{
+		e.FieldStart("version")
+		e.UInt64(s.Version)
+	}
+	{
+		e.FieldStart("value")
+		s.Value.Encode(e)
+	}
+}
+
+var jsonFieldsNameOfFleetRow = [3]string{
+	0: "database",
+	1: "version",
+	2: "value",
+}
+
+// Decode decodes FleetRow from json.
+func (s *FleetRow) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode FleetRow to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "database":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Str()
+				s.Database = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"database\"")
+			}
+		case "version":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				v, err := d.UInt64()
+				s.Version = uint64(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"version\"")
+			}
+		case "value":
+			requiredBitSet[0] |= 1 << 2
+			if err := func() error {
+				if err := s.Value.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"value\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode FleetRow")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00000111,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfFleetRow) {
+					name = jsonFieldsNameOfFleetRow[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *FleetRow) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *FleetRow) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode implements json.Marshaler.
 func (s *Heartbeat) Encode(e *jx.Encoder) {
 	e.ObjStart()
@@ -137,6 +651,12 @@
 		e.FieldStart("from")
 		e.Str(s.From)
 	}
+	{
+		if s.Address.Set {
+			e.FieldStart("address")
+			s.Address.Encode(e)
+		}
+	}
 	{
 		e.FieldStart("incarnation")
 		e.UInt64(s.Incarnation)
@@ -175,16 +695,28 @@
 			e.ArrEnd()
 		}
 	}
+	{
+		if s.Instances != nil {
+			e.FieldStart("instances")
+			e.ArrStart()
+			for _, elem := range s.Instances {
+				elem.Encode(e)
+			}
+			e.ArrEnd()
+		}
+	}
 }
 
-var jsonFieldsNameOfHeartbeat = [7]string{
+var jsonFieldsNameOfHeartbeat = [9]string{
 	0: "from",
-	1: "incarnation",
-	2: "sequence",
-	3: "configuration",
-	4: "leaving",
-	5: "members",
-	6: "owners",
+	1: "address",
+	2: "incarnation",
+	3: "sequence",
+	4: "configuration",
+	5: "leaving",
+	6: "members",
+	7: "owners",
+	8: "instances",
 }
 
 // Decode decodes Heartbeat from json.
@@ -192,7 +724,7 @@
 	if s == nil {
 		return errors.New("invalid: unable to decode Heartbeat to nil")
 	}
-	var requiredBitSet [1]uint8
+	var requiredBitSet [2]uint8
 
 	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
 		switch string(k) {
@@ -208,8 +740,18 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"from\"")
 			}
+		case "address":
+			if err := func() error {
+				s.Address.Reset()
+				if err := s.Address.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"address\"")
+			}
 		case "incarnation":
-			requiredBitSet[0] |= 1 << 1
+			requiredBitSet[0] |= 1 << 2
 			if err := func() error {
 				v, err := d.UInt64()
 				s.Incarnation = uint64(v)
@@ -221,7 +763,7 @@
 				return errors.Wrap(err, "decode field \"incarnation\"")
 			}
 		case "sequence":
-			requiredBitSet[0] |= 1 << 2
+			requiredBitSet[0] |= 1 << 3
 			if err := func() error {
 				v, err := d.UInt64()
 				s.Sequence = uint64(v)
@@ -230,75 +772,240 @@
 				}
 				return nil
 			}(); err != nil {
-				return errors.Wrap(err, "decode field \"sequence\"")
+				return errors.Wrap(err, "decode field \"sequence\"")
+			}
+		case "configuration":
+			requiredBitSet[0] |= 1 << 4
+			if err := func() error {
+				v, err := d.UInt64()
+				s.Configuration = uint64(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"configuration\"")
+			}
+		case "leaving":
+			if err := func() error {
+				s.Leaving.Reset()
+				if err := s.Leaving.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"leaving\"")
+			}
+		case "members":
+			if err := func() error {
+				s.Members = make([]MemberNews, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem MemberNews
+					if err := elem.Decode(d); err != nil {
+						return err
+					}
+					s.Members = append(s.Members, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"members\"")
+			}
+		case "owners":
+			if err := func() error {
+				s.Owners = make([]OwnerNews, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem OwnerNews
+					if err := elem.Decode(d); err != nil {
+						return err
+					}
+					s.Owners = append(s.Owners, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"owners\"")
+			}
+		case "instances":
+			if err := func() error {
+				s.Instances = make([]InstanceNews, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem InstanceNews
+					if err := elem.Decode(d); err != nil {
+						return err
+					}
+					s.Instances = append(s.Instances, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"instances\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode Heartbeat")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [2]uint8{
+		0b00011101,
+		0b00000000,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfHeartbeat) {
+					name = jsonFieldsNameOfHeartbeat[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *Heartbeat) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *Heartbeat) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
+// Encode implements json.Marshaler.
+func (s *InstanceNews) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *InstanceNews) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("instance")
+		e.Str(s.Instance)
+	}
+	{
+		e.FieldStart("term")
+		e.UInt64(s.Term)
+	}
+	{
+		e.FieldStart("reachable")
+		e.Bool(s.Reachable)
+	}
+	{
+		if s.Asked.Set {
+			e.FieldStart("asked")
+			s.Asked.Encode(e)
+		}
+	}
+}
+
+var jsonFieldsNameOfInstanceNews = [4]string{
+	0: "instance",
+	1: "term",
+	2: "reachable",
+	3: "asked",
+}
+
+// Decode decodes InstanceNews from json.
+func (s *InstanceNews) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode InstanceNews to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "instance":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Str()
+				s.Instance = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"instance\"")
 			}
-		case "configuration":
-			requiredBitSet[0] |= 1 << 3
+		case "term":
+			requiredBitSet[0] |= 1 << 1
 			if err := func() error {
 				v, err := d.UInt64()
-				s.Configuration = uint64(v)
+				s.Term = uint64(v)
 				if err != nil {
 					return err
 				}
 				return nil
 			}(); err != nil {
-				return errors.Wrap(err, "decode field \"configuration\"")
-			}
-		case "leaving":
-			if err := func() error {
-				s.Leaving.Reset()
-				if err := s.Leaving.Decode(d); err != nil {
-					return err
-				}
-				return nil
-			}(); err != nil {
-				return errors.Wrap(err, "decode field \"leaving\"")
+				return errors.Wrap(err, "decode field \"term\"")
 			}
-		case "members":
+		case "reachable":
+			requiredBitSet[0] |= 1 << 2
 			if err := func() error {
-				s.Members = make([]MemberNews, 0)
-				if err := d.Arr(func(d *jx.Decoder) error {
-					var elem MemberNews
-					if err := elem.Decode(d); err != nil {
-						return err
-					}
-					s.Members = append(s.Members, elem)
-					return nil
-				}); err != nil {
+				v, err := d.Bool()
+				s.Reachable = bool(v)
+				if err != nil {
 					return err
 				}
 				return nil
 			}(); err != nil {
-				return errors.Wrap(err, "decode field \"members\"")
+				return errors.Wrap(err, "decode field \"reachable\"")
 			}
-		case "owners":
+		case "asked":
 			if err := func() error {
-				s.Owners = make([]OwnerNews, 0)
-				if err := d.Arr(func(d *jx.Decoder) error {
-					var elem OwnerNews
-					if err := elem.Decode(d); err != nil {
-						return err
-					}
-					s.Owners = append(s.Owners, elem)
-					return nil
-				}); err != nil {
+				s.Asked.Reset()
+				if err := s.Asked.Decode(d); err != nil {
 					return err
 				}
 				return nil
 			}(); err != nil {
-				return errors.Wrap(err, "decode field \"owners\"")
+				return errors.Wrap(err, "decode field \"asked\"")
 			}
 		default:
 			return d.Skip()
 		}
 		return nil
 	}); err != nil {
-		return errors.Wrap(err, "decode Heartbeat")
+		return errors.Wrap(err, "decode InstanceNews")
 	}
 	// Validate required fields.
 	var failures []validate.FieldError
 	for i, mask := range [1]uint8{
-		0b00001111,
+		0b00000111,
 	} {
 		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
 			// Mask only required fields and check equality to mask using XOR.
@@ -310,8 +1017,8 @@
 				bitIdx := bits.TrailingZeros8(result)
 				fieldIdx := i*8 + bitIdx
 				var name string
-				if fieldIdx < len(jsonFieldsNameOfHeartbeat) {
-					name = jsonFieldsNameOfHeartbeat[fieldIdx]
+				if fieldIdx < len(jsonFieldsNameOfInstanceNews) {
+					name = jsonFieldsNameOfInstanceNews[fieldIdx]
 				} else {
 					name = strconv.Itoa(fieldIdx)
 				}
@@ -332,14 +1039,14 @@
 }
 
 // MarshalJSON implements stdjson.Marshaler.
-func (s *Heartbeat) MarshalJSON() ([]byte, error) {
+func (s *InstanceNews) MarshalJSON() ([]byte, error) {
 	e := jx.Encoder{}
 	s.Encode(&e)
 	return e.Bytes(), nil
 }
 
 // UnmarshalJSON implements stdjson.Unmarshaler.
-func (s *Heartbeat) UnmarshalJSON(data []byte) error {
+func (s *InstanceNews) UnmarshalJSON(data []byte) error {
 	d := jx.DecodeBytes(data)
 	return s.Decode(d)
 }
@@ -361,16 +1068,21 @@
 		e.FieldStart("incarnation")
 		e.UInt64(s.Incarnation)
 	}
+	{
+		e.FieldStart("sequence")
+		e.UInt64(s.Sequence)
+	}
 	{
 		e.FieldStart("state")
 		s.State.Encode(e)
 	}
 }
 
-var jsonFieldsNameOfMemberNews = [3]string{
+var jsonFieldsNameOfMemberNews = [4]string{
 	0: "host",
 	1: "incarnation",
-	2: "state",
+	2: "sequence",
+	3: "state",
 }
 
 // Decode decodes MemberNews from json.
@@ -406,8 +1118,20 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"incarnation\"")
 			}
-		case "state":
+		case "sequence":
 			requiredBitSet[0] |= 1 << 2
+			if err := func() error {
+				v, err := d.UInt64()
+				s.Sequence = uint64(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"sequence\"")
+			}
+		case "state":
+			requiredBitSet[0] |= 1 << 3
 			if err := func() error {
 				if err := s.State.Decode(d); err != nil {
 					return err
@@ -426,7 +1150,7 @@
 	// Validate required fields.
 	var failures []validate.FieldError
 	for i, mask := range [1]uint8{
-		0b00000111,
+		0b00001111,
 	} {
 		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
 			// Mask only required fields and check equality to mask using XOR.
@@ -803,6 +1527,226 @@
 	return s.Decode(d)
 }
 
+// Encode implements json.Marshaler.
+func (s *OwnerRow) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *OwnerRow) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("owner")
+		e.Str(s.Owner)
+	}
+	{
+		e.FieldStart("incarnation")
+		e.UInt64(s.Incarnation)
+	}
+	{
+		e.FieldStart("term")
+		e.UInt64(s.Term)
+	}
+	{
+		e.FieldStart("primary")
+		e.Str(s.Primary)
+	}
+	{
+		e.FieldStart("instances")
+		e.ArrStart()
+		for _, elem := range s.Instances {
+			e.Str(elem)
+		}
+		e.ArrEnd()
+	}
+	{
+		e.FieldStart("timeline")
+		e.ArrStart()
+		for _, elem := range s.Timeline {
+			elem.Encode(e)
+		}
+		e.ArrEnd()
+	}
+	{
+		e.FieldStart("nonce")
+		e.Str(s.Nonce)
+	}
+}
+
+var jsonFieldsNameOfOwnerRow = [7]string{
+	0: "owner",
+	1: "incarnation",
+	2: "term",
+	3: "primary",
+	4: "instances",
+	5: "timeline",
+	6: "nonce",
+}
+
+// Decode decodes OwnerRow from json.
+func (s *OwnerRow) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode OwnerRow to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "owner":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Str()
+				s.Owner = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"owner\"")
+			}
+		case "incarnation":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				v, err := d.UInt64()
+				s.Incarnation = uint64(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"incarnation\"")
+			}
+		case "term":
+			requiredBitSet[0] |= 1 << 2
+			if err := func() error {
+				v, err := d.UInt64()
+				s.Term = uint64(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"term\"")
+			}
+		case "primary":
+			requiredBitSet[0] |= 1 << 3
+			if err := func() error {
+				v, err := d.Str()
+				s.Primary = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"primary\"")
+			}
+		case "instances":
+			requiredBitSet[0] |= 1 << 4
+			if err := func() error {
+				s.Instances = make([]string, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem string
+					v, err := d.Str()
+					elem = string(v)
+					if err != nil {
+						return err
+					}
+					s.Instances = append(s.Instances, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"instances\"")
+			}
+		case "timeline":
+			requiredBitSet[0] |= 1 << 5
+			if err := func() error {
+				s.Timeline = make([]Point, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem Point
+					if err := elem.Decode(d); err != nil {
+						return err
+					}
+					s.Timeline = append(s.Timeline, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"timeline\"")
+			}
+		case "nonce":
+			requiredBitSet[0] |= 1 << 6
+			if err := func() error {
+				v, err := d.Str()
+				s.Nonce = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"nonce\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode OwnerRow")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b01111111,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfOwnerRow) {
+					name = jsonFieldsNameOfOwnerRow[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *OwnerRow) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *OwnerRow) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode implements json.Marshaler.
 func (s *PermitRequest) Encode(e *jx.Encoder) {
 	e.ObjStart()
--- a/pkg/api/peerapi/oas_operations_gen.go
+++ b/pkg/api/peerapi/oas_operations_gen.go
@@ -12,6 +12,7 @@
 	ForwardRollbackOperation  OperationName = "ForwardRollback"
 	ForwardStatementOperation OperationName = "ForwardStatement"
 	GetConfigurationOperation OperationName = "GetConfiguration"
+	GetFleetOperation         OperationName = "GetFleet"
 	HeartbeatOperation        OperationName = "Heartbeat"
 	LendPermitsOperation      OperationName = "LendPermits"
 )
--- a/pkg/api/peerapi/oas_response_decoders_gen.go
+++ b/pkg/api/peerapi/oas_response_decoders_gen.go
@@ -578,6 +578,107 @@
 	return res, errors.Wrap(defRes, "error")
 }
 
+func decodeGetFleetResponse(resp *http.Response) (res *Fleet, _ error) {
+	switch resp.StatusCode {
+	case 200:
+		// Code 200.
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response Fleet
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			// Validate response.
+			if err := func() error {
+				if err := response.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return res, errors.Wrap(err, "validate")
+			}
+			return &response, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}
+	// Convenient error response.
+	defRes, err := func() (res *RefusalStatusCode, err error) {
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response Refusal
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			// Validate response.
+			if err := func() error {
+				if err := response.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return res, errors.Wrap(err, "validate")
+			}
+			return &RefusalStatusCode{
+				StatusCode: resp.StatusCode,
+				Response:   response,
+			}, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}()
+	if err != nil {
+		return res, errors.Wrapf(err, "default (code %d)", resp.StatusCode)
+	}
+	return res, errors.Wrap(defRes, "error")
+}
+
 func decodeHeartbeatResponse(resp *http.Response) (res *Heartbeat, _ error) {
 	switch resp.StatusCode {
 	case 200:
--- a/pkg/api/peerapi/oas_response_encoders_gen.go
+++ b/pkg/api/peerapi/oas_response_encoders_gen.go
@@ -121,6 +121,27 @@
 	return nil
 }
 
+func encodeGetFleetResponse(response *Fleet, w http.ResponseWriter) error {
+	if err := func() error {
+		if err := response.Validate(); err != nil {
+			return err
+		}
+		return nil
+	}(); err != nil {
+		return errors.Wrap(err, "validate")
+	}
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	w.WriteHeader(200)
+
+	e := new(jx.Encoder)
+	response.Encode(e)
+	if _, err := e.WriteTo(w); err != nil {
+		return errors.Wrap(err, "write")
+	}
+
+	return nil
+}
+
 func encodeHeartbeatResponse(response *Heartbeat, w http.ResponseWriter) error {
 	if err := func() error {
 		if err := response.Validate(); err != nil {
--- a/pkg/api/peerapi/oas_router_gen.go
+++ b/pkg/api/peerapi/oas_router_gen.go
@@ -14,13 +14,13 @@
 	rn3AllowedHeaders = map[string]string{
 		"POST": "Content-Type",
 	}
-	rn9AllowedHeaders = map[string]string{
+	rn10AllowedHeaders = map[string]string{
 		"POST": "Content-Type",
 	}
 	rn4AllowedHeaders = map[string]string{
 		"POST": "Content-Type",
 	}
-	rn10AllowedHeaders = map[string]string{
+	rn11AllowedHeaders = map[string]string{
 		"POST": "Content-Type",
 	}
 	rn5AllowedHeaders = map[string]string{
@@ -148,6 +148,31 @@
 
 				}
 
+			case 'f': // Prefix: "fleet"
+
+				if l := len("fleet"); len(elem) >= l && elem[0:l] == "fleet" {
+					elem = elem[l:]
+				} else {
+					break
+				}
+
+				if len(elem) == 0 {
+					// Leaf node.
+					switch r.Method {
+					case "GET":
+						s.handleGetFleetRequest([0]string{}, elemIsEscaped, w, r)
+					default:
+						s.notAllowed(w, r, notAllowedParams{
+							allowedMethods: "GET",
+							allowedHeaders: nil,
+							acceptPost:     "",
+							acceptPatch:    "",
+						})
+					}
+
+					return
+				}
+
 			case 'h': // Prefix: "heartbeats"
 
 				if l := len("heartbeats"); len(elem) >= l && elem[0:l] == "heartbeats" {
@@ -164,7 +189,7 @@
 					default:
 						s.notAllowed(w, r, notAllowedParams{
 							allowedMethods: "POST",
-							allowedHeaders: rn9AllowedHeaders,
+							allowedHeaders: rn10AllowedHeaders,
 							acceptPost:     "application/json",
 							acceptPatch:    "",
 						})
@@ -214,7 +239,7 @@
 					default:
 						s.notAllowed(w, r, notAllowedParams{
 							allowedMethods: "POST",
-							allowedHeaders: rn10AllowedHeaders,
+							allowedHeaders: rn11AllowedHeaders,
 							acceptPost:     "application/json",
 							acceptPatch:    "",
 						})
@@ -462,6 +487,31 @@
 
 				}
 
+			case 'f': // Prefix: "fleet"
+
+				if l := len("fleet"); len(elem) >= l && elem[0:l] == "fleet" {
+					elem = elem[l:]
+				} else {
+					break
+				}
+
+				if len(elem) == 0 {
+					// Leaf node.
+					switch method {
+					case "GET":
+						r.name = GetFleetOperation
+						r.summary = "Returns the members and the owners as the host knows them, for a host that starts while the platform is down."
+						r.operationID = "getFleet"
+						r.operationGroup = ""
+						r.pathPattern = "/v1/fleet"
+						r.args = args
+						r.count = 0
+						return r, true
+					default:
+						return
+					}
+				}
+
 			case 'h': // Prefix: "heartbeats"
 
 				if l := len("heartbeats"); len(elem) >= l && elem[0:l] == "heartbeats" {
--- a/pkg/api/peerapi/oas_schemas_gen.go
+++ b/pkg/api/peerapi/oas_schemas_gen.go
@@ -38,20 +38,221 @@
 	s.Document = val
 }
 
+// Ref: #/components/schemas/Fleet
+type Fleet struct {
+	// Revision of the table that the rows were read at.
+	Revision uint64        `json:"revision"`
+	Members  []FleetMember `json:"members"`
+	Rows     []FleetRow    `json:"rows"`
+}
+
+// GetRevision returns the value of Revision.
+func (s *Fleet) GetRevision() uint64 {
+	return s.Revision
+}
+
+// GetMembers returns the value of Members.
+func (s *Fleet) GetMembers() []FleetMember {
+	return s.Members
+}
+
+// GetRows returns the value of Rows.
+func (s *Fleet) GetRows() []FleetRow {
+	return s.Rows
+}
+
+// SetRevision sets the value of Revision.
+func (s *Fleet) SetRevision(val uint64) {
+	s.Revision = val
+}
+
+// SetMembers sets the value of Members.
+func (s *Fleet) SetMembers(val []FleetMember) {
+	s.Members = val
+}
+
+// SetRows sets the value of Rows.
+func (s *Fleet) SetRows(val []FleetRow) {
+	s.Rows = val
+}
+
+// Ref: #/components/schemas/FleetMember
+type FleetMember struct {
+	Role       FleetMemberRole `json:"role"`
+	ID         string          `json:"id"`
+	Address    string          `json:"address"`
+	DataCentre string          `json:"dataCentre"`
+	Region     string          `json:"region"`
+	// Set for an endpoint.
+	Database OptString `json:"database"`
+	Leaving  bool      `json:"leaving"`
+}
+
+// GetRole returns the value of Role.
+func (s *FleetMember) GetRole() FleetMemberRole {
+	return s.Role
+}
+
+// GetID returns the value of ID.
+func (s *FleetMember) GetID() string {
+	return s.ID
+}
+
+// GetAddress returns the value of Address.
+func (s *FleetMember) GetAddress() string {
+	return s.Address
+}
+
+// GetDataCentre returns the value of DataCentre.
+func (s *FleetMember) GetDataCentre() string {
+	return s.DataCentre
+}
+
+// GetRegion returns the value of Region.
+func (s *FleetMember) GetRegion() string {
+	return s.Region
+}
+
+// GetDatabase returns the value of Database.
+func (s *FleetMember) GetDatabase() OptString {
+	return s.Database
+}
+
+// GetLeaving returns the value of Leaving.
+func (s *FleetMember) GetLeaving() bool {
+	return s.Leaving
+}
+
+// SetRole sets the value of Role.
+func (s *FleetMember) SetRole(val FleetMemberRole) {
+	s.Role = val
+}
+
+// SetID sets the value of ID.
+func (s *FleetMember) SetID(val string) {
+	s.ID = val
+}
+
+// SetAddress sets the value of Address.
+func (s *FleetMember) SetAddress(val string) {
+	s.Address = val
+}
+
+// SetDataCentre sets the value of DataCentre.
+func (s *FleetMember) SetDataCentre(val string) {
+	s.DataCentre = val
+}
+
+// SetRegion sets the value of Region.
+func (s *FleetMember) SetRegion(val string) {
+	s.Region = val
+}
+
+// SetDatabase sets the value of Database.
+func (s *FleetMember) SetDatabase(val OptString) {
+	s.Database = val
+}
+
+// SetLeaving sets the value of Leaving.
+func (s *FleetMember) SetLeaving(val bool) {
+	s.Leaving = val
+}
+
+type FleetMemberRole string
+
+const (
+	FleetMemberRoleHost     FleetMemberRole = "host"
+	FleetMemberRoleEndpoint FleetMemberRole = "endpoint"
+)
+
+// AllValues returns all FleetMemberRole values.
+func (FleetMemberRole) AllValues() []FleetMemberRole {
+	return []FleetMemberRole{
+		FleetMemberRoleHost,
+		FleetMemberRoleEndpoint,
+	}
+}
+
+// MarshalText implements encoding.TextMarshaler.
+func (s FleetMemberRole) MarshalText() ([]byte, error) {
+	switch s {
+	case FleetMemberRoleHost:
+		return []byte(s), nil
+	case FleetMemberRoleEndpoint:
+		return []byte(s), nil
+	default:
+		return nil, errors.Errorf("invalid value: %q", s)
+	}
+}
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (s *FleetMemberRole) UnmarshalText(data []byte) error {
+	switch FleetMemberRole(data) {
+	case FleetMemberRoleHost:
+		*s = FleetMemberRoleHost
+		return nil
+	case FleetMemberRoleEndpoint:
+		*s = FleetMemberRoleEndpoint
+		return nil
+	default:
+		return errors.Errorf("invalid value: %q", data)
+	}
+}
+
+// Ref: #/components/schemas/FleetRow
+type FleetRow struct {
+	Database string   `json:"database"`
+	Version  uint64   `json:"version"`
+	Value    OwnerRow `json:"value"`
+}
+
+// GetDatabase returns the value of Database.
+func (s *FleetRow) GetDatabase() string {
+	return s.Database
+}
+
+// GetVersion returns the value of Version.
+func (s *FleetRow) GetVersion() uint64 {
+	return s.Version
+}
+
+// GetValue returns the value of Value.
+func (s *FleetRow) GetValue() OwnerRow {
+	return s.Value
+}
+
+// SetDatabase sets the value of Database.
+func (s *FleetRow) SetDatabase(val string) {
+	s.Database = val
+}
+
+// SetVersion sets the value of Version.
+func (s *FleetRow) SetVersion(val uint64) {
+	s.Version = val
+}
+
+// SetValue sets the value of Value.
+func (s *FleetRow) SetValue(val OwnerRow) {
+	s.Value = val
+}
+
 // ForwardRollbackNoContent is response for ForwardRollback operation.
 type ForwardRollbackNoContent struct{}
 
 // Ref: #/components/schemas/Heartbeat
 type Heartbeat struct {
 	From string `json:"from"`
+	// Peer address of the sender, for a host that does not know it.
+	Address OptString `json:"address"`
 	// Start time of the process in nanoseconds.
 	Incarnation uint64 `json:"incarnation"`
 	Sequence    uint64 `json:"sequence"`
 	// Version of the configuration in force.
-	Configuration uint64       `json:"configuration"`
-	Leaving       OptBool      `json:"leaving"`
-	Members       []MemberNews `json:"members"`
-	Owners        []OwnerNews  `json:"owners"`
+	Configuration uint64         `json:"configuration"`
+	Leaving       OptBool        `json:"leaving"`
+	Members       []MemberNews   `json:"members"`
+	Owners        []OwnerNews    `json:"owners"`
+	Instances     []InstanceNews `json:"instances"`
 }
 
 // GetFrom returns the value of From.
@@ -59,6 +260,11 @@
 	return s.From
 }
 
+// GetAddress returns the value of Address.
+func (s *Heartbeat) GetAddress() OptString {
+	return s.Address
+}
+
 // GetIncarnation returns the value of Incarnation.
 func (s *Heartbeat) GetIncarnation() uint64 {
 	return s.Incarnation
@@ -89,11 +295,21 @@
 	return s.Owners
 }
 
+// GetInstances returns the value of Instances.
+func (s *Heartbeat) GetInstances() []InstanceNews {
+	return s.Instances
+}
+
 // SetFrom sets the value of From.
 func (s *Heartbeat) SetFrom(val string) {
 	s.From = val
 }
 
+// SetAddress sets the value of Address.
+func (s *Heartbeat) SetAddress(val OptString) {
+	s.Address = val
+}
+
 // SetIncarnation sets the value of Incarnation.
 func (s *Heartbeat) SetIncarnation(val uint64) {
 	s.Incarnation = val
@@ -124,11 +340,68 @@
 	s.Owners = val
 }
 
+// SetInstances sets the value of Instances.
+func (s *Heartbeat) SetInstances(val []InstanceNews) {
+	s.Instances = val
+}
+
+// Ref: #/components/schemas/InstanceNews
+type InstanceNews struct {
+	Instance string `json:"instance"`
+	Term     uint64 `json:"term"`
+	// Whether the sender reaches the instance.
+	Reachable bool `json:"reachable"`
+	// True when the sender asks other hosts whether they reach the instance.
+	Asked OptBool `json:"asked"`
+}
+
+// GetInstance returns the value of Instance.
+func (s *InstanceNews) GetInstance() string {
+	return s.Instance
+}
+
+// GetTerm returns the value of Term.
+func (s *InstanceNews) GetTerm() uint64 {
+	return s.Term
+}
+
+// GetReachable returns the value of Reachable.
+func (s *InstanceNews) GetReachable() bool {
+	return s.Reachable
+}
+
+// GetAsked returns the value of Asked.
+func (s *InstanceNews) GetAsked() OptBool {
+	return s.Asked
+}
+
+// SetInstance sets the value of Instance.
+func (s *InstanceNews) SetInstance(val string) {
+	s.Instance = val
+}
+
+// SetTerm sets the value of Term.
+func (s *InstanceNews) SetTerm(val uint64) {
+	s.Term = val
+}
+
+// SetReachable sets the value of Reachable.
+func (s *InstanceNews) SetReachable(val bool) {
+	s.Reachable = val
+}
+
+// SetAsked sets the value of Asked.
+func (s *InstanceNews) SetAsked(val OptBool) {
+	s.Asked = val
+}
+
 // Ref: #/components/schemas/MemberNews
 type MemberNews struct {
-	Host        string          `json:"host"`
-	Incarnation uint64          `json:"incarnation"`
-	State       MemberNewsState `json:"state"`
+	Host        string `json:"host"`
+	Incarnation uint64 `json:"incarnation"`
+	// Newest heartbeat of the host that the teller knows of.
+	Sequence uint64          `json:"sequence"`
+	State    MemberNewsState `json:"state"`
 }
 
 // GetHost returns the value of Host.
@@ -141,6 +414,11 @@
 	return s.Incarnation
 }
 
+// GetSequence returns the value of Sequence.
+func (s *MemberNews) GetSequence() uint64 {
+	return s.Sequence
+}
+
 // GetState returns the value of State.
 func (s *MemberNews) GetState() MemberNewsState {
 	return s.State
@@ -156,6 +434,11 @@
 	s.Incarnation = val
 }
 
+// SetSequence sets the value of Sequence.
+func (s *MemberNews) SetSequence(val uint64) {
+	s.Sequence = val
+}
+
 // SetState sets the value of State.
 func (s *MemberNews) SetState(val MemberNewsState) {
 	s.State = val
@@ -448,6 +731,90 @@
 	s.Primary = val
 }
 
+// Value of a database's row in the table service.
+// Ref: #/components/schemas/OwnerRow
+type OwnerRow struct {
+	Owner string `json:"owner"`
+	// Run of the owner that wrote the row.
+	Incarnation uint64 `json:"incarnation"`
+	Term        uint64 `json:"term"`
+	// Empty until a majority of the group is fenced and the best log is promoted.
+	Primary   string   `json:"primary"`
+	Instances []string `json:"instances"`
+	Timeline  []Point  `json:"timeline"`
+	Nonce     string   `json:"nonce"`
+}
+
+// GetOwner returns the value of Owner.
+func (s *OwnerRow) GetOwner() string {
+	return s.Owner
+}
+
+// GetIncarnation returns the value of Incarnation.
+func (s *OwnerRow) GetIncarnation() uint64 {
+	return s.Incarnation
+}
+
+// GetTerm returns the value of Term.
+func (s *OwnerRow) GetTerm() uint64 {
+	return s.Term
+}
+
+// GetPrimary returns the value of Primary.
+func (s *OwnerRow) GetPrimary() string {
+	return s.Primary
+}
+
+// GetInstances returns the value of Instances.
+func (s *OwnerRow) GetInstances() []string {
+	return s.Instances
+}
+
+// GetTimeline returns the value of Timeline.
+func (s *OwnerRow) GetTimeline() []Point {
+	return s.Timeline
+}
+
+// GetNonce returns the value of Nonce.
+func (s *OwnerRow) GetNonce() string {
+	return s.Nonce
+}
+
+// SetOwner sets the value of Owner.
+func (s *OwnerRow) SetOwner(val string) {
+	s.Owner = val
+}
+
+// SetIncarnation sets the value of Incarnation.
+func (s *OwnerRow) SetIncarnation(val uint64) {
+	s.Incarnation = val
+}
+
+// SetTerm sets the value of Term.
+func (s *OwnerRow) SetTerm(val uint64) {
+	s.Term = val
+}
+
+// SetPrimary sets the value of Primary.
+func (s *OwnerRow) SetPrimary(val string) {
+	s.Primary = val
+}
+
+// SetInstances sets the value of Instances.
+func (s *OwnerRow) SetInstances(val []string) {
+	s.Instances = val
+}
+
+// SetTimeline sets the value of Timeline.
+func (s *OwnerRow) SetTimeline(val []Point) {
+	s.Timeline = val
+}
+
+// SetNonce sets the value of Nonce.
+func (s *OwnerRow) SetNonce(val string) {
+	s.Nonce = val
+}
+
 // Ref: #/components/schemas/PermitRequest
 type PermitRequest struct {
 	Host     string `json:"host"`
--- a/pkg/api/peerapi/oas_server_gen.go
+++ b/pkg/api/peerapi/oas_server_gen.go
@@ -44,6 +44,13 @@
 	//
 	// GET /v1/configuration
 	GetConfiguration(ctx context.Context) (*Configuration, error)
+	// GetFleet implements getFleet operation.
+	//
+	// Returns the members and the owners as the host knows them, for a host that starts while the platform
+	// is down.
+	//
+	// GET /v1/fleet
+	GetFleet(ctx context.Context) (*Fleet, error)
 	// Heartbeat implements heartbeat operation.
 	//
 	// Exchanges liveness, configuration version and recent changes of owners.
--- a/pkg/api/peerapi/oas_validators_gen.go
+++ b/pkg/api/peerapi/oas_validators_gen.go
@@ -44,6 +44,292 @@
 	return nil
 }
 
+func (s *Fleet) Validate() error {
+	if s == nil {
+		return validate.ErrNilPointer
+	}
+
+	var failures []validate.FieldError
+	if err := func() error {
+		if s.Members == nil {
+			return errors.New("nil is invalid value")
+		}
+		if err := (validate.Array{
+			MinLength:    0,
+			MinLengthSet: false,
+			MaxLength:    65536,
+			MaxLengthSet: true,
+		}).ValidateLength(len(s.Members)); err != nil {
+			return errors.Wrap(err, "array")
+		}
+		var failures []validate.FieldError
+		for i, elem := range s.Members {
+			if err := func() error {
+				if err := elem.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				failures = append(failures, validate.FieldError{
+					Name:  fmt.Sprintf("[%d]", i),
+					Error: err,
+				})
+			}
+		}
+		if len(failures) > 0 {
+			return &validate.Error{Fields: failures}
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "members",
+			Error: err,
+		})
+	}
+	if err := func() error {
+		if s.Rows == nil {
+			return errors.New("nil is invalid value")
+		}
+		if err := (validate.Array{
+			MinLength:    0,
+			MinLengthSet: false,
+			MaxLength:    65536,
+			MaxLengthSet: true,
+		}).ValidateLength(len(s.Rows)); err != nil {
+			return errors.Wrap(err, "array")
+		}
+		var failures []validate.FieldError
+		for i, elem := range s.Rows {
+			if err := func() error {
+				if err := elem.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				failures = append(failures, validate.FieldError{
+					Name:  fmt.Sprintf("[%d]", i),
+					Error: err,
+				})
+			}
+		}
+		if len(failures) > 0 {
+			return &validate.Error{Fields: failures}
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "rows",
+			Error: err,
+		})
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+	return nil
+}
+
+func (s *FleetMember) Validate() error {
+	if s == nil {
+		return validate.ErrNilPointer
+	}
+
+	var failures []validate.FieldError
+	if err := func() error {
+		if err := s.Role.Validate(); err != nil {
+			return err
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "role",
+			Error: err,
+		})
+	}
+	if err := func() error {
+		if err := (validate.String{
+			MinLength:     0,
+			MinLengthSet:  false,
+			MaxLength:     64,
+			MaxLengthSet:  true,
+			Email:         false,
+			Hostname:      false,
+			Regex:         nil,
+			MinNumeric:    0,
+			MinNumericSet: false,
+			MaxNumeric:    0,
+			MaxNumericSet: false,
+		}).Validate(string(s.ID)); err != nil {
+			return errors.Wrap(err, "string")
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "id",
+			Error: err,
+		})
+	}
+	if err := func() error {
+		if err := (validate.String{
+			MinLength:     0,
+			MinLengthSet:  false,
+			MaxLength:     128,
+			MaxLengthSet:  true,
+			Email:         false,
+			Hostname:      false,
+			Regex:         nil,
+			MinNumeric:    0,
+			MinNumericSet: false,
+			MaxNumeric:    0,
+			MaxNumericSet: false,
+		}).Validate(string(s.Address)); err != nil {
+			return errors.Wrap(err, "string")
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "address",
+			Error: err,
+		})
+	}
+	if err := func() error {
+		if err := (validate.String{
+			MinLength:     0,
+			MinLengthSet:  false,
+			MaxLength:     64,
+			MaxLengthSet:  true,
+			Email:         false,
+			Hostname:      false,
+			Regex:         nil,
+			MinNumeric:    0,
+			MinNumericSet: false,
+			MaxNumeric:    0,
+			MaxNumericSet: false,
+		}).Validate(string(s.DataCentre)); err != nil {
+			return errors.Wrap(err, "string")
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "dataCentre",
+			Error: err,
+		})
+	}
+	if err := func() error {
+		if err := (validate.String{
+			MinLength:     0,
+			MinLengthSet:  false,
+			MaxLength:     64,
+			MaxLengthSet:  true,
+			Email:         false,
+			Hostname:      false,
+			Regex:         nil,
+			MinNumeric:    0,
+			MinNumericSet: false,
+			MaxNumeric:    0,
+			MaxNumericSet: false,
+		}).Validate(string(s.Region)); err != nil {
+			return errors.Wrap(err, "string")
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "region",
+			Error: err,
+		})
+	}
+	if err := func() error {
+		if value, ok := s.Database.Get(); ok {
+			if err := func() error {
+				if err := (validate.String{
+					MinLength:     0,
+					MinLengthSet:  false,
+					MaxLength:     64,
+					MaxLengthSet:  true,
+					Email:         false,
+					Hostname:      false,
+					Regex:         nil,
+					MinNumeric:    0,
+					MinNumericSet: false,
+					MaxNumeric:    0,
+					MaxNumericSet: false,
+				}).Validate(string(value)); err != nil {
+					return errors.Wrap(err, "string")
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "database",
+			Error: err,
+		})
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+	return nil
+}
+
+func (s FleetMemberRole) Validate() error {
+	switch s {
+	case "host":
+		return nil
+	case "endpoint":
+		return nil
+	default:
+		return errors.Errorf("invalid value: %v", s)
+	}
+}
+
+func (s *FleetRow) Validate() error {
+	if s == nil {
+		return validate.ErrNilPointer
+	}
+
+	var failures []validate.FieldError
+	if err := func() error {
+		if err := (validate.String{
+			MinLength:     0,
+			MinLengthSet:  false,
+			MaxLength:     64,
+			MaxLengthSet:  true,
+			Email:         false,
+			Hostname:      false,
+			Regex:         nil,
+			MinNumeric:    0,
+			MinNumericSet: false,
+			MaxNumeric:    0,
+			MaxNumericSet: false,
+		}).Validate(string(s.Database)); err != nil {
+			return errors.Wrap(err, "string")
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "database",
+			Error: err,
+		})
+	}
+	if err := func() error {
+		if err := s.Value.Validate(); err != nil {
+			return err
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "value",
+			Error: err,
+		})
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+	return nil
+}
+
 func (s *Heartbeat) Validate() error {
 	if s == nil {
 		return validate.ErrNilPointer
@@ -73,6 +359,36 @@
 			Error: err,
 		})
 	}
+	if err := func() error {
+		if value, ok := s.Address.Get(); ok {
+			if err := func() error {
+				if err := (validate.String{
+					MinLength:     0,
+					MinLengthSet:  false,
+					MaxLength:     128,
+					MaxLengthSet:  true,
+					Email:         false,
+					Hostname:      false,
+					Regex:         nil,
+					MinNumeric:    0,
+					MinNumericSet: false,
+					MaxNumeric:    0,
+					MaxNumericSet: false,
+				}).Validate(string(value)); err != nil {
+					return errors.Wrap(err, "string")
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "address",
+			Error: err,
+		})
+	}
 	if err := func() error {
 		if s.Members == nil {
 			return nil // optional
@@ -145,6 +461,77 @@
 			Error: err,
 		})
 	}
+	if err := func() error {
+		if s.Instances == nil {
+			return nil // optional
+		}
+		if err := (validate.Array{
+			MinLength:    0,
+			MinLengthSet: false,
+			MaxLength:    64,
+			MaxLengthSet: true,
+		}).ValidateLength(len(s.Instances)); err != nil {
+			return errors.Wrap(err, "array")
+		}
+		var failures []validate.FieldError
+		for i, elem := range s.Instances {
+			if err := func() error {
+				if err := elem.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				failures = append(failures, validate.FieldError{
+					Name:  fmt.Sprintf("[%d]", i),
+					Error: err,
+				})
+			}
+		}
+		if len(failures) > 0 {
+			return &validate.Error{Fields: failures}
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "instances",
+			Error: err,
+		})
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+	return nil
+}
+
+func (s *InstanceNews) Validate() error {
+	if s == nil {
+		return validate.ErrNilPointer
+	}
+
+	var failures []validate.FieldError
+	if err := func() error {
+		if err := (validate.String{
+			MinLength:     0,
+			MinLengthSet:  false,
+			MaxLength:     64,
+			MaxLengthSet:  true,
+			Email:         false,
+			Hostname:      false,
+			Regex:         nil,
+			MinNumeric:    0,
+			MinNumericSet: false,
+			MaxNumeric:    0,
+			MaxNumericSet: false,
+		}).Validate(string(s.Instance)); err != nil {
+			return errors.Wrap(err, "string")
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "instance",
+			Error: err,
+		})
+	}
 	if len(failures) > 0 {
 		return &validate.Error{Fields: failures}
 	}
@@ -293,6 +680,154 @@
 	return nil
 }
 
+func (s *OwnerRow) Validate() error {
+	if s == nil {
+		return validate.ErrNilPointer
+	}
+
+	var failures []validate.FieldError
+	if err := func() error {
+		if err := (validate.String{
+			MinLength:     0,
+			MinLengthSet:  false,
+			MaxLength:     64,
+			MaxLengthSet:  true,
+			Email:         false,
+			Hostname:      false,
+			Regex:         nil,
+			MinNumeric:    0,
+			MinNumericSet: false,
+			MaxNumeric:    0,
+			MaxNumericSet: false,
+		}).Validate(string(s.Owner)); err != nil {
+			return errors.Wrap(err, "string")
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "owner",
+			Error: err,
+		})
+	}
+	if err := func() error {
+		if err := (validate.String{
+			MinLength:     0,
+			MinLengthSet:  false,
+			MaxLength:     64,
+			MaxLengthSet:  true,
+			Email:         false,
+			Hostname:      false,
+			Regex:         nil,
+			MinNumeric:    0,
+			MinNumericSet: false,
+			MaxNumeric:    0,
+			MaxNumericSet: false,
+		}).Validate(string(s.Primary)); err != nil {
+			return errors.Wrap(err, "string")
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "primary",
+			Error: err,
+		})
+	}
+	if err := func() error {
+		if s.Instances == nil {
+			return errors.New("nil is invalid value")
+		}
+		if err := (validate.Array{
+			MinLength:    0,
+			MinLengthSet: false,
+			MaxLength:    64,
+			MaxLengthSet: true,
+		}).ValidateLength(len(s.Instances)); err != nil {
+			return errors.Wrap(err, "array")
+		}
+		var failures []validate.FieldError
+		for i, elem := range s.Instances {
+			if err := func() error {
+				if err := (validate.String{
+					MinLength:     0,
+					MinLengthSet:  false,
+					MaxLength:     64,
+					MaxLengthSet:  true,
+					Email:         false,
+					Hostname:      false,
+					Regex:         nil,
+					MinNumeric:    0,
+					MinNumericSet: false,
+					MaxNumeric:    0,
+					MaxNumericSet: false,
+				}).Validate(string(elem)); err != nil {
+					return errors.Wrap(err, "string")
+				}
+				return nil
+			}(); err != nil {
+				failures = append(failures, validate.FieldError{
+					Name:  fmt.Sprintf("[%d]", i),
+					Error: err,
+				})
+			}
+		}
+		if len(failures) > 0 {
+			return &validate.Error{Fields: failures}
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "instances",
+			Error: err,
+		})
+	}
+	if err := func() error {
+		if s.Timeline == nil {
+			return errors.New("nil is invalid value")
+		}
+		if err := (validate.Array{
+			MinLength:    0,
+			MinLengthSet: false,
+			MaxLength:    64,
+			MaxLengthSet: true,
+		}).ValidateLength(len(s.Timeline)); err != nil {
+			return errors.Wrap(err, "array")
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "timeline",
+			Error: err,
+		})
+	}
+	if err := func() error {
+		if err := (validate.String{
+			MinLength:     0,
+			MinLengthSet:  false,
+			MaxLength:     64,
+			MaxLengthSet:  true,
+			Email:         false,
+			Hostname:      false,
+			Regex:         nil,
+			MinNumeric:    0,
+			MinNumericSet: false,
+			MaxNumeric:    0,
+			MaxNumericSet: false,
+		}).Validate(string(s.Nonce)); err != nil {
+			return errors.Wrap(err, "string")
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "nonce",
+			Error: err,
+		})
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+	return nil
+}
+
 func (s *PermitRequest) Validate() error {
 	if s == nil {
 		return validate.ErrNilPointer
