--- a/internal/fleet/beat.go
+++ b/internal/fleet/beat.go
@@ -25,6 +25,7 @@
 func (m *Machine) beat() Heartbeat {
 	return Heartbeat{
 		From:          m.Self.ID,
+		Address:       m.Self.Address,
 		Incarnation:   m.Incarnation,
 		Sequence:      m.members.NextSequence(),
 		Configuration: m.policy().Version,
@@ -60,6 +61,9 @@
 // heard takes everything that a heartbeat tells.
 func (m *Machine) heard(now time.Time, beat Heartbeat) []Action {
 	epoch := m.members.Epoch()
+	if beat.Address != "" {
+		m.helper = model.Host{ID: beat.From, Address: beat.Address}
+	}
 	m.members.Heard(now, beat.From, beat.Incarnation, beat.Sequence, beat.Leaving, beat.Configuration)
 	for _, news := range beat.Members {
 		m.members.Told(now, beat.From, news)
@@ -76,7 +80,8 @@
 		m.dirty = true
 		actions = append(actions, m.tick(now)...)
 	}
-	return append(actions, m.configure(now, spread.PeerSeen{Host: beat.From, Version: beat.Configuration})...)
+	seen := spread.PeerSeen{Host: beat.From, Version: beat.Configuration}
+	return append(actions, m.configure(now, seen)...)
 }
 
 // reached takes a question about an instance, or the answer to one.
--- a/internal/fleet/configuration.go
+++ b/internal/fleet/configuration.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"redwingspread/internal/config"
+	"redwingspread/internal/model"
 	"redwingspread/internal/spread"
 	"redwingspread/internal/view"
 )
@@ -21,9 +22,10 @@
 
 // headRead takes a read of the configuration's row; only the first read, which is of the whole table, tells that there is none.
 func (m *Machine) headRead(now time.Time, head *spread.Head) []Action {
-	if head == nil && m.loaded {
+	if head == nil && m.headSeen {
 		return nil
 	}
+	m.headSeen = true
 	return m.configure(now, spread.RowSeen{Head: head})
 }
 
@@ -33,7 +35,7 @@
 	outcome := m.spread.Handle(now, event)
 	var actions []Action
 	if outcome.Fetch != nil {
-		actions = append(actions, FetchConfiguration{Fetch: *outcome.Fetch, Host: m.members.Host(outcome.Fetch.Peer)})
+		actions = append(actions, FetchConfiguration{Fetch: *outcome.Fetch, Host: m.peer(outcome.Fetch.Peer)})
 	}
 	if outcome.Policy != nil || outcome.Stale != nil || outcome.Failed != nil {
 		actions = append(actions, ReportConfiguration{Outcome: outcome})
@@ -46,6 +48,15 @@
 	return actions
 }
 
+// peer returns where a host is, if need be by what it told of itself.
+func (m *Machine) peer(id model.HostID) model.Host {
+	known := m.members.Host(id)
+	if known.Address == "" && m.helper.ID == id {
+		return m.helper
+	}
+	return known
+}
+
 // forgetPeers takes dead hosts out of the choice of a configuration when the set of live hosts changed.
 func (m *Machine) forgetPeers(now time.Time) {
 	if m.spreadEpoch == m.members.Epoch() {
--- a/internal/fleet/event.go
+++ b/internal/fleet/event.go
@@ -79,6 +79,16 @@
 	Err  error
 }
 
+// FleetAsked is a starting peer's question for the members and the owners.
+type FleetAsked struct{ Answer func(Fleet) }
+
+// FleetRead is the result of ReadFleet.
+type FleetRead struct {
+	Host  model.HostID
+	Fleet Fleet
+	Err   error
+}
+
 // InstanceResult is the result of an action on an instance.
 type InstanceResult struct {
 	Call     Call
@@ -90,7 +100,6 @@
 }
 
 func (Tick) event()                 {}
-func (ConfigurationFetched) event() {}
 func (Observed) event()             {}
 func (Failed) event()               {}
 func (HeartbeatIn) event()          {}
@@ -102,4 +111,7 @@
 func (RowCommitted) event()         {}
 func (MembersRead) event()          {}
 func (HeartbeatSent) event()        {}
+func (FleetAsked) event()           {}
+func (FleetRead) event()            {}
 func (InstanceResult) event()       {}
+func (ConfigurationFetched) event() {}
