--- a/internal/standin/instance/group_test.go
+++ b/internal/standin/instance/group_test.go
@@ -31,6 +31,7 @@
 func newGroup(t *testing.T, transport http.RoundTripper, serve serve) *group {
 	g := &group{t: t, transport: transport}
 	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
 	for number := range 3 {
 		i := instance.New()
 		i.ID = model.InstanceID(fmt.Sprintf("i%d", number))
