--- a/internal/fleet/candidate.go
+++ b/internal/fleet/candidate.go
@@ -64,3 +64,15 @@
 func weight(database model.DatabaseID, host model.HostID) uint64 {
 	return xxhash.Sum64String(string(database) + "\x00" + string(host))
 }
+
+// best returns the host with the highest score for the database, or nothing without hosts.
+func best(database model.DatabaseID, hosts []model.Host) (chosen model.HostID) {
+	var highest uint64
+	for _, host := range hosts {
+		if score := weight(database, host.ID); chosen == "" || score > highest {
+			chosen = host.ID
+			highest = score
+		}
+	}
+	return chosen
+}
--- a/internal/fleet/claim.go
+++ b/internal/fleet/claim.go
@@ -75,19 +75,28 @@
 	if !quiet || m.members.State(d.row.Owner, d.row.Incarnation) != view.Alive {
 		return false
 	}
-	order := m.candidates(d)
-	return len(order) > 0 && order[0] == m.Self.ID
+	return m.preferred(d) == m.Self.ID
+}
+
+// preferred returns the first of the candidates, without ordering the others.
+func (m *Machine) preferred(d *database) model.HostID {
+	m.live.refresh(m.members)
+	primary := d.primaryOf()
+	if d.preferredEpoch != m.live.epoch || d.preferredNear != primary.ID || d.preferred == "" {
+		d.preferred = best(d.id, m.live.nearest(primary))
+		d.preferredEpoch = m.live.epoch
+		d.preferredNear = primary.ID
+	}
+	return d.preferred
 }
 
 // candidates returns the live hosts in the order in which they should own the database.
 func (m *Machine) candidates(d *database) []model.HostID {
-	var primary model.Instance
-	if known := d.instances[d.row.Primary]; known != nil {
-		primary = known.Instance
-	}
-	if d.epoch != m.members.Epoch() || d.near != primary.ID || d.candidates == nil {
-		d.candidates = rank(d.id, primary, m.members.Live())
-		d.epoch = m.members.Epoch()
+	m.live.refresh(m.members)
+	primary := d.primaryOf()
+	if d.epoch != m.live.epoch || d.near != primary.ID || d.candidates == nil {
+		d.candidates = rank(d.id, primary, m.live.all)
+		d.epoch = m.live.epoch
 		d.near = primary.ID
 	}
 	return d.candidates
--- a/internal/fleet/database.go
+++ b/internal/fleet/database.go
@@ -30,6 +30,10 @@
 	candidates []model.HostID // order of candidates, for the epoch and the primary below
 	epoch      int
 	near       model.InstanceID
+
+	preferred      model.HostID // first of the candidates, for the epoch and the primary below
+	preferredEpoch int
+	preferredNear  model.InstanceID
 }
 
 // duty is what an owner has done in the term of its row.
@@ -91,6 +95,14 @@
 	return d.instances[d.row.Primary]
 }
 
+// primaryOf returns where the row's primary is, or nothing when it is not known.
+func (d *database) primaryOf() model.Instance {
+	if known := d.instances[d.row.Primary]; known != nil {
+		return known.Instance
+	}
+	return model.Instance{}
+}
+
 // answering counts the group's instances that answer.
 func (d *database) answering() int {
 	count := 0
--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -29,6 +29,7 @@
 	headSeen    bool // the configuration's row has been read
 
 	members   *member.Table
+	live      live
 	databases map[model.DatabaseID]*database
 	order     []model.DatabaseID
 	owners    member.Spread[model.DatabaseID, OwnerNews]
