Add admission by rank, kind and session, the pool and the dispatcher

Change: package admit orders waiting work by three swappable policies; package pool keeps connections warm within their limit; package dispatch puts queue, slots and pool together.

--- /dev/null
+++ b/internal/dispatch/transaction.go
@@ -0,0 +1,167 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"redwingspread/internal/admit"
+	"redwingspread/internal/endpoint"
+	"redwingspread/internal/model"
+)
+
+// Transaction holds one connection from begin to end, and a slot only while a statement runs.
+//
+// It is used by one goroutine at a time.
+type Transaction struct {
+	dispatcher *Dispatcher
+	conn       endpoint.Conn
+	term       model.Term
+	class      admit.Class
+	broken     bool // an answer stayed away: the connection is closed at the end
+	ended      bool
+}
+
+// Begin waits for its turn and begins a transaction on a connection of its own.
+func (d *Dispatcher) Begin(ctx context.Context, term model.Term, work model.Work, class admit.Class) (transaction *Transaction, err error) {
+	ctx, cancel := limit(ctx, work.Deadline)
+	defer cancel()
+	if err := d.pin(class.Rank); err != nil {
+		return nil, err
+	}
+	class.InTransaction = false
+	turn, err := d.await(ctx, term, work.Deadline, class, nil)
+	if err != nil {
+		d.unpin()
+		return nil, err
+	}
+	conn := turn.conn
+	_, err = conn.Begin(ctx, term)
+	d.finishBegin(turn, err)
+	if err != nil {
+		return nil, certain(err)
+	}
+	class.InTransaction = true
+	return &Transaction{dispatcher: d, conn: conn, term: term, class: class}, nil
+}
+
+// finishBegin frees the slot of a begin and keeps its connection pinned when it succeeded.
+func (d *Dispatcher) finishBegin(turn *Turn, err error) {
+	if err != nil {
+		d.finish(turn, err)
+		d.unpin()
+		return
+	}
+	turn.ticket.Class.InTransaction = true
+	d.finish(turn, nil)
+}
+
+// pin reserves a connection for a transaction, and refuses ranks below the first when few would be left.
+func (d *Dispatcher) pin(rank model.Rank) error {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.begin()
+	if d.stopping {
+		return d.refusal(model.CodeStopping)
+	}
+	if d.pinned >= pinLimit(rank, d.Connections) {
+		return d.refusal(model.CodeOverloaded)
+	}
+	d.pinned++
+	d.fill()
+	return nil
+}
+
+// unpin gives a reserved connection back.
+func (d *Dispatcher) unpin() {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.pinned--
+	d.fill()
+	d.schedule()
+	d.checkIdle()
+}
+
+// pinLimit returns how many connections transactions may hold for one more of the rank to begin.
+func pinLimit(rank model.Rank, connections model.Connections) model.Connections {
+	switch rank {
+	case model.RankOne:
+		return connections - 1
+	case model.RankTwo:
+		return connections * 3 / 4
+	default:
+		return connections / 2
+	}
+}
+
+// Run runs one statement of the transaction.
+func (t *Transaction) Run(ctx context.Context, work model.Work) (result model.Result, state model.InstanceState, err error) {
+	return t.call(ctx, work.Deadline, func(ctx context.Context) (model.Result, model.InstanceState, error) {
+		return t.conn.Run(ctx, t.term, work)
+	})
+}
+
+// Commit commits the transaction under the request id and ends it.
+func (t *Transaction) Commit(ctx context.Context, request model.RequestID, deadline time.Time) (result model.Result, state model.InstanceState, err error) {
+	result, state, err = t.call(ctx, deadline, func(ctx context.Context) (model.Result, model.InstanceState, error) {
+		return t.conn.Commit(ctx, t.term, request)
+	})
+	if err == nil {
+		t.end()
+	}
+	return result, state, err
+}
+
+// Rollback rolls the transaction back and ends it; a connection that does not answer is closed, which rolls back too.
+func (t *Transaction) Rollback(ctx context.Context) error {
+	if t.ended {
+		return ended()
+	}
+	if !t.broken {
+		err := t.conn.Rollback(ctx)
+		t.broken = err != nil
+	}
+	t.end()
+	return nil
+}
+
+// Close ends the transaction, if it has not ended, by closing its connection; it may be called more than once.
+func (t *Transaction) Close() {
+	if t.ended {
+		return
+	}
+	t.broken = true
+	t.end()
+}
+
+// call waits for a turn and makes one call on the transaction's connection.
+func (t *Transaction) call(ctx context.Context, deadline time.Time, run func(context.Context) (model.Result, model.InstanceState, error)) (result model.Result, state model.InstanceState, err error) {
+	if t.ended || t.broken {
+		return result, state, ended()
+	}
+	ctx, cancel := limit(ctx, deadline)
+	defer cancel()
+	turn, err := t.dispatcher.await(ctx, t.term, deadline, t.class, t.conn)
+	if err != nil {
+		return result, state, err
+	}
+	result, state, err = run(ctx)
+	t.dispatcher.finish(turn, err)
+	t.broken = !sound(err)
+	return result, state, certain(err)
+}
+
+// end gives the connection back, or has it closed when an answer stayed away.
+func (t *Transaction) end() {
+	t.ended = true
+	if t.broken {
+		t.dispatcher.pool.Discard(t.conn)
+	} else {
+		t.dispatcher.pool.Put(t.conn)
+	}
+	t.dispatcher.unpin()
+}
+
+// ended returns the refusal of work on a transaction that has ended.
+func ended() error {
+	return model.Refuse(model.CodeTransactionEnded, "the transaction has ended")
+}
--- /dev/null
+++ b/internal/pool/pool.go
@@ -0,0 +1,283 @@
+package pool
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"redwingspread/internal/endpoint"
+	"redwingspread/internal/model"
+)
+
+// Pool keeps the connections of one host to one instance.
+type Pool struct {
+	// Host is the host that opens the connections.
+	Host model.HostID
+	// Database is the database of the instance.
+	Database model.DatabaseID
+	// Instance is where connections are opened.
+	Instance endpoint.Instance
+	// Limit is the greatest number of connections, those being opened or closed included.
+	Limit model.Connections
+	// Parallel is the number of connections that are opened at once, against a stampede.
+	Parallel int
+	// Ready is called, without locks, when a connection has become idle.
+	Ready func()
+	// Jitter returns a number in [0, 1) that spreads the back-off.
+	Jitter func() float64
+
+	mutex   sync.Mutex
+	term    model.Term
+	target  model.Connections // connections that should be open
+	idle    []endpoint.Conn   // newest last
+	open    model.Connections // idle, taken and closing connections
+	opening model.Connections
+	closing []endpoint.Conn // to be closed
+	backOff time.Duration   // zero when the last opening succeeded
+	blocked bool            // true while the back-off lasts
+	refused int
+	wake    chan struct{}
+}
+
+// Counts tells the number of connections in each state.
+type Counts struct {
+	Open    model.Connections // idle, taken and closing ones
+	Idle    model.Connections
+	Opening model.Connections
+	Refused int // openings that failed since the start
+}
+
+const (
+	leastBackOff   = 10 * time.Millisecond
+	mostBackOff    = time.Second
+	openTimeout    = 5 * time.Second
+	closeTimeout   = 2 * time.Second
+	defaultOpeners = 4
+)
+
+// New returns a pool with defaults, whose exported fields are to be set before Run.
+func New() *Pool {
+	return &Pool{
+		Parallel: defaultOpeners,
+		Ready:    func() {},
+		Jitter:   rand.Float64,
+		wake:     make(chan struct{}, 1),
+	}
+}
+
+// Take returns an idle connection, the one used last, and false when there is none.
+func (p *Pool) Take() (endpoint.Conn, bool) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if len(p.idle) == 0 {
+		return nil, false
+	}
+	last := len(p.idle) - 1
+	conn := p.idle[last]
+	p.idle[last] = nil
+	p.idle = p.idle[:last]
+	return conn, true
+}
+
+// Put gives a taken connection back that has no answer outstanding.
+func (p *Pool) Put(conn endpoint.Conn) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.idle = append(p.idle, conn)
+	p.trim()
+}
+
+// Discard has a taken connection closed.
+func (p *Pool) Discard(conn endpoint.Conn) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.closing = append(p.closing, conn)
+	p.signal()
+}
+
+// SetTarget sets how many connections should be open, and the term in which they are opened.
+func (p *Pool) SetTarget(target model.Connections, term model.Term) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.target == target && p.term >= term {
+		return
+	}
+	p.target = target
+	p.term = max(p.term, term)
+	p.trim()
+	p.signal()
+}
+
+// SetLimit changes the greatest number of connections; those too many are closed once they are idle.
+func (p *Pool) SetLimit(limit model.Connections) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.Limit = limit
+	p.trim()
+	p.signal()
+}
+
+// Counts returns the number of connections in each state.
+func (p *Pool) Counts() Counts {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return Counts{
+		Open:    p.open,
+		Idle:    model.Connections(len(p.idle)),
+		Opening: p.opening,
+		Refused: p.refused,
+	}
+}
+
+// trim has idle connections closed that are above the limit.
+func (p *Pool) trim() {
+	for p.open-model.Connections(len(p.closing)) > p.Limit && len(p.idle) > 0 {
+		p.closing = append(p.closing, p.idle[0])
+		p.idle = append(p.idle[:0], p.idle[1:]...)
+		p.signal()
+	}
+}
+
+// signal wakes Run without waiting for it.
+func (p *Pool) signal() {
+	select {
+	case p.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run opens and closes connections until the context ends, then closes all idle ones and reports its end on done.
+//
+// Its owner gives all taken connections back before it ends the context.
+func (p *Pool) Run(ctx context.Context, done chan<- error) {
+	ended := make(chan struct{})
+	running := 0
+	for ctx.Err() == nil {
+		running += p.start(ctx, ended)
+		select {
+		case <-ctx.Done():
+		case <-p.wake:
+		case <-ended:
+			running--
+		}
+	}
+	running += p.startClosing(ctx, ended, p.drain())
+	for ; running > 0; running-- {
+		<-ended
+	}
+	done <- ctx.Err()
+}
+
+// start starts what is to be opened and closed now and returns the number of goroutines.
+func (p *Pool) start(ctx context.Context, ended chan<- struct{}) int {
+	p.mutex.Lock()
+	closing := p.closing
+	p.closing = nil
+	opening := 0
+	for p.wants() {
+		p.opening++
+		opening++
+	}
+	term := p.term
+	p.mutex.Unlock()
+	for range opening {
+		go p.openOne(ctx, term, ended)
+	}
+	return opening + p.startClosing(ctx, ended, closing)
+}
+
+// startClosing closes the connections in goroutines of their own and returns their number.
+func (p *Pool) startClosing(ctx context.Context, ended chan<- struct{}, conns []endpoint.Conn) int {
+	for _, conn := range conns {
+		go p.closeOne(ctx, conn, ended)
+	}
+	return len(conns)
+}
+
+// wants reports whether one more connection is to be opened now.
+func (p *Pool) wants() bool {
+	if p.blocked || int(p.opening) >= p.Parallel {
+		return false
+	}
+	if p.backOff > 0 && p.opening > 0 {
+		return false
+	}
+	return p.open+p.opening < min(p.target, p.Limit)
+}
+
+// drain takes all connections that are to be closed at the end.
+func (p *Pool) drain() []endpoint.Conn {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	conns := append(p.closing, p.idle...)
+	p.closing, p.idle = nil, nil
+	return conns
+}
+
+// openOne opens one connection and, when that fails, holds back the next ones.
+func (p *Pool) openOne(ctx context.Context, term model.Term, ended chan<- struct{}) {
+	defer func() { ended <- struct{}{} }()
+	open, cancel := context.WithTimeout(ctx, openTimeout)
+	defer cancel()
+	conn, _, err := p.Instance.Open(open, p.Host, p.Database, term)
+	if err != nil {
+		p.hold(ctx, p.failed())
+		return
+	}
+	p.opened(conn)
+	p.Ready()
+}
+
+// opened adds an idle connection.
+func (p *Pool) opened(conn endpoint.Conn) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.opening--
+	p.open++
+	p.backOff = 0
+	p.idle = append(p.idle, conn)
+	p.trim()
+}
+
+// failed counts a failed opening and returns how long to hold back; zero when another goroutine holds back already.
+func (p *Pool) failed() time.Duration {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.opening--
+	p.refused++
+	if p.blocked {
+		return 0
+	}
+	p.blocked = true
+	p.backOff = min(max(2*p.backOff, leastBackOff), mostBackOff)
+	return p.backOff/2 + time.Duration(p.Jitter()*float64(p.backOff/2))
+}
+
+// hold waits for the back-off to pass.
+func (p *Pool) hold(ctx context.Context, wait time.Duration) {
+	if wait == 0 {
+		return
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.blocked = false
+	p.signal()
+}
+
+// closeOne closes one connection, even after the context has ended.
+func (p *Pool) closeOne(ctx context.Context, conn endpoint.Conn, ended chan<- struct{}) {
+	defer func() { ended <- struct{}{} }()
+	limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), closeTimeout)
+	defer cancel()
+	_ = conn.Close(limited) // what the instance did not hear of, it drops by itself
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.open--
+}
