--- a/internal/event/events_gen.go
+++ b/internal/event/events_gen.go
@@ -10,11 +10,33 @@
 
 // The numbers of the log events.
 const (
-	NumberStarted   Number = 1001
-	NumberStopping  Number = 1002
-	NumberStopped   Number = 1003
-	NumberFailed    Number = 1004
-	NumberFaultsSet Number = 9001
+	NumberStarted                  Number = 1001
+	NumberStopping                 Number = 1002
+	NumberStopped                  Number = 1003
+	NumberFailed                   Number = 1004
+	NumberHostStateChanged         Number = 2001
+	NumberDatabaseClaimed          Number = 2002
+	NumberDatabaseServing          Number = 2003
+	NumberDatabaseReplaced         Number = 2004
+	NumberPrimarySilent            Number = 2005
+	NumberSwitchoverBegun          Number = 2006
+	NumberSwitchoverMissed         Number = 2007
+	NumberGroupChanged             Number = 2008
+	NumberRowUnreadable            Number = 2009
+	NumberStoreUnreachable         Number = 2010
+	NumberStoreReachable           Number = 2011
+	NumberFleetLearnt              Number = 2012
+	NumberConfigurationAccepted    Number = 4001
+	NumberConfigurationInForce     Number = 4002
+	NumberConfigurationConflict    Number = 4003
+	NumberConfigurationRefused     Number = 4004
+	NumberConfigurationFetchFailed Number = 4005
+	NumberConfigurationOlder       Number = 4006
+	NumberConfigurationUnknown     Number = 4007
+	NumberTokenRefused             Number = 5001
+	NumberRightMissing             Number = 5002
+	NumberPeerRefused              Number = 5003
+	NumberFaultsSet                Number = 9001
 )
 
 // unused keeps the import of package model when no event needs it.
@@ -55,6 +77,213 @@
 	}).Error("process failed")
 }
 
+// HostStateChanged logs event 2001: a host's state changed.
+func HostStateChanged(logger log.Interface, host model.HostID, state string) {
+	logger.WithFields(log.Fields{
+		"event": NumberHostStateChanged,
+		"host":  host,
+		"state": state,
+	}).Info("a host's state changed")
+}
+
+// DatabaseClaimed logs event 2002: this host claims a database.
+func DatabaseClaimed(logger log.Interface, database model.DatabaseID, term model.Term, primary model.InstanceID, reason string) {
+	logger.WithFields(log.Fields{
+		"event":    NumberDatabaseClaimed,
+		"database": database,
+		"term":     term,
+		"primary":  primary,
+		"reason":   reason,
+	}).Info("this host claims a database")
+}
+
+// DatabaseServing logs event 2003: this host serves a database.
+func DatabaseServing(logger log.Interface, database model.DatabaseID, term model.Term, primary model.InstanceID) {
+	logger.WithFields(log.Fields{
+		"event":    NumberDatabaseServing,
+		"database": database,
+		"term":     term,
+		"primary":  primary,
+	}).Info("this host serves a database")
+}
+
+// DatabaseReplaced logs event 2004: another host has taken a database over.
+func DatabaseReplaced(logger log.Interface, database model.DatabaseID, term model.Term, owner model.HostID) {
+	logger.WithFields(log.Fields{
+		"event":    NumberDatabaseReplaced,
+		"database": database,
+		"term":     term,
+		"owner":    owner,
+	}).Info("another host has taken a database over")
+}
+
+// PrimarySilent logs event 2005: a primary does not answer this host.
+func PrimarySilent(logger log.Interface, database model.DatabaseID, term model.Term, instance model.InstanceID) {
+	logger.WithFields(log.Fields{
+		"event":    NumberPrimarySilent,
+		"database": database,
+		"term":     term,
+		"instance": instance,
+	}).Warn("a primary does not answer this host")
+}
+
+// SwitchoverBegun logs event 2006: a planned switchover has begun.
+func SwitchoverBegun(logger log.Interface, database model.DatabaseID, term model.Term, from model.InstanceID, to model.InstanceID) {
+	logger.WithFields(log.Fields{
+		"event":    NumberSwitchoverBegun,
+		"database": database,
+		"term":     term,
+		"from":     from,
+		"to":       to,
+	}).Info("a planned switchover has begun")
+}
+
+// SwitchoverMissed logs event 2007: a planned switchover kept its primary and is tried again.
+func SwitchoverMissed(logger log.Interface, database model.DatabaseID, term model.Term, primary model.InstanceID) {
+	logger.WithFields(log.Fields{
+		"event":    NumberSwitchoverMissed,
+		"database": database,
+		"term":     term,
+		"primary":  primary,
+	}).Warn("a planned switchover kept its primary and is tried again")
+}
+
+// GroupChanged logs event 2008: an instance joins or leaves a database's group.
+func GroupChanged(logger log.Interface, database model.DatabaseID, term model.Term, instance model.InstanceID, change string) {
+	logger.WithFields(log.Fields{
+		"event":    NumberGroupChanged,
+		"database": database,
+		"term":     term,
+		"instance": instance,
+		"change":   change,
+	}).Info("an instance joins or leaves a database's group")
+}
+
+// RowUnreadable logs event 2009: a row of the table service can't be read.
+func RowUnreadable(logger log.Interface, key model.RowKey, error error) {
+	logger.WithFields(log.Fields{
+		"event": NumberRowUnreadable,
+		"key":   key,
+		"error": text(error),
+	}).Error("a row of the table service can't be read")
+}
+
+// StoreUnreachable logs event 2010: the platform's table service does not answer.
+func StoreUnreachable(logger log.Interface, error error) {
+	logger.WithFields(log.Fields{
+		"event": NumberStoreUnreachable,
+		"error": text(error),
+	}).Warn("the platform's table service does not answer")
+}
+
+// StoreReachable logs event 2011: the platform's table service answers again.
+func StoreReachable(logger log.Interface) {
+	logger.WithFields(log.Fields{
+		"event": NumberStoreReachable,
+	}).Info("the platform's table service answers again")
+}
+
+// FleetLearnt logs event 2012: this host started from what a peer knows.
+func FleetLearnt(logger log.Interface, host model.HostID) {
+	logger.WithFields(log.Fields{
+		"event": NumberFleetLearnt,
+		"host":  host,
+	}).Info("this host started from what a peer knows")
+}
+
+// ConfigurationAccepted logs event 4001: an operator's configuration is accepted.
+func ConfigurationAccepted(logger log.Interface, author string, version model.Version) {
+	logger.WithFields(log.Fields{
+		"event":   NumberConfigurationAccepted,
+		"author":  author,
+		"version": version,
+	}).Info("an operator's configuration is accepted")
+}
+
+// ConfigurationInForce logs event 4002: a configuration is in force on this host.
+func ConfigurationInForce(logger log.Interface, version model.Version, source string) {
+	logger.WithFields(log.Fields{
+		"event":   NumberConfigurationInForce,
+		"version": version,
+		"source":  source,
+	}).Info("a configuration is in force on this host")
+}
+
+// ConfigurationConflict logs event 4003: a configuration lost a race against another one.
+func ConfigurationConflict(logger log.Interface, author string, expected model.Version, current model.Version) {
+	logger.WithFields(log.Fields{
+		"event":    NumberConfigurationConflict,
+		"author":   author,
+		"expected": expected,
+		"current":  current,
+	}).Info("a configuration lost a race against another one")
+}
+
+// ConfigurationRefused logs event 4004: a configuration was refused.
+func ConfigurationRefused(logger log.Interface, author string, error error) {
+	logger.WithFields(log.Fields{
+		"event":  NumberConfigurationRefused,
+		"author": author,
+		"error":  text(error),
+	}).Warn("a configuration was refused")
+}
+
+// ConfigurationFetchFailed logs event 4005: a newer configuration could not be fetched.
+func ConfigurationFetchFailed(logger log.Interface, error error) {
+	logger.WithFields(log.Fields{
+		"event": NumberConfigurationFetchFailed,
+		"error": text(error),
+	}).Warn("a newer configuration could not be fetched")
+}
+
+// ConfigurationOlder logs event 4006: the store has an older configuration than this host.
+func ConfigurationOlder(logger log.Interface, stored model.Version, inForce model.Version) {
+	logger.WithFields(log.Fields{
+		"event":   NumberConfigurationOlder,
+		"stored":  stored,
+		"inForce": inForce,
+	}).Error("the store has an older configuration than this host")
+}
+
+// ConfigurationUnknown logs event 4007: an operator's change has an unknown outcome.
+func ConfigurationUnknown(logger log.Interface, author string, expected model.Version, error error) {
+	logger.WithFields(log.Fields{
+		"event":    NumberConfigurationUnknown,
+		"author":   author,
+		"expected": expected,
+		"error":    text(error),
+	}).Error("an operator's change has an unknown outcome")
+}
+
+// TokenRefused logs event 5001: a request had no valid token.
+func TokenRefused(logger log.Interface, api string, remote string, path string) {
+	logger.WithFields(log.Fields{
+		"event":  NumberTokenRefused,
+		"api":    api,
+		"remote": remote,
+		"path":   path,
+	}).Warn("a request had no valid token")
+}
+
+// RightMissing logs event 5002: a token's role does not allow the request.
+func RightMissing(logger log.Interface, api string, token string, path string) {
+	logger.WithFields(log.Fields{
+		"event": NumberRightMissing,
+		"api":   api,
+		"token": token,
+		"path":  path,
+	}).Warn("a token's role does not allow the request")
+}
+
+// PeerRefused logs event 5003: a host's certificate was refused.
+func PeerRefused(logger log.Interface, remote string, error error) {
+	logger.WithFields(log.Fields{
+		"event":  NumberPeerRefused,
+		"remote": remote,
+		"error":  text(error),
+	}).Warn("a host's certificate was refused")
+}
+
 // FaultsSet logs event 9001: faults of a stand-in changed.
 func FaultsSet(logger log.Interface, id string, faults string) {
 	logger.WithFields(log.Fields{
