--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -7,15 +7,15 @@
 )
 
 // Machine decides: it is pure state, reached by the loop's goroutine alone.
-type Machine[E, A, S any] interface {
+type Machine[E, A any, S comparable] interface {
 	// Handle takes one event and returns the actions that follow from it.
 	Handle(now time.Time, event E) []A
-	// Snapshot returns an immutable view for traffic.
+	// Snapshot returns an immutable view for traffic, the same one while nothing changes.
 	Snapshot() S
 }
 
 // Loop feeds events to a machine, runs its actions in goroutines of their own and publishes its snapshots.
-type Loop[E, A, S any] struct {
+type Loop[E, A any, S comparable] struct {
 	// Machine decides what follows from each event.
 	Machine Machine[E, A, S]
 	// Do runs one action outside the loop's goroutine and returns the event that reports its end.
@@ -29,13 +29,14 @@
 
 	events   chan E
 	snapshot atomic.Pointer[S]
+	changed  atomic.Pointer[chan struct{}]
 }
 
 // eventQueue is the number of events that may wait for the loop.
 const eventQueue = 1024
 
 // New returns a loop whose exported fields are to be set before Run.
-func New[E, A, S any](machine Machine[E, A, S]) *Loop[E, A, S] {
+func New[E, A any, S comparable](machine Machine[E, A, S]) *Loop[E, A, S] {
 	l := &Loop[E, A, S]{
 		Machine: machine,
 		Now:     time.Now,
@@ -50,6 +51,11 @@
 	return *l.snapshot.Load()
 }
 
+// Changed returns a channel that closes at the next change of the snapshot; take it before the snapshot to miss none.
+func (l *Loop[E, A, S]) Changed() <-chan struct{} {
+	return *l.changed.Load()
+}
+
 // Offer hands an event to the loop and reports false when the queue is full, so that traffic never waits for control.
 func (l *Loop[E, A, S]) Offer(event E) bool {
 	select {
@@ -113,8 +119,15 @@
 	}
 }
 
-// publish stores a new snapshot.
+// publish stores a new snapshot and wakes those who wait for a change.
 func (l *Loop[E, A, S]) publish() {
 	snapshot := l.Machine.Snapshot()
+	if l.snapshot.Load() != nil && *l.snapshot.Load() == snapshot {
+		return
+	}
 	l.snapshot.Store(&snapshot)
+	next := make(chan struct{})
+	if former := l.changed.Swap(&next); former != nil {
+		close(*former)
+	}
 }
--- a/internal/control/loop_test.go
+++ b/internal/control/loop_test.go
@@ -61,3 +61,41 @@
 		})
 	}
 }
+
+func TestChanged(t *testing.T) {
+	tests := map[string]struct {
+		event int
+		want  bool // the channel closes
+	}{
+		"new snapshot":  {event: 1, want: true},
+		"same snapshot": {event: 0, want: false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				loop := New(&counter{})
+				loop.TickEvent = func() int { return 0 }
+				loop.Tick = time.Second
+				ctx, cancel := context.WithCancel(t.Context())
+				done := make(chan error, 1)
+				go loop.Run(ctx, done)
+				changed := loop.Changed()
+				if err := loop.Send(ctx, test.event); err != nil {
+					t.Fatalf("got %v, want no error", err)
+				}
+				synctest.Wait()
+				got := false
+				select {
+				case <-changed:
+					got = true
+				default:
+				}
+				if got != test.want {
+					t.Errorf("got closed %v, want %v", got, test.want)
+				}
+				cancel()
+				<-done
+			})
+		})
+	}
+}
