Fence replicas of a stand-in too

Cause: a fenced replica kept the role of a replica of the former primary, so the control machine took it for a follower and never sent it to the new primary; every write then waited 1 s for a replica to hold it. Change: an instance is fenced by every rise of its term until it is promoted or follows; the schema says so. Conclusion: the stand-in now keeps to what the machine's own model assumes.

--- a/internal/standin/instance/core.go
+++ b/internal/standin/instance/core.go
@@ -129,15 +129,15 @@
 	return c.state(now), nil
 }
 
-// raise moves to a higher term, in which a former primary is fenced and its connections are closed.
+// raise moves to a higher term, in which the instance is fenced; the connections of a former primary are closed.
 func (c *core) raise(now time.Time, term model.Term) {
 	c.term = term
 	c.pending = nil
 	if c.role == model.RolePrimary {
-		c.role = model.RoleFenced
 		c.fresh = now
 		clear(c.connections)
 	}
+	c.role = model.RoleFenced
 	c.signal()
 }
 
--- a/pkg/api/endpointapi/oas_client_gen.go
+++ b/pkg/api/endpointapi/oas_client_gen.go
@@ -41,7 +41,7 @@
 	CommitTransaction(ctx context.Context, request *CommitRequest, params CommitTransactionParams) (*StatementResult, error)
 	// Fence invokes fence operation.
 	//
-	// Raises the instance's term; work of a lower term is refused from then on.
+	// Raises the instance's term; it is fenced until it is promoted or follows in that term.
 	//
 	// POST /v1/fence
 	Fence(ctx context.Context, request *TermRequest) (*InstanceState, error)
@@ -330,7 +330,7 @@
 
 // Fence invokes fence operation.
 //
-// Raises the instance's term; work of a lower term is refused from then on.
+// Raises the instance's term; it is fenced until it is promoted or follows in that term.
 //
 // POST /v1/fence
 func (c *Client) Fence(ctx context.Context, request *TermRequest) (*InstanceState, error) {
--- a/pkg/api/endpointapi/oas_handlers_gen.go
+++ b/pkg/api/endpointapi/oas_handlers_gen.go
@@ -345,7 +345,7 @@
 
 // handleFenceRequest handles fence operation.
 //
-// Raises the instance's term; work of a lower term is refused from then on.
+// Raises the instance's term; it is fenced until it is promoted or follows in that term.
 //
 // POST /v1/fence
 func (s *Server) handleFenceRequest(args [0]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
@@ -383,7 +383,7 @@
 		mreq := middleware.Request{
 			Context:          ctx,
 			OperationName:    FenceOperation,
-			OperationSummary: "Raises the instance's term; work of a lower term is refused from then on.",
+			OperationSummary: "Raises the instance's term; it is fenced until it is promoted or follows in that term.",
 			OperationID:      "fence",
 			Body:             request,
 			RawBody:          rawBody,
--- a/pkg/api/endpointapi/oas_router_gen.go
+++ b/pkg/api/endpointapi/oas_router_gen.go
@@ -720,7 +720,7 @@
 						switch method {
 						case "POST":
 							r.name = FenceOperation
-							r.summary = "Raises the instance's term; work of a lower term is refused from then on."
+							r.summary = "Raises the instance's term; it is fenced until it is promoted or follows in that term."
 							r.operationID = "fence"
 							r.operationGroup = ""
 							r.pathPattern = "/v1/fence"
--- a/pkg/api/endpointapi/oas_server_gen.go
+++ b/pkg/api/endpointapi/oas_server_gen.go
@@ -28,7 +28,7 @@
 	CommitTransaction(ctx context.Context, req *CommitRequest, params CommitTransactionParams) (*StatementResult, error)
 	// Fence implements fence operation.
 	//
-	// Raises the instance's term; work of a lower term is refused from then on.
+	// Raises the instance's term; it is fenced until it is promoted or follows in that term.
 	//
 	// POST /v1/fence
 	Fence(ctx context.Context, req *TermRequest) (*InstanceState, error)
