Refuse waiting work as not run when its database moves

Cause: work that waited for a connection of a crashed primary was not told that the database had a new primary. Change: dispatch.Dispatcher.Flush refuses all that waits as unavailable and not run. Conclusion: the proxy sends the work again, to the new owner.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -116,17 +116,29 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	d.stopping = true
+	d.refuseWaiting(model.CodeStopping)
+	d.checkIdle()
+}
+
+// Flush refuses all waiting work as not run, so that it goes where its database has moved to.
+func (d *Dispatcher) Flush() {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.refuseWaiting(model.CodeUnavailable)
+}
+
+// refuseWaiting refuses all waiting work with the code.
+func (d *Dispatcher) refuseWaiting(code model.Code) {
 	for {
 		ticket, verdict := d.queue.Next(d.Now(), admit.RoomAny)
 		if ticket == nil {
-			break
+			return
 		}
 		if verdict == admit.Run {
 			d.queue.Cancel(ticket)
 		}
-		d.refuse(ticket, model.CodeStopping)
+		d.refuse(ticket, code)
 	}
-	d.checkIdle()
 }
 
 // checkIdle tells Run when the dispatcher is stopping and holds nothing any more.
