Carry work between hosts over HTTP/3, with a span for each hop

Cause: proxy and owner are different hosts. Change: peer client and server on quic-go with the generated messages; a failed dial is told from an answer that stayed away; spans and W3C context; a graceful HTTP server. Conclusion: the hop stands, to be measured.

--- /dev/null
+++ b/internal/peer/client.go
@@ -0,0 +1,139 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/quic-go/quic-go"
+	"github.com/quic-go/quic-go/http3"
+
+	"redwingspread/internal/model"
+	"redwingspread/internal/owner"
+	"redwingspread/pkg/api/peerapi"
+)
+
+// idleLimit is how long a connection to a peer may go without a packet.
+const idleLimit = 10 * time.Second
+
+// dialLimit is how long a handshake with a peer may take.
+const dialLimit = time.Second
+
+// Client calls other hosts; one connection to each peer carries all calls.
+type Client struct {
+	// TLS proves this host to its peers and checks theirs.
+	TLS *tls.Config
+	// Wrap adds layers, such as spans, around the transport.
+	Wrap func(http.RoundTripper) http.RoundTripper
+	// Now reads the clock.
+	Now func() time.Time
+
+	socket    *quic.Transport
+	transport *http3.Transport
+	http      *http.Client
+	mutex     sync.Mutex
+	peers     map[model.Address]*peerapi.Client
+}
+
+// NewClient returns a client whose exported fields are to be set before Open.
+func NewClient() *Client {
+	return &Client{
+		Wrap:  func(next http.RoundTripper) http.RoundTripper { return next },
+		Now:   time.Now,
+		peers: map[model.Address]*peerapi.Client{},
+	}
+}
+
+// dialError is the error of a connection that never came about, so that nothing was sent.
+type dialError struct {
+	cause error
+}
+
+// Error returns the cause.
+func (e *dialError) Error() string {
+	return "dial: " + e.cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *dialError) Unwrap() error {
+	return e.cause
+}
+
+// Open opens the socket that all connections share.
+func (c *Client) Open() (err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("peer client: %w", err)
+		}
+	}()
+	socket, err := net.ListenUDP("udp", &net.UDPAddr{})
+	if err != nil {
+		return err
+	}
+	c.socket = &quic.Transport{Conn: socket}
+	c.transport = &http3.Transport{
+		TLSClientConfig: c.TLS,
+		QUICConfig:      &quic.Config{MaxIdleTimeout: idleLimit, HandshakeIdleTimeout: dialLimit},
+		Dial:            c.dial,
+	}
+	c.http = &http.Client{Transport: c.Wrap(c.transport)}
+	return nil
+}
+
+// Close closes every connection and the socket.
+func (c *Client) Close() error {
+	socket := c.socket.Conn
+	return errors.Join(c.transport.Close(), c.socket.Close(), socket.Close())
+}
+
+// At returns the service of the host at the address.
+func (c *Client) At(host model.Host) owner.Service {
+	return &remote{client: c, host: host}
+}
+
+// dial connects to a peer and marks a failure as one that sent nothing.
+func (c *Client) dial(ctx context.Context, address string, tlsConfig *tls.Config, config *quic.Config) (*quic.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialLimit)
+	defer cancel()
+	remote, err := net.ResolveUDPAddr("udp", address)
+	if err != nil {
+		return nil, &dialError{cause: err}
+	}
+	conn, err := c.socket.Dial(ctx, remote, tlsConfig, config)
+	if err != nil {
+		return nil, &dialError{cause: err}
+	}
+	return conn, nil
+}
+
+// api returns the generated client of the peer at the address.
+func (c *Client) api(address model.Address) (*peerapi.Client, error) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if api := c.peers[address]; api != nil {
+		return api, nil
+	}
+	api, err := peerapi.NewClient("https://"+string(address), peerapi.WithClient(c.http))
+	if err != nil {
+		return nil, model.Refuse(model.CodeUnavailable, "peer address %q: %v", address, err)
+	}
+	c.peers[address] = api
+	return api, nil
+}
+
+// decodeCall translates the error of a call; a failed dial sent nothing.
+func decodeCall(err error) error {
+	if err == nil {
+		return nil
+	}
+	var failed *dialError
+	if errors.As(err, &failed) {
+		return model.Refuse(model.CodeUnavailable, "peer out of reach: %v", failed)
+	}
+	return decodeError(err)
+}
--- /dev/null
+++ b/internal/peer/handler.go
@@ -0,0 +1,93 @@
+package peer
+
+import (
+	"context"
+
+	"redwingspread/internal/model"
+	"redwingspread/pkg/api/peerapi"
+)
+
+// handler translates the generated calls to the server's services.
+type handler struct {
+	server *Server
+}
+
+// serviceCall is one method of the owner's service that returns a result.
+type serviceCall func(context.Context, model.Work) (model.Result, error)
+
+// run decodes work, runs it within its deadline and encodes the result.
+func (h *handler) run(ctx context.Context, message *peerapi.Work, call serviceCall) (*peerapi.WorkResult, error) {
+	work := decodeWork(message, h.server.Now())
+	ctx, cancel := context.WithDeadline(ctx, work.Deadline)
+	defer cancel()
+	result, err := call(ctx, work)
+	if err != nil {
+		return nil, err
+	}
+	return encodeResult(result), nil
+}
+
+// ForwardStatement runs a statement at this host.
+func (h *handler) ForwardStatement(ctx context.Context, message *peerapi.Work) (*peerapi.WorkResult, error) {
+	return h.run(ctx, message, h.server.Work.Execute)
+}
+
+// ForwardBegin begins a transaction at this host.
+func (h *handler) ForwardBegin(ctx context.Context, message *peerapi.Work) (*peerapi.WorkResult, error) {
+	return h.run(ctx, message, h.server.Work.Begin)
+}
+
+// ForwardCommit commits a transaction at this host.
+func (h *handler) ForwardCommit(ctx context.Context, message *peerapi.Work) (*peerapi.WorkResult, error) {
+	return h.run(ctx, message, h.server.Work.Commit)
+}
+
+// ForwardOutcome resolves the outcome of a request id at this host.
+func (h *handler) ForwardOutcome(ctx context.Context, message *peerapi.Work) (*peerapi.WorkResult, error) {
+	return h.run(ctx, message, h.server.Work.Outcome)
+}
+
+// ForwardRollback rolls a transaction back at this host.
+func (h *handler) ForwardRollback(ctx context.Context, message *peerapi.Work) error {
+	work := decodeWork(message, h.server.Now())
+	ctx, cancel := context.WithDeadline(ctx, work.Deadline)
+	defer cancel()
+	return h.server.Work.Rollback(ctx, work)
+}
+
+// GetConfiguration returns the newest configuration that this host knows.
+func (h *handler) GetConfiguration(ctx context.Context) (*peerapi.Configuration, error) {
+	version, document, err := h.server.Control.Configuration(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return &peerapi.Configuration{Version: uint64(version), Document: document}, nil
+}
+
+// GetFleet returns what this host knows of the members and the owners.
+func (h *handler) GetFleet(ctx context.Context) (*peerapi.Fleet, error) {
+	known, err := h.server.Control.Fleet(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return encodeFleet(known), nil
+}
+
+// Heartbeat takes a peer's heartbeat and returns this host's own.
+func (h *handler) Heartbeat(ctx context.Context, message *peerapi.Heartbeat) (*peerapi.Heartbeat, error) {
+	beat, err := h.server.Control.Heartbeat(ctx, decodeHeartbeat(message))
+	if err != nil {
+		return nil, err
+	}
+	return encodeHeartbeat(beat), nil
+}
+
+// LendPermits refuses: the owner schedules its replicas itself.
+func (h *handler) LendPermits(context.Context, *peerapi.PermitRequest) (*peerapi.Permits, error) {
+	return nil, model.Refuse(model.CodeUnavailable, "the owner lends no permits")
+}
+
+// NewError translates an error into the message of a refusal.
+func (h *handler) NewError(_ context.Context, err error) *peerapi.RefusalStatusCode {
+	return encodeRefusal(err)
+}
--- /dev/null
+++ b/internal/serve/doc.go
@@ -0,0 +1,2 @@
+// Package serve runs HTTP servers that end gracefully.
+package serve
--- /dev/null
+++ b/internal/trace/provider.go
@@ -0,0 +1,84 @@
+package trace
+
+import (
+	"context"
+	"fmt"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/exporters/otlp/otlptrace/otlptracehttp"
+	"go.opentelemetry.io/otel/exporters/stdout/stdouttrace"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/sdk/resource"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
+
+	"redwingspread/internal/model"
+)
+
+// Exporter names where spans go.
+type Exporter string
+
+// The exporters.
+const (
+	None   Exporter = "none"
+	Stdout Exporter = "stdout"
+	OTLP   Exporter = "otlp"
+)
+
+// library is the instrumentation's name.
+const library = "redwingspread"
+
+// propagator reads and writes the W3C headers.
+var propagator = propagation.TraceContext{}
+
+// Tracer starts the spans of one host.
+type Tracer struct {
+	tracer   trace.Tracer
+	shutdown func(context.Context) error
+}
+
+// New returns a tracer that exports the host's spans; the collector's address serves OTLP alone.
+func New(ctx context.Context, host model.HostID, exporter Exporter, collector string) (tracer *Tracer, err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("trace: %w", err)
+		}
+	}()
+	switch exporter {
+	case Stdout:
+		spans, err := stdouttrace.New()
+		if err != nil {
+			return nil, err
+		}
+		return newExporting(host, spans), nil
+	case OTLP:
+		spans, err := otlptracehttp.New(ctx, otlptracehttp.WithEndpoint(collector), otlptracehttp.WithInsecure())
+		if err != nil {
+			return nil, err
+		}
+		return newExporting(host, spans), nil
+	default:
+		return Discard(), nil
+	}
+}
+
+// Discard returns a tracer whose spans go nowhere.
+func Discard() *Tracer {
+	return &Tracer{
+		tracer:   noop.NewTracerProvider().Tracer(library),
+		shutdown: func(context.Context) error { return nil },
+	}
+}
+
+// Shutdown sends the spans that wait and ends the exporter.
+func (t *Tracer) Shutdown(ctx context.Context) error {
+	return t.shutdown(ctx)
+}
+
+// newExporting returns a tracer that sends spans in batches.
+func newExporting(host model.HostID, spans sdktrace.SpanExporter) *Tracer {
+	attributes := resource.NewSchemaless(attribute.String("host.name", string(host)))
+	provider := sdktrace.NewTracerProvider(sdktrace.WithBatcher(spans), sdktrace.WithResource(attributes))
+	return &Tracer{tracer: provider.Tracer(library), shutdown: provider.Shutdown}
+}
--- a/pkg/api/peerapi/oas_json_gen.go
+++ b/pkg/api/peerapi/oas_json_gen.go
@@ -2568,6 +2568,10 @@
 		e.FieldStart("least")
 		s.Least.Encode(e)
 	}
+	{
+		e.FieldStart("known")
+		e.Bool(s.Known)
+	}
 	{
 		if s.MaxAgeMs.Set {
 			e.FieldStart("maxAgeMs")
@@ -2586,7 +2590,7 @@
 	}
 }
 
-var jsonFieldsNameOfWork = [12]string{
+var jsonFieldsNameOfWork = [13]string{
 	0:  "origin",
 	1:  "request",
 	2:  "database",
@@ -2596,9 +2600,10 @@
 	6:  "arguments",
 	7:  "session",
 	8:  "least",
-	9:  "maxAgeMs",
-	10: "transaction",
-	11: "deadlineMs",
+	9:  "known",
+	10: "maxAgeMs",
+	11: "transaction",
+	12: "deadlineMs",
 }
 
 // Decode decodes Work from json.
@@ -2712,6 +2717,18 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"least\"")
 			}
+		case "known":
+			requiredBitSet[1] |= 1 << 1
+			if err := func() error {
+				v, err := d.Bool()
+				s.Known = bool(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"known\"")
+			}
 		case "maxAgeMs":
 			if err := func() error {
 				s.MaxAgeMs.Reset()
@@ -2733,7 +2750,7 @@
 				return errors.Wrap(err, "decode field \"transaction\"")
 			}
 		case "deadlineMs":
-			requiredBitSet[1] |= 1 << 3
+			requiredBitSet[1] |= 1 << 4
 			if err := func() error {
 				v, err := d.Int64()
 				s.DeadlineMs = int64(v)
@@ -2755,7 +2772,7 @@
 	var failures []validate.FieldError
 	for i, mask := range [2]uint8{
 		0b11111111,
-		0b00001001,
+		0b00010011,
 	} {
 		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
 			// Mask only required fields and check equality to mask using XOR.
--- a/pkg/api/peerapi/oas_schemas_gen.go
+++ b/pkg/api/peerapi/oas_schemas_gen.go
@@ -1201,8 +1201,10 @@
 	Operation string        `json:"operation"`
 	Arguments WorkArguments `json:"arguments"`
 	// Identifies the session for fairness.
-	Session     string    `json:"session"`
-	Least       Point     `json:"least"`
+	Session string `json:"session"`
+	Least   Point  `json:"least"`
+	// The session's token tells all it has seen of the database.
+	Known       bool      `json:"known"`
 	MaxAgeMs    OptInt64  `json:"maxAgeMs"`
 	Transaction OptString `json:"transaction"`
 	// Time left in milliseconds.
@@ -1254,6 +1256,11 @@
 	return s.Least
 }
 
+// GetKnown returns the value of Known.
+func (s *Work) GetKnown() bool {
+	return s.Known
+}
+
 // GetMaxAgeMs returns the value of MaxAgeMs.
 func (s *Work) GetMaxAgeMs() OptInt64 {
 	return s.MaxAgeMs
@@ -1314,6 +1321,11 @@
 	s.Least = val
 }
 
+// SetKnown sets the value of Known.
+func (s *Work) SetKnown(val bool) {
+	s.Known = val
+}
+
 // SetMaxAgeMs sets the value of MaxAgeMs.
 func (s *Work) SetMaxAgeMs(val OptInt64) {
 	s.MaxAgeMs = val
