--- a/internal/model/work.go
+++ b/internal/model/work.go
@@ -18,6 +18,7 @@
 	Session     SessionID
 	Statement   Statement
 	Least       Point         // the answer must cover this point
+	Known       bool          // the session's token tells all it has seen of the database
 	MaxAge      *Age          // nil for read-your-writes
 	Wait        time.Duration // time the instance may wait to cover Least
 	Transaction TransactionID // empty outside a transaction
--- /dev/null
+++ b/internal/owner/doc.go
@@ -0,0 +1,2 @@
+// Package owner runs work on the databases that this host owns.
+package owner
--- /dev/null
+++ b/internal/owner/instances.go
@@ -0,0 +1,159 @@
+package owner
+
+import (
+	"context"
+	"sync"
+
+	"redwingspread/internal/dispatch"
+	"redwingspread/internal/endpoint"
+	"redwingspread/internal/model"
+	"redwingspread/internal/view"
+)
+
+// Instances keeps a client and a dispatcher for each instance of the databases that this host owns.
+type Instances struct {
+	// Host is this host.
+	Host model.HostID
+	// View returns the newest view of the fleet.
+	View func() *view.View
+	// Changed returns a channel that closes at the next change of the view.
+	Changed func() <-chan struct{}
+	// Connect makes the client of an instance.
+	Connect func(model.Instance) endpoint.Instance
+
+	mutex       sync.RWMutex
+	clients     map[model.InstanceID]endpoint.Instance
+	dispatchers map[model.InstanceID]*running
+	context     context.Context
+	ended       chan error
+}
+
+// running is a dispatcher and the way to end it.
+type running struct {
+	dispatcher *dispatch.Dispatcher
+	database   model.DatabaseID
+	term       model.Term // of the newest view that was swept
+	stop       context.CancelFunc
+}
+
+// NewInstances returns instances whose exported fields are to be set before Run.
+func NewInstances() *Instances {
+	return &Instances{
+		clients:     map[model.InstanceID]endpoint.Instance{},
+		dispatchers: map[model.InstanceID]*running{},
+		context:     context.Background(),
+		ended:       make(chan error),
+	}
+}
+
+// Client returns the client of an instance.
+func (s *Instances) Client(instance model.Instance) endpoint.Instance {
+	s.mutex.RLock()
+	client := s.clients[instance.ID]
+	s.mutex.RUnlock()
+	if client != nil {
+		return client
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.connect(instance)
+}
+
+// connect returns the instance's client; the caller holds the lock.
+func (s *Instances) connect(instance model.Instance) endpoint.Instance {
+	if client := s.clients[instance.ID]; client != nil {
+		return client
+	}
+	client := s.Connect(instance)
+	s.clients[instance.ID] = client
+	return client
+}
+
+// Dispatcher returns the running dispatcher of an instance.
+func (s *Instances) Dispatcher(instance view.Instance) *dispatch.Dispatcher {
+	s.mutex.RLock()
+	current := s.dispatchers[instance.ID]
+	s.mutex.RUnlock()
+	if current != nil {
+		return current.dispatcher
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if current := s.dispatchers[instance.ID]; current != nil {
+		return current.dispatcher
+	}
+	return s.start(instance)
+}
+
+// start starts the dispatcher of an instance; the caller holds the lock.
+func (s *Instances) start(instance view.Instance) *dispatch.Dispatcher {
+	dispatcher := dispatch.New()
+	dispatcher.Host = s.Host
+	dispatcher.Database = instance.Database
+	dispatcher.Instance = s.connect(instance.Instance)
+	if instance.State.Slots > 0 {
+		dispatcher.Slots = instance.State.Slots
+		dispatcher.Connections = instance.State.Connections
+	}
+	ctx, stop := context.WithCancel(s.context)
+	s.dispatchers[instance.ID] = &running{dispatcher: dispatcher, database: instance.Database, stop: stop}
+	go dispatcher.Run(ctx, s.ended)
+	return dispatcher
+}
+
+// Run keeps the dispatchers in step with the view, and ends all of them when the context ends.
+func (s *Instances) Run(ctx context.Context, done chan<- error) {
+	for ctx.Err() == nil {
+		changed := s.Changed()
+		s.sweep()
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		}
+	}
+	s.stopAll()
+	done <- nil
+}
+
+// sweep ends the dispatchers of databases that this host no longer owns, and refuses work that waits in an old term.
+func (s *Instances) sweep() {
+	fleet := s.View()
+	for id, current := range s.list() {
+		database := fleet.Databases[current.database]
+		if database == nil || database.Owner != s.Host {
+			s.end(id, current)
+			continue
+		}
+		if database.Term != current.term {
+			current.term = database.Term
+			current.dispatcher.Flush()
+		}
+	}
+}
+
+// list returns the running dispatchers.
+func (s *Instances) list() map[model.InstanceID]*running {
+	s.mutex.RLock()
+	defer s.mutex.RUnlock()
+	list := make(map[model.InstanceID]*running, len(s.dispatchers))
+	for id, current := range s.dispatchers {
+		list[id] = current
+	}
+	return list
+}
+
+// end ends one dispatcher and waits for it.
+func (s *Instances) end(id model.InstanceID, current *running) {
+	s.mutex.Lock()
+	delete(s.dispatchers, id)
+	s.mutex.Unlock()
+	current.stop()
+	<-s.ended
+}
+
+// stopAll ends every dispatcher.
+func (s *Instances) stopAll() {
+	for id, current := range s.list() {
+		s.end(id, current)
+	}
+}
--- /dev/null
+++ b/internal/proxy/forward.go
@@ -0,0 +1,114 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+
+	"redwingspread/internal/model"
+	"redwingspread/internal/owner"
+	"redwingspread/internal/view"
+)
+
+// The first and the longest pause between two attempts.
+const (
+	firstPause   = 5 * time.Millisecond
+	longestPause = 100 * time.Millisecond
+)
+
+// forward sends work to the owner of its database, again while it certainly did not run and time is left.
+func (p *Proxy) forward(ctx context.Context, work model.Work, call call) (model.Result, error) {
+	pauses := backoff.NewExponentialBackOff()
+	pauses.InitialInterval = firstPause
+	pauses.MaxInterval = longestPause
+	for {
+		before := p.standing(work.Database)
+		result, err := p.attempt(ctx, work, call)
+		if err == nil || !p.again(work, err) {
+			return result, err
+		}
+		if !p.pause(ctx, pauses.NextBackOff(), work.Database, before) {
+			return result, err
+		}
+	}
+}
+
+// attempt sends work once, to the owner that the newest view names.
+func (p *Proxy) attempt(ctx context.Context, work model.Work, call call) (model.Result, error) {
+	view := p.View()
+	database := view.Databases[work.Database]
+	if database == nil {
+		return model.Result{}, model.Refuse(model.CodeUnknownDatabase, "database %q is not known", work.Database)
+	}
+	service, err := p.service(view, database)
+	if err != nil {
+		return model.Result{}, err
+	}
+	return call(service, ctx, work)
+}
+
+// service returns the service of the database's owner.
+func (p *Proxy) service(fleet *view.View, database *view.Database) (owner.Service, error) {
+	if database.Owner == p.Host.ID {
+		return p.Local, nil
+	}
+	host, found := fleet.Hosts[database.Owner]
+	if !found {
+		return nil, model.Refuse(model.CodeUnavailable, "owner %q of database %q is not known", database.Owner, database.ID)
+	}
+	return p.Peer(host.Host), nil
+}
+
+// again reports whether an error leaves work that may be sent once more.
+func (p *Proxy) again(work model.Work, err error) bool {
+	var refusal *model.Refusal
+	if !errors.As(err, &refusal) || !refusal.NotRun {
+		return false
+	}
+	switch refusal.Code {
+	case model.CodeNotOwner:
+		p.Redirect(work.Database, refusal.Owner, refusal.Term)
+		return true
+	case model.CodeUnavailable, model.CodeStopping:
+		return true
+	default:
+		return false
+	}
+}
+
+// standing is what decides where work of a database goes.
+type standing struct {
+	owner   model.HostID
+	term    model.Term
+	serving bool
+}
+
+// standing returns where work of the database goes now.
+func (p *Proxy) standing(id model.DatabaseID) standing {
+	database := p.View().Databases[id]
+	if database == nil {
+		return standing{}
+	}
+	return standing{owner: database.Owner, term: database.Term, serving: database.Serving && !database.Switching}
+}
+
+// pause waits until the time has passed or the database stands differently, and reports false when the context ends first.
+func (p *Proxy) pause(ctx context.Context, length time.Duration, id model.DatabaseID, before standing) bool {
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	for {
+		changed := p.Changed()
+		if p.standing(id) != before {
+			return true
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return true
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
--- /dev/null
+++ b/internal/proxy/handler.go
@@ -0,0 +1,172 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"redwingspread/internal/model"
+	"redwingspread/pkg/api/callerapi"
+)
+
+// handler translates the generated calls of the caller interface.
+type handler struct {
+	proxy *Proxy
+}
+
+// Execute runs one statement.
+func (h *handler) Execute(ctx context.Context, message *callerapi.StatementRequest) (*callerapi.Answer, error) {
+	request := Request{
+		Request:     model.RequestID(message.Request),
+		Database:    model.DatabaseID(message.Database),
+		Kind:        model.KindID(message.Kind),
+		Operation:   message.Operation,
+		Arguments:   message.Arguments,
+		Token:       message.Token.Or(""),
+		Transaction: model.TransactionID(message.Transaction.Or("")),
+		Limit:       milliseconds(message.DeadlineMs),
+	}
+	if age, set := message.MaxAgeMs.Get(); set {
+		maxAge := model.Age(time.Duration(age) * time.Millisecond)
+		request.MaxAge = &maxAge
+	}
+	answer, err := h.proxy.Execute(ctx, request)
+	return encodeAnswer(answer, err)
+}
+
+// Begin begins a transaction.
+func (h *handler) Begin(ctx context.Context, message *callerapi.BeginRequest) (*callerapi.Transaction, error) {
+	answer, err := h.proxy.Begin(ctx, Request{
+		Request:  model.RequestID(message.Request),
+		Database: model.DatabaseID(message.Database),
+		Kind:     model.KindID(message.Kind),
+		Token:    message.Token.Or(""),
+		Limit:    milliseconds(message.DeadlineMs),
+	})
+	if err != nil {
+		return nil, err
+	}
+	return &callerapi.Transaction{Transaction: string(answer.Result.Transaction), Token: answer.Token}, nil
+}
+
+// Commit commits a transaction.
+func (h *handler) Commit(ctx context.Context, message *callerapi.EndRequest, params callerapi.CommitParams) (*callerapi.Answer, error) {
+	answer, err := h.proxy.Commit(ctx, endRequest(message, params.Transaction))
+	return encodeAnswer(answer, err)
+}
+
+// Rollback rolls a transaction back.
+func (h *handler) Rollback(ctx context.Context, message *callerapi.EndRequest, params callerapi.RollbackParams) error {
+	return h.proxy.Rollback(ctx, endRequest(message, params.Transaction))
+}
+
+// GetOutcome resolves the outcome of a request.
+func (h *handler) GetOutcome(ctx context.Context, params callerapi.GetOutcomeParams) (*callerapi.Answer, error) {
+	answer, err := h.proxy.Outcome(ctx, Request{
+		Request:  model.RequestID(params.Request),
+		Database: model.DatabaseID(params.Database),
+		Token:    params.Token.Or(""),
+	})
+	return encodeAnswer(answer, err)
+}
+
+// GetHealth tells whether this host takes new work.
+func (h *handler) GetHealth(context.Context) (*callerapi.Health, error) {
+	view := h.proxy.View()
+	ready := !view.Stopping && view.Policy != nil && len(view.Databases) > 0
+	return &callerapi.Health{Host: string(h.proxy.Host.ID), Ready: ready}, nil
+}
+
+// NewError translates an error into the message of a refusal.
+func (h *handler) NewError(_ context.Context, err error) *callerapi.RefusalStatusCode {
+	return encodeRefusal(err)
+}
+
+// endRequest makes the request that ends a transaction.
+func endRequest(message *callerapi.EndRequest, transaction string) Request {
+	return Request{
+		Request:     model.RequestID(message.Request),
+		Token:       message.Token.Or(""),
+		Transaction: model.TransactionID(transaction),
+		Limit:       milliseconds(message.DeadlineMs),
+	}
+}
+
+// encodeAnswer translates an answer into a message.
+func encodeAnswer(answer Answer, err error) (*callerapi.Answer, error) {
+	if err != nil {
+		return nil, err
+	}
+	result := answer.Result
+	message := &callerapi.Answer{
+		Request:    string(result.Request),
+		Outcome:    callerapi.AnswerOutcomeDone,
+		Rows:       make([]callerapi.AnswerRowsItem, 0, len(result.Rows)),
+		Token:      answer.Token,
+		Instance:   string(result.Instance),
+		Role:       callerapi.AnswerRole(result.Role),
+		Host:       string(answer.Host),
+		Durability: callerapi.AnswerDurability(result.Durability),
+		Repeated:   callerapi.NewOptBool(result.Repeated),
+	}
+	if !result.Done {
+		message.Outcome = callerapi.AnswerOutcomeFailed
+		message.Reason = callerapi.NewOptString(result.Reason)
+	}
+	for _, row := range result.Rows {
+		message.Rows = append(message.Rows, callerapi.AnswerRowsItem(row))
+	}
+	return message, nil
+}
+
+// statuses maps the codes that callers see to the status of the answer; other codes are shown as unavailable.
+var statuses = map[model.Code]int{
+	model.CodeInvalid:          http.StatusBadRequest,
+	model.CodeTooLarge:         http.StatusRequestEntityTooLarge,
+	model.CodeUnauthorized:     http.StatusUnauthorized,
+	model.CodeForbidden:        http.StatusForbidden,
+	model.CodeUnknownDatabase:  http.StatusNotFound,
+	model.CodeUnknownKind:      http.StatusNotFound,
+	model.CodeBadToken:         http.StatusBadRequest,
+	model.CodeOverloaded:       http.StatusTooManyRequests,
+	model.CodeDeadline:         http.StatusGatewayTimeout,
+	model.CodeUnavailable:      http.StatusServiceUnavailable,
+	model.CodeLostWrite:        http.StatusConflict,
+	model.CodeTransactionEnded: http.StatusGone,
+	model.CodeOutcomeUnknown:   http.StatusBadGateway,
+	model.CodeNotFound:         http.StatusNotFound,
+	model.CodeStopping:         http.StatusServiceUnavailable,
+	model.CodeInternal:         http.StatusInternalServerError,
+}
+
+// encodeRefusal translates an error into the message of a refusal.
+func encodeRefusal(err error) *callerapi.RefusalStatusCode {
+	var refusal *model.Refusal
+	if !errors.As(err, &refusal) {
+		refusal = &model.Refusal{Code: model.CodeInternal, Message: err.Error()}
+	}
+	code := refusal.Code
+	status, found := statuses[code]
+	if !found {
+		code = model.CodeUnavailable
+		status = http.StatusServiceUnavailable
+	}
+	message := callerapi.Refusal{
+		Code:    callerapi.RefusalCode(code),
+		Outcome: callerapi.RefusalOutcomeUnknown,
+		Message: refusal.Message,
+	}
+	if refusal.NotRun {
+		message.Outcome = callerapi.RefusalOutcomeNotRun
+	}
+	if refusal.RetryAfter > 0 {
+		message.RetryAfterMs = callerapi.NewOptInt64(refusal.RetryAfter.Milliseconds())
+	}
+	return &callerapi.RefusalStatusCode{StatusCode: status, Response: message}
+}
+
+// milliseconds returns a message's time, or zero when there is none.
+func milliseconds(value callerapi.OptInt64) time.Duration {
+	return time.Duration(value.Or(0)) * time.Millisecond
+}
--- /dev/null
+++ b/internal/proxy/proxy.go
@@ -0,0 +1,218 @@
+package proxy
+
+import (
+	"context"
+	"time"
+
+	"redwingspread/internal/config"
+	"redwingspread/internal/model"
+	"redwingspread/internal/owner"
+	"redwingspread/internal/session"
+	"redwingspread/internal/view"
+)
+
+// Proxy runs callers' requests, apart from their encoding.
+type Proxy struct {
+	// Host is this host.
+	Host model.Host
+	// View returns the newest view of the fleet.
+	View func() *view.View
+	// Changed returns a channel that closes at the next change of the view.
+	Changed func() <-chan struct{}
+	// Local runs work on the databases that this host owns.
+	Local owner.Service
+	// Peer returns the service of another host.
+	Peer func(model.Host) owner.Service
+	// Codec reads and writes session tokens.
+	Codec *session.Codec
+	// NewSession names a new session.
+	NewSession func() model.SessionID
+	// Redirect tells control of an owner that a peer named.
+	Redirect func(database model.DatabaseID, owner model.HostID, term model.Term)
+	// Now reads the clock.
+	Now func() time.Time
+}
+
+// New returns a proxy whose exported fields are to be set before its first request.
+func New() *Proxy {
+	return &Proxy{
+		Redirect: func(model.DatabaseID, model.HostID, model.Term) {},
+		Now:      time.Now,
+	}
+}
+
+// Execute runs one statement, alone or in its transaction.
+func (p *Proxy) Execute(ctx context.Context, request Request) (Answer, error) {
+	return p.run(ctx, request, owner.Service.Execute)
+}
+
+// Begin begins a transaction, whose name is in the answer's result.
+func (p *Proxy) Begin(ctx context.Context, request Request) (Answer, error) {
+	return p.run(ctx, request, owner.Service.Begin)
+}
+
+// Commit commits the request's transaction.
+func (p *Proxy) Commit(ctx context.Context, request Request) (Answer, error) {
+	return p.end(ctx, request, owner.Service.Commit)
+}
+
+// Rollback rolls the request's transaction back.
+func (p *Proxy) Rollback(ctx context.Context, request Request) error {
+	_, err := p.end(ctx, request, func(s owner.Service, ctx context.Context, work model.Work) (model.Result, error) {
+		return model.Result{}, s.Rollback(ctx, work)
+	})
+	return err
+}
+
+// Outcome resolves the recorded outcome of a request whose answer was lost.
+func (p *Proxy) Outcome(ctx context.Context, request Request) (Answer, error) {
+	token, err := p.token(request.Token)
+	if err != nil {
+		return Answer{}, err
+	}
+	work := p.outcomeWork(request, token)
+	ctx, cancel := context.WithDeadline(ctx, work.Deadline)
+	defer cancel()
+	result, err := p.forward(ctx, work, owner.Service.Outcome)
+	if err != nil {
+		return Answer{}, err
+	}
+	return p.answer(token, work, result)
+}
+
+// call is one method of an owner's service.
+type call func(owner.Service, context.Context, model.Work) (model.Result, error)
+
+// run checks a request, makes work of it, sends it to the owner and answers.
+func (p *Proxy) run(ctx context.Context, request Request, call call) (Answer, error) {
+	token, err := p.token(request.Token)
+	if err != nil {
+		return Answer{}, err
+	}
+	work, err := p.work(request, token)
+	if err != nil {
+		return Answer{}, err
+	}
+	ctx, cancel := context.WithDeadline(ctx, work.Deadline)
+	defer cancel()
+	result, err := p.forward(ctx, work, call)
+	if err != nil {
+		return Answer{}, err
+	}
+	return p.answer(token, work, result)
+}
+
+// end sends the end of a transaction to the host that holds it.
+func (p *Proxy) end(ctx context.Context, request Request, call call) (Answer, error) {
+	token, err := p.token(request.Token)
+	if err != nil {
+		return Answer{}, err
+	}
+	database, err := owner.TransactionDatabase(request.Transaction)
+	if err != nil {
+		return Answer{}, err
+	}
+	request.Database = database
+	work := p.outcomeWork(request, token)
+	work.Transaction = request.Transaction
+	ctx, cancel := context.WithDeadline(ctx, work.Deadline)
+	defer cancel()
+	result, err := p.forward(ctx, work, call)
+	if err != nil {
+		return Answer{}, err
+	}
+	return p.answer(token, work, result)
+}
+
+// token decodes the caller's token, or begins a session.
+func (p *Proxy) token(text string) (session.Token, error) {
+	if text == "" {
+		return session.New(p.NewSession()), nil
+	}
+	return p.Codec.Decode(text)
+}
+
+// answer raises the session's token by the result.
+func (p *Proxy) answer(token session.Token, work model.Work, result model.Result) (Answer, error) {
+	token = token.Raise(work.Database, result.Point)
+	text, err := p.Codec.Encode(token)
+	if err != nil {
+		return Answer{}, err
+	}
+	return Answer{Result: result, Token: text, Host: p.Host.ID}, nil
+}
+
+// work makes the work of a request by the policy in force.
+func (p *Proxy) work(request Request, token session.Token) (model.Work, error) {
+	view := p.View()
+	if view.Databases[request.Database] == nil {
+		return model.Work{}, model.Refuse(model.CodeUnknownDatabase, "database %q is not known", request.Database)
+	}
+	effective, found := view.Policy.Lookup(p.scope(request))
+	if !found {
+		return model.Work{}, model.Refuse(model.CodeUnknownKind, "kind of work %q is not known", request.Kind)
+	}
+	limit := effective.Deadline
+	if request.Limit > 0 {
+		limit = request.Limit
+	}
+	work := model.Work{
+		Origin:   p.Host.ID,
+		Request:  request.Request,
+		Database: request.Database,
+		Session:  token.Session,
+		Statement: model.Statement{
+			Kind:      request.Kind,
+			Access:    effective.Access,
+			Operation: request.Operation,
+			Arguments: request.Arguments,
+		},
+		Least:       token.Point(request.Database),
+		Known:       request.Token != "" && token.Knows(request.Database),
+		MaxAge:      maxAge(request, effective),
+		Transaction: request.Transaction,
+		Deadline:    p.Now().Add(limit),
+	}
+	return work, nil
+}
+
+// maxAge returns the age that a read accepts; writes and transactions accept none.
+func maxAge(request Request, effective config.Effective) *model.Age {
+	if effective.Access == model.Write || request.Transaction != "" {
+		return nil
+	}
+	if request.MaxAge != nil {
+		return request.MaxAge
+	}
+	return effective.MaxAge
+}
+
+// outcomeLimit is the time to resolve an outcome or to end a transaction when the caller names none.
+const outcomeLimit = 10 * time.Second
+
+// outcomeWork makes the work that asks for a request's outcome.
+func (p *Proxy) outcomeWork(request Request, token session.Token) model.Work {
+	limit := outcomeLimit
+	if request.Limit > 0 {
+		limit = request.Limit
+	}
+	return model.Work{
+		Origin:    p.Host.ID,
+		Request:   request.Request,
+		Database:  request.Database,
+		Session:   token.Session,
+		Statement: model.Statement{Access: model.Read},
+		Least:     token.Point(request.Database),
+		Deadline:  p.Now().Add(limit),
+	}
+}
+
+// scope returns the scope that a request's settings are looked up for.
+func (p *Proxy) scope(request Request) config.Scope {
+	return config.Scope{
+		Database:   request.Database,
+		Kind:       request.Kind,
+		DataCentre: p.Host.DataCentre,
+		Region:     p.Host.Region,
+	}
+}
--- /dev/null
+++ b/internal/proxy/request.go
@@ -0,0 +1,27 @@
+package proxy
+
+import (
+	"time"
+
+	"redwingspread/internal/model"
+)
+
+// Request is one caller's request, apart from its encoding.
+type Request struct {
+	Request     model.RequestID
+	Database    model.DatabaseID
+	Kind        model.KindID
+	Operation   string
+	Arguments   map[string]string
+	MaxAge      *model.Age // nil for the kind's default
+	Token       string
+	Transaction model.TransactionID
+	Limit       time.Duration // zero for the kind's default deadline
+}
+
+// Answer is the whole answer to one request.
+type Answer struct {
+	Result model.Result
+	Token  string
+	Host   model.HostID
+}
