Put a host together and show the whole path

Change: daemon, serve and demo commands, package local for deployments in one process, settings of the peers' keys, the page on operating.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -61,8 +61,10 @@
 // commands returns every command of the program.
 func commands() []*cli.Command {
 	return []*cli.Command{
+		newDemo(),
 		newStandin(),
 		newRun(),
+		newServe(),
 		newConfig(),
 		newStatus(),
 		newKeys(),
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,207 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+
+	"redwingspread/internal/ack"
+	"redwingspread/internal/config"
+	"redwingspread/internal/control"
+	"redwingspread/internal/endpoint"
+	"redwingspread/internal/event"
+	"redwingspread/internal/fleet"
+	"redwingspread/internal/model"
+	"redwingspread/internal/outbound"
+	"redwingspread/internal/owner"
+	"redwingspread/internal/peer"
+	"redwingspread/internal/platform"
+	"redwingspread/internal/proxy"
+	"redwingspread/internal/row"
+	"redwingspread/internal/session"
+	"redwingspread/internal/settings"
+	"redwingspread/internal/trace"
+	"redwingspread/internal/trust"
+	"redwingspread/internal/view"
+)
+
+// tick is the time between two tick events of the control loop.
+const tick = 20 * time.Millisecond
+
+// controlLoop is the loop that owns this host's control state.
+type controlLoop = control.Loop[fleet.Event, fleet.Action, *view.View]
+
+// Daemon is one host of the system.
+type Daemon struct {
+	// Settings are the checked settings of the host.
+	Settings settings.Serve
+	// Keys prove the host to its peers.
+	Keys *trust.Keys
+	// Logger takes the numbered events.
+	Logger log.Interface
+	// WrapOutbound adds a layer, such as a delay, around calls to endpoints and to the platform.
+	WrapOutbound func(http.RoundTripper) http.RoundTripper
+	// WrapPeer adds a layer around calls to peers.
+	WrapPeer func(http.RoundTripper) http.RoundTripper
+
+	host      model.Host
+	tracer    *trace.Tracer
+	store     *platform.Client
+	loop      *controlLoop
+	published atomic.Pointer[controlLoop]
+	peers     *peer.Client
+	instances *owner.Instances
+	executor  *owner.Executor
+	proxy     *proxy.Proxy
+	parts     []part
+}
+
+// New returns a daemon whose exported fields are to be set before Run.
+func New() *Daemon {
+	same := func(next http.RoundTripper) http.RoundTripper { return next }
+	return &Daemon{
+		Logger:       log.Log,
+		WrapOutbound: same,
+		WrapPeer:     same,
+	}
+}
+
+// Run serves until the context ends, then stops gracefully and reports its own end on done.
+func (d *Daemon) Run(ctx context.Context, done chan<- error) {
+	done <- d.run(ctx)
+}
+
+// View returns the newest view of the fleet, or nil before the host is built.
+func (d *Daemon) View() *view.View {
+	loop := d.published.Load()
+	if loop == nil {
+		return nil
+	}
+	return loop.Snapshot()
+}
+
+// run builds the parts, runs them and stops them in order.
+func (d *Daemon) run(ctx context.Context) (err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("host %s: %w", d.Settings.Host, err)
+		}
+	}()
+	if err := d.build(ctx); err != nil {
+		return err
+	}
+	event.Started(d.Logger, "host", string(d.host.ID), string(d.Settings.CallerAddress))
+	err = d.serve(ctx)
+	err = errors.Join(err, d.peers.Close(), d.tracer.Shutdown(context.WithoutCancel(ctx)))
+	event.Stopped(d.Logger, string(d.host.ID))
+	return err
+}
+
+// build makes every part of the host.
+func (d *Daemon) build(ctx context.Context) (err error) {
+	s := d.Settings
+	d.host = model.Host{ID: s.Host, Address: s.PeerAddress, DataCentre: s.DataCentre, Region: s.Region}
+	d.tracer, err = trace.New(ctx, s.Host, trace.Exporter(s.Trace), s.TraceAddress)
+	if err != nil {
+		return err
+	}
+	if err := d.buildPeers(); err != nil {
+		return err
+	}
+	if err := d.buildControl(); err != nil {
+		return err
+	}
+	d.buildOwner()
+	d.buildProxy()
+	return d.buildServers()
+}
+
+// buildPeers opens the client of the other hosts.
+func (d *Daemon) buildPeers() error {
+	d.peers = peer.NewClient()
+	d.peers.TLS = d.Keys.ClientTLS()
+	d.peers.Wrap = func(next http.RoundTripper) http.RoundTripper {
+		return d.tracer.Transport("peer", d.WrapPeer(next))
+	}
+	return d.peers.Open()
+}
+
+// buildControl makes the control loop and the runner of its actions.
+func (d *Daemon) buildControl() error {
+	d.store = platform.NewClient()
+	d.store.Host = d.host.ID
+	d.store.Address = d.Settings.PlatformAddress
+	d.store.HTTP = d.client("platform")
+	policy, err := config.Compile(0, config.Default())
+	if err != nil {
+		return err
+	}
+	machine := fleet.New()
+	machine.Self = d.host
+	machine.Incarnation = model.Incarnation(time.Now().UnixNano())
+	machine.Policy = policy
+	machine.NewNonce = newNonce
+	d.instances = owner.NewInstances()
+	runner := fleet.NewRunner()
+	runner.Store = d.store
+	runner.Instance = d.instances.Client
+	runner.Peers = d.peers
+	runner.Logger = d.Logger
+	d.loop = control.New[fleet.Event, fleet.Action, *view.View](machine)
+	d.loop.Do = runner.Do
+	d.loop.TickEvent = func() fleet.Event { return fleet.Tick{} }
+	d.loop.Tick = tick
+	d.published.Store(d.loop)
+	return nil
+}
+
+// buildOwner makes the part that runs work on the databases this host owns.
+func (d *Daemon) buildOwner() {
+	d.instances.Host = d.host.ID
+	d.instances.View = d.loop.Snapshot
+	d.instances.Changed = d.loop.Changed
+	outside := d.client("endpoint")
+	d.instances.Connect = func(instance model.Instance) endpoint.Instance {
+		client := endpoint.NewClient()
+		client.Host = d.host.ID
+		client.Target = instance
+		client.HTTP = outside
+		return client
+	}
+	d.executor = owner.New()
+	d.executor.Host = d.host
+	d.executor.View = d.loop.Snapshot
+	d.executor.Instances = d.instances
+	d.executor.Gate = ack.New()
+	d.executor.Gate.Instance = d.instances.Client
+	d.executor.Gate.Row = (&row.Table{Store: d.store}).Get
+	d.executor.Observe = func(state model.InstanceState) { d.loop.Offer(fleet.Observed{State: state}) }
+	d.executor.Report = func(instance model.InstanceID, term model.Term) {
+		d.loop.Offer(fleet.Failed{Instance: instance, Term: term})
+	}
+}
+
+// buildProxy makes the part that takes callers' requests.
+func (d *Daemon) buildProxy() {
+	d.proxy = proxy.New()
+	d.proxy.Host = d.host
+	d.proxy.View = d.loop.Snapshot
+	d.proxy.Changed = d.loop.Changed
+	d.proxy.Local = d.executor
+	d.proxy.Peer = d.peers.At
+	d.proxy.Codec = &session.Codec{Key: []byte(d.Settings.TokenKey), Old: []byte(d.Settings.TokenKeyOld)}
+	d.proxy.NewSession = newSession
+	d.proxy.Redirect = func(database model.DatabaseID, host model.HostID, term model.Term) {
+		d.loop.Offer(fleet.Redirected{Database: database, Owner: host, Term: term})
+	}
+}
+
+// client returns an HTTP client whose calls are spans of the hop.
+func (d *Daemon) client(hop string) *http.Client {
+	return &http.Client{Transport: d.tracer.Transport(hop, d.WrapOutbound(outbound.NewTransport()))}
+}
--- /dev/null
+++ b/internal/daemon/doc.go
@@ -0,0 +1,2 @@
+// Package daemon puts one host together: control loop, caller, peer and operator interfaces.
+package daemon
--- /dev/null
+++ b/internal/daemon/servers.go
@@ -0,0 +1,105 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"redwingspread/internal/event"
+	"redwingspread/internal/fleet"
+	"redwingspread/internal/peer"
+	"redwingspread/internal/serve"
+)
+
+// handOverPoll is the time between two looks whether every database was handed over.
+const handOverPoll = 10 * time.Millisecond
+
+// buildServers makes the servers of the caller, peer and operator interfaces and opens their sockets.
+func (d *Daemon) buildServers() error {
+	callers, err := d.proxy.Handler()
+	if err != nil {
+		return err
+	}
+	peers := d.peerServer()
+	caller := serve.New(d.Settings.CallerAddress, d.tracer.Handler("caller", callers))
+	caller.DrainLimit = d.Settings.StopLimit
+	operators, err := d.operatorHandler()
+	if err != nil {
+		return err
+	}
+	operator := serve.New(d.Settings.OperatorAddress, operators)
+	for _, listener := range []interface{ Listen() error }{caller, peers, operator} {
+		if err := listener.Listen(); err != nil {
+			return err
+		}
+	}
+	d.parts = []part{
+		{"caller", caller.Run},
+		{"hand-over", d.handOver},
+		{"peer", peers.Run},
+		{"instances", d.instances.Run},
+		{"operator", operator.Run},
+		{"control", d.loop.Run},
+	}
+	return nil
+}
+
+// peerServer makes the server of the peer interface.
+func (d *Daemon) peerServer() *peer.Server {
+	server := peer.NewServer()
+	server.Address = d.Settings.PeerAddress
+	server.Work = d.executor
+	server.Control = &peerControl{loop: d.loop}
+	server.DrainLimit = d.Settings.StopLimit
+	server.Wrap = func(next http.Handler) http.Handler { return d.tracer.Handler("owner", next) }
+	server.TLS = d.Keys.ServerTLS()
+	return server
+}
+
+// serve runs the parts until the context ends or one fails, then stops them in their order.
+func (d *Daemon) serve(ctx context.Context) error {
+	base := context.WithoutCancel(ctx)
+	ctx, fail := context.WithCancelCause(ctx)
+	defer fail(nil)
+	started := make([]*running, 0, len(d.parts))
+	for _, part := range d.parts {
+		started = append(started, start(base, part, fail))
+	}
+	<-ctx.Done()
+	event.Stopping(d.Logger, string(d.host.ID))
+	d.loop.Offer(fleet.Stop{})
+	var err error
+	for _, running := range started {
+		err = errors.Join(err, running.wait())
+	}
+	return err
+}
+
+// handOver waits, once the daemon stops, until this host owns no database or the limit has passed.
+func (d *Daemon) handOver(ctx context.Context, done chan<- error) {
+	<-ctx.Done()
+	limit := time.NewTimer(d.Settings.StopLimit)
+	defer limit.Stop()
+	ticker := time.NewTicker(handOverPoll)
+	defer ticker.Stop()
+	for d.ownsAny() {
+		select {
+		case <-ticker.C:
+		case <-limit.C:
+			done <- nil
+			return
+		}
+	}
+	done <- nil
+}
+
+// ownsAny reports whether this host still owns a database.
+func (d *Daemon) ownsAny() bool {
+	for _, database := range d.loop.Snapshot().Databases {
+		if database.Owner == d.host.ID {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/demo/doc.go
@@ -0,0 +1,2 @@
+// Package demo shows the system at work: both users' stand-ins and hosts in one process.
+package demo
--- /dev/null
+++ b/internal/local/ready.go
@@ -0,0 +1,60 @@
+package local
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"redwingspread/internal/daemon"
+)
+
+// readyPoll is the time between two looks whether the hosts are ready.
+const readyPoll = 20 * time.Millisecond
+
+// Ready waits until every host knows every database and each is served by its owner.
+func (d *Deployment) Ready(ctx context.Context) error {
+	ticker := time.NewTicker(readyPoll)
+	defer ticker.Stop()
+	for !d.ready() {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return fmt.Errorf("local: hosts are not ready: %w", ctx.Err())
+		}
+	}
+	return nil
+}
+
+// ready reports whether every running host knows an owner of every database, and every owner serves.
+func (d *Deployment) ready() bool {
+	serving := 0
+	for _, host := range d.Hosts {
+		if host.stop == nil {
+			continue
+		}
+		owned, complete := ownedBy(host.daemon, len(d.Plan.Databases))
+		if !complete {
+			return false
+		}
+		serving += owned
+	}
+	return serving == len(d.Plan.Databases)
+}
+
+// ownedBy returns how many databases the host serves, and whether it knows the owner of all of them.
+func ownedBy(host *daemon.Daemon, databases int) (serving int, complete bool) {
+	view := host.View()
+	if view == nil {
+		return 0, false
+	}
+	known := 0
+	for _, database := range view.Databases {
+		if database.Owner != "" {
+			known++
+		}
+		if database.Serving {
+			serving++
+		}
+	}
+	return serving, known == databases
+}
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -21,6 +21,9 @@
 	PlatformAddress model.Address      // Address of the platform's service.
 	TokenKey        Secret             // Key that signs session tokens.
 	TokenKeyOld     Secret             // Former key that is still accepted during a change.
+	PeerAuthorities string             // Certificates of the authorities that sign hosts; PEM text or the path of a file.
+	PeerCertificate string             // Certificate of this host; PEM text or the path of a file.
+	PeerKey         Secret             // Private key of this host; PEM text or the path of a file.
 	StopLimit       time.Duration      // Time that work in progress has to end at a graceful stop.
 	Trace           string             // Exporter of traces.
 	TraceAddress    string             // Address of the OTLP collector.
@@ -39,6 +42,9 @@
 		textFlag("platform-address", "REDWINGSPREAD_PLATFORM_ADDRESS", "", "Address of the platform's service."),
 		textFlag("token-key", "REDWINGSPREAD_TOKEN_KEY", "", "Key that signs session tokens."),
 		textFlag("token-key-old", "REDWINGSPREAD_TOKEN_KEY_OLD", "", "Former key that is still accepted during a change."),
+		textFlag("peer-authorities", "REDWINGSPREAD_PEER_AUTHORITIES", "", "Certificates of the authorities that sign hosts; PEM text or the path of a file."),
+		textFlag("peer-certificate", "REDWINGSPREAD_PEER_CERTIFICATE", "", "Certificate of this host; PEM text or the path of a file."),
+		textFlag("peer-key", "REDWINGSPREAD_PEER_KEY", "", "Private key of this host; PEM text or the path of a file."),
 		textFlag("stop-limit", "REDWINGSPREAD_STOP_LIMIT", "30s", "Time that work in progress has to end at a graceful stop."),
 		textFlag("trace", "REDWINGSPREAD_TRACE", "none", "Exporter of traces."),
 		textFlag("trace-address", "REDWINGSPREAD_TRACE_ADDRESS", "127.0.0.1:4318", "Address of the OTLP collector."),
@@ -58,6 +64,9 @@
 	loaded.PlatformAddress = r.address(rule{flag: "platform-address", env: "REDWINGSPREAD_PLATFORM_ADDRESS", allows: "an IP number and a port", required: true})
 	loaded.TokenKey = r.secret(rule{flag: "token-key", env: "REDWINGSPREAD_TOKEN_KEY", allows: "a secret text of at least 16 bytes", required: true, min: "16"})
 	loaded.TokenKeyOld = r.secret(rule{flag: "token-key-old", env: "REDWINGSPREAD_TOKEN_KEY_OLD", allows: "a secret text of at least 16 bytes, or nothing", required: false, min: "16"})
+	loaded.PeerAuthorities = r.string(rule{flag: "peer-authorities", env: "REDWINGSPREAD_PEER_AUTHORITIES", allows: "a text", required: true})
+	loaded.PeerCertificate = r.string(rule{flag: "peer-certificate", env: "REDWINGSPREAD_PEER_CERTIFICATE", allows: "a text", required: true})
+	loaded.PeerKey = r.secret(rule{flag: "peer-key", env: "REDWINGSPREAD_PEER_KEY", allows: "a secret text", required: true})
 	loaded.StopLimit = r.duration(rule{flag: "stop-limit", env: "REDWINGSPREAD_STOP_LIMIT", allows: "a duration such as 250ms or 10s from 0s to 10m", required: false, min: "0s", max: "10m"})
 	loaded.Trace = r.enum(rule{flag: "trace", env: "REDWINGSPREAD_TRACE", allows: "one of none, stdout, otlp", required: false, allowed: []string{"none", "stdout", "otlp"}})
 	loaded.TraceAddress = r.string(rule{flag: "trace-address", env: "REDWINGSPREAD_TRACE_ADDRESS", allows: "a text", required: false})
