--- a/internal/cli/change.go
+++ b/internal/cli/change.go
@@ -10,7 +10,7 @@
 	"github.com/urfave/cli/v3"
 
 	"redwingspread/internal/config"
-	"redwingspread/internal/operator"
+	"redwingspread/internal/ledger"
 	"redwingspread/pkg/api/operatorapi"
 )
 
@@ -40,7 +40,7 @@
 	if o.settings.Author == "" {
 		return exitError{error: errors.New("--author (REDWINGSPREAD_AUTHOR) is empty, allowed: the name that stands with the change"), code: exitUsage}
 	}
-	message, err := operator.Message(document)
+	message, err := ledger.DocumentMessage(document)
 	if err != nil {
 		return err
 	}
--- a/internal/cli/config_test.go
+++ b/internal/cli/config_test.go
@@ -16,10 +16,10 @@
 	"github.com/apex/log/handlers/discard"
 
 	"redwingspread/internal/config"
+	"redwingspread/internal/ledger"
+	"redwingspread/internal/ledger/ledgertest"
 	"redwingspread/internal/model"
 	"redwingspread/internal/operator"
-	"redwingspread/internal/spread"
-	"redwingspread/internal/spread/spreadtest"
 	"redwingspread/internal/trust"
 	"redwingspread/internal/view"
 )
@@ -29,7 +29,7 @@
 
 // fleet is one host's operator interface on a fake platform, and a directory for files.
 type fleet struct {
-	store     *spreadtest.Store
+	store     *ledgertest.Store
 	view      atomic.Pointer[view.View]
 	address   string
 	directory string
@@ -38,7 +38,7 @@
 // newFleet starts the interface.
 func newFleet(t *testing.T) *fleet {
 	t.Helper()
-	f := &fleet{store: spreadtest.New(), directory: t.TempDir()}
+	f := &fleet{store: ledgertest.New(), directory: t.TempDir()}
 	policy, err := config.Compile(0, config.Default())
 	if err != nil {
 		t.Fatal(err)
@@ -49,7 +49,7 @@
 	server.Log = &log.Logger{Handler: discard.New()}
 	server.First = config.Token{Name: "first", Right: config.RightOperator, Hash: trust.Hash(firstToken)}
 	server.Accept = func(_ model.Version, _ string, policy *config.Policy) { f.force(policy) }
-	server.Ledger = &spread.Ledger{
+	server.Ledger = &ledger.Ledger{
 		Store:   f.store,
 		Now:     time.Now,
 		Nonce:   func() model.Nonce { return model.Nonce(trust.NewToken()) },
@@ -95,14 +95,10 @@
 	const add = "config exception add --keep DIR/kept.json --name slow --database enrol-1 --setting deadlineMs --value 9000 --author Dana "
 	race := func(t *testing.T, f *fleet) {
 		f.store.OnCommit(func() {
-			other := &spread.Ledger{Store: f.store, Now: time.Now, Nonce: func() model.Nonce { return "o" }, InForce: func() model.Version { return 0 }}
+			other := &ledger.Ledger{Store: f.store, Now: time.Now, Nonce: func() model.Nonce { return "o" }, InForce: func() model.Version { return 0 }}
 			document := config.Default()
 			document.Defaults.QueueLimit = 77
-			text, err := config.Encode(document)
-			if err != nil {
-				t.Error(err)
-			}
-			if _, err := other.Commit(t.Context(), 0, "Erlan", text); err != nil {
+			if _, err := other.Commit(t.Context(), 0, "Erlan", document); err != nil {
 				t.Error(err)
 			}
 		})
@@ -141,7 +137,7 @@
 		"import of an old one":  {prepare: exportEdited, lines: []string{"config set defaults.queueLimit 99 --author Dana", "config import DIR/edited.json --author Dana --keep DIR/kept.json"}, code: exitConflict, want: []string{"conflict", "queueLimit", "kept in"}},
 		"import of no file":     {lines: []string{"config import DIR/none.json --author Dana"}, code: exitUsage, want: []string{"none.json"}},
 		"lost race":             {prepare: race, lines: []string{add + "--reason why"}, code: exitConflict, want: []string{"version 1 changed since version 0", `"queueLimit":77`, "kept in"}},
-		"platform down":         {prepare: func(_ *testing.T, f *fleet) { f.store.Fail(spreadtest.Down, 9) }, lines: []string{add + "--reason why"}, code: exitFailed, want: []string{"nothing was changed", "kept in"}},
+		"platform down":         {prepare: func(_ *testing.T, f *fleet) { f.store.Fail(ledgertest.Down, 9) }, lines: []string{add + "--reason why"}, code: exitFailed, want: []string{"nothing was changed", "kept in"}},
 		"config status":         {lines: []string{add + "--reason why", "config status"}, want: []string{"h1", "alive", "1"}},
 		"status":                {lines: []string{"status"}, want: []string{"h1, ready, configuration 0", "REFUSED BECAUSE"}},
 		"status as JSON":        {lines: []string{"status --format json"}, want: []string{`"ready": true`}},
--- a/internal/cli/operate.go
+++ b/internal/cli/operate.go
@@ -14,8 +14,8 @@
 	"github.com/urfave/cli/v3"
 
 	"redwingspread/internal/config"
+	"redwingspread/internal/ledger"
 	"redwingspread/internal/model"
-	"redwingspread/internal/operator"
 	"redwingspread/internal/settings"
 	"redwingspread/pkg/api/operatorapi"
 )
@@ -114,7 +114,12 @@
 
 // accepted returns one accepted configuration.
 func (o *operating) accepted(ctx context.Context, version model.Version) (base, error) {
-	return newBase(o.api.GetAccepted(ctx, operatorapi.GetAcceptedParams{Version: uint64(version)}))
+	entry, err := o.api.GetAccepted(ctx, operatorapi.GetAcceptedParams{Version: uint64(version)})
+	if err != nil {
+		return base{}, err
+	}
+	document, err := ledger.Document(entry.Document)
+	return base{version: version, document: document}, err
 }
 
 // newBase translates an answer with a configuration.
@@ -122,7 +127,7 @@
 	if err != nil {
 		return base{}, err
 	}
-	document, err := operator.Document(answer.Document)
+	document, err := ledger.Document(answer.Document)
 	return base{version: model.Version(answer.Version), document: document}, err
 }
 
--- a/internal/config/encode.go
+++ b/internal/config/encode.go
@@ -15,6 +15,9 @@
 
 // Encode returns the document as JSON text, the same form as in schema/operator.yaml.
 func Encode(d Document) (text string, err error) {
+	if d.Defaults.RankFloors == nil {
+		d.Defaults.RankFloors = []model.Percent{}
+	}
 	if d.Kinds == nil {
 		d.Kinds = []Kind{}
 	}
--- a/internal/fleet/runner.go
+++ b/internal/fleet/runner.go
@@ -9,6 +9,7 @@
 
 	"redwingspread/internal/endpoint"
 	"redwingspread/internal/event"
+	"redwingspread/internal/ledger"
 	"redwingspread/internal/model"
 	"redwingspread/internal/platform"
 	"redwingspread/internal/row"
@@ -106,10 +107,10 @@
 
 // head returns the head of the configuration's row, or the one before for any other row.
 func (r *Runner) head(item platform.Row, before *spread.Head) *spread.Head {
-	if item.Key != spread.RowKey {
+	if item.Key != ledger.RowKey {
 		return before
 	}
-	head, err := spread.ParseRow(item.Value)
+	head, err := ledger.ParseRow(item.Value)
 	if err != nil {
 		event.RowUnreadable(r.Logger, item.Key, err)
 		return before
@@ -151,8 +152,8 @@
 
 // fetchConfiguration gets a configuration from the store or from a peer and checks it.
 func (r *Runner) fetchConfiguration(ctx context.Context, action FetchConfiguration) Event {
-	runner := spread.Runner{
-		Ledger: &spread.Ledger{Store: r.Store},
+	runner := ledger.Fetcher{
+		Ledger: &ledger.Ledger{Store: r.Store},
 		Peer: func(ctx context.Context, _ model.HostID) (model.Version, string, error) {
 			return r.Configuration(ctx, action.Host)
 		},
--- a/internal/spread/runner.go
+++ b/internal/ledger/fetcher.go
@@ -1,19 +1,19 @@
-package spread
+package ledger
 
 import (
 	"context"
-	"fmt"
 	"time"
 
 	"redwingspread/internal/config"
 	"redwingspread/internal/model"
+	"redwingspread/internal/spread"
 )
 
 // fetchTimeout is the time that one fetch may take.
 const fetchTimeout = 2 * time.Second
 
-// Runner runs the machine's actions.
-type Runner struct {
+// Fetcher runs the actions of the machine of configurations.
+type Fetcher struct {
 	// Ledger reads the accepted configurations from the platform.
 	Ledger *Ledger
 	// Peer asks another host for the newest configuration that it knows.
@@ -21,34 +21,26 @@
 }
 
 // Do fetches and checks one configuration.
-func (r *Runner) Do(ctx context.Context, action Action) Fetched {
+func (f *Fetcher) Do(ctx context.Context, action spread.Action) spread.Fetched {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
-	policy, err := r.fetch(ctx, action)
-	return Fetched{Action: action, Policy: policy, Err: err}
+	policy, err := f.fetch(ctx, action)
+	return spread.Fetched{Action: action, Policy: policy, Err: err}
 }
 
 // fetch reads the document from the store or from a peer and compiles it.
-func (r *Runner) fetch(ctx context.Context, action Action) (policy *config.Policy, err error) {
+func (f *Fetcher) fetch(ctx context.Context, action spread.Action) (policy *config.Policy, err error) {
 	defer annotate(&err, "fetch configuration from "+action.Source())
 	if action.Head == nil {
-		version, text, err := r.Peer(ctx, action.Peer)
+		version, text, err := f.Peer(ctx, action.Peer)
 		if err != nil {
 			return nil, err
 		}
 		return config.Parse(version, text)
 	}
-	entry, err := r.Ledger.Load(ctx, *action.Head)
+	entry, err := f.Ledger.Load(ctx, *action.Head)
 	if err != nil {
 		return nil, err
 	}
-	return config.Parse(action.Head.Version, entry.Text)
-}
-
-// Source names where the action fetches from.
-func (a Action) Source() string {
-	if a.Head != nil {
-		return fmt.Sprintf("object %s", a.Head.Object)
-	}
-	return fmt.Sprintf("host %s", a.Peer)
+	return config.Compile(action.Head.Version, entry.Document)
 }
--- a/internal/spread/ledger.go
+++ b/internal/ledger/ledger.go
@@ -1,8 +1,7 @@
-package spread
+package ledger
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"time"
@@ -10,6 +9,7 @@
 	"redwingspread/internal/config"
 	"redwingspread/internal/model"
 	"redwingspread/internal/platform"
+	"redwingspread/internal/spread"
 )
 
 // settlePause is the time between two tries to settle a lost answer.
@@ -26,17 +26,10 @@
 	InForce func() model.Version
 }
 
-// Entry is one accepted configuration with its document's text.
-type Entry struct {
-	Head     Head
-	Previous *Head
-	Text     string
-}
-
 // Conflict is the error of a change that lost a race: another configuration was accepted first.
 type Conflict struct {
 	Expected model.Version
-	Current  Head // zero when there is no configuration yet
+	Current  spread.Head // zero when there is no configuration yet
 }
 
 // Error names both versions.
@@ -44,21 +37,21 @@
 	return fmt.Sprintf("conflict: expected version %d, but version %d by %s is accepted", c.Expected, c.Current.Version, c.Current.Author)
 }
 
-// Commit accepts the text as the version after the expected one; *Conflict means that it did not, a *model.Refusal with CodeOutcomeUnknown that nobody knows.
-func (l *Ledger) Commit(ctx context.Context, expected model.Version, author config.Author, text string) (head Head, err error) {
+// Commit accepts the document as the version after the expected one; *Conflict means that it did not, a *model.Refusal with CodeOutcomeUnknown that nobody knows.
+func (l *Ledger) Commit(ctx context.Context, expected model.Version, author config.Author, document config.Document) (head spread.Head, err error) {
 	defer annotate(&err, "commit configuration")
 	state, err := l.read(ctx)
 	if err != nil {
-		return Head{}, notRun(err)
+		return spread.Head{}, notRun(err)
 	}
 	current := state.newest()
 	if current.Version != expected && (current.Version > expected || l.InForce() != expected) {
-		return Head{}, &Conflict{Expected: expected, Current: current}
+		return spread.Head{}, &Conflict{Expected: expected, Current: current}
 	}
 	head = l.head(expected+1, author)
-	value, err := l.store(ctx, head, state.heads, text)
+	value, err := l.store(ctx, head, state.heads, document)
 	if err != nil {
-		return Head{}, notRun(err)
+		return spread.Head{}, notRun(err)
 	}
 	return l.settle(ctx, attempt{expected: expected, head: head, row: state.version, value: value})
 }
@@ -66,35 +59,35 @@
 // attempt is one try to accept a configuration.
 type attempt struct {
 	expected model.Version
-	head     Head
+	head     spread.Head
 	row      model.Version // the row's version that must still hold
 	value    string        // the row's new value
 }
 
 // head makes the head of a new attempt.
-func (l *Ledger) head(version model.Version, author config.Author) Head {
+func (l *Ledger) head(version model.Version, author config.Author) spread.Head {
 	nonce := l.Nonce()
-	return Head{Version: version, Nonce: nonce, Object: objectName(version, nonce), Author: author, Time: l.Now().UTC()}
+	return spread.Head{Version: version, Nonce: nonce, Object: objectName(version, nonce), Author: author, Time: l.Now().UTC()}
 }
 
 // store writes the attempt's object, which nobody reads before the row names it, and returns the row's value.
-func (l *Ledger) store(ctx context.Context, head Head, heads []Head, text string) (value string, err error) {
-	content := object{Head: head, Document: text}
+func (l *Ledger) store(ctx context.Context, head spread.Head, heads []spread.Head, document config.Document) (value string, err error) {
+	entry := Entry{Head: head, Document: document}
 	if len(heads) > 0 {
-		content.Previous = &heads[0]
+		entry.Previous = &heads[0]
 	}
-	encoded, err := json.Marshal(content)
+	text, err := encodeEntry(entry)
 	if err != nil {
 		return "", err
 	}
-	if err := l.Store.PutObject(ctx, head.Object, string(encoded)); err != nil {
+	if err := l.Store.PutObject(ctx, head.Object, text); err != nil {
 		return "", err
 	}
 	return encodeRow(head, heads)
 }
 
 // settle commits the row and repeats the same attempt after a lost answer, until the table service tells what became of it.
-func (l *Ledger) settle(ctx context.Context, a attempt) (Head, error) {
+func (l *Ledger) settle(ctx context.Context, a attempt) (spread.Head, error) {
 	checks := []platform.Check{{Key: RowKey, Version: a.row}}
 	puts := []platform.Put{{Key: RowKey, Value: a.value}}
 	doubt := false
@@ -111,14 +104,14 @@
 			continue
 		}
 		if doubt {
-			return Head{}, model.Doubt("the platform does not answer: %v", err)
+			return spread.Head{}, model.Doubt("the platform does not answer: %v", err)
 		}
-		return Head{}, notRun(err)
+		return spread.Head{}, notRun(err)
 	}
 }
 
 // resolve tells whether a failed check means that an earlier try of the same attempt was committed, or another attempt.
-func (a attempt) resolve(rows []platform.Row) (Head, error) {
+func (a attempt) resolve(rows []platform.Row) (spread.Head, error) {
 	conflict := &Conflict{Expected: a.expected}
 	for _, current := range rows {
 		if current.Key != RowKey || current.Version == 0 {
@@ -126,7 +119,7 @@
 		}
 		heads, err := parseHeads(current.Value)
 		if err != nil {
-			return Head{}, err
+			return spread.Head{}, err
 		}
 		for _, accepted := range heads {
 			if accepted.Nonce == a.head.Nonce {
@@ -135,11 +128,11 @@
 		}
 		conflict.Current = heads[0]
 	}
-	return Head{}, conflict
+	return spread.Head{}, conflict
 }
 
 // Newest returns the newest head, zero when there is no configuration yet.
-func (l *Ledger) Newest(ctx context.Context) (head Head, err error) {
+func (l *Ledger) Newest(ctx context.Context) (head spread.Head, err error) {
 	defer annotate(&err, "read configuration's row")
 	state, err := l.read(ctx)
 	return state.newest(), err
@@ -148,13 +141,13 @@
 // state is the row as read: its own version and its heads, newest first.
 type state struct {
 	version model.Version
-	heads   []Head
+	heads   []spread.Head
 }
 
 // newest returns the newest head, or a zero one.
-func (s state) newest() Head {
+func (s state) newest() spread.Head {
 	if len(s.heads) == 0 {
-		return Head{}
+		return spread.Head{}
 	}
 	return s.heads[0]
 }
@@ -175,21 +168,17 @@
 }
 
 // Load reads the accepted configuration of a head.
-func (l *Ledger) Load(ctx context.Context, head Head) (entry Entry, err error) {
+func (l *Ledger) Load(ctx context.Context, head spread.Head) (entry Entry, err error) {
 	defer annotate(&err, fmt.Sprintf("load configuration %d", head.Version))
 	text, err := l.Store.Object(ctx, head.Object)
 	if err != nil {
 		return Entry{}, err
 	}
-	content, err := parseObject(text, head)
-	if err != nil {
-		return Entry{}, err
-	}
-	return Entry{Head: content.Head, Previous: content.Previous, Text: content.Document}, nil
+	return parseEntry(text, head)
 }
 
 // History returns the newest accepted configurations, at most limit, newest first.
-func (l *Ledger) History(ctx context.Context, limit int) (heads []Head, err error) {
+func (l *Ledger) History(ctx context.Context, limit int) (heads []spread.Head, err error) {
 	defer annotate(&err, "read configuration's history")
 	state, err := l.read(ctx)
 	heads = state.heads
@@ -212,8 +201,7 @@
 // Version returns one accepted configuration; version 0 is the built-in one.
 func (l *Ledger) Version(ctx context.Context, version model.Version) (entry Entry, err error) {
 	if version == 0 {
-		text, err := config.Encode(config.Default())
-		return Entry{Text: text}, err
+		return Entry{Document: config.Default()}, nil
 	}
 	defer annotate(&err, fmt.Sprintf("find configuration %d", version))
 	state, err := l.read(ctx)
@@ -233,7 +221,7 @@
 }
 
 // walk goes back from an accepted configuration to an earlier version.
-func (l *Ledger) walk(ctx context.Context, from Head, version model.Version) (Entry, error) {
+func (l *Ledger) walk(ctx context.Context, from spread.Head, version model.Version) (Entry, error) {
 	for {
 		entry, err := l.Load(ctx, from)
 		if err != nil || entry.Head.Version == version {
--- a/internal/spread/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -1,4 +1,4 @@
-package spread
+package ledger
 
 import (
 	"context"
@@ -8,12 +8,14 @@
 	"testing/synctest"
 	"time"
 
+	"redwingspread/internal/config"
+	"redwingspread/internal/ledger/ledgertest"
 	"redwingspread/internal/model"
-	"redwingspread/internal/spread/spreadtest"
+	"redwingspread/internal/spread"
 )
 
 // newLedger returns a ledger on the store with counted nonces that begin with the label.
-func newLedger(store *spreadtest.Store, label string) *Ledger {
+func newLedger(store *ledgertest.Store, label string) *Ledger {
 	count := 0
 	return &Ledger{
 		Store:   store,
@@ -26,10 +28,17 @@
 	}
 }
 
-// change commits a text and fails the test when it is not accepted.
-func change(t *testing.T, l *Ledger, expected model.Version, text string) {
+// documentOf returns a document that the label tells apart.
+func documentOf(label string) config.Document {
+	document := config.Default()
+	document.Kinds[0].Name = model.KindID(label)
+	return document
+}
+
+// change commits a document and fails the test when it is not accepted.
+func change(t *testing.T, l *Ledger, expected model.Version, label string) {
 	t.Helper()
-	if _, err := l.Commit(t.Context(), expected, "Dana", text); err != nil {
+	if _, err := l.Commit(t.Context(), expected, "Dana", documentOf(label)); err != nil {
 		t.Fatal(err)
 	}
 }
@@ -66,7 +75,7 @@
 func TestCommit(t *testing.T) {
 	const forever = 1 << 30
 	tests := map[string]struct {
-		prepare  func(t *testing.T, store *spreadtest.Store)
+		prepare  func(t *testing.T, store *ledgertest.Store)
 		expected model.Version
 		want     outcome
 		version  model.Version // newest accepted version afterwards
@@ -74,27 +83,27 @@
 	}{
 		"first": {want: accepted, version: 1, text: "mine"},
 		"second": {
-			prepare:  func(t *testing.T, s *spreadtest.Store) { change(t, newLedger(s, "other"), 0, "theirs") },
+			prepare:  func(t *testing.T, s *ledgertest.Store) { change(t, newLedger(s, "other"), 0, "theirs") },
 			expected: 1, want: accepted, version: 2, text: "mine",
 		},
 		"older than the newest": {
-			prepare: func(t *testing.T, s *spreadtest.Store) { change(t, newLedger(s, "other"), 0, "theirs") },
+			prepare: func(t *testing.T, s *ledgertest.Store) { change(t, newLedger(s, "other"), 0, "theirs") },
 			want:    conflict, version: 1, text: "theirs",
 		},
 		"of a version that is not there": {expected: 7, want: conflict, version: 0},
 		"another one between read and commit": {
-			prepare: func(t *testing.T, s *spreadtest.Store) {
+			prepare: func(t *testing.T, s *ledgertest.Store) {
 				s.OnCommit(func() { change(t, newLedger(s, "other"), 0, "theirs") })
 			},
 			want: conflict, version: 1, text: "theirs",
 		},
 		"answer lost after the effect": {
-			prepare: func(_ *testing.T, s *spreadtest.Store) { s.Fail(spreadtest.AnswersLost, 1) },
+			prepare: func(_ *testing.T, s *ledgertest.Store) { s.Fail(ledgertest.AnswersLost, 1) },
 			want:    accepted, version: 1, text: "mine",
 		},
 		"answer lost, then a later change on top": {
-			prepare: func(t *testing.T, s *spreadtest.Store) {
-				s.Fail(spreadtest.AnswersLost, 1)
+			prepare: func(t *testing.T, s *ledgertest.Store) {
+				s.Fail(ledgertest.AnswersLost, 1)
 				go func() {
 					time.Sleep(settlePause / 2) // the bubble's clock
 					change(t, newLedger(s, "other"), 1, "theirs")
@@ -103,8 +112,8 @@
 			want: accepted, version: 2, text: "theirs",
 		},
 		"answers lost without effect, then another wins": {
-			prepare: func(t *testing.T, s *spreadtest.Store) {
-				s.Fail(spreadtest.CommitsLost, 1)
+			prepare: func(t *testing.T, s *ledgertest.Store) {
+				s.Fail(ledgertest.CommitsLost, 1)
 				go func() {
 					time.Sleep(settlePause / 2) // the bubble's clock
 					change(t, newLedger(s, "other"), 0, "theirs")
@@ -113,41 +122,41 @@
 			want: conflict, version: 1, text: "theirs",
 		},
 		"three commits lost without effect": {
-			prepare: func(_ *testing.T, s *spreadtest.Store) { s.Fail(spreadtest.CommitsLost, 3) },
+			prepare: func(_ *testing.T, s *ledgertest.Store) { s.Fail(ledgertest.CommitsLost, 3) },
 			want:    accepted, version: 1, text: "mine",
 		},
 		"commits lost for good": {
-			prepare: func(_ *testing.T, s *spreadtest.Store) { s.Fail(spreadtest.CommitsLost, forever) },
+			prepare: func(_ *testing.T, s *ledgertest.Store) { s.Fail(ledgertest.CommitsLost, forever) },
 			want:    unknown, version: 0,
 		},
 		"commits refused for good": {
-			prepare: func(_ *testing.T, s *spreadtest.Store) { s.Fail(spreadtest.CommitsRefused, forever) },
+			prepare: func(_ *testing.T, s *ledgertest.Store) { s.Fail(ledgertest.CommitsRefused, forever) },
 			want:    unchanged, version: 0,
 		},
 		"object store down": {
-			prepare: func(_ *testing.T, s *spreadtest.Store) { s.Fail(spreadtest.ObjectsDown, 1) },
+			prepare: func(_ *testing.T, s *ledgertest.Store) { s.Fail(ledgertest.ObjectsDown, 1) },
 			want:    unchanged, version: 0,
 		},
 		"platform down": {
-			prepare: func(_ *testing.T, s *spreadtest.Store) { s.Fail(spreadtest.Down, 1) },
+			prepare: func(_ *testing.T, s *ledgertest.Store) { s.Fail(ledgertest.Down, 1) },
 			want:    unchanged, version: 0,
 		},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				store := spreadtest.New()
+				store := ledgertest.New()
 				if test.prepare != nil {
 					test.prepare(t, store)
 				}
 				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 				defer cancel()
-				_, err := newLedger(store, "mine").Commit(ctx, test.expected, "Dana", "mine")
+				_, err := newLedger(store, "mine").Commit(ctx, test.expected, "Dana", documentOf("mine"))
 				if got := outcomeOf(err); got != test.want {
 					t.Fatalf("got %s (%v), want %s", got, err, test.want)
 				}
 				synctest.Wait()
-				store.Fail(spreadtest.None, 0)
+				store.Fail(ledgertest.None, 0)
 				checkNewest(t, newLedger(store, "reader"), test.version, test.text)
 			})
 		})
@@ -165,19 +174,19 @@
 		return
 	}
 	entry, err := l.Load(t.Context(), head)
-	if err != nil || entry.Text != text {
-		t.Errorf("got %q (%v), want %q", entry.Text, err, text)
+	if err != nil || config.Diff(entry.Document, documentOf(text)) != nil {
+		t.Errorf("got %v (%v), want %q", entry.Document, err, text)
 	}
 }
 
 func TestStoreSetBack(t *testing.T) {
-	store := spreadtest.New()
+	store := ledgertest.New()
 	ledger := newLedger(store, "mine")
 	for version := range model.Version(3) {
 		change(t, ledger, version, "text")
 	}
 	store.Reset()
-	if _, err := ledger.Commit(t.Context(), 3, "Dana", "again"); outcomeOf(err) != conflict {
+	if _, err := ledger.Commit(t.Context(), 3, "Dana", documentOf("again")); outcomeOf(err) != conflict {
 		t.Fatalf("got %v, want a conflict for a version that no host has in force", err)
 	}
 	ledger.InForce = func() model.Version { return 3 }
@@ -186,7 +195,7 @@
 }
 
 func TestHistory(t *testing.T) {
-	store := spreadtest.New()
+	store := ledgertest.New()
 	ledger := newLedger(store, "mine")
 	const changes = 40 // more than the row keeps
 	for version := range model.Version(changes) {
@@ -215,32 +224,60 @@
 	}
 	for _, version := range []model.Version{1, 24, 25, 40} {
 		entry, err := ledger.Version(t.Context(), version)
-		if err != nil || entry.Text != fmt.Sprint(version) {
-			t.Errorf("got %q (%v), want the text of version %d", entry.Text, err, version)
+		if err != nil || config.Diff(entry.Document, documentOf(fmt.Sprint(version))) != nil {
+			t.Errorf("got %v (%v), want the document of version %d", entry.Document, err, version)
 		}
 	}
 	if _, err := ledger.Version(t.Context(), changes+1); outcomeOf(err) != unchanged {
 		t.Errorf("got %v, want not found", err)
 	}
-	if entry, err := ledger.Version(t.Context(), 0); err != nil || entry.Text == "" {
-		t.Errorf("got %q (%v), want the built-in configuration", entry.Text, err)
+	if entry, err := ledger.Version(t.Context(), 0); err != nil || config.Diff(entry.Document, config.Default()) != nil {
+		t.Errorf("got %v (%v), want the built-in configuration", entry.Document, err)
+	}
+}
+
+func TestTranslation(t *testing.T) {
+	age := config.Milliseconds(7)
+	document := config.Default()
+	document.Kinds[0].MaxAge = &age
+	document.Exceptions = []config.Exception{{
+		Name: "n", Database: "d", Kind: "k", Rank: 2, DataCentre: "c", Region: "r", Setting: "s",
+		Value: "v", Reason: "why", Author: "a", Date: "2026-03-02", Review: "2026-04-02",
+	}}
+	document.Tokens = []config.Token{{Name: "n", Right: "reader", Hash: "h", Reason: "why", Author: "a", Date: "2026-03-02"}}
+	message, err := DocumentMessage(document)
+	if err != nil {
+		t.Fatal(err)
+	}
+	back, err := Document(message)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := config.Diff(document, back); got != nil {
+		t.Errorf("got %v, want the same document", got)
 	}
 }
 
 func FuzzParse(f *testing.F) {
-	value, err := encodeRow(Head{Version: 3, Nonce: "n", Object: "config/3-n"}, []Head{{Version: 2}})
+	value, err := encodeRow(spread.Head{Version: 3, Nonce: "n", Object: "config/3-n"}, []spread.Head{{Version: 2}})
 	if err != nil {
 		f.Fatal(err)
 	}
 	f.Add(value)
-	f.Add(`{"heads":[{}]}`)
+	f.Add(`{"versions":[{}]}`)
+	content, err := encodeEntry(Entry{Head: spread.Head{Version: 1, Nonce: "x"}, Document: config.Default()})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(content)
 	f.Fuzz(func(t *testing.T, text string) {
 		head, err := ParseRow(text)
-		if err != nil && head != (Head{}) {
+		if err != nil && head != (spread.Head{}) {
 			t.Errorf("got %+v with %v, want no head", head, err)
 		}
-		if content, err := parseObject(text, Head{Version: 1, Nonce: "x"}); err == nil && content.Head.Nonce != "x" {
-			t.Errorf("got the object of attempt %q, want only that of x", content.Head.Nonce)
+		entry, err := parseEntry(text, spread.Head{Version: 1, Nonce: "x"})
+		if err == nil && entry.Head.Nonce != "x" {
+			t.Errorf("got the object of attempt %q, want only that of x", entry.Head.Nonce)
 		}
 	})
 }
--- /dev/null
+++ b/internal/ledger/ledgertest/doc.go
@@ -0,0 +1,2 @@
+// Package ledgertest holds a small fake of the platform for tests of the configuration's ledger.
+package ledgertest
--- a/internal/spread/spreadtest/store.go
+++ b/internal/ledger/ledgertest/store.go
@@ -1,4 +1,4 @@
-package spreadtest
+package ledgertest
 
 import (
 	"context"
--- /dev/null
+++ b/internal/ledger/text.go
@@ -0,0 +1,153 @@
+package ledger
+
+import (
+	"errors"
+	"fmt"
+
+	"redwingspread/internal/config"
+	"redwingspread/internal/model"
+	"redwingspread/internal/spread"
+	"redwingspread/pkg/api/operatorapi"
+)
+
+// RowKey is the row that names the newest configuration.
+const RowKey model.RowKey = "configuration"
+
+// objectPrefix begins the name of every object that holds a configuration.
+const objectPrefix = "config/"
+
+// pastHeads is the number of heads that the row keeps, so that a lost answer can be settled after later changes.
+const pastHeads = 16
+
+// Entry is one accepted configuration as its object holds it.
+type Entry struct {
+	Head     spread.Head
+	Previous *spread.Head
+	Document config.Document
+}
+
+// ParseRow returns the newest head of the row's value.
+func ParseRow(value string) (head spread.Head, err error) {
+	heads, err := parseHeads(value)
+	if err != nil {
+		return spread.Head{}, err
+	}
+	return heads[0], nil
+}
+
+// parseHeads returns the heads of a row's value, newest first.
+func parseHeads(value string) (heads []spread.Head, err error) {
+	defer annotate(&err, fmt.Sprintf("row %s", RowKey))
+	var message operatorapi.History
+	if err := message.UnmarshalJSON([]byte(value)); err != nil {
+		return nil, err
+	}
+	if len(message.Versions) == 0 {
+		return nil, errors.New("no head")
+	}
+	for _, accepted := range message.Versions {
+		heads = append(heads, headOf(accepted))
+	}
+	return heads, nil
+}
+
+// encodeRow returns the row's value with a new head before the earlier ones.
+func encodeRow(head spread.Head, earlier []spread.Head) (value string, err error) {
+	heads := append([]spread.Head{head}, earlier...)
+	var message operatorapi.History
+	for _, kept := range heads[:min(len(heads), pastHeads)] {
+		message.Versions = append(message.Versions, Accepted(kept))
+	}
+	encoded, err := message.MarshalJSON()
+	return string(encoded), err
+}
+
+// encodeEntry returns the content of an object.
+func encodeEntry(entry Entry) (text string, err error) {
+	message, err := Message(entry)
+	if err != nil {
+		return "", err
+	}
+	encoded, err := message.MarshalJSON()
+	return string(encoded), err
+}
+
+// parseEntry returns the content of an object and refuses one of another head.
+func parseEntry(text string, want spread.Head) (entry Entry, err error) {
+	defer annotate(&err, fmt.Sprintf("object %s", want.Object))
+	var message operatorapi.Entry
+	if err := message.UnmarshalJSON([]byte(text)); err != nil {
+		return Entry{}, err
+	}
+	entry.Head = headOf(message.Accepted)
+	if entry.Head.Nonce != want.Nonce || entry.Head.Version != want.Version {
+		return Entry{}, fmt.Errorf("holds version %d of another attempt", entry.Head.Version)
+	}
+	if message.Previous.Set {
+		previous := headOf(message.Previous.Value)
+		entry.Previous = &previous
+	}
+	entry.Document, err = Document(message.Document)
+	return entry, err
+}
+
+// Message returns the message of an entry.
+func Message(entry Entry) (message *operatorapi.Entry, err error) {
+	document, err := DocumentMessage(entry.Document)
+	if err != nil {
+		return nil, err
+	}
+	message = &operatorapi.Entry{Accepted: Accepted(entry.Head), Document: document}
+	if entry.Previous != nil {
+		message.Previous.SetTo(Accepted(*entry.Previous))
+	}
+	return message, nil
+}
+
+// Accepted returns the message of a head.
+func Accepted(head spread.Head) operatorapi.Accepted {
+	return operatorapi.Accepted{
+		Version: uint64(head.Version),
+		Nonce:   operatorapi.NewOptString(string(head.Nonce)),
+		Object:  operatorapi.NewOptString(string(head.Object)),
+		Author:  string(head.Author),
+		Time:    head.Time,
+	}
+}
+
+// headOf returns the head of a message.
+func headOf(message operatorapi.Accepted) spread.Head {
+	return spread.Head{
+		Version: model.Version(message.Version),
+		Nonce:   model.Nonce(message.Nonce.Value),
+		Object:  model.ObjectName(message.Object.Value),
+		Author:  config.Author(message.Author),
+		Time:    message.Time,
+	}
+}
+
+// Document translates a message into a document; both have the JSON form of schema/operator.yaml.
+func Document(message operatorapi.Document) (document config.Document, err error) {
+	defer annotate(&err, "translate document")
+	text, err := message.MarshalJSON()
+	if err != nil {
+		return config.Document{}, err
+	}
+	return config.Decode(string(text))
+}
+
+// DocumentMessage translates a document into a message.
+func DocumentMessage(document config.Document) (message operatorapi.Document, err error) {
+	defer annotate(&err, "translate document")
+	text, err := config.Encode(document)
+	if err != nil {
+		return operatorapi.Document{}, err
+	}
+	err = message.UnmarshalJSON([]byte(text))
+	return message, err
+}
+
+// objectName returns the name of the object of one attempt.
+func objectName(version model.Version, nonce model.Nonce) model.ObjectName {
+	return model.ObjectName(fmt.Sprintf("%s%020d-%s", objectPrefix, version, nonce))
+}
--- a/internal/operator/configuration.go
+++ b/internal/operator/configuration.go
@@ -7,6 +7,7 @@
 
 	"redwingspread/internal/config"
 	"redwingspread/internal/event"
+	"redwingspread/internal/ledger"
 	"redwingspread/internal/model"
 	"redwingspread/internal/spread"
 	"redwingspread/pkg/api/operatorapi"
@@ -24,7 +25,7 @@
 	if !policy.Ready() {
 		return nil, model.Refuse(model.CodeUnavailable, "no configuration is in force on this host yet")
 	}
-	document, err := Message(policy.Document)
+	document, err := ledger.DocumentMessage(policy.Document)
 	if err != nil {
 		return nil, err
 	}
@@ -48,7 +49,7 @@
 
 // commit checks a change, commits it and puts it into force on this host.
 func (s *Server) commit(ctx context.Context, change *operatorapi.Change) (head spread.Head, policy *config.Policy, err error) {
-	document, err := Document(change.Document)
+	document, err := ledger.Document(change.Document)
 	if err != nil {
 		return spread.Head{}, nil, model.Refuse(model.CodeInvalid, "%v", err)
 	}
@@ -59,7 +60,7 @@
 	if err != nil {
 		return spread.Head{}, nil, err
 	}
-	head, err = s.Ledger.Commit(ctx, model.Version(change.Expected), config.Author(change.Author), text)
+	head, err = s.Ledger.Commit(ctx, model.Version(change.Expected), config.Author(change.Author), document)
 	if err != nil {
 		return spread.Head{}, nil, err
 	}
@@ -74,7 +75,7 @@
 
 // report logs and counts a change that was not accepted.
 func (s *Server) report(change *operatorapi.Change, err error) {
-	var conflict *spread.Conflict
+	var conflict *ledger.Conflict
 	var refusal *model.Refusal
 	switch {
 	case errors.As(err, &conflict):
@@ -102,7 +103,7 @@
 
 // withCurrent adds the newest configuration to a conflict, so that the loser sees what changed.
 func (s *Server) withCurrent(err error) error {
-	var conflict *spread.Conflict
+	var conflict *ledger.Conflict
 	if !errors.As(err, &conflict) {
 		return err
 	}
@@ -124,11 +125,7 @@
 	if err != nil {
 		return nil, err
 	}
-	document, err := config.Decode(entry.Text)
-	if err != nil {
-		return nil, err
-	}
-	return configuration(head, document)
+	return configuration(head, entry.Document)
 }
 
 // ListConfigurations returns the newest accepted configurations.
@@ -141,9 +138,7 @@
 	}
 	history := &operatorapi.History{Versions: []operatorapi.Accepted{}}
 	for _, head := range heads {
-		history.Versions = append(history.Versions, operatorapi.Accepted{
-			Version: uint64(head.Version), Author: string(head.Author), Time: head.Time,
-		})
+		history.Versions = append(history.Versions, ledger.Accepted(head))
 	}
 	return history, nil
 }
@@ -152,16 +147,12 @@
 const defaultHistory = 20
 
 // GetAccepted returns one accepted configuration.
-func (s *Server) GetAccepted(ctx context.Context, params operatorapi.GetAcceptedParams) (*operatorapi.Configuration, error) {
+func (s *Server) GetAccepted(ctx context.Context, params operatorapi.GetAcceptedParams) (*operatorapi.Entry, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	entry, err := s.Ledger.Version(ctx, model.Version(params.Version))
 	if err != nil {
 		return nil, err
 	}
-	document, err := config.Decode(entry.Text)
-	if err != nil {
-		return nil, err
-	}
-	return configuration(entry.Head, document)
+	return ledger.Message(entry)
 }
--- a/internal/operator/refusal.go
+++ b/internal/operator/refusal.go
@@ -8,8 +8,8 @@
 	"github.com/ogen-go/ogen/ogenerrors"
 
 	"redwingspread/internal/config"
+	"redwingspread/internal/ledger"
 	"redwingspread/internal/model"
-	"redwingspread/internal/spread"
 	"redwingspread/pkg/api/operatorapi"
 )
 
@@ -31,7 +31,7 @@
 // NewError translates an error into the interface's refusal.
 func (s *Server) NewError(_ context.Context, err error) *operatorapi.RefusalStatusCode {
 	var problems config.Problems
-	var conflict *spread.Conflict
+	var conflict *ledger.Conflict
 	var refusal *model.Refusal
 	switch {
 	case errors.As(err, &problems):
@@ -67,7 +67,7 @@
 }
 
 // refuseConflict tells which configuration won the race.
-func refuseConflict(err error, conflict *spread.Conflict) *operatorapi.RefusalStatusCode {
+func refuseConflict(err error, conflict *ledger.Conflict) *operatorapi.RefusalStatusCode {
 	made := refuse(model.Refuse(model.CodeConflict, "%s", conflict.Error()))
 	var race lostRace
 	if errors.As(err, &race) {
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -8,8 +8,8 @@
 	"github.com/apex/log"
 
 	"redwingspread/internal/config"
+	"redwingspread/internal/ledger"
 	"redwingspread/internal/model"
-	"redwingspread/internal/spread"
 	"redwingspread/internal/trust"
 	"redwingspread/internal/view"
 	"redwingspread/pkg/api/operatorapi"
@@ -41,7 +41,7 @@
 	// View returns the newest view.
 	View func() *view.View
 	// Ledger keeps the accepted configurations.
-	Ledger *spread.Ledger
+	Ledger *ledger.Ledger
 	// Accept takes a configuration that was committed, to put it into force on this host.
 	Accept func(version model.Version, document string, policy *config.Policy)
 	// Queues returns the work that waits on this host.
--- a/internal/operator/server_test.go
+++ b/internal/operator/server_test.go
@@ -16,9 +16,9 @@
 	logjson "github.com/apex/log/handlers/json"
 
 	"redwingspread/internal/config"
+	"redwingspread/internal/ledger"
+	"redwingspread/internal/ledger/ledgertest"
 	"redwingspread/internal/model"
-	"redwingspread/internal/spread"
-	"redwingspread/internal/spread/spreadtest"
 	"redwingspread/internal/trust"
 	"redwingspread/internal/view"
 	"redwingspread/pkg/api/operatorapi"
@@ -32,7 +32,7 @@
 
 // fixture is a server on a fake platform.
 type fixture struct {
-	store  *spreadtest.Store
+	store  *ledgertest.Store
 	view   atomic.Pointer[view.View]
 	server *Server
 	http   *httptest.Server
@@ -42,7 +42,7 @@
 // newFixture returns a server whose configuration in force is the built-in one.
 func newFixture(t *testing.T) *fixture {
 	t.Helper()
-	f := &fixture{store: spreadtest.New(), server: New()}
+	f := &fixture{store: ledgertest.New(), server: New()}
 	policy, err := config.Compile(0, config.Default())
 	if err != nil {
 		t.Fatal(err)
@@ -52,7 +52,7 @@
 	f.server.Log = &log.Logger{Handler: logjson.New(&f.log), Level: log.DebugLevel}
 	f.server.First = config.Token{Name: "first", Right: config.RightOperator, Hash: trust.Hash(operatorToken)}
 	f.server.Accept = func(_ model.Version, _ string, policy *config.Policy) { f.view.Store(fleetView(policy)) }
-	f.server.Ledger = &spread.Ledger{
+	f.server.Ledger = &ledger.Ledger{
 		Store:   f.store,
 		Nonce:   func() model.Nonce { return model.Nonce(trust.NewToken()) },
 		Now:     time.Now,
@@ -117,7 +117,7 @@
 // changeText returns the body of a change.
 func changeText(t *testing.T, expected model.Version, document config.Document) string {
 	t.Helper()
-	message, err := Message(document)
+	message, err := ledger.DocumentMessage(document)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -146,7 +146,7 @@
 	}{
 		"accepted": {status: http.StatusOK, want: []string{`"version":1`, `"author":"Dana"`}, version: 1},
 		"answer of the platform lost": {
-			prepare: func(_ *testing.T, f *fixture) { f.store.Fail(spreadtest.AnswersLost, 1) },
+			prepare: func(_ *testing.T, f *fixture) { f.store.Fail(ledgertest.AnswersLost, 1) },
 			status:  http.StatusOK, want: []string{`"version":1`}, version: 1,
 		},
 		"lost a race": {
@@ -156,7 +156,7 @@
 			status: http.StatusConflict, want: []string{"version 1 by Dana", `"queueLimit":33`, `"current"`}, version: 1,
 		},
 		"platform down": {
-			prepare: func(_ *testing.T, f *fixture) { f.store.Fail(spreadtest.Down, 1) },
+			prepare: func(_ *testing.T, f *fixture) { f.store.Fail(ledgertest.Down, 1) },
 			status:  http.StatusServiceUnavailable, want: []string{"nothing was changed"},
 		},
 		"every problem at once": {
@@ -280,28 +280,6 @@
 	}
 }
 
-func TestTranslation(t *testing.T) {
-	age := config.Milliseconds(7)
-	document := config.Default()
-	document.Kinds[0].MaxAge = &age
-	document.Exceptions = []config.Exception{{
-		Name: "n", Database: "d", Kind: "k", Rank: 2, DataCentre: "c", Region: "r", Setting: "s",
-		Value: "v", Reason: "why", Author: "a", Date: "2026-03-02", Review: "2026-04-02",
-	}}
-	document.Tokens = []config.Token{{Name: "n", Right: "reader", Hash: "h", Reason: "why", Author: "a", Date: "2026-03-02"}}
-	message, err := Message(document)
-	if err != nil {
-		t.Fatal(err)
-	}
-	back, err := Document(message)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if got := config.Diff(document, back); got != nil {
-		t.Errorf("got %v, want the same document", got)
-	}
-}
-
 func TestTracker(t *testing.T) {
 	at := time.Unix(100, 0)
 	measured := newTracker()
--- a/internal/spread/machine.go
+++ b/internal/spread/machine.go
@@ -1,6 +1,7 @@
 package spread
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -53,6 +54,14 @@
 	Peer model.HostID
 }
 
+// Source names where the action fetches from.
+func (a Action) Source() string {
+	if a.Head != nil {
+		return fmt.Sprintf("object %s", a.Head.Object)
+	}
+	return fmt.Sprintf("host %s", a.Peer)
+}
+
 // Outcome is what follows from an event.
 type Outcome struct {
 	Fetch  *Action        // to be run; its end is reported as Fetched
--- a/internal/spread/machine_test.go
+++ b/internal/spread/machine_test.go
@@ -18,7 +18,7 @@
 
 // headOf returns the head of the version.
 func headOf(version model.Version) *Head {
-	return &Head{Version: version, Object: objectName(version, "n")}
+	return &Head{Version: version, Object: "o"}
 }
 
 // fetched returns the end of a fetch that brought the version.
--- a/pkg/api/operatorapi/oas_client_gen.go
+++ b/pkg/api/operatorapi/oas_client_gen.go
@@ -23,10 +23,10 @@
 type Invoker interface {
 	// GetAccepted invokes getAccepted operation.
 	//
-	// Returns one accepted configuration.
+	// Returns one accepted configuration as the object store keeps it.
 	//
 	// GET /v1/configurations/{version}
-	GetAccepted(ctx context.Context, params GetAcceptedParams) (*Configuration, error)
+	GetAccepted(ctx context.Context, params GetAcceptedParams) (*Entry, error)
 	// GetConfiguration invokes getConfiguration operation.
 	//
 	// Returns the configuration in force on this host.
@@ -94,15 +94,15 @@
 
 // GetAccepted invokes getAccepted operation.
 //
-// Returns one accepted configuration.
+// Returns one accepted configuration as the object store keeps it.
 //
 // GET /v1/configurations/{version}
-func (c *Client) GetAccepted(ctx context.Context, params GetAcceptedParams) (*Configuration, error) {
+func (c *Client) GetAccepted(ctx context.Context, params GetAcceptedParams) (*Entry, error) {
 	res, err := c.sendGetAccepted(ctx, params)
 	return res, err
 }
 
-func (c *Client) sendGetAccepted(ctx context.Context, params GetAcceptedParams) (res *Configuration, err error) {
+func (c *Client) sendGetAccepted(ctx context.Context, params GetAcceptedParams) (res *Entry, err error) {
 
 	u := uri.Clone(c.requestURL(ctx))
 	var pathParts [2]string
--- a/pkg/api/operatorapi/oas_handlers_gen.go
+++ b/pkg/api/operatorapi/oas_handlers_gen.go
@@ -30,7 +30,7 @@
 
 // handleGetAcceptedRequest handles getAccepted operation.
 //
-// Returns one accepted configuration.
+// Returns one accepted configuration as the object store keeps it.
 //
 // GET /v1/configurations/{version}
 func (s *Server) handleGetAcceptedRequest(args [1]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
@@ -58,12 +58,12 @@
 
 	var rawBody []byte
 
-	var response *Configuration
+	var response *Entry
 	if m := s.cfg.Middleware; m != nil {
 		mreq := middleware.Request{
 			Context:          ctx,
 			OperationName:    GetAcceptedOperation,
-			OperationSummary: "Returns one accepted configuration.",
+			OperationSummary: "Returns one accepted configuration as the object store keeps it.",
 			OperationID:      "getAccepted",
 			Body:             nil,
 			RawBody:          rawBody,
@@ -79,7 +79,7 @@
 		type (
 			Request  = struct{}
 			Params   = GetAcceptedParams
-			Response = *Configuration
+			Response = *Entry
 		)
 		response, err = middleware.HookMiddleware[
 			Request,
--- a/pkg/api/operatorapi/oas_json_gen.go
+++ b/pkg/api/operatorapi/oas_json_gen.go
@@ -26,6 +26,18 @@
 		e.FieldStart("version")
 		e.UInt64(s.Version)
 	}
+	{
+		if s.Nonce.Set {
+			e.FieldStart("nonce")
+			s.Nonce.Encode(e)
+		}
+	}
+	{
+		if s.Object.Set {
+			e.FieldStart("object")
+			s.Object.Encode(e)
+		}
+	}
 	{
 		e.FieldStart("author")
 		e.Str(s.Author)
@@ -36,10 +48,12 @@
 	}
 }
 
-var jsonFieldsNameOfAccepted = [3]string{
+var jsonFieldsNameOfAccepted = [5]string{
 	0: "version",
-	1: "author",
-	2: "time",
+	1: "nonce",
+	2: "object",
+	3: "author",
+	4: "time",
 }
 
 // Decode decodes Accepted from json.
@@ -63,8 +77,28 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"version\"")
 			}
+		case "nonce":
+			if err := func() error {
+				s.Nonce.Reset()
+				if err := s.Nonce.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"nonce\"")
+			}
+		case "object":
+			if err := func() error {
+				s.Object.Reset()
+				if err := s.Object.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"object\"")
+			}
 		case "author":
-			requiredBitSet[0] |= 1 << 1
+			requiredBitSet[0] |= 1 << 3
 			if err := func() error {
 				v, err := d.Str()
 				s.Author = string(v)
@@ -76,7 +110,7 @@
 				return errors.Wrap(err, "decode field \"author\"")
 			}
 		case "time":
-			requiredBitSet[0] |= 1 << 2
+			requiredBitSet[0] |= 1 << 4
 			if err := func() error {
 				v, err := json.DecodeDateTime(d)
 				s.Time = v
@@ -97,7 +131,7 @@
 	// Validate required fields.
 	var failures []validate.FieldError
 	for i, mask := range [1]uint8{
-		0b00000111,
+		0b00011001,
 	} {
 		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
 			// Mask only required fields and check equality to mask using XOR.
@@ -959,6 +993,132 @@
 	return s.Decode(d)
 }
 
+// Encode implements json.Marshaler.
+func (s *Entry) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *Entry) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("accepted")
+		s.Accepted.Encode(e)
+	}
+	{
+		if s.Previous.Set {
+			e.FieldStart("previous")
+			s.Previous.Encode(e)
+		}
+	}
+	{
+		e.FieldStart("document")
+		s.Document.Encode(e)
+	}
+}
+
+var jsonFieldsNameOfEntry = [3]string{
+	0: "accepted",
+	1: "previous",
+	2: "document",
+}
+
+// Decode decodes Entry from json.
+func (s *Entry) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode Entry to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "accepted":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				if err := s.Accepted.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"accepted\"")
+			}
+		case "previous":
+			if err := func() error {
+				s.Previous.Reset()
+				if err := s.Previous.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"previous\"")
+			}
+		case "document":
+			requiredBitSet[0] |= 1 << 2
+			if err := func() error {
+				if err := s.Document.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"document\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode Entry")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00000101,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfEntry) {
+					name = jsonFieldsNameOfEntry[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *Entry) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *Entry) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode implements json.Marshaler.
 func (s *Exception) Encode(e *jx.Encoder) {
 	e.ObjStart()
@@ -2027,6 +2187,39 @@
 	return s.Decode(d)
 }
 
+// Encode encodes Accepted as json.
+func (o OptAccepted) Encode(e *jx.Encoder) {
+	if !o.Set {
+		return
+	}
+	o.Value.Encode(e)
+}
+
+// Decode decodes Accepted from json.
+func (o *OptAccepted) Decode(d *jx.Decoder) error {
+	if o == nil {
+		return errors.New("invalid: unable to decode OptAccepted to nil")
+	}
+	o.Set = true
+	if err := o.Value.Decode(d); err != nil {
+		return err
+	}
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s OptAccepted) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *OptAccepted) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode encodes Configuration as json.
 func (o OptConfiguration) Encode(e *jx.Encoder) {
 	if !o.Set {
--- a/pkg/api/operatorapi/oas_response_decoders_gen.go
+++ b/pkg/api/operatorapi/oas_response_decoders_gen.go
@@ -13,7 +13,7 @@
 	"github.com/ogen-go/ogen/validate"
 )
 
-func decodeGetAcceptedResponse(resp *http.Response) (res *Configuration, _ error) {
+func decodeGetAcceptedResponse(resp *http.Response) (res *Entry, _ error) {
 	switch resp.StatusCode {
 	case 200:
 		// Code 200.
@@ -29,7 +29,7 @@
 			}
 			d := jx.DecodeBytes(buf)
 
-			var response Configuration
+			var response Entry
 			if err := func() error {
 				if err := response.Decode(d); err != nil {
 					return err
--- a/pkg/api/operatorapi/oas_response_encoders_gen.go
+++ b/pkg/api/operatorapi/oas_response_encoders_gen.go
@@ -10,7 +10,7 @@
 	ht "github.com/ogen-go/ogen/http"
 )
 
-func encodeGetAcceptedResponse(response *Configuration, w http.ResponseWriter) error {
+func encodeGetAcceptedResponse(response *Entry, w http.ResponseWriter) error {
 	if err := func() error {
 		if err := response.Validate(); err != nil {
 			return err
--- a/pkg/api/operatorapi/oas_router_gen.go
+++ b/pkg/api/operatorapi/oas_router_gen.go
@@ -361,7 +361,7 @@
 							switch method {
 							case "GET":
 								r.name = GetAcceptedOperation
-								r.summary = "Returns one accepted configuration."
+								r.summary = "Returns one accepted configuration as the object store keeps it."
 								r.operationID = "getAccepted"
 								r.operationGroup = ""
 								r.pathPattern = "/v1/configurations/{version}"
--- a/pkg/api/operatorapi/oas_schemas_gen.go
+++ b/pkg/api/operatorapi/oas_schemas_gen.go
@@ -13,11 +13,17 @@
 	return fmt.Sprintf("code %d: %+v", s.StatusCode, s.Response)
 }
 
+// One accepted configuration; the row "configuration" of the table service holds the newest of them as
+// a History.
 // Ref: #/components/schemas/Accepted
 type Accepted struct {
-	Version uint64    `json:"version"`
-	Author  string    `json:"author"`
-	Time    time.Time `json:"time"`
+	Version uint64 `json:"version"`
+	// Marks the attempt.
+	Nonce OptString `json:"nonce"`
+	// Name of the object with the Entry.
+	Object OptString `json:"object"`
+	Author string    `json:"author"`
+	Time   time.Time `json:"time"`
 }
 
 // GetVersion returns the value of Version.
@@ -25,6 +31,16 @@
 	return s.Version
 }
 
+// GetNonce returns the value of Nonce.
+func (s *Accepted) GetNonce() OptString {
+	return s.Nonce
+}
+
+// GetObject returns the value of Object.
+func (s *Accepted) GetObject() OptString {
+	return s.Object
+}
+
 // GetAuthor returns the value of Author.
 func (s *Accepted) GetAuthor() string {
 	return s.Author
@@ -40,6 +56,16 @@
 	s.Version = val
 }
 
+// SetNonce sets the value of Nonce.
+func (s *Accepted) SetNonce(val OptString) {
+	s.Nonce = val
+}
+
+// SetObject sets the value of Object.
+func (s *Accepted) SetObject(val OptString) {
+	s.Object = val
+}
+
 // SetAuthor sets the value of Author.
 func (s *Accepted) SetAuthor(val string) {
 	s.Author = val
@@ -320,6 +346,44 @@
 	s.Tokens = val
 }
 
+// An object of the object store.
+// Ref: #/components/schemas/Entry
+type Entry struct {
+	Accepted Accepted    `json:"accepted"`
+	Previous OptAccepted `json:"previous"`
+	Document Document    `json:"document"`
+}
+
+// GetAccepted returns the value of Accepted.
+func (s *Entry) GetAccepted() Accepted {
+	return s.Accepted
+}
+
+// GetPrevious returns the value of Previous.
+func (s *Entry) GetPrevious() OptAccepted {
+	return s.Previous
+}
+
+// GetDocument returns the value of Document.
+func (s *Entry) GetDocument() Document {
+	return s.Document
+}
+
+// SetAccepted sets the value of Accepted.
+func (s *Entry) SetAccepted(val Accepted) {
+	s.Accepted = val
+}
+
+// SetPrevious sets the value of Previous.
+func (s *Entry) SetPrevious(val OptAccepted) {
+	s.Previous = val
+}
+
+// SetDocument sets the value of Document.
+func (s *Entry) SetDocument(val Document) {
+	s.Document = val
+}
+
 // Ref: #/components/schemas/Exception
 type Exception struct {
 	Name       string    `json:"name"`
@@ -834,6 +898,52 @@
 	s.Floor = val
 }
 
+// NewOptAccepted returns new OptAccepted with value set to v.
+func NewOptAccepted(v Accepted) OptAccepted {
+	return OptAccepted{
+		Value: v,
+		Set:   true,
+	}
+}
+
+// OptAccepted is optional Accepted.
+type OptAccepted struct {
+	Value Accepted
+	Set   bool
+}
+
+// IsSet returns true if OptAccepted was set.
+func (o OptAccepted) IsSet() bool { return o.Set }
+
+// Reset unsets value.
+func (o *OptAccepted) Reset() {
+	var v Accepted
+	o.Value = v
+	o.Set = false
+}
+
+// SetTo sets value to v.
+func (o *OptAccepted) SetTo(v Accepted) {
+	o.Set = true
+	o.Value = v
+}
+
+// Get returns value and boolean that denotes whether value was set.
+func (o OptAccepted) Get() (v Accepted, ok bool) {
+	if !o.Set {
+		return v, false
+	}
+	return o.Value, true
+}
+
+// Or returns value if set, or given parameter if does not.
+func (o OptAccepted) Or(d Accepted) Accepted {
+	if v, ok := o.Get(); ok {
+		return v
+	}
+	return d
+}
+
 // NewOptConfiguration returns new OptConfiguration with value set to v.
 func NewOptConfiguration(v Configuration) OptConfiguration {
 	return OptConfiguration{
--- a/pkg/api/operatorapi/oas_server_gen.go
+++ b/pkg/api/operatorapi/oas_server_gen.go
@@ -10,10 +10,10 @@
 type Handler interface {
 	// GetAccepted implements getAccepted operation.
 	//
-	// Returns one accepted configuration.
+	// Returns one accepted configuration as the object store keeps it.
 	//
 	// GET /v1/configurations/{version}
-	GetAccepted(ctx context.Context, params GetAcceptedParams) (*Configuration, error)
+	GetAccepted(ctx context.Context, params GetAcceptedParams) (*Entry, error)
 	// GetConfiguration implements getConfiguration operation.
 	//
 	// Returns the configuration in force on this host.
--- a/pkg/api/operatorapi/oas_validators_gen.go
+++ b/pkg/api/operatorapi/oas_validators_gen.go
@@ -186,6 +186,29 @@
 	return nil
 }
 
+func (s *Entry) Validate() error {
+	if s == nil {
+		return validate.ErrNilPointer
+	}
+
+	var failures []validate.FieldError
+	if err := func() error {
+		if err := s.Document.Validate(); err != nil {
+			return err
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "document",
+			Error: err,
+		})
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+	return nil
+}
+
 func (s *History) Validate() error {
 	if s == nil {
 		return validate.ErrNilPointer
