--- a/internal/fleet/claim.go
+++ b/internal/fleet/claim.go
@@ -69,10 +69,14 @@
 	return false
 }
 
+// lossesMost bounds the doubling of the time before a database comes back to a host that keeps losing it.
+const lossesMost = 6
+
 // unbalanced reports whether the database has been quiet for long and this host is its preferred owner.
 func (m *Machine) unbalanced(now time.Time, d *database) bool {
-	quiet := now.Sub(d.changed) >= m.Timing.Stable && now.Sub(m.started) >= m.Timing.Stable
-	if !quiet || m.members.State(d.row.Owner, d.row.Incarnation) != view.Alive {
+	quiet := m.Timing.Stable << min(d.losses, lossesMost)
+	if now.Sub(d.changed) < quiet || now.Sub(m.started) < m.Timing.Stable ||
+		m.members.State(d.row.Owner, d.row.Incarnation) != view.Alive {
 		return false
 	}
 	order := m.candidates(d)
--- a/internal/fleet/database.go
+++ b/internal/fleet/database.go
@@ -15,6 +15,7 @@
 	instances map[model.InstanceID]*instance
 	changed   time.Time // when the row's last change was learnt
 	returned  bool      // the owner changed the row after this host held it for dead
+	losses    int       // times in turn that another host took the database from this one
 	hint      OwnerNews // newest news of an owner, for routing
 	since     time.Time // when this host first saw that the database needs another owner
 	commit    bool      // a change of the row is under way
--- a/internal/fleet/fault_test.go
+++ b/internal/fleet/fault_test.go
@@ -26,9 +26,17 @@
 	return limit, false
 }
 
+// cutBoth cuts the messages between two names.
+func (w *world) cutBoth(a, b string) {
+	w.cut[[2]string{a, b}] = true
+	w.cut[[2]string{b, a}] = true
+}
+
+// TestFaults causes faults after which the database must be served again, by which host and which primary, and how soon.
 func TestFaults(t *testing.T) {
+	type cause func(w *world, owner model.HostID, primary model.InstanceID)
 	tests := map[string]struct {
-		cause    func(w *world, owner model.HostID, primary model.InstanceID)
+		cause    cause
 		promoted bool // another instance becomes primary
 		moved    bool // another host becomes owner
 		most     time.Duration
@@ -48,6 +56,39 @@
 			moved: true,
 			most:  time.Second,
 		},
+		"owner is started again": {
+			cause: func(w *world, owner model.HostID, _ model.InstanceID) {
+				w.hosts[owner].down = true
+				w.after(100*time.Millisecond, func() { w.boot(owner) })
+			},
+			moved: true,
+			most:  time.Second,
+		},
+		"owner does not reach the primary, others do": {
+			cause: func(w *world, owner model.HostID, primary model.InstanceID) {
+				w.cutBoth(string(owner), string(primary))
+			},
+			moved: true,
+			most:  time.Second,
+		},
+		"owner does not reach any instance": {
+			cause: func(w *world, owner model.HostID, _ model.InstanceID) {
+				for _, id := range w.instanceIDs() {
+					w.cutBoth(string(owner), string(id))
+				}
+			},
+			moved: true,
+			most:  time.Second,
+		},
+		"owner reaches no other host, only store and instances": {
+			cause: func(w *world, owner model.HostID, _ model.InstanceID) {
+				for _, id := range w.hostIDs() {
+					w.cutBoth(string(owner), string(id))
+				}
+			},
+			moved: true,
+			most:  time.Second,
+		},
 		"primary crashes": {
 			cause:    func(w *world, _ model.HostID, primary model.InstanceID) { w.instances[primary].down = true },
 			promoted: true,
@@ -58,6 +99,50 @@
 			promoted: true,
 			most:     time.Second,
 		},
+		"primary crashes, answers of the store are lost": {
+			cause: func(w *world, _ model.HostID, primary model.InstanceID) {
+				w.instances[primary].down = true
+				w.store.lose = 2
+			},
+			promoted: true,
+			most:     time.Second,
+		},
+		"primary crashes, the store is slow": {
+			cause: func(w *world, _ model.HostID, primary model.InstanceID) {
+				w.instances[primary].down = true
+				w.storeDelay = time.Second
+			},
+			promoted: true,
+			most:     5 * time.Second,
+		},
+		"primary crashes, the store comes back after 5 s": {
+			cause: func(w *world, _ model.HostID, primary model.InstanceID) {
+				w.instances[primary].down = true
+				w.store.down = true
+				w.after(5*time.Second, func() { w.store.down = false })
+			},
+			promoted: true,
+			most:     6 * time.Second,
+		},
+		"owner crashes, the store comes back after 5 s": {
+			cause: func(w *world, owner model.HostID, _ model.InstanceID) {
+				w.hosts[owner].down = true
+				w.store.down = true
+				w.after(5*time.Second, func() { w.store.down = false })
+			},
+			moved: true,
+			most:  6 * time.Second,
+		},
+		"primary and a replica crash, the replica comes back after 5 s": {
+			cause: func(w *world, _ model.HostID, primary model.InstanceID) {
+				w.instances[primary].down = true
+				second := replica(w, primary)
+				second.down = true
+				w.after(5*time.Second, func() { second.down = false })
+			},
+			promoted: true,
+			most:     6 * time.Second,
+		},
 		"owner and primary crash": {
 			cause: func(w *world, owner model.HostID, primary model.InstanceID) {
 				w.hosts[owner].down = true
@@ -74,20 +159,51 @@
 			},
 			promoted: true,
 			moved:    true,
-			most:     1200 * time.Millisecond,
+			most:     time.Second,
+		},
+		"owner and primary are isolated together": {
+			cause: func(w *world, owner model.HostID, primary model.InstanceID) {
+				for _, name := range w.names() {
+					if name != string(owner) && name != string(primary) {
+						w.cutBoth(string(owner), name)
+						w.cutBoth(string(primary), name)
+					}
+				}
+			},
+			promoted: true,
+			moved:    true,
+			most:     time.Second,
+		},
+		"owner and its first successor crash": {
+			cause: func(w *world, owner model.HostID, _ model.InstanceID) {
+				w.hosts[owner].down = true
+				w.hosts[other(w, owner)].down = true
+			},
+			moved: true,
+			most:  time.Second,
+		},
+		"two candidates race": {
+			cause: func(w *world, owner model.HostID, primary model.InstanceID) {
+				w.hosts[owner].down = true
+				for _, h := range w.hosts {
+					h.machine.Timing.Stagger = 0
+				}
+				w.instances[primary].down = true
+			},
+			promoted: true,
+			moved:    true,
+			most:     time.Second,
 		},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			w := newWorld(4, 3)
-			w.run(settled)
-			owners := w.serving("d0")
-			if len(owners) != 1 {
-				t.Fatalf("got owners %v, want one", owners)
-			}
-			before := w.database(owners[0], "d0")
-			test.cause(w, owners[0], before.Primary)
-			gap, ok := w.gap("d0", before.Term, 10*time.Second)
+			w.copyAll()
+			w.run(15 * time.Second)
+			owner := w.store.rows["d0"].Owner
+			before := w.database(owner, "d0")
+			test.cause(w, owner, before.Primary)
+			gap, ok := w.gap("d0", before.Term, 20*time.Second)
 			if !ok {
 				t.Fatalf("got no service after %v, want it", gap)
 			}
@@ -95,14 +211,141 @@
 			if gap > test.most {
 				t.Errorf("got gap %v, want at most %v", gap, test.most)
 			}
+			w.run(time.Second)
 			row := w.store.rows["d0"]
-			if got := row.Owner != owners[0]; got != test.moved {
+			if got := row.Owner != owner; got != test.moved {
 				t.Errorf("got owner moved %v, want %v", got, test.moved)
 			}
-			now := w.database(row.Owner, "d0")
-			if got := now.Primary != before.Primary; got != test.promoted {
+			if got := row.Primary != before.Primary; got != test.promoted {
 				t.Errorf("got primary changed %v, want %v", got, test.promoted)
 			}
+			if got := row.Term - before.Term; got > 4 {
+				t.Errorf("got %d changes of the term, want few", got)
+			}
+		})
+	}
+}
+
+// names returns every name that messages go to.
+func (w *world) names() []string {
+	names := []string{"store"}
+	for _, id := range w.hostIDs() {
+		names = append(names, string(id))
+	}
+	for _, id := range w.instanceIDs() {
+		names = append(names, string(id))
+	}
+	return names
+}
+
+// TestBestReplicaIsPromoted crashes a primary whose replicas hold different parts of its log.
+func TestBestReplicaIsPromoted(t *testing.T) {
+	tests := map[string]struct {
+		lengths [2]int // entries that the two replicas hold
+		leaving [2]bool
+		want    model.InstanceID
+	}{
+		"the first is ahead":             {lengths: [2]int{50, 10}, want: "d0-1"},
+		"the second is ahead":            {lengths: [2]int{10, 50}, want: "d0-2"},
+		"far behind, the other is gone":  {lengths: [2]int{0, 50}, want: "d0-2"},
+		"equal, the first leaves":        {lengths: [2]int{50, 50}, leaving: [2]bool{true, false}, want: "d0-2"},
+		"the one that leaves is further": {lengths: [2]int{50, 49}, leaving: [2]bool{true, false}, want: "d0-1"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(4, 1)
+			w.run(settled)
+			row := w.store.rows["d0"]
+			primary := w.instances["d0-0"]
+			for value := range 60 {
+				primary.write(row.Term, value)
+			}
+			for i, id := range []model.InstanceID{"d0-1", "d0-2"} {
+				w.instances[id].replicate(test.lengths[i])
+				w.instances[id].leaving = test.leaving[i]
+			}
+			primary.down = true
+			if _, ok := w.gap("d0", row.Term, 5*time.Second); !ok {
+				t.Fatal("got no service, want it")
+			}
+			w.run(100 * time.Millisecond)
+			if got := w.store.rows["d0"].Primary; got != test.want {
+				t.Errorf("got primary %s, want %s", got, test.want)
+			}
+		})
+	}
+}
+
+// TestOldPrimaryComesBack lets a former primary return with entries that no other instance has.
+func TestOldPrimaryComesBack(t *testing.T) {
+	w := newWorld(4, 1)
+	w.copyAll()
+	w.run(settled)
+	row := w.store.rows["d0"]
+	old := w.instances["d0-0"]
+	old.write(row.Term, 1)
+	w.run(time.Second)
+	w.isolate("d0-0")
+	old.write(row.Term, 2)
+	if _, ok := w.gap("d0", row.Term, 5*time.Second); !ok {
+		t.Fatal("got no service, want it")
+	}
+	if _, ok := old.write(row.Term, 3); !ok {
+		t.Fatal("got the isolated primary fenced, want it to believe that it leads")
+	}
+	w.heal()
+	w.run(2 * time.Second)
+	if _, ok := old.write(row.Term, 4); ok {
+		t.Error("got a write in the old term, want it refused")
+	}
+	if old.role != model.RoleReplica || old.holds(2) || old.holds(3) || !old.holds(1) {
+		t.Errorf("got role %s and log %v, want a replica with only the first write", old.role, old.log)
+	}
+}
+
+// TestNoFlapping repeats a short fault and counts the changes of the term.
+func TestNoFlapping(t *testing.T) {
+	tests := map[string]struct {
+		flip func(w *world, owner model.HostID, primary model.InstanceID, bad bool)
+		most model.Term
+	}{
+		"primary is silent half of the time": {
+			flip: func(w *world, _ model.HostID, primary model.InstanceID, bad bool) { w.instances[primary].down = bad },
+			most: 2,
+		},
+		"owner is paused half of the time": {
+			flip: func(w *world, owner model.HostID, _ model.InstanceID, bad bool) {
+				if w.hosts[owner].paused = bad; !bad {
+					w.resume(owner)
+				}
+			},
+			most: 8,
+		},
+		"two hosts lose each other half of the time": {
+			flip: func(w *world, owner model.HostID, _ model.InstanceID, bad bool) {
+				w.cutBoth(string(owner), string(other(w, owner)))
+				if !bad {
+					w.heal()
+				}
+			},
+			most: 0,
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(4, 1)
+			w.copyAll()
+			w.run(15 * time.Second)
+			row := w.store.rows["d0"]
+			bad := false
+			w.every(400*time.Millisecond, func() {
+				bad = !bad
+				test.flip(w, row.Owner, row.Primary, bad)
+			})
+			w.run(time.Minute)
+			if got := w.store.rows["d0"].Term - row.Term; got > test.most {
+				t.Errorf("got %d changes of the term in a minute, want at most %d", got, test.most)
+			}
 		})
 	}
 }
--- a/internal/fleet/rows.go
+++ b/internal/fleet/rows.go
@@ -51,6 +51,7 @@
 		m.tell(known)
 		m.dirty = true
 		if mine && !m.mine(known) {
+			known.losses++
 			m.note(Note{Kind: NoteReplaced, Database: row.Database, Term: row.Term, Host: row.Owner})
 		}
 	}
--- a/internal/fleet/serve.go
+++ b/internal/fleet/serve.go
@@ -46,6 +46,9 @@
 
 // maintain keeps a served database in order: the row, the replicas, the group and the primary's place.
 func (m *Machine) maintain(now time.Time, d *database, primary *instance) []Action {
+	if now.Sub(d.changed) >= m.Timing.Stable<<lossesMost {
+		d.losses = 0
+	}
 	actions := m.follow(now, d, primary)
 	if d.row.Primary == "" {
 		return append(actions, m.record(now, d)...)
--- a/internal/fleet/world_test.go
+++ b/internal/fleet/world_test.go
@@ -16,16 +16,17 @@
 
 // world is a small fleet in memory: machines, instances and a table on one fake clock.
 type world struct {
-	now       time.Time
-	start     time.Time
-	queue     []happening
-	hosts     map[model.HostID]*fakeHost
-	instances map[model.InstanceID]*fakeInstance
-	store     fakeStore
-	cut       map[[2]string]bool // from, to
-	delay     func() time.Duration
-	nonces    int
-	order     int
+	now        time.Time
+	start      time.Time
+	queue      []happening
+	hosts      map[model.HostID]*fakeHost
+	instances  map[model.InstanceID]*fakeInstance
+	store      fakeStore
+	cut        map[[2]string]bool // from, to
+	delay      func() time.Duration
+	storeDelay time.Duration // added to the answers of the store
+	nonces     int
+	order      int
 
 	mutate func(action Action) Action // takes a rule out, when set
 	forge  func(action InstanceAction, result InstanceResult) InstanceResult
@@ -231,6 +232,21 @@
 	return !w.cut[[2]string{from, to}] && !w.cut[[2]string{from, "*"}] && !w.cut[[2]string{"*", to}]
 }
 
+// every lets something happen again and again.
+func (w *world) every(pause time.Duration, do func()) {
+	w.after(pause, func() {
+		do()
+		w.every(pause, do)
+	})
+}
+
+// unlist takes all hosts out of the platform's list, or puts them back.
+func (w *world) unlist(out bool) {
+	for _, h := range w.hosts {
+		h.listed = !out
+	}
+}
+
 // isolate cuts all messages of a name, both ways.
 func (w *world) isolate(name string) {
 	w.cut[[2]string{name, "*"}] = true
@@ -257,7 +273,11 @@
 			w.after(timeout, func() { w.deliver(h, machine, lost) })
 			return
 		}
-		w.after(w.delay(), func() { back(to, serve(), lost) })
+		late := time.Duration(0)
+		if to == "store" {
+			late = w.storeDelay
+		}
+		w.after(w.delay()+late, func() { back(to, serve(), lost) })
 	}
 	switch action := action.(type) {
 	case ReadRows:
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math/bits"
 	"slices"
 	"time"
@@ -19,6 +20,9 @@
 // ringNeighbours is the number of next hosts on the ring that a host of a large fleet watches.
 const ringNeighbours = 2
 
+// absencesOfGone is the number of lists in turn without a host after which a silent host is forgotten.
+const absencesOfGone = 3
+
 // Table is one host's knowledge of all hosts.
 type Table struct {
 	// Self is this host.
@@ -45,7 +49,7 @@
 	incarnation   model.Incarnation
 	sequence      model.Sequence
 	state         view.Liveness
-	listed        bool
+	absent        int // lists in turn without the host
 	configuration model.Version
 	heard         time.Time // last direct contact, either way
 	missed        int       // own heartbeats without an answer since then
@@ -86,16 +90,20 @@
 		}
 	}
 	for id, known := range t.hosts {
-		if !listed[id] && known.listed {
-			delete(t.hosts, id)
-			t.epoch++
+		if !listed[id] {
+			t.unlist(now, known)
 		}
 	}
-	t.ring = t.ring[:0]
-	for id := range t.hosts {
-		t.ring = append(t.ring, id)
+	t.ring = slices.Sorted(maps.Keys(t.hosts))
+}
+
+// unlist takes a host's absence from the list: one that is silent too is forgotten after some absences in turn.
+func (t *Table) unlist(now time.Time, known *host) {
+	known.absent++
+	if known.absent >= absencesOfGone && !t.fresh(now, known) {
+		delete(t.hosts, known.ID)
+		t.epoch++
 	}
-	slices.Sort(t.ring)
 }
 
 // list takes one entry of the platform's list.
@@ -110,7 +118,7 @@
 		known.probe = true
 	}
 	known.Host = item
-	known.listed = true
+	known.absent = 0
 	if item.Leaving && known.state == view.Alive {
 		t.set(known, view.Leaving)
 	}
