Share the probes of the gate among writes that wait at the same time

Cause: a probe for each write would double the calls of the replicas. Change: lanes for each database and term whose probers serve all waiting writes; the row is read when replicas are silent for 50 ms; a write that wants a replica does not wait when too few replicas answer. A majority of witnesses is enough also when another instance is fenced.

--- a/internal/ack/gate.go
+++ b/internal/ack/gate.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"errors"
+	"sync"
 	"time"
 
 	"redwingspread/internal/endpoint"
@@ -14,87 +14,99 @@
 type Gate struct {
 	// Instance returns the client of an instance.
 	Instance func(model.Instance) endpoint.Instance
-	// Row reads the row of a database.
+	// Row reads the row of a database as it is now.
 	Row func(ctx context.Context, database model.DatabaseID) (model.Ownership, error)
 	// Limit is the time that replicas have to hold a write.
 	Limit time.Duration
+	// Probe is the time that one probe of a replica or of the row may take.
+	Probe time.Duration
+	// Hedge is the time after which the row is read in place of silent replicas.
+	Hedge time.Duration
+
+	mu    sync.Mutex
+	lanes map[laneKey]*lane
+}
+
+// laneKey names the lane of one database in one term.
+type laneKey struct {
+	database model.DatabaseID
+	term     model.Term
 }
 
-// New returns a gate with the daemon's limit.
+// New returns a gate with the daemon's limits.
 func New() *Gate {
-	return &Gate{Limit: time.Second}
+	return &Gate{
+		Limit: time.Second,
+		Probe: 150 * time.Millisecond,
+		Hedge: 50 * time.Millisecond,
+		lanes: make(map[laneKey]*lane),
+	}
 }
 
 // Settle returns the durability that the committed write has reached; with an error nothing may be acknowledged.
+//
+// Writes that wait at the same time share probes; a probe counts only for writes that had been committed when it was sent.
 func (g *Gate) Settle(ctx context.Context, database *view.Database, point model.Point, want model.Durability) (model.Durability, error) {
-	ctx, cancel := context.WithTimeout(ctx, 2*g.Limit)
-	defer cancel()
-	tally := &Tally{Term: database.Term, Point: point, Group: len(database.Group)}
-	others := g.others(database)
-	states := make(chan model.InstanceState, len(others))
-	for _, other := range others {
-		go g.probe(ctx, other, point, want, states)
+	waiter := newWaiter(database, point, g.attainable(database, want))
+	if waiter.settled() {
+		return model.DurabilityPrimary, nil
 	}
-	for range others {
-		state := <-states
-		if state.Instance == "" {
-			continue
-		}
-		tally.Replica(state)
-		if reached, ok := tally.Reached(); ok && enough(reached, want) {
+	lane := g.join(ctx, database, waiter)
+	defer g.leave(lane, waiter)
+	hedge := time.NewTimer(g.Hedge)
+	defer hedge.Stop()
+	limit := time.NewTimer(g.Limit)
+	defer limit.Stop()
+	for {
+		select {
+		case reached := <-waiter.done:
 			return reached, nil
+		case <-hedge.C:
+			lane.hedge(ctx, waiter)
+		case <-limit.C:
+			return lane.give(waiter)
+		case <-ctx.Done():
+			return lane.give(waiter)
 		}
 	}
-	if reached, ok := tally.Reached(); ok {
-		return reached, nil
-	}
-	return g.settleByRow(ctx, database.ID, tally)
 }
 
-// enough reports whether the durability is at least the wanted one.
-func enough(reached, want model.Durability) bool {
-	return reached == model.DurabilityReplica || want != model.DurabilityReplica
-}
-
-// others returns the instances of the group besides the primary.
-func (g *Gate) others(database *view.Database) []model.Instance {
-	var others []model.Instance
+// attainable lowers the wanted durability when too few replicas are known to answer.
+func (g *Gate) attainable(database *view.Database, want model.Durability) model.Durability {
+	if want != model.DurabilityReplica {
+		return model.DurabilityPrimary
+	}
+	answering := 0
 	for _, id := range database.Group {
-		if known := database.Instance(id); known != nil && id != database.Primary {
-			others = append(others, known.Instance)
+		if known := database.Instance(id); known != nil && id != database.Primary && known.Reachable {
+			answering++
 		}
 	}
-	return others
+	if len(database.Group) < 2 || answering < len(database.Group)/2 {
+		return model.DurabilityPrimary
+	}
+	return want
 }
 
-// probe reads one instance's state and reports it, or an empty state when there was no answer.
-func (g *Gate) probe(ctx context.Context, instance model.Instance, point model.Point, want model.Durability, states chan<- model.InstanceState) {
-	client := g.Instance(instance)
-	var state model.InstanceState
-	var err error
-	if want == model.DurabilityReplica {
-		state, err = client.Await(ctx, point, g.Limit)
-	} else {
-		state, err = client.State(ctx)
+// join adds a waiter to its lane and wakes the probers that it needs.
+func (g *Gate) join(ctx context.Context, database *view.Database, waiter *waiter) *lane {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	key := laneKey{database.ID, database.Term}
+	joined := g.lanes[key]
+	if joined == nil {
+		joined = newLane(g, key, database)
+		g.lanes[key] = joined
 	}
-	var refusal *model.Refusal
-	if errors.As(err, &refusal) && refusal.State != nil {
-		state, err = *refusal.State, nil
-	}
-	if err != nil || state.Instance != instance.ID {
-		state = model.InstanceState{}
-	}
-	states <- state
+	joined.add(ctx, waiter)
+	return joined
 }
 
-// settleByRow takes the row for the witness when the replicas did not answer.
-func (g *Gate) settleByRow(ctx context.Context, database model.DatabaseID, tally *Tally) (model.Durability, error) {
-	row, err := g.Row(ctx, database)
-	if err == nil {
-		tally.Row(row)
-	}
-	if reached, ok := tally.Reached(); ok {
-		return reached, nil
+// leave removes a waiter, and its lane when it was the last.
+func (g *Gate) leave(left *lane, waiter *waiter) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if left.remove(waiter) == 0 && g.lanes[left.key] == left {
+		delete(g.lanes, left.key)
 	}
-	return model.DurabilityNone, model.Doubt("no witness that the primary was still in term %d", tally.Term)
 }
--- a/internal/ack/tally.go
+++ b/internal/ack/tally.go
@@ -38,13 +38,14 @@
 }
 
 // Reached returns the durability that is proved, and false when nothing may be acknowledged yet.
+//
+// The primary took the write in the owner's term. Holders with it are a majority, which shares an instance with every
+// majority that a promotion fences. Witnesses with it are a majority that no fence had reached when the write was made.
 func (t *Tally) Reached() (model.Durability, bool) {
 	others := t.Group / 2
 	switch {
 	case others > 0 && len(t.holders) >= others:
 		return model.DurabilityReplica, true
-	case t.replaced:
-		return model.DurabilityNone, false
 	case t.row || len(t.witnesses) >= others:
 		return model.DurabilityPrimary, true
 	}
