--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -61,6 +61,7 @@
 // commands returns every command of the program.
 func commands() []*cli.Command {
 	return []*cli.Command{
+		newStandin(),
 		newRun(),
 		newConfig(),
 		newStatus(),
--- a/internal/fleet/action.go
+++ b/internal/fleet/action.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"redwingspread/internal/model"
+	"redwingspread/internal/spread"
 	"redwingspread/internal/view"
 )
 
@@ -46,6 +47,15 @@
 	Fleet  Fleet
 }
 
+// FetchConfiguration asks the store, or a peer, for a newer configuration.
+type FetchConfiguration struct {
+	Fetch spread.Action
+	Host  model.Host // the peer, when the fetch names one
+}
+
+// ReportConfiguration logs what became of a configuration.
+type ReportConfiguration struct{ Outcome spread.Outcome }
+
 // NoteKind names what a note tells.
 type NoteKind int
 
@@ -99,12 +109,14 @@
 	Primary  model.Instance // set with CallFollow
 }
 
-func (ReadRows) action()        {}
-func (CommitRow) action()       {}
-func (ReadMembers) action()     {}
-func (SendHeartbeat) action()   {}
-func (AnswerHeartbeat) action() {}
-func (ReadFleet) action()       {}
-func (AnswerFleet) action()     {}
-func (Note) action()            {}
-func (InstanceAction) action()  {}
+func (ReadRows) action()            {}
+func (CommitRow) action()           {}
+func (ReadMembers) action()         {}
+func (SendHeartbeat) action()       {}
+func (AnswerHeartbeat) action()     {}
+func (ReadFleet) action()           {}
+func (AnswerFleet) action()         {}
+func (Note) action()                {}
+func (InstanceAction) action()      {}
+func (FetchConfiguration) action()  {}
+func (ReportConfiguration) action() {}
--- a/internal/fleet/beat.go
+++ b/internal/fleet/beat.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"redwingspread/internal/model"
+	"redwingspread/internal/spread"
 )
 
 // beats sends the heartbeats that are due.
@@ -27,7 +28,7 @@
 		Address:       m.Self.Address,
 		Incarnation:   m.Incarnation,
 		Sequence:      m.members.NextSequence(),
-		Configuration: m.Policy.Version,
+		Configuration: m.policy().Version,
 		Leaving:       m.members.IsLeaving(),
 		Members:       m.members.TakeNews(),
 		Owners:        m.owners.Take(),
@@ -79,7 +80,8 @@
 		m.dirty = true
 		actions = append(actions, m.tick(now)...)
 	}
-	return actions
+	seen := spread.PeerSeen{Host: beat.From, Version: beat.Configuration}
+	return append(actions, m.configure(now, seen)...)
 }
 
 // reached takes a question about an instance, or the answer to one.
--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -7,6 +7,7 @@
 	"redwingspread/internal/config"
 	"redwingspread/internal/member"
 	"redwingspread/internal/model"
+	"redwingspread/internal/spread"
 	"redwingspread/internal/view"
 )
 
@@ -18,11 +19,15 @@
 	Incarnation model.Incarnation
 	// Timing holds the times.
 	Timing Timing
-	// Policy is the first configuration in force.
+	// Policy is the first configuration in force; nil for a host that asks the platform and its peers first.
 	Policy *config.Policy
 	// NewNonce returns a fresh mark for an attempt to change a row.
 	NewNonce func() model.Nonce
 
+	spread      *spread.Machine
+	spreadEpoch int  // epoch of the members when dead peers were last forgotten
+	headSeen    bool // the configuration's row has been read
+
 	members   *member.Table
 	databases map[model.DatabaseID]*database
 	order     []model.DatabaseID
@@ -52,7 +57,7 @@
 func New() *Machine {
 	return &Machine{
 		Timing:    DefaultTiming(),
-		Policy:    &config.Policy{},
+		spread:    spread.New(),
 		members:   member.New(),
 		databases: make(map[model.DatabaseID]*database),
 		instances: make(map[model.InstanceID]*database),
@@ -91,7 +96,9 @@
 	case Redirected:
 		m.hint(OwnerNews{Database: event.Database, Owner: event.Owner, Term: event.Term})
 	case PolicyAccepted:
-		m.accept(event.Policy)
+		return m.configure(now, spread.Accepted{Policy: event.Policy})
+	case ConfigurationFetched:
+		return m.configure(now, spread.Fetched(event))
 	case Stop:
 		return m.stop(now)
 	case FleetAsked:
@@ -116,6 +123,7 @@
 	m.members.Self = m.Self
 	m.members.Incarnation = m.Incarnation
 	m.members.Timing = m.Timing.Member
+	m.spread.Handle(now, spread.Accepted{Policy: m.Policy})
 }
 
 // tick does everything whose time has come.
@@ -137,6 +145,7 @@
 		known.fresh = false
 		actions = append(actions, m.reconcile(now, known)...)
 	}
+	actions = append(actions, m.configure(now, spread.Ticked{})...)
 	return append(actions, m.beats(now)...)
 }
 
@@ -148,14 +157,6 @@
 	return m.tick(now)
 }
 
-// accept puts a newer configuration in force; an older one never replaces it.
-func (m *Machine) accept(policy *config.Policy) {
-	if policy != nil && policy.Version > m.Policy.Version {
-		m.Policy = policy
-		m.dirty = true
-	}
-}
-
 // database returns the database with the id, which it adds when new.
 func (m *Machine) database(id model.DatabaseID) *database {
 	known := m.databases[id]
--- a/internal/fleet/rows.go
+++ b/internal/fleet/rows.go
@@ -23,12 +23,12 @@
 	if before >= failsOfOutage {
 		m.note(Note{Kind: NoteStoreUp})
 	}
+	actions := m.headRead(now, event.Head)
 	m.loaded = true
 	m.revision = max(m.revision, event.Revision)
 	for _, row := range event.Rows {
 		m.learn(now, row)
 	}
-	var actions []Action
 	for _, id := range m.order {
 		if known := m.databases[id]; known.doubt {
 			known.doubt = m.rows.next.IsZero()
--- a/internal/fleet/runner.go
+++ b/internal/fleet/runner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/apex/log"
@@ -11,6 +12,7 @@
 	"redwingspread/internal/model"
 	"redwingspread/internal/platform"
 	"redwingspread/internal/row"
+	"redwingspread/internal/spread"
 )
 
 // Peers calls other hosts.
@@ -31,6 +33,8 @@
 	Peers Peers
 	// Logger takes the events of ownership.
 	Logger log.Interface
+	// Configuration asks another host for the newest configuration that it knows.
+	Configuration func(ctx context.Context, host model.Host) (version model.Version, document string, err error)
 	// Limit is the time that one call of a peer or an instance may take.
 	Limit time.Duration
 	// Drain is the time that work in progress has to end before a planned switchover.
@@ -46,6 +50,9 @@
 		Limit:      150 * time.Millisecond,
 		Drain:      10 * time.Millisecond,
 		FleetLimit: 5 * time.Second,
+		Configuration: func(context.Context, model.Host) (model.Version, string, error) {
+			return 0, "", errors.New("peers can't be asked")
+		},
 	}
 }
 
@@ -68,6 +75,10 @@
 		action.Answer(action.Beat)
 	case AnswerFleet:
 		action.Answer(action.Fleet)
+	case FetchConfiguration:
+		return r.fetchConfiguration(ctx, action)
+	case ReportConfiguration:
+		r.reportConfiguration(action.Outcome)
 	case Note:
 		r.log(action)
 	}
@@ -86,8 +97,24 @@
 func (r *Runner) readRows(ctx context.Context, action ReadRows) Event {
 	ctx, cancel := context.WithTimeout(ctx, action.Limit)
 	defer cancel()
-	rows, revision, err := r.table().Changed(ctx, action.After)
-	return RowsRead{Rows: rows, Revision: revision, Err: err}
+	var result RowsRead
+	table := r.table()
+	table.Other = func(item platform.Row) { result.Head = r.head(item, result.Head) }
+	result.Rows, result.Revision, result.Err = table.Changed(ctx, action.After)
+	return result
+}
+
+// head returns the head of the configuration's row, or the one before for any other row.
+func (r *Runner) head(item platform.Row, before *spread.Head) *spread.Head {
+	if item.Key != spread.RowKey {
+		return before
+	}
+	head, err := spread.ParseRow(item.Value)
+	if err != nil {
+		event.RowUnreadable(r.Logger, item.Key, err)
+		return before
+	}
+	return &head
 }
 
 // commitRow writes one row by compare-and-set.
@@ -122,6 +149,30 @@
 	return FleetRead{Host: action.Host.ID, Fleet: known, Err: err}
 }
 
+// fetchConfiguration gets a configuration from the store or from a peer and checks it.
+func (r *Runner) fetchConfiguration(ctx context.Context, action FetchConfiguration) Event {
+	runner := spread.Runner{
+		Ledger: &spread.Ledger{Store: r.Store},
+		Peer: func(ctx context.Context, _ model.HostID) (model.Version, string, error) {
+			return r.Configuration(ctx, action.Host)
+		},
+	}
+	return ConfigurationFetched(runner.Do(ctx, action.Fetch))
+}
+
+// reportConfiguration logs what became of a configuration.
+func (r *Runner) reportConfiguration(outcome spread.Outcome) {
+	if outcome.Policy != nil {
+		event.ConfigurationInForce(r.Logger, outcome.Policy.Version, outcome.Source)
+	}
+	if outcome.Failed != nil {
+		event.ConfigurationFetchFailed(r.Logger, outcome.Failed)
+	}
+	if outcome.Stale != nil {
+		event.ConfigurationOlder(r.Logger, outcome.Stale.Stored, outcome.Stale.InForce)
+	}
+}
+
 // callInstance makes one call of an instance.
 func (r *Runner) callInstance(ctx context.Context, action InstanceAction) Event {
 	ctx, cancel := context.WithTimeout(ctx, r.Limit)
--- a/internal/fleet/world_test.go
+++ b/internal/fleet/world_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"redwingspread/internal/model"
+	"redwingspread/internal/spread"
 	"redwingspread/internal/view"
 )
 
@@ -59,6 +60,11 @@
 	lose     int // answers of writes still to be lost
 	writes   int
 	reads    int
+
+	head        *spread.Head // the configuration's row
+	headChanged model.Revision
+	objectsDown bool
+	listUp      bool // the list of members answers although the table is down
 }
 
 // hop is the time of one message, unless the world has another.
@@ -296,6 +302,9 @@
 		call(string(action.Host.ID), lost, func() Event { return w.fleet(action, lost) })
 	case AnswerFleet:
 		action.Answer(action.Fleet)
+	case FetchConfiguration:
+		lost := ConfigurationFetched{Action: action.Fetch, Err: errLost}
+		call(action.from(), lost, func() Event { return w.configuration(action) })
 	case InstanceAction:
 		lost := w.resultOf(action)
 		lost.Err = errLost
@@ -369,7 +378,7 @@
 
 // members is the platform's list.
 func (w *world) members() Event {
-	if w.store.down {
+	if w.store.down && !w.store.listUp {
 		return MembersRead{Err: errLost}
 	}
 	var read MembersRead
@@ -398,6 +407,9 @@
 			read.Rows = append(read.Rows, row)
 		}
 	}
+	if s.headChanged > action.After {
+		read.Head = s.head
+	}
 	slices.SortFunc(read.Rows, func(a, b model.Ownership) int { return cmp.Compare(a.Database, b.Database) })
 	return read
 }
--- a/internal/row/table.go
+++ b/internal/row/table.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 
 	"redwingspread/internal/model"
 	"redwingspread/internal/platform"
@@ -14,6 +15,8 @@
 	Store platform.Store
 	// Unreadable is told of rows that are left out because they can't be read; it may be nil.
 	Unreadable func(key model.RowKey, err error)
+	// Other is told of changed rows of other kinds, so that one read serves all; it may be nil.
+	Other func(platform.Row)
 }
 
 // Changed returns the rows that changed after a revision, and the table's revision.
@@ -23,11 +26,15 @@
 			err = fmt.Errorf("read ownership rows: %w", err)
 		}
 	}()
-	stored, revision, err := t.Store.Rows(ctx, Prefix, after)
+	stored, revision, err := t.Store.Rows(ctx, everything, after)
 	if err != nil {
 		return nil, 0, err
 	}
 	for _, item := range stored {
+		if !strings.HasPrefix(string(item.Key), string(Prefix)) {
+			t.pass(item)
+			continue
+		}
 		row, err := Decode(item)
 		if err != nil {
 			t.report(item.Key, err)
@@ -38,6 +45,13 @@
 	return rows, revision, nil
 }
 
+// pass tells of a row of another kind.
+func (t *Table) pass(item platform.Row) {
+	if t.Other != nil {
+		t.Other(item)
+	}
+}
+
 // report tells of a row that can't be read.
 func (t *Table) report(key model.RowKey, err error) {
 	if t.Unreadable != nil {
--- a/internal/row/table_test.go
+++ b/internal/row/table_test.go
@@ -81,10 +81,11 @@
 }
 
 func TestChangedLeavesOutUnreadableRows(t *testing.T) {
-	var bad []model.RowKey
+	var bad, other []model.RowKey
 	table := &Table{
-		Store:      &fakeStore{rows: []platform.Row{{Key: "owner/d0", Value: "x"}, stored(t, "owner/d1"), {Key: "owner/"}}},
+		Store:      &fakeStore{rows: []platform.Row{{Key: "owner/d0", Value: "x"}, {Key: "configuration"}, stored(t, "owner/d1"), {Key: "owner/"}}},
 		Unreadable: func(key model.RowKey, _ error) { bad = append(bad, key) },
+		Other:      func(item platform.Row) { other = append(other, item.Key) },
 	}
 	rows, revision, err := table.Changed(t.Context(), 0)
 	if err != nil || revision != 7 {
@@ -93,6 +94,9 @@
 	if len(rows) != 1 || !reflect.DeepEqual(rows[0], sample) {
 		t.Errorf("got rows %+v, want only %+v", rows, sample)
 	}
+	if want := []model.RowKey{"configuration"}; !reflect.DeepEqual(other, want) {
+		t.Errorf("got rows of other kinds %v, want %v", other, want)
+	}
 	if want := []model.RowKey{"owner/d0", "owner/"}; !reflect.DeepEqual(bad, want) {
 		t.Errorf("got unreadable %v, want %v", bad, want)
 	}
--- a/internal/row/text.go
+++ b/internal/row/text.go
@@ -12,6 +12,9 @@
 // Prefix is the common start of the keys of ownership rows.
 const Prefix model.RowKey = "owner/"
 
+// everything is the prefix of every row of the table.
+const everything model.RowKey = ""
+
 // Key returns the key of a database's row.
 func Key(database model.DatabaseID) model.RowKey {
 	return Prefix + model.RowKey(database)
