Take configurations from the ledger and from peers

Cause: the fleet's machine now spreads configurations itself. Change: the daemon hands it the peers' configurations and answers theirs from the policy in force. Conclusion: a host without a configuration is not ready.

--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -8,9 +8,9 @@
 
 	"redwingspread/internal/config"
 	"redwingspread/internal/fleet"
+	"redwingspread/internal/ledger"
 	"redwingspread/internal/model"
 	"redwingspread/internal/operator"
-	"redwingspread/internal/spread"
 )
 
 // peerControl answers what peers ask of the control loop.
@@ -49,7 +49,12 @@
 
 // Configuration returns the newest configuration that this host knows.
 func (c *peerControl) Configuration(context.Context) (model.Version, string, error) {
-	return 0, "", model.Refuse(model.CodeNotFound, "no configuration was accepted yet")
+	policy := c.loop.Snapshot().Policy
+	if !policy.Ready() {
+		return 0, "", model.Refuse(model.CodeNotFound, "no configuration is in force here")
+	}
+	document, err := config.Encode(policy.Document)
+	return policy.Version, document, err
 }
 
 // newSession names a new session.
@@ -70,8 +75,8 @@
 }
 
 // ledger returns the book of accepted configurations.
-func (d *Daemon) ledger() *spread.Ledger {
-	return &spread.Ledger{
+func (d *Daemon) ledger() *ledger.Ledger {
+	return &ledger.Ledger{
 		Store:   d.store,
 		Nonce:   newNonce,
 		Now:     time.Now,
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -11,7 +11,6 @@
 	"github.com/apex/log"
 
 	"redwingspread/internal/ack"
-	"redwingspread/internal/config"
 	"redwingspread/internal/control"
 	"redwingspread/internal/endpoint"
 	"redwingspread/internal/event"
@@ -113,9 +112,7 @@
 	if err := d.buildPeers(); err != nil {
 		return err
 	}
-	if err := d.buildControl(); err != nil {
-		return err
-	}
+	d.buildControl()
 	d.buildOwner()
 	d.buildProxy()
 	return d.buildServers()
@@ -132,19 +129,14 @@
 }
 
 // buildControl makes the control loop and the runner of its actions.
-func (d *Daemon) buildControl() error {
+func (d *Daemon) buildControl() {
 	d.store = platform.NewClient()
 	d.store.Host = d.host.ID
 	d.store.Address = d.Settings.PlatformAddress
 	d.store.HTTP = d.client("platform")
-	policy, err := config.Compile(0, config.Default())
-	if err != nil {
-		return err
-	}
 	machine := fleet.New()
 	machine.Self = d.host
 	machine.Incarnation = model.Incarnation(time.Now().UnixNano())
-	machine.Policy = policy
 	machine.NewNonce = newNonce
 	d.instances = owner.NewInstances()
 	runner := fleet.NewRunner()
@@ -152,12 +144,12 @@
 	runner.Instance = d.instances.Client
 	runner.Peers = d.peers
 	runner.Logger = d.Logger
+	runner.Configuration = d.peers.Configuration
 	d.loop = control.New[fleet.Event, fleet.Action, *view.View](machine)
 	d.loop.Do = runner.Do
 	d.loop.TickEvent = func() fleet.Event { return fleet.Tick{} }
 	d.loop.Tick = tick
 	d.published.Store(d.loop)
-	return nil
 }
 
 // buildOwner makes the part that runs work on the databases this host owns.
--- a/internal/local/ready.go
+++ b/internal/local/ready.go
@@ -44,7 +44,7 @@
 // ownedBy returns how many databases the host serves, and whether it knows the owner of all of them.
 func ownedBy(host *daemon.Daemon, databases int) (serving int, complete bool) {
 	view := host.View()
-	if view == nil {
+	if view == nil || !view.Policy.Ready() {
 		return 0, false
 	}
 	known := 0
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -74,7 +74,7 @@
 // GetHealth tells whether this host takes new work.
 func (h *handler) GetHealth(context.Context) (*callerapi.Health, error) {
 	view := h.proxy.View()
-	ready := !view.Stopping && view.Policy != nil && len(view.Databases) > 0
+	ready := !view.Stopping && view.Policy.Ready() && len(view.Databases) > 0
 	return &callerapi.Health{Host: string(h.proxy.Host.ID), Ready: ready}, nil
 }
 
