Keep ranks below their floor ahead of others, and bound what an outage leaves as debt

Cause: in a flood of rank two rank one's p99 was 7.055 ms against 7.026 allowed (2 x alone), as a rank below its floor waited for owed ranks; after an outage of 5 s with statements of 2 s rank three got 0.000 of capacity for more than 8 s, as it had to pay for them first. Change: a rank without waiting work holds a credit of 20 ms of slot time; no rank or kind owes more than 200 ms; the load and recovery tests are new.

--- a/internal/admit/floors.go
+++ b/internal/admit/floors.go
@@ -21,8 +21,9 @@
 
 const (
 	standingAfter = 100 * time.Millisecond
-	creditLimit   = percentAll * 100 * time.Millisecond // credit that a waiting rank may hold, in hundredths of slot time
-	idleCredit    = 1                                   // credit that a rank without waiting work may hold
+	creditLimit   = percentAll * 200 * time.Millisecond // credit that a waiting rank may hold, in hundredths of slot time
+	idleCredit    = percentAll * 20 * time.Millisecond  // credit that a rank without waiting work may hold, so that work below its floor never waits for others
+	debtLimit     = 200 * time.Millisecond              // slot time that a rank or kind may owe, so that an outage is soon forgotten
 )
 
 // NewFloors returns an empty policy without floors.
--- a/internal/admit/rank.go
+++ b/internal/admit/rank.go
@@ -28,7 +28,7 @@
 
 // earn adds the rank's share of the slot time that any rank was charged.
 func (r *rank[T]) earn(charged time.Duration) {
-	most := time.Duration(idleCredit)
+	most := idleCredit
 	if r.waiting > 0 {
 		most = creditLimit
 	}
@@ -37,7 +37,7 @@
 
 // pay takes a change of the rank's own slot time from its credit; service beyond the floor leaves no debt of more than one ticket.
 func (r *rank[T]) pay(change, took time.Duration) {
-	r.credit = max(r.credit-percentAll*change, -percentAll*took)
+	r.credit = max(r.credit-percentAll*change, -percentAll*min(took, debtLimit))
 }
 
 // kind returns the queue of the kind; kinds beyond the limit share one.
@@ -101,7 +101,8 @@
 func (r *rank[T]) charge(k *kind[T], charged time.Duration) {
 	rest := max(percentAll-r.floors, 0)
 	weight := max(k.floor+rest/model.Percent(max(len(r.active), 1)), 1)
-	k.virtual += charged * percentAll / time.Duration(weight)
+	most := r.virtual + debtLimit*percentAll/time.Duration(weight)
+	k.virtual = min(k.virtual+charged*percentAll/time.Duration(weight), max(k.virtual, most))
 }
 
 // victim returns the oldest ticket of the kind that holds the most places for its weight, or the new ticket itself.
--- /dev/null
+++ b/internal/dispatch/fault_test.go
@@ -0,0 +1,124 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"redwingspread/internal/model"
+)
+
+// persistent returns the flows with callers that try again at once, many times.
+func persistent(flows []flow) []flow {
+	for i := range flows {
+		flows[i].attempts = 5
+	}
+	return flows
+}
+
+// outage returns the factor on service times of an instance that stands nearly still for a while.
+func outage(from, to time.Duration, factor float64) func(time.Duration) float64 {
+	return func(at time.Duration) float64 {
+		if at >= from && at < to {
+			return factor
+		}
+		return 1
+	}
+}
+
+// heldBy has the instance's connections held by a former owner that closes them only after a while.
+func heldBy(connections int, until time.Duration) func(*instance) {
+	return func(fake *instance) {
+		fake.open = connections
+		time.AfterFunc(until, func() {
+			fake.mutex.Lock()
+			defer fake.mutex.Unlock()
+			fake.open -= connections
+		})
+	}
+}
+
+func TestRecovery(t *testing.T) {
+	tests := map[string]struct {
+		load load
+		want map[string]float64 // least goodput after the warm-up, in shares of capacity
+	}{
+		"retry storm after an outage": {
+			load: load{flows: persistent(mix(2)), slow: outage(2*time.Second, 7*time.Second, 1000), warm: 10 * time.Second},
+			want: map[string]float64{"one": 0.4 * 0.96, "two": 0.25 * 0.95, "three": 0.05 * 0.95},
+		},
+		"slow for a while": {
+			load: load{flows: mix(1.5), slow: outage(2*time.Second, 7*time.Second, 20), warm: 10 * time.Second},
+			want: map[string]float64{"one": 0.3 * 0.96, "two": 0.25 * 0.95, "three": 0.05 * 0.95},
+		},
+		"takeover in a flood while the former owner holds all connections": {
+			load: load{flows: flooded("three"), prepare: heldBy(15, 2*time.Second), warm: 3 * time.Second},
+			want: map[string]float64{"one": 0.2 * 0.96, "one-other": 0.1 * 0.96, "two": 0.25 * 0.95},
+		},
+		"takeover while the former owner holds all connections but one": {
+			load: load{flows: flooded("one"), prepare: heldBy(14, time.Minute), warm: 3 * time.Second},
+			want: map[string]float64{"two": 0.25 * 0.95 / 2, "three": 0.05 * 0.95 / 2},
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			test.load.policy = loadPolicies["floors"]
+			tallies := test.load.run(t)
+			print(t, "recovery", name, test.load.flows, tallies)
+			for flow, want := range test.want {
+				if got := tallies[flow].share(); got < want*0.97 { // a Poisson stream offers a few percent less or more
+					t.Errorf("got %.3f of capacity for %s, want at least %.3f", got, flow, want)
+				}
+			}
+			whole := 0.95
+			if name == "takeover while the former owner holds all connections but one" {
+				whole /= 2
+			}
+			if got := sum(tallies); got < whole {
+				t.Errorf("got goodput %.3f, want at least %.3f", got, whole)
+			}
+		})
+	}
+}
+
+// oneKind returns work of one rank in which one kind offers five times the capacity.
+func oneKind(rank model.Rank) []flow {
+	return []flow{
+		{name: "flood", rank: rank, kind: "registration", floor: 15, share: 5, sessions: loadSessions},
+		{name: "floor", rank: rank, kind: "payment", floor: 20, share: 0.3, sessions: loadSessions},
+		{name: "none", rank: rank, kind: "return", share: 0.3, sessions: loadSessions},
+	}
+}
+
+func TestOneKindFloods(t *testing.T) {
+	tests := map[string]struct {
+		rank model.Rank
+	}{
+		"in rank one":   {rank: 1},
+		"in rank three": {rank: 3},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			l := load{policy: loadPolicies["floors"], flows: oneKind(test.rank)}
+			tallies := l.run(t)
+			print(t, name, "floors", l.flows, tallies)
+			for flow, want := range map[string]float64{"floor": 0.3 * 0.95, "none": 65.0 / 3 / 100 * 0.95} {
+				if got := tallies[flow].share(); got < want*0.97 {
+					t.Errorf("got %.3f of capacity for %s, want at least %.3f", got, flow, want)
+				}
+			}
+		})
+	}
+}
+
+func TestOneSessionFloods(t *testing.T) {
+	flows := []flow{
+		{name: "flood", rank: 2, kind: "roster", share: 5, sessions: 1},
+		{name: "others", rank: 2, kind: "roster", share: 0.5, sessions: loadSessions},
+	}
+	l := load{policy: loadPolicies["floors"], flows: flows}
+	tallies := l.run(t)
+	print(t, "one session", "floors", flows, tallies)
+	if got, want := tallies["others"].kept(), 0.99; got < want {
+		t.Errorf("got %.3f of the other sessions' work, want at least %.3f", got, want)
+	}
+}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -50,7 +50,7 @@
 
 const (
 	leastBackOff   = 10 * time.Millisecond
-	mostBackOff    = time.Second
+	mostBackOff    = 250 * time.Millisecond
 	openTimeout    = 5 * time.Second
 	closeTimeout   = 2 * time.Second
 	defaultOpeners = 4
