Let a stand-in's point carry the newest term whose start its log reaches

Cause: an instance that missed term 2 stood at (1,2) and beat the followers of term 2 at (1,1), so that a second failover could bring back a branch that sessions had been told was gone; and an idle follower never learnt the start of its primary's term. Change: the point's term follows the timeline; a replica asks with that point. Conclusion: the highest point among a fenced majority is the right branch.

--- a/internal/standin/instance/log.go
+++ b/internal/standin/instance/log.go
@@ -29,14 +29,32 @@
 	return &history{database: data.New(), recorded: map[model.RequestID]model.Position{}}
 }
 
-// point returns the last point of the log.
-func (h *history) point() model.Point {
+// last returns the point of the last entry.
+func (h *history) last() model.Point {
 	if len(h.entries) == 0 {
 		return model.Point{}
 	}
 	return h.entries[len(h.entries)-1].point
 }
 
+// point returns the newest term whose start the log reaches, and the log's length; a log that is yet to be cut has its last entry's term.
+func (h *history) point() model.Point {
+	return h.pointOf(h.last())
+}
+
+// pointOf returns the point of a log that ends with the given entry.
+func (h *history) pointOf(point model.Point) model.Point {
+	if termAt(h.timeline, point.Position) != point.Term {
+		return point
+	}
+	for _, start := range h.timeline {
+		if start.Position <= point.Position {
+			point.Term = start.Term
+		}
+	}
+	return point
+}
+
 // apply appends an entry and carries its statements out.
 func (h *history) apply(e entry) {
 	for _, statement := range e.statements {
--- a/internal/standin/instance/replicate.go
+++ b/internal/standin/instance/replicate.go
@@ -30,11 +30,11 @@
 	if c.role != model.RoleReplica {
 		return cursor{}
 	}
-	after := c.history.point()
+	after := c.history.last()
 	if len(c.pending) > 0 {
 		after = c.pending[len(c.pending)-1].point
 	}
-	return cursor{primary: c.primary, term: c.term, after: after}
+	return cursor{primary: c.primary, term: c.term, after: c.history.pointOf(after)}
 }
 
 // read returns the log past a replica's point and whether there is anything new in it.
@@ -51,7 +51,7 @@
 		timeline: slices.Clone(c.history.timeline),
 		entries:  c.history.after(after.Position, batch),
 	}
-	isNew = len(part.entries) > 0 || replica != c.term || after.Compare(part.point) != 0
+	isNew = len(part.entries) > 0 || replica != c.term || after != part.point
 	return part, isNew, nil
 }
 
--- a/internal/standin/instance/replication_test.go
+++ b/internal/standin/instance/replication_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -84,6 +85,23 @@
 			},
 			want: []string{"done", "repeated"},
 		},
+		"an idle replica learns the term of its primary, and a fenced log that missed it does not": {
+			do: func(g *group) []string {
+				run(g.open(0), 1, offer("a"))
+				time.Sleep(settle)
+				g.fault(0, fault.Faults{IsolatedFrom: []fault.Party{"i1", "i2"}})
+				run(g.open(0), 1, register("lost", "ann"))
+				failOver(g, 2)
+				time.Sleep(settle)
+				var points []string
+				for number := range 3 {
+					state, _ := g.client(number, "h1").Fence(context.Background(), 3)
+					points = append(points, fmt.Sprint(state.Point))
+				}
+				return points
+			},
+			want: []string{"{1 2}", "{2 1}", "{2 1}"},
+		},
 		"a log past the fork is cut back": {
 			do: func(g *group) []string {
 				c := g.open(0)
