Pass databases over that need nothing, and publish only what changed

Cause: each tick went through every database of the fleet, and each probe's answer rebuilt the whole view. Change: a tick passes over a database whose owner lives and for which nobody asks; a view shares the databases that did not change; rows of the first read are not told to others, who read them too.

--- a/internal/fleet/beat.go
+++ b/internal/fleet/beat.go
@@ -102,6 +102,7 @@
 		member.next[CallState] = now
 	}
 	member.asked = now
+	d.asked = now
 	member.asker = from
 	return m.reconcile(now, d)
 }
--- a/internal/fleet/database.go
+++ b/internal/fleet/database.go
@@ -13,18 +13,20 @@
 	id        model.DatabaseID
 	row       model.Ownership // version 0 when no row is known
 	instances map[model.InstanceID]*instance
-	changed   time.Time // when the row's last change was learnt
-	returned  bool      // the owner changed the row after this host held it for dead
-	losses    int       // times in turn that another host took the database from this one
-	hint      OwnerNews // newest news of an owner, for routing
-	since     time.Time // when this host first saw that the database needs another owner
-	commit    bool      // a change of the row is under way
-	retry     time.Time // no change of the row before then
-	sent      time.Time // when the change was sent
-	doubt     bool      // the row must be read before it is changed again
-	plan      *handover // switchover that the change under way begins
-	planned   bool      // the change under way is this owner's own wish
-	nextPlan  time.Time // no planned change before then
+	names     []model.InstanceID // ids of the instances, in order
+	asked     time.Time          // last question of another host about an instance
+	changed   time.Time          // when the row's last change was learnt
+	returned  bool               // the owner changed the row after this host held it for dead
+	losses    int                // times in turn that another host took the database from this one
+	hint      OwnerNews          // newest news of an owner, for routing
+	since     time.Time          // when this host first saw that the database needs another owner
+	commit    bool               // a change of the row is under way
+	retry     time.Time          // no change of the row before then
+	sent      time.Time          // when the change was sent
+	doubt     bool               // the row must be read before it is changed again
+	plan      *handover          // switchover that the change under way begins
+	planned   bool               // the change under way is this owner's own wish
+	nextPlan  time.Time          // no planned change before then
 	duty      duty
 	fresh     bool // an instance told its state since the last view
 
@@ -80,7 +82,19 @@
 
 // listed returns the ids of all known instances in order.
 func (d *database) listed() []model.InstanceID {
-	return slices.Sorted(maps.Keys(d.instances))
+	return d.names
+}
+
+// add adds an instance.
+func (d *database) add(item model.Instance) {
+	d.instances[item.ID] = newInstance(item)
+	d.names = slices.Sorted(maps.Keys(d.instances))
+}
+
+// remove forgets an instance.
+func (d *database) remove(id model.InstanceID) {
+	delete(d.instances, id)
+	d.names = slices.Sorted(maps.Keys(d.instances))
 }
 
 // majority returns the number of instances that any two majorities of the group share one of.
--- a/internal/fleet/list.go
+++ b/internal/fleet/list.go
@@ -75,7 +75,7 @@
 			known.Instance = item
 			known.gone = false
 		} else {
-			d.instances[item.ID] = newInstance(item)
+			d.add(item)
 		}
 	}
 	for id, d := range m.instances {
@@ -84,7 +84,7 @@
 		}
 		d.instances[id].gone = true
 		if !slices.Contains(d.row.Instances, id) {
-			delete(d.instances, id)
+			d.remove(id)
 			delete(m.instances, id)
 		}
 	}
--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -47,6 +47,7 @@
 	stopping  bool
 	nextMove  time.Time // no move for balance before then
 	dirty     bool
+	freshened []*database // whose instances told their states since the last view
 	published *view.View
 	notes     []Action
 }
@@ -142,9 +143,13 @@
 	m.noteHosts()
 	for _, id := range m.order {
 		known := m.databases[id]
-		m.dirty = m.dirty || known.fresh
-		known.fresh = false
-		actions = append(actions, m.reconcile(now, known)...)
+		if known.fresh {
+			m.freshened = append(m.freshened, known)
+			known.fresh = false
+		}
+		if !m.idle(now, known) {
+			actions = append(actions, m.reconcile(now, known)...)
+		}
 	}
 	actions = append(actions, m.configure(now, spread.Ticked{})...)
 	return append(actions, m.beats(now)...)
--- a/internal/fleet/rows.go
+++ b/internal/fleet/rows.go
@@ -48,7 +48,9 @@
 		m.plan(known, former)
 		known.returned = dead
 		m.hint(OwnerNews{row.Database, row.Owner, row.Term, row.Primary})
-		m.tell(known)
+		if former > 0 || m.mine(known) {
+			m.tell(known) // rows of the first read are known to all
+		}
 		m.dirty = true
 		if mine && !m.mine(known) {
 			known.losses++
--- a/internal/fleet/serve.go
+++ b/internal/fleet/serve.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"redwingspread/internal/model"
+	"redwingspread/internal/view"
 )
 
 // reconcile does what the database needs of this host now.
@@ -18,6 +19,18 @@
 	return append(actions, m.serve(now, d)...)
 }
 
+// idle reports whether the database needs nothing of this host, so that a tick may pass it over.
+func (m *Machine) idle(now time.Time, d *database) bool {
+	if m.mine(d) || d.row.Version == 0 || !d.since.IsZero() {
+		return false
+	}
+	if now.Sub(d.asked) < questionFor {
+		return false
+	}
+	owner := m.members.State(d.row.Owner, d.row.Incarnation)
+	return owner == view.Alive && m.preferred(d) != m.Self.ID
+}
+
 // serve does the owner's work in the term of its row.
 func (m *Machine) serve(now time.Time, d *database) []Action {
 	switch {
--- a/internal/fleet/snapshot.go
+++ b/internal/fleet/snapshot.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"maps"
+
 	"redwingspread/internal/model"
 	"redwingspread/internal/view"
 )
@@ -8,9 +10,10 @@
 // Snapshot returns the view for traffic; parts that did not change are shared with the former one.
 func (m *Machine) Snapshot() *view.View {
 	if !m.dirty && m.published != nil {
-		return m.published
+		return m.refreshed()
 	}
 	m.dirty = false
+	m.freshened = m.freshened[:0]
 	published := &view.View{
 		Self:      m.Self.ID,
 		Hosts:     m.members.Hosts(),
@@ -25,6 +28,21 @@
 	return published
 }
 
+// refreshed returns the published view, with the databases whose instances told their states anew.
+func (m *Machine) refreshed() *view.View {
+	if len(m.freshened) == 0 {
+		return m.published
+	}
+	next := *m.published
+	next.Databases = maps.Clone(m.published.Databases)
+	for _, known := range m.freshened {
+		next.Databases[known.id] = m.viewOf(known)
+	}
+	m.freshened = m.freshened[:0]
+	m.published = &next
+	return m.published
+}
+
 // viewOf returns one database as traffic sees it.
 func (m *Machine) viewOf(d *database) *view.Database {
 	seen := &view.Database{
