--- /dev/null
+++ b/internal/capacity/control.go
@@ -0,0 +1,70 @@
+package capacity
+
+import (
+	"runtime"
+	"syscall"
+	"time"
+)
+
+// Control is what the control of one daemon costs in a fleet of a size, in the steady state.
+type Control struct {
+	Hosts          int           `json:"hosts"`
+	Databases      int           `json:"databases"`
+	CPUShare       float64       `json:"cpu_share"`         // of one core, without the network
+	JoinCPU        time.Duration `json:"join_cpu_ns"`       // processor time to join the fleet
+	Heap           Bytes         `json:"heap_bytes"`        // state of control
+	BeatsPerSecond float64       `json:"beats_per_s"`       // heartbeats, both ways
+	Probes         float64       `json:"probes_per_s"`      // of instances
+	StoreReads     float64       `json:"store_reads_per_s"` // of the table and the list
+	PeerBytes      float64       `json:"peer_bytes_per_s"`
+	ProbeBytes     float64       `json:"probe_bytes_per_s"`
+	StoreBytes     float64       `json:"store_bytes_per_s"`
+}
+
+// controlTime is the virtual time over which a steady state is measured.
+const controlTime = 60 * time.Second
+
+// MeasureControl measures the control of one daemon in a fleet of the sizes, whose calls have headers of the size.
+func MeasureControl(hosts, databases int, framing Bytes) Control {
+	o := newOutside(hosts, databases)
+	before := heapInUse()
+	d := newDaemon(o, framing)
+	begin := processorTime()
+	d.settle()
+	joined := processorTime()
+	d.advance(controlTime)
+	spent := processorTime() - joined
+	seconds := controlTime.Seconds()
+	control := Control{
+		Hosts:          hosts,
+		Databases:      databases,
+		CPUShare:       spent.Seconds() / seconds,
+		JoinCPU:        joined - begin,
+		Heap:           heapInUse() - before,
+		BeatsPerSecond: float64(d.traffic.beats) / seconds,
+		Probes:         float64(d.traffic.probes) / seconds,
+		StoreReads:     float64(d.traffic.storeReads) / seconds,
+		PeerBytes:      float64(d.traffic.peerBytes) / seconds,
+		ProbeBytes:     float64(d.traffic.probeBytes) / seconds,
+		StoreBytes:     float64(d.traffic.storeBytes) / seconds,
+	}
+	runtime.KeepAlive(d)
+	return control
+}
+
+// heapInUse returns the size of everything that is in use.
+func heapInUse() Bytes {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return Bytes(stats.HeapAlloc)
+}
+
+// processorTime returns the processor time that this process has spent.
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
--- a/internal/capacity/daemon.go
+++ b/internal/capacity/daemon.go
@@ -11,7 +11,7 @@
 )
 
 // tickEvery is the time between two ticks of a daemon's control.
-const tickEvery = 25 * time.Millisecond
+const tickEvery = 20 * time.Millisecond
 
 // traffic counts the messages of control and their bytes, both ways.
 type traffic struct {
@@ -19,7 +19,9 @@
 	probes     int
 	storeReads int
 	commits    int
-	bytes      Bytes
+	peerBytes  Bytes
+	probeBytes Bytes
+	storeBytes Bytes
 }
 
 // daemon is the control of one daemon on a virtual clock, with the outside answering at once.
@@ -34,11 +36,12 @@
 	nonces   int
 
 	membersSize Bytes
+	framing     Bytes // headers of one call, both ways
 }
 
 // newDaemon returns the control of the fleet's first host.
-func newDaemon(o *outside) *daemon {
-	d := &daemon{outside: o, now: time.Unix(1_800_000_000, 0), membersSize: sizeOfMembers(o.hosts, o.instances)}
+func newDaemon(o *outside, framing Bytes) *daemon {
+	d := &daemon{outside: o, now: time.Unix(1_800_000_000, 0), membersSize: sizeOfMembers(o.hosts, o.instances), framing: framing}
 	d.machine = fleet.New()
 	d.machine.Self = o.hosts[0]
 	d.machine.Incarnation = incarnation
@@ -84,9 +87,9 @@
 	for _, from := range d.watchers() {
 		beat := d.beatOf(from)
 		d.traffic.beats++
-		d.traffic.bytes += sizeOfBeat(beat) + framing
+		d.traffic.peerBytes += sizeOfBeat(beat) + d.framing
 		d.waiting = append(d.waiting, fleet.HeartbeatIn{Beat: beat, Answer: func(answer fleet.Heartbeat) {
-			d.traffic.bytes += sizeOfBeat(answer)
+			d.traffic.peerBytes += sizeOfBeat(answer)
 		}})
 	}
 }
@@ -113,17 +116,17 @@
 	case fleet.SendHeartbeat:
 		beat := d.beatOf(action.Host)
 		d.traffic.beats++
-		d.traffic.bytes += sizeOfBeat(action.Beat) + sizeOfBeat(beat) + framing
+		d.traffic.peerBytes += sizeOfBeat(action.Beat) + sizeOfBeat(beat) + d.framing
 		return fleet.HeartbeatSent{Host: action.Host.ID, Beat: beat}
 	case fleet.AnswerHeartbeat:
 		action.Answer(action.Beat)
 	case fleet.ReadMembers:
 		d.traffic.storeReads++
-		d.traffic.bytes += d.membersSize + framing
+		d.traffic.storeBytes += d.membersSize + d.framing
 		return fleet.MembersRead{Hosts: d.outside.hosts, Instances: d.outside.instances}
 	case fleet.ReadRows:
 		d.traffic.storeReads++
-		d.traffic.bytes += framing
+		d.traffic.storeBytes += d.framing
 		return fleet.RowsRead{Revision: d.outside.revision}
 	case fleet.CommitRow:
 		d.traffic.commits++
@@ -154,7 +157,7 @@
 		state = d.outside.raise(id, action.Term, model.RoleReplica)
 	}
 	d.traffic.probes++
-	d.traffic.bytes += sizeOfState(state) + framing
+	d.traffic.probeBytes += sizeOfState(state) + d.framing
 	return fleet.InstanceResult{
 		Call:     action.Call,
 		Database: action.Instance.Database,
--- a/internal/capacity/size.go
+++ b/internal/capacity/size.go
@@ -11,9 +11,6 @@
 // Bytes is a number of bytes.
 type Bytes int
 
-// framing is the size in bytes of the headers of a request and its answer on a kept connection.
-const framing Bytes = 350
-
 // encoder is a generated message.
 type encoder interface {
 	MarshalJSON() ([]byte, error)
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -62,6 +62,7 @@
 func commands() []*cli.Command {
 	return []*cli.Command{
 		newDemo(),
+		newMeasure(),
 		newStandin(),
 		newRun(),
 		newServe(),
--- a/internal/fleet/database.go
+++ b/internal/fleet/database.go
@@ -28,6 +28,7 @@
 	planned   bool               // the change under way is this owner's own wish
 	nextPlan  time.Time          // no planned change before then
 	duty      duty
+	idle      bool // it needed nothing of this host at the last look
 	fresh     bool // an instance told its state since the last view
 
 	candidates []model.HostID // order of candidates, for the epoch and the primary below
--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -47,6 +47,7 @@
 	stopping  bool
 	nextMove  time.Time // no move for balance before then
 	dirty     bool
+	turns     turns
 	freshened []*database // whose instances told their states since the last view
 	published *view.View
 	notes     []Action
@@ -141,13 +142,18 @@
 		m.dirty = true
 	}
 	m.noteHosts()
-	for _, id := range m.order {
+	m.turns.next(len(m.order), m.members.Epoch())
+	for place, id := range m.order {
 		known := m.databases[id]
 		if known.fresh {
 			m.freshened = append(m.freshened, known)
 			known.fresh = false
 		}
-		if !m.idle(now, known) {
+		if known.idle && m.turns.skips(place) {
+			continue
+		}
+		known.idle = m.idle(now, known)
+		if !known.idle {
 			actions = append(actions, m.reconcile(now, known)...)
 		}
 	}
