Make owner and proxy whole: once, resolved, pinned and drained

Cause: the thin path answered lost writes as unknown, kept abandoned transactions, and told 'not run' of work that an earlier attempt had run. Change: attempts of one request id share one run at the owner; an unknown write is repeated under its id until its outcome is known; 'not found' is answered only when the old connection is closed and a replica follows the primary's branch, and closes the id; commits are resolved by their id; transactions end by idle and total limits, a dead proxy or a moved database; the proxy resolves a session's pending write before its other work and says so in the token; a read waits for its point without a slot; a stop lets open transactions end. The name of a transaction is unguessable. A dispatcher that is flushed before its first work no longer panics.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -168,6 +168,7 @@
 	d.executor = owner.New()
 	d.executor.Host = d.host
 	d.executor.View = d.loop.Snapshot
+	d.executor.Changed = d.loop.Changed
 	d.executor.Instances = d.instances
 	d.executor.Gate = ack.New()
 	d.executor.Gate.Instance = d.instances.Client
--- a/internal/daemon/servers.go
+++ b/internal/daemon/servers.go
@@ -38,6 +38,7 @@
 		{"caller", caller.Run},
 		{"hand-over", d.handOver},
 		{"peer", peers.Run},
+		{"transactions", d.executor.Run},
 		{"instances", d.instances.Run},
 		{"operator", operator.Run},
 		{"control", d.loop.Run},
@@ -68,6 +69,7 @@
 	}
 	<-ctx.Done()
 	event.Stopping(d.Logger, string(d.host.ID))
+	d.drain(base)
 	d.loop.Offer(fleet.Stop{})
 	var err error
 	for _, running := range started {
@@ -76,6 +78,13 @@
 	return err
 }
 
+// drain lets open transactions end before the databases are handed over, for half of the time that a stop may take.
+func (d *Daemon) drain(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, d.Settings.StopLimit/2)
+	defer cancel()
+	d.executor.Drain(ctx)
+}
+
 // handOver waits, once the daemon stops, until this host owns no database or the limit has passed.
 func (d *Daemon) handOver(ctx context.Context, done chan<- error) {
 	<-ctx.Done()
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -129,6 +129,9 @@
 
 // refuseWaiting refuses all waiting work with the code.
 func (d *Dispatcher) refuseWaiting(code model.Code) {
+	if !d.started {
+		return
+	}
 	for {
 		ticket, verdict := d.queue.Next(d.Now(), admit.RoomAny)
 		if ticket == nil {
--- a/internal/history/direct_test.go
+++ b/internal/history/direct_test.go
@@ -37,6 +37,9 @@
 	return d
 }
 
+// close ends nothing: the front has no goroutines.
+func (d *direct) close() {}
+
 // observe reads the state of every instance that can be reached.
 func (d *direct) observe() {
 	d.group.mutex.Lock()
--- a/internal/owner/executor.go
+++ b/internal/owner/executor.go
@@ -3,14 +3,17 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"redwingspread/internal/ack"
 	"redwingspread/internal/admit"
+	"redwingspread/internal/bounded"
 	"redwingspread/internal/config"
 	"redwingspread/internal/model"
-	"redwingspread/internal/route"
+	"redwingspread/internal/retry"
+	"redwingspread/internal/transaction"
 	"redwingspread/internal/view"
 )
 
@@ -28,19 +31,37 @@
 	Observe func(model.InstanceState)
 	// Report tells control of an instance that could not be reached in a term.
 	Report func(model.InstanceID, model.Term)
+	// Changed returns a channel that closes at the next change of the view.
+	Changed func() <-chan struct{}
+	// Budget limits the attempts to resolve unknown outcomes.
+	Budget *retry.Budget
 	// Now reads the clock.
 	Now func() time.Time
 
-	transactions transactions
+	flights      *flights
+	closed       *bounded.Map[flightKey, bool] // requests that were answered as never run
+	tracks       sync.Map                      // of *route.Track by model.DatabaseID
+	transactions *transaction.Table[*pinned]
+	draining     atomic.Bool // no transaction may begin
 }
 
+// The bounds of what is remembered of requests that were answered as never run.
+const (
+	closedLimit = 100_000
+	closedLife  = 10 * time.Minute // the longest deadline of a request
+)
+
 // New returns an executor whose exported fields are to be set before its first work.
 func New() *Executor {
 	return &Executor{
 		Observe:      func(model.InstanceState) {},
 		Report:       func(model.InstanceID, model.Term) {},
 		Now:          time.Now,
-		transactions: newTransactions(),
+		Changed:      func() <-chan struct{} { return nil },
+		Budget:       retry.New(),
+		flights:      newFlights(),
+		closed:       bounded.New[flightKey, bool](closedLimit, closedLife),
+		transactions: transaction.New[*pinned](),
 	}
 }
 
@@ -49,42 +70,39 @@
 	if work.Transaction != "" {
 		return e.executeIn(ctx, work)
 	}
-	database, err := e.owned(work.Database)
-	if err != nil {
-		return model.Result{}, err
-	}
 	effective, err := e.policy(work)
 	if err != nil {
 		return model.Result{}, err
 	}
 	if work.Statement.Access == model.Write {
-		return e.write(ctx, database, work, effective)
+		return e.write(ctx, work, effective)
 	}
-	return e.read(ctx, database, work, effective)
+	return e.read(ctx, work, effective)
 }
 
-// Outcome returns the recorded result of the work's request id at the current primary.
-func (e *Executor) Outcome(ctx context.Context, work model.Work) (model.Result, error) {
-	database, err := e.owned(work.Database)
-	if err != nil {
-		return model.Result{}, err
-	}
-	primary := database.Instance(database.Primary)
-	if primary == nil {
-		return model.Result{}, model.Refuse(model.CodeUnavailable, "primary %q is not known", database.Primary)
-	}
-	result, found, err := e.Instances.Client(primary.Instance).Outcome(ctx, database.Term, work.Request)
-	if err != nil {
-		e.learn(database, primary.ID, err)
-		return model.Result{}, err
-	}
-	if !found {
-		return model.Result{}, model.Refuse(model.CodeNotFound, "request %q has no recorded outcome", work.Request)
+// serving returns the database that this host owns, and waits while its owner or primary changes.
+func (e *Executor) serving(ctx context.Context, id model.DatabaseID) (*view.Database, error) {
+	for {
+		changed := e.Changed()
+		database, err := e.owned(id)
+		if err != nil {
+			return nil, err
+		}
+		if database.Serving && !database.Switching {
+			return database, nil
+		}
+		if changed == nil {
+			return nil, model.Refuse(model.CodeUnavailable, "database %q is changing its owner or primary", id)
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil, model.Refuse(model.CodeUnavailable, "database %q is changing its owner or primary", id)
+		}
 	}
-	return e.settle(ctx, database, result, model.DurabilityPrimary)
 }
 
-// owned returns the database when this host owns it and serves it, or a refusal that names the owner.
+// owned returns the database when this host owns it, or a refusal that names the owner.
 func (e *Executor) owned(id model.DatabaseID) (*view.Database, error) {
 	database := e.View().Databases[id]
 	if database == nil {
@@ -96,9 +114,6 @@
 		refusal.Term = database.Term
 		return nil, refusal
 	}
-	if !database.Serving || database.Switching {
-		return nil, model.Refuse(model.CodeUnavailable, "database %q is changing its owner or primary", id)
-	}
 	return database, nil
 }
 
@@ -126,79 +141,6 @@
 	}
 }
 
-// write runs a write on the primary and acknowledges it once it is as durable as its kind of work asks.
-func (e *Executor) write(ctx context.Context, database *view.Database, work model.Work, effective config.Effective) (model.Result, error) {
-	result, err := e.run(ctx, database, database.Primary, work, effective)
-	if err != nil {
-		return model.Result{}, err
-	}
-	return e.settle(ctx, database, result, effective.Durability)
-}
-
-// settle waits until a write that ran may be acknowledged.
-func (e *Executor) settle(ctx context.Context, database *view.Database, result model.Result, want model.Durability) (model.Result, error) {
-	reached, err := e.Gate.Settle(ctx, database, result.Point, want)
-	if err != nil {
-		return model.Result{}, model.Doubt("request %q ran but may not be acknowledged: %v", result.Request, err)
-	}
-	result.Durability = reached
-	return result, nil
-}
-
-// read runs a read on the instance that answers first, and on the next one when an instance refuses.
-func (e *Executor) read(ctx context.Context, database *view.Database, work model.Work, effective config.Effective) (model.Result, error) {
-	want := route.Want{
-		Access:     model.Read,
-		HasToken:   work.Known,
-		Least:      work.Least,
-		MaxAge:     work.MaxAge,
-		DataCentre: e.Host.DataCentre,
-		Region:     e.Host.Region,
-		Left:       work.Deadline.Sub(e.Now()),
-		Draw:       rand.Uint32(),
-	}
-	var err error
-	for {
-		choice := route.Choose(database, want, e.Now())
-		if choice.Instance == "" {
-			return model.Result{}, lastError(choice, err)
-		}
-		work.Wait = choice.Wait
-		var result model.Result
-		result, err = e.run(ctx, database, choice.Instance, work, effective)
-		if err == nil || !elsewhere(err) {
-			result.Durability = model.DurabilityNone
-			return result, err
-		}
-		want.Tried = want.Tried.With(choice.Place)
-	}
-}
-
-// lastError returns the refusal of the last instance tried, or why none could be chosen.
-func lastError(choice route.Choice, err error) error {
-	if err != nil {
-		return err
-	}
-	if choice.Reason == route.Lost {
-		return model.Refuse(model.CodeLostWrite, "a write that this session has seen was lost by a change of primary")
-	}
-	return model.Refuse(model.CodeUnavailable, "no instance may serve the read now")
-}
-
-// elsewhere reports whether another instance may serve a read that this error ended.
-func elsewhere(err error) bool {
-	var refusal *model.Refusal
-	if !errors.As(err, &refusal) {
-		return false
-	}
-	switch refusal.Code {
-	case model.CodeOverloaded, model.CodeDeadline, model.CodeInvalid, model.CodeUnknownOperation:
-		return false
-	default:
-		return true
-	}
-}
-
 // run runs a statement on one instance and tells control what it learnt.
 func (e *Executor) run(ctx context.Context, database *view.Database, id model.InstanceID, work model.Work, effective config.Effective) (model.Result, error) {
 	instance := database.Instance(id)
--- a/internal/owner/instances.go
+++ b/internal/owner/instances.go
@@ -22,6 +22,7 @@
 	Connect func(model.Instance) endpoint.Instance
 
 	mutex       sync.RWMutex
+	doubts      *doubts
 	clients     map[model.InstanceID]endpoint.Instance
 	dispatchers map[model.InstanceID]*running
 	context     context.Context
@@ -39,6 +40,7 @@
 // NewInstances returns instances whose exported fields are to be set before Run.
 func NewInstances() *Instances {
 	return &Instances{
+		doubts:      newDoubts(),
 		clients:     map[model.InstanceID]endpoint.Instance{},
 		dispatchers: map[model.InstanceID]*running{},
 		context:     context.Background(),
@@ -90,7 +92,7 @@
 	dispatcher := dispatch.New()
 	dispatcher.Host = s.Host
 	dispatcher.Database = instance.Database
-	dispatcher.Instance = s.connect(instance.Instance)
+	dispatcher.Instance = s.doubts.watch(s.connect(instance.Instance))
 	if instance.State.Slots > 0 {
 		dispatcher.Slots = instance.State.Slots
 		dispatcher.Connections = instance.State.Connections
--- a/internal/owner/transaction.go
+++ b/internal/owner/transaction.go
@@ -2,72 +2,34 @@
 
 import (
 	"context"
-	"sync"
+	"time"
 
 	"redwingspread/internal/dispatch"
 	"redwingspread/internal/model"
+	"redwingspread/internal/transaction"
 	"redwingspread/internal/view"
 )
 
-// open is one open transaction, pinned to a connection of the primary.
-type open struct {
-	mutex       sync.Mutex // one call at a time
+// sweepPause is the time between two looks for transactions that are past their time.
+const sweepPause = 100 * time.Millisecond
+
+// pinned is a transaction on a connection of the primary.
+type pinned struct {
 	transaction *dispatch.Transaction
 	database    *view.Database
 	durability  model.Durability
 }
 
-// transactions holds the open transactions of this host.
-type transactions struct {
-	mutex sync.Mutex
-	open  map[model.TransactionID]*open
-}
-
-// newTransactions returns an empty set of transactions.
-func newTransactions() transactions {
-	return transactions{open: map[model.TransactionID]*open{}}
-}
-
-// put adds a transaction and reports false when its name is taken.
-func (t *transactions) put(id model.TransactionID, added *open) bool {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	if t.open[id] != nil {
-		return false
-	}
-	t.open[id] = added
-	return true
-}
-
-// get returns a transaction, or a refusal when it has ended.
-func (t *transactions) get(id model.TransactionID) (*open, error) {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	if found := t.open[id]; found != nil {
-		return found, nil
-	}
-	return nil, model.Refuse(model.CodeTransactionEnded, "transaction %q is not open here", id)
-}
-
-// take removes a transaction and returns it, or a refusal when it has ended.
-func (t *transactions) take(id model.TransactionID) (*open, error) {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	found := t.open[id]
-	if found == nil {
-		return nil, model.Refuse(model.CodeTransactionEnded, "transaction %q is not open here", id)
-	}
-	delete(t.open, id)
-	return found, nil
-}
-
 // Begin begins a transaction on a connection of the primary, which it keeps to its end.
 func (e *Executor) Begin(ctx context.Context, work model.Work) (model.Result, error) {
-	database, err := e.owned(work.Database)
+	if e.draining.Load() {
+		return model.Result{}, model.Refuse(model.CodeStopping, "host %q is stopping", e.Host.ID)
+	}
+	effective, err := e.policy(work)
 	if err != nil {
 		return model.Result{}, err
 	}
-	effective, err := e.policy(work)
+	database, err := e.serving(ctx, work.Database)
 	if err != nil {
 		return model.Result{}, err
 	}
@@ -78,58 +40,149 @@
 	begun, err := e.Instances.Dispatcher(*primary).Begin(ctx, database.Term, work, class(work, effective))
 	if err != nil {
 		e.learn(database, primary.ID, err)
-		return model.Result{}, err
-	}
-	id := nameTransaction(work.Database, e.Host.ID, work.Request)
-	if !e.transactions.put(id, &open{transaction: begun, database: database, durability: effective.Durability}) {
-		begun.Close()
-		return model.Result{}, model.Refuse(model.CodeInvalid, "transaction %q is already open", id)
+		return model.Result{}, withoutEffect(err)
 	}
+	id := transaction.NewID(work.Database, e.Host.ID)
+	e.transactions.Add(&transaction.Open[*pinned]{
+		ID:       id,
+		Database: work.Database,
+		Origin:   work.Origin,
+		Idle:     effective.TransactionIdle,
+		Limit:    effective.TransactionLimit,
+		Resource: &pinned{transaction: begun, database: database, durability: effective.Durability},
+	})
 	result := model.Result{Request: work.Request, Done: true, Transaction: id, Instance: primary.ID, Role: model.RolePrimary}
 	result.Durability = model.DurabilityNone
 	return stamp(database, result), nil
 }
 
-// executeIn runs a statement within its transaction.
+// executeIn runs a statement within its transaction, which ends when the answer stays away.
 func (e *Executor) executeIn(ctx context.Context, work model.Work) (model.Result, error) {
-	found, err := e.transactions.get(work.Transaction)
+	open, err := e.transactions.Take(work.Transaction)
 	if err != nil {
 		return model.Result{}, err
 	}
-	found.mutex.Lock()
-	defer found.mutex.Unlock()
-	result, state, err := found.transaction.Run(ctx, work)
+	result, state, err := open.Resource.transaction.Run(ctx, work)
+	if err != nil && !notRun(err) {
+		e.end(open)
+		return model.Result{}, err
+	}
+	e.transactions.Return(open)
 	if err != nil {
 		return model.Result{}, err
 	}
 	e.Observe(state)
 	result.Durability = model.DurabilityNone
-	return stamp(found.database, result), nil
+	return stamp(open.Resource.database, result), nil
 }
 
-// Commit commits the work's transaction and acknowledges it once it is durable.
+// Commit commits the work's transaction and acknowledges it once it is durable; a repeat returns the recorded outcome.
 func (e *Executor) Commit(ctx context.Context, work model.Work) (model.Result, error) {
-	found, err := e.transactions.take(work.Transaction)
-	if err != nil {
+	key := flightKey{database: work.Database, request: work.Request}
+	return e.flights.do(ctx, key, func() (model.Result, error) {
+		if _, closed := e.closed.Get(key); closed {
+			return e.committed(ctx, work)
+		}
+		open, err := e.transactions.Take(work.Transaction)
+		if code(err) == model.CodeTransactionEnded {
+			return e.committed(ctx, work)
+		}
+		if err != nil {
+			return model.Result{}, err
+		}
+		return e.commit(ctx, work, open)
+	})
+}
+
+// commit commits an open transaction.
+func (e *Executor) commit(ctx context.Context, work model.Work, open *transaction.Open[*pinned]) (model.Result, error) {
+	pinned := open.Resource
+	result, state, err := pinned.transaction.Commit(ctx, work.Request, work.Deadline)
+	if err != nil && notRun(err) && code(err) != model.CodeTransactionEnded {
+		e.transactions.Return(open)
 		return model.Result{}, err
 	}
-	found.mutex.Lock()
-	defer found.mutex.Unlock()
-	result, state, err := found.transaction.Commit(ctx, work.Request, work.Deadline)
+	e.end(open)
 	if err != nil {
 		return model.Result{}, err
 	}
 	e.Observe(state)
-	return e.settle(ctx, found.database, stamp(found.database, result), found.durability)
+	e.track(work.Database).Add(result.Point, e.Now())
+	return e.settle(ctx, pinned.database, stamp(pinned.database, result), pinned.durability)
+}
+
+// committed returns the recorded outcome of a commit whose transaction is not open any more.
+func (e *Executor) committed(ctx context.Context, work model.Work) (model.Result, error) {
+	result, err := e.recorded(ctx, work)
+	switch {
+	case err == nil || !notRun(err):
+		return result, err
+	case code(err) == model.CodeNotFound:
+		return model.Result{}, model.Refuse(model.CodeTransactionEnded, "transaction %q ended without a commit", work.Transaction)
+	default:
+		return model.Result{}, model.Doubt("the commit of %q could not be resolved: %v", work.Transaction, err)
+	}
 }
 
 // Rollback rolls the work's transaction back.
 func (e *Executor) Rollback(ctx context.Context, work model.Work) error {
-	found, err := e.transactions.take(work.Transaction)
+	open, err := e.transactions.Take(work.Transaction)
 	if err != nil {
 		return err
 	}
-	found.mutex.Lock()
-	defer found.mutex.Unlock()
-	return found.transaction.Rollback(ctx)
+	e.transactions.Remove(open)
+	return open.Resource.transaction.Rollback(ctx)
+}
+
+// end takes a transaction out and closes its connection when it is still open.
+func (e *Executor) end(open *transaction.Open[*pinned]) {
+	e.transactions.Remove(open)
+	open.Resource.transaction.Close()
+}
+
+// Run ends transactions that are past their time, whose proxy is dead or whose database moved, until the context ends.
+func (e *Executor) Run(ctx context.Context, done chan<- error) {
+	ticker := time.NewTicker(sweepPause)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-ticker.C:
+			e.sweep()
+		}
+	}
+	e.closeAll(e.transactions.RemoveIf(func(*transaction.Open[*pinned]) bool { return true }))
+	done <- nil
+}
+
+// sweep ends the transactions that must not go on.
+func (e *Executor) sweep() {
+	e.closeAll(e.transactions.Expire())
+	fleet := e.View()
+	e.closeAll(e.transactions.RemoveIf(func(open *transaction.Open[*pinned]) bool {
+		database := fleet.Databases[open.Database]
+		moved := database == nil || database.Owner != e.Host.ID || database.Term != open.Resource.database.Term
+		return moved || fleet.Hosts[open.Origin].State == view.Dead
+	}))
+}
+
+// closeAll closes the connections of transactions that were taken out.
+func (e *Executor) closeAll(ended []*transaction.Open[*pinned]) {
+	for _, open := range ended {
+		open.Resource.transaction.Close()
+	}
+}
+
+// Drain lets no transaction begin and waits until the open ones have ended or the context ends.
+func (e *Executor) Drain(ctx context.Context) {
+	e.draining.Store(true)
+	ticker := time.NewTicker(sweepPause / 10)
+	defer ticker.Stop()
+	for e.transactions.Len() > 0 {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
 }
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -5,36 +5,40 @@
 	"errors"
 	"time"
 
-	"github.com/cenkalti/backoff/v5"
-
 	"redwingspread/internal/model"
 	"redwingspread/internal/owner"
+	"redwingspread/internal/retry"
 	"redwingspread/internal/view"
 )
 
-// The first and the longest pause between two attempts.
-const (
-	firstPause   = 5 * time.Millisecond
-	longestPause = 100 * time.Millisecond
-)
-
-// forward sends work to the owner of its database, again while it certainly did not run and time is left.
+// forward sends work to the owner of its database, again while that is safe and time is left.
 func (p *Proxy) forward(ctx context.Context, work model.Work, call call) (model.Result, error) {
-	pauses := backoff.NewExponentialBackOff()
-	pauses.InitialInterval = firstPause
-	pauses.MaxInterval = longestPause
+	pauses := retry.NewBackoff()
+	var doubt error
 	for {
 		before := p.standing(work.Database)
 		result, err := p.attempt(ctx, work, call)
-		if err == nil || !p.again(work, err) {
-			return result, err
+		if err == nil {
+			p.Budget.Succeed()
+			return result, nil
+		}
+		if !notRun(err) {
+			doubt = err
 		}
-		if !p.pause(ctx, pauses.NextBackOff(), work.Database, before) {
-			return result, err
+		if !p.again(work, err) || !p.pause(ctx, pauses.Next(0), work.Database, before) {
+			return model.Result{}, lasting(doubt, err)
 		}
 	}
 }
 
+// lasting returns the error that tells most of the work: after an attempt of unknown outcome, only "never ran" settles it.
+func lasting(doubt, err error) error {
+	if doubt == nil || code(err) == model.CodeNotFound {
+		return err
+	}
+	return doubt
+}
+
 // attempt sends work once, to the owner that the newest view names.
 func (p *Proxy) attempt(ctx context.Context, work model.Work, call call) (model.Result, error) {
 	view := p.View()
@@ -61,11 +65,11 @@
 	return p.Peer(host.Host), nil
 }
 
-// again reports whether an error leaves work that may be sent once more.
+// again reports whether work may be sent once more: it did not run, or the endpoint's record keeps a repeat from running twice.
 func (p *Proxy) again(work model.Work, err error) bool {
 	var refusal *model.Refusal
 	if !errors.As(err, &refusal) || !refusal.NotRun {
-		return false
+		return work.Transaction == "" && p.Budget.Take()
 	}
 	switch refusal.Code {
 	case model.CodeNotOwner:
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -163,6 +163,10 @@
 	if refusal.RetryAfter > 0 {
 		message.RetryAfterMs = callerapi.NewOptInt64(refusal.RetryAfter.Milliseconds())
 	}
+	var refused *Refused
+	if errors.As(err, &refused) {
+		message.Token = callerapi.NewOptString(refused.Token)
+	}
 	return &callerapi.RefusalStatusCode{StatusCode: status, Response: message}
 }
 
--- /dev/null
+++ b/internal/proxy/outcome.go
@@ -0,0 +1,118 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+
+	"redwingspread/internal/model"
+	"redwingspread/internal/owner"
+	"redwingspread/internal/session"
+)
+
+// Refused is a refusal with the session token that the caller is to send next.
+type Refused struct {
+	Cause error
+	Token string
+}
+
+// Error returns the refusal's text.
+func (r *Refused) Error() string {
+	return r.Cause.Error()
+}
+
+// Unwrap returns the refusal.
+func (r *Refused) Unwrap() error {
+	return r.Cause
+}
+
+// commit commits a transaction; a lost answer is resolved by the request id.
+func (p *Proxy) commit(ctx context.Context, work model.Work) (model.Result, error) {
+	result, err := p.forward(ctx, work, owner.Service.Commit)
+	if err == nil || notRun(err) {
+		return result, err
+	}
+	question := work
+	question.Transaction = ""
+	result, asked := p.forward(ctx, question, owner.Service.Outcome)
+	switch {
+	case asked == nil:
+		return result, nil
+	case code(asked) == model.CodeNotFound:
+		return model.Result{}, model.Refuse(model.CodeTransactionEnded, "transaction %q ended without a commit", work.Transaction)
+	default:
+		return model.Result{}, err
+	}
+}
+
+// settlePending resolves the session's write of unknown outcome before other work of the session runs.
+func (p *Proxy) settlePending(ctx context.Context, token session.Token, work model.Work) (session.Token, error) {
+	pending := token.Pending(work.Database)
+	if pending == "" || pending == work.Request {
+		return token, nil
+	}
+	question := work
+	question.Request = pending
+	question.Transaction = ""
+	question.Statement = model.Statement{Access: model.Read}
+	result, err := p.forward(ctx, question, owner.Service.Outcome)
+	switch {
+	case err == nil:
+		return token.Raise(work.Database, result.Point).Settle(work.Database), nil
+	case code(err) == model.CodeNotFound:
+		return token.Settle(work.Database), nil
+	default:
+		return token, model.Refuse(model.CodeUnavailable, "the outcome of the session's request %q is not known yet: %v", pending, err)
+	}
+}
+
+// conclude answers with the session's token raised by the result, or with a refusal and what the session has to remember.
+func (p *Proxy) conclude(token session.Token, work model.Work, result model.Result, err error, recorded bool) (Answer, error) {
+	if err != nil {
+		return Answer{}, p.refuse(token, work, err, recorded)
+	}
+	token = token.Raise(work.Database, result.Point)
+	if token.Pending(work.Database) == work.Request {
+		token = token.Settle(work.Database)
+	}
+	text, err := p.Codec.Encode(token)
+	if err != nil {
+		return Answer{}, model.Doubt("request %q ran, but its session token can't be written: %v", work.Request, err)
+	}
+	return Answer{Result: result, Token: text, Host: p.Host.ID}, nil
+}
+
+// refuse adds to a refusal the token that remembers a write of unknown outcome, or forgets a settled or lost one.
+func (p *Proxy) refuse(token session.Token, work model.Work, err error, recorded bool) error {
+	mine := token.Pending(work.Database) == work.Request
+	switch {
+	case !notRun(err) && recorded:
+		token = token.Suspend(work.Database, work.Request)
+	case mine && code(err) == model.CodeNotFound:
+		token = token.Settle(work.Database)
+	case code(err) == model.CodeLostWrite:
+		token = token.Forget(work.Database)
+		token.Partial = true
+	default:
+		return err
+	}
+	text, encodeErr := p.Codec.Encode(token)
+	if encodeErr != nil {
+		return err
+	}
+	return &Refused{Cause: err, Token: text}
+}
+
+// notRun reports whether the error tells that the work certainly had no effect.
+func notRun(err error) bool {
+	var refusal *model.Refusal
+	return errors.As(err, &refusal) && refusal.NotRun
+}
+
+// code returns the reason of a refusal, or an empty one.
+func code(err error) model.Code {
+	var refusal *model.Refusal
+	if errors.As(err, &refusal) {
+		return refusal.Code
+	}
+	return ""
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -7,7 +7,9 @@
 	"redwingspread/internal/config"
 	"redwingspread/internal/model"
 	"redwingspread/internal/owner"
+	"redwingspread/internal/retry"
 	"redwingspread/internal/session"
+	"redwingspread/internal/transaction"
 	"redwingspread/internal/view"
 )
 
@@ -29,6 +31,8 @@
 	NewSession func() model.SessionID
 	// Redirect tells control of an owner that a peer named.
 	Redirect func(database model.DatabaseID, owner model.HostID, term model.Term)
+	// Budget limits the repeats of work whose outcome is unknown.
+	Budget *retry.Budget
 	// Now reads the clock.
 	Now func() time.Time
 }
@@ -37,29 +41,32 @@
 func New() *Proxy {
 	return &Proxy{
 		Redirect: func(model.DatabaseID, model.HostID, model.Term) {},
+		Budget:   retry.New(),
 		Now:      time.Now,
 	}
 }
 
 // Execute runs one statement, alone or in its transaction.
 func (p *Proxy) Execute(ctx context.Context, request Request) (Answer, error) {
-	return p.run(ctx, request, owner.Service.Execute)
+	return p.run(ctx, request, owner.Service.Execute, request.Transaction == "")
 }
 
 // Begin begins a transaction, whose name is in the answer's result.
 func (p *Proxy) Begin(ctx context.Context, request Request) (Answer, error) {
-	return p.run(ctx, request, owner.Service.Begin)
+	return p.run(ctx, request, begin, false)
 }
 
-// Commit commits the request's transaction.
+// Commit commits the request's transaction and resolves its outcome when the answer is lost.
 func (p *Proxy) Commit(ctx context.Context, request Request) (Answer, error) {
-	return p.end(ctx, request, owner.Service.Commit)
+	return p.end(ctx, request, p.commit)
 }
 
 // Rollback rolls the request's transaction back.
 func (p *Proxy) Rollback(ctx context.Context, request Request) error {
-	_, err := p.end(ctx, request, func(s owner.Service, ctx context.Context, work model.Work) (model.Result, error) {
-		return model.Result{}, s.Rollback(ctx, work)
+	_, err := p.end(ctx, request, func(ctx context.Context, work model.Work) (model.Result, error) {
+		return p.forward(ctx, work, func(s owner.Service, ctx context.Context, work model.Work) (model.Result, error) {
+			return model.Result{}, s.Rollback(ctx, work)
+		})
 	})
 	return err
 }
@@ -74,17 +81,23 @@
 	ctx, cancel := context.WithDeadline(ctx, work.Deadline)
 	defer cancel()
 	result, err := p.forward(ctx, work, owner.Service.Outcome)
-	if err != nil {
-		return Answer{}, err
-	}
-	return p.answer(token, work, result)
+	return p.conclude(token, work, result, err, false)
 }
 
 // call is one method of an owner's service.
 type call func(owner.Service, context.Context, model.Work) (model.Result, error)
 
-// run checks a request, makes work of it, sends it to the owner and answers.
-func (p *Proxy) run(ctx context.Context, request Request, call call) (Answer, error) {
+// begin begins a transaction; one that nobody can commit has no effect.
+func begin(service owner.Service, ctx context.Context, work model.Work) (model.Result, error) {
+	result, err := service.Begin(ctx, work)
+	if err != nil && !notRun(err) {
+		err = model.Refuse(model.CodeUnavailable, "the begin got no answer: %v", err)
+	}
+	return result, err
+}
+
+// run checks a request, makes work of it, sends it to the owner and answers; a recorded write is remembered while its outcome is unknown.
+func (p *Proxy) run(ctx context.Context, request Request, call call, recorded bool) (Answer, error) {
 	token, err := p.token(request.Token)
 	if err != nil {
 		return Answer{}, err
@@ -95,33 +108,31 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, work.Deadline)
 	defer cancel()
-	result, err := p.forward(ctx, work, call)
+	token, err = p.settlePending(ctx, token, work)
 	if err != nil {
 		return Answer{}, err
 	}
-	return p.answer(token, work, result)
+	work.Least = token.Point(work.Database)
+	result, err := p.forward(ctx, work, call)
+	return p.conclude(token, work, result, err, recorded && work.Statement.Access == model.Write)
 }
 
 // end sends the end of a transaction to the host that holds it.
-func (p *Proxy) end(ctx context.Context, request Request, call call) (Answer, error) {
+func (p *Proxy) end(ctx context.Context, request Request, run func(context.Context, model.Work) (model.Result, error)) (Answer, error) {
 	token, err := p.token(request.Token)
 	if err != nil {
 		return Answer{}, err
 	}
-	database, err := owner.TransactionDatabase(request.Transaction)
+	request.Database, err = transaction.DatabaseOf(request.Transaction)
 	if err != nil {
 		return Answer{}, err
 	}
-	request.Database = database
 	work := p.outcomeWork(request, token)
 	work.Transaction = request.Transaction
 	ctx, cancel := context.WithDeadline(ctx, work.Deadline)
 	defer cancel()
-	result, err := p.forward(ctx, work, call)
-	if err != nil {
-		return Answer{}, err
-	}
-	return p.answer(token, work, result)
+	result, err := run(ctx, work)
+	return p.conclude(token, work, result, err, true)
 }
 
 // token decodes the caller's token, or begins a session.
@@ -132,16 +143,6 @@
 	return p.Codec.Decode(text)
 }
 
-// answer raises the session's token by the result.
-func (p *Proxy) answer(token session.Token, work model.Work, result model.Result) (Answer, error) {
-	token = token.Raise(work.Database, result.Point)
-	text, err := p.Codec.Encode(token)
-	if err != nil {
-		return Answer{}, err
-	}
-	return Answer{Result: result, Token: text, Host: p.Host.ID}, nil
-}
-
 // work makes the work of a request by the policy in force.
 func (p *Proxy) work(request Request, token session.Token) (model.Work, error) {
 	view := p.View()
--- a/internal/transaction/table.go
+++ b/internal/transaction/table.go
@@ -9,27 +9,28 @@
 	"redwingspread/internal/model"
 )
 
-// hostEnd separates the host from the rest of a transaction's name.
-const hostEnd = "/"
+// idParts is the number of parts of a transaction's name: host, a random text and database.
+const idParts = 3
 
-// NewID returns an unguessable name of a transaction that the host holds.
-func NewID(host model.HostID) model.TransactionID {
-	return model.TransactionID(string(host) + hostEnd + rand.Text())
+// NewID returns an unguessable name of a transaction of the database that the host holds.
+func NewID(database model.DatabaseID, host model.HostID) model.TransactionID {
+	return model.TransactionID(strings.Join([]string{string(host), rand.Text(), string(database)}, "/"))
 }
 
-// HostOf returns the host that holds the transaction, and whether the name is well formed.
-func HostOf(id model.TransactionID) (model.HostID, bool) {
-	host, rest, found := strings.Cut(string(id), hostEnd)
-	return model.HostID(host), found && host != "" && rest != ""
+// DatabaseOf returns the database of a transaction, or a refusal of a name that is not one.
+func DatabaseOf(id model.TransactionID) (model.DatabaseID, error) {
+	parts := strings.SplitN(string(id), "/", idParts)
+	if len(parts) != idParts || parts[0] == "" || parts[1] == "" || parts[2] == "" {
+		return "", model.Refuse(model.CodeInvalid, "%q is not the name of a transaction", id)
+	}
+	return model.DatabaseID(parts[2]), nil
 }
 
 // Open is one open transaction and the resource that it holds.
 type Open[R any] struct {
 	ID       model.TransactionID
 	Database model.DatabaseID
-	Origin   model.HostID // proxy that began it
-	Request  model.RequestID
-	Kind     model.KindID
+	Origin   model.HostID  // proxy that began it
 	Idle     time.Duration // greatest time between two of its calls
 	Limit    time.Duration // greatest time from its begin to its end
 	Resource R
@@ -98,17 +99,7 @@
 // Expire takes out and returns the transactions that are past their time, but none in the middle of a call.
 func (t *Table[R]) Expire() []*Open[R] {
 	now := t.Now()
-	return t.removeIf(func(open *Open[R]) bool { return open.expired(now) })
-}
-
-// Abandon takes out and returns the transactions that a lost proxy began.
-func (t *Table[R]) Abandon(origin model.HostID) []*Open[R] {
-	return t.removeIf(func(open *Open[R]) bool { return open.Origin == origin })
-}
-
-// Drop takes out and returns the transactions of a database that has another owner or primary now.
-func (t *Table[R]) Drop(database model.DatabaseID) []*Open[R] {
-	return t.removeIf(func(open *Open[R]) bool { return open.Database == database })
+	return t.RemoveIf(func(open *Open[R]) bool { return open.expired(now) })
 }
 
 // Len returns the number of open transactions.
@@ -118,8 +109,8 @@
 	return len(t.open)
 }
 
-// removeIf takes out and returns the idle transactions that the condition holds for.
-func (t *Table[R]) removeIf(condition func(open *Open[R]) bool) []*Open[R] {
+// RemoveIf takes out and returns the transactions that the condition holds for, but none in the middle of a call.
+func (t *Table[R]) RemoveIf(condition func(open *Open[R]) bool) []*Open[R] {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	var removed []*Open[R]
