Let changes of the fake database come after their call has ended

Cause: a statement whose answer was lost may still take effect later. Change: the fault 'linger' of the fake: the effect comes up to a second later, unless its connection is closed or its term has gone by then.

--- a/internal/history/fake_test.go
+++ b/internal/history/fake_test.go
@@ -29,6 +29,7 @@
 	loseBefore float64 // the call has no effect and no answer
 	loseAfter  float64 // the call has its effect and no answer
 	double     float64 // the call arrives twice
+	linger     float64 // the call has no answer, and its effect comes later unless its connection is closed by then
 	late       time.Duration
 }
 
@@ -73,10 +74,11 @@
 	return g.random.Float64() < probability
 }
 
-// call runs an effect under the group's faults.
-func (g *group) call(ctx context.Context, f *fake, effect func() error) error {
+// call runs an effect under the group's faults; later is its form that may come after the call has ended, or nil.
+func (g *group) call(ctx context.Context, f *fake, effect func() error, later func()) error {
 	g.mutex.Lock()
 	late, before, double, after := g.faults.late, g.chance(g.faults.loseBefore), g.chance(g.faults.double), g.chance(g.faults.loseAfter)
+	linger, delay := g.chance(g.faults.linger), time.Duration(g.random.IntN(int(longestLinger)))
 	g.mutex.Unlock()
 	if late > 0 {
 		time.Sleep(late)
@@ -89,6 +91,10 @@
 	if ctx.Err() != nil {
 		return ctx.Err()
 	}
+	if linger && later != nil {
+		go g.lingering(f, delay, later)
+		return errLost
+	}
 	err := effect()
 	if double {
 		_ = effect()
@@ -99,6 +105,19 @@
 	return err
 }
 
+// longestLinger is the longest time until the effect of a lingering call.
+const longestLinger = time.Second
+
+// lingering runs an effect after the delay.
+func (g *group) lingering(f *fake, delay time.Duration, effect func()) {
+	time.Sleep(delay)
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if !f.isolated {
+		effect()
+	}
+}
+
 // replicate copies to every replica what its primary wrote longer ago than its lag.
 func (g *group) replicate(now time.Time) {
 	g.mutex.Lock()
@@ -234,7 +253,7 @@
 		f.group.opened++
 		connection = &conn{fake: f, id: model.ConnectionID(fmt.Sprint(f.info.ID, "-", f.group.opened))}
 		return nil
-	})
+	}, nil)
 	if err != nil {
 		return nil, model.InstanceState{}, err
 	}
@@ -247,7 +266,7 @@
 	err = f.group.call(ctx, f, func() error {
 		state = f.state()
 		return nil
-	})
+	}, nil)
 	return state, err
 }
 
@@ -271,7 +290,7 @@
 		}
 		state = f.state()
 		return nil
-	})
+	}, nil)
 	return state, err
 }
 
@@ -281,7 +300,7 @@
 		f.promote(term)
 		state = f.state()
 		return nil
-	})
+	}, nil)
 	return state, err
 }
 
@@ -291,7 +310,7 @@
 		f.follow(term, f.group.instances[primary.ID])
 		state = f.state()
 		return nil
-	})
+	}, nil)
 	return state, err
 }
 
@@ -305,7 +324,7 @@
 		old, found = f.recorded(request)
 		result = model.Result{Request: request, Done: found, Repeated: found, Point: old.point, Instance: f.info.ID, Role: f.role}
 		return nil
-	})
+	}, nil)
 	return result, found, err
 }
 
@@ -356,6 +375,10 @@
 		result = c.apply(work)
 		state = c.fake.state()
 		return nil
+	}, func() {
+		if c.check(term, work.Statement.Access == model.Write) == nil {
+			c.apply(work)
+		}
 	})
 	return result, state, err
 }
@@ -383,7 +406,7 @@
 		c.open, c.lists = true, nil
 		state = c.fake.state()
 		return nil
-	})
+	}, nil)
 	return state, err
 }
 
@@ -400,6 +423,10 @@
 		c.open, c.lists = false, nil
 		state = c.fake.state()
 		return nil
+	}, func() {
+		if c.check(term, true) == nil && c.open {
+			c.fake.append(request, c.lists)
+		}
 	})
 	return result, state, err
 }
@@ -409,7 +436,7 @@
 	return c.fake.group.call(ctx, c.fake, func() error {
 		c.open, c.lists = false, nil
 		return nil
-	})
+	}, nil)
 }
 
 // Close closes the connection, which rolls its transaction back.
--- a/internal/history/random_test.go
+++ b/internal/history/random_test.go
@@ -173,7 +173,7 @@
 		p.rejoin()
 	case "faults":
 		p.group.mutex.Lock()
-		p.group.faults = rapid.SampledFrom([]faults{{}, {loseAfter: 0.3}, {loseBefore: 0.3}, {double: 0.5}, {loseBefore: 0.2, loseAfter: 0.2, double: 0.2, late: 3 * time.Millisecond}}).Draw(t, "faults")
+		p.group.faults = rapid.SampledFrom([]faults{{}, {loseAfter: 0.3}, {loseBefore: 0.3}, {double: 0.5}, {linger: 0.3}, {linger: 0.5, loseBefore: 0.3}, {loseBefore: 0.2, loseAfter: 0.2, double: 0.2, late: 3 * time.Millisecond}}).Draw(t, "faults")
 		p.group.mutex.Unlock()
 	}
 }
@@ -203,6 +203,7 @@
 // playRandom plays one run and checks its history.
 func playRandom(t *rapid.T, newFront func(*group) front) {
 	p := newPlay(rapid.Uint64().Draw(t, "seed"), newFront)
+	defer time.Sleep(longestLinger)
 	defer p.front.close()
 	for _, id := range []model.InstanceID{"q", "r"} {
 		p.group.instances[id].lag = time.Duration(rapid.SampledFrom([]int{0, 5, 20, 1000}).Draw(t, "lag")) * time.Millisecond
