Hand floors, limits and queue limits to the dispatchers, and end open transactions at a stop

Cause: the dispatchers ran without the floors of the configuration and with the limits of the instance's first state; a commit that was refused left its connection pinned for ever; a stop waited for idle transactions. Change: the floors and limits of each view reach every dispatcher; the queue limit of a kind's settings bounds the queue for it; a commit ends its transaction whatever the outcome; a stop closes idle transactions at once and busy ones after their call.

--- a/internal/admit/queue.go
+++ b/internal/admit/queue.go
@@ -1,6 +1,7 @@
 package admit
 
 import (
+	"cmp"
 	"time"
 
 	"redwingspread/internal/model"
@@ -30,8 +31,8 @@
 	if ticket.Late(now, q.Service.Expect(now, ticket.Class.Kind)) {
 		return Late, nil, Wait
 	}
-	if q.Len() >= q.Limit {
-		out = q.Policy.Victim(ticket, q.Limit)
+	if limit := cmp.Or(ticket.Class.QueueLimit, q.Limit); q.Len() >= limit {
+		out = q.Policy.Victim(ticket, limit)
 		if out == ticket || out == nil {
 			return Overload, nil, Wait
 		}
--- a/internal/admit/ticket.go
+++ b/internal/admit/ticket.go
@@ -12,6 +12,7 @@
 	Kind          model.KindID
 	Session       model.SessionID
 	Floor         model.Percent // guaranteed share of the rank for the kind
+	QueueLimit    int           // work that may wait for this one to be let in; zero for the queue's limit
 	InTransaction bool          // true when the work belongs to a transaction that has begun
 }
 
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -32,20 +32,21 @@
 	// Now reads the clock.
 	Now func() time.Time
 
-	mutex    sync.Mutex
-	queue    admit.Queue[*Turn]
-	pool     *pool.Pool
-	term     model.Term
-	used     model.Slots       // statements that run
-	pinned   model.Connections // connections held by transactions
-	peak     model.Connections // greatest number of pinned connections of late
-	peaked   time.Time
-	stopping bool
-	refused  map[model.Code]int
-	turns    sync.Pool     // ended turns, for use by later work
-	idle     chan struct{} // closed when the dispatcher is stopping and nothing runs any more
-	started  bool
-	closed   bool // the idle channel is closed
+	mutex        sync.Mutex
+	queue        admit.Queue[*Turn]
+	pool         *pool.Pool
+	term         model.Term
+	used         model.Slots       // statements that run
+	pinned       model.Connections // connections held by transactions
+	peak         model.Connections // greatest number of pinned connections of late
+	peaked       time.Time
+	stopping     bool
+	refused      map[model.Code]int
+	transactions map[*Transaction]struct{}
+	turns        sync.Pool     // ended turns, for use by later work
+	idle         chan struct{} // closed when the dispatcher is stopping and nothing runs any more
+	started      bool
+	closed       bool // the idle channel is closed
 }
 
 const (
@@ -69,6 +70,8 @@
 		queue:       admit.Queue[*Turn]{Service: admit.NewService()},
 		idle:        make(chan struct{}),
 		turns:       sync.Pool{New: newTurn},
+
+		transactions: make(map[*Transaction]struct{}),
 	}
 }
 
@@ -111,12 +114,15 @@
 	d.fill()
 }
 
-// stop refuses all waiting work, and all that comes later.
+// stop refuses all waiting work and all that comes later, and ends open transactions, those that are busy after their call.
 func (d *Dispatcher) stop() {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	d.stopping = true
 	d.refuseWaiting(model.CodeStopping)
+	for transaction := range d.transactions {
+		transaction.close()
+	}
 	d.checkIdle()
 }
 
@@ -159,7 +165,7 @@
 	d.Slots = slots
 	d.Connections = connections
 	if !d.started {
-		return
+		return // begin hands them on
 	}
 	d.pool.SetLimit(connections)
 	d.fill()
--- a/internal/dispatch/transaction.go
+++ b/internal/dispatch/transaction.go
@@ -11,13 +11,15 @@
 
 // Transaction holds one connection from begin to end, and a slot only while a statement runs.
 //
-// It is used by one goroutine at a time.
+// One call runs at a time; Close may be called meanwhile. The dispatcher's lock guards the state.
 type Transaction struct {
 	dispatcher *Dispatcher
 	conn       endpoint.Conn
 	term       model.Term
 	class      admit.Class
-	broken     bool // an answer stayed away: the connection is closed at the end
+	busy       bool // a call runs
+	broken     bool // the connection is closed at the end
+	closing    bool // the transaction ends with the call that runs
 	ended      bool
 }
 
@@ -41,7 +43,19 @@
 		return nil, certain(err)
 	}
 	class.InTransaction = true
-	return &Transaction{dispatcher: d, conn: conn, term: term, class: class}, nil
+	transaction = &Transaction{dispatcher: d, conn: conn, term: term, class: class}
+	d.keep(transaction)
+	return transaction, nil
+}
+
+// keep remembers an open transaction, which a stop ends.
+func (d *Dispatcher) keep(transaction *Transaction) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.transactions[transaction] = struct{}{}
+	if d.stopping {
+		transaction.close()
+	}
 }
 
 // finishBegin frees the slot of a begin and keeps its connection pinned when it succeeded.
@@ -75,6 +89,11 @@
 func (d *Dispatcher) unpin() {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
+	d.unpinLocked()
+}
+
+// unpinLocked gives a reserved connection back; the caller holds the lock.
+func (d *Dispatcher) unpinLocked() {
 	d.pinned--
 	d.fill()
 	d.schedule()
@@ -100,68 +119,106 @@
 	})
 }
 
-// Commit commits the transaction under the request id and ends it.
+// Commit commits the transaction under the request id and ends it, whatever the outcome; what was not committed is rolled back.
 func (t *Transaction) Commit(ctx context.Context, request model.RequestID, deadline time.Time) (result model.Result, state model.InstanceState, err error) {
 	result, state, err = t.call(ctx, deadline, func(ctx context.Context) (model.Result, model.InstanceState, error) {
 		return t.conn.Commit(ctx, t.term, request)
 	})
-	if err == nil {
-		t.end()
+	if err != nil {
+		t.Close()
+		return result, state, err
 	}
-	return result, state, err
+	t.end()
+	return result, state, nil
 }
 
 // Rollback rolls the transaction back and ends it; a connection that does not answer is closed, which rolls back too.
 func (t *Transaction) Rollback(ctx context.Context) error {
-	if t.ended {
-		return ended()
-	}
-	if !t.broken {
-		err := t.conn.Rollback(ctx)
-		t.broken = err != nil
+	if err := t.enter(); err != nil {
+		return err
 	}
+	err := t.conn.Rollback(ctx)
+	t.leave(err == nil)
 	t.end()
 	return nil
 }
 
-// Close ends the transaction, if it has not ended, by closing its connection; it may be called more than once.
+// Close ends the transaction, if it has not ended, by closing its connection once no call runs; it may be called more than once.
 func (t *Transaction) Close() {
-	if t.ended {
-		return
-	}
-	t.broken = true
-	t.end()
+	t.dispatcher.mutex.Lock()
+	defer t.dispatcher.mutex.Unlock()
+	t.close()
 }
 
 // call waits for a turn and makes one call on the transaction's connection.
 func (t *Transaction) call(ctx context.Context, deadline time.Time, run func(context.Context) (model.Result, model.InstanceState, error)) (result model.Result, state model.InstanceState, err error) {
-	if t.ended || t.broken {
-		return result, state, ended()
+	if err := t.enter(); err != nil {
+		return result, state, err
 	}
 	ctx, cancel := limit(ctx, deadline)
 	defer cancel()
 	turn, err := t.dispatcher.await(ctx, t.term, deadline, t.class, t.conn)
 	if err != nil {
+		t.leave(true)
 		return result, state, err
 	}
 	result, state, err = run(ctx)
 	t.dispatcher.finish(turn, err)
-	t.broken = !sound(err)
+	t.leave(sound(err))
 	return result, state, certain(err)
 }
 
-// end gives the connection back, or has it closed when an answer stayed away.
+// enter marks the transaction as busy, or refuses when it has ended.
+func (t *Transaction) enter() error {
+	t.dispatcher.mutex.Lock()
+	defer t.dispatcher.mutex.Unlock()
+	if t.ended || t.broken || t.busy {
+		return model.Refuse(model.CodeTransactionEnded, "the transaction has ended")
+	}
+	t.busy = true
+	return nil
+}
+
+// leave marks the end of a call, and ends the transaction that was closed meanwhile.
+func (t *Transaction) leave(sound bool) {
+	t.dispatcher.mutex.Lock()
+	defer t.dispatcher.mutex.Unlock()
+	t.busy = false
+	t.broken = t.broken || !sound
+	if t.closing || t.dispatcher.stopping {
+		t.close()
+	}
+}
+
+// close ends the transaction by closing its connection, at once or after the call that runs; the caller holds the lock.
+func (t *Transaction) close() {
+	t.broken = true
+	if t.busy {
+		t.closing = true
+		return
+	}
+	t.endLocked()
+}
+
+// end ends a transaction in which no call runs.
 func (t *Transaction) end() {
+	t.dispatcher.mutex.Lock()
+	defer t.dispatcher.mutex.Unlock()
+	t.endLocked()
+}
+
+// endLocked gives the connection back, or has it closed when it is broken; the caller holds the lock.
+func (t *Transaction) endLocked() {
+	if t.ended {
+		return
+	}
 	t.ended = true
+	d := t.dispatcher
+	delete(d.transactions, t)
 	if t.broken {
-		t.dispatcher.pool.Discard(t.conn)
+		d.pool.Discard(t.conn)
 	} else {
-		t.dispatcher.pool.Put(t.conn)
+		d.pool.Put(t.conn)
 	}
-	t.dispatcher.unpin()
-}
-
-// ended returns the refusal of work on a transaction that has ended.
-func ended() error {
-	return model.Refuse(model.CodeTransactionEnded, "the transaction has ended")
+	d.unpinLocked()
 }
--- /dev/null
+++ b/internal/dispatch/transaction_test.go
@@ -0,0 +1,159 @@
+package dispatch
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"redwingspread/internal/admit"
+	"redwingspread/internal/model"
+)
+
+// open starts a dispatcher of the fake and returns the way to end it.
+func open(t *testing.T, fake *instance) (*Dispatcher, context.CancelFunc, chan error) {
+	t.Helper()
+	d := New()
+	d.Instance = fake
+	d.Connections = model.Connections(fake.connections)
+	ctx, stop := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go d.Run(ctx, done)
+	time.Sleep(time.Second) // of the test's clock: the pool is warm
+	return d, stop, done
+}
+
+// begin begins a transaction of the rank within half a second.
+func begin(t *testing.T, d *Dispatcher, rank model.Rank) (*Transaction, error) {
+	t.Helper()
+	work := model.Work{Deadline: time.Now().Add(time.Second / 2)}
+	return d.Begin(t.Context(), 1, work, admit.Class{Rank: rank, Kind: "kind"})
+}
+
+func TestTransactionsLeaveConnections(t *testing.T) {
+	tests := map[string]struct {
+		ranks []model.Rank
+		want  []string
+	}{
+		"bulk holds half at most":                {ranks: []model.Rank{3, 3, 3}, want: []string{"ran", "ran", "overloaded"}},
+		"counter work holds three quarters":      {ranks: []model.Rank{2, 2, 2, 2}, want: []string{"ran", "ran", "ran", "overloaded"}},
+		"urgent work leaves one":                 {ranks: []model.Rank{1, 1, 1, 1}, want: []string{"ran", "ran", "ran", "overloaded"}},
+		"urgent work begins beside bulk":         {ranks: []model.Rank{3, 3, 1}, want: []string{"ran", "ran", "ran"}},
+		"bulk does not begin beside urgent work": {ranks: []model.Rank{1, 1, 3}, want: []string{"ran", "ran", "overloaded"}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fake := newInstance()
+				fake.connections = 4
+				d, stop, done := open(t, fake)
+				var got []string
+				for _, rank := range test.ranks {
+					_, err := begin(t, d, rank)
+					got = append(got, outcome(err))
+				}
+				if !slices.Equal(got, test.want) {
+					t.Errorf("got %v, want %v", got, test.want)
+				}
+				if got, want := outcome(do(t.Context(), d, request{rank: 3, kind: "alone", deadline: time.Second})), "ran"; got != want {
+					t.Errorf("got %s for a statement of its own, want %s", got, want)
+				}
+				stop()
+				<-done
+				if got := fake.open; got != 0 {
+					t.Errorf("got %d connections open at the end, want 0", got)
+				}
+			})
+		})
+	}
+}
+
+func TestTransactionEnds(t *testing.T) {
+	tests := map[string]struct {
+		end  func(*Transaction) error
+		want string // of a statement after the end
+		open int    // connections that were opened
+	}{
+		"committed": {
+			end: func(x *Transaction) error {
+				_, _, err := x.Commit(context.Background(), "id", time.Time{})
+				return err
+			},
+			want: "transaction_ended",
+			open: 5,
+		},
+		"rolled back": {
+			end:  func(x *Transaction) error { return x.Rollback(context.Background()) },
+			want: "transaction_ended",
+			open: 5,
+		},
+		"closed twice": {
+			end: func(x *Transaction) error {
+				x.Close()
+				x.Close()
+				return nil
+			},
+			want: "transaction_ended",
+			open: 6,
+		},
+		"not ended": {
+			end:  func(*Transaction) error { return nil },
+			want: "ran",
+			open: 5,
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fake := newInstance()
+				d, stop, done := open(t, fake)
+				x, err := begin(t, d, 1)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if err := test.end(x); err != nil {
+					t.Fatal(err)
+				}
+				_, _, err = x.Run(t.Context(), model.Work{})
+				if got := outcome(err); got != test.want {
+					t.Errorf("got %s after the end, want %s", got, test.want)
+				}
+				time.Sleep(time.Second)
+				if got := fake.opened; got != test.open {
+					t.Errorf("got %d connections opened, want %d", got, test.open)
+				}
+				stop()
+				<-done
+				if got := fake.open; got != 0 {
+					t.Errorf("got %d connections open at the end, want 0", got)
+				}
+			})
+		})
+	}
+}
+
+func TestStopLetsACallInATransactionEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fake := newInstance()
+		d, stop, done := open(t, fake)
+		x, err := begin(t, d, 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		ended := make(chan error, 1)
+		go func() {
+			_, _, err := x.Run(t.Context(), model.Work{})
+			ended <- err
+		}()
+		synctest.Wait()
+		stop()
+		if got, want := outcome(<-ended), "ran"; got != want {
+			t.Errorf("got %s, want %s", got, want)
+		}
+		<-done
+		if got := fake.open; got != 0 {
+			t.Errorf("got %d connections open at the end, want 0", got)
+		}
+	})
+}
--- /dev/null
+++ b/internal/limit/listener.go
@@ -0,0 +1,49 @@
+package limit
+
+import (
+	"net"
+	"sync"
+	"sync/atomic"
+)
+
+// Listener accepts connections up to a limit and closes those beyond it at once.
+type Listener struct {
+	net.Listener
+	// Limit is the greatest number of open connections.
+	Limit int
+
+	open atomic.Int64
+}
+
+// NewListener returns a listener whose exported fields are to be set before use.
+func NewListener(inner net.Listener) *Listener {
+	return &Listener{Listener: inner}
+}
+
+// Accept returns the next connection within the limit.
+func (l *Listener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if l.open.Add(1) <= int64(l.Limit) {
+			return &counted{Conn: conn, listener: l}, nil
+		}
+		l.open.Add(-1)
+		_ = conn.Close() // nothing was read, so nothing ran
+	}
+}
+
+// counted is a connection that counts as open until it is closed.
+type counted struct {
+	net.Conn
+	listener *Listener
+	once     sync.Once
+}
+
+// Close closes the connection.
+func (c *counted) Close() error {
+	c.once.Do(func() { c.listener.open.Add(-1) })
+	return c.Conn.Close()
+}
--- a/internal/owner/executor.go
+++ b/internal/owner/executor.go
@@ -119,10 +119,11 @@
 // class returns how the work is queued.
 func class(work model.Work, effective config.Effective) admit.Class {
 	return admit.Class{
-		Rank:    effective.Rank,
-		Kind:    work.Statement.Kind,
-		Session: work.Session,
-		Floor:   effective.Floor,
+		Rank:       effective.Rank,
+		Kind:       work.Statement.Kind,
+		Session:    work.Session,
+		Floor:      effective.Floor,
+		QueueLimit: effective.QueueLimit,
 	}
 }
 
--- a/internal/owner/instances.go
+++ b/internal/owner/instances.go
@@ -91,10 +91,7 @@
 	dispatcher.Host = s.Host
 	dispatcher.Database = instance.Database
 	dispatcher.Instance = s.connect(instance.Instance)
-	if instance.State.Slots > 0 {
-		dispatcher.Slots = instance.State.Slots
-		dispatcher.Connections = instance.State.Connections
-	}
+	follow(s.View(), &instance, dispatcher)
 	ctx, stop := context.WithCancel(s.context)
 	s.dispatchers[instance.ID] = &running{dispatcher: dispatcher, database: instance.Database, stop: stop}
 	go dispatcher.Run(ctx, s.ended)
@@ -124,6 +121,7 @@
 			s.end(id, current)
 			continue
 		}
+		follow(fleet, database.Instance(id), current.dispatcher)
 		if database.Term != current.term {
 			current.term = database.Term
 			current.dispatcher.Flush()
