Bound what a host takes in: connections, requests of a caller, requests by rank

Cause: a flood of any rank filled a host's memory and the streams between hosts before the owner's queue could refuse it. Change: package limit; the caller interface closes connections beyond its limit, refuses a caller's requests beyond its limit before it reads them, and lets the ranks in by their floors.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -188,6 +188,7 @@
 	d.proxy.Peer = d.peers.At
 	d.proxy.Codec = &session.Codec{Key: []byte(d.Settings.TokenKey), Old: []byte(d.Settings.TokenKeyOld)}
 	d.proxy.NewSession = newSession
+	d.proxy.Gate.Limit = d.Settings.RequestLimit
 	d.proxy.Redirect = func(database model.DatabaseID, host model.HostID, term model.Term) {
 		d.loop.Offer(fleet.Redirected{Database: database, Owner: host, Term: term})
 	}
--- a/internal/daemon/servers.go
+++ b/internal/daemon/servers.go
@@ -8,6 +8,7 @@
 
 	"redwingspread/internal/event"
 	"redwingspread/internal/fleet"
+	"redwingspread/internal/limit"
 	"redwingspread/internal/peer"
 	"redwingspread/internal/serve"
 )
@@ -15,6 +16,9 @@
 // handOverPoll is the time between two looks whether every database was handed over.
 const handOverPoll = 10 * time.Millisecond
 
+// allRequests is the number of requests, in request limits, that are read at once; the rank of one is known once it is read.
+const allRequests = 2
+
 // buildServers makes the servers of the caller, peer and operator interfaces and opens their sockets.
 func (d *Daemon) buildServers() error {
 	callers, err := d.proxy.Handler()
@@ -22,7 +26,11 @@
 		return err
 	}
 	peers := d.peerServer()
-	caller := serve.New(d.Settings.CallerAddress, d.tracer.Handler("caller", callers))
+	limited := limit.NewCallers[string]()
+	limited.Each = d.Settings.CallerLimit
+	limited.All = allRequests * d.Settings.RequestLimit
+	caller := serve.New(d.Settings.CallerAddress, limit.Handler(limited, d.tracer.Handler("caller", callers)))
+	caller.ConnectionLimit = d.Settings.ConnectionLimit
 	caller.DrainLimit = d.Settings.StopLimit
 	operators, err := d.operatorHandler()
 	if err != nil {
--- a/internal/local/hosts.go
+++ b/internal/local/hosts.go
@@ -9,6 +9,12 @@
 	"redwingspread/internal/trust"
 )
 
+// The limits of each host on what it takes in; all callers have one IP number.
+const (
+	connectionLimit = 16384
+	requestLimit    = 2048
+)
+
 // prepareHosts chooses addresses and makes keys for every host.
 func (d *Deployment) prepareHosts() (err error) {
 	d.platformAddress, err = freeTCP()
@@ -53,6 +59,9 @@
 		PeerAddress:     peer,
 		PlatformAddress: d.platformAddress,
 		TokenKey:        tokenKey,
+		ConnectionLimit: connectionLimit,
+		RequestLimit:    requestLimit,
+		CallerLimit:     requestLimit,
 		StopLimit:       d.StopLimit,
 		Trace:           "none",
 		LogLevel:        "info",
--- /dev/null
+++ b/internal/proxy/enter.go
@@ -0,0 +1,19 @@
+package proxy
+
+import "redwingspread/internal/model"
+
+// enter lets a request in by its rank and returns the way to let it out; work of a transaction that has begun is let in.
+func (p *Proxy) enter(request Request) (leave func(), err error) {
+	policy := p.View().Policy
+	effective, found := policy.Lookup(p.scope(request))
+	if !found {
+		return nil, model.Refuse(model.CodeUnknownKind, "kind of work %q is not known", request.Kind)
+	}
+	if request.Transaction != "" {
+		return func() {}, nil
+	}
+	if refusal := p.Gate.Enter(effective.Rank, policy.RankFloors); refusal != nil {
+		return nil, refusal
+	}
+	return func() { p.Gate.Leave(effective.Rank) }, nil
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"redwingspread/internal/config"
+	"redwingspread/internal/limit"
 	"redwingspread/internal/model"
 	"redwingspread/internal/owner"
 	"redwingspread/internal/session"
@@ -29,6 +30,8 @@
 	NewSession func() model.SessionID
 	// Redirect tells control of an owner that a peer named.
 	Redirect func(database model.DatabaseID, owner model.HostID, term model.Term)
+	// Gate bounds the requests in progress by rank.
+	Gate *limit.Gate
 	// Now reads the clock.
 	Now func() time.Time
 }
@@ -37,6 +40,7 @@
 func New() *Proxy {
 	return &Proxy{
 		Redirect: func(model.DatabaseID, model.HostID, model.Term) {},
+		Gate:     limit.NewGate(),
 		Now:      time.Now,
 	}
 }
@@ -93,6 +97,11 @@
 	if err != nil {
 		return Answer{}, err
 	}
+	leave, err := p.enter(request)
+	if err != nil {
+		return Answer{}, err
+	}
+	defer leave()
 	ctx, cancel := context.WithDeadline(ctx, work.Deadline)
 	defer cancel()
 	result, err := p.forward(ctx, work, call)
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"redwingspread/internal/limit"
 	"redwingspread/internal/model"
 )
 
@@ -27,6 +28,8 @@
 	Handler http.Handler
 	// DrainLimit is the time that requests in progress have to end.
 	DrainLimit time.Duration
+	// ConnectionLimit is the number of connections that may be open; zero for no limit.
+	ConnectionLimit int
 
 	listener net.Listener
 }
@@ -42,6 +45,11 @@
 	if err != nil {
 		return fmt.Errorf("serve: %w", err)
 	}
+	if s.ConnectionLimit > 0 {
+		limited := limit.NewListener(s.listener)
+		limited.Limit = s.ConnectionLimit
+		s.listener = limited
+	}
 	return nil
 }
 
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -24,6 +24,9 @@
 	PeerAuthorities string             // Certificates of the authorities that sign hosts; PEM text or the path of a file.
 	PeerCertificate string             // Certificate of this host; PEM text or the path of a file.
 	PeerKey         Secret             // Private key of this host; PEM text or the path of a file.
+	ConnectionLimit int                // Connections of callers that may be open.
+	RequestLimit    int                // Requests that may be in progress; the less urgent ranks meet it first.
+	CallerLimit     int                // Requests of one caller's IP number that may be in progress.
 	StopLimit       time.Duration      // Time that work in progress has to end at a graceful stop.
 	Trace           string             // Exporter of traces.
 	TraceAddress    string             // Address of the OTLP collector.
@@ -45,6 +48,9 @@
 		textFlag("peer-authorities", "REDWINGSPREAD_PEER_AUTHORITIES", "", "Certificates of the authorities that sign hosts; PEM text or the path of a file."),
 		textFlag("peer-certificate", "REDWINGSPREAD_PEER_CERTIFICATE", "", "Certificate of this host; PEM text or the path of a file."),
 		textFlag("peer-key", "REDWINGSPREAD_PEER_KEY", "", "Private key of this host; PEM text or the path of a file."),
+		textFlag("connection-limit", "REDWINGSPREAD_CONNECTION_LIMIT", "16384", "Connections of callers that may be open."),
+		textFlag("request-limit", "REDWINGSPREAD_REQUEST_LIMIT", "2048", "Requests that may be in progress; the less urgent ranks meet it first."),
+		textFlag("caller-limit", "REDWINGSPREAD_CALLER_LIMIT", "1024", "Requests of one caller's IP number that may be in progress."),
 		textFlag("stop-limit", "REDWINGSPREAD_STOP_LIMIT", "30s", "Time that work in progress has to end at a graceful stop."),
 		textFlag("trace", "REDWINGSPREAD_TRACE", "none", "Exporter of traces."),
 		textFlag("trace-address", "REDWINGSPREAD_TRACE_ADDRESS", "127.0.0.1:4318", "Address of the OTLP collector."),
@@ -67,6 +73,9 @@
 	loaded.PeerAuthorities = r.string(rule{flag: "peer-authorities", env: "REDWINGSPREAD_PEER_AUTHORITIES", allows: "a text", required: true})
 	loaded.PeerCertificate = r.string(rule{flag: "peer-certificate", env: "REDWINGSPREAD_PEER_CERTIFICATE", allows: "a text", required: true})
 	loaded.PeerKey = r.secret(rule{flag: "peer-key", env: "REDWINGSPREAD_PEER_KEY", allows: "a secret text", required: true})
+	loaded.ConnectionLimit = r.int(rule{flag: "connection-limit", env: "REDWINGSPREAD_CONNECTION_LIMIT", allows: "a whole number from 1 to 1000000", required: false, min: "1", max: "1000000"})
+	loaded.RequestLimit = r.int(rule{flag: "request-limit", env: "REDWINGSPREAD_REQUEST_LIMIT", allows: "a whole number from 1 to 4096", required: false, min: "1", max: "4096"})
+	loaded.CallerLimit = r.int(rule{flag: "caller-limit", env: "REDWINGSPREAD_CALLER_LIMIT", allows: "a whole number from 1 to 4096", required: false, min: "1", max: "4096"})
 	loaded.StopLimit = r.duration(rule{flag: "stop-limit", env: "REDWINGSPREAD_STOP_LIMIT", allows: "a duration such as 250ms or 10s from 0s to 10m", required: false, min: "0s", max: "10m"})
 	loaded.Trace = r.enum(rule{flag: "trace", env: "REDWINGSPREAD_TRACE", allows: "one of none, stdout, otlp", required: false, allowed: []string{"none", "stdout", "otlp"}})
 	loaded.TraceAddress = r.string(rule{flag: "trace-address", env: "REDWINGSPREAD_TRACE_ADDRESS", allows: "a text", required: false})
