--- a/internal/history/system_test.go
+++ b/internal/history/system_test.go
@@ -54,6 +54,7 @@
 	s.proxy.Host, s.proxy.View, s.proxy.Changed, s.proxy.Local = host, s.snapshot, s.change, s.executor
 	s.proxy.Codec = &session.Codec{Key: []byte("a key of the tests")}
 	s.proxy.NewSession = func() model.SessionID { return "s" }
+	s.proxy.Gate.Limit = 1000
 	s.observe()
 	var ctx context.Context
 	ctx, s.stop = context.WithCancel(context.Background())
--- a/internal/owner/transaction.go
+++ b/internal/owner/transaction.go
@@ -98,10 +98,6 @@
 func (e *Executor) commit(ctx context.Context, work model.Work, open *transaction.Open[*pinned]) (model.Result, error) {
 	pinned := open.Resource
 	result, state, err := pinned.transaction.Commit(ctx, work.Request, work.Deadline)
-	if err != nil && notRun(err) && code(err) != model.CodeTransactionEnded {
-		e.transactions.Return(open)
-		return model.Result{}, err
-	}
 	e.end(open)
 	if err != nil {
 		return model.Result{}, err
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"redwingspread/internal/config"
+	"redwingspread/internal/limit"
 	"redwingspread/internal/model"
 	"redwingspread/internal/owner"
 	"redwingspread/internal/retry"
@@ -33,6 +34,8 @@
 	Redirect func(database model.DatabaseID, owner model.HostID, term model.Term)
 	// Budget limits the repeats of work whose outcome is unknown.
 	Budget *retry.Budget
+	// Gate bounds the requests in progress by rank.
+	Gate *limit.Gate
 	// Now reads the clock.
 	Now func() time.Time
 }
@@ -42,6 +45,7 @@
 	return &Proxy{
 		Redirect: func(model.DatabaseID, model.HostID, model.Term) {},
 		Budget:   retry.New(),
+		Gate:     limit.NewGate(),
 		Now:      time.Now,
 	}
 }
@@ -106,6 +110,11 @@
 	if err != nil {
 		return Answer{}, err
 	}
+	leave, err := p.enter(request)
+	if err != nil {
+		return Answer{}, err
+	}
+	defer leave()
 	ctx, cancel := context.WithDeadline(ctx, work.Deadline)
 	defer cancel()
 	token, err = p.settlePending(ctx, token, work)
