Serve after an election only when a majority holds the start of the term

Cause: a hole: after a promotion the old primary's tail was absent, a session could be told so, and a later election of the old primary and an instance that had not followed yet brought the tail back; work done again ran twice.

--- a/internal/fleet/action.go
+++ b/internal/fleet/action.go
@@ -98,6 +98,7 @@
 	CallFence   Call = "fence"
 	CallPromote Call = "promote"
 	CallFollow  Call = "follow"
+	CallAdopt   Call = "adopt" // state, once the instance holds the start of the term
 )
 
 // InstanceAction is one call of an instance in a term.
--- a/internal/fleet/claim.go
+++ b/internal/fleet/claim.go
@@ -164,7 +164,7 @@
 		if !item.answers() || item.state.Role != model.RolePrimary {
 			continue
 		}
-		if first == nil || item.state.Point.Compare(first.state.Point) > 0 {
+		if first == nil || standing(item.state).Compare(standing(first.state)) > 0 {
 			first = item
 		}
 	}
@@ -210,9 +210,9 @@
 // timelineOf returns the newest timeline that is known of the primary's log.
 func (m *Machine) timelineOf(d *database) model.Timeline {
 	if primary := d.primary(); primary != nil && len(primary.state.Timeline) > 0 {
-		return primary.state.Timeline
+		return recent(primary.state.Timeline)
 	}
-	return d.row.Timeline
+	return recent(d.row.Timeline)
 }
 
 // write sends one change of the row, unless one is under way or the last one's fate is open.
--- a/internal/fleet/database.go
+++ b/internal/fleet/database.go
@@ -39,6 +39,8 @@
 	fenced    map[model.InstanceID]model.InstanceState
 	majority  time.Time        // when a majority was fenced
 	chosen    model.InstanceID // instance to promote; never changed within a term
+	promoted  bool
+	following map[model.InstanceID]bool // told to follow the chosen one
 	serving   bool
 	switching *handover
 	replaced  bool // an instance or a peer knows a higher term
@@ -60,7 +62,11 @@
 
 // newDuty returns the empty duty of a term.
 func newDuty(term model.Term) duty {
-	return duty{term: term, fenced: make(map[model.InstanceID]model.InstanceState)}
+	return duty{
+		term:      term,
+		fenced:    make(map[model.InstanceID]model.InstanceState),
+		following: make(map[model.InstanceID]bool),
+	}
 }
 
 // group returns the instances whose majority decides: those of the row.
--- a/internal/fleet/fault_test.go
+++ b/internal/fleet/fault_test.go
@@ -265,6 +265,7 @@
 				w.instances[id].leaving = test.leaving[i]
 			}
 			primary.down = true
+			w.copyAll()
 			if _, ok := w.gap("d0", row.Term, 5*time.Second); !ok {
 				t.Fatal("got no service, want it")
 			}
--- a/internal/fleet/planned.go
+++ b/internal/fleet/planned.go
@@ -49,8 +49,7 @@
 
 // keepsUp reports whether a replica follows in the row's term and lags little.
 func (m *Machine) keepsUp(d *database, member *instance) bool {
-	follows := member.state.Term == d.row.Term && member.state.Role == model.RoleReplica
-	return follows && member.answers() && time.Duration(member.state.Age) <= m.Timing.Lag
+	return d.follows(member) && member.answers() && time.Duration(member.state.Age) <= m.Timing.Lag
 }
 
 // plan puts a planned switchover in force once the row has its new term.
@@ -136,7 +135,7 @@
 func (d *database) settled() bool {
 	count := 0
 	for _, member := range d.group() {
-		if member.answers() && member.state.Term == d.row.Term && member.state.Point.Term == d.row.Term {
+		if member.answers() && adopted(member.state, d.row.Term) {
 			count++
 		}
 	}
--- a/internal/fleet/probe.go
+++ b/internal/fleet/probe.go
@@ -44,7 +44,7 @@
 		return nil
 	}
 	action := InstanceAction{Call: call, Instance: member.Instance, Term: d.row.Term}
-	if primary := d.primary(); call == CallFollow && primary != nil {
+	if primary := d.primary(); (call == CallFollow || call == CallAdopt) && primary != nil {
 		action.Primary = primary.Instance
 	}
 	if change := d.duty.switching; call == CallAwait && change != nil {
@@ -70,7 +70,7 @@
 	}
 	if event.Term == d.row.Term && m.mine(d) {
 		m.caughtUp(d, event)
-		m.advance(now, d, event)
+		m.advance(d, event)
 	}
 	return append(m.report(now, member), m.reconcile(now, d)...)
 }
@@ -134,7 +134,7 @@
 }
 
 // advance takes a success in the term of the row.
-func (m *Machine) advance(now time.Time, d *database, event InstanceResult) {
+func (m *Machine) advance(d *database, event InstanceResult) {
 	if event.Err != nil || event.State.Term != d.row.Term {
 		return
 	}
@@ -143,16 +143,15 @@
 		d.duty.fenced[event.Instance] = event.State
 	case CallPromote:
 		if event.Instance == d.duty.chosen && event.State.Role == model.RolePrimary {
-			m.installed(now, d)
+			d.duty.promoted = true
 		}
+	case CallFollow:
+		d.duty.following[event.Instance] = true
 	}
 }
 
 // installed begins the service in a term.
 func (m *Machine) installed(now time.Time, d *database) {
-	if d.duty.serving || d.duty.replaced {
-		return
-	}
 	d.duty.serving = true
 	d.planned = false
 	d.nextPlan = now.Add(m.Timing.Replan)
--- a/internal/fleet/runner.go
+++ b/internal/fleet/runner.go
@@ -39,6 +39,8 @@
 	Limit time.Duration
 	// Drain is the time that work in progress has to end before a planned switchover.
 	Drain time.Duration
+	// Adopt is the time between two looks at a replica that takes a new primary's log over.
+	Adopt time.Duration
 	// FleetLimit is the time that reading the members and the owners from a peer may take.
 	FleetLimit time.Duration
 }
@@ -49,6 +51,7 @@
 		Logger:     log.Log,
 		Limit:      150 * time.Millisecond,
 		Drain:      10 * time.Millisecond,
+		Adopt:      5 * time.Millisecond,
 		FleetLimit: 5 * time.Second,
 		Configuration: func(context.Context, model.Host) (model.Version, string, error) {
 			return 0, "", errors.New("peers can't be asked")
@@ -189,6 +192,8 @@
 		result.State, result.Err = client.State(ctx)
 	case CallDrain:
 		result.State, result.Err = r.drain(ctx, client)
+	case CallAdopt:
+		result.State, result.Err = r.adopt(ctx, client, action.Term)
 	case CallAwait:
 		result.State, result.Err = client.Await(ctx, action.Point, r.Limit)
 	case CallFence:
@@ -213,6 +218,23 @@
 	}
 }
 
+// adopt reads an instance's state until it holds the start of the term.
+func (r *Runner) adopt(ctx context.Context, client endpoint.Instance, term model.Term) (model.InstanceState, error) {
+	ticker := time.NewTicker(r.Adopt)
+	defer ticker.Stop()
+	for {
+		state, err := client.State(ctx)
+		if err != nil || adopted(state, term) {
+			return state, err
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return state, nil
+		}
+	}
+}
+
 // log writes one event of the catalogue.
 func (r *Runner) log(note Note) {
 	switch note.Kind {
--- a/internal/fleet/serve.go
+++ b/internal/fleet/serve.go
@@ -92,7 +92,7 @@
 
 // better reports whether the first fenced state makes the better primary.
 func (m *Machine) better(d *database, a, b model.InstanceState) bool {
-	if order := a.Point.Compare(b.Point); order != 0 {
+	if order := standing(a).Compare(standing(b)); order != 0 {
 		return order > 0
 	}
 	if m.leaves(d, a) != m.leaves(d, b) {
@@ -120,19 +120,53 @@
 		if !fenced && d.duty.switching != nil && member.ID == d.duty.switching.to {
 			return true
 		}
-		if !fenced && member.answers() && member.state.Point.Compare(d.duty.fenced[best].Point) > 0 {
+		if !fenced && member.answers() && standing(member.state).Compare(standing(d.duty.fenced[best])) > 0 {
 			return true
 		}
 	}
 	return false
 }
 
-// install fences the chosen instance and makes it primary.
+// install fences the chosen instance and makes it primary; one that the row names has all that was ever served.
 func (m *Machine) install(now time.Time, d *database, primary *instance) []Action {
 	if _, fenced := d.duty.fenced[primary.ID]; !fenced {
 		return m.call(now, d, primary, CallFence)
 	}
-	return m.call(now, d, primary, CallPromote)
+	if !d.duty.promoted {
+		return m.call(now, d, primary, CallPromote)
+	}
+	if d.row.Primary == primary.ID {
+		m.installed(now, d)
+		return m.maintain(now, d, primary)
+	}
+	return m.anchor(now, d, primary)
+}
+
+// anchor waits, after an election, until a majority holds the start of the term: from then on no election can bring back
+// what the promoted log does not have, so that its absence is final.
+func (m *Machine) anchor(now time.Time, d *database, primary *instance) []Action {
+	count := 0
+	for _, member := range d.group() {
+		if adopted(member.state, d.row.Term) {
+			count++
+		}
+	}
+	if count >= d.majority() {
+		m.installed(now, d)
+		return m.maintain(now, d, primary)
+	}
+	actions := m.follow(now, d, primary)
+	for _, member := range d.group() {
+		if member != primary && d.duty.following[member.ID] && !adopted(member.state, d.row.Term) {
+			actions = append(actions, m.call(now, d, member, CallAdopt)...)
+		}
+	}
+	return actions
+}
+
+// follows reports whether the instance has been told to follow the primary of the row's term and still does.
+func (d *database) follows(member *instance) bool {
+	return d.duty.following[member.ID] && member.state.Term == d.row.Term && member.state.Role == model.RoleReplica
 }
 
 // follow makes every other instance a replica of the primary in this term.
@@ -140,8 +174,7 @@
 	var actions []Action
 	for _, id := range d.listed() {
 		member := d.instances[id]
-		follows := member.state.Term == d.row.Term && member.state.Role == model.RoleReplica
-		if member.ID == primary.ID || follows {
+		if member.ID == primary.ID || d.follows(member) {
 			continue
 		}
 		actions = append(actions, m.call(now, d, member, CallFollow)...)
