--- a/internal/capacity/report.go
+++ b/internal/capacity/report.go
@@ -33,6 +33,10 @@
 	ByDatabases []Control `json:"by_databases"` // at a fixed number of hosts
 	Target      Control   `json:"target"`
 	Spread      []Spread  `json:"spread"`
+	Idle        []Live    `json:"idle"`        // daemons with three databases
+	Connections []Live    `json:"connections"` // of callers with one daemon
+	Statements  []Live    `json:"statements"`  // reads through a daemon, everything in one process
+	Direct      []Live    `json:"direct"`      // the same reads without the system
 	Lines       []Line    `json:"lines"`
 	Missed      []string  `json:"missed"`
 }
@@ -74,11 +78,33 @@
 		}
 		report.Spread = append(report.Spread, spread)
 	}
+	if err := report.measureLive(ctx, progress); err != nil {
+		return report, err
+	}
 	report.fit()
 	report.judge()
 	return report, nil
 }
 
+// measureLive measures real daemons in this process.
+func (r *Report) measureLive(ctx context.Context, progress io.Writer) (err error) {
+	for _, daemons := range daemonSizes {
+		fmt.Fprintf(progress, "%d idle daemons\n", daemons)
+		live, err := MeasureIdle(ctx, daemons)
+		if err != nil {
+			return err
+		}
+		r.Idle = append(r.Idle, live)
+	}
+	fmt.Fprintf(progress, "callers' connections\n")
+	if r.Connections, err = MeasureConnections(ctx, connectionSizes); err != nil {
+		return err
+	}
+	fmt.Fprintf(progress, "statements\n")
+	r.Statements, r.Direct, err = MeasureStatements(ctx, statementRates)
+	return err
+}
+
 // figure is one figure of a measured point.
 type figure[P any] struct {
 	name string
@@ -105,11 +131,26 @@
 	{"death known everywhere, ms", func(s Spread) float64 { return milliseconds(s.DeathWorst) }},
 }
 
+// The figures of live measures that lines are drawn through.
+var (
+	liveCPU    = figure[Live]{"processor, % of a core", func(l Live) float64 { return 100 * l.CPUShare }}
+	liveMemory = figure[Live]{"memory, KB", func(l Live) float64 { return float64(l.Memory) / 1000 }}
+)
+
+// sizeOfLive returns the size of a live point.
+func sizeOfLive(live Live) int {
+	return live.Size
+}
+
 // fit draws the lines.
 func (r *Report) fit() {
 	r.Lines = append(r.Lines, lines(r.ByHosts, "hosts", controlFigures, func(c Control) int { return c.Hosts })...)
 	r.Lines = append(r.Lines, lines(r.ByDatabases, "databases", controlFigures, func(c Control) int { return c.Databases })...)
 	r.Lines = append(r.Lines, lines(r.Spread, "hosts", spreadFigures, func(s Spread) int { return s.Hosts })...)
+	r.Lines = append(r.Lines, lines(r.Idle, "idle daemons", []figure[Live]{liveCPU, liveMemory}, sizeOfLive)...)
+	r.Lines = append(r.Lines, lines(r.Connections, "callers' connections", []figure[Live]{liveMemory}, sizeOfLive)...)
+	r.Lines = append(r.Lines, lines(r.Statements, "reads a second through a daemon", []figure[Live]{liveCPU}, sizeOfLive)...)
+	r.Lines = append(r.Lines, lines(r.Direct, "reads a second without the system", []figure[Live]{liveCPU}, sizeOfLive)...)
 }
 
 // lines draws one line for each figure of the points.
@@ -158,6 +199,11 @@
 			fmt.Fprintf(out, "spread among %d hosts: %d hosts learnt nothing\n", spread.Hosts, spread.Missing)
 		}
 	}
+	for _, live := range append(r.Statements, r.Direct...) {
+		if live.Refused > 0 {
+			fmt.Fprintf(out, "at %d reads a second %d were refused\n", live.Size, live.Refused)
+		}
+	}
 	fmt.Fprintf(out, "at %d hosts and %d databases: %+v\n", TargetHosts, TargetDatabases, r.Target)
 	for _, missed := range r.Missed {
 		fmt.Fprintf(out, "missed: %s\n", missed)
