Take the users' measures: replica share, stale reads, the cost of a hop, failover gaps, lost and doubled payments

Cause: every other matter reports through one command. Change: measure starts a user's deployment with the latencies between callers, hosts and instances, reads and pays through several hosts while primaries leave, are isolated and crash, and audits the payments at the end. Conclusion: ranks, floods, lost hosts, configuration and outages of the store are not taken yet; they are null.

--- /dev/null
+++ b/internal/measure/audit.go
@@ -0,0 +1,56 @@
+package measure
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+
+	"redwingspread/internal/model"
+	"redwingspread/pkg/client"
+)
+
+// auditPayments compares the payments that every database holds with those that were acknowledged.
+func (b *Bench) auditPayments(ctx context.Context) error {
+	var doubled, lost int
+	for database, payments := range b.payments {
+		held, err := b.held(ctx, database)
+		if err != nil {
+			return err
+		}
+		acked, unknown := count(payments)
+		fmt.Fprintf(b.Progress, "%s holds %d payments: %d acknowledged, %d unknown\n", database, held, acked, unknown)
+		lost += max(0, acked-held)
+		doubled += max(0, held-acked-unknown)
+	}
+	b.report.Set("doubled", float64(doubled))
+	b.report.Set("lost", float64(lost))
+	return nil
+}
+
+// held returns the number of payments that a database holds.
+func (b *Bench) held(ctx context.Context, database model.DatabaseID) (int, error) {
+	answer, err := b.session(0).Run(ctx, client.Statement{
+		Database: database, Kind: "waitlist", Operation: "seat", Read: true,
+		Arguments: map[string]string{"section": section, "resident": "ada"},
+	})
+	if err != nil {
+		return 0, err
+	}
+	if len(answer.Rows) != 1 {
+		return 0, fmt.Errorf("database %s shows %d seats, not 1", database, len(answer.Rows))
+	}
+	return strconv.Atoi(answer.Rows[0]["payments"])
+}
+
+// count returns how many payments were acknowledged and of how many nothing is known.
+func count(payments []payment) (acked, unknown int) {
+	for _, made := range payments {
+		if made.acked {
+			acked++
+		}
+		if made.unknown {
+			unknown++
+		}
+	}
+	return acked, unknown
+}
--- /dev/null
+++ b/internal/measure/gap.go
@@ -0,0 +1,151 @@
+package measure
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"redwingspread/internal/model"
+	"redwingspread/internal/standin/fault"
+	"redwingspread/pkg/client"
+)
+
+// payment is one payment that was asked for.
+type payment struct {
+	request model.RequestID
+	acked   bool
+	unknown bool // neither acknowledged nor certainly not run
+}
+
+// The times of one failover that is measured.
+const (
+	gapBefore = 500 * time.Millisecond
+	gapAfter  = 4 * time.Second
+	gapHeal   = 3 * time.Second
+	payPause  = 5 * time.Millisecond
+)
+
+// section is the section for which the payments are.
+const section = "measured"
+
+// disturbance is one way in which a primary goes away.
+type disturbance struct {
+	name  string
+	begin func(b *Bench, primary model.InstanceID) error
+	heal  func(b *Bench, primary model.InstanceID)
+}
+
+// disturbances holds the ways that are measured, those that heal first.
+var disturbances = []disturbance{
+	{"planned", setFaults(fault.Faults{Leaving: true}), clearFaults},
+	{"isolated", setFaults(fault.Faults{IsolatedFrom: []fault.Party{"*"}}), clearFaults},
+	{"crash", func(b *Bench, primary model.InstanceID) error { return b.Deployment.StopInstance(primary) }, func(*Bench, model.InstanceID) {}},
+}
+
+// setFaults returns a disturbance by faults of the primary.
+func setFaults(faults fault.Faults) func(*Bench, model.InstanceID) error {
+	return func(b *Bench, primary model.InstanceID) error {
+		b.Deployment.Instances[primary].Faults.Set(faults)
+		return nil
+	}
+}
+
+// clearFaults ends the faults of an instance.
+func clearFaults(b *Bench, primary model.InstanceID) {
+	b.Deployment.Instances[primary].Faults.Set(fault.Faults{})
+}
+
+// measureGaps measures the gap in writes for each disturbance of each database's primary.
+func (b *Bench) measureGaps(ctx context.Context) error {
+	for _, way := range disturbances {
+		var gaps []time.Duration
+		for _, database := range b.Deployment.Plan.Databases {
+			gap, err := b.gap(ctx, way, database)
+			if err != nil {
+				return fmt.Errorf("%s of the primary of %s: %w", way.name, database, err)
+			}
+			fmt.Fprintf(b.Progress, "%s %s: gap %v\n", way.name, database, gap)
+			gaps = append(gaps, gap)
+		}
+		slices.Sort(gaps)
+		b.report.Set(Name("failover_gap_ms."+way.name+".median"), milliseconds(gaps[len(gaps)/2]))
+		b.report.Set(Name("failover_gap_ms."+way.name+".worst"), milliseconds(gaps[len(gaps)-1]))
+	}
+	return nil
+}
+
+// gap pays without pause, disturbs the primary and returns the longest time without an acknowledged payment.
+func (b *Bench) gap(ctx context.Context, way disturbance, database model.DatabaseID) (time.Duration, error) {
+	primary, err := b.enrol(ctx, database)
+	if err != nil {
+		return 0, err
+	}
+	ends := make(chan time.Duration, 1)
+	paying, stop := context.WithCancel(ctx)
+	go func() { ends <- b.payOn(paying, database) }()
+	err = wait(ctx, gapBefore)
+	if err == nil {
+		err = way.begin(b, primary)
+	}
+	err = errors.Join(err, wait(ctx, gapAfter))
+	stop()
+	longest := <-ends
+	way.heal(b, primary)
+	return longest, errors.Join(err, wait(ctx, gapHeal))
+}
+
+// enrol makes sure that there is a seat to pay for and returns the primary that answered.
+func (b *Bench) enrol(ctx context.Context, database model.DatabaseID) (model.InstanceID, error) {
+	session := b.session(0)
+	steps := []client.Statement{
+		{Operation: "offer", Arguments: map[string]string{"section": section, "capacity": "10"}},
+		{Operation: "register", Arguments: map[string]string{"section": section, "resident": "ada"}},
+	}
+	var primary model.InstanceID
+	for _, step := range steps {
+		step.Database = database
+		step.Kind = "registration"
+		answer, err := session.Run(ctx, step)
+		if err != nil {
+			return "", err
+		}
+		primary = answer.Instance
+	}
+	return primary, nil
+}
+
+// payOn pays again and again until the context ends and returns the longest time between two acknowledgements.
+func (b *Bench) payOn(ctx context.Context, database model.DatabaseID) (longest time.Duration) {
+	session := b.session(1)
+	last := time.Now()
+	for ctx.Err() == nil {
+		if b.pay(context.WithoutCancel(ctx), session, database) {
+			longest = max(longest, time.Since(last))
+			last = time.Now()
+		}
+		_ = wait(ctx, payPause) // the loop sees the end
+	}
+	return max(longest, time.Since(last))
+}
+
+// pay makes one payment and reports whether it was acknowledged.
+func (b *Bench) pay(ctx context.Context, session *client.Session, database model.DatabaseID) bool {
+	b.number++
+	made := payment{request: model.RequestID(fmt.Sprintf("pay-%d-%d", b.Seed, b.number))}
+	answer, err := session.Run(ctx, client.Statement{
+		Database: database, Kind: "payment", Operation: "pay", Request: made.request,
+		Arguments: map[string]string{"section": section, "resident": "ada", "cents": "100"},
+	})
+	refused, isRefusal := errors.AsType[*client.Error](err)
+	made.acked = err == nil && answer.Done
+	made.unknown = err != nil && !(isRefusal && refused.NotRun)
+	b.payments[database] = append(b.payments[database], made)
+	return made.acked
+}
+
+// milliseconds returns a duration in milliseconds.
+func milliseconds(duration time.Duration) float64 {
+	return float64(duration) / float64(time.Millisecond)
+}
