--- a/internal/measure/gap.go
+++ b/internal/measure/gap.go
@@ -24,7 +24,7 @@
 	gapBefore = 500 * time.Millisecond
 	gapAfter  = 4 * time.Second
 	gapHeal   = 3 * time.Second
-	payPause  = 5 * time.Millisecond
+	payPause  = 20 * time.Millisecond
 )
 
 // section is the section for which the payments are.
@@ -116,33 +116,68 @@
 	return primary, nil
 }
 
-// payOn pays again and again until the context ends and returns the longest time between two acknowledgements.
+// acked is one payment and when its answer came.
+type acked struct {
+	payment
+	at time.Time
+}
+
+// payOn begins a payment at even times, whatever became of the others, until the context ends; it returns the longest time between two acknowledgements.
 func (b *Bench) payOn(ctx context.Context, database model.DatabaseID) (longest time.Duration) {
-	session := b.session(1)
 	last := time.Now()
-	for ctx.Err() == nil {
-		if b.pay(context.WithoutCancel(ctx), session, database) {
-			longest = max(longest, time.Since(last))
-			last = time.Now()
+	answers := make(chan acked)
+	begun := 0
+	for number := 0; wait(ctx, payPause) == nil; number++ {
+		request := b.request()
+		session := b.session(number % len(b.Deployment.Hosts))
+		go func() {
+			made := pay(context.WithoutCancel(ctx), session, database, request)
+			answers <- acked{payment: made, at: time.Now()}
+		}()
+		begun++
+		for drained := false; !drained; {
+			select {
+			case answer := <-answers:
+				begun--
+				longest, last = b.note(database, answer, longest, last)
+			default:
+				drained = true
+			}
 		}
-		_ = wait(ctx, payPause) // the loop sees the end
 	}
-	return max(longest, time.Since(last))
+	for ; begun > 0; begun-- {
+		longest, last = b.note(database, <-answers, longest, last)
+	}
+	return longest
+}
+
+// note keeps a payment and returns the longest gap so far and the last acknowledgement.
+func (b *Bench) note(database model.DatabaseID, answer acked, longest time.Duration, last time.Time) (time.Duration, time.Time) {
+	b.payments[database] = append(b.payments[database], answer.payment)
+	if !answer.acked {
+		return longest, last
+	}
+	return max(longest, answer.at.Sub(last)), answer.at
 }
 
-// pay makes one payment and reports whether it was acknowledged.
-func (b *Bench) pay(ctx context.Context, session *client.Session, database model.DatabaseID) bool {
+// request names the next payment.
+func (b *Bench) request() model.RequestID {
 	b.number++
-	made := payment{request: model.RequestID(fmt.Sprintf("pay-%d-%d", b.Seed, b.number))}
+	return model.RequestID(fmt.Sprintf("pay-%d-%d", b.Seed, b.number))
+}
+
+// pay makes one payment.
+func pay(ctx context.Context, session *client.Session, database model.DatabaseID, request model.RequestID) payment {
 	answer, err := session.Run(ctx, client.Statement{
-		Database: database, Kind: "payment", Operation: "pay", Request: made.request,
+		Database: database, Kind: "payment", Operation: "pay", Request: request,
 		Arguments: map[string]string{"section": section, "resident": "ada", "cents": "100"},
 	})
 	refused, isRefusal := errors.AsType[*client.Error](err)
-	made.acked = err == nil && answer.Done
-	made.unknown = err != nil && !(isRefusal && refused.NotRun)
-	b.payments[database] = append(b.payments[database], made)
-	return made.acked
+	return payment{
+		request: request,
+		acked:   err == nil && answer.Done,
+		unknown: err != nil && !(isRefusal && refused.NotRun),
+	}
 }
 
 // milliseconds returns a duration in milliseconds.
--- a/internal/measure/read.go
+++ b/internal/measure/read.go
@@ -36,7 +36,9 @@
 	token := ""
 	for number := range reads {
 		if number%readEvery == 0 {
-			if b.pay(ctx, writer, database) {
+			made := pay(ctx, writer, database, b.request())
+			b.payments[database] = append(b.payments[database], made)
+			if made.acked {
 				written++
 			}
 			token = writer.Token()
@@ -100,9 +102,12 @@
 	return times, nil
 }
 
-// readThrough returns a read through the first host of an instance in its data centre.
+// nearReplica is the host whose data centre holds a replica of the first database.
+const nearReplica = 1
+
+// readThrough returns a read through a host near a replica.
 func (b *Bench) readThrough() func(context.Context) error {
-	session := b.session(0)
+	session := b.session(nearReplica)
 	database := b.Deployment.Plan.Databases[0]
 	return func(ctx context.Context) error {
 		_, err := session.Run(ctx, client.Statement{
@@ -113,10 +118,10 @@
 	}
 }
 
-// readDirectly returns the same read without the system, with the time of the callers' link.
+// readDirectly returns the same read on that replica without the system, with the time of the callers' link.
 func (b *Bench) readDirectly(ctx context.Context) (func(context.Context) error, error) {
 	database := b.Deployment.Plan.Databases[0]
-	near := b.Deployment.Hosts[0].Settings.DataCentre
+	near := b.Deployment.Hosts[nearReplica].Settings.DataCentre
 	for _, one := range b.Deployment.Instances {
 		if one.Database != database || one.Place.DataCentre != near {
 			continue
