Delay calls between hosts, too, in the measures

Cause: hosts of different regions called each other without the time of the link. Change: the layer around peers' calls takes the time between their data centres.

--- a/internal/measure/bench.go
+++ b/internal/measure/bench.go
@@ -55,7 +55,8 @@
 			err = fmt.Errorf("measure %s: %w", b.Deployment.Plan.User, err)
 		}
 	}()
-	b.Deployment.WrapOutbound = b.delayOutbound
+	b.Deployment.WrapOutbound = b.delayCalls
+	b.Deployment.WrapPeer = b.delayCalls
 	if err := b.Deployment.Start(ctx); err != nil {
 		return nil, err
 	}
@@ -111,37 +112,50 @@
 	return answer, nil
 }
 
-// placed is a transport that takes the time between a host and the instance that it calls.
+// placed is a transport that takes the time between a host and what it calls.
 type placed struct {
 	next  http.RoundTripper
 	bench *Bench
 	from  model.Host
 }
 
-// RoundTrip takes the time of the link to the instance at the request's address.
+// RoundTrip takes the time of the link to the request's address.
 func (p placed) RoundTrip(r *http.Request) (*http.Response, error) {
 	return delay{next: p.next, oneWay: p.bench.between(p.from, model.Address(r.URL.Host))}.RoundTrip(r)
 }
 
-// delayOutbound returns the layer that delays a host's calls.
-func (b *Bench) delayOutbound(host model.Host) func(http.RoundTripper) http.RoundTripper {
+// delayCalls returns the layer that delays a host's calls.
+func (b *Bench) delayCalls(host model.Host) func(http.RoundTripper) http.RoundTripper {
 	return func(next http.RoundTripper) http.RoundTripper {
 		return placed{next: next, bench: b, from: host}
 	}
 }
 
-// between returns the time from a host to the instance at an address, which is none for the platform.
+// between returns the time from a host to the instance or host at an address, which is none for the platform.
 func (b *Bench) between(from model.Host, address model.Address) time.Duration {
+	place, found := b.placeOf(address)
+	switch {
+	case !found || place.DataCentre == from.DataCentre:
+		return 0
+	case place.Region == from.Region:
+		return b.Deployment.Plan.BetweenCentres
+	}
+	return b.Deployment.Plan.BetweenRegions
+}
+
+// placeOf returns where the instance or host at an address is.
+func (b *Bench) placeOf(address model.Address) (local.Place, bool) {
 	for _, one := range b.Deployment.Instances {
-		if one.Address != address || one.Place.DataCentre == from.DataCentre {
-			continue
+		if one.Address == address {
+			return one.Place, true
 		}
-		if one.Place.Region == from.Region {
-			return b.Deployment.Plan.BetweenCentres
+	}
+	for _, host := range b.Deployment.Hosts {
+		if host.Settings.PeerAddress == address {
+			return local.Place{DataCentre: host.Settings.DataCentre, Region: host.Settings.Region}, true
 		}
-		return b.Deployment.Plan.BetweenRegions
 	}
-	return 0
+	return local.Place{}, false
 }
 
 // wait waits for the duration or until the context ends.
