--- a/internal/fleet/database.go
+++ b/internal/fleet/database.go
@@ -13,24 +13,31 @@
 	id        model.DatabaseID
 	row       model.Ownership // version 0 when no row is known
 	instances map[model.InstanceID]*instance
-	changed   time.Time // when the row's last change was learnt
-	returned  bool      // the owner changed the row after this host held it for dead
-	losses    int       // times in turn that another host took the database from this one
-	hint      OwnerNews // newest news of an owner, for routing
-	since     time.Time // when this host first saw that the database needs another owner
-	commit    bool      // a change of the row is under way
-	retry     time.Time // no change of the row before then
-	sent      time.Time // when the change was sent
-	doubt     bool      // the row must be read before it is changed again
-	plan      *handover // switchover that the change under way begins
-	planned   bool      // the change under way is this owner's own wish
-	nextPlan  time.Time // no planned change before then
+	names     []model.InstanceID // ids of the instances, in order
+	asked     time.Time          // last question of another host about an instance
+	changed   time.Time          // when the row's last change was learnt
+	returned  bool               // the owner changed the row after this host held it for dead
+	losses    int                // times in turn that another host took the database from this one
+	hint      OwnerNews          // newest news of an owner, for routing
+	since     time.Time          // when this host first saw that the database needs another owner
+	commit    bool               // a change of the row is under way
+	retry     time.Time          // no change of the row before then
+	sent      time.Time          // when the change was sent
+	doubt     bool               // the row must be read before it is changed again
+	plan      *handover          // switchover that the change under way begins
+	planned   bool               // the change under way is this owner's own wish
+	nextPlan  time.Time          // no planned change before then
 	duty      duty
+	idle      bool // it needed nothing of this host at the last look
 	fresh     bool // an instance told its state since the last view
 
 	candidates []model.HostID // order of candidates, for the epoch and the primary below
 	epoch      int
 	near       model.InstanceID
+
+	preferred      model.HostID // first of the candidates, for the epoch and the primary below
+	preferredEpoch int
+	preferredNear  model.InstanceID
 }
 
 // duty is what an owner has done in the term of its row.
@@ -39,6 +46,8 @@
 	fenced    map[model.InstanceID]model.InstanceState
 	majority  time.Time        // when a majority was fenced
 	chosen    model.InstanceID // instance to promote; never changed within a term
+	promoted  bool
+	following map[model.InstanceID]bool // told to follow the chosen one
 	serving   bool
 	switching *handover
 	replaced  bool // an instance or a peer knows a higher term
@@ -60,7 +69,11 @@
 
 // newDuty returns the empty duty of a term.
 func newDuty(term model.Term) duty {
-	return duty{term: term, fenced: make(map[model.InstanceID]model.InstanceState)}
+	return duty{
+		term:      term,
+		fenced:    make(map[model.InstanceID]model.InstanceState),
+		following: make(map[model.InstanceID]bool),
+	}
 }
 
 // group returns the instances whose majority decides: those of the row.
@@ -76,7 +89,19 @@
 
 // listed returns the ids of all known instances in order.
 func (d *database) listed() []model.InstanceID {
-	return slices.Sorted(maps.Keys(d.instances))
+	return d.names
+}
+
+// add adds an instance.
+func (d *database) add(item model.Instance) {
+	d.instances[item.ID] = newInstance(item)
+	d.names = slices.Sorted(maps.Keys(d.instances))
+}
+
+// remove forgets an instance.
+func (d *database) remove(id model.InstanceID) {
+	delete(d.instances, id)
+	d.names = slices.Sorted(maps.Keys(d.instances))
 }
 
 // majority returns the number of instances that any two majorities of the group share one of.
@@ -92,6 +117,14 @@
 	return d.instances[d.row.Primary]
 }
 
+// primaryOf returns where the row's primary is, or nothing when it is not known.
+func (d *database) primaryOf() model.Instance {
+	if known := d.instances[d.row.Primary]; known != nil {
+		return known.Instance
+	}
+	return model.Instance{}
+}
+
 // answering counts the group's instances that answer.
 func (d *database) answering() int {
 	count := 0
--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -29,6 +29,7 @@
 	headSeen    bool // the configuration's row has been read
 
 	members   *member.Table
+	live      live
 	databases map[model.DatabaseID]*database
 	order     []model.DatabaseID
 	owners    member.Spread[model.DatabaseID, OwnerNews]
@@ -46,6 +47,8 @@
 	stopping  bool
 	nextMove  time.Time // no move for balance before then
 	dirty     bool
+	turns     turns
+	freshened []*database // whose instances told their states since the last view
 	published *view.View
 	notes     []Action
 }
@@ -139,11 +142,20 @@
 		m.dirty = true
 	}
 	m.noteHosts()
-	for _, id := range m.order {
+	m.turns.next(len(m.order), m.members.Epoch())
+	for place, id := range m.order {
 		known := m.databases[id]
-		m.dirty = m.dirty || known.fresh
-		known.fresh = false
-		actions = append(actions, m.reconcile(now, known)...)
+		if known.fresh {
+			m.freshened = append(m.freshened, known)
+			known.fresh = false
+		}
+		if known.idle && m.turns.skips(place) {
+			continue
+		}
+		known.idle = m.idle(now, known)
+		if !known.idle {
+			actions = append(actions, m.reconcile(now, known)...)
+		}
 	}
 	actions = append(actions, m.configure(now, spread.Ticked{})...)
 	return append(actions, m.beats(now)...)
