--- a/internal/dispatch/load_test.go
+++ b/internal/dispatch/load_test.go
@@ -16,9 +16,9 @@
 	"redwingspread/internal/model"
 )
 
-// The sizes of a load: two slots and two milliseconds a statement make a thousand statements a second.
+// The sizes of a load; a statement takes two milliseconds on average.
 const (
-	loadCapacity = 1000.0 // statements a second
+	slotCapacity = 500.0 // statements a second
 	loadWarm     = 3 * time.Second
 	loadTime     = 8 * time.Second
 	loadDeadline = 2 * time.Second
@@ -42,15 +42,16 @@
 
 // tally is what became of a flow's work within the measured time.
 type tally struct {
-	mutex   sync.Mutex
-	offered int
-	good    int // answered before the deadline
-	latency *hdrhistogram.Histogram
+	mutex    sync.Mutex
+	capacity float64 // statements a second
+	offered  int
+	good     int // answered before the deadline
+	latency  *hdrhistogram.Histogram
 }
 
 // share returns the goodput in shares of capacity.
 func (t *tally) share() float64 {
-	return float64(t.good) / loadTime.Seconds() / loadCapacity
+	return float64(t.good) / loadTime.Seconds() / t.capacity
 }
 
 // kept returns the share of the offered work that was answered in time.
@@ -63,10 +64,24 @@
 	return time.Duration(t.latency.ValueAtQuantile(99)) * time.Microsecond
 }
 
+// user is the size of one user's instances.
+type user struct {
+	slots       int
+	connections int
+	openTime    time.Duration
+}
+
+// The two users.
+var (
+	authority = user{slots: 2, connections: 15, openTime: 10 * time.Millisecond}
+	library   = user{slots: 5, connections: 55, openTime: 30 * time.Millisecond}
+)
+
 // load is one run of flows through a dispatcher and a fake instance on the test's clock.
 type load struct {
 	policy  func() admit.Policy[*Turn]
 	flows   []flow
+	user    user                           // none for the Authority
 	slow    func(at time.Duration) float64 // factor on the service time; nil for none
 	prepare func(fake *instance)           // nil for a sound instance
 	warm    time.Duration                  // time before the measured one; zero for the usual
@@ -80,12 +95,16 @@
 		random := rand.New(rand.NewPCG(loadSeed, loadSeed))
 		begin := time.Now()
 		fake := newInstance()
+		size := cmp.Or(l.user, authority)
+		fake.slots, fake.connections, fake.openTime = size.slots, size.connections, size.openTime
 		fake.serviceTime = l.service(random, begin)
 		if l.prepare != nil {
 			l.prepare(fake)
 		}
 		d := New()
 		d.Instance = fake
+		d.Slots = model.Slots(size.slots)
+		d.Connections = model.Connections(size.connections)
 		d.QueueLimit = 512
 		d.RankFloors = loadFloors
 		d.Policy = l.policy()
@@ -94,14 +113,14 @@
 		go d.Run(ctx, done)
 		var group sync.WaitGroup
 		for _, f := range l.flows {
-			tallies[f.name] = &tally{latency: hdrhistogram.New(1, 60_000_000, 3)}
+			tallies[f.name] = &tally{capacity: slotCapacity * float64(size.slots), latency: hdrhistogram.New(1, 60_000_000, 3)}
 			arrivals := rand.New(rand.NewPCG(loadSeed, random.Uint64()))
 			group.Go(func() { l.offer(ctx, d, f, tallies[f.name], arrivals, begin) })
 		}
 		group.Wait()
 		stop()
 		<-done
-		if got, want := fake.mostOpen, 15; got > want {
+		if got, want := fake.mostOpen, size.connections; got > want {
 			t.Errorf("got %d connections open, want at most %d", got, want)
 		}
 	})
@@ -128,7 +147,7 @@
 func (l load) offer(ctx context.Context, d *Dispatcher, f flow, result *tally, random *rand.Rand, begin time.Time) {
 	from := cmp.Or(l.warm, loadWarm)
 	to := from + loadTime
-	gap := float64(time.Second) / (f.share * loadCapacity)
+	gap := float64(time.Second) / (f.share * result.capacity)
 	var group sync.WaitGroup
 	defer group.Wait()
 	next := begin
@@ -215,7 +234,7 @@
 	for _, f := range flows {
 		got := tallies[f.name]
 		total += got.share()
-		line += fmt.Sprintf(" | %s %.3f of %.3f, p99 %.1f ms", f.name, got.share(), float64(got.offered)/loadTime.Seconds()/loadCapacity, float64(got.p99().Microseconds())/1000)
+		line += fmt.Sprintf(" | %s %.3f of %.3f, p99 %.1f ms", f.name, got.share(), float64(got.offered)/loadTime.Seconds()/got.capacity, float64(got.p99().Microseconds())/1000)
 	}
 	t.Logf("%-12s %-8s total %.3f%s", scenario, policy, total, line)
 }
@@ -253,9 +272,8 @@
 }
 
 func TestFlood(t *testing.T) {
-	alone := load{policy: loadPolicies["floors"], flows: flooded("")[:2]}.run(t)["one"]
-	t.Logf("rank one alone: p99 %v", alone.p99())
 	tests := map[string]struct {
+		user  user
 		flows []flow
 		want  map[string]float64 // least goodput, in shares of capacity
 		quick bool               // rank one keeps its latency
@@ -274,11 +292,25 @@
 			flows: flooded("one"),
 			want:  map[string]float64{"one-other": 0.1 * 0.95, "two": 0.25 * 0.95, "three": 0.05 * 0.95},
 		},
+		"three at the Library": {
+			user:  library,
+			flows: flooded("three"),
+			want:  map[string]float64{"one": 0.2 * 0.99, "one-other": 0.1 * 0.99, "two": 0.25 * 0.95},
+			quick: true,
+		},
+		"two at the Library": {
+			user:  library,
+			flows: flooded("two"),
+			want:  map[string]float64{"one": 0.2 * 0.99, "one-other": 0.1 * 0.99, "three": 0.05 * 0.95},
+			quick: true,
+		},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
+			alone := load{policy: loadPolicies["floors"], flows: flooded("")[:2], user: test.user}.run(t)["one"]
+			t.Logf("rank one alone: p99 %v", alone.p99())
 			for policy, make := range compared() {
-				tallies := load{policy: make, flows: test.flows}.run(t)
+				tallies := load{policy: make, flows: test.flows, user: test.user}.run(t)
 				print(t, "flood "+name, policy, test.flows, tallies)
 				if policy != "floors" {
 					continue
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -74,7 +74,7 @@
 	loaded.PeerCertificate = r.string(rule{flag: "peer-certificate", env: "REDWINGSPREAD_PEER_CERTIFICATE", allows: "a text", required: true})
 	loaded.PeerKey = r.secret(rule{flag: "peer-key", env: "REDWINGSPREAD_PEER_KEY", allows: "a secret text", required: true})
 	loaded.ConnectionLimit = r.int(rule{flag: "connection-limit", env: "REDWINGSPREAD_CONNECTION_LIMIT", allows: "a whole number from 1 to 1000000", required: false, min: "1", max: "1000000"})
-	loaded.RequestLimit = r.int(rule{flag: "request-limit", env: "REDWINGSPREAD_REQUEST_LIMIT", allows: "a whole number from 1 to 4096", required: false, min: "1", max: "4096"})
+	loaded.RequestLimit = r.int(rule{flag: "request-limit", env: "REDWINGSPREAD_REQUEST_LIMIT", allows: "a whole number from 1 to 3000", required: false, min: "1", max: "3000"})
 	loaded.CallerLimit = r.int(rule{flag: "caller-limit", env: "REDWINGSPREAD_CALLER_LIMIT", allows: "a whole number from 1 to 4096", required: false, min: "1", max: "4096"})
 	loaded.StopLimit = r.duration(rule{flag: "stop-limit", env: "REDWINGSPREAD_STOP_LIMIT", allows: "a duration such as 250ms or 10s from 0s to 10m", required: false, min: "0s", max: "10m"})
 	loaded.Trace = r.enum(rule{flag: "trace", env: "REDWINGSPREAD_TRACE", allows: "one of none, stdout, otlp", required: false, allowed: []string{"none", "stdout", "otlp"}})
