--- /dev/null
+++ b/internal/owner/flight_test.go
@@ -0,0 +1,60 @@
+package owner
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"redwingspread/internal/model"
+)
+
+func TestFlights(t *testing.T) {
+	const run = time.Second
+	tests := map[string]struct {
+		errors []error       // of the runs in their order; later ones succeed
+		second time.Duration // deadline of the second attempt
+		want   []string      // what both attempts were told
+		runs   int
+	}{
+		"second shares the result":        {second: 2 * run, want: []string{"ran", "repeated"}, runs: 1},
+		"second runs after a refusal":     {errors: []error{model.Refuse(model.CodeDeadline, "x")}, second: 3 * run, want: []string{"deadline", "ran"}, runs: 2},
+		"second runs after a doubt":       {errors: []error{model.Doubt("x")}, second: 3 * run, want: []string{"outcome_unknown", "ran"}, runs: 2},
+		"second's time is over meanwhile": {second: run / 2, want: []string{"ran", "outcome_unknown"}, runs: 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFlights()
+				runs := 0
+				attempt := func(limit time.Duration) string {
+					ctx, cancel := context.WithTimeout(context.Background(), limit)
+					defer cancel()
+					result, err := f.do(ctx, flightKey{database: "seats", request: "w"}, func() (model.Result, error) {
+						time.Sleep(run)
+						runs++
+						if runs <= len(test.errors) {
+							return model.Result{}, test.errors[runs-1]
+						}
+						return model.Result{}, nil
+					})
+					if err == nil && result.Repeated {
+						return "repeated"
+					}
+					if err == nil {
+						return "ran"
+					}
+					return string(code(err))
+				}
+				first := make(chan string, 1)
+				go func() { first <- attempt(time.Hour) }()
+				synctest.Wait()
+				got := []string{"", attempt(test.second)}
+				got[0] = <-first
+				if got[0] != test.want[0] || got[1] != test.want[1] || runs != test.runs {
+					t.Errorf("got %q after %d runs, want %q after %d", got, runs, test.want, test.runs)
+				}
+			})
+		})
+	}
+}
