--- a/internal/cli/config.go
+++ b/internal/cli/config.go
@@ -33,6 +33,7 @@
 			newConfigStatus(),
 			newConfigExport(),
 			newConfigImport(),
+			newConfigRestore(),
 		},
 	}
 }
--- /dev/null
+++ b/internal/cli/config_restore.go
@@ -0,0 +1,39 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+
+	"github.com/urfave/cli/v3"
+
+	"redwingspread/internal/model"
+)
+
+// newConfigRestore returns the command that accepts an earlier configuration again.
+func newConfigRestore() *cli.Command {
+	return &cli.Command{
+		Name:      "restore",
+		Usage:     "accept the text of an earlier version again, as a new version",
+		ArgsUsage: "VERSION",
+		Description: `Examples:
+  redwingspread config restore 41 --author Dana --dry-run
+  redwingspread config restore 41 --author Dana`,
+		Flags: changeFlags(),
+		Action: operateAction(func(ctx context.Context, o *operating, command *cli.Command) error {
+			version, err := strconv.ParseUint(command.Args().First(), 10, 64)
+			if err != nil {
+				return exitError{error: fmt.Errorf("version is %q, allowed: a whole number", command.Args().First()), code: exitUsage}
+			}
+			from, err := o.inForce(ctx)
+			if err != nil {
+				return err
+			}
+			earlier, err := o.accepted(ctx, model.Version(version))
+			if err != nil {
+				return err
+			}
+			return o.submit(ctx, command, from, earlier.document)
+		}),
+	}
+}
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -21,6 +21,11 @@
 	PlatformAddress model.Address      // Address of the platform's service.
 	TokenKey        Secret             // Key that signs session tokens.
 	TokenKeyOld     Secret             // Former key that is still accepted during a change.
+	Certificate     string             // Certificate of this host: PEM, or the name of a file with it.
+	Key             Secret             // Private key of the certificate: PEM, or the name of a file with it.
+	Authorities     string             // Certificates of the authorities that peers may have: PEM, or the name of a file with them.
+	FirstOperator   string             // Hash of the first operator's token; `redwingspread keys first` makes both.
+	Guard           string             // Whether callers and operators need a token; open is for trials on the loopback.
 	StopLimit       time.Duration      // Time that work in progress has to end at a graceful stop.
 	Trace           string             // Exporter of traces.
 	TraceAddress    string             // Address of the OTLP collector.
@@ -39,6 +44,11 @@
 		textFlag("platform-address", "REDWINGSPREAD_PLATFORM_ADDRESS", "", "Address of the platform's service."),
 		textFlag("token-key", "REDWINGSPREAD_TOKEN_KEY", "", "Key that signs session tokens."),
 		textFlag("token-key-old", "REDWINGSPREAD_TOKEN_KEY_OLD", "", "Former key that is still accepted during a change."),
+		textFlag("certificate", "REDWINGSPREAD_CERTIFICATE", "", "Certificate of this host: PEM, or the name of a file with it."),
+		textFlag("key", "REDWINGSPREAD_KEY", "", "Private key of the certificate: PEM, or the name of a file with it."),
+		textFlag("authorities", "REDWINGSPREAD_AUTHORITIES", "", "Certificates of the authorities that peers may have: PEM, or the name of a file with them."),
+		textFlag("first-operator", "REDWINGSPREAD_FIRST_OPERATOR", "", "Hash of the first operator's token; `redwingspread keys first` makes both."),
+		textFlag("guard", "REDWINGSPREAD_GUARD", "tokens", "Whether callers and operators need a token; open is for trials on the loopback."),
 		textFlag("stop-limit", "REDWINGSPREAD_STOP_LIMIT", "30s", "Time that work in progress has to end at a graceful stop."),
 		textFlag("trace", "REDWINGSPREAD_TRACE", "none", "Exporter of traces."),
 		textFlag("trace-address", "REDWINGSPREAD_TRACE_ADDRESS", "127.0.0.1:4318", "Address of the OTLP collector."),
@@ -58,6 +68,11 @@
 	loaded.PlatformAddress = r.address(rule{flag: "platform-address", env: "REDWINGSPREAD_PLATFORM_ADDRESS", allows: "an IP number and a port", required: true})
 	loaded.TokenKey = r.secret(rule{flag: "token-key", env: "REDWINGSPREAD_TOKEN_KEY", allows: "a secret text of at least 16 bytes", required: true, min: "16"})
 	loaded.TokenKeyOld = r.secret(rule{flag: "token-key-old", env: "REDWINGSPREAD_TOKEN_KEY_OLD", allows: "a secret text of at least 16 bytes, or nothing", required: false, min: "16"})
+	loaded.Certificate = r.string(rule{flag: "certificate", env: "REDWINGSPREAD_CERTIFICATE", allows: "a text, or nothing", required: false})
+	loaded.Key = r.secret(rule{flag: "key", env: "REDWINGSPREAD_KEY", allows: "a secret text of at least 1 bytes, or nothing", required: false, min: "1"})
+	loaded.Authorities = r.string(rule{flag: "authorities", env: "REDWINGSPREAD_AUTHORITIES", allows: "a text, or nothing", required: false})
+	loaded.FirstOperator = r.string(rule{flag: "first-operator", env: "REDWINGSPREAD_FIRST_OPERATOR", allows: "a text, or nothing", required: false})
+	loaded.Guard = r.enum(rule{flag: "guard", env: "REDWINGSPREAD_GUARD", allows: "one of tokens, open", required: false, allowed: []string{"tokens", "open"}})
 	loaded.StopLimit = r.duration(rule{flag: "stop-limit", env: "REDWINGSPREAD_STOP_LIMIT", allows: "a duration such as 250ms or 10s from 0s to 10m", required: false, min: "0s", max: "10m"})
 	loaded.Trace = r.enum(rule{flag: "trace", env: "REDWINGSPREAD_TRACE", allows: "one of none, stdout, otlp", required: false, allowed: []string{"none", "stdout", "otlp"}})
 	loaded.TraceAddress = r.string(rule{flag: "trace-address", env: "REDWINGSPREAD_TRACE_ADDRESS", allows: "a text", required: false})
