--- a/internal/fleet/beat.go
+++ b/internal/fleet/beat.go
@@ -63,6 +63,7 @@
 	epoch := m.members.Epoch()
 	if beat.Address != "" {
 		m.helper = model.Host{ID: beat.From, Address: beat.Address}
+		m.told[beat.From] = beat.Address
 	}
 	m.members.Heard(now, beat.From, beat.Incarnation, beat.Sequence, beat.Leaving, beat.Configuration)
 	for _, news := range beat.Members {
--- a/internal/trust/limit_test.go
+++ b/internal/serve/server_test.go
@@ -1,4 +1,4 @@
-package trust
+package serve
 
 import (
 	"context"
@@ -22,7 +22,7 @@
 		"half a header":    {"POST / HTTP/1.1\r\nHost: h\r\nX-Slow: ", ""},
 		"half a body":      {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 50\r\n\r\nhalf", "HTTP/1.1 400"},
 		"body too large":   {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 65\r\n\r\n" + strings.Repeat("x", 65), "HTTP/1.1 413"},
-		"header too large": {"POST / HTTP/1.1\r\nHost: h\r\nX: " + strings.Repeat("x", 2*MaxHeader) + "\r\n\r\n", "HTTP/1.1 431"},
+		"header too large": {"POST / HTTP/1.1\r\nHost: h\r\nX: " + strings.Repeat("x", 2*headerSizeLimit) + "\r\n\r\n", "HTTP/1.1 431"},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -34,6 +34,13 @@
 	}
 }
 
+// limited returns a server with the limit on bodies.
+func limited(maxBody int64) *http.Server {
+	made := New("", http.HandlerFunc(readBody))
+	made.BodyLimit = maxBody
+	return made.server()
+}
+
 // talk sends a text to a server whose timeouts are short, and returns everything until the server hangs up.
 func talk(t *testing.T, maxBody int64, sends string) string {
 	t.Helper()
@@ -41,7 +48,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := NewServer(http.HandlerFunc(readBody), maxBody)
+	server := limited(maxBody)
 	for _, limit := range []*time.Duration{&server.ReadHeaderTimeout, &server.ReadTimeout, &server.IdleTimeout} {
 		if *limit <= 0 {
 			t.Fatalf("got a timeout of %v, want a limit", *limit)
--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -30,6 +30,10 @@
 	AnswerLimit int64
 	// Transport carries the requests; nil for the one of package http.
 	Transport http.RoundTripper
+	// Bearer is the caller's token, as an operator granted it.
+	Bearer string
+	// Secure asks for TLS; the transport knows the hosts' authorities.
+	Secure bool
 
 	budget   *retry.Budget
 	turn     atomic.Uint64
@@ -83,9 +87,14 @@
 	if transport == nil {
 		transport = http.DefaultTransport
 	}
-	caller := &http.Client{Transport: limiter{next: transport, limit: c.AnswerLimit}}
+	scheme := "http://"
+	if c.Secure {
+		scheme = "https://"
+	}
+	authorized := bearer{next: transport, token: c.Bearer}
+	caller := &http.Client{Transport: limiter{next: authorized, limit: c.AnswerLimit}}
 	for _, address := range c.Addresses {
-		invoker, err := callerapi.NewClient("http://"+string(address), callerapi.WithClient(caller))
+		invoker, err := callerapi.NewClient(scheme+string(address), callerapi.WithClient(caller))
 		if err != nil {
 			c.err = fmt.Errorf("connect to %s: %w", address, err)
 			return
