--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -172,6 +172,7 @@
 	d.executor = owner.New()
 	d.executor.Host = d.host
 	d.executor.View = d.loop.Snapshot
+	d.executor.Changed = d.loop.Changed
 	d.executor.Instances = d.instances
 	d.executor.Gate = ack.New()
 	d.executor.Gate.Instance = d.instances.Client
@@ -192,6 +193,7 @@
 	d.proxy.Peer = d.peers.At
 	d.proxy.Codec = &session.Codec{Key: []byte(d.Settings.TokenKey), Old: []byte(d.Settings.TokenKeyOld)}
 	d.proxy.NewSession = newSession
+	d.proxy.Gate.Limit = d.Settings.RequestLimit
 	d.proxy.Redirect = func(database model.DatabaseID, host model.HostID, term model.Term) {
 		d.loop.Offer(fleet.Redirected{Database: database, Owner: host, Term: term})
 	}
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"time"
 
+	"redwingspread/internal/limit"
 	"redwingspread/internal/model"
 )
 
@@ -33,6 +34,8 @@
 	BodyLimit int64
 	// DrainLimit is the time that requests in progress have to end.
 	DrainLimit time.Duration
+	// ConnectionLimit is the number of connections that may be open; zero for no limit.
+	ConnectionLimit int
 
 	listener net.Listener
 }
@@ -48,6 +51,11 @@
 	if err != nil {
 		return fmt.Errorf("serve: %w", err)
 	}
+	if s.ConnectionLimit > 0 {
+		limited := limit.NewListener(s.listener)
+		limited.Limit = s.ConnectionLimit
+		s.listener = limited
+	}
 	if s.TLS != nil {
 		s.listener = tls.NewListener(s.listener, s.TLS)
 	}
