--- a/internal/ack/gate.go
+++ b/internal/ack/gate.go
@@ -16,6 +16,8 @@
 	Instance func(model.Instance) endpoint.Instance
 	// Row reads the row of a database as it is now.
 	Row func(ctx context.Context, database model.DatabaseID) (model.Ownership, error)
+	// Observe is told of each state that a probe saw; it may be nil.
+	Observe func(model.InstanceState)
 	// Limit is the time that replicas have to hold a write.
 	Limit time.Duration
 	// Probe is the time that one probe of a replica or of the row may take.
--- a/internal/ack/lane.go
+++ b/internal/ack/lane.go
@@ -50,7 +50,7 @@
 	return &prober{
 		needs: func(w *waiter) bool { return w.want != model.DurabilityReplica },
 		ask: func(ctx context.Context, _ []model.Point) func(*Tally) {
-			return replicaAnswer(instance, func() (model.InstanceState, error) { return l.gate.Instance(instance).State(ctx) })
+			return l.answer(instance, func() (model.InstanceState, error) { return l.gate.Instance(instance).State(ctx) })
 		},
 	}
 }
@@ -60,7 +60,7 @@
 	return &prober{
 		needs: func(w *waiter) bool { return w.want == model.DurabilityReplica },
 		ask: func(ctx context.Context, points []model.Point) func(*Tally) {
-			return replicaAnswer(instance, func() (model.InstanceState, error) {
+			return l.answer(instance, func() (model.InstanceState, error) {
 				return l.gate.Instance(instance).Await(ctx, earliest(points), l.gate.Probe/2)
 			})
 		},
@@ -81,8 +81,8 @@
 	}
 }
 
-// replicaAnswer asks an instance for its state, which a refusal may carry too.
-func replicaAnswer(instance model.Instance, ask func() (model.InstanceState, error)) func(*Tally) {
+// answer asks an instance for its state, which a refusal may carry too.
+func (l *lane) answer(instance model.Instance, ask func() (model.InstanceState, error)) func(*Tally) {
 	state, err := ask()
 	var refusal *model.Refusal
 	if errors.As(err, &refusal) && refusal.State != nil {
@@ -91,6 +91,9 @@
 	if err != nil || state.Instance != instance.ID {
 		return nil
 	}
+	if l.gate.Observe != nil {
+		l.gate.Observe(state)
+	}
 	return func(t *Tally) { t.Replica(state) }
 }
 
--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -58,6 +58,11 @@
 	return !i.observed.IsZero() && i.missed == 0
 }
 
+// seenSince reports whether the instance answered after the time and no call is unanswered.
+func (i *instance) seenSince(since time.Time) bool {
+	return i.missed == 0 && i.observed.After(since)
+}
+
 // silent reports whether several calls and some time have passed without an answer.
 func (i *instance) silent(now time.Time, limit time.Duration) bool {
 	if i.missed < missesOfSilence {
--- a/internal/fleet/probe.go
+++ b/internal/fleet/probe.go
@@ -18,7 +18,7 @@
 	for _, id := range d.listed() {
 		member := d.instances[id]
 		asked := !member.reported && now.Sub(member.asked) < questionFor
-		if all || asked {
+		if asked || all && !member.seenSince(now.Add(-m.Timing.Watch(m.members.Size()))) {
 			actions = append(actions, m.call(now, d, member, CallState)...)
 		}
 	}
@@ -78,7 +78,7 @@
 // pause returns the time before the same call is made again.
 func (m *Machine) pause(event InstanceResult) time.Duration {
 	if event.Call == CallState {
-		return m.Timing.Probe
+		return m.Timing.Watch(m.members.Size())
 	}
 	if event.Err != nil {
 		return m.Timing.Retry
--- a/internal/fleet/timing.go
+++ b/internal/fleet/timing.go
@@ -9,7 +9,9 @@
 // Timing holds the times of the control machine.
 type Timing struct {
 	Member     member.Timing
-	Probe      time.Duration // between two probes of an instance
+	Probe      time.Duration // between two probes of an instance that traffic does not use, in a small fleet
+	ProbeMost  time.Duration // the longest time between two probes, in a large fleet
+	ProbeShare time.Duration // added to the time between probes for each host of the fleet
 	Rows       time.Duration // between two polls of the table in a small fleet
 	RowsMost   time.Duration // the longest time between two polls, in a large fleet
 	RowsShare  time.Duration // added to the time between polls for each host of the fleet
@@ -29,6 +31,8 @@
 	return Timing{
 		Member:     member.DefaultTiming(),
 		Probe:      100 * time.Millisecond,
+		ProbeMost:  2 * time.Second,
+		ProbeShare: time.Millisecond,
 		Rows:       500 * time.Millisecond,
 		RowsMost:   10 * time.Second,
 		RowsShare:  5 * time.Millisecond,
@@ -44,6 +48,11 @@
 	}
 }
 
+// Watch returns the time between two probes of an instance in a fleet of the size.
+func (t Timing) Watch(hosts int) time.Duration {
+	return min(t.ProbeMost, max(t.Probe, time.Duration(hosts)*t.ProbeShare))
+}
+
 // Poll returns the time between two polls of the table in a fleet of the size.
 func (t Timing) Poll(hosts int) time.Duration {
 	return min(t.RowsMost, max(t.Rows, time.Duration(hosts)*t.RowsShare))
--- a/internal/member/beat.go
+++ b/internal/member/beat.go
@@ -152,6 +152,10 @@
 		known.probe = true
 	case news.State == view.Dead && t.fresh(now, known):
 		known.probe = true
+	case news.State == view.Alive:
+		known.heard = now
+		known.missed = 0
+		t.set(known, news.State)
 	default:
 		t.set(known, news.State)
 	}
--- a/internal/member/timing.go
+++ b/internal/member/timing.go
@@ -16,7 +16,7 @@
 func DefaultTiming() Timing {
 	return Timing{
 		Beat:       100 * time.Millisecond,
-		BeatMost:   time.Second,
+		BeatMost:   2 * time.Second,
 		BeatShare:  time.Millisecond,
 		Suspect:    300 * time.Millisecond,
 		Lone:       600 * time.Millisecond,
@@ -31,5 +31,5 @@
 
 // Silence returns the silence after which a host is suspect in a fleet of the size.
 func (t Timing) Silence(hosts int) time.Duration {
-	return max(t.Suspect, 3*t.Every(hosts))
+	return max(t.Suspect, 2*t.Every(hosts))
 }
