--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/rand"
-	"net/http"
 	"time"
 
 	"redwingspread/internal/config"
@@ -11,6 +10,7 @@
 	"redwingspread/internal/ledger"
 	"redwingspread/internal/model"
 	"redwingspread/internal/operator"
+	"redwingspread/internal/trust"
 )
 
 // peerControl answers what peers ask of the control loop.
@@ -62,8 +62,8 @@
 	return model.SessionID(rand.Text())
 }
 
-// operatorHandler returns the operator interface.
-func (d *Daemon) operatorHandler() (http.Handler, error) {
+// operatorServer returns the operator interface.
+func (d *Daemon) operatorServer() *operator.Server {
 	server := operator.New()
 	server.View = d.loop.Snapshot
 	server.Ledger = d.ledger()
@@ -71,7 +71,9 @@
 		d.loop.Offer(fleet.PolicyAccepted{Policy: policy, Document: document})
 	}
 	server.Log = d.Logger
-	return server.Handler()
+	server.First = trust.FirstOperator(d.Settings)
+	server.Open = d.open
+	return server
 }
 
 // ledger returns the book of accepted configurations.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -49,6 +49,7 @@
 	WrapPeer func(http.RoundTripper) http.RoundTripper
 
 	host      model.Host
+	open      bool // every request is let in
 	tracer    *trace.Tracer
 	store     *platform.Client
 	loop      *controlLoop
@@ -105,6 +106,9 @@
 func (d *Daemon) build(ctx context.Context) (err error) {
 	s := d.Settings
 	d.host = model.Host{ID: s.Host, Address: s.PeerAddress, DataCentre: s.DataCentre, Region: s.Region}
+	if d.open, err = trust.Open(s); err != nil {
+		return err
+	}
 	d.tracer, err = trace.New(ctx, s.Host, trace.Exporter(s.Trace), s.TraceAddress)
 	if err != nil {
 		return err
--- a/internal/daemon/servers.go
+++ b/internal/daemon/servers.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"redwingspread/internal/config"
 	"redwingspread/internal/event"
 	"redwingspread/internal/fleet"
 	"redwingspread/internal/limit"
@@ -16,6 +17,9 @@
 // handOverPoll is the time between two looks whether every database was handed over.
 const handOverPoll = 10 * time.Millisecond
 
+// operatorBodyLimit is the largest body of an operator's request in bytes: a document and what is about it.
+const operatorBodyLimit = config.MaxText + 64<<10
+
 // allRequests is the number of requests, in request limits, that are read at once; the rank of one is known once it is read.
 const allRequests = 2
 
@@ -29,14 +33,19 @@
 	limited := limit.NewCallers[string]()
 	limited.Each = d.Settings.CallerLimit
 	limited.All = allRequests * d.Settings.RequestLimit
-	caller := serve.New(d.Settings.CallerAddress, limit.Handler(limited, d.tracer.Handler("caller", callers)))
+	guarded := d.guardCallers(callers)
+	caller := serve.New(d.Settings.CallerAddress, limit.Handler(limited, d.tracer.Handler("caller", guarded)))
+	caller.TLS = d.publicTLS()
 	caller.ConnectionLimit = d.Settings.ConnectionLimit
 	caller.DrainLimit = d.Settings.StopLimit
-	operators, err := d.operatorHandler()
+	operating := d.operatorServer()
+	operators, err := operating.Handler()
 	if err != nil {
 		return err
 	}
 	operator := serve.New(d.Settings.OperatorAddress, operators)
+	operator.BodyLimit = operatorBodyLimit
+	operator.TLS = d.publicTLS()
 	for _, listener := range []interface{ Listen() error }{caller, peers, operator} {
 		if err := listener.Listen(); err != nil {
 			return err
@@ -49,6 +58,7 @@
 		{"transactions", d.executor.Run},
 		{"instances", d.instances.Run},
 		{"operator", operator.Run},
+		{"measurement", operating.Run},
 		{"control", d.loop.Run},
 	}
 	return nil
--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -25,10 +25,12 @@
 	NewNonce func() model.Nonce
 
 	spread      *spread.Machine
-	spreadEpoch int  // epoch of the members when dead peers were last forgotten
-	headSeen    bool // the configuration's row has been read
+	spreadEpoch int                            // epoch of the members when dead peers were last forgotten
+	headSeen    bool                           // the configuration's row has been read
+	told        map[model.HostID]model.Address // where peers say that they are
 
 	members   *member.Table
+	live      live
 	databases map[model.DatabaseID]*database
 	order     []model.DatabaseID
 	owners    member.Spread[model.DatabaseID, OwnerNews]
@@ -46,6 +48,8 @@
 	stopping  bool
 	nextMove  time.Time // no move for balance before then
 	dirty     bool
+	turns     turns
+	freshened []*database // whose instances told their states since the last view
 	published *view.View
 	notes     []Action
 }
@@ -58,6 +62,7 @@
 	return &Machine{
 		Timing:    DefaultTiming(),
 		spread:    spread.New(),
+		told:      make(map[model.HostID]model.Address),
 		members:   member.New(),
 		databases: make(map[model.DatabaseID]*database),
 		instances: make(map[model.InstanceID]*database),
@@ -139,11 +144,20 @@
 		m.dirty = true
 	}
 	m.noteHosts()
-	for _, id := range m.order {
+	m.turns.next(len(m.order), m.members.Epoch())
+	for place, id := range m.order {
 		known := m.databases[id]
-		m.dirty = m.dirty || known.fresh
-		known.fresh = false
-		actions = append(actions, m.reconcile(now, known)...)
+		if known.fresh {
+			m.freshened = append(m.freshened, known)
+			known.fresh = false
+		}
+		if known.idle && m.turns.skips(place) {
+			continue
+		}
+		known.idle = m.idle(now, known)
+		if !known.idle {
+			actions = append(actions, m.reconcile(now, known)...)
+		}
 	}
 	actions = append(actions, m.configure(now, spread.Ticked{})...)
 	return append(actions, m.beats(now)...)
--- a/internal/local/hosts.go
+++ b/internal/local/hosts.go
@@ -50,7 +50,7 @@
 		return nil, err
 	}
 	place := d.Plan.place(index)
-	return &Host{Settings: settings.Serve{
+	made := &Host{Settings: settings.Serve{
 		Host:            d.Plan.hostID(index),
 		DataCentre:      place.DataCentre,
 		Region:          place.Region,
@@ -63,7 +63,11 @@
 		RequestLimit:    requestLimit,
 		CallerLimit:     requestLimit,
 		StopLimit:       d.StopLimit,
+		Guard:           "open",
+		PublicTLS:       "off",
 		Trace:           "none",
 		LogLevel:        "info",
-	}}, nil
+	}}
+	d.Configure(&made.Settings)
+	return made, nil
 }
--- a/internal/peer/heartbeat.go
+++ b/internal/peer/heartbeat.go
@@ -42,6 +42,7 @@
 func encodeHeartbeat(beat fleet.Heartbeat) *peerapi.Heartbeat {
 	message := &peerapi.Heartbeat{
 		From:          string(beat.From),
+		Address:       peerapi.NewOptString(string(beat.Address)),
 		Incarnation:   uint64(beat.Incarnation),
 		Sequence:      uint64(beat.Sequence),
 		Configuration: uint64(beat.Configuration),
@@ -83,6 +84,7 @@
 func decodeHeartbeat(message *peerapi.Heartbeat) fleet.Heartbeat {
 	beat := fleet.Heartbeat{
 		From:          model.HostID(message.From),
+		Address:       model.Address(message.Address.Or("")),
 		Incarnation:   model.Incarnation(message.Incarnation),
 		Sequence:      model.Sequence(message.Sequence),
 		Configuration: model.Version(message.Configuration),
