--- a/internal/cli/operate.go
+++ b/internal/cli/operate.go
@@ -54,7 +54,7 @@
 	if err != nil {
 		return nil, err
 	}
-	transport, scheme, err := operateTransport(loaded.OperatorAuthorities)
+	transport, scheme, err := publicTransport(loaded.OperatorAuthorities)
 	if err != nil {
 		return nil, fmt.Errorf("connect to %s: %w", loaded.OperatorAddress, err)
 	}
@@ -67,8 +67,8 @@
 	return &operating{settings: loaded, api: api, in: root.Reader, out: root.Writer, notes: root.ErrWriter}, nil
 }
 
-// operateTransport returns the transport and the scheme: TLS when the authorities are known.
-func operateTransport(file string) (transport *http.Transport, scheme string, err error) {
+// publicTransport returns the transport and the scheme: TLS when the authorities are known.
+func publicTransport(file string) (transport *http.Transport, scheme string, err error) {
 	transport = &http.Transport{}
 	if file == "" {
 		return transport, "http", nil
--- a/internal/peer/translate_test.go
+++ b/internal/peer/translate_test.go
@@ -104,7 +104,7 @@
 
 func TestHeartbeatSurvivesTranslation(t *testing.T) {
 	tests := map[string]fleet.Heartbeat{
-		"bare":    {From: "host-1", Incarnation: 7, Sequence: 3, Configuration: 2},
+		"bare":    {From: "host-1", Address: "127.0.0.1:7001", Incarnation: 7, Sequence: 3, Configuration: 2},
 		"leaving": {From: "host-1", Leaving: true},
 		"full of news": {
 			From:      "host-1",
--- /dev/null
+++ b/internal/trust/settings.go
@@ -0,0 +1,31 @@
+package trust
+
+import (
+	"fmt"
+	"net/netip"
+
+	"redwingspread/internal/config"
+	"redwingspread/internal/settings"
+)
+
+// guardOpen is the value of the setting that lets every request in.
+const guardOpen = "open"
+
+// Open reports whether the settings let every request in, which they may on the loopback alone.
+func Open(s settings.Serve) (open bool, err error) {
+	if s.Guard != guardOpen {
+		return false, nil
+	}
+	for _, address := range []string{string(s.CallerAddress), string(s.OperatorAddress)} {
+		parsed, err := netip.ParseAddrPort(address)
+		if err != nil || !parsed.Addr().IsLoopback() {
+			return false, fmt.Errorf("setting guard is %q, allowed: tokens, since %s is not on the loopback", s.Guard, address)
+		}
+	}
+	return true, nil
+}
+
+// FirstOperator returns the token of the first operator from the settings; without a sound hash it opens nothing.
+func FirstOperator(s settings.Serve) config.Token {
+	return config.Token{Name: "first-operator", Right: config.RightOperator, Hash: s.FirstOperator}
+}
