Measure the Library at an equal capacity and mend races of the load tests

Cause: go test -race found that tests read the fake's counts and the tallies without a lock. Change: tallies are made before their goroutine, counts are read under the lock; Library statements take 5 ms, so that a run costs what the Authority's does.

--- a/internal/dispatch/instance_test.go
+++ b/internal/dispatch/instance_test.go
@@ -111,6 +111,13 @@
 	return nil
 }
 
+// count returns the number of connections that were opened.
+func (i *instance) count() int {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	return i.opened
+}
+
 // enter takes a slot and reports false when there is none.
 func (i *instance) enter() bool {
 	i.mutex.Lock()
--- a/internal/dispatch/load_test.go
+++ b/internal/dispatch/load_test.go
@@ -16,9 +16,8 @@
 	"redwingspread/internal/model"
 )
 
-// The sizes of a load; a statement takes two milliseconds on average.
+// The sizes of a load.
 const (
-	slotCapacity = 500.0 // statements a second
 	loadWarm     = 3 * time.Second
 	loadTime     = 8 * time.Second
 	loadDeadline = 2 * time.Second
@@ -69,14 +68,20 @@
 	slots       int
 	connections int
 	openTime    time.Duration
+	serviceTime time.Duration // of a statement on average
 }
 
-// The two users.
+// The two users, each with a capacity of a thousand statements a second.
 var (
-	authority = user{slots: 2, connections: 15, openTime: 10 * time.Millisecond}
-	library   = user{slots: 5, connections: 55, openTime: 30 * time.Millisecond}
+	authority = user{slots: 2, connections: 15, openTime: 10 * time.Millisecond, serviceTime: 2 * time.Millisecond}
+	library   = user{slots: 5, connections: 55, openTime: 30 * time.Millisecond, serviceTime: 5 * time.Millisecond}
 )
 
+// capacity returns the statements a second that the slots can run.
+func (u user) capacity() float64 {
+	return float64(u.slots) / u.serviceTime.Seconds()
+}
+
 // load is one run of flows through a dispatcher and a fake instance on the test's clock.
 type load struct {
 	policy  func() admit.Policy[*Turn]
@@ -97,7 +102,7 @@
 		fake := newInstance()
 		size := cmp.Or(l.user, authority)
 		fake.slots, fake.connections, fake.openTime = size.slots, size.connections, size.openTime
-		fake.serviceTime = l.service(random, begin)
+		fake.serviceTime = l.service(size.serviceTime, random, begin)
 		if l.prepare != nil {
 			l.prepare(fake)
 		}
@@ -113,9 +118,10 @@
 		go d.Run(ctx, done)
 		var group sync.WaitGroup
 		for _, f := range l.flows {
-			tallies[f.name] = &tally{capacity: slotCapacity * float64(size.slots), latency: hdrhistogram.New(1, 60_000_000, 3)}
+			counted := &tally{capacity: size.capacity(), latency: hdrhistogram.New(1, 60_000_000, 3)}
+			tallies[f.name] = counted
 			arrivals := rand.New(rand.NewPCG(loadSeed, random.Uint64()))
-			group.Go(func() { l.offer(ctx, d, f, tallies[f.name], arrivals, begin) })
+			group.Go(func() { l.offer(ctx, d, f, counted, arrivals, begin) })
 		}
 		group.Wait()
 		stop()
@@ -127,13 +133,13 @@
 	return tallies
 }
 
-// service returns a service time of one to three milliseconds.
-func (l load) service(random *rand.Rand, begin time.Time) func(model.Work) time.Duration {
+// service returns a service time of half to one and a half of the mean.
+func (l load) service(mean time.Duration, random *rand.Rand, begin time.Time) func(model.Work) time.Duration {
 	var mutex sync.Mutex
 	return func(model.Work) time.Duration {
 		mutex.Lock()
 		defer mutex.Unlock()
-		took := time.Millisecond + time.Duration(random.Int64N(int64(2*time.Millisecond)))
+		took := mean/2 + time.Duration(random.Int64N(int64(mean)))
 		if l.slow == nil {
 			return took
 		}
--- a/internal/dispatch/transaction_test.go
+++ b/internal/dispatch/transaction_test.go
@@ -120,7 +120,7 @@
 					t.Errorf("got %s after the end, want %s", got, test.want)
 				}
 				time.Sleep(time.Second)
-				if got := fake.opened; got != test.open {
+				if got := fake.count(); got != test.open {
 					t.Errorf("got %d connections opened, want %d", got, test.open)
 				}
 				stop()
