Replace all connections at once when the instance has forgotten one

Cause: after an instance's restart each idle connection cost one attempt of the work that met it, and work gave up after four. Change: the first connection that is not known has all idle ones closed. Figures: a test with ten forgotten connections: refused as unknown_connection before, ran after. Conclusion: one attempt is lost instead of one for each connection.

--- a/internal/dispatch/dispatcher_test.go
+++ b/internal/dispatch/dispatcher_test.go
@@ -129,6 +129,15 @@
 			want: []string{"outcome_unknown?"},
 			open: 4,
 		},
+		"connections that the instance forgot are all replaced at once": {
+			requests: []request{{rank: 1, kind: "pay"}},
+			prepare: func(d *Dispatcher, i *instance) {
+				d.Slots = 8
+				i.forgot = 10
+			},
+			want: []string{"ran"},
+			open: 14, // four at once, and the work runs on the first
+		},
 		"more slots than the instance has left are tried again": {
 			requests: []request{{rank: 1, kind: "pay"}, {rank: 1, kind: "pay", after: 1}, {rank: 1, kind: "pay", after: 2}},
 			prepare:  func(d *Dispatcher, _ *instance) { d.Slots = 3 },
--- a/internal/dispatch/do.go
+++ b/internal/dispatch/do.go
@@ -49,6 +49,9 @@
 			d.pool.Discard(turn.conn)
 		}
 	}
+	if forgotten(err) {
+		d.pool.Clear()
+	}
 	d.release()
 	turn.conn = nil
 	d.turns.Put(turn)
@@ -74,6 +77,12 @@
 	return refusal.Code == model.CodeSlotsFull || refusal.Code == model.CodeUnknownConnection
 }
 
+// forgotten reports whether the instance no longer knows a connection, as after its restart.
+func forgotten(err error) bool {
+	var refusal *model.Refusal
+	return errors.As(err, &refusal) && refusal.Code == model.CodeUnknownConnection
+}
+
 // leastPause is the wait before the second attempt; it doubles from then on.
 const leastPause = time.Millisecond
 
--- a/internal/dispatch/instance_test.go
+++ b/internal/dispatch/instance_test.go
@@ -23,6 +23,7 @@
 	mostOpen int
 	opened   int
 	running  int
+	forgot   int // connections up to this one are no longer known
 	full     int // calls that found no free slot
 	ran      map[model.KindID]int
 	order    []model.KindID
@@ -72,6 +73,9 @@
 	if c.pending {
 		c.reused = true
 	}
+	if c.id <= i.forgotten() {
+		return result, state, model.Refuse(model.CodeUnknownConnection, "connection %d", c.id)
+	}
 	if !i.enter() {
 		return result, state, model.Refuse(model.CodeSlotsFull, "all slots are used")
 	}
@@ -118,6 +122,13 @@
 	return i.opened
 }
 
+// forgotten returns the newest connection that is no longer known.
+func (i *instance) forgotten() int {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	return i.forgot
+}
+
 // enter takes a slot and reports false when there is none.
 func (i *instance) enter() bool {
 	i.mutex.Lock()
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -96,6 +96,15 @@
 	p.signal()
 }
 
+// Clear has all idle connections closed, since the instance no longer knows them.
+func (p *Pool) Clear() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.closing = append(p.closing, p.idle...)
+	p.idle = nil
+	p.signal()
+}
+
 // SetTarget sets how many connections should be open, and the term in which they are opened.
 func (p *Pool) SetTarget(target model.Connections, term model.Term) {
 	p.mutex.Lock()
