Show queues and refusals, log refused peers and connections, fuzz heartbeats

Cause: the status lacked what only the dispatchers know, and refused certificates left no numbered event.

--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -87,9 +87,9 @@
 
 // printRefusals prints what was refused and why.
 func printRefusals(w io.Writer, status *operatorapi.Status) error {
-	t := newTable(w, "\nREFUSED BECAUSE", "RANK", "COUNT")
+	t := newTable(w, "\nDATABASE", "INSTANCE", "REFUSED BECAUSE", "COUNT")
 	for _, refusal := range status.Refusals {
-		t.add(refusal.Code, fmt.Sprint(refusal.Rank), fmt.Sprint(refusal.Count))
+		t.add(refusal.Database, refusal.Instance, refusal.Code, fmt.Sprint(refusal.Count))
 	}
 	return t.print()
 }
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -73,6 +73,8 @@
 	server.Log = d.Logger
 	server.First = trust.FirstOperator(d.Settings)
 	server.Open = d.open
+	server.Queues = d.queues
+	server.Refusals = d.refusals
 	return server
 }
 
--- a/internal/daemon/servers.go
+++ b/internal/daemon/servers.go
@@ -36,6 +36,7 @@
 	guarded := d.guardCallers(callers)
 	caller := serve.New(d.Settings.CallerAddress, limit.Handler(limited, d.tracer.Handler("caller", guarded)))
 	caller.TLS = d.publicTLS()
+	caller.Failed = d.failedConnection("caller")
 	caller.ConnectionLimit = d.Settings.ConnectionLimit
 	caller.DrainLimit = d.Settings.StopLimit
 	operating := d.operatorServer()
@@ -46,6 +47,7 @@
 	operator := serve.New(d.Settings.OperatorAddress, operators)
 	operator.BodyLimit = operatorBodyLimit
 	operator.TLS = d.publicTLS()
+	operator.Failed = d.failedConnection("operator")
 	for _, listener := range []interface{ Listen() error }{caller, peers, operator} {
 		if err := listener.Listen(); err != nil {
 			return err
@@ -72,6 +74,7 @@
 	server.Control = &peerControl{loop: d.loop}
 	server.DrainLimit = d.Settings.StopLimit
 	server.Wrap = func(next http.Handler) http.Handler { return d.tracer.Handler("owner", next) }
+	d.Keys.Refused = d.refusedPeer()
 	server.TLS = d.Keys.ServerTLS()
 	return server
 }
--- a/internal/event/events_gen.go
+++ b/internal/event/events_gen.go
@@ -36,6 +36,7 @@
 	NumberTokenRefused             Number = 5001
 	NumberRightMissing             Number = 5002
 	NumberPeerRefused              Number = 5003
+	NumberConnectionRefused        Number = 5004
 	NumberFaultsSet                Number = 9001
 )
 
@@ -276,14 +277,23 @@
 }
 
 // PeerRefused logs event 5003: a host's certificate was refused.
-func PeerRefused(logger log.Interface, remote string, error error) {
+func PeerRefused(logger log.Interface, name string, error error) {
 	logger.WithFields(log.Fields{
-		"event":  NumberPeerRefused,
-		"remote": remote,
-		"error":  text(error),
+		"event": NumberPeerRefused,
+		"name":  name,
+		"error": text(error),
 	}).Warn("a host's certificate was refused")
 }
 
+// ConnectionRefused logs event 5004: a connection of a caller or an operator failed.
+func ConnectionRefused(logger log.Interface, api string, reason string) {
+	logger.WithFields(log.Fields{
+		"event":  NumberConnectionRefused,
+		"api":    api,
+		"reason": reason,
+	}).Warn("a connection of a caller or an operator failed")
+}
+
 // FaultsSet logs event 9001: faults of a stand-in changed.
 func FaultsSet(logger log.Interface, id string, faults string) {
 	logger.WithFields(log.Fields{
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -29,11 +29,12 @@
 	Waiting  int
 }
 
-// RefusalCount counts the requests that this host refused for one reason.
+// RefusalCount counts the work for one instance that this host refused for one reason.
 type RefusalCount struct {
-	Code  model.Code
-	Rank  model.Rank
-	Count int64
+	Database model.DatabaseID
+	Instance model.InstanceID
+	Code     model.Code
+	Count    int64
 }
 
 // Server serves the operator interface of one host.
--- a/internal/operator/server_test.go
+++ b/internal/operator/server_test.go
@@ -260,7 +260,9 @@
 func TestPage(t *testing.T) {
 	f := newFixture(t)
 	f.server.Queues = func() []Queue { return []Queue{{Database: "enrol-1", Instance: "enrol-1-a", Rank: 2, Waiting: 91}} }
-	f.server.Refusals = func() []RefusalCount { return []RefusalCount{{Code: model.CodeOverloaded, Rank: 3, Count: 1234}} }
+	f.server.Refusals = func() []RefusalCount {
+		return []RefusalCount{{Instance: "enrol-1-a", Code: model.CodeOverloaded, Count: 1234}}
+	}
 	got := f.send(t, http.MethodGet, "/", operatorToken, "")
 	for _, part := range []string{"enrol-1-b", "suspect", "&lt;brazos&gt;", "<td>91</td>", "<td>1234</td>", "overloaded"} {
 		if !strings.Contains(got.body, part) {
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -50,7 +50,7 @@
 	}
 	for _, refusal := range s.Refusals() {
 		made.Refusals = append(made.Refusals, operatorapi.RefusalStatus{
-			Code: string(refusal.Code), Rank: int(refusal.Rank), Count: refusal.Count,
+			Database: string(refusal.Database), Instance: string(refusal.Instance), Code: string(refusal.Code), Count: refusal.Count,
 		})
 	}
 	for _, delay := range s.tracker.list() {
--- a/internal/peer/translate_test.go
+++ b/internal/peer/translate_test.go
@@ -10,6 +10,7 @@
 	"redwingspread/internal/member"
 	"redwingspread/internal/model"
 	"redwingspread/internal/view"
+	"redwingspread/pkg/api/peerapi"
 )
 
 func TestWorkSurvivesTranslation(t *testing.T) {
@@ -139,3 +140,18 @@
 		})
 	}
 }
+
+func FuzzHeartbeat(f *testing.F) {
+	f.Add([]byte(`{"from":"host-1","incarnation":7,"sequence":3,"configuration":2}`))
+	f.Add([]byte(`{"from":"host-1","address":"127.0.0.1:1","incarnation":7,"sequence":3,"configuration":2,"members":[{"host":"h","incarnation":1,"sequence":2,"state":"alive"}]}`))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		var message peerapi.Heartbeat
+		if message.UnmarshalJSON(text) != nil || message.Validate() != nil {
+			return
+		}
+		beat := decodeHeartbeat(&message)
+		if got := decodeHeartbeat(encodeHeartbeat(beat)); !reflect.DeepEqual(got, beat) {
+			t.Errorf("got %+v, want %+v", got, beat)
+		}
+	})
+}
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -5,8 +5,10 @@
 	"crypto/tls"
 	"errors"
 	"fmt"
+	"log"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 
 	"redwingspread/internal/limit"
@@ -32,6 +34,8 @@
 	TLS *tls.Config
 	// BodyLimit is the largest body of a request in bytes.
 	BodyLimit int64
+	// Failed is told of connections that failed, such as bad handshakes; it may be nil.
+	Failed func(reason string)
 	// DrainLimit is the time that requests in progress have to end.
 	DrainLimit time.Duration
 	// ConnectionLimit is the number of connections that may be open; zero for no limit.
@@ -70,9 +74,23 @@
 		ReadTimeout:       readLimit,
 		IdleTimeout:       idleLimit,
 		MaxHeaderBytes:    headerSizeLimit,
+		ErrorLog:          log.New(reporter{s.Failed}, "", 0),
 	}
 }
 
+// reporter hands each line of the library's log on.
+type reporter struct {
+	failed func(reason string)
+}
+
+// Write takes one line.
+func (r reporter) Write(line []byte) (int, error) {
+	if r.failed != nil {
+		r.failed(strings.TrimSpace(string(line)))
+	}
+	return len(line), nil
+}
+
 // Run serves until the context ends, lets requests in progress end and reports its own end on done.
 func (s *Server) Run(ctx context.Context, done chan<- error) {
 	server := s.server()
--- a/internal/trust/keys.go
+++ b/internal/trust/keys.go
@@ -18,6 +18,9 @@
 
 // Keys is a host's checked material.
 type Keys struct {
+	// Refused is told of a peer whose certificate was refused, by the name that it claims; it may be nil.
+	Refused func(name string, err error)
+
 	certificate tls.Certificate
 	authorities *x509.CertPool
 }
@@ -45,9 +48,31 @@
 	return &tls.Config{
 		MinVersion:   tls.VersionTLS13,
 		Certificates: []tls.Certificate{k.certificate},
-		ClientAuth:   tls.RequireAndVerifyClientCert,
+		ClientAuth:   tls.RequireAnyClientCert,
 		ClientCAs:    k.authorities,
+		// The chain is verified here and not by the library, so that a refusal can be told.
+		VerifyConnection: k.verifyClient,
+	}
+}
+
+// verifyClient refuses a peer without a certificate that an authority signed for clients.
+func (k *Keys) verifyClient(state tls.ConnectionState) (err error) {
+	if len(state.PeerCertificates) == 0 {
+		return errors.New("peer shows no certificate")
+	}
+	leaf := state.PeerCertificates[0]
+	options := x509.VerifyOptions{
+		Roots:         k.authorities,
+		Intermediates: x509.NewCertPool(),
+		KeyUsages:     []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth},
+	}
+	for _, certificate := range state.PeerCertificates[1:] {
+		options.Intermediates.AddCert(certificate)
+	}
+	if _, err = leaf.Verify(options); err != nil && k.Refused != nil {
+		k.Refused(leaf.Subject.CommonName, err)
 	}
+	return err
 }
 
 // ClientTLS returns the configuration of a host that dials its peers by IP number.
@@ -64,12 +89,12 @@
 	return &tls.Config{MinVersion: tls.VersionTLS12, Certificates: []tls.Certificate{k.certificate}}
 }
 
-// Peer returns the host that the other side's verified certificate names.
+// Peer returns the host that the other side's certificate names, on a connection that was let in.
 func Peer(state tls.ConnectionState) (host model.HostID, err error) {
-	if len(state.VerifiedChains) == 0 {
-		return "", errors.New("peer shows no verified certificate")
+	if !state.HandshakeComplete || len(state.PeerCertificates) == 0 {
+		return "", errors.New("peer shows no certificate")
 	}
-	leaf := state.VerifiedChains[0][0]
+	leaf := state.PeerCertificates[0]
 	if leaf.Subject.CommonName == "" {
 		return "", errors.New("peer's certificate names no host")
 	}
--- a/internal/trust/keys_test.go
+++ b/internal/trust/keys_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -51,24 +52,30 @@
 	tests := map[string]struct {
 		server, client *Keys
 		want           bool
+		told           bool // the server tells of the refused client
 	}{
-		"same authority":                {sign(t, current, "a", loopback), sign(t, current, "b", loopback), true},
-		"server of another authority":   {sign(t, other, "a", loopback, current), sign(t, current, "b", loopback), false},
-		"client of another authority":   {sign(t, current, "a", loopback), sign(t, other, "b", loopback, current), false},
-		"expired server":                {sign(t, expired, "a", loopback, current), sign(t, current, "b", loopback, expired), false},
-		"expired client":                {sign(t, current, "a", loopback, expired), sign(t, expired, "b", loopback, current), false},
-		"client of tomorrow":            {sign(t, current, "a", loopback, future), sign(t, future, "b", loopback, current), false},
-		"server at another address":     {sign(t, current, "a", []netip.Addr{netip.MustParseAddr("127.0.0.9")}), sign(t, current, "b", loopback), false},
-		"change of keys, both accepted": {sign(t, current, "a", loopback, other), sign(t, other, "b", loopback, current), true},
-		"change of keys, new to old":    {sign(t, other, "a", loopback, current), sign(t, current, "b", loopback, other), true},
-		"client without certificate":    {sign(t, current, "a", loopback), nil, false},
+		"same authority":                {sign(t, current, "a", loopback), sign(t, current, "b", loopback), true, false},
+		"server of another authority":   {sign(t, other, "a", loopback, current), sign(t, current, "b", loopback), false, false},
+		"client of another authority":   {sign(t, current, "a", loopback), sign(t, other, "b", loopback, current), false, true},
+		"expired server":                {sign(t, expired, "a", loopback, current), sign(t, current, "b", loopback, expired), false, false},
+		"expired client":                {sign(t, current, "a", loopback, expired), sign(t, expired, "b", loopback, current), false, true},
+		"client of tomorrow":            {sign(t, current, "a", loopback, future), sign(t, future, "b", loopback, current), false, true},
+		"server at another address":     {sign(t, current, "a", []netip.Addr{netip.MustParseAddr("127.0.0.9")}), sign(t, current, "b", loopback), false, false},
+		"change of keys, both accepted": {sign(t, current, "a", loopback, other), sign(t, other, "b", loopback, current), true, false},
+		"change of keys, new to old":    {sign(t, other, "a", loopback, current), sign(t, current, "b", loopback, other), true, false},
+		"client without certificate":    {sign(t, current, "a", loopback), nil, false, false},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
+			var refused []string
+			test.server.Refused = func(name string, _ error) { refused = append(refused, name) }
 			peer, err := handshake(t, test.server, test.client)
 			if got := err == nil; got != test.want {
 				t.Fatalf("got %v (%v), want %v", got, err, test.want)
 			}
+			if got := slices.Equal(refused, []string{"b"}); got != test.told {
+				t.Errorf("got %q told as refused, want it told %v", refused, test.told)
+			}
 			if test.want && peer != "b" {
 				t.Errorf("got peer %q, want b", peer)
 			}
--- a/pkg/api/operatorapi/oas_json_gen.go
+++ b/pkg/api/operatorapi/oas_json_gen.go
@@ -2873,12 +2873,16 @@
 // encodeFields encodes fields.
 func (s *RefusalStatus) encodeFields(e *jx.Encoder) {
 	{
-		e.FieldStart("code")
-		e.Str(s.Code)
+		e.FieldStart("database")
+		e.Str(s.Database)
 	}
 	{
-		e.FieldStart("rank")
-		e.Int(s.Rank)
+		e.FieldStart("instance")
+		e.Str(s.Instance)
+	}
+	{
+		e.FieldStart("code")
+		e.Str(s.Code)
 	}
 	{
 		e.FieldStart("count")
@@ -2886,10 +2890,11 @@
 	}
 }
 
-var jsonFieldsNameOfRefusalStatus = [3]string{
-	0: "code",
-	1: "rank",
-	2: "count",
+var jsonFieldsNameOfRefusalStatus = [4]string{
+	0: "database",
+	1: "instance",
+	2: "code",
+	3: "count",
 }
 
 // Decode decodes RefusalStatus from json.
@@ -2901,32 +2906,44 @@
 
 	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
 		switch string(k) {
-		case "code":
+		case "database":
 			requiredBitSet[0] |= 1 << 0
 			if err := func() error {
 				v, err := d.Str()
-				s.Code = string(v)
+				s.Database = string(v)
 				if err != nil {
 					return err
 				}
 				return nil
 			}(); err != nil {
-				return errors.Wrap(err, "decode field \"code\"")
+				return errors.Wrap(err, "decode field \"database\"")
 			}
-		case "rank":
+		case "instance":
 			requiredBitSet[0] |= 1 << 1
 			if err := func() error {
-				v, err := d.Int()
-				s.Rank = int(v)
+				v, err := d.Str()
+				s.Instance = string(v)
 				if err != nil {
 					return err
 				}
 				return nil
 			}(); err != nil {
-				return errors.Wrap(err, "decode field \"rank\"")
+				return errors.Wrap(err, "decode field \"instance\"")
 			}
-		case "count":
+		case "code":
 			requiredBitSet[0] |= 1 << 2
+			if err := func() error {
+				v, err := d.Str()
+				s.Code = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"code\"")
+			}
+		case "count":
+			requiredBitSet[0] |= 1 << 3
 			if err := func() error {
 				v, err := d.Int64()
 				s.Count = int64(v)
@@ -2947,7 +2964,7 @@
 	// Validate required fields.
 	var failures []validate.FieldError
 	for i, mask := range [1]uint8{
-		0b00000111,
+		0b00001111,
 	} {
 		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
 			// Mask only required fields and check equality to mask using XOR.
--- a/pkg/api/operatorapi/oas_schemas_gen.go
+++ b/pkg/api/operatorapi/oas_schemas_gen.go
@@ -1388,9 +1388,20 @@
 
 // Ref: #/components/schemas/RefusalStatus
 type RefusalStatus struct {
-	Code  string `json:"code"`
-	Rank  int    `json:"rank"`
-	Count int64  `json:"count"`
+	Database string `json:"database"`
+	Instance string `json:"instance"`
+	Code     string `json:"code"`
+	Count    int64  `json:"count"`
+}
+
+// GetDatabase returns the value of Database.
+func (s *RefusalStatus) GetDatabase() string {
+	return s.Database
+}
+
+// GetInstance returns the value of Instance.
+func (s *RefusalStatus) GetInstance() string {
+	return s.Instance
 }
 
 // GetCode returns the value of Code.
@@ -1398,26 +1409,26 @@
 	return s.Code
 }
 
-// GetRank returns the value of Rank.
-func (s *RefusalStatus) GetRank() int {
-	return s.Rank
-}
-
 // GetCount returns the value of Count.
 func (s *RefusalStatus) GetCount() int64 {
 	return s.Count
 }
 
+// SetDatabase sets the value of Database.
+func (s *RefusalStatus) SetDatabase(val string) {
+	s.Database = val
+}
+
+// SetInstance sets the value of Instance.
+func (s *RefusalStatus) SetInstance(val string) {
+	s.Instance = val
+}
+
 // SetCode sets the value of Code.
 func (s *RefusalStatus) SetCode(val string) {
 	s.Code = val
 }
 
-// SetRank sets the value of Rank.
-func (s *RefusalStatus) SetRank(val int) {
-	s.Rank = val
-}
-
 // SetCount sets the value of Count.
 func (s *RefusalStatus) SetCount(val int64) {
 	s.Count = val
