--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -83,7 +83,7 @@
 	loaded.Guard = r.enum(rule{flag: "guard", env: "REDWINGSPREAD_GUARD", allows: "one of tokens, open", required: false, allowed: []string{"tokens", "open"}})
 	loaded.PublicTLS = r.enum(rule{flag: "public-tls", env: "REDWINGSPREAD_PUBLIC_TLS", allows: "one of on, off", required: false, allowed: []string{"on", "off"}})
 	loaded.ConnectionLimit = r.int(rule{flag: "connection-limit", env: "REDWINGSPREAD_CONNECTION_LIMIT", allows: "a whole number from 1 to 1000000", required: false, min: "1", max: "1000000"})
-	loaded.RequestLimit = r.int(rule{flag: "request-limit", env: "REDWINGSPREAD_REQUEST_LIMIT", allows: "a whole number from 1 to 4096", required: false, min: "1", max: "4096"})
+	loaded.RequestLimit = r.int(rule{flag: "request-limit", env: "REDWINGSPREAD_REQUEST_LIMIT", allows: "a whole number from 1 to 3000", required: false, min: "1", max: "3000"})
 	loaded.CallerLimit = r.int(rule{flag: "caller-limit", env: "REDWINGSPREAD_CALLER_LIMIT", allows: "a whole number from 1 to 4096", required: false, min: "1", max: "4096"})
 	loaded.StopLimit = r.duration(rule{flag: "stop-limit", env: "REDWINGSPREAD_STOP_LIMIT", allows: "a duration such as 250ms or 10s from 0s to 10m", required: false, min: "0s", max: "10m"})
 	loaded.Trace = r.enum(rule{flag: "trace", env: "REDWINGSPREAD_TRACE", allows: "one of none, stdout, otlp", required: false, allowed: []string{"none", "stdout", "otlp"}})
