Show every host's version as it is heard, and the asked host itself

Cause: by hand, config status showed old versions, since the view was not renewed when only a peer's version changed, and left the asked host out. Conclusion: beyond six hosts a host hears from its neighbours alone, so config status is partial there; said on the page.

--- a/internal/cli/config_status.go
+++ b/internal/cli/config_status.go
@@ -14,7 +14,8 @@
 	return &cli.Command{
 		Name:  "status",
 		Usage: "tell which version is in force on each host, and how soon it was",
-		Description: `The times stand for the newest version that was sent through the asked host.
+		Description: `The times stand for the newest version that was sent through the asked host. In a fleet of more than
+six hosts each hears from its neighbours alone and shows a dash for the others: ask more than one.
 
 Example:
   redwingspread config status`,
@@ -33,13 +34,21 @@
 			}
 			t := newTable(o.out, "HOST", "STATE", "VERSION", "IN FORCE AFTER")
 			for _, host := range status.Hosts {
-				t.add(host.Host, string(host.State), fmt.Sprint(host.Configuration), delayText(delays, host.Host))
+				t.add(host.Host, string(host.State), heardText(host.Configuration, status.Configuration), delayText(delays, host.Host))
 			}
 			return t.print()
 		}),
 	}
 }
 
+// heardText returns a host's version, or a dash for a host that the asked one does not hear from itself.
+func heardText(version, newest uint64) string {
+	if version == 0 && newest > 0 {
+		return "-"
+	}
+	return fmt.Sprint(version)
+}
+
 // delayText returns how soon a version was in force on a host, or a dash.
 func delayText(delays map[string]operatorapi.SpreadStatus, host string) string {
 	delay, found := delays[host]
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -15,7 +15,8 @@
 	return &cli.Command{
 		Name:  "status",
 		Usage: "print hosts, owners, terms, primaries, lags, queues and refusals",
-		Description: `Queues and refusals are those of the asked host; all else is what it knows of the fleet.
+		Description: `Queues and refusals are those of the asked host. Roles, positions and lags of instances are known to
+the owner of their database: ask that host. All else is what any host knows of the fleet.
 
 Examples:
   redwingspread status
@@ -69,8 +70,12 @@
 			if instance.Leaving {
 				role += ", leaving"
 			}
+			position, lag := "-", "-"
+			if instance.Role != operatorapi.InstanceStatusRoleUnknown {
+				position, lag = fmt.Sprint(instance.Position), fmt.Sprintf("%d ms", instance.AgeMs)
+			}
 			t.add(database.Database, orDash(database.Owner), fmt.Sprint(database.Term), instance.Instance, role,
-				fmt.Sprint(instance.Position), fmt.Sprintf("%d ms", instance.AgeMs), instance.DataCentre)
+				position, lag, instance.DataCentre)
 		}
 	}
 	return t.print()
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -72,6 +72,7 @@
 	}
 	server.Log = d.Logger
 	server.First = trust.FirstOperator(d.Settings)
+	server.Self = d.host
 	server.Open = d.open
 	server.Queues = d.queues
 	server.Refusals = d.refusals
--- a/internal/fleet/beat.go
+++ b/internal/fleet/beat.go
@@ -81,6 +81,7 @@
 		m.dirty = true
 		actions = append(actions, m.tick(now)...)
 	}
+	m.dirty = m.dirty || m.spread.Seen(beat.From) != beat.Configuration
 	seen := spread.PeerSeen{Host: beat.From, Version: beat.Configuration}
 	return append(actions, m.configure(now, seen)...)
 }
--- a/internal/fleet/configuration_test.go
+++ b/internal/fleet/configuration_test.go
@@ -15,6 +15,9 @@
 // inForceTarget is the time in which an accepted configuration must be in force everywhere.
 const inForceTarget = 2 * time.Second
 
+// fullMesh is the number of hosts up to which each hears from all others.
+const fullMesh = 6
+
 // from names the machine that a fetch goes to.
 func (f FetchConfiguration) from() string {
 	if f.Fetch.Head != nil {
@@ -121,6 +124,15 @@
 					t.Fatalf("seed %d: got version %d on %d hosts after %v, want %d", seed, version, len(delays), inForceTarget, test.hosts)
 				}
 				all = append(all, delays...)
+				w.heal()
+				w.store.down, w.store.objectsDown = false, false
+				w.run(settled)
+				for id, known := range w.hosts["h0"].machine.Snapshot().Hosts {
+					unheard := test.hosts > fullMesh && known.Configuration == 0
+					if known.Configuration != version && !unheard {
+						t.Errorf("seed %d: got version %d of %s in the view, want %d", seed, known.Configuration, id, version)
+					}
+				}
 			}
 			slices.Sort(all)
 			t.Logf("trial in virtual time: median %v, worst %v", all[len(all)/2], all[len(all)-1])
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -39,6 +39,8 @@
 
 // Server serves the operator interface of one host.
 type Server struct {
+	// Self is this host.
+	Self model.Host
 	// View returns the newest view.
 	View func() *view.View
 	// Ledger keeps the accepted configurations.
--- a/internal/operator/server_test.go
+++ b/internal/operator/server_test.go
@@ -49,6 +49,7 @@
 	}
 	f.view.Store(fleetView(policy))
 	f.server.View = f.view.Load
+	f.server.Self = model.Host{ID: "h0", Region: "hill-country"}
 	f.server.Log = &log.Logger{Handler: logjson.New(&f.log), Level: log.DebugLevel}
 	f.server.First = config.Token{Name: "first", Right: config.RightOperator, Hash: trust.Hash(operatorToken)}
 	f.server.Accept = func(_ model.Version, _ string, policy *config.Policy) { f.view.Store(fleetView(policy)) }
@@ -264,7 +265,7 @@
 		return []RefusalCount{{Instance: "enrol-1-a", Code: model.CodeOverloaded, Count: 1234}}
 	}
 	got := f.send(t, http.MethodGet, "/", operatorToken, "")
-	for _, part := range []string{"enrol-1-b", "suspect", "&lt;brazos&gt;", "<td>91</td>", "<td>1234</td>", "overloaded"} {
+	for _, part := range []string{"enrol-1-b", "suspect", "hill-country", "&lt;brazos&gt;", "<td>91</td>", "<td>1234</td>", "overloaded"} {
 		if !strings.Contains(got.body, part) {
 			t.Errorf("got a page without %s", part)
 		}
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -31,7 +32,7 @@
 	if v.Policy != nil {
 		made.Configuration = uint64(v.Policy.Version)
 	}
-	for _, host := range sorted(v.Hosts) {
+	for _, host := range sorted(s.hosts(v)) {
 		made.Hosts = append(made.Hosts, hostStatus(host))
 	}
 	for _, database := range sorted(v.Databases) {
@@ -60,6 +61,26 @@
 	}
 }
 
+// hosts returns the hosts of a view together with this one.
+func (s *Server) hosts(v *view.View) map[model.HostID]view.Host {
+	hosts := maps.Clone(v.Hosts)
+	if _, listed := hosts[s.Self.ID]; listed || s.Self.ID == "" {
+		return hosts
+	}
+	if hosts == nil {
+		hosts = map[model.HostID]view.Host{}
+	}
+	self := view.Host{Host: s.Self, State: view.Alive}
+	if v.Stopping {
+		self.State = view.Leaving
+	}
+	if v.Policy != nil {
+		self.Configuration = v.Policy.Version
+	}
+	hosts[s.Self.ID] = self
+	return hosts
+}
+
 // hostStatus returns the message of one host.
 func hostStatus(host view.Host) operatorapi.HostStatus {
 	return operatorapi.HostStatus{
--- a/internal/spread/machine.go
+++ b/internal/spread/machine.go
@@ -98,6 +98,11 @@
 	return slices.Sorted(maps.Keys(m.peers))
 }
 
+// Seen returns the version that a peer last reported.
+func (m *Machine) Seen(peer model.HostID) model.Version {
+	return m.peers[peer]
+}
+
 // InForce returns the configuration in force, or nil for a host that is not ready.
 func (m *Machine) InForce() *config.Policy {
 	return m.inForce
