--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -72,7 +72,10 @@
 	}
 	server.Log = d.Logger
 	server.First = trust.FirstOperator(d.Settings)
+	server.Self = d.host
 	server.Open = d.open
+	server.Queues = d.queues
+	server.Refusals = d.refusals
 	return server
 }
 
