Let transactions wait for a connection to hold, the most urgent first

Cause: a burst of rank-one transactions beyond the connections was refused at once, though one would have been free within milliseconds.

--- a/internal/admit/queue.go
+++ b/internal/admit/queue.go
@@ -39,7 +39,7 @@
 		q.remove(now, out)
 		outVerdict = Overload
 	}
-	ticket.reset()
+	ticket.Reset()
 	ticket.waiting = true
 	q.Policy.Push(now, ticket)
 	if out != nil {
--- a/internal/admit/ticket.go
+++ b/internal/admit/ticket.go
@@ -31,8 +31,8 @@
 	kind    *kind[T]
 }
 
-// reset makes the ticket ready for one more wait.
-func (t *Ticket[T]) reset() {
+// Reset makes the ticket ready for one more wait; Queue.Offer does it itself.
+func (t *Ticket[T]) Reset() {
 	t.turn = link[Ticket[T]]{element: t}
 	t.age = link[Ticket[T]]{element: t}
 	t.session, t.kind = nil, nil
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -36,9 +36,10 @@
 	queue        admit.Queue[*Turn]
 	pool         *pool.Pool
 	term         model.Term
-	used         model.Slots       // statements that run
-	pinned       model.Connections // connections held by transactions
-	peak         model.Connections // greatest number of pinned connections of late
+	used         model.Slots                       // statements that run
+	pinned       model.Connections                 // connections held by transactions
+	pins         [model.Ranks]admit.Arrival[*Turn] // transactions that wait for a connection to hold
+	peak         model.Connections                 // greatest number of pinned connections of late
 	peaked       time.Time
 	stopping     bool
 	refused      map[model.Code]int
@@ -135,6 +136,7 @@
 
 // refuseWaiting refuses all waiting work with the code.
 func (d *Dispatcher) refuseWaiting(code model.Code) {
+	d.refusePins(code)
 	if !d.started {
 		return
 	}
@@ -171,7 +173,7 @@
 		return // begin hands them on
 	}
 	d.pool.SetLimit(connections)
-	d.fill()
+	d.grantPins()
 	d.schedule()
 }
 
--- a/internal/dispatch/transaction.go
+++ b/internal/dispatch/transaction.go
@@ -27,10 +27,10 @@
 func (d *Dispatcher) Begin(ctx context.Context, term model.Term, work model.Work, class admit.Class) (transaction *Transaction, err error) {
 	ctx, cancel := limit(ctx, work.Deadline)
 	defer cancel()
-	if err := d.pin(class.Rank); err != nil {
+	class.InTransaction = false
+	if err := d.pin(ctx, class); err != nil {
 		return nil, err
 	}
-	class.InTransaction = false
 	turn, err := d.await(ctx, term, work.Deadline, class, nil)
 	if err != nil {
 		d.unpin()
@@ -69,49 +69,6 @@
 	d.finish(turn, nil)
 }
 
-// pin reserves a connection for a transaction, and refuses ranks below the first when few would be left.
-func (d *Dispatcher) pin(rank model.Rank) error {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	d.begin()
-	if d.stopping {
-		return d.refusal(model.CodeStopping)
-	}
-	if d.pinned >= pinLimit(rank, d.Connections) {
-		return d.refusal(model.CodeOverloaded)
-	}
-	d.pinned++
-	d.fill()
-	return nil
-}
-
-// unpin gives a reserved connection back.
-func (d *Dispatcher) unpin() {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	d.unpinLocked()
-}
-
-// unpinLocked gives a reserved connection back; the caller holds the lock.
-func (d *Dispatcher) unpinLocked() {
-	d.pinned--
-	d.fill()
-	d.schedule()
-	d.checkIdle()
-}
-
-// pinLimit returns how many connections transactions may hold for one more of the rank to begin.
-func pinLimit(rank model.Rank, connections model.Connections) model.Connections {
-	switch rank {
-	case model.RankOne:
-		return connections - 1
-	case model.RankTwo:
-		return connections * 3 / 4
-	default:
-		return connections / 2
-	}
-}
-
 // Run runs one statement of the transaction.
 func (t *Transaction) Run(ctx context.Context, work model.Work) (result model.Result, state model.InstanceState, err error) {
 	return t.call(ctx, work.Deadline, func(ctx context.Context) (model.Result, model.InstanceState, error) {
--- a/internal/dispatch/turn.go
+++ b/internal/dispatch/turn.go
@@ -15,6 +15,7 @@
 	ticket  admit.Ticket[*Turn]
 	conn    endpoint.Conn // set before the wait within a transaction
 	started time.Time
+	pinning bool                // waits for a connection to hold
 	ready   chan *model.Refusal // nil is sent when the turn has come
 }
 
