--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/rand"
-	"net/http"
 	"time"
 
 	"redwingspread/internal/config"
@@ -62,8 +61,8 @@
 	return model.SessionID(rand.Text())
 }
 
-// operatorHandler returns the operator interface.
-func (d *Daemon) operatorHandler() (http.Handler, error) {
+// operatorServer returns the operator interface.
+func (d *Daemon) operatorServer() *operator.Server {
 	server := operator.New()
 	server.View = d.loop.Snapshot
 	server.Ledger = d.ledger()
@@ -71,7 +70,12 @@
 		d.loop.Offer(fleet.PolicyAccepted{Policy: policy, Document: document})
 	}
 	server.Log = d.Logger
-	return server.Handler()
+	server.First = d.first
+	server.Self = d.host
+	server.Open = d.open
+	server.Queues = d.queues
+	server.Refusals = d.refusals
+	return server
 }
 
 // ledger returns the book of accepted configurations.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -11,6 +11,7 @@
 	"github.com/apex/log"
 
 	"redwingspread/internal/ack"
+	"redwingspread/internal/config"
 	"redwingspread/internal/control"
 	"redwingspread/internal/endpoint"
 	"redwingspread/internal/event"
@@ -49,6 +50,8 @@
 	WrapPeer func(http.RoundTripper) http.RoundTripper
 
 	host      model.Host
+	open      bool // every request is let in
+	first     config.Token
 	tracer    *trace.Tracer
 	store     *platform.Client
 	loop      *controlLoop
@@ -105,6 +108,12 @@
 func (d *Daemon) build(ctx context.Context) (err error) {
 	s := d.Settings
 	d.host = model.Host{ID: s.Host, Address: s.PeerAddress, DataCentre: s.DataCentre, Region: s.Region}
+	if d.open, err = trust.Open(s); err != nil {
+		return err
+	}
+	if d.first, err = trust.FirstOperator(s); err != nil {
+		return err
+	}
 	d.tracer, err = trace.New(ctx, s.Host, trace.Exporter(s.Trace), s.TraceAddress)
 	if err != nil {
 		return err
--- a/internal/fleet/configuration.go
+++ b/internal/fleet/configuration.go
@@ -51,8 +51,8 @@
 // peer returns where a host is, if need be by what it told of itself.
 func (m *Machine) peer(id model.HostID) model.Host {
 	known := m.members.Host(id)
-	if known.Address == "" && m.helper.ID == id {
-		return m.helper
+	if known.Address == "" {
+		known.Address = m.told[id]
 	}
 	return known
 }
@@ -67,6 +67,7 @@
 	for _, id := range m.spread.Peers() {
 		if known, listed := hosts[id]; !listed || known.State == view.Dead {
 			m.spread.Handle(now, spread.PeerGone{Host: id})
+			delete(m.told, id)
 		}
 	}
 }
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -83,6 +83,19 @@
 	return encodeRefusal(err)
 }
 
+// WriteRefusal writes a refusal as the caller interface does, for requests that do not reach it.
+func WriteRefusal(w http.ResponseWriter, refusal *model.Refusal) {
+	made := encodeRefusal(refusal)
+	text, err := made.Response.MarshalJSON()
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(made.StatusCode)
+	_, _ = w.Write(text) // the caller may be gone
+}
+
 // endRequest makes the request that ends a transaction.
 func endRequest(message *callerapi.EndRequest, transaction string) Request {
 	return Request{
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
+	"log"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 
 	"redwingspread/internal/limit"
@@ -18,6 +21,7 @@
 	readLimit       = 30 * time.Second
 	idleLimit       = 2 * time.Minute
 	headerSizeLimit = 16 << 10 // bytes
+	bodyLimit       = 1 << 20  // bytes
 )
 
 // Server is one HTTP server on one address.
@@ -26,6 +30,12 @@
 	Address model.Address
 	// Handler answers the requests.
 	Handler http.Handler
+	// TLS, when set, is what the server shows and asks for.
+	TLS *tls.Config
+	// BodyLimit is the largest body of a request in bytes.
+	BodyLimit int64
+	// Failed is told of connections that failed, such as bad handshakes; it may be nil.
+	Failed func(reason string)
 	// DrainLimit is the time that requests in progress have to end.
 	DrainLimit time.Duration
 	// ConnectionLimit is the number of connections that may be open; zero for no limit.
@@ -36,7 +46,7 @@
 
 // New returns a server whose exported fields are to be set before Run.
 func New(address model.Address, handler http.Handler) *Server {
-	return &Server{Address: address, Handler: handler}
+	return &Server{Address: address, Handler: handler, BodyLimit: bodyLimit}
 }
 
 // Listen opens the server's socket, so that a taken address is known before Run.
@@ -50,18 +60,40 @@
 		limited.Limit = s.ConnectionLimit
 		s.listener = limited
 	}
+	if s.TLS != nil {
+		s.listener = tls.NewListener(s.listener, s.TLS)
+	}
 	return nil
 }
 
-// Run serves until the context ends, lets requests in progress end and reports its own end on done.
-func (s *Server) Run(ctx context.Context, done chan<- error) {
-	server := &http.Server{
-		Handler:           s.Handler,
+// server returns the HTTP server, which large or slow requests can't hold up.
+func (s *Server) server() *http.Server {
+	return &http.Server{
+		Handler:           http.MaxBytesHandler(s.Handler, s.BodyLimit),
 		ReadHeaderTimeout: headerLimit,
 		ReadTimeout:       readLimit,
 		IdleTimeout:       idleLimit,
 		MaxHeaderBytes:    headerSizeLimit,
+		ErrorLog:          log.New(reporter{s.Failed}, "", 0),
+	}
+}
+
+// reporter hands each line of the library's log on.
+type reporter struct {
+	failed func(reason string)
+}
+
+// Write takes one line.
+func (r reporter) Write(line []byte) (int, error) {
+	if r.failed != nil {
+		r.failed(strings.TrimSpace(string(line)))
 	}
+	return len(line), nil
+}
+
+// Run serves until the context ends, lets requests in progress end and reports its own end on done.
+func (s *Server) Run(ctx context.Context, done chan<- error) {
+	server := s.server()
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(s.listener) }()
 	select {
