Measure an outage of the platform, and leave the baseline of the replica share open

Cause: a baseline of 0 was written down, not measured. Conclusion: the baselines that need another way of routing are not taken yet.

--- a/internal/measure/bench.go
+++ b/internal/measure/bench.go
@@ -66,7 +66,7 @@
 	if err := b.Deployment.Ready(limit); err != nil {
 		return nil, err
 	}
-	for _, step := range []func(context.Context) error{b.measureReads, b.measureHop, b.measureGaps, b.auditPayments} {
+	for _, step := range []func(context.Context) error{b.measureReads, b.measureHop, b.measureOutage, b.measureGaps, b.auditPayments} {
 		if err := step(ctx); err != nil {
 			return nil, err
 		}
--- a/internal/measure/read.go
+++ b/internal/measure/read.go
@@ -60,7 +60,6 @@
 		}
 	}
 	b.report.Set("replica_share", float64(replicas)/float64(taken))
-	b.report.SetBaseline("replica_share", 0)
 	b.report.Set("stale_reads", float64(stale))
 	return nil
 }
