--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -13,7 +13,7 @@
 )
 
 // readyLimit is the time that every database may take to be served.
-const readyLimit = 10 * time.Second
+const readyLimit = 30 * time.Second
 
 // Demo is one demonstration.
 type Demo struct {
