Keep the addresses of local deployments apart, and stop without waiting for nobody

Cause: TestDemo failed once of five runs since another process took a port between its choice and its use, and took 25 s since the last host waited 10 s to hand its databases to hosts that had stopped. Change: each deployment has a loopback IP number of its own and ports below the ephemeral range; a stopping host waits for a successor only while another host is alive. Conclusion: nothing waits for a host that can't come.

--- a/internal/daemon/servers.go
+++ b/internal/daemon/servers.go
@@ -11,6 +11,7 @@
 	"redwingspread/internal/limit"
 	"redwingspread/internal/peer"
 	"redwingspread/internal/serve"
+	"redwingspread/internal/view"
 )
 
 // handOverPoll is the time between two looks whether every database was handed over.
@@ -84,14 +85,14 @@
 	return err
 }
 
-// handOver waits, once the daemon stops, until this host owns no database or the limit has passed.
+// handOver waits, once the daemon stops, until this host owns no database, no host is left to take one, or the limit has passed.
 func (d *Daemon) handOver(ctx context.Context, done chan<- error) {
 	<-ctx.Done()
 	limit := time.NewTimer(d.Settings.StopLimit)
 	defer limit.Stop()
 	ticker := time.NewTicker(handOverPoll)
 	defer ticker.Stop()
-	for d.ownsAny() {
+	for d.ownsAny() && d.hasSuccessor() {
 		select {
 		case <-ticker.C:
 		case <-limit.C:
@@ -102,6 +103,16 @@
 	done <- nil
 }
 
+// hasSuccessor reports whether another host may take a database over.
+func (d *Daemon) hasSuccessor() bool {
+	for id, host := range d.loop.Snapshot().Hosts {
+		if id != d.host.ID && host.State == view.Alive {
+			return true
+		}
+	}
+	return false
+}
+
 // ownsAny reports whether this host still owns a database.
 func (d *Daemon) ownsAny() bool {
 	for _, database := range d.loop.Snapshot().Databases {
--- a/internal/local/deployment.go
+++ b/internal/local/deployment.go
@@ -41,7 +41,6 @@
 	Hosts []*Host
 
 	platformAddress model.Address
-	materials       map[model.HostID]trust.Material
 	back            *group
 }
 
@@ -56,6 +55,7 @@
 // Host is one host of the deployment.
 type Host struct {
 	Settings settings.Serve
+	material trust.Material
 	daemon   *daemon.Daemon
 	stop     context.CancelFunc
 	done     chan error
@@ -141,7 +141,7 @@
 	made := daemon.New()
 	made.Settings = host.Settings
 	made.Logger = d.Logger
-	made.Keys, err = trust.Load(d.materials[host.Settings.Host])
+	made.Keys, err = trust.Load(host.material)
 	if err != nil {
 		return err
 	}
--- a/internal/local/hosts.go
+++ b/internal/local/hosts.go
@@ -2,9 +2,9 @@
 
 import (
 	"crypto/rand"
+	"net/netip"
 	"time"
 
-	"redwingspread/internal/model"
 	"redwingspread/internal/settings"
 	"redwingspread/internal/trust"
 )
@@ -16,47 +16,35 @@
 )
 
 // prepareHosts chooses addresses and makes keys for every host.
-func (d *Deployment) prepareHosts() (err error) {
-	d.platformAddress, err = freeTCP()
+func (d *Deployment) prepareHosts() error {
+	ports := newPorts()
+	authority, err := trust.NewAuthority(time.Now(), materialLife)
 	if err != nil {
 		return err
 	}
+	d.platformAddress = ports.take()
 	tokenKey := settings.Secret(rand.Text())
-	var names []model.HostID
 	for index := range d.Plan.Hosts {
-		host, err := d.prepareHost(index, tokenKey)
+		host := d.prepareHost(index, ports, tokenKey)
+		host.material, err = authority.Sign(host.Settings.Host, []netip.Addr{ports.ip}, time.Now())
 		if err != nil {
 			return err
 		}
 		d.Hosts = append(d.Hosts, host)
-		names = append(names, host.Settings.Host)
 	}
-	d.materials, err = trust.Generate(names, time.Now(), materialLife)
-	return err
+	return nil
 }
 
 // prepareHost chooses the settings of one host.
-func (d *Deployment) prepareHost(index int, tokenKey settings.Secret) (*Host, error) {
-	caller, err := freeTCP()
-	if err != nil {
-		return nil, err
-	}
-	operator, err := freeTCP()
-	if err != nil {
-		return nil, err
-	}
-	peer, err := freeUDP()
-	if err != nil {
-		return nil, err
-	}
+func (d *Deployment) prepareHost(index int, ports *ports, tokenKey settings.Secret) *Host {
 	place := d.Plan.place(index)
 	return &Host{Settings: settings.Serve{
 		Host:            d.Plan.hostID(index),
 		DataCentre:      place.DataCentre,
 		Region:          place.Region,
-		CallerAddress:   caller,
-		OperatorAddress: operator,
-		PeerAddress:     peer,
+		CallerAddress:   ports.take(),
+		OperatorAddress: ports.take(),
+		PeerAddress:     ports.take(),
 		PlatformAddress: d.platformAddress,
 		TokenKey:        tokenKey,
 		ConnectionLimit: connectionLimit,
@@ -65,5 +53,5 @@
 		StopLimit:       d.StopLimit,
 		Trace:           "none",
 		LogLevel:        "info",
-	}}, nil
+	}}
 }
--- a/internal/local/ports.go
+++ b/internal/local/ports.go
@@ -1,13 +1,18 @@
 package local
 
 import (
+	"crypto/rand"
 	"fmt"
 	"net"
+	"net/netip"
 
 	"redwingspread/internal/model"
 )
 
-// listenTCP opens a socket on a free loopback port.
+// firstPort is the first port of a host; it lies below those that the system hands out by itself.
+const firstPort = 20000
+
+// listenTCP opens a socket on a free port of 127.0.0.1.
 func listenTCP() (net.Listener, model.Address, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -16,20 +21,23 @@
 	return listener, model.Address(listener.Addr().String()), nil
 }
 
-// freeTCP returns a loopback address whose TCP port was free a moment ago.
-func freeTCP() (model.Address, error) {
-	listener, address, err := listenTCP()
-	if err != nil {
-		return "", err
-	}
-	return address, listener.Close()
+// ports hands out addresses on one loopback IP number of its own, so that two deployments don't meet.
+type ports struct {
+	ip   netip.Addr
+	next uint16
 }
 
-// freeUDP returns a loopback address whose UDP port was free a moment ago.
-func freeUDP() (model.Address, error) {
-	socket, err := net.ListenPacket("udp", "127.0.0.1:0")
-	if err != nil {
-		return "", fmt.Errorf("local: %w", err)
-	}
-	return model.Address(socket.LocalAddr().String()), socket.Close()
+// newPorts chooses a loopback IP number at random.
+func newPorts() *ports {
+	var random [2]byte
+	rand.Read(random[:])
+	ip := netip.AddrFrom4([4]byte{127, 1 + random[0]%254, random[1], 1})
+	return &ports{ip: ip, next: firstPort}
+}
+
+// take returns the next address.
+func (p *ports) take() model.Address {
+	address := netip.AddrPortFrom(p.ip, p.next)
+	p.next++
+	return model.Address(address.String())
 }
