--- a/internal/cli/run.go
+++ b/internal/cli/run.go
@@ -32,6 +32,8 @@
 			&cli.DurationFlag{Name: "max-age", Usage: "age of data that a read accepts"},
 			&cli.StringFlag{Name: "request", Usage: "request id; a repeat with the same one returns the recorded answer"},
 			&cli.StringFlag{Name: "token", Usage: "session token of an earlier answer"},
+			&cli.StringFlag{Name: "bearer", Sources: cli.EnvVars("REDWINGSPREAD_CALLER_TOKEN"), Usage: "the caller's token, as an operator granted it"},
+			&cli.StringFlag{Name: "authorities", Sources: cli.EnvVars("REDWINGSPREAD_CALLER_AUTHORITIES"), Usage: "file with the hosts' authorities in PEM; empty for hosts without TLS"},
 			&cli.DurationFlag{Name: "deadline", Value: runDeadline, Usage: "time until the answer must be there"},
 		},
 		Action: func(ctx context.Context, command *cli.Command) error {
@@ -44,6 +46,13 @@
 func runStatement(ctx context.Context, command *cli.Command, w io.Writer) error {
 	caller := client.New(addresses(command)...)
 	caller.Deadline = command.Duration("deadline")
+	caller.Bearer = command.String("bearer")
+	caller.Secure = command.String("authorities") != ""
+	transport, _, err := publicTransport(command.String("authorities"))
+	if err != nil {
+		return err
+	}
+	caller.Transport = transport
 	session := caller.Resume(command.String("token"))
 	answer, err := session.Run(ctx, statementOf(command))
 	if err != nil {
--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -25,8 +25,9 @@
 	NewNonce func() model.Nonce
 
 	spread      *spread.Machine
-	spreadEpoch int  // epoch of the members when dead peers were last forgotten
-	headSeen    bool // the configuration's row has been read
+	spreadEpoch int                            // epoch of the members when dead peers were last forgotten
+	headSeen    bool                           // the configuration's row has been read
+	told        map[model.HostID]model.Address // where peers say that they are
 
 	members   *member.Table
 	live      live
@@ -61,6 +62,7 @@
 	return &Machine{
 		Timing:    DefaultTiming(),
 		spread:    spread.New(),
+		told:      make(map[model.HostID]model.Address),
 		members:   member.New(),
 		databases: make(map[model.DatabaseID]*database),
 		instances: make(map[model.InstanceID]*database),
--- a/internal/local/deployment.go
+++ b/internal/local/deployment.go
@@ -30,6 +30,8 @@
 	WrapOutbound func(host model.Host) func(http.RoundTripper) http.RoundTripper
 	// WrapPeer adds a layer around a host's calls to its peers.
 	WrapPeer func(host model.Host) func(http.RoundTripper) http.RoundTripper
+	// Configure changes the settings of a host before its start.
+	Configure func(*settings.Serve)
 	// StopLimit is the time that work in progress has to end at a stop.
 	StopLimit time.Duration
 
@@ -77,6 +79,7 @@
 		Logger:       &log.Logger{Handler: log.HandlerFunc(func(*log.Entry) error { return nil })},
 		WrapOutbound: none,
 		WrapPeer:     none,
+		Configure:    func(*settings.Serve) {},
 		StopLimit:    10 * time.Second,
 		Instances:    map[model.InstanceID]*Instance{},
 	}
--- a/internal/local/hosts.go
+++ b/internal/local/hosts.go
@@ -38,7 +38,7 @@
 // prepareHost chooses the settings of one host.
 func (d *Deployment) prepareHost(index int, ports *ports, tokenKey settings.Secret) *Host {
 	place := d.Plan.place(index)
-	return &Host{Settings: settings.Serve{
+	made := &Host{Settings: settings.Serve{
 		Host:            d.Plan.hostID(index),
 		DataCentre:      place.DataCentre,
 		Region:          place.Region,
@@ -51,7 +51,11 @@
 		RequestLimit:    requestLimit,
 		CallerLimit:     requestLimit,
 		StopLimit:       d.StopLimit,
+		Guard:           "open",
+		PublicTLS:       "off",
 		Trace:           "none",
 		LogLevel:        "info",
 	}}
+	d.Configure(&made.Settings)
+	return made
 }
