Add the host's own metrics

Cause: queues and refusals were in the status alone, not among the metrics. Change: /debug/vars has a map of this host's version, queues and refusals; the page of metrics names them. Conclusion: one process may run several hosts, so the map is made for each and not published.

--- a/internal/operator/metrics.go
+++ b/internal/operator/metrics.go
@@ -25,16 +25,36 @@
 // secretMetric is the library's variable with the command line, which may hold secrets.
 const secretMetric = "cmdline"
 
-// writeMetrics writes every expvar but the command line.
-func writeMetrics(w http.ResponseWriter, _ *http.Request) {
+// hostMetrics is the name of the map with what only this host knows.
+const hostMetrics = "host"
+
+// writeMetrics writes every expvar but the command line, and this host's own.
+func (s *Server) writeMetrics(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json; charset=utf-8")
-	separator := "{\n"
+	fmt.Fprintf(w, "{\n%q: %s", hostMetrics, s.ownMetrics())
 	expvar.Do(func(variable expvar.KeyValue) {
-		if variable.Key == secretMetric {
-			return
+		if variable.Key != secretMetric {
+			fmt.Fprintf(w, ",\n%q: %s", variable.Key, variable.Value)
 		}
-		fmt.Fprintf(w, "%s%q: %s", separator, variable.Key, variable.Value)
-		separator = ",\n"
 	})
 	fmt.Fprint(w, "\n}\n")
 }
+
+// ownMetrics returns the version in force and, by instance, the work that waits and that was refused.
+func (s *Server) ownMetrics() *expvar.Map {
+	status := s.status()
+	own := new(expvar.Map)
+	own.Add("version", int64(status.Configuration))
+	if status.Ready {
+		own.Add("ready", 1)
+	} else {
+		own.Add("ready", 0)
+	}
+	for _, queue := range status.Queues {
+		own.Add(fmt.Sprintf("waiting.%s.rank%d", queue.Instance, queue.Rank), int64(queue.Waiting))
+	}
+	for _, refusal := range status.Refusals {
+		own.Add(fmt.Sprintf("refused.%s.%s", refusal.Instance, refusal.Code), refusal.Count)
+	}
+	return own
+}
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -86,7 +86,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("/v1/", api)
-	mux.HandleFunc("GET /debug/vars", writeMetrics)
+	mux.HandleFunc("GET /debug/vars", s.writeMetrics)
 	mux.HandleFunc("GET /{$}", s.writePage)
 	guard := trust.NewGuard()
 	guard.Policy = func() *config.Policy { return s.View().Policy }
--- a/internal/operator/server_test.go
+++ b/internal/operator/server_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"io"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -246,16 +247,25 @@
 	}
 }
 
-func TestMetricsHideTheCommandLine(t *testing.T) {
+func TestMetrics(t *testing.T) {
 	f := newFixture(t)
+	f.server.Queues = func() []Queue { return []Queue{{Instance: "enrol-1-a", Rank: 2, Waiting: 91}} }
+	f.server.Refusals = func() []RefusalCount {
+		return []RefusalCount{{Instance: "enrol-1-a", Code: model.CodeOverloaded, Count: 1234}}
+	}
 	got := f.send(t, http.MethodGet, "/debug/vars", operatorToken, "")
-	var variables map[string]any
+	var variables map[string]json.RawMessage
 	if err := json.Unmarshal([]byte(got.body), &variables); err != nil {
 		t.Fatalf("got %v in %s, want JSON", err, got.body)
 	}
 	if _, shown := variables["cmdline"]; shown || variables["configuration"] == nil {
 		t.Errorf("got %v, want the metrics without the command line", variables)
 	}
+	want := map[string]int64{"version": 0, "ready": 1, "waiting.enrol-1-a.rank2": 91, "refused.enrol-1-a.overloaded": 1234}
+	var own map[string]int64
+	if err := json.Unmarshal(variables["host"], &own); err != nil || !maps.Equal(own, want) {
+		t.Errorf("got %v (%v), want %v", own, err, want)
+	}
 }
 
 func TestPage(t *testing.T) {
