Map refusals to HTTP statuses in one place

Cause: peer and proxy each kept the same table of codes and statuses. Change: serve.Status holds it; whether an interface carries a code is asked of its generated message. Conclusion: a new code needs one line.

--- a/internal/peer/refusal.go
+++ b/internal/peer/refusal.go
@@ -2,44 +2,25 @@
 
 import (
 	"errors"
-	"net/http"
 	"time"
 
 	"redwingspread/internal/model"
+	"redwingspread/internal/serve"
 	"redwingspread/pkg/api/peerapi"
 )
 
-// carried maps the codes that peers exchange to the status of the answer; other codes travel as unavailable.
-var carried = map[model.Code]int{
-	model.CodeInvalid:          http.StatusBadRequest,
-	model.CodeNotOwner:         http.StatusMisdirectedRequest,
-	model.CodeUnknownDatabase:  http.StatusNotFound,
-	model.CodeUnknownKind:      http.StatusNotFound,
-	model.CodeOverloaded:       http.StatusTooManyRequests,
-	model.CodeDeadline:         http.StatusGatewayTimeout,
-	model.CodeUnavailable:      http.StatusServiceUnavailable,
-	model.CodeLostWrite:        http.StatusConflict,
-	model.CodeTransactionEnded: http.StatusGone,
-	model.CodeOutcomeUnknown:   http.StatusBadGateway,
-	model.CodeNotFound:         http.StatusNotFound,
-	model.CodeStopping:         http.StatusServiceUnavailable,
-	model.CodeInternal:         http.StatusInternalServerError,
-}
-
 // encodeRefusal translates an error into the message of a refusal.
 func encodeRefusal(err error) *peerapi.RefusalStatusCode {
 	var refusal *model.Refusal
 	if !errors.As(err, &refusal) {
 		refusal = &model.Refusal{Code: model.CodeInternal, Message: err.Error()}
 	}
-	code := refusal.Code
-	status, found := carried[code]
-	if !found {
-		code = model.CodeUnavailable
-		status = http.StatusServiceUnavailable
+	code := peerapi.RefusalCode(refusal.Code)
+	if code.Validate() != nil {
+		code = peerapi.RefusalCodeUnavailable
 	}
 	message := peerapi.Refusal{
-		Code:    peerapi.RefusalCode(code),
+		Code:    code,
 		NotRun:  refusal.NotRun,
 		Message: refusal.Message,
 	}
@@ -52,7 +33,7 @@
 	if refusal.Term > 0 {
 		message.Term = peerapi.NewOptUint64(uint64(refusal.Term))
 	}
-	return &peerapi.RefusalStatusCode{StatusCode: status, Response: message}
+	return &peerapi.RefusalStatusCode{StatusCode: serve.Status(model.Code(code)), Response: message}
 }
 
 // decodeError translates an error of a call into a refusal; without an answer the outcome is unknown.
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"redwingspread/internal/model"
+	"redwingspread/internal/serve"
 	"redwingspread/pkg/api/callerapi"
 )
 
@@ -133,40 +134,18 @@
 	return message, nil
 }
 
-// statuses maps the codes that callers see to the status of the answer; other codes are shown as unavailable.
-var statuses = map[model.Code]int{
-	model.CodeInvalid:          http.StatusBadRequest,
-	model.CodeTooLarge:         http.StatusRequestEntityTooLarge,
-	model.CodeUnauthorized:     http.StatusUnauthorized,
-	model.CodeForbidden:        http.StatusForbidden,
-	model.CodeUnknownDatabase:  http.StatusNotFound,
-	model.CodeUnknownKind:      http.StatusNotFound,
-	model.CodeBadToken:         http.StatusBadRequest,
-	model.CodeOverloaded:       http.StatusTooManyRequests,
-	model.CodeDeadline:         http.StatusGatewayTimeout,
-	model.CodeUnavailable:      http.StatusServiceUnavailable,
-	model.CodeLostWrite:        http.StatusConflict,
-	model.CodeTransactionEnded: http.StatusGone,
-	model.CodeOutcomeUnknown:   http.StatusBadGateway,
-	model.CodeNotFound:         http.StatusNotFound,
-	model.CodeStopping:         http.StatusServiceUnavailable,
-	model.CodeInternal:         http.StatusInternalServerError,
-}
-
 // encodeRefusal translates an error into the message of a refusal.
 func encodeRefusal(err error) *callerapi.RefusalStatusCode {
 	var refusal *model.Refusal
 	if !errors.As(err, &refusal) {
 		refusal = &model.Refusal{Code: model.CodeInternal, Message: err.Error()}
 	}
-	code := refusal.Code
-	status, found := statuses[code]
-	if !found {
-		code = model.CodeUnavailable
-		status = http.StatusServiceUnavailable
+	code := callerapi.RefusalCode(refusal.Code)
+	if code.Validate() != nil {
+		code = callerapi.RefusalCodeUnavailable
 	}
 	message := callerapi.Refusal{
-		Code:    callerapi.RefusalCode(code),
+		Code:    code,
 		Outcome: callerapi.RefusalOutcomeUnknown,
 		Message: refusal.Message,
 	}
@@ -180,7 +159,7 @@
 	if errors.As(err, &refused) {
 		message.Token = callerapi.NewOptString(refused.Token)
 	}
-	return &callerapi.RefusalStatusCode{StatusCode: status, Response: message}
+	return &callerapi.RefusalStatusCode{StatusCode: serve.Status(model.Code(code)), Response: message}
 }
 
 // milliseconds returns a message's time, or zero when there is none.
