--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -21,6 +21,7 @@
 	"redwingspread/internal/peer"
 	"redwingspread/internal/platform"
 	"redwingspread/internal/proxy"
+	"redwingspread/internal/route"
 	"redwingspread/internal/row"
 	"redwingspread/internal/session"
 	"redwingspread/internal/settings"
@@ -43,6 +44,8 @@
 	Keys *trust.Keys
 	// Logger takes the numbered events.
 	Logger log.Interface
+	// Choose chooses the instance of each read; a baseline takes its place in measurements.
+	Choose route.Chooser
 	// WrapOutbound adds a layer, such as a delay, around calls to endpoints and to the platform.
 	WrapOutbound func(http.RoundTripper) http.RoundTripper
 	// WrapPeer adds a layer around calls to peers.
@@ -66,6 +69,7 @@
 	same := func(next http.RoundTripper) http.RoundTripper { return next }
 	return &Daemon{
 		Logger:       log.Log,
+		Choose:       route.Choose,
 		WrapOutbound: same,
 		WrapPeer:     same,
 	}
@@ -174,6 +178,7 @@
 	d.executor.View = d.loop.Snapshot
 	d.executor.Changed = d.loop.Changed
 	d.executor.Instances = d.instances
+	d.executor.Choose = d.Choose
 	d.executor.Gate = ack.New()
 	d.executor.Gate.Instance = d.instances.Client
 	d.executor.Gate.Row = (&row.Table{Store: d.store}).Get
--- /dev/null
+++ b/internal/history/proxy_bench_test.go
@@ -0,0 +1,28 @@
+package history_test
+
+import (
+	"context"
+	"testing"
+
+	"redwingspread/internal/config"
+	"redwingspread/internal/proxy"
+)
+
+// BenchmarkRead measures what proxy and owner add to one read: token, policy, choice, queue and pool, without encoding or network.
+func BenchmarkRead(b *testing.B) {
+	policy, err := config.Compile(1, config.Default())
+	if err != nil {
+		b.Fatal(err)
+	}
+	s := newSystem(newGroup(1, "seats", "p", "q", "r"), policy)
+	defer s.close()
+	request := proxy.Request{Database: "seats", Kind: "counter", Arguments: map[string]string{"list": "other"}, Request: "r"}
+	b.ReportAllocs()
+	for b.Loop() {
+		answer, err := s.proxy.Execute(context.Background(), request)
+		if err != nil {
+			b.Fatal(err)
+		}
+		request.Token = answer.Token
+	}
+}
--- a/internal/local/deployment.go
+++ b/internal/local/deployment.go
@@ -12,6 +12,7 @@
 
 	"redwingspread/internal/daemon"
 	"redwingspread/internal/model"
+	"redwingspread/internal/route"
 	"redwingspread/internal/settings"
 	"redwingspread/internal/standin"
 	"redwingspread/internal/standin/instance"
@@ -26,6 +27,8 @@
 	Plan Plan
 	// Logger takes the hosts' events.
 	Logger log.Interface
+	// Choose chooses the instance of each read.
+	Choose route.Chooser
 	// WrapOutbound adds a layer around a host's calls to endpoints and to the platform.
 	WrapOutbound func(host model.Host) func(http.RoundTripper) http.RoundTripper
 	// WrapPeer adds a layer around a host's calls to its peers.
@@ -77,6 +80,7 @@
 	return &Deployment{
 		Plan:         plan,
 		Logger:       &log.Logger{Handler: log.HandlerFunc(func(*log.Entry) error { return nil })},
+		Choose:       route.Choose,
 		WrapOutbound: none,
 		WrapPeer:     none,
 		Configure:    func(*settings.Serve) {},
@@ -144,6 +148,7 @@
 	made := daemon.New()
 	made.Settings = host.Settings
 	made.Logger = d.Logger
+	made.Choose = d.Choose
 	made.Keys, err = trust.Load(d.materials[host.Settings.Host])
 	if err != nil {
 		return err
--- a/internal/owner/executor.go
+++ b/internal/owner/executor.go
@@ -13,6 +13,7 @@
 	"redwingspread/internal/config"
 	"redwingspread/internal/model"
 	"redwingspread/internal/retry"
+	"redwingspread/internal/route"
 	"redwingspread/internal/transaction"
 	"redwingspread/internal/view"
 )
@@ -33,6 +34,8 @@
 	Report func(model.InstanceID, model.Term)
 	// Changed returns a channel that closes at the next change of the view.
 	Changed func() <-chan struct{}
+	// Choose chooses the instance of each read.
+	Choose route.Chooser
 	// Budget limits the attempts to resolve unknown outcomes.
 	Budget *retry.Budget
 	// Now reads the clock.
@@ -58,6 +61,7 @@
 		Report:       func(model.InstanceID, model.Term) {},
 		Now:          time.Now,
 		Changed:      func() <-chan struct{} { return nil },
+		Choose:       route.Choose,
 		Budget:       retry.New(),
 		flights:      newFlights(),
 		closed:       bounded.New[flightKey, bool](closedLimit, closedLife),
--- a/internal/owner/read.go
+++ b/internal/owner/read.go
@@ -20,7 +20,7 @@
 	}
 	want := e.want(work)
 	for {
-		choice := route.Choose(database, want, e.Now())
+		choice := e.Choose(database, want, e.Now())
 		if choice.Instance == "" {
 			return model.Result{}, lastError(database, choice, work, err)
 		}
