Let the pauses between fetches of a configuration grow

Cause: with the object store down, 1,800 hosts would have asked it and each other five times a second, and logged it. Change: the pause doubles from 200 ms to 2 s.

--- a/internal/spread/machine.go
+++ b/internal/spread/machine.go
@@ -10,8 +10,11 @@
 	"redwingspread/internal/model"
 )
 
-// retryAfter is the time between two tries to fetch a configuration.
-const retryAfter = 200 * time.Millisecond
+// The time between two tries to fetch a configuration, which doubles with each failure.
+const (
+	retryLeast = 200 * time.Millisecond
+	retryMost  = 2 * time.Second
+)
 
 // Event is one of RowSeen, PeerSeen, Fetched, Accepted and Ticked.
 type Event interface{ event() }
@@ -151,7 +154,7 @@
 	if e.Err != nil || e.Policy == nil || !m.newer(e.Policy.Version) {
 		outcome.Failed = e.Err
 		m.failures++
-		m.nextTry = now.Add(retryAfter)
+		m.nextTry = now.Add(m.pause())
 		return
 	}
 	m.failures = 0
@@ -162,6 +165,15 @@
 	m.force(e.Policy, e.Action.Source(), outcome)
 }
 
+// pause returns the time before the next try.
+func (m *Machine) pause() time.Duration {
+	pause := retryLeast
+	for failure := 1; failure < m.failures && pause < retryMost; failure++ {
+		pause *= 2
+	}
+	return min(pause, retryMost)
+}
+
 // force puts a configuration into force unless it is not newer.
 func (m *Machine) force(policy *config.Policy, source string, outcome *Outcome) {
 	if policy == nil || !m.newer(policy.Version) {
