Measure how long work waits for its refusal

Change: the load test records the time until a refusal. Conclusion: left as it is; a sooner refusal is to be weighed against passing bursts.

--- a/internal/dispatch/load_test.go
+++ b/internal/dispatch/load_test.go
@@ -46,6 +46,7 @@
 	offered  int
 	good     int // answered before the deadline
 	latency  *hdrhistogram.Histogram
+	refused  *hdrhistogram.Histogram // time until a refusal
 }
 
 // share returns the goodput in shares of capacity.
@@ -118,7 +119,7 @@
 		go d.Run(ctx, done)
 		var group sync.WaitGroup
 		for _, f := range l.flows {
-			counted := &tally{capacity: size.capacity(), latency: hdrhistogram.New(1, 60_000_000, 3)}
+			counted := &tally{capacity: size.capacity(), latency: hdrhistogram.New(1, 60_000_000, 3), refused: hdrhistogram.New(1, 60_000_000, 3)}
 			tallies[f.name] = counted
 			arrivals := rand.New(rand.NewPCG(loadSeed, random.Uint64()))
 			group.Go(func() { l.offer(ctx, d, f, counted, arrivals, begin) })
@@ -186,10 +187,12 @@
 	result.mutex.Lock()
 	defer result.mutex.Unlock()
 	result.offered++
+	taken := result.refused
 	if err == nil {
 		result.good++
-		_ = result.latency.RecordValue(time.Since(arrived).Microseconds()) // within the histogram's range
+		taken = result.latency
 	}
+	_ = taken.RecordValue(time.Since(arrived).Microseconds()) // within the histogram's range
 }
 
 // loadPolicies are the policies that are compared.
@@ -240,7 +243,7 @@
 	for _, f := range flows {
 		got := tallies[f.name]
 		total += got.share()
-		line += fmt.Sprintf(" | %s %.3f of %.3f, p99 %.1f ms", f.name, got.share(), float64(got.offered)/loadTime.Seconds()/got.capacity, float64(got.p99().Microseconds())/1000)
+		line += fmt.Sprintf(" | %s %.3f of %.3f, p99 %.1f ms, refused after %.0f ms", f.name, got.share(), float64(got.offered)/loadTime.Seconds()/got.capacity, float64(got.p99().Microseconds())/1000, float64(got.refused.ValueAtQuantile(50))/1000)
 	}
 	t.Logf("%-12s %-8s total %.3f%s", scenario, policy, total, line)
 }
