--- a/internal/local/access_test.go
+++ b/internal/local/access_test.go
@@ -64,7 +64,7 @@
 func (d *Deployment) transport(t testing.TB) *http.Transport {
 	t.Helper()
 	authorities := x509.NewCertPool()
-	if !authorities.AppendCertsFromPEM([]byte(d.materials[d.Hosts[0].Settings.Host].Authorities)) {
+	if !authorities.AppendCertsFromPEM([]byte(d.Hosts[0].material.Authorities)) {
 		t.Fatal("got no authority, want one")
 	}
 	return &http.Transport{TLSClientConfig: &tls.Config{RootCAs: authorities}}
