--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -29,15 +29,18 @@
 	Waiting  int
 }
 
-// RefusalCount counts the requests that this host refused for one reason.
+// RefusalCount counts the work for one instance that this host refused for one reason.
 type RefusalCount struct {
-	Code  model.Code
-	Rank  model.Rank
-	Count int64
+	Database model.DatabaseID
+	Instance model.InstanceID
+	Code     model.Code
+	Count    int64
 }
 
 // Server serves the operator interface of one host.
 type Server struct {
+	// Self is this host.
+	Self model.Host
 	// View returns the newest view.
 	View func() *view.View
 	// Ledger keeps the accepted configurations.
@@ -83,7 +86,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("/v1/", api)
-	mux.HandleFunc("GET /debug/vars", writeMetrics)
+	mux.HandleFunc("GET /debug/vars", s.writeMetrics)
 	mux.HandleFunc("GET /{$}", s.writePage)
 	guard := trust.NewGuard()
 	guard.Policy = func() *config.Policy { return s.View().Policy }
