Wait and read refusals in one place each

Cause: five packages had their own wait for a time or a context, and five their own look into a refusal. Change: clock.Pause, model.NotRun and model.CodeOf; callers in ledger, dispatch, retry, capacity and the stand-ins use them.

--- a/internal/capacity/live.go
+++ b/internal/capacity/live.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"redwingspread/internal/clock"
 	"redwingspread/internal/endpoint"
 	"redwingspread/internal/local"
 	"redwingspread/internal/model"
@@ -83,7 +84,7 @@
 	before := memory()
 	err = withDeployment(ctx, daemons, func(*local.Deployment) error {
 		begin := processorTime()
-		if err := wait(ctx, idleTime); err != nil {
+		if err := clock.Pause(ctx, idleTime); err != nil {
 			return err
 		}
 		live.CPUShare = (processorTime() - begin).Seconds() / idleTime.Seconds()
@@ -233,7 +234,7 @@
 		offset := every * time.Duration(worker) / loadWorkers
 		workers.Go(func() {
 			for at := offset; at < loadTime; at += every {
-				if wait(ctx, time.Until(start.Add(at))) != nil {
+				if clock.Pause(ctx, time.Until(start.Add(at))) != nil {
 					return
 				}
 				if read(ctx) != nil {
@@ -249,15 +250,3 @@
 	}
 	return live
 }
-
-// wait waits for the duration or until the context ends.
-func wait(ctx context.Context, duration time.Duration) error {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/dispatch/do.go
+++ b/internal/dispatch/do.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"redwingspread/internal/admit"
@@ -59,8 +58,7 @@
 
 // settle learns the slot time of work that ran, and charges nothing for work that did not.
 func (d *Dispatcher) settle(turn *Turn, err error) {
-	var refusal *model.Refusal
-	if errors.As(err, &refusal) && refusal.NotRun {
+	if model.NotRun(err) {
 		d.queue.Cancel(&turn.ticket)
 		return
 	}
@@ -70,17 +68,13 @@
 
 // transient reports whether the work did not run for want of a slot or because its connection was gone.
 func transient(err error) bool {
-	var refusal *model.Refusal
-	if !errors.As(err, &refusal) || !refusal.NotRun {
-		return false
-	}
-	return refusal.Code == model.CodeSlotsFull || refusal.Code == model.CodeUnknownConnection
+	code := model.CodeOf(err)
+	return model.NotRun(err) && (code == model.CodeSlotsFull || code == model.CodeUnknownConnection)
 }
 
 // forgotten reports whether the instance no longer knows a connection, as after its restart.
 func forgotten(err error) bool {
-	var refusal *model.Refusal
-	return errors.As(err, &refusal) && refusal.Code == model.CodeUnknownConnection
+	return model.CodeOf(err) == model.CodeUnknownConnection
 }
 
 // leastPause is the wait before the second attempt; it doubles from then on.
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"time"
 
+	"redwingspread/internal/clock"
 	"redwingspread/internal/config"
 	"redwingspread/internal/model"
 	"redwingspread/internal/platform"
@@ -99,8 +99,8 @@
 		if err == nil {
 			return a.resolve(commit.Rows)
 		}
-		doubt = doubt || !certainlyNotRun(err)
-		if pause(ctx, settlePause) == nil {
+		doubt = doubt || !model.NotRun(err)
+		if clock.Pause(ctx, settlePause) == nil {
 			continue
 		}
 		if doubt {
@@ -236,30 +236,12 @@
 
 // notRun marks a failure before the row was touched: the change certainly had no effect.
 func notRun(err error) error {
-	if certainlyNotRun(err) {
+	if model.NotRun(err) {
 		return err
 	}
 	return fmt.Errorf("%w: %w", model.Refuse(model.CodeUnavailable, "nothing was changed"), err)
 }
 
-// certainlyNotRun reports whether an error says that nothing happened.
-func certainlyNotRun(err error) bool {
-	var refusal *model.Refusal
-	return errors.As(err, &refusal) && refusal.NotRun
-}
-
-// pause waits for the time or the context's end.
-func pause(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // annotate adds what was tried to an error.
 func annotate(err *error, tried string) {
 	if *err != nil {
--- a/internal/model/refusal.go
+++ b/internal/model/refusal.go
@@ -1,6 +1,7 @@
 package model
 
 import (
+	"errors"
 	"fmt"
 	"time"
 )
@@ -68,3 +69,18 @@
 func Doubt(format string, arguments ...any) *Refusal {
 	return &Refusal{Code: CodeOutcomeUnknown, Message: fmt.Sprintf(format, arguments...)}
 }
+
+// NotRun reports whether an error tells that the work certainly had no effect.
+func NotRun(err error) bool {
+	var refusal *Refusal
+	return errors.As(err, &refusal) && refusal.NotRun
+}
+
+// CodeOf returns the code of a refusal, or an empty one for any other error.
+func CodeOf(err error) Code {
+	var refusal *Refusal
+	if errors.As(err, &refusal) {
+		return refusal.Code
+	}
+	return ""
+}
--- a/internal/owner/write.go
+++ b/internal/owner/write.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"redwingspread/internal/clock"
 	"redwingspread/internal/config"
 	"redwingspread/internal/model"
 	"redwingspread/internal/retry"
@@ -38,7 +39,7 @@
 		case code(err) == model.CodeNotOwner:
 			return model.Result{}, doubt
 		}
-		if !e.Budget.Take() || retry.Pause(ctx, pauses.Next(0)) != nil {
+		if !e.Budget.Take() || clock.Pause(ctx, pauses.Next(0)) != nil {
 			return model.Result{}, doubt
 		}
 	}
--- a/internal/retry/backoff.go
+++ b/internal/retry/backoff.go
@@ -1,7 +1,6 @@
 package retry
 
 import (
-	"context"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -30,15 +29,3 @@
 func (b *Backoff) Next(retryAfter time.Duration) time.Duration {
 	return max(b.policy.NextBackOff(), retryAfter)
 }
-
-// Pause waits for the time, or until the context ends, whose error it returns.
-func Pause(ctx context.Context, pause time.Duration) error {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/standin/fault/handler.go
+++ b/internal/standin/fault/handler.go
@@ -2,12 +2,11 @@
 
 import (
 	"bytes"
-	"context"
 	"io"
 	"net/http"
 	"strconv"
-	"time"
 
+	"redwingspread/internal/clock"
 	"redwingspread/internal/model"
 )
 
@@ -36,7 +35,7 @@
 	}
 	h.holdIsolated(r)
 	faults := h.Injector.Faults()
-	pause(r.Context(), faults.Slow)
+	clock.Pause(r.Context(), faults.Slow)
 	if faults.Outage {
 		writeOutage(w)
 		return
@@ -73,7 +72,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	if h.Injector.draw(faults.LateAnswers) {
-		pause(r.Context(), faults.Late)
+		clock.Pause(r.Context(), faults.Late)
 	}
 	cut := h.Injector.draw(faults.CutAnswers)
 	kept.send(w, cut)
@@ -100,19 +99,6 @@
 	return Party(r.Header.Get(model.HostHeader))
 }
 
-// pause waits for the duration or until the context ends.
-func pause(ctx context.Context, duration time.Duration) {
-	if duration <= 0 {
-		return
-	}
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // writeOutage refuses a request before it has an effect.
 func writeOutage(w http.ResponseWriter) {
 	w.Header().Set("Content-Type", "application/json")
--- a/internal/standin/instance/instance.go
+++ b/internal/standin/instance/instance.go
@@ -85,16 +85,3 @@
 	_, err := ask(ctx, i, func(c *core) (struct{}, error) { return struct{}{}, command(c) })
 	return err
 }
-
-// pause waits for the duration or until the context ends.
-func pause(ctx context.Context, duration time.Duration) {
-	if duration <= 0 {
-		return
-	}
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/standin/instance/puller.go
+++ b/internal/standin/instance/puller.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"redwingspread/internal/clock"
 	"redwingspread/internal/model"
 	"redwingspread/internal/outbound"
 	"redwingspread/pkg/api/standinapi"
@@ -34,7 +35,7 @@
 	}
 	part, err := i.fetch(ctx, at)
 	if err != nil {
-		pause(ctx, pullRetry)
+		clock.Pause(ctx, pullRetry)
 		return
 	}
 	_ = tell(ctx, i, func(c *core) error {
--- a/internal/standin/instance/traffic.go
+++ b/internal/standin/instance/traffic.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"redwingspread/internal/clock"
 	"redwingspread/internal/model"
 )
 
@@ -21,7 +22,7 @@
 	if err != nil {
 		return "", state, err
 	}
-	pause(ctx, i.ConnectionCost)
+	clock.Pause(ctx, i.ConnectionCost)
 	state, err = ask(ctx, i, func(c *core) (model.InstanceState, error) {
 		id, err = c.open(i.Now(), host, term)
 		return c.state(i.Now()), err
@@ -43,7 +44,7 @@
 	if err != nil {
 		return a, err
 	}
-	pause(ctx, i.ServiceTime)
+	clock.Pause(ctx, i.ServiceTime)
 	return ask(ctx, i, func(c *core) (answer, error) {
 		result, err := c.finish(i.Now(), id, term, work)
 		return answer{result: result, state: c.state(i.Now())}, err
--- a/pkg/client/session.go
+++ b/pkg/client/session.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"redwingspread/internal/clock"
 	"redwingspread/internal/model"
 	"redwingspread/internal/retry"
 	"redwingspread/pkg/api/callerapi"
@@ -110,7 +111,7 @@
 		if !retry.Allowed(refusal, access, false, left(ctx)) || !s.client.budget.Take() {
 			return Answer{}, refusal
 		}
-		if retry.Pause(ctx, pauses.Next(refusal.RetryAfter)) != nil {
+		if clock.Pause(ctx, pauses.Next(refusal.RetryAfter)) != nil {
 			return Answer{}, refusal
 		}
 	}
