--- a/internal/standin/instance/puller.go
+++ b/internal/standin/instance/puller.go
@@ -32,7 +32,10 @@
 	if err != nil {
 		return
 	}
-	part, err := i.fetch(ctx, at)
+	part, moved, err := i.fetchUnlessMoved(ctx, at)
+	if moved {
+		return
+	}
 	if err != nil {
 		pause(ctx, pullRetry)
 		return
@@ -55,6 +58,30 @@
 	return at, err
 }
 
+// fetchUnlessMoved fetches one part of the log, and gives up at once when the replica is told to follow another primary or term.
+func (i *Instance) fetchUnlessMoved(ctx context.Context, at cursor) (part fetched, moved bool, err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	ended := make(chan bool, 1)
+	go i.watchMove(ctx, at, cancel, ended)
+	part, err = i.fetch(ctx, at)
+	cancel()
+	return part, <-ended, err
+}
+
+// watchMove cancels a fetch when the replica's primary or term changes, and reports on ended whether it did.
+func (i *Instance) watchMove(ctx context.Context, at cursor, cancel context.CancelFunc, ended chan<- bool) {
+	moved := false
+	_ = i.await(ctx, pullTimeout, func(c *core) (bool, error) {
+		now := c.cursor()
+		moved = now.primary != at.primary || now.term != at.term
+		return moved, nil
+	})
+	if moved {
+		cancel()
+	}
+	ended <- moved
+}
+
 // fetch asks the primary for the log past the cursor.
 func (i *Instance) fetch(ctx context.Context, at cursor) (part fetched, err error) {
 	defer func() {
