--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -11,6 +11,7 @@
 	"github.com/apex/log"
 
 	"redwingspread/internal/ack"
+	"redwingspread/internal/config"
 	"redwingspread/internal/control"
 	"redwingspread/internal/endpoint"
 	"redwingspread/internal/event"
@@ -21,6 +22,7 @@
 	"redwingspread/internal/peer"
 	"redwingspread/internal/platform"
 	"redwingspread/internal/proxy"
+	"redwingspread/internal/route"
 	"redwingspread/internal/row"
 	"redwingspread/internal/session"
 	"redwingspread/internal/settings"
@@ -43,12 +45,16 @@
 	Keys *trust.Keys
 	// Logger takes the numbered events.
 	Logger log.Interface
+	// Choose chooses the instance of each read; a baseline takes its place in measurements.
+	Choose route.Chooser
 	// WrapOutbound adds a layer, such as a delay, around calls to endpoints and to the platform.
 	WrapOutbound func(http.RoundTripper) http.RoundTripper
 	// WrapPeer adds a layer around calls to peers.
 	WrapPeer func(http.RoundTripper) http.RoundTripper
 
 	host      model.Host
+	open      bool // every request is let in
+	first     config.Token
 	tracer    *trace.Tracer
 	store     *platform.Client
 	loop      *controlLoop
@@ -65,6 +71,7 @@
 	same := func(next http.RoundTripper) http.RoundTripper { return next }
 	return &Daemon{
 		Logger:       log.Log,
+		Choose:       route.Choose,
 		WrapOutbound: same,
 		WrapPeer:     same,
 	}
@@ -105,6 +112,12 @@
 func (d *Daemon) build(ctx context.Context) (err error) {
 	s := d.Settings
 	d.host = model.Host{ID: s.Host, Address: s.PeerAddress, DataCentre: s.DataCentre, Region: s.Region}
+	if d.open, err = trust.Open(s); err != nil {
+		return err
+	}
+	if d.first, err = trust.FirstOperator(s); err != nil {
+		return err
+	}
 	d.tracer, err = trace.New(ctx, s.Host, trace.Exporter(s.Trace), s.TraceAddress)
 	if err != nil {
 		return err
@@ -170,6 +183,7 @@
 	d.executor.View = d.loop.Snapshot
 	d.executor.Changed = d.loop.Changed
 	d.executor.Instances = d.instances
+	d.executor.Choose = d.Choose
 	d.executor.Gate = ack.New()
 	d.executor.Gate.Instance = d.instances.Client
 	d.executor.Gate.Row = (&row.Table{Store: d.store}).Get
--- a/internal/daemon/servers.go
+++ b/internal/daemon/servers.go
@@ -6,16 +6,21 @@
 	"net/http"
 	"time"
 
+	"redwingspread/internal/config"
 	"redwingspread/internal/event"
 	"redwingspread/internal/fleet"
 	"redwingspread/internal/limit"
 	"redwingspread/internal/peer"
 	"redwingspread/internal/serve"
+	"redwingspread/internal/view"
 )
 
 // handOverPoll is the time between two looks whether every database was handed over.
 const handOverPoll = 10 * time.Millisecond
 
+// operatorBodyLimit is the largest body of an operator's request in bytes: a document and what is about it.
+const operatorBodyLimit = config.MaxText + 64<<10
+
 // allRequests is the number of requests, in request limits, that are read at once; the rank of one is known once it is read.
 const allRequests = 2
 
@@ -29,14 +34,21 @@
 	limited := limit.NewCallers[string]()
 	limited.Each = d.Settings.CallerLimit
 	limited.All = allRequests * d.Settings.RequestLimit
-	caller := serve.New(d.Settings.CallerAddress, limit.Handler(limited, d.tracer.Handler("caller", callers)))
+	guarded := d.guardCallers(callers)
+	caller := serve.New(d.Settings.CallerAddress, limit.Handler(limited, d.tracer.Handler("caller", guarded)))
+	caller.TLS = d.publicTLS()
+	caller.Failed = d.failedConnection("caller")
 	caller.ConnectionLimit = d.Settings.ConnectionLimit
 	caller.DrainLimit = d.Settings.StopLimit
-	operators, err := d.operatorHandler()
+	operating := d.operatorServer()
+	operators, err := operating.Handler()
 	if err != nil {
 		return err
 	}
 	operator := serve.New(d.Settings.OperatorAddress, operators)
+	operator.BodyLimit = operatorBodyLimit
+	operator.TLS = d.publicTLS()
+	operator.Failed = d.failedConnection("operator")
 	for _, listener := range []interface{ Listen() error }{caller, peers, operator} {
 		if err := listener.Listen(); err != nil {
 			return err
@@ -49,6 +61,7 @@
 		{"transactions", d.executor.Run},
 		{"instances", d.instances.Run},
 		{"operator", operator.Run},
+		{"measurement", operating.Run},
 		{"control", d.loop.Run},
 	}
 	return nil
@@ -62,6 +75,7 @@
 	server.Control = &peerControl{loop: d.loop}
 	server.DrainLimit = d.Settings.StopLimit
 	server.Wrap = func(next http.Handler) http.Handler { return d.tracer.Handler("owner", next) }
+	d.Keys.Refused = d.refusedPeer()
 	server.TLS = d.Keys.ServerTLS()
 	return server
 }
@@ -93,14 +107,14 @@
 	d.executor.Drain(ctx)
 }
 
-// handOver waits, once the daemon stops, until this host owns no database or the limit has passed.
+// handOver waits, once the daemon stops, until this host owns no database, no host is left to take one, or the limit has passed.
 func (d *Daemon) handOver(ctx context.Context, done chan<- error) {
 	<-ctx.Done()
 	limit := time.NewTimer(d.Settings.StopLimit)
 	defer limit.Stop()
 	ticker := time.NewTicker(handOverPoll)
 	defer ticker.Stop()
-	for d.ownsAny() {
+	for d.ownsAny() && d.hasSuccessor() {
 		select {
 		case <-ticker.C:
 		case <-limit.C:
@@ -111,6 +125,16 @@
 	done <- nil
 }
 
+// hasSuccessor reports whether another host may take a database over.
+func (d *Daemon) hasSuccessor() bool {
+	for id, host := range d.loop.Snapshot().Hosts {
+		if id != d.host.ID && host.State == view.Alive {
+			return true
+		}
+	}
+	return false
+}
+
 // ownsAny reports whether this host still owns a database.
 func (d *Daemon) ownsAny() bool {
 	for _, database := range d.loop.Snapshot().Databases {
--- a/internal/fleet/beat.go
+++ b/internal/fleet/beat.go
@@ -63,6 +63,7 @@
 	epoch := m.members.Epoch()
 	if beat.Address != "" {
 		m.helper = model.Host{ID: beat.From, Address: beat.Address}
+		m.told[beat.From] = beat.Address
 	}
 	m.members.Heard(now, beat.From, beat.Incarnation, beat.Sequence, beat.Leaving, beat.Configuration)
 	for _, news := range beat.Members {
@@ -80,6 +81,7 @@
 		m.dirty = true
 		actions = append(actions, m.tick(now)...)
 	}
+	m.dirty = m.dirty || m.spread.Seen(beat.From) != beat.Configuration
 	seen := spread.PeerSeen{Host: beat.From, Version: beat.Configuration}
 	return append(actions, m.configure(now, seen)...)
 }
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -24,6 +24,9 @@
 	PeerAuthorities string             // Certificates of the authorities that sign hosts; PEM text or the path of a file.
 	PeerCertificate string             // Certificate of this host; PEM text or the path of a file.
 	PeerKey         Secret             // Private key of this host; PEM text or the path of a file.
+	FirstOperator   string             // Hash of the first operator's token; `redwingspread keys first` makes both.
+	Guard           string             // Whether callers and operators need a token; open is for trials on the loopback.
+	PublicTLS       string             // Whether callers and operators speak TLS with the host's certificate; off is for a balancer that ends it, and for trials.
 	ConnectionLimit int                // Connections of callers that may be open.
 	RequestLimit    int                // Requests that may be in progress; the less urgent ranks meet it first.
 	CallerLimit     int                // Requests of one caller's IP number that may be in progress.
@@ -48,6 +51,9 @@
 		textFlag("peer-authorities", "REDWINGSPREAD_PEER_AUTHORITIES", "", "Certificates of the authorities that sign hosts; PEM text or the path of a file."),
 		textFlag("peer-certificate", "REDWINGSPREAD_PEER_CERTIFICATE", "", "Certificate of this host; PEM text or the path of a file."),
 		textFlag("peer-key", "REDWINGSPREAD_PEER_KEY", "", "Private key of this host; PEM text or the path of a file."),
+		textFlag("first-operator", "REDWINGSPREAD_FIRST_OPERATOR", "", "Hash of the first operator's token; `redwingspread keys first` makes both."),
+		textFlag("guard", "REDWINGSPREAD_GUARD", "tokens", "Whether callers and operators need a token; open is for trials on the loopback."),
+		textFlag("public-tls", "REDWINGSPREAD_PUBLIC_TLS", "on", "Whether callers and operators speak TLS with the host's certificate; off is for a balancer that ends it, and for trials."),
 		textFlag("connection-limit", "REDWINGSPREAD_CONNECTION_LIMIT", "16384", "Connections of callers that may be open."),
 		textFlag("request-limit", "REDWINGSPREAD_REQUEST_LIMIT", "2048", "Requests that may be in progress; the less urgent ranks meet it first."),
 		textFlag("caller-limit", "REDWINGSPREAD_CALLER_LIMIT", "1024", "Requests of one caller's IP number that may be in progress."),
@@ -73,8 +79,11 @@
 	loaded.PeerAuthorities = r.string(rule{flag: "peer-authorities", env: "REDWINGSPREAD_PEER_AUTHORITIES", allows: "a text", required: true})
 	loaded.PeerCertificate = r.string(rule{flag: "peer-certificate", env: "REDWINGSPREAD_PEER_CERTIFICATE", allows: "a text", required: true})
 	loaded.PeerKey = r.secret(rule{flag: "peer-key", env: "REDWINGSPREAD_PEER_KEY", allows: "a secret text", required: true})
+	loaded.FirstOperator = r.string(rule{flag: "first-operator", env: "REDWINGSPREAD_FIRST_OPERATOR", allows: "a text, or nothing", required: false})
+	loaded.Guard = r.enum(rule{flag: "guard", env: "REDWINGSPREAD_GUARD", allows: "one of tokens, open", required: false, allowed: []string{"tokens", "open"}})
+	loaded.PublicTLS = r.enum(rule{flag: "public-tls", env: "REDWINGSPREAD_PUBLIC_TLS", allows: "one of on, off", required: false, allowed: []string{"on", "off"}})
 	loaded.ConnectionLimit = r.int(rule{flag: "connection-limit", env: "REDWINGSPREAD_CONNECTION_LIMIT", allows: "a whole number from 1 to 1000000", required: false, min: "1", max: "1000000"})
-	loaded.RequestLimit = r.int(rule{flag: "request-limit", env: "REDWINGSPREAD_REQUEST_LIMIT", allows: "a whole number from 1 to 4096", required: false, min: "1", max: "4096"})
+	loaded.RequestLimit = r.int(rule{flag: "request-limit", env: "REDWINGSPREAD_REQUEST_LIMIT", allows: "a whole number from 1 to 3000", required: false, min: "1", max: "3000"})
 	loaded.CallerLimit = r.int(rule{flag: "caller-limit", env: "REDWINGSPREAD_CALLER_LIMIT", allows: "a whole number from 1 to 4096", required: false, min: "1", max: "4096"})
 	loaded.StopLimit = r.duration(rule{flag: "stop-limit", env: "REDWINGSPREAD_STOP_LIMIT", allows: "a duration such as 250ms or 10s from 0s to 10m", required: false, min: "0s", max: "10m"})
 	loaded.Trace = r.enum(rule{flag: "trace", env: "REDWINGSPREAD_TRACE", allows: "one of none, stdout, otlp", required: false, allowed: []string{"none", "stdout", "otlp"}})
--- /dev/null
+++ b/internal/trust/settings_test.go
@@ -0,0 +1,58 @@
+package trust
+
+import (
+	"strings"
+	"testing"
+
+	"redwingspread/internal/model"
+	"redwingspread/internal/settings"
+)
+
+func TestFirstOperator(t *testing.T) {
+	tests := map[string]struct {
+		hash string
+		fail bool
+	}{
+		"none":              {"", false},
+		"hash":              {Hash("rws_x"), false},
+		"token by mistake":  {NewToken(), true},
+		"hash cut short":    {Hash("rws_x")[:62], true},
+		"words by mistake":  {"first operator", true},
+		"hash, then a line": {Hash("rws_x") + "\n", true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			token, err := FirstOperator(settings.Serve{FirstOperator: test.hash})
+			if got := err != nil; got != test.fail {
+				t.Fatalf("got %v, want an error %v", err, test.fail)
+			}
+			if err == nil && token.Hash != test.hash {
+				t.Errorf("got hash %q, want %q", token.Hash, test.hash)
+			}
+			if err != nil && strings.Contains(err.Error(), test.hash) {
+				t.Errorf("got %v, want the value hidden", err)
+			}
+		})
+	}
+}
+
+func TestOpen(t *testing.T) {
+	tests := map[string]struct {
+		guard            string
+		caller, operator model.Address
+		want, fail       bool
+	}{
+		"tokens":           {"tokens", "0.0.0.0:1", "0.0.0.0:2", false, false},
+		"loopback":         {"open", "127.0.0.1:1", "[::1]:2", true, false},
+		"callers outside":  {"open", "0.0.0.0:1", "127.0.0.1:2", false, true},
+		"operator outside": {"open", "127.0.0.1:1", "10.0.0.7:2", false, true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			got, err := Open(settings.Serve{Guard: test.guard, CallerAddress: test.caller, OperatorAddress: test.operator})
+			if got != test.want || (err != nil) != test.fail {
+				t.Errorf("got %v (%v), want %v and an error %v", got, err, test.want, test.fail)
+			}
+		})
+	}
+}
--- a/pkg/client/transport.go
+++ b/pkg/client/transport.go
@@ -40,3 +40,19 @@
 	}
 	return n, err
 }
+
+// bearer is a transport that shows the caller's token.
+type bearer struct {
+	next  http.RoundTripper
+	token string
+}
+
+// RoundTrip sends a copy of the request with the token.
+func (b bearer) RoundTrip(request *http.Request) (*http.Response, error) {
+	if b.token == "" {
+		return b.next.RoundTrip(request)
+	}
+	authorized := request.Clone(request.Context())
+	authorized.Header.Set("Authorization", "Bearer "+b.token)
+	return b.next.RoundTrip(authorized)
+}
