Read refusals in owner and proxy by the model's functions

Cause: owner and proxy each had a copy of two functions that model now has. Change: the copies are gone.

--- a/internal/owner/doubt.go
+++ b/internal/owner/doubt.go
@@ -80,7 +80,7 @@
 // Run runs one statement.
 func (c *watched) Run(ctx context.Context, term model.Term, work model.Work) (model.Result, model.InstanceState, error) {
 	result, state, err := c.Conn.Run(ctx, term, work)
-	if err != nil && !notRun(err) && work.Statement.Access == model.Write {
+	if err != nil && !model.NotRun(err) && work.Statement.Access == model.Write {
 		c.doubts.add(c, doubt{request: work.Request, term: term})
 	}
 	return result, state, err
@@ -89,7 +89,7 @@
 // Commit commits the open transaction.
 func (c *watched) Commit(ctx context.Context, term model.Term, request model.RequestID) (model.Result, model.InstanceState, error) {
 	result, state, err := c.Conn.Commit(ctx, term, request)
-	if err != nil && !notRun(err) {
+	if err != nil && !model.NotRun(err) {
 		c.doubts.add(c, doubt{request: request, term: term})
 	}
 	return result, state, err
@@ -98,7 +98,7 @@
 // Close closes the connection, after which none of its changes can come any more.
 func (c *watched) Close(ctx context.Context) error {
 	err := c.Conn.Close(ctx)
-	if err == nil || code(err) == model.CodeUnknownConnection {
+	if err == nil || model.CodeOf(err) == model.CodeUnknownConnection {
 		c.doubts.remove(c)
 	}
 	return err
--- a/internal/owner/flight.go
+++ b/internal/owner/flight.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 
 	"redwingspread/internal/model"
@@ -96,18 +95,3 @@
 		return model.Doubt("another attempt of the request is in progress")
 	}
 }
-
-// notRun reports whether the error tells that the work certainly had no effect.
-func notRun(err error) bool {
-	var refusal *model.Refusal
-	return errors.As(err, &refusal) && refusal.NotRun
-}
-
-// code returns the reason of a refusal, or an empty one.
-func code(err error) model.Code {
-	var refusal *model.Refusal
-	if errors.As(err, &refusal) {
-		return refusal.Code
-	}
-	return ""
-}
--- a/internal/owner/flight_test.go
+++ b/internal/owner/flight_test.go
@@ -44,7 +44,7 @@
 					if err == nil {
 						return "ran"
 					}
-					return string(code(err))
+					return string(model.CodeOf(err))
 				}
 				first := make(chan string, 1)
 				go func() { first <- attempt(time.Hour) }()
--- a/internal/owner/read.go
+++ b/internal/owner/read.go
@@ -107,7 +107,7 @@
 
 // elsewhere reports whether another instance may serve a read that this error ended.
 func elsewhere(err error) bool {
-	switch code(err) {
+	switch model.CodeOf(err) {
 	case model.CodeOverloaded, model.CodeDeadline, model.CodeInvalid, model.CodeUnknownOperation:
 		return false
 	default:
@@ -117,7 +117,7 @@
 
 // withoutEffect returns the error of a read as a refusal of work that did not run, since a read changes nothing.
 func withoutEffect(err error) error {
-	if err == nil || notRun(err) {
+	if err == nil || model.NotRun(err) {
 		return err
 	}
 	return model.Refuse(model.CodeUnavailable, "the read got no whole answer: %v", err)
--- a/internal/owner/transaction.go
+++ b/internal/owner/transaction.go
@@ -63,7 +63,7 @@
 		return model.Result{}, err
 	}
 	result, state, err := open.Resource.transaction.Run(ctx, work)
-	if err != nil && !notRun(err) {
+	if err != nil && !model.NotRun(err) {
 		e.end(open)
 		return model.Result{}, err
 	}
@@ -84,7 +84,7 @@
 			return e.committed(ctx, work)
 		}
 		open, err := e.transactions.Take(work.Transaction)
-		if code(err) == model.CodeTransactionEnded {
+		if model.CodeOf(err) == model.CodeTransactionEnded {
 			return e.committed(ctx, work)
 		}
 		if err != nil {
@@ -111,9 +111,9 @@
 func (e *Executor) committed(ctx context.Context, work model.Work) (model.Result, error) {
 	result, err := e.recorded(ctx, work)
 	switch {
-	case err == nil || !notRun(err):
+	case err == nil || !model.NotRun(err):
 		return result, err
-	case code(err) == model.CodeNotFound:
+	case model.CodeOf(err) == model.CodeNotFound:
 		return model.Result{}, model.Refuse(model.CodeTransactionEnded, "transaction %q ended without a commit", work.Transaction)
 	default:
 		return model.Result{}, model.Doubt("the commit of %q could not be resolved: %v", work.Transaction, err)
--- a/internal/owner/write.go
+++ b/internal/owner/write.go
@@ -32,11 +32,11 @@
 		case err == nil:
 			e.Budget.Succeed()
 			return result, nil
-		case doubt == nil && notRun(err):
+		case doubt == nil && model.NotRun(err):
 			return model.Result{}, err
-		case !notRun(err):
+		case !model.NotRun(err):
 			doubt = err
-		case code(err) == model.CodeNotOwner:
+		case model.CodeOf(err) == model.CodeNotOwner:
 			return model.Result{}, doubt
 		}
 		if !e.Budget.Take() || clock.Pause(ctx, pauses.Next(0)) != nil {
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -22,7 +22,7 @@
 			p.Budget.Succeed()
 			return result, nil
 		}
-		if !notRun(err) {
+		if !model.NotRun(err) {
 			doubt = err
 		}
 		if !p.again(work, err) || !p.pause(ctx, pauses.Next(0), work.Database, before) {
@@ -33,7 +33,7 @@
 
 // lasting returns the error that tells most of the work: after an attempt of unknown outcome, only "never ran" settles it.
 func lasting(doubt, err error) error {
-	if doubt == nil || code(err) == model.CodeNotFound {
+	if doubt == nil || model.CodeOf(err) == model.CodeNotFound {
 		return err
 	}
 	return doubt
--- a/internal/proxy/outcome.go
+++ b/internal/proxy/outcome.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 
 	"redwingspread/internal/model"
 	"redwingspread/internal/owner"
@@ -28,7 +27,7 @@
 // commit commits a transaction; a lost answer is resolved by the request id.
 func (p *Proxy) commit(ctx context.Context, work model.Work) (model.Result, error) {
 	result, err := p.forward(ctx, work, owner.Service.Commit)
-	if err == nil || notRun(err) {
+	if err == nil || model.NotRun(err) {
 		return result, err
 	}
 	question := work
@@ -37,7 +36,7 @@
 	switch {
 	case asked == nil:
 		return result, nil
-	case code(asked) == model.CodeNotFound:
+	case model.CodeOf(asked) == model.CodeNotFound:
 		return model.Result{}, model.Refuse(model.CodeTransactionEnded, "transaction %q ended without a commit", work.Transaction)
 	default:
 		return model.Result{}, err
@@ -58,7 +57,7 @@
 	switch {
 	case err == nil:
 		return token.Raise(work.Database, result.Point).Settle(work.Database), nil
-	case code(err) == model.CodeNotFound:
+	case model.CodeOf(err) == model.CodeNotFound:
 		return token.Settle(work.Database), nil
 	default:
 		return token, model.Refuse(model.CodeUnavailable, "the outcome of the session's request %q is not known yet: %v", pending, err)
@@ -85,11 +84,11 @@
 func (p *Proxy) refuse(token session.Token, work model.Work, err error, recorded bool) error {
 	mine := token.Pending(work.Database) == work.Request
 	switch {
-	case !notRun(err) && recorded:
+	case !model.NotRun(err) && recorded:
 		token = token.Suspend(work.Database, work.Request)
-	case mine && code(err) == model.CodeNotFound:
+	case mine && model.CodeOf(err) == model.CodeNotFound:
 		token = token.Settle(work.Database)
-	case code(err) == model.CodeLostWrite:
+	case model.CodeOf(err) == model.CodeLostWrite:
 		token = token.Forget(work.Database)
 		token.Partial = true
 	default:
@@ -101,18 +100,3 @@
 	}
 	return &Refused{Cause: err, Token: text}
 }
-
-// notRun reports whether the error tells that the work certainly had no effect.
-func notRun(err error) bool {
-	var refusal *model.Refusal
-	return errors.As(err, &refusal) && refusal.NotRun
-}
-
-// code returns the reason of a refusal, or an empty one.
-func code(err error) model.Code {
-	var refusal *model.Refusal
-	if errors.As(err, &refusal) {
-		return refusal.Code
-	}
-	return ""
-}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -94,7 +94,7 @@
 // begin begins a transaction; one that nobody can commit has no effect.
 func begin(service owner.Service, ctx context.Context, work model.Work) (model.Result, error) {
 	result, err := service.Begin(ctx, work)
-	if err != nil && !notRun(err) {
+	if err != nil && !model.NotRun(err) {
 		err = model.Refuse(model.CodeUnavailable, "the begin got no answer: %v", err)
 	}
 	return result, err
