Play sessions on the whole path while endpoints lose, cut and double

Cause: the random runs use a fake database and one host. Change: a table of faults on four hosts and stand-ins in one process; sessions roam, lend and return, and compare each read with their own account.

--- a/internal/history/share_test.go
+++ b/internal/history/share_test.go
@@ -34,6 +34,7 @@
 	reads, replicas, stale, refused int
 	sessionReads, sessionOnReplicas int
 	latencies                       []time.Duration
+	unknown                         []model.RequestID
 }
 
 // borrower is one session that lends its own lamp and looks at it, each time through any host.
@@ -72,6 +73,7 @@
 	}
 	answer, token, err := b.run(ctx, statement, b.token)
 	b.token = token
+	b.doubt(err)
 	if err != nil || !answer.Done {
 		return
 	}
