--- a/internal/owner/write.go
+++ b/internal/owner/write.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"redwingspread/internal/clock"
 	"redwingspread/internal/config"
 	"redwingspread/internal/model"
 	"redwingspread/internal/retry"
@@ -31,14 +32,14 @@
 		case err == nil:
 			e.Budget.Succeed()
 			return result, nil
-		case doubt == nil && notRun(err):
+		case doubt == nil && model.NotRun(err):
 			return model.Result{}, err
-		case !notRun(err):
+		case !model.NotRun(err):
 			doubt = err
-		case code(err) == model.CodeNotOwner:
+		case model.CodeOf(err) == model.CodeNotOwner:
 			return model.Result{}, doubt
 		}
-		if !e.Budget.Take() || retry.Pause(ctx, pauses.Next(0)) != nil {
+		if !e.Budget.Take() || clock.Pause(ctx, pauses.Next(0)) != nil {
 			return model.Result{}, doubt
 		}
 	}
