--- a/internal/measure/bench.go
+++ b/internal/measure/bench.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"redwingspread/internal/clock"
 	"redwingspread/internal/local"
 	"redwingspread/internal/model"
 	"redwingspread/internal/outbound"
@@ -99,14 +100,14 @@
 
 // RoundTrip sends the request after the way there and hands the answer over after the way back.
 func (d delay) RoundTrip(r *http.Request) (*http.Response, error) {
-	if err := wait(r.Context(), d.oneWay); err != nil {
+	if err := clock.Pause(r.Context(), d.oneWay); err != nil {
 		return nil, err
 	}
 	answer, err := d.next.RoundTrip(r)
 	if err != nil {
 		return nil, err
 	}
-	if err := wait(r.Context(), d.oneWay); err != nil {
+	if err := clock.Pause(r.Context(), d.oneWay); err != nil {
 		return nil, errors.Join(err, answer.Body.Close())
 	}
 	return answer, nil
@@ -157,18 +158,3 @@
 	}
 	return local.Place{}, false
 }
-
-// wait waits for the duration or until the context ends.
-func wait(ctx context.Context, duration time.Duration) error {
-	if duration <= 0 {
-		return nil
-	}
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/measure/gap.go
+++ b/internal/measure/gap.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"redwingspread/internal/clock"
 	"redwingspread/internal/model"
 	"redwingspread/internal/standin/fault"
 	"redwingspread/pkg/client"
@@ -85,15 +86,15 @@
 	ends := make(chan time.Duration, 1)
 	paying, stop := context.WithCancel(ctx)
 	go func() { ends <- b.payOn(paying, database) }()
-	err = wait(ctx, gapBefore)
+	err = clock.Pause(ctx, gapBefore)
 	if err == nil {
 		err = way.begin(b, primary)
 	}
-	err = errors.Join(err, wait(ctx, gapAfter))
+	err = errors.Join(err, clock.Pause(ctx, gapAfter))
 	stop()
 	longest := <-ends
 	way.heal(b, primary)
-	return longest, errors.Join(err, wait(ctx, gapHeal))
+	return longest, errors.Join(err, clock.Pause(ctx, gapHeal))
 }
 
 // enrol makes sure that there is a seat to pay for and returns the primary that answered.
@@ -127,7 +128,7 @@
 	last := time.Now()
 	answers := make(chan acked)
 	begun := 0
-	for number := 0; wait(ctx, payPause) == nil; number++ {
+	for number := 0; clock.Pause(ctx, payPause) == nil; number++ {
 		request := b.request()
 		session := b.session(number % len(b.Deployment.Hosts))
 		go func() {
--- a/internal/measure/outage.go
+++ b/internal/measure/outage.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"redwingspread/internal/clock"
 	"redwingspread/internal/standin/fault"
 )
 
@@ -29,5 +30,5 @@
 		}
 	}
 	b.report.Set("store_outage_refused", float64(refused))
-	return wait(ctx, gapHeal)
+	return clock.Pause(ctx, gapHeal)
 }
