Name the types of the callers' library in the library

Cause: pkg/client's signatures named types of an internal package, which others can't import. Change: aliases in pkg/client; its own code uses them. Conclusion: a program outside the repository can name every type that it needs.

--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -9,7 +9,6 @@
 	"sync/atomic"
 	"time"
 
-	"redwingspread/internal/model"
 	"redwingspread/internal/retry"
 	"redwingspread/pkg/api/callerapi"
 )
@@ -23,7 +22,7 @@
 // Client reaches the system through its hosts or through their balancer.
 type Client struct {
 	// Addresses are the hosts' caller addresses, which are tried in turn.
-	Addresses []model.Address
+	Addresses []Address
 	// Deadline is the time that a request has when its context sets no earlier end.
 	Deadline time.Duration
 	// AnswerLimit is the greatest size of an answer in bytes.
@@ -43,7 +42,7 @@
 }
 
 // New returns a client whose exported fields are to be set before its first request.
-func New(addresses ...model.Address) *Client {
+func New(addresses ...Address) *Client {
 	return &Client{
 		Addresses:   addresses,
 		Deadline:    defaultDeadline,
@@ -59,7 +58,7 @@
 
 // Resume returns the session that the token of an earlier answer stands for.
 func (c *Client) Resume(token string) *Session {
-	return &Session{client: c, token: token, pending: map[model.DatabaseID]model.RequestID{}}
+	return &Session{client: c, token: token, pending: map[DatabaseID]RequestID{}}
 }
 
 // invoker returns the next host's interface.
--- a/pkg/client/errors.go
+++ b/pkg/client/errors.go
@@ -13,8 +13,8 @@
 
 // Error is the error of a request that did not run, or whose outcome is unknown.
 type Error struct {
-	Request    model.RequestID
-	Code       model.Code
+	Request    RequestID
+	Code       Code
 	NotRun     bool // true when the request certainly had no effect
 	Message    string
 	RetryAfter time.Duration // time after which a repeat may be served
@@ -30,7 +30,7 @@
 }
 
 // asError returns the refusal of a request as the error that callers see.
-func asError(request model.RequestID, refusal *model.Refusal) *Error {
+func asError(request RequestID, refusal *model.Refusal) *Error {
 	return &Error{
 		Request:    request,
 		Code:       refusal.Code,
@@ -63,7 +63,7 @@
 // decodeRefusal returns a host's refusal.
 func decodeRefusal(refusal callerapi.Refusal) *model.Refusal {
 	return &model.Refusal{
-		Code:       model.Code(refusal.Code),
+		Code:       Code(refusal.Code),
 		NotRun:     refusal.Outcome == callerapi.RefusalOutcomeNotRun,
 		Message:    refusal.Message,
 		RetryAfter: time.Duration(refusal.RetryAfterMs.Or(0)) * time.Millisecond,
--- a/pkg/client/session.go
+++ b/pkg/client/session.go
@@ -15,25 +15,25 @@
 
 // Statement is one operation on a database.
 type Statement struct {
-	Database  model.DatabaseID
-	Kind      model.KindID
+	Database  DatabaseID
+	Kind      KindID
 	Operation string
 	Arguments map[string]string
-	Read      bool            // true when it changes nothing, so that it may be repeated at will
-	MaxAge    *time.Duration  // age of data that a read accepts; nil for the kind's own
-	Request   model.RequestID // names the work; empty for a new name
+	Read      bool           // true when it changes nothing, so that it may be repeated at will
+	MaxAge    *time.Duration // age of data that a read accepts; nil for the kind's own
+	Request   RequestID      // names the work; empty for a new name
 }
 
 // Answer is the outcome of a statement that ran.
 type Answer struct {
-	Request    model.RequestID
+	Request    RequestID
 	Done       bool   // false when it ran and failed without a change
 	Reason     string // why it failed
-	Rows       []model.Row
-	Instance   model.InstanceID
-	Role       model.Role
-	Host       model.HostID
-	Durability model.Durability
+	Rows       []Row
+	Instance   InstanceID
+	Role       Role
+	Host       HostID
+	Durability Durability
 	Repeated   bool // recorded by an earlier run of the same request
 }
 
@@ -43,7 +43,7 @@
 
 	mutex   sync.Mutex
 	token   string
-	pending map[model.DatabaseID]model.RequestID // writes whose outcome is not known
+	pending map[DatabaseID]RequestID // writes whose outcome is not known
 }
 
 // Token returns the token that Resume takes.
@@ -69,7 +69,7 @@
 }
 
 // Outcome returns the recorded answer of a request, or an *Error with the code not_found that tells that it never ran.
-func (s *Session) Outcome(ctx context.Context, database model.DatabaseID, request model.RequestID) (Answer, error) {
+func (s *Session) Outcome(ctx context.Context, database DatabaseID, request RequestID) (Answer, error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	ctx, cancel := s.client.withDeadline(ctx)
@@ -81,7 +81,7 @@
 type call func(ctx context.Context) (Answer, error)
 
 // finish tries a request until it has an answer, may not be repeated or is out of time.
-func (s *Session) finish(ctx context.Context, database model.DatabaseID, request model.RequestID, read bool, try call) (Answer, error) {
+func (s *Session) finish(ctx context.Context, database DatabaseID, request RequestID, read bool, try call) (Answer, error) {
 	answer, refusal := s.repeat(ctx, read, try)
 	if refusal == nil {
 		return answer, nil
@@ -118,7 +118,7 @@
 }
 
 // settle resolves the session's pending write of the database before another request runs.
-func (s *Session) settle(ctx context.Context, database model.DatabaseID, request model.RequestID) error {
+func (s *Session) settle(ctx context.Context, database DatabaseID, request RequestID) error {
 	pending := s.pending[database]
 	if pending == "" || pending == request {
 		return nil
@@ -132,7 +132,7 @@
 }
 
 // resolve asks for the outcome of a request until it is known or time is out.
-func (s *Session) resolve(ctx context.Context, database model.DatabaseID, request model.RequestID) (Answer, error) {
+func (s *Session) resolve(ctx context.Context, database DatabaseID, request RequestID) (Answer, error) {
 	answer, refusal := s.repeat(ctx, true, func(ctx context.Context) (Answer, error) {
 		return s.outcome(ctx, database, request)
 	})
@@ -148,14 +148,14 @@
 }
 
 // forget ends the wait for the outcome of a pending write.
-func (s *Session) forget(database model.DatabaseID, request model.RequestID) {
+func (s *Session) forget(database DatabaseID, request RequestID) {
 	if s.pending[database] == request {
 		delete(s.pending, database)
 	}
 }
 
 // execute sends a statement once.
-func (s *Session) execute(ctx context.Context, request model.RequestID, statement Statement, transaction string) (Answer, error) {
+func (s *Session) execute(ctx context.Context, request RequestID, statement Statement, transaction string) (Answer, error) {
 	invoker, err := s.client.invoker()
 	if err != nil {
 		return Answer{}, model.Refuse(model.CodeInvalid, "%v", err)
@@ -175,7 +175,7 @@
 }
 
 // outcome asks once for the recorded answer of a request.
-func (s *Session) outcome(ctx context.Context, database model.DatabaseID, request model.RequestID) (Answer, error) {
+func (s *Session) outcome(ctx context.Context, database DatabaseID, request RequestID) (Answer, error) {
 	invoker, err := s.client.invoker()
 	if err != nil {
 		return Answer{}, model.Refuse(model.CodeInvalid, "%v", err)
@@ -189,7 +189,7 @@
 }
 
 // take checks that an answer is the request's own and keeps its token.
-func (s *Session) take(request model.RequestID, answer *callerapi.Answer, err error) (Answer, error) {
+func (s *Session) take(request RequestID, answer *callerapi.Answer, err error) (Answer, error) {
 	if err != nil {
 		s.keepRefused(err)
 		return Answer{}, err
@@ -211,29 +211,29 @@
 
 // decodeAnswer returns a host's answer.
 func decodeAnswer(answer *callerapi.Answer) Answer {
-	rows := make([]model.Row, len(answer.Rows))
+	rows := make([]Row, len(answer.Rows))
 	for i, row := range answer.Rows {
-		rows[i] = model.Row(row)
+		rows[i] = Row(row)
 	}
 	return Answer{
-		Request:    model.RequestID(answer.Request),
+		Request:    RequestID(answer.Request),
 		Done:       answer.Outcome == callerapi.AnswerOutcomeDone,
 		Reason:     answer.Reason.Or(""),
 		Rows:       rows,
-		Instance:   model.InstanceID(answer.Instance),
-		Role:       model.Role(answer.Role),
-		Host:       model.HostID(answer.Host),
-		Durability: model.Durability(answer.Durability),
+		Instance:   InstanceID(answer.Instance),
+		Role:       Role(answer.Role),
+		Host:       HostID(answer.Host),
+		Durability: Durability(answer.Durability),
 		Repeated:   answer.Repeated.Or(false),
 	}
 }
 
 // requestID returns the given name, or a new one.
-func requestID(given model.RequestID) model.RequestID {
+func requestID(given RequestID) RequestID {
 	if given != "" {
 		return given
 	}
-	return model.RequestID(rand.Text())
+	return RequestID(rand.Text())
 }
 
 // left returns the time until the context ends, at least a millisecond while it has not.
--- a/pkg/client/transaction.go
+++ b/pkg/client/transaction.go
@@ -11,12 +11,12 @@
 type Transaction struct {
 	session  *Session
 	id       string
-	database model.DatabaseID
-	request  model.RequestID
+	database DatabaseID
+	request  RequestID
 }
 
 // Begin begins a transaction on the database's primary, whose commit is recorded under the request id; its error is an *Error.
-func (s *Session) Begin(ctx context.Context, database model.DatabaseID, kind model.KindID, request model.RequestID) (*Transaction, error) {
+func (s *Session) Begin(ctx context.Context, database DatabaseID, kind KindID, request RequestID) (*Transaction, error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	ctx, cancel := s.client.withDeadline(ctx)
@@ -77,7 +77,7 @@
 }
 
 // begin sends the begin once.
-func (t *Transaction) begin(ctx context.Context, kind model.KindID) error {
+func (t *Transaction) begin(ctx context.Context, kind KindID) error {
 	invoker, err := t.session.client.invoker()
 	if err != nil {
 		return model.Refuse(model.CodeInvalid, "%v", err)
