--- a/internal/owner/executor.go
+++ b/internal/owner/executor.go
@@ -152,6 +152,8 @@
 	if instance == nil {
 		return model.Result{}, model.Refuse(model.CodeUnavailable, "instance %q is not known", id)
 	}
+	ctx, stop := e.Instances.within(ctx, database)
+	defer stop()
 	result, state, err := e.Instances.Dispatcher(*instance).Do(ctx, database.Term, work, class(work, effective))
 	if err != nil {
 		e.learn(database, id, err)
--- a/internal/owner/instances.go
+++ b/internal/owner/instances.go
@@ -27,6 +27,8 @@
 	dispatchers map[model.InstanceID]*running
 	context     context.Context
 	ended       chan error
+	ending      int // dispatchers that were told to end; Run's goroutine alone reaches it
+	tenures     map[model.DatabaseID]*tenure
 }
 
 // running is a dispatcher and the way to end it.
@@ -45,6 +47,7 @@
 		dispatchers: map[model.InstanceID]*running{},
 		context:     context.Background(),
 		ended:       make(chan error),
+		tenures:     map[model.DatabaseID]*tenure{},
 	}
 }
 
@@ -107,6 +110,8 @@
 		s.sweep()
 		select {
 		case <-ctx.Done():
+		case <-s.ended:
+			s.ending--
 		case <-changed:
 		}
 	}
@@ -117,6 +122,7 @@
 // sweep ends the dispatchers of databases that this host no longer owns, and refuses work that waits in an old term.
 func (s *Instances) sweep() {
 	fleet := s.View()
+	s.sweepTenures(fleet)
 	for id, current := range s.list() {
 		database := fleet.Databases[current.database]
 		if database == nil || database.Owner != s.Host {
@@ -142,18 +148,21 @@
 	return list
 }
 
-// end ends one dispatcher and waits for it.
+// end ends one dispatcher, whose running work may still take a while.
 func (s *Instances) end(id model.InstanceID, current *running) {
 	s.mutex.Lock()
 	delete(s.dispatchers, id)
 	s.mutex.Unlock()
 	current.stop()
-	<-s.ended
+	s.ending++
 }
 
-// stopAll ends every dispatcher.
+// stopAll ends every dispatcher and waits for them.
 func (s *Instances) stopAll() {
 	for id, current := range s.list() {
 		s.end(id, current)
 	}
+	for ; s.ending > 0; s.ending-- {
+		<-s.ended
+	}
 }
