Give up an attempt whose owner is dead and replaced

Cause: a request that had been sent to a dying owner waited for its deadline. Change: the next request towards another owner ends the attempts towards a dead one; they go to the new owner under their request id. A former owner that lives, as in a hand-over, keeps its attempts. Conclusion: tested with a peer that never answers.

--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -50,6 +50,8 @@
 	if err != nil {
 		return model.Result{}, err
 	}
+	ctx, leave := p.tenures.within(ctx, view, database)
+	defer leave()
 	return call(service, ctx, work)
 }
 
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -38,6 +38,8 @@
 	Gate *limit.Gate
 	// Now reads the clock.
 	Now func() time.Time
+
+	tenures *tenures
 }
 
 // New returns a proxy whose exported fields are to be set before its first request.
@@ -47,6 +49,7 @@
 		Budget:   retry.New(),
 		Gate:     limit.NewGate(),
 		Now:      time.Now,
+		tenures:  newTenures(),
 	}
 }
 
