--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -25,7 +25,7 @@
 		if !model.NotRun(err) {
 			doubt = err
 		}
-		if !p.again(work, err) || !p.pause(ctx, pauses.Next(0), work.Database, before) {
+		if ctx.Err() != nil || !p.again(work, err) || !p.pause(ctx, pauses.Next(0), work.Database, before) {
 			return model.Result{}, lasting(doubt, err)
 		}
 	}
--- a/internal/proxy/tenure_test.go
+++ b/internal/proxy/tenure_test.go
@@ -63,7 +63,7 @@
 					defer cancel()
 					result, err := p.forward(ctx, model.Work{Request: request, Database: "seats"}, owner.Service.Execute)
 					if err != nil {
-						return string(code(err))
+						return string(model.CodeOf(err))
 					}
 					return string(result.Instance)
 				}
