End stand-ins at once

Cause: stopping a local deployment took 5 s, since a stand-in's server waited for connections that had carried no request yet; and an instance that is stopped is meant to crash. Change: a stand-in closes its server at once.

--- a/internal/standin/serve.go
+++ b/internal/standin/serve.go
@@ -12,11 +12,8 @@
 	"redwingspread/internal/model"
 )
 
-// The limits of a stand-in's server.
-const (
-	headerLimit = 5 * time.Second
-	stopLimit   = 5 * time.Second
-)
+// headerLimit is the time that a request's header may take.
+const headerLimit = 5 * time.Second
 
 // badRequest is the answer to a request that does not follow the schema.
 type badRequest struct {
@@ -32,7 +29,7 @@
 	_ = json.NewEncoder(w).Encode(badRequest{Code: model.CodeInvalid, NotRun: true, Message: err.Error()})
 }
 
-// Serve answers on the listener until the context ends and reports its own end on done.
+// Serve answers on the listener until the context ends, as a crash would end it, and reports its own end on done.
 func Serve(ctx context.Context, listener net.Listener, handler http.Handler, done chan<- error) {
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerLimit}
 	served := make(chan error, 1)
@@ -43,11 +40,7 @@
 		return
 	case <-ctx.Done():
 	}
-	limit, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopLimit)
-	defer cancel()
-	if server.Shutdown(limit) != nil {
-		server.Close()
-	}
+	server.Close()
 	if err := <-served; !errors.Is(err, http.ErrServerClosed) {
 		done <- err
 		return
