--- a/internal/fleet/fault_test.go
+++ b/internal/fleet/fault_test.go
@@ -197,6 +197,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			w := newWorld(4, 3)
 			w.copyAll()
 			w.run(15 * time.Second)
@@ -253,6 +254,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			w := newWorld(4, 1)
 			w.run(settled)
 			row := w.store.rows["d0"]
@@ -334,6 +336,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			w := newWorld(4, 1)
 			w.copyAll()
 			w.run(15 * time.Second)
--- a/internal/fleet/keep_test.go
+++ b/internal/fleet/keep_test.go
@@ -84,6 +84,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			w := newWorld(4, 3)
 			w.copyAll()
 			w.run(balanced)
--- a/internal/fleet/model_test.go
+++ b/internal/fleet/model_test.go
@@ -411,6 +411,7 @@
 }
 
 func TestModel(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		c := newChecker(rapid.Uint64().Draw(t, "seed"))
 		if got := c.play(drawFaults(t)); got != "" {
@@ -479,6 +480,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			kinds := faultKinds
 			if test.kinds != nil {
 				kinds = test.kinds
--- a/internal/fleet/planned_test.go
+++ b/internal/fleet/planned_test.go
@@ -119,6 +119,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			w := &writer{world: newWorld(4, 3), database: "d0"}
 			w.copyAll()
 			w.run(settled)
