--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -38,6 +38,8 @@
 	Gate *limit.Gate
 	// Now reads the clock.
 	Now func() time.Time
+
+	tenures *tenures
 }
 
 // New returns a proxy whose exported fields are to be set before its first request.
@@ -47,6 +49,7 @@
 		Budget:   retry.New(),
 		Gate:     limit.NewGate(),
 		Now:      time.Now,
+		tenures:  newTenures(),
 	}
 }
 
@@ -94,7 +97,7 @@
 // begin begins a transaction; one that nobody can commit has no effect.
 func begin(service owner.Service, ctx context.Context, work model.Work) (model.Result, error) {
 	result, err := service.Begin(ctx, work)
-	if err != nil && !notRun(err) {
+	if err != nil && !model.NotRun(err) {
 		err = model.Refuse(model.CodeUnavailable, "the begin got no answer: %v", err)
 	}
 	return result, err
