Measure the loss of an owner and of owner and primary

Cause: two of the five failover gaps were null, and the benchmark of failovers had its own way of cutting a host off. Change: local.Deployment cuts hosts off; measure and the benchmark use it.

--- a/internal/local/deployment.go
+++ b/internal/local/deployment.go
@@ -46,6 +46,7 @@
 	Hosts []*Host
 
 	platformAddress model.Address
+	cuts            *cuts
 	back            *group
 }
 
@@ -86,6 +87,7 @@
 		Configure:    func(*settings.Serve) {},
 		StopLimit:    10 * time.Second,
 		Instances:    map[model.InstanceID]*Instance{},
+		cuts:         newCuts(),
 	}
 }
 
@@ -154,8 +156,8 @@
 		return err
 	}
 	at := model.Host{ID: host.Settings.Host, DataCentre: host.Settings.DataCentre, Region: host.Settings.Region}
-	made.WrapOutbound = d.WrapOutbound(at)
-	made.WrapPeer = d.WrapPeer(at)
+	made.WrapOutbound = d.wrapCuts(at.ID, d.WrapOutbound(at))
+	made.WrapPeer = d.wrapCuts(at.ID, d.WrapPeer(at))
 	ctx, stop := context.WithCancel(context.Background())
 	host.daemon = made
 	host.stop = stop
--- a/internal/local/failover_test.go
+++ b/internal/local/failover_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"slices"
 	"strings"
 	"sync"
@@ -21,57 +20,9 @@
 	readyLimit  = 20 * time.Second
 )
 
-// cuts holds the hosts that are cut off from everything.
-type cuts struct {
-	mu     sync.Mutex
-	hosts  map[model.HostID]bool
-	peerOf map[string]model.HostID // by address
-}
-
-// cut cuts one host off.
-func (c *cuts) cut(host model.HostID) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.hosts[host] = true
-}
-
-// isCut reports whether a call between the host and the address gets no answer.
-func (c *cuts) isCut(host model.HostID, address string) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.hosts[host] || c.hosts[c.peerOf[address]]
-}
-
-// layer returns the layer around one host's calls.
-func (c *cuts) layer(host model.Host) func(http.RoundTripper) http.RoundTripper {
-	return func(next http.RoundTripper) http.RoundTripper { return &cutTransport{c, host.ID, next} }
-}
-
-// cutTransport lets calls of a host that is cut off wait until they are given up.
-type cutTransport struct {
-	cuts *cuts
-	host model.HostID
-	next http.RoundTripper
-}
-
-func (t *cutTransport) RoundTrip(r *http.Request) (*http.Response, error) {
-	if t.cuts.isCut(t.host, r.URL.Host) {
-		<-r.Context().Done()
-		return nil, r.Context().Err()
-	}
-	answer, err := t.next.RoundTrip(r)
-	if err == nil && t.cuts.isCut(t.host, r.URL.Host) {
-		_ = answer.Body.Close()
-		<-r.Context().Done()
-		return nil, r.Context().Err()
-	}
-	return answer, err
-}
-
 // round is one deployment with a writer.
 type round struct {
 	*Deployment
-	cuts     *cuts
 	database model.DatabaseID
 	owner    int
 	primary  model.InstanceID
@@ -79,10 +30,7 @@
 
 // newRound starts a deployment and finds the owner of its first database.
 func newRound(b *testing.B) *round {
-	c := &cuts{hosts: make(map[model.HostID]bool), peerOf: make(map[string]model.HostID)}
-	r := &round{Deployment: New(Authority()), cuts: c, database: "enrolment-1"}
-	r.WrapOutbound = c.layer
-	r.WrapPeer = c.layer
+	r := &round{Deployment: New(Authority()), database: "enrolment-1"}
 	r.StopLimit = 2 * time.Second
 	if err := r.Start(b.Context()); err != nil {
 		b.Fatal(err)
@@ -94,9 +42,6 @@
 		b.Fatal(err)
 	}
 	for index, host := range r.Hosts {
-		c.mu.Lock()
-		c.peerOf[string(host.Settings.PeerAddress)] = host.Settings.Host
-		c.mu.Unlock()
 		if d := host.View().Databases[r.database]; d.Serving {
 			r.owner = index
 			r.primary = d.Primary
@@ -204,8 +149,8 @@
 		"nothing":           func(*round) {},
 		"primary crashes":   func(r *round) { _ = r.StopInstance(r.primary) },
 		"primary isolated":  isolatePrimary,
-		"owner isolated":    func(r *round) { r.cuts.cut(r.Hosts[r.owner].Settings.Host) },
-		"owner and primary": func(r *round) { r.cuts.cut(r.Hosts[r.owner].Settings.Host); isolatePrimary(r) },
+		"owner isolated":    func(r *round) { r.CutOff(r.owner, true) },
+		"owner and primary": func(r *round) { r.CutOff(r.owner, true); isolatePrimary(r) },
 		"primary leaves":    func(r *round) { r.Instances[r.primary].Faults.Set(fault.Faults{Leaving: true}) },
 		"owner stops":       func(r *round) { go func() { _ = r.StopHost(r.owner) }() },
 	}
--- a/internal/local/hosts.go
+++ b/internal/local/hosts.go
@@ -30,6 +30,8 @@
 		if err != nil {
 			return err
 		}
+		s := host.Settings
+		d.cuts.know(s.Host, s.CallerAddress, s.PeerAddress, s.OperatorAddress)
 		d.Hosts = append(d.Hosts, host)
 	}
 	return nil
--- a/internal/measure/bench.go
+++ b/internal/measure/bench.go
@@ -88,7 +88,7 @@
 		addresses = append(addresses, next.Settings.CallerAddress)
 	}
 	made := client.New(addresses...)
-	made.Transport = b.transport
+	made.Transport = b.Deployment.Transport(b.transport)
 	return made
 }
 
--- a/internal/measure/gap.go
+++ b/internal/measure/gap.go
@@ -31,31 +31,59 @@
 // section is the section for which the payments are.
 const section = "measured"
 
-// disturbance is one way in which a primary goes away.
+// disturbance is one way in which a primary, its owner or both go away.
 type disturbance struct {
 	name  string
-	begin func(b *Bench, primary model.InstanceID) error
+	begin func(b *Bench, database model.DatabaseID, primary model.InstanceID) error
 	heal  func(b *Bench, primary model.InstanceID)
 }
 
 // disturbances holds the ways that are measured, those that heal first.
 var disturbances = []disturbance{
-	{"planned", setFaults(fault.Faults{Leaving: true}), clearFaults},
-	{"isolated", setFaults(fault.Faults{IsolatedFrom: []fault.Party{"*"}}), clearFaults},
-	{"crash", func(b *Bench, primary model.InstanceID) error { return b.Deployment.StopInstance(primary) }, func(*Bench, model.InstanceID) {}},
+	{"planned", setFaults(fault.Faults{Leaving: true}), healAll},
+	{"isolated", setFaults(fault.Faults{IsolatedFrom: []fault.Party{"*"}}), healAll},
+	{"owner", cutOwner, healAll},
+	{"both", cutBoth, healAll},
+	{"crash", stopPrimary, func(*Bench, model.InstanceID) {}},
 }
 
 // setFaults returns a disturbance by faults of the primary.
-func setFaults(faults fault.Faults) func(*Bench, model.InstanceID) error {
-	return func(b *Bench, primary model.InstanceID) error {
+func setFaults(faults fault.Faults) func(*Bench, model.DatabaseID, model.InstanceID) error {
+	return func(b *Bench, _ model.DatabaseID, primary model.InstanceID) error {
 		b.Deployment.Instances[primary].Faults.Set(faults)
 		return nil
 	}
 }
 
-// clearFaults ends the faults of an instance.
-func clearFaults(b *Bench, primary model.InstanceID) {
+// cutOwner cuts the host that owns the database off from everything, without a sign to the others.
+func cutOwner(b *Bench, database model.DatabaseID, _ model.InstanceID) error {
+	for index, host := range b.Deployment.Hosts {
+		known := host.View().Databases[database]
+		if known != nil && known.Owner == host.Settings.Host {
+			b.Deployment.CutOff(index, true)
+			return nil
+		}
+	}
+	return fmt.Errorf("no host owns %s", database)
+}
+
+// cutBoth cuts the owner off and isolates the primary, each from everything and from the other.
+func cutBoth(b *Bench, database model.DatabaseID, primary model.InstanceID) error {
+	b.Deployment.Instances[primary].Faults.Set(fault.Faults{IsolatedFrom: []fault.Party{"*"}})
+	return cutOwner(b, database, primary)
+}
+
+// stopPrimary ends the primary's process.
+func stopPrimary(b *Bench, _ model.DatabaseID, primary model.InstanceID) error {
+	return b.Deployment.StopInstance(primary)
+}
+
+// healAll ends the faults of the primary and the cuts of every host.
+func healAll(b *Bench, primary model.InstanceID) {
 	b.Deployment.Instances[primary].Faults.Set(fault.Faults{})
+	for index := range b.Deployment.Hosts {
+		b.Deployment.CutOff(index, false)
+	}
 }
 
 // measureGaps measures the gap in writes for each disturbance of each database's primary.
@@ -65,7 +93,7 @@
 		for _, database := range b.Deployment.Plan.Databases {
 			gap, err := b.gap(ctx, way, database)
 			if err != nil {
-				return fmt.Errorf("%s of the primary of %s: %w", way.name, database, err)
+				return fmt.Errorf("%s, %s: %w", way.name, database, err)
 			}
 			fmt.Fprintf(b.Progress, "%s %s: gap %v\n", way.name, database, gap)
 			gaps = append(gaps, gap)
@@ -88,7 +116,7 @@
 	go func() { ends <- b.payOn(paying, database) }()
 	err = clock.Pause(ctx, gapBefore)
 	if err == nil {
-		err = way.begin(b, primary)
+		err = way.begin(b, database, primary)
 	}
 	err = errors.Join(err, clock.Pause(ctx, gapAfter))
 	stop()
