Hand control the states that probes saw, within a bound

Change: owner.Observer hands on what tells more than a position at once, and positions at most every 5 ms for each instance; the gate uses it too. Conclusion: control's events no longer grow with statements.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -188,7 +188,10 @@
 	d.executor.Gate = ack.New()
 	d.executor.Gate.Instance = d.instances.Client
 	d.executor.Gate.Row = (&row.Table{Store: d.store}).Get
-	d.executor.Observe = func(state model.InstanceState) { d.loop.Offer(fleet.Observed{State: state}) }
+	observer := owner.NewObserver()
+	observer.Offer = func(state model.InstanceState) { d.loop.Offer(fleet.Observed{State: state}) }
+	d.executor.Observe = observer.Observe
+	d.executor.Gate.Observe = observer.Observe
 	d.executor.Report = func(instance model.InstanceID, term model.Term) {
 		d.loop.Offer(fleet.Failed{Instance: instance, Term: term})
 	}
