Name the owner's state and the candidates by the field's terms

Change: considerTakeover, leadership, seed and BeatNow. Figures: go test ./internal/fleet ./internal/member passes. Conclusion: nothing but names changed.

--- a/internal/fleet/beat.go
+++ b/internal/fleet/beat.go
@@ -62,7 +62,7 @@
 func (m *Machine) heard(now time.Time, beat Heartbeat) []Action {
 	epoch := m.members.Epoch()
 	if beat.Address != "" {
-		m.helper = model.Host{ID: beat.From, Address: beat.Address}
+		m.seed = model.Host{ID: beat.From, Address: beat.Address}
 		m.told[beat.From] = beat.Address
 	}
 	m.members.Heard(now, beat.From, beat.Incarnation, beat.Sequence, beat.Leaving, beat.Configuration)
--- a/internal/fleet/claim.go
+++ b/internal/fleet/claim.go
@@ -120,8 +120,8 @@
 	return -1
 }
 
-// covet takes the database over when it needs another owner and it is this host's turn.
-func (m *Machine) covet(now time.Time, d *database) []Action {
+// considerTakeover takes the database over when it needs another owner and it is this host's turn.
+func (m *Machine) considerTakeover(now time.Time, d *database) []Action {
 	why := m.need(now, d)
 	if why == needNone {
 		d.since = time.Time{}
--- a/internal/fleet/database.go
+++ b/internal/fleet/database.go
@@ -10,26 +10,26 @@
 
 // database is what the machine knows of one database.
 type database struct {
-	id        model.DatabaseID
-	row       model.Ownership // version 0 when no row is known
-	instances map[model.InstanceID]*instance
-	names     []model.InstanceID // ids of the instances, in order
-	asked     time.Time          // last question of another host about an instance
-	changed   time.Time          // when the row's last change was learnt
-	returned  bool               // the owner changed the row after this host held it for dead
-	losses    int                // times in turn that another host took the database from this one
-	hint      OwnerNews          // newest news of an owner, for routing
-	since     time.Time          // when this host first saw that the database needs another owner
-	commit    bool               // a change of the row is under way
-	retry     time.Time          // no change of the row before then
-	sent      time.Time          // when the change was sent
-	doubt     bool               // the row must be read before it is changed again
-	plan      *handover          // switchover that the change under way begins
-	planned   bool               // the change under way is this owner's own wish
-	nextPlan  time.Time          // no planned change before then
-	duty      duty
-	idle      bool // it needed nothing of this host at the last look
-	fresh     bool // an instance told its state since the last view
+	id         model.DatabaseID
+	row        model.Ownership // version 0 when no row is known
+	instances  map[model.InstanceID]*instance
+	names      []model.InstanceID // ids of the instances, in order
+	asked      time.Time          // last question of another host about an instance
+	changed    time.Time          // when the row's last change was learnt
+	returned   bool               // the owner changed the row after this host held it for dead
+	losses     int                // times in turn that another host took the database from this one
+	hint       OwnerNews          // newest news of an owner, for routing
+	since      time.Time          // when this host first saw that the database needs another owner
+	commit     bool               // a change of the row is under way
+	retry      time.Time          // no change of the row before then
+	sent       time.Time          // when the change was sent
+	doubt      bool               // the row must be read before it is changed again
+	plan       *handover          // switchover that the change under way begins
+	planned    bool               // the change under way is this owner's own wish
+	nextPlan   time.Time          // no planned change before then
+	leadership leadership
+	idle       bool // it needed nothing of this host at the last look
+	fresh      bool // an instance told its state since the last view
 
 	candidates []model.HostID // order of candidates, for the epoch and the primary below
 	epoch      int
@@ -40,8 +40,8 @@
 	preferredNear  model.InstanceID
 }
 
-// duty is what an owner has done in the term of its row.
-type duty struct {
+// leadership is what an owner has done in the term of its row.
+type leadership struct {
 	term      model.Term
 	fenced    map[model.InstanceID]model.InstanceState
 	majority  time.Time        // when a majority was fenced
@@ -67,9 +67,9 @@
 	return &database{id: id, instances: make(map[model.InstanceID]*instance)}
 }
 
-// newDuty returns the empty duty of a term.
-func newDuty(term model.Term) duty {
-	return duty{
+// newLeadership returns the empty leadership of a term.
+func newLeadership(term model.Term) leadership {
+	return leadership{
 		term:      term,
 		fenced:    make(map[model.InstanceID]model.InstanceState),
 		following: make(map[model.InstanceID]bool),
@@ -111,8 +111,8 @@
 
 // primary returns the instance that is or becomes primary in the term, or nil.
 func (d *database) primary() *instance {
-	if d.duty.term == d.row.Term && d.duty.chosen != "" {
-		return d.instances[d.duty.chosen]
+	if d.leadership.term == d.row.Term && d.leadership.chosen != "" {
+		return d.instances[d.leadership.chosen]
 	}
 	return d.instances[d.row.Primary]
 }
@@ -151,7 +151,7 @@
 		return false
 	}
 	if row.Term != d.row.Term {
-		d.duty = newDuty(row.Term)
+		d.leadership = newLeadership(row.Term)
 		d.since = time.Time{}
 	}
 	d.row = row
--- a/internal/fleet/list.go
+++ b/internal/fleet/list.go
@@ -27,10 +27,10 @@
 
 // askFleet asks a peer for what the platform can't tell, when this host knows nothing yet.
 func (m *Machine) askFleet() []Action {
-	if m.loaded || m.helper.ID == "" {
+	if m.loaded || m.seed.ID == "" {
 		return nil
 	}
-	return []Action{ReadFleet{Host: m.helper}}
+	return []Action{ReadFleet{Host: m.seed}}
 }
 
 // fleetRead takes what a peer knows; it is only a start, since every change of a row checks the row's version.
--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -44,7 +44,7 @@
 	revision  model.Revision
 	loaded    bool       // the table has been read, here or by a peer
 	listed    bool       // the platform's list has been read, here or by a peer
-	helper    model.Host // a peer that can tell what the platform can't
+	seed      model.Host // a peer that can tell what the platform can't
 	stopping  bool
 	nextMove  time.Time // no move for balance before then
 	dirty     bool
--- a/internal/fleet/planned.go
+++ b/internal/fleet/planned.go
@@ -59,7 +59,7 @@
 	}
 	mine := m.mine(d)
 	if mine && d.row.Primary == "" {
-		d.duty.switching = d.plan
+		d.leadership.switching = d.plan
 	}
 	d.plan = nil
 	d.planned = d.planned && mine
@@ -67,12 +67,12 @@
 
 // switched reports whether no switchover waits for its next primary.
 func (d *database) switched() bool {
-	return d.duty.switching == nil || d.duty.switching.ready
+	return d.leadership.switching == nil || d.leadership.switching.ready
 }
 
 // catchUp waits, with the writes held back, until the next primary holds all that the former one has.
 func (m *Machine) catchUp(now time.Time, d *database) []Action {
-	change := d.duty.switching
+	change := d.leadership.switching
 	from, to := d.instances[change.from], d.instances[change.to]
 	if from == nil || to == nil || now.Sub(d.changed) >= m.Timing.Switch {
 		change.ready = true
@@ -86,7 +86,7 @@
 
 // caughtUp takes the end of a step of a switchover; a step that failed leaves the choice to the election.
 func (m *Machine) caughtUp(d *database, event InstanceResult) {
-	change := d.duty.switching
+	change := d.leadership.switching
 	if change == nil || change.ready {
 		return
 	}
--- a/internal/fleet/probe.go
+++ b/internal/fleet/probe.go
@@ -8,8 +8,8 @@
 	"redwingspread/internal/view"
 )
 
-// coveters is the number of first candidates that look at the instances of a database whose owner is in doubt.
-const coveters = 2
+// firstCandidates is the number of first candidates that look at the instances of a database whose owner is in doubt.
+const firstCandidates = 2
 
 // probes reads the state of the instances that this host has to know.
 func (m *Machine) probes(now time.Time, d *database) []Action {
@@ -35,7 +35,7 @@
 		return false
 	}
 	place := m.place(d)
-	return place >= 0 && place < coveters
+	return place >= 0 && place < firstCandidates
 }
 
 // call makes one call of an instance in the term of the row, unless the same call is under way or was made just now.
@@ -47,7 +47,7 @@
 	if primary := d.primary(); (call == CallFollow || call == CallAdopt) && primary != nil {
 		action.Primary = primary.Instance
 	}
-	if change := d.duty.switching; call == CallAwait && change != nil {
+	if change := d.leadership.switching; call == CallAwait && change != nil {
 		action.Point = change.point
 	}
 	return []Action{action}
@@ -130,7 +130,7 @@
 // ask asks other hosts whether they reach an instance.
 func (m *Machine) ask(d *database, member *instance) {
 	m.reach.Add(member.ID, InstanceNews{Instance: member.ID, Term: d.row.Term, Asked: true}, m.members.Size())
-	m.members.Hurry()
+	m.members.BeatNow()
 }
 
 // advance takes a success in the term of the row.
@@ -140,25 +140,25 @@
 	}
 	switch event.Call {
 	case CallFence:
-		d.duty.fenced[event.Instance] = event.State
+		d.leadership.fenced[event.Instance] = event.State
 	case CallPromote:
-		if event.Instance == d.duty.chosen && event.State.Role == model.RolePrimary {
-			d.duty.promoted = true
+		if event.Instance == d.leadership.chosen && event.State.Role == model.RolePrimary {
+			d.leadership.promoted = true
 		}
 	case CallFollow:
-		d.duty.following[event.Instance] = true
+		d.leadership.following[event.Instance] = true
 	}
 }
 
 // installed begins the service in a term.
 func (m *Machine) installed(now time.Time, d *database) {
-	d.duty.serving = true
+	d.leadership.serving = true
 	d.planned = false
 	d.nextPlan = now.Add(m.Timing.Replan)
 	m.dirty = true
-	m.note(Note{Kind: NoteServing, Database: d.id, Term: d.row.Term, Instance: d.duty.chosen})
-	if change := d.duty.switching; change != nil && change.to != d.duty.chosen {
-		m.note(Note{Kind: NoteSwitchoverMissed, Database: d.id, Term: d.row.Term, Instance: d.duty.chosen})
+	m.note(Note{Kind: NoteServing, Database: d.id, Term: d.row.Term, Instance: d.leadership.chosen})
+	if change := d.leadership.switching; change != nil && change.to != d.leadership.chosen {
+		m.note(Note{Kind: NoteSwitchoverMissed, Database: d.id, Term: d.row.Term, Instance: d.leadership.chosen})
 	}
 }
 
@@ -194,6 +194,6 @@
 	member.reported = true
 	news := InstanceNews{Instance: member.ID, Term: member.state.Term, Reachable: member.answers()}
 	m.reach.Add(member.ID, news, m.members.Size())
-	m.members.Hurry()
+	m.members.BeatNow()
 	return m.beats(now)
 }
--- a/internal/fleet/rows.go
+++ b/internal/fleet/rows.go
@@ -84,11 +84,11 @@
 
 // replaced stops this host's service of a database when a higher term is known, and has the table read.
 func (m *Machine) replaced(d *database, term model.Term) {
-	if term <= d.row.Term || !m.mine(d) || d.duty.replaced {
+	if term <= d.row.Term || !m.mine(d) || d.leadership.replaced {
 		return
 	}
-	d.duty.replaced = true
-	d.duty.serving = false
+	d.leadership.replaced = true
+	d.leadership.serving = false
 	d.doubt = true
 	m.rows.soon()
 	m.dirty = true
--- a/internal/fleet/serve.go
+++ b/internal/fleet/serve.go
@@ -14,7 +14,7 @@
 	}
 	actions := m.probes(now, d)
 	if !m.mine(d) {
-		return append(actions, m.covet(now, d)...)
+		return append(actions, m.considerTakeover(now, d)...)
 	}
 	return append(actions, m.serve(now, d)...)
 }
@@ -34,15 +34,15 @@
 // serve does the owner's work in the term of its row.
 func (m *Machine) serve(now time.Time, d *database) []Action {
 	switch {
-	case d.duty.replaced && d.doubt:
+	case d.leadership.replaced && d.doubt:
 		return nil
-	case d.duty.replaced:
+	case d.leadership.replaced:
 		return m.claim(now, d, "", "an instance has a higher term")
-	case d.duty.chosen == "" && d.row.Primary != "":
-		d.duty.chosen = d.row.Primary
-	case d.duty.chosen == "" && !d.switched():
+	case d.leadership.chosen == "" && d.row.Primary != "":
+		d.leadership.chosen = d.row.Primary
+	case d.leadership.chosen == "" && !d.switched():
 		return m.catchUp(now, d)
-	case d.duty.chosen == "":
+	case d.leadership.chosen == "":
 		return m.elect(now, d)
 	}
 	primary := d.primary()
@@ -51,7 +51,7 @@
 		return nil
 	case m.primaryLost(now, d, primary):
 		return m.claim(now, d, "", "primary is lost")
-	case !d.duty.serving:
+	case !d.leadership.serving:
 		return m.install(now, d, primary)
 	}
 	return m.maintain(now, d, primary)
@@ -73,21 +73,21 @@
 func (m *Machine) elect(now time.Time, d *database) []Action {
 	var actions []Action
 	for _, member := range d.group() {
-		if _, fenced := d.duty.fenced[member.ID]; !fenced {
+		if _, fenced := d.leadership.fenced[member.ID]; !fenced {
 			actions = append(actions, m.call(now, d, member, CallFence)...)
 		}
 	}
-	if len(d.duty.fenced) < d.majority() {
+	if len(d.leadership.fenced) < d.majority() {
 		return actions
 	}
-	if d.duty.majority.IsZero() {
-		d.duty.majority = now
+	if d.leadership.majority.IsZero() {
+		d.leadership.majority = now
 	}
 	best := m.best(d)
-	if m.betterMayCome(d, best) && now.Sub(d.duty.majority) < m.Timing.Settle {
+	if m.betterMayCome(d, best) && now.Sub(d.leadership.majority) < m.Timing.Settle {
 		return actions
 	}
-	d.duty.chosen = best
+	d.leadership.chosen = best
 	return append(actions, m.serve(now, d)...)
 }
 
@@ -95,8 +95,8 @@
 func (m *Machine) best(d *database) model.InstanceID {
 	var best model.InstanceID
 	for _, id := range d.row.Instances {
-		state, fenced := d.duty.fenced[id]
-		if fenced && (best == "" || m.better(d, state, d.duty.fenced[best])) {
+		state, fenced := d.leadership.fenced[id]
+		if fenced && (best == "" || m.better(d, state, d.leadership.fenced[best])) {
 			best = id
 		}
 	}
@@ -129,11 +129,11 @@
 // betterMayCome reports whether an instance that is not fenced yet would be preferred to the best fenced one.
 func (m *Machine) betterMayCome(d *database, best model.InstanceID) bool {
 	for _, member := range d.group() {
-		_, fenced := d.duty.fenced[member.ID]
-		if !fenced && d.duty.switching != nil && member.ID == d.duty.switching.to {
+		_, fenced := d.leadership.fenced[member.ID]
+		if !fenced && d.leadership.switching != nil && member.ID == d.leadership.switching.to {
 			return true
 		}
-		if !fenced && member.answers() && standing(member.state).Compare(standing(d.duty.fenced[best])) > 0 {
+		if !fenced && member.answers() && standing(member.state).Compare(standing(d.leadership.fenced[best])) > 0 {
 			return true
 		}
 	}
@@ -142,10 +142,10 @@
 
 // install fences the chosen instance and makes it primary; one that the row names has all that was ever served.
 func (m *Machine) install(now time.Time, d *database, primary *instance) []Action {
-	if _, fenced := d.duty.fenced[primary.ID]; !fenced {
+	if _, fenced := d.leadership.fenced[primary.ID]; !fenced {
 		return m.call(now, d, primary, CallFence)
 	}
-	if !d.duty.promoted {
+	if !d.leadership.promoted {
 		return m.call(now, d, primary, CallPromote)
 	}
 	if d.row.Primary == primary.ID {
@@ -170,7 +170,7 @@
 	}
 	actions := m.follow(now, d, primary)
 	for _, member := range d.group() {
-		if member != primary && d.duty.following[member.ID] && !Adopted(member.state, d.row.Term) {
+		if member != primary && d.leadership.following[member.ID] && !Adopted(member.state, d.row.Term) {
 			actions = append(actions, m.call(now, d, member, CallAdopt)...)
 		}
 	}
@@ -179,7 +179,7 @@
 
 // follows reports whether the instance has been told to follow the primary of the row's term and still does.
 func (d *database) follows(member *instance) bool {
-	return d.duty.following[member.ID] && member.state.Term == d.row.Term && member.state.Role == model.RoleReplica
+	return d.leadership.following[member.ID] && member.state.Term == d.row.Term && member.state.Role == model.RoleReplica
 }
 
 // follow makes every other instance a replica of the primary in this term.
@@ -198,7 +198,7 @@
 // record writes the promoted primary into the row, so that a successor may keep it.
 func (m *Machine) record(now time.Time, d *database) []Action {
 	row := d.row
-	row.Primary = d.duty.chosen
+	row.Primary = d.leadership.chosen
 	row.Timeline = m.timelineOf(d)
 	return m.write(now, d, row)
 }
--- a/internal/fleet/snapshot.go
+++ b/internal/fleet/snapshot.go
@@ -51,14 +51,14 @@
 		Term:     d.row.Term,
 		Primary:  d.row.Primary,
 		Timeline: m.timelineOf(d),
-		Serving:  m.mine(d) && d.duty.serving && !d.duty.replaced,
+		Serving:  m.mine(d) && d.leadership.serving && !d.leadership.replaced,
 		Group:    d.row.Instances,
 	}
 	if d.hint.Term > d.row.Term {
 		seen.Owner, seen.Term, seen.Primary = d.hint.Owner, d.hint.Term, d.hint.Primary
 	}
-	if seen.Primary == "" && d.duty.chosen != "" {
-		seen.Primary = d.duty.chosen
+	if seen.Primary == "" && d.leadership.chosen != "" {
+		seen.Primary = d.leadership.chosen
 	}
 	for _, id := range d.listed() {
 		known := d.instances[id]
--- a/internal/member/beat.go
+++ b/internal/member/beat.go
@@ -245,8 +245,8 @@
 	return true
 }
 
-// Hurry makes a heartbeat to the neighbours due at once, so that news does not wait.
-func (t *Table) Hurry() {
+// BeatNow makes a heartbeat to the neighbours due at once, so that news does not wait.
+func (t *Table) BeatNow() {
 	t.probeAll()
 }
 
