--- a/internal/trace/provider.go
+++ b/internal/trace/provider.go
@@ -35,7 +35,7 @@
 // Tracer starts the spans of one host.
 type Tracer struct {
 	tracer   trace.Tracer
-	shutdown func(context.Context) error
+	provider *sdktrace.TracerProvider // nil when spans go nowhere
 }
 
 // New returns a tracer that exports the host's spans; the collector's address serves OTLP alone.
@@ -65,20 +65,20 @@
 
 // Discard returns a tracer whose spans go nowhere.
 func Discard() *Tracer {
-	return &Tracer{
-		tracer:   noop.NewTracerProvider().Tracer(library),
-		shutdown: func(context.Context) error { return nil },
-	}
+	return &Tracer{tracer: noop.NewTracerProvider().Tracer(library)}
 }
 
 // Shutdown sends the spans that wait and ends the exporter.
 func (t *Tracer) Shutdown(ctx context.Context) error {
-	return t.shutdown(ctx)
+	if t.provider == nil {
+		return nil
+	}
+	return t.provider.Shutdown(ctx)
 }
 
 // newExporting returns a tracer that sends spans in batches.
 func newExporting(host model.HostID, spans sdktrace.SpanExporter) *Tracer {
 	attributes := resource.NewSchemaless(attribute.String("host.name", string(host)))
 	provider := sdktrace.NewTracerProvider(sdktrace.WithBatcher(spans), sdktrace.WithResource(attributes))
-	return &Tracer{tracer: provider.Tracer(library), shutdown: provider.Shutdown}
+	return &Tracer{tracer: provider.Tracer(library), provider: provider}
 }
