Refuse heartbeats in another host's name

Cause: a heartbeat's sender was taken from its message, so any host with a certificate could speak for another and keep a dead one alive. Change: the peer interface compares the sender with the host that the connection's certificate names. Conclusion: membership rests on certificates.

--- a/internal/peer/handler.go
+++ b/internal/peer/handler.go
@@ -75,6 +75,9 @@
 
 // Heartbeat takes a peer's heartbeat and returns this host's own.
 func (h *handler) Heartbeat(ctx context.Context, message *peerapi.Heartbeat) (*peerapi.Heartbeat, error) {
+	if err := checkSender(ctx, model.HostID(message.From)); err != nil {
+		return nil, err
+	}
 	beat, err := h.server.Control.Heartbeat(ctx, decodeHeartbeat(message))
 	if err != nil {
 		return nil, err
--- /dev/null
+++ b/internal/peer/identity.go
@@ -0,0 +1,42 @@
+package peer
+
+import (
+	"context"
+	"net/http"
+
+	"redwingspread/internal/model"
+	"redwingspread/internal/trust"
+)
+
+// senderKey is the context's key of the host that a certificate names.
+type senderKey struct{}
+
+// identify returns a handler that puts the host of the caller's certificate into the context.
+func identify(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.TLS == nil {
+			next.ServeHTTP(w, r)
+			return
+		}
+		host, err := trust.Peer(*r.TLS)
+		if err != nil {
+			next.ServeHTTP(w, r)
+			return
+		}
+		next.ServeHTTP(w, r.WithContext(withSender(r.Context(), host)))
+	})
+}
+
+// withSender returns a context that carries the host of a certificate.
+func withSender(ctx context.Context, host model.HostID) context.Context {
+	return context.WithValue(ctx, senderKey{}, host)
+}
+
+// checkSender refuses a message whose sender is not the host that its certificate names.
+func checkSender(ctx context.Context, from model.HostID) error {
+	host, found := ctx.Value(senderKey{}).(model.HostID)
+	if !found || host != from {
+		return model.Refuse(model.CodeInvalid, "the certificate does not name host %q", from)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/peer/identity_test.go
@@ -0,0 +1,52 @@
+package peer
+
+import (
+	"context"
+	"testing"
+
+	"redwingspread/internal/fleet"
+	"redwingspread/internal/model"
+	"redwingspread/pkg/api/peerapi"
+)
+
+// fakeControl counts the heartbeats that reach it.
+type fakeControl struct {
+	Control
+	beats int
+}
+
+func (c *fakeControl) Heartbeat(context.Context, fleet.Heartbeat) (fleet.Heartbeat, error) {
+	c.beats++
+	return fleet.Heartbeat{From: "host-1"}, nil
+}
+
+func TestHeartbeatComesFromTheHostOfItsCertificate(t *testing.T) {
+	tests := map[string]struct {
+		certificate model.HostID // empty without one
+		from        string
+		want        int // heartbeats that reach control
+	}{
+		"its own name":      {certificate: "host-2", from: "host-2", want: 1},
+		"another's name":    {certificate: "host-2", from: "host-3", want: 0},
+		"no certificate":    {from: "host-2", want: 0},
+		"no name":           {certificate: "host-2", want: 0},
+		"a name with space": {certificate: "host-2", from: "host-2 ", want: 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			control := &fakeControl{}
+			handler := &handler{server: &Server{Control: control}}
+			ctx := t.Context()
+			if test.certificate != "" {
+				ctx = withSender(ctx, test.certificate)
+			}
+			_, err := handler.Heartbeat(ctx, &peerapi.Heartbeat{From: test.from})
+			if got := control.beats; got != test.want {
+				t.Errorf("got %d heartbeats, want %d", got, test.want)
+			}
+			if got := err == nil; got != (test.want == 1) {
+				t.Errorf("got error %v, want one %v", err, test.want == 0)
+			}
+		})
+	}
+}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -107,7 +107,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("peer server: %w", err)
 	}
-	return s.Wrap(http.MaxBytesHandler(server, bodyLimit)), nil
+	return s.Wrap(http.MaxBytesHandler(identify(server), bodyLimit)), nil
 }
 
 // writeInvalid answers a message that could not be decoded.
