Split three large test files, and let a probe's pause end with its context

Change: the model's faults, the world's store and the fake connections have files of their own; clock.Pause in the lane. No test or check changed: the packages have as many tests as before. Conclusion: only where code stands has changed.

--- a/internal/ack/lane.go
+++ b/internal/ack/lane.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"redwingspread/internal/clock"
 	"redwingspread/internal/model"
 	"redwingspread/internal/view"
 )
@@ -180,7 +181,7 @@
 			return
 		}
 		if !l.round(ctx, prober, pending, points) {
-			time.Sleep(idlePause)
+			_ = clock.Pause(ctx, idlePause)
 		}
 	}
 }
--- /dev/null
+++ b/internal/fleet/model_fault_test.go
@@ -0,0 +1,120 @@
+package fleet
+
+import (
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// fault is one change of the circumstances.
+type fault struct {
+	At     int // milliseconds from the start of the faults
+	Kind   string
+	Host   int
+	Target int
+}
+
+// faultKinds are the faults that the model causes.
+var faultKinds = []string{
+	"crash host", "start host", "pause host", "resume host", "isolate host", "cut host from instance",
+	"crash instance", "start instance", "isolate instance", "heal", "store down", "store up", "lose answers", "stop host", "split", "corner",
+}
+
+// cause lets one fault happen.
+func (c *checker) cause(f fault) {
+	host := c.hostIDs()[f.Host]
+	target := c.instanceIDs()[f.Target]
+	switch f.Kind {
+	case "crash host":
+		c.hosts[host].down = true
+	case "start host":
+		if c.hosts[host].down {
+			c.boot(host)
+		}
+	case "pause host":
+		c.hosts[host].paused = true
+	case "resume host":
+		c.resume(host)
+	case "isolate host":
+		c.isolate(string(host))
+	case "cut host from instance":
+		c.cut[[2]string{string(host), string(target)}] = true
+	case "crash instance":
+		c.instances[target].down = true
+	case "start instance":
+		c.instances[target].down = false
+	case "isolate instance":
+		c.isolate(string(target))
+	case "heal":
+		c.heal()
+	case "store down":
+		c.store.down = true
+	case "store up":
+		c.store.down = false
+	case "lose answers":
+		c.store.lose = 2
+	case "split":
+		c.split(string(host), string(target))
+	case "corner":
+		c.corner(string(host), string(target))
+	case "stop host":
+		c.deliver(c.hosts[host], c.hosts[host].machine, Stop{})
+	}
+}
+
+// corner leaves one instance to one host, and parts that host from the other hosts but not from the other instances.
+func (c *checker) corner(host, target string) {
+	for _, id := range c.hostIDs() {
+		if string(id) != host {
+			c.cutBoth(string(id), host)
+			c.cutBoth(string(id), target)
+		}
+	}
+}
+
+// split parts one host and one instance from all the rest.
+func (c *checker) split(host, target string) {
+	names := []string{"store"}
+	for _, id := range c.hostIDs() {
+		names = append(names, string(id))
+	}
+	for _, id := range c.instanceIDs() {
+		names = append(names, string(id))
+	}
+	for _, name := range names {
+		if name != host && name != target {
+			for _, inside := range []string{host, target} {
+				c.cut[[2]string{inside, name}] = true
+				c.cut[[2]string{name, inside}] = true
+			}
+		}
+	}
+}
+
+// mend ends all faults.
+func (c *checker) mend() {
+	c.heal()
+	c.store.down = false
+	c.store.lose = 0
+	for _, id := range c.instanceIDs() {
+		c.instances[id].down = false
+	}
+	for _, id := range c.hostIDs() {
+		c.resume(id)
+		c.hosts[id].down = true
+		c.boot(id)
+	}
+}
+
+// drawFaults draws a schedule of faults.
+func drawFaults(t *rapid.T) []fault {
+	one := rapid.Custom(func(t *rapid.T) fault {
+		return fault{
+			At:     rapid.IntRange(0, int(modelFaults/time.Millisecond)).Draw(t, "at"),
+			Kind:   rapid.SampledFrom(faultKinds).Draw(t, "kind"),
+			Host:   rapid.IntRange(0, 2).Draw(t, "host"),
+			Target: rapid.IntRange(0, 2).Draw(t, "target"),
+		}
+	})
+	return rapid.SliceOfN(one, 1, 12).Draw(t, "faults")
+}
--- a/internal/fleet/world_test.go
+++ b/internal/fleet/world_test.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"redwingspread/internal/model"
-	"redwingspread/internal/spread"
 	"redwingspread/internal/view"
 )
 
@@ -53,22 +52,6 @@
 	listed  bool
 }
 
-// fakeStore is the table, with its outages.
-type fakeStore struct {
-	rows     map[model.DatabaseID]model.Ownership
-	changes  map[model.DatabaseID]model.Revision
-	revision model.Revision
-	down     bool
-	lose     int // answers of writes still to be lost
-	writes   int
-	reads    int
-
-	head        *spread.Head // the configuration's row
-	headChanged model.Revision
-	objectsDown bool
-	listUp      bool // the list of members answers although the table is down
-}
-
 // hop is the time of one message, unless the world has another.
 const hop = 2 * time.Millisecond
 
@@ -387,66 +370,6 @@
 	return result
 }
 
-// members is the platform's list.
-func (w *world) members() Event {
-	if w.store.down && !w.store.listUp {
-		return MembersRead{Err: errLost}
-	}
-	var read MembersRead
-	for _, h := range w.hosts {
-		if h.listed {
-			read.Hosts = append(read.Hosts, h.host)
-		}
-	}
-	for _, item := range w.instances {
-		if item.listed {
-			read.Instances = append(read.Instances, item.place)
-		}
-	}
-	return read
-}
-
-// readRows returns the rows that changed.
-func (s *fakeStore) readRows(action ReadRows) Event {
-	s.reads++
-	if s.down {
-		return RowsRead{Err: errLost}
-	}
-	read := RowsRead{Revision: s.revision}
-	for id, row := range s.rows {
-		if s.changes[id] > action.After {
-			read.Rows = append(read.Rows, row)
-		}
-	}
-	if s.headChanged > action.After {
-		read.Head = s.head
-	}
-	slices.SortFunc(read.Rows, func(a, b model.Ownership) int { return cmp.Compare(a.Database, b.Database) })
-	return read
-}
-
-// commit writes a row when its version still holds; the answer may get lost.
-func (s *fakeStore) commit(action CommitRow, lost Event) Event {
-	if s.down {
-		return lost
-	}
-	s.writes++
-	current := s.rows[action.Row.Database]
-	committed := current.Version == action.Row.Version
-	if committed {
-		s.revision++
-		current = action.Row
-		current.Version++
-		s.rows[action.Row.Database] = current
-		s.changes[action.Row.Database] = s.revision
-	}
-	if s.lose > 0 {
-		s.lose--
-		return lost
-	}
-	return RowCommitted{Database: action.Row.Database, Committed: committed, Row: current}
-}
-
 // serving returns the hosts that serve the database, in order.
 func (w *world) serving(id model.DatabaseID) []model.HostID {
 	var serving []model.HostID
