--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -65,6 +65,7 @@
 		newMeasure(),
 		newStandin(),
 		newRun(),
+		newFront(),
 		newServe(),
 		newConfig(),
 		newStatus(),
--- /dev/null
+++ b/internal/directory/directory.go
@@ -0,0 +1,51 @@
+package directory
+
+import (
+	"time"
+
+	"redwingspread/internal/model"
+)
+
+// Directory is an immutable state of all that is known.
+type Directory struct {
+	Version   model.Version  // of the configuration
+	Revision  model.Revision // newest change of an instance's entry
+	Idle      time.Duration  // that a transaction may rest; zero for no limit
+	Kinds     map[model.KindID]model.Kind
+	Databases map[model.DatabaseID]model.Database
+	Instances map[model.InstanceID]Instance
+}
+
+// Instance is one instance as its entry describes it.
+type Instance struct {
+	model.Instance
+	Slots    model.Slots
+	Role     model.Role     // as the instance sees itself
+	Born     int64          // start of the instance, which changes when it starts anew under its name
+	Cold     bool           // runs slowly for a while after its start
+	Revision model.Revision // of the entry
+}
+
+// Configuration is what the operators wrote.
+type Configuration struct {
+	Version   model.Version
+	Idle      time.Duration
+	Kinds     []model.Kind
+	Databases []model.Database
+}
+
+// Members returns the instances of a database, in no order.
+func (d *Directory) Members(database model.DatabaseID) []Instance {
+	var members []Instance
+	for _, instance := range d.Instances {
+		if instance.Database == database {
+			members = append(members, instance)
+		}
+	}
+	return members
+}
+
+// Known reports whether the directory can serve sessions.
+func (d *Directory) Known() bool {
+	return d.Version > 0 && len(d.Instances) > 0
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -34,7 +34,7 @@
 
 	mutex        sync.Mutex
 	queue        admit.Queue[*Turn]
-	pool         *pool.Pool
+	pool         *pool.Pool[endpoint.Conn]
 	term         model.Term
 	used         model.Slots                       // statements that run
 	pinned       model.Connections                 // connections held by transactions
@@ -66,7 +66,7 @@
 		QueueLimit:  defaultQueueLimit,
 		Policy:      admit.NewFloors[*Turn](),
 		Now:         time.Now,
-		pool:        pool.New(),
+		pool:        pool.New[endpoint.Conn](),
 		refused:     make(map[model.Code]int),
 		queue:       admit.Queue[*Turn]{Service: admit.NewService()},
 		idle:        make(chan struct{}),
@@ -106,9 +106,8 @@
 	d.Policy.SetFloors(d.RankFloors)
 	d.queue.Policy = d.Policy
 	d.queue.Limit = d.QueueLimit
-	d.pool.Host = d.Host
-	d.pool.Database = d.Database
-	d.pool.Instance = d.Instance
+	d.pool.Open = d.open
+	d.pool.Close = func(ctx context.Context, conn endpoint.Conn) error { return conn.Close(ctx) }
 	d.pool.Limit = d.Connections
 	d.pool.Ready = d.ready
 	d.started = true
@@ -247,5 +246,14 @@
 		d.peak = d.pinned
 		d.peaked = now
 	}
-	d.pool.SetTarget(model.Connections(d.Slots)+d.peak+spareConnections, d.term)
+	d.pool.SetTarget(model.Connections(d.Slots) + d.peak + spareConnections)
+}
+
+// open opens a connection in the newest term that work came with.
+func (d *Dispatcher) open(ctx context.Context) (endpoint.Conn, error) {
+	d.mutex.Lock()
+	term := d.term
+	d.mutex.Unlock()
+	conn, _, err := d.Instance.Open(ctx, d.Host, d.Database, term)
+	return conn, err
 }
--- a/internal/event/events_gen.go
+++ b/internal/event/events_gen.go
@@ -38,6 +38,24 @@
 	NumberPeerRefused              Number = 5003
 	NumberConnectionRefused        Number = 5004
 	NumberFaultsSet                Number = 9001
+	NumberDirectoryInForce         Number = 6001
+	NumberInstanceChanged          Number = 6002
+	NumberEntryUnreadable          Number = 6003
+	NumberDependencyLost           Number = 6004
+	NumberDependencyRegained       Number = 6005
+	NumberPrimaryBelieved          Number = 6006
+	NumberPrimaryJudged            Number = 6007
+	NumberPromotionOrdered         Number = 6008
+	NumberPromotionFailed          Number = 6009
+	NumberRequestRefused           Number = 6010
+	NumberRequestRetried           Number = 6011
+	NumberRequestUnsure            Number = 6012
+	NumberTransactionEnded         Number = 6013
+	NumberLinesDropped             Number = 6014
+	NumberSettingsReloaded         Number = 6015
+	NumberDatagramRefused          Number = 6016
+	NumberRequestServed            Number = 6017
+	NumberReadyChanged             Number = 6018
 )
 
 // unused keeps the import of package model when no event needs it.
@@ -302,3 +320,194 @@
 		"faults": faults,
 	}).Warn("faults of a stand-in changed")
 }
+
+// DirectoryInForce logs event 6001: a newer directory is in force.
+func DirectoryInForce(logger log.Interface, version model.Version, revision model.Revision, kinds int, instances int, source string) {
+	logger.WithFields(log.Fields{
+		"event":     NumberDirectoryInForce,
+		"version":   version,
+		"revision":  revision,
+		"kinds":     kinds,
+		"instances": instances,
+		"source":    source,
+	}).Info("a newer directory is in force")
+}
+
+// InstanceChanged logs event 6002: an instance appeared, changed or left.
+func InstanceChanged(logger log.Interface, instance model.InstanceID, database model.DatabaseID, change string) {
+	logger.WithFields(log.Fields{
+		"event":    NumberInstanceChanged,
+		"instance": instance,
+		"database": database,
+		"change":   change,
+	}).Info("an instance appeared, changed or left")
+}
+
+// EntryUnreadable logs event 6003: a row does not name a usable instance, host or configuration.
+func EntryUnreadable(logger log.Interface, key string, error error) {
+	logger.WithFields(log.Fields{
+		"event": NumberEntryUnreadable,
+		"key":   key,
+		"error": text(error),
+	}).Warn("a row does not name a usable instance, host or configuration")
+}
+
+// DependencyLost logs event 6004: a dependency does not answer.
+func DependencyLost(logger log.Interface, dependency string, error error) {
+	logger.WithFields(log.Fields{
+		"event":      NumberDependencyLost,
+		"dependency": dependency,
+		"error":      text(error),
+	}).Warn("a dependency does not answer")
+}
+
+// DependencyRegained logs event 6005: a dependency answers again.
+func DependencyRegained(logger log.Interface, dependency string, silent model.Milliseconds) {
+	logger.WithFields(log.Fields{
+		"event":      NumberDependencyRegained,
+		"dependency": dependency,
+		"silent":     silent,
+	}).Info("a dependency answers again")
+}
+
+// PrimaryBelieved logs event 6006: this host's belief of a database's primary changed.
+func PrimaryBelieved(logger log.Interface, database model.DatabaseID, instance model.InstanceID, term model.Term, state string, reason string) {
+	logger.WithFields(log.Fields{
+		"event":    NumberPrimaryBelieved,
+		"database": database,
+		"instance": instance,
+		"term":     term,
+		"state":    state,
+		"reason":   reason,
+	}).Info("this host's belief of a database's primary changed")
+}
+
+// PrimaryJudged logs event 6007: a primary is to be replaced.
+func PrimaryJudged(logger log.Interface, database model.DatabaseID, instance model.InstanceID, silent int, leads int, live int, reason string) {
+	logger.WithFields(log.Fields{
+		"event":    NumberPrimaryJudged,
+		"database": database,
+		"instance": instance,
+		"silent":   silent,
+		"leads":    leads,
+		"live":     live,
+		"reason":   reason,
+	}).Warn("a primary is to be replaced")
+}
+
+// PromotionOrdered logs event 6008: a promotion was ordered.
+func PromotionOrdered(logger log.Interface, database model.DatabaseID, instance model.InstanceID, token model.Token, point string, reason string) {
+	logger.WithFields(log.Fields{
+		"event":    NumberPromotionOrdered,
+		"database": database,
+		"instance": instance,
+		"token":    token,
+		"point":    point,
+		"reason":   reason,
+	}).Info("a promotion was ordered")
+}
+
+// PromotionFailed logs event 6009: a promotion did not come about.
+func PromotionFailed(logger log.Interface, database model.DatabaseID, instance model.InstanceID, token model.Token, error error) {
+	logger.WithFields(log.Fields{
+		"event":    NumberPromotionFailed,
+		"database": database,
+		"instance": instance,
+		"token":    token,
+		"error":    text(error),
+	}).Warn("a promotion did not come about")
+}
+
+// RequestRefused logs event 6010: a request was refused as not kept.
+func RequestRefused(logger log.Interface, request model.RequestID, kind model.KindID, code model.Code, instance model.InstanceID, waited model.Milliseconds, reason string) {
+	logger.WithFields(log.Fields{
+		"event":    NumberRequestRefused,
+		"request":  request,
+		"kind":     kind,
+		"code":     code,
+		"instance": instance,
+		"waited":   waited,
+		"reason":   reason,
+	}).Info("a request was refused as not kept")
+}
+
+// RequestRetried logs event 6011: a request is tried on another instance or connection.
+func RequestRetried(logger log.Interface, request model.RequestID, kind model.KindID, instance model.InstanceID, waited model.Milliseconds, reason string) {
+	logger.WithFields(log.Fields{
+		"event":    NumberRequestRetried,
+		"request":  request,
+		"kind":     kind,
+		"instance": instance,
+		"waited":   waited,
+		"reason":   reason,
+	}).Info("a request is tried on another instance or connection")
+}
+
+// RequestUnsure logs event 6012: the outcome of a request is unknown.
+func RequestUnsure(logger log.Interface, request model.RequestID, kind model.KindID, instance model.InstanceID, waited model.Milliseconds, reason string) {
+	logger.WithFields(log.Fields{
+		"event":    NumberRequestUnsure,
+		"request":  request,
+		"kind":     kind,
+		"instance": instance,
+		"waited":   waited,
+		"reason":   reason,
+	}).Warn("the outcome of a request is unknown")
+}
+
+// TransactionEnded logs event 6013: an open transaction was ended by the host.
+func TransactionEnded(logger log.Interface, kind model.KindID, instance model.InstanceID, open model.Milliseconds, reason string) {
+	logger.WithFields(log.Fields{
+		"event":    NumberTransactionEnded,
+		"kind":     kind,
+		"instance": instance,
+		"open":     open,
+		"reason":   reason,
+	}).Info("an open transaction was ended by the host")
+}
+
+// LinesDropped logs event 6014: log lines were left out to keep the volume bounded.
+func LinesDropped(logger log.Interface, lines uint64) {
+	logger.WithFields(log.Fields{
+		"event": NumberLinesDropped,
+		"lines": lines,
+	}).Warn("log lines were left out to keep the volume bounded")
+}
+
+// SettingsReloaded logs event 6015: the settings were read again.
+func SettingsReloaded(logger log.Interface, changed string) {
+	logger.WithFields(log.Fields{
+		"event":   NumberSettingsReloaded,
+		"changed": changed,
+	}).Info("the settings were read again")
+}
+
+// DatagramRefused logs event 6016: a datagram is not that of a host.
+func DatagramRefused(logger log.Interface, from string, error error) {
+	logger.WithFields(log.Fields{
+		"event": NumberDatagramRefused,
+		"from":  from,
+		"error": text(error),
+	}).Warn("a datagram is not that of a host")
+}
+
+// RequestServed logs event 6017: a request was served.
+func RequestServed(logger log.Interface, request model.RequestID, kind model.KindID, instance model.InstanceID, waited model.Milliseconds, took model.Milliseconds) {
+	logger.WithFields(log.Fields{
+		"event":    NumberRequestServed,
+		"request":  request,
+		"kind":     kind,
+		"instance": instance,
+		"waited":   waited,
+		"took":     took,
+	}).Debug("a request was served")
+}
+
+// ReadyChanged logs event 6018: the host changed whether it takes new sessions.
+func ReadyChanged(logger log.Interface, ready bool, reason string) {
+	logger.WithFields(log.Fields{
+		"event":  NumberReadyChanged,
+		"ready":  ready,
+		"reason": reason,
+	}).Info("the host changed whether it takes new sessions")
+}
--- /dev/null
+++ b/internal/front/act.go
@@ -0,0 +1,115 @@
+package front
+
+import (
+	"context"
+	"time"
+
+	"redwingspread/internal/clock"
+	"redwingspread/internal/event"
+	"redwingspread/internal/governor"
+	"redwingspread/internal/model"
+	"redwingspread/internal/session"
+	"redwingspread/internal/statement"
+)
+
+// newAccount returns the account of a new session.
+func newAccount() *session.Account { return session.NewAccount() }
+
+const (
+	probeTimeout = 250 * time.Millisecond // several round trips between regions
+	storeTimeout = time.Second            // of one call; a slow store takes a few hundred milliseconds
+)
+
+// act carries out one action of control and returns the event that ends it.
+func (h *Host) act(ctx context.Context, action governor.Action) governor.Event {
+	switch action := action.(type) {
+	case governor.Send:
+		if err := h.mesh.Send(action.To, action.Beat); err != nil {
+			event.DependencyLost(h.Logger, "datagrams", err)
+		}
+	case governor.Fetch:
+		news, err := h.mesh.Fetch(ctx, action.Host, action.Address)
+		if err != nil {
+			event.DependencyLost(h.Logger, "directory of host "+string(action.Host), err)
+		}
+		return governor.Fetched{Host: action.Host, News: news, Err: err}
+	case governor.Probe:
+		h.probeAll(ctx, action.Instances)
+		return h.tick()
+	case governor.Change:
+		return h.change(ctx, action)
+	case governor.Forget:
+		limited, cancel := context.WithTimeout(ctx, storeTimeout)
+		defer cancel()
+		if err := h.Platform.ForgetHost(limited, action.Host); err != nil {
+			event.DependencyLost(h.Logger, "store: row of host "+string(action.Host), err)
+		}
+	}
+	return governor.Acted{}
+}
+
+// probeAll has instances prove at once whether they lead.
+func (h *Host) probeAll(ctx context.Context, ids []model.InstanceID) {
+	ended := make(chan error, len(ids))
+	for _, id := range ids {
+		m := h.member(id)
+		if m == nil {
+			ended <- nil
+			continue
+		}
+		go func() { ended <- m.probe(ctx) }()
+	}
+	for range ids {
+		<-ended
+	}
+}
+
+// probe has the instance begin and roll back a transaction, which only a primary does and which takes no slot.
+//
+// An idle connection that does not answer may have gone silent alone, so that a new one decides.
+func (m *member) probe(ctx context.Context) error {
+	err := m.with(ctx, m.prove)
+	if err != nil && model.CodeOf(err) == "" && ctx.Err() == nil {
+		m.failed(time.Now())
+	}
+	return err
+}
+
+// prove sends the begin and the rollback, and notes what follows from the answers.
+func (m *member) prove(l *link) error {
+	limit := time.Now().Add(probeTimeout)
+	sent := clock.Boot()
+	answer, err := ask(l, own(statement.Begin, model.Point{}), limit)
+	if err != nil {
+		return err
+	}
+	m.note(sent, &answer, true)
+	if answer.Code == model.CodeNotPrimary {
+		m.refused()
+	}
+	if answer.State == statement.Idle {
+		return nil
+	}
+	_, err = ask(l, own(statement.Rollback, model.Point{}), limit)
+	return err
+}
+
+// with runs a call on an idle connection of the instance, or on a new one that is closed afterwards.
+func (m *member) with(ctx context.Context, call func(l *link) error) error {
+	if l, found := m.lane.Borrow(); found {
+		sound := l.Alive() && call(l) == nil
+		m.lane.Return(l, sound)
+		if sound {
+			return nil
+		}
+	}
+	l, err := m.open(ctx)
+	if err != nil {
+		return err
+	}
+	err = call(l)
+	if closeErr := l.Close(); err == nil {
+		err = closeErr
+	}
+	return err
+}
--- /dev/null
+++ b/internal/front/follow.go
@@ -0,0 +1,124 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"redwingspread/internal/clock"
+	"redwingspread/internal/event"
+	"redwingspread/internal/governor"
+	"redwingspread/internal/mesh"
+	"redwingspread/internal/model"
+	"redwingspread/internal/retry"
+)
+
+const (
+	// feedWait is how long the store may hold a question for changes: few calls, and a connection that went silent is
+	// noticed by the keep-alive meanwhile.
+	feedWait = 10 * time.Second
+	// feedSlack is the time that an answer may take beyond the wait.
+	feedSlack = 2 * time.Second
+	// readTimeout is the time for an answer that waits for nothing; a slow store takes a few hundred milliseconds.
+	readTimeout = 2 * time.Second
+)
+
+// source is one table of the store that the host follows.
+type source[T any] struct {
+	name string
+	read func(ctx context.Context, after model.Revision, wait time.Duration) (T, model.Revision, error)
+	take func(ctx context.Context, news T) error
+}
+
+// followAll follows the store until the context ends and reports its end on done.
+func (h *Host) followAll(ctx context.Context, done chan<- error) {
+	ended := make(chan error, 3)
+	go follow(ctx, h, source[governor.News]{"configuration", h.Platform.Configuration, h.tell}, ended)
+	go follow(ctx, h, source[governor.News]{"instances", h.Platform.Instances, h.tell}, ended)
+	go h.followHosts(ctx, ended)
+	for range 3 {
+		<-ended
+	}
+	done <- ctx.Err()
+}
+
+// tell hands news to control.
+func (h *Host) tell(ctx context.Context, news governor.News) error {
+	return h.Loop.Send(ctx, news)
+}
+
+// followHosts enters the host among the others, learns their key, and follows their rows.
+func (h *Host) followHosts(ctx context.Context, done chan<- error) {
+	for backoff := retry.NewBackoff(); ctx.Err() == nil; {
+		err := h.enter(ctx)
+		if err == nil {
+			break
+		}
+		event.DependencyLost(h.Logger, "store: own row", err)
+		if clock.Pause(ctx, backoff.Next(0)) != nil {
+			break
+		}
+	}
+	follow(ctx, h, source[Rows]{"hosts", h.Platform.Hosts, h.enrol}, done)
+}
+
+// enter writes the host's row and the common key, unless there is one.
+func (h *Host) enter(ctx context.Context) error {
+	limited, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	if err := h.Platform.SetHost(limited, h.self); err != nil {
+		return err
+	}
+	key, err := h.Platform.CreateKey(limited, mesh.NewKey())
+	if err != nil {
+		return err
+	}
+	h.mesh.SetKey(key)
+	return nil
+}
+
+// enrol hands the hosts' rows on.
+func (h *Host) enrol(ctx context.Context, rows Rows) error {
+	if rows.Key != nil {
+		h.mesh.SetKey(*rows.Key)
+	}
+	return h.Loop.Send(ctx, rows.Roster)
+}
+
+// follow hands on each change of a table until the context ends and reports its end on done.
+//
+// When the history is gone, or the store was away, it reads the whole table anew.
+func follow[T any](ctx context.Context, h *Host, s source[T], done chan<- error) {
+	after := model.Revision(0)
+	lost := time.Time{}
+	backoff := retry.NewBackoff()
+	for ctx.Err() == nil {
+		wait, limit := feedWait, feedWait+feedSlack
+		if after == 0 {
+			wait, limit = 0, readTimeout
+		}
+		limited, cancel := context.WithTimeout(ctx, limit)
+		news, revision, err := s.read(limited, after, wait)
+		cancel()
+		switch {
+		case ctx.Err() != nil:
+		case errors.Is(err, ErrHistory):
+			after = 0
+		case err != nil:
+			if lost.IsZero() {
+				lost = time.Now()
+				event.DependencyLost(h.Logger, "store: "+s.name, err)
+			}
+			_ = clock.Pause(ctx, backoff.Next(0)) // the loop's condition sees the context's end
+		default:
+			if !lost.IsZero() {
+				event.DependencyRegained(h.Logger, "store: "+s.name, model.Millis(time.Since(lost)))
+				lost = time.Time{}
+				backoff = retry.NewBackoff()
+			}
+			after = max(after, revision)
+			_ = s.take(ctx, news) // fails only at the context's end
+		}
+	}
+	done <- ctx.Err()
+}
--- /dev/null
+++ b/internal/front/member.go
@@ -0,0 +1,235 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"redwingspread/internal/clock"
+	"redwingspread/internal/directory"
+	"redwingspread/internal/failover"
+	"redwingspread/internal/freshness"
+	"redwingspread/internal/governor"
+	"redwingspread/internal/lane"
+	"redwingspread/internal/model"
+	"redwingspread/internal/place"
+	"redwingspread/internal/session"
+)
+
+const (
+	dialTimeout   = 400 * time.Millisecond // several round trips between regions and the cost of a connection
+	stallAfter    = 250 * time.Millisecond // without any answer while some are outstanding
+	leastBehind   = 30 * time.Millisecond  // a replica that lacked a point is left alone at least so long
+	mostBehind    = 400 * time.Millisecond // a replica that lags for long is asked again this often
+	fullRest      = 500 * time.Millisecond // after an opening that the instance refused as one too many
+	urgentFloor   = model.Percent(0)       // the most urgent rank goes first and needs no floor
+	commonFloor   = model.Percent(10)      // of slot time, kept for each of the other ranks in a flood of urgent work
+	sampleWeight  = 8                      // a sample moves a learnt mean by one part in this many
+	warmOfReplica = 1
+)
+
+// link is an open connection to an instance and what sessions left on it.
+type link struct {
+	Endpoint
+	footing *session.Footing
+}
+
+// group is one database as traffic sees it.
+type group struct {
+	mutex   sync.Mutex
+	marks   freshness.Marks
+	members []*member
+}
+
+// member is one instance as traffic sees it.
+type member struct {
+	entry directory.Instance // immutable
+	group *group
+	lane  *lane.Lane[*link]
+	trip  time.Duration
+	dial  func(ctx context.Context, instance directory.Instance) (Endpoint, error)
+
+	cancel context.CancelFunc
+	done   chan error
+
+	mutex       sync.Mutex
+	health      failover.Health
+	outstanding int
+	progress    time.Time // of the newest answer, or of the oldest statement when none was outstanding
+	reached     model.Point
+	behind      model.Instant
+	pause       time.Duration
+	lag         time.Duration
+	leaving     bool
+}
+
+// newMember returns an instance of a group, whose lane runs until it is closed.
+func newMember(ctx context.Context, g *group, entry directory.Instance, trip time.Duration, dial func(context.Context, directory.Instance) (Endpoint, error)) *member {
+	m := &member{entry: entry, group: g, trip: trip, dial: dial, lane: lane.New[*link](), done: make(chan error, 1)}
+	m.health.Instance = entry.ID
+	m.lane.Floors = [model.Ranks]model.Percent{urgentFloor, commonFloor, commonFloor}
+	m.lane.Warm = warmOfReplica
+	m.lane.Pool.Parallel = 2
+	m.lane.Pool.Open = m.open
+	m.lane.Pool.Close = func(_ context.Context, l *link) error { return l.Close() }
+	m.lane.Pool.Rest = func(err error) time.Duration {
+		if model.CodeOf(err) == model.CodeConnectionsFull {
+			return fullRest
+		}
+		return 0
+	}
+	ctx, m.cancel = context.WithCancel(ctx)
+	go m.lane.Run(ctx, m.done)
+	return m
+}
+
+// close ends the lane and waits for its end.
+func (m *member) close() {
+	m.cancel()
+	<-m.done
+}
+
+// open opens a connection.
+func (m *member) open(ctx context.Context) (*link, error) {
+	limited, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	endpoint, err := m.dial(limited, m.entry)
+	if err == nil {
+		m.answered(time.Now())
+		return &link{Endpoint: endpoint, footing: session.NewFooting()}, nil
+	}
+	var refusal *model.Refusal
+	switch {
+	case errors.As(err, &refusal):
+		m.answered(time.Now())
+	case ctx.Err() == nil:
+		m.failed(time.Now())
+	}
+	return nil, err
+}
+
+// asked notes a statement on its way.
+func (m *member) asked(now time.Time) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.outstanding == 0 {
+		m.progress = now
+	}
+	m.outstanding++
+}
+
+// settled notes that a statement is no longer outstanding.
+func (m *member) settled() {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.outstanding--
+}
+
+// answered notes that the instance answers.
+func (m *member) answered(now time.Time) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.progress = now
+	m.health.Silent = time.Time{}
+}
+
+// failed notes that the instance did not answer or broke a connection off.
+func (m *member) failed(now time.Time) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.health.Silent.IsZero() {
+		m.health.Silent = now
+	}
+}
+
+// led notes that the instance proved, in a statement sent at the moment, that it leads, and where its log was.
+func (m *member) led(sent model.Instant, point model.Point) {
+	m.mutex.Lock()
+	m.health.Led = time.Now()
+	m.health.Term = max(m.health.Term, point.Term)
+	m.mutex.Unlock()
+	m.group.mutex.Lock()
+	defer m.group.mutex.Unlock()
+	m.group.marks.Observe(sent, point)
+}
+
+// refused notes that the instance does not lead.
+func (m *member) refused() {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.health.Refused = time.Now()
+}
+
+// saw notes the position in an answer, from which the age of the log follows.
+func (m *member) saw(now model.Instant, point model.Point) {
+	m.group.mutex.Lock()
+	since, known := m.group.marks.Reached(point)
+	m.group.mutex.Unlock()
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if point.Compare(m.reached) > 0 {
+		m.reached = point
+	}
+	if known {
+		m.lag += (now.Sub(since) - m.lag) / sampleWeight
+	}
+}
+
+// lacked notes that the instance lacks a point, and leaves it alone for a while that grows.
+func (m *member) lacked(now model.Instant) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.pause = min(max(2*m.pause, leastBehind), mostBehind)
+	m.behind = now.Add(m.pause)
+}
+
+// held notes that the instance held the point that it was asked for.
+func (m *member) held() {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.pause, m.behind = 0, 0
+}
+
+// report returns what traffic saw of the instance.
+func (m *member) report(now time.Time) governor.Report {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	health := m.health
+	health.Stalled = m.outstanding > 0 && now.Sub(m.progress) > stallAfter
+	return governor.Report{Health: health, Demand: m.lane.Demand()}
+}
+
+// candidate returns the instance as the choice of an instance sees it.
+func (m *member) candidate(now time.Time, kind model.KindID, primary model.InstanceID) place.Candidate {
+	expected := m.lane.Expect(now, kind)
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return place.Candidate{
+		Primary:  m.entry.ID == primary,
+		Avoid:    m.leaving || !m.health.Silent.IsZero() || (m.outstanding > 0 && now.Sub(m.progress) > stallAfter),
+		Expected: expected,
+		Trip:     m.trip,
+		Reached:  m.reached,
+		Behind:   m.behind,
+		Lag:      m.lag,
+	}
+}
+
+// needed returns the point that a read of the kind must find, now and for a session's newest commit.
+func (g *group) needed(kind model.Kind, commit model.Point) place.Want {
+	want := place.Want{Now: clock.Boot()}
+	if kind.Reads == model.ReadNewest {
+		return want
+	}
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	want.Least, want.Known = g.marks.Least(want.Now, kind.Age.Duration())
+	if want.Known && kind.Reads == model.ReadOwn {
+		want.Least = g.marks.Own(want.Least, commit)
+	}
+	if at, known := g.marks.Reached(want.Least); known {
+		want.Written = at
+	}
+	return want
+}
--- /dev/null
+++ b/internal/governor/governor.go
@@ -0,0 +1,323 @@
+package governor
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/apex/log"
+
+	"redwingspread/internal/directory"
+	"redwingspread/internal/event"
+	"redwingspread/internal/failover"
+	"redwingspread/internal/model"
+)
+
+// Timing holds the times of control.
+type Timing struct {
+	Beat   time.Duration // between two beats
+	Silent time.Duration // silence after which a host counts as gone
+	Linger time.Duration // for which a gone host's connections still count at the instances
+	Fetch  time.Duration // that another host's newer directory may take to come from the store
+	Forget time.Duration // silence after which a gone host's row is removed
+	Rise   time.Duration // a replaced primary is expected back so long after the order
+}
+
+// DefaultTiming returns the times that a host uses.
+func DefaultTiming() Timing {
+	return Timing{
+		Beat:   250 * time.Millisecond,
+		Silent: 1200 * time.Millisecond, // four beats
+		Linger: 3 * time.Second,         // after which instances drop unreachable connections
+		Fetch:  300 * time.Millisecond,  // a change reaches all hosts from the store within this time as a rule
+		Forget: time.Minute,
+		Rise:   time.Second,
+	}
+}
+
+// Governor is the control machine of one host; a control.Loop owns it.
+type Governor struct {
+	// Self is this host.
+	Self Host
+	// Timing holds the times.
+	Timing Timing
+	// Failover holds the times of changes of primaries.
+	Failover failover.Timing
+	// Logger takes the events; it never blocks.
+	Logger log.Interface
+
+	book      *directory.Book
+	hosts     map[model.HostID]*host
+	cases     map[model.DatabaseID]*failover.Case
+	leads     map[model.DatabaseID]Lead
+	changing  map[model.DatabaseID]bool
+	health    map[model.InstanceID]failover.Health
+	demand    map[model.InstanceID]model.Connections
+	sequence  model.Sequence
+	beaten    time.Time
+	started   time.Time
+	stopping  bool
+	urgent    bool // the next beat does not wait
+	round     int
+	snapshot  *View
+	published map[model.DatabaseID]Primary
+}
+
+// host is what is known of another host.
+type host struct {
+	Host
+	beat    Beat
+	heard   time.Time
+	newer   time.Time // since when it has a newer directory than this host
+	fetched bool      // a fetch from it is under way
+	dead    bool
+}
+
+// New returns a governor with defaults, whose exported fields are to be set before its loop runs.
+func New() *Governor {
+	return &Governor{
+		Timing:   DefaultTiming(),
+		Failover: failover.DefaultTiming(),
+		book:     directory.New(),
+		hosts:    make(map[model.HostID]*host),
+		cases:    make(map[model.DatabaseID]*failover.Case),
+		leads:    make(map[model.DatabaseID]Lead),
+		changing: make(map[model.DatabaseID]bool),
+		health:   make(map[model.InstanceID]failover.Health),
+		demand:   make(map[model.InstanceID]model.Connections),
+		snapshot: &View{Directory: directory.New().Directory()},
+	}
+}
+
+// SetGrace sets how long an instance without an entry is still used.
+func (g *Governor) SetGrace(grace time.Duration) { g.book.Grace = grace }
+
+// Snapshot returns the newest view.
+func (g *Governor) Snapshot() *View { return g.snapshot }
+
+// Handle takes one event and returns the actions that follow.
+func (g *Governor) Handle(now time.Time, e Event) (actions []Action) {
+	if g.started.IsZero() {
+		g.started = now
+	}
+	switch e := e.(type) {
+	case Tick:
+		g.observe(e)
+	case News:
+		g.learn(now, e)
+	case Roster:
+		g.enrol(now, e)
+	case Heard:
+		g.hear(now, e)
+	case Fetched:
+		g.fetched(now, e)
+	case Changed:
+		g.changed(now, e)
+	case Stop:
+		g.stopping = true
+		g.urgent = true
+	case Acted:
+		return nil
+	}
+	actions = append(actions, g.govern(now)...)
+	actions = append(actions, g.fetch(now)...)
+	actions = append(actions, g.forget(now)...)
+	if beat := g.beat(now); beat != nil {
+		actions = append(actions, beat)
+	}
+	g.publish(now)
+	return actions
+}
+
+// observe takes what traffic saw.
+func (g *Governor) observe(tick Tick) {
+	clear(g.health)
+	for _, report := range tick.Health {
+		g.health[report.Instance] = report.Health
+		g.demand[report.Instance] = demand(g.demand[report.Instance], report.Demand)
+	}
+}
+
+// demand follows a rising demand at once and a falling one slowly, so that shares do not swing with each statement.
+func demand(before, now model.Connections) model.Connections {
+	if now >= before {
+		return now
+	}
+	return before - max((before-now)/8, 1)
+}
+
+// learn takes news of the directory.
+func (g *Governor) learn(now time.Time, news News) {
+	before := g.book.Directory()
+	configured := news.Configuration != nil && g.book.Configure(*news.Configuration)
+	changed := false
+	if news.Whole {
+		changed = g.book.Replace(now, news.Revision, news.Instances)
+	} else {
+		changed = g.book.Change(now, news.Revision, news.Instances, news.Removed)
+	}
+	if !configured && !changed {
+		return
+	}
+	after := g.book.Directory()
+	event.DirectoryInForce(g.Logger, after.Version, after.Revision, len(after.Kinds), len(after.Instances), news.Source)
+	g.urgent = true
+	for id, instance := range after.Instances {
+		known, found := before.Instances[id]
+		switch {
+		case !found:
+			event.InstanceChanged(g.Logger, id, instance.Database, "appeared")
+		case instance.Leaving && !known.Leaving:
+			event.InstanceChanged(g.Logger, id, instance.Database, "leaves")
+		case instance.Role != known.Role:
+			event.InstanceChanged(g.Logger, id, instance.Database, "is "+string(instance.Role))
+		case instance.Born != known.Born:
+			event.InstanceChanged(g.Logger, id, instance.Database, "started anew")
+		}
+	}
+}
+
+// members returns the instances of each database.
+func members(d *directory.Directory) map[model.DatabaseID][]failover.Member {
+	all := make(map[model.DatabaseID][]failover.Member)
+	for _, instance := range d.Instances {
+		all[instance.Database] = append(all[instance.Database], failover.Member{
+			Instance: instance.ID,
+			Claims:   instance.Role == model.RolePrimary,
+			Leaving:  instance.Leaving,
+		})
+	}
+	for _, list := range all {
+		slices.SortFunc(list, func(a, b failover.Member) int { return compare(a.Instance, b.Instance) })
+	}
+	return all
+}
+
+// compare orders names.
+func compare[T ~string](a, b T) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+// govern decides on each database's primary.
+func (g *Governor) govern(now time.Time) (actions []Action) {
+	for _, id := range g.book.Expire(now) {
+		event.InstanceChanged(g.Logger, id, "", "is gone")
+	}
+	var probes []model.InstanceID
+	all := members(g.book.Directory())
+	for _, database := range slices.Sorted(maps.Keys(all)) {
+		list := all[database]
+		c := g.watch(database)
+		if changed, reason := c.Believe(now, list, g.health); changed {
+			sight := c.Sight()
+			event.PrimaryBelieved(g.Logger, database, sight.Instance, sight.Term, string(sight.State), reason)
+			g.urgent = true
+		}
+		probes = append(probes, c.Probes(now, list, g.health)...)
+		if action := g.judge(now, database, c, list); action != nil {
+			actions = append(actions, action)
+		}
+	}
+	if len(probes) > 0 {
+		actions = append(actions, Probe{Instances: probes})
+	}
+	return actions
+}
+
+// watch returns the case of a database.
+func (g *Governor) watch(database model.DatabaseID) *failover.Case {
+	c, found := g.cases[database]
+	if !found {
+		c = failover.New(g.Failover)
+		g.cases[database] = c
+	}
+	return c
+}
+
+// judge returns the change of a database's primary that is due, or nil.
+func (g *Governor) judge(now time.Time, database model.DatabaseID, c *failover.Case, list []failover.Member) Action {
+	if g.changing[database] || g.stopping {
+		return nil
+	}
+	verdict, count, reason := c.Judge(now, g.Self.ID, g.live(now), list)
+	if verdict == failover.Keep {
+		return nil
+	}
+	sight := c.Sight()
+	event.PrimaryJudged(g.Logger, database, sight.Instance, count.Silent, count.Led, count.Live, reason)
+	g.changing[database] = true
+	d := g.book.Directory()
+	change := Change{
+		Database: database,
+		Primary:  d.Instances[sight.Instance],
+		Demote:   verdict == failover.Move,
+		Lead:     g.leads[database],
+		Since:    sight.Since,
+		Reason:   reason,
+	}
+	for _, member := range list {
+		if member.Instance != sight.Instance && !g.book.Missing(member.Instance) {
+			change.Replicas = append(change.Replicas, d.Instances[member.Instance])
+		}
+	}
+	return change
+}
+
+// changed takes the end of a change of a primary.
+func (g *Governor) changed(now time.Time, e Changed) {
+	delete(g.changing, e.Database)
+	if e.Lead != nil {
+		g.lead(now, *e.Lead)
+	}
+	if e.Err != nil {
+		event.PromotionFailed(g.Logger, e.Database, e.Instance, g.leads[e.Database].Token, e.Err)
+	}
+}
+
+// lead takes the row of a promotion.
+func (g *Governor) lead(now time.Time, lead Lead) {
+	if known := g.leads[lead.Database]; known.Token > lead.Token {
+		return
+	}
+	g.leads[lead.Database] = lead
+	g.watch(lead.Database).Learn(now, lead.Lead)
+}
+
+// publish makes a new view when something in it has changed.
+func (g *Governor) publish(now time.Time) {
+	next := &View{
+		Directory: g.book.Directory(),
+		Primaries: make(map[model.DatabaseID]Primary, len(g.cases)),
+		Shares:    g.shares(now),
+		Hosts:     len(g.live(now)),
+		Ready:     g.book.Directory().Known() && !g.stopping,
+	}
+	for database, c := range g.cases {
+		next.Primaries[database] = g.primary(c)
+	}
+	old := g.snapshot
+	if old.Directory == next.Directory && old.Hosts == next.Hosts && old.Ready == next.Ready &&
+		maps.Equal(old.Primaries, next.Primaries) && maps.Equal(old.Shares, next.Shares) {
+		return
+	}
+	g.snapshot = next
+}
+
+// primary returns what traffic is told of a primary.
+func (g *Governor) primary(c *failover.Case) Primary {
+	sight := c.Sight()
+	primary := Primary{Instance: sight.Instance, State: sight.State}
+	if sight.State == failover.Silent {
+		primary.Back = sight.Since.Add(2*g.Failover.Confirm + g.Timing.Rise)
+	}
+	if back := c.Ordered().Add(g.Timing.Rise); sight.State != failover.Led && !c.Ordered().IsZero() && back.After(primary.Back) {
+		primary.Back = back
+	}
+	return primary
+}
--- /dev/null
+++ b/internal/lane/lane.go
@@ -0,0 +1,219 @@
+package lane
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"redwingspread/internal/admit"
+	"redwingspread/internal/model"
+	"redwingspread/internal/pool"
+)
+
+// Lane runs the work that one host sends to one instance.
+//
+// A statement takes a slot while it runs; a transaction also keeps its connection through the pauses between its
+// statements, and takes a slot again for each without waiting, so that open transactions end soon.
+type Lane[C any] struct {
+	// Pool opens, keeps and closes the connections; its Open and Close are set by the lane's owner.
+	Pool *pool.Pool[C]
+	// Slots is the number of statements that may run at once.
+	Slots model.Slots
+	// Connections is the number of connections that may be open.
+	Connections model.Connections
+	// Warm is the number of connections kept open without work.
+	Warm model.Connections
+	// QueueLimit is the number of statements that may wait.
+	QueueLimit int
+	// Floors is the guaranteed share of the slots' time of each rank.
+	Floors [model.Ranks]model.Percent
+	// Policy orders the waiting statements.
+	Policy admit.Policy[*Turn[C]]
+	// Now reads the clock.
+	Now func() time.Time
+
+	mutex    sync.Mutex
+	queue    admit.Queue[*Turn[C]]
+	pins     [model.Ranks]admit.Arrival[*Turn[C]] // transactions that wait for a connection to keep
+	used     model.Slots
+	held     model.Connections // connections kept by transactions
+	started  bool
+	stopping bool
+}
+
+// The defaults of a lane.
+const (
+	defaultSlots       = 2
+	defaultConnections = 4
+	defaultQueueLimit  = 256
+)
+
+// New returns a lane with defaults, whose exported fields are to be set before Run.
+func New[C any]() *Lane[C] {
+	return &Lane[C]{
+		Pool:        pool.New[C](),
+		Slots:       defaultSlots,
+		Connections: defaultConnections,
+		Warm:        1,
+		QueueLimit:  defaultQueueLimit,
+		Policy:      admit.NewFloors[*Turn[C]](),
+		Now:         time.Now,
+		queue:       admit.Queue[*Turn[C]]{Service: admit.NewService()},
+	}
+}
+
+// Run keeps the connections until the context ends, refuses what still waits and reports its own end on done.
+func (l *Lane[C]) Run(ctx context.Context, done chan<- error) {
+	l.mutex.Lock()
+	l.begin()
+	l.want()
+	l.mutex.Unlock()
+	ended := make(chan error, 1)
+	go l.Pool.Run(ctx, ended)
+	err := <-ended
+	l.stop()
+	done <- err
+}
+
+// begin hands the exported fields to the queue and the pool, when Run or the first use comes; the caller holds the lock.
+func (l *Lane[C]) begin() {
+	if l.started {
+		return
+	}
+	l.started = true
+	l.Policy.SetFloors(l.Floors)
+	l.queue.Policy = l.Policy
+	l.queue.Limit = l.QueueLimit
+	l.Pool.Limit = l.Connections
+	l.Pool.Ready = l.ready
+}
+
+// stop refuses all waiting work and all that comes later.
+func (l *Lane[C]) stop() {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.begin()
+	l.stopping = true
+	l.refuseAll(model.CodeStopping)
+}
+
+// Flush refuses all waiting work as not run, so that it goes elsewhere.
+func (l *Lane[C]) Flush(code model.Code) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.begin()
+	l.refuseAll(code)
+}
+
+// SetLimits changes how many statements may run and connections may be open.
+func (l *Lane[C]) SetLimits(slots model.Slots, connections model.Connections) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if slots == l.Slots && connections == l.Connections {
+		return
+	}
+	l.begin()
+	l.Slots, l.Connections = slots, connections
+	l.Pool.SetLimit(connections)
+	l.grantPins()
+	l.schedule()
+}
+
+// Demand returns the number of connections in use and wanted.
+func (l *Lane[C]) Demand() model.Connections {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.begin()
+	return l.held + model.Connections(l.used) + model.Connections(l.queue.Len()+l.pinsWaiting())
+}
+
+// Expect returns the time after which a statement of the kind that comes now is expected to be answered.
+func (l *Lane[C]) Expect(now time.Time, kind model.KindID) time.Duration {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.begin()
+	answer := l.queue.Service.Expect(now, kind)
+	ahead := l.queue.Len() + int(max(l.used-l.Slots+1, 0))
+	if ahead == 0 {
+		return answer
+	}
+	return answer + time.Duration(ahead)*l.queue.Service.Mean(now)/time.Duration(max(l.Slots, 1))
+}
+
+// ready starts waiting work when a connection has become idle.
+func (l *Lane[C]) ready() {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.schedule()
+}
+
+// schedule starts waiting work while there is a free slot and a connection, and asks for connections that are missing.
+func (l *Lane[C]) schedule() {
+	for l.used < l.Slots && l.queue.Len() > 0 {
+		conn, found := l.Pool.Take()
+		if !found {
+			break
+		}
+		ticket, verdict := l.queue.Next(l.Now(), admit.RoomAny)
+		if ticket == nil {
+			l.Pool.Put(conn)
+			break
+		}
+		if verdict == admit.Late {
+			l.Pool.Put(conn)
+			l.refuse(ticket, model.CodeDeadline)
+			continue
+		}
+		turn := ticket.Value
+		turn.Conn = conn
+		turn.started = l.Now()
+		l.used++
+		turn.ready <- nil
+	}
+	l.want()
+}
+
+// want tells the pool how many connections should be open: those in use, those that work waits for, and the warm ones.
+func (l *Lane[C]) want() {
+	waiting := model.Connections(min(l.queue.Len(), int(max(l.Slots-l.used, 0))))
+	taken := l.held + model.Connections(l.used)
+	counts := l.Pool.Counts()
+	l.Pool.SetTarget(max(l.Warm, taken+waiting, counts.Open))
+}
+
+// refuse ends a ticket's wait with a refusal.
+func (l *Lane[C]) refuse(ticket *admit.Ticket[*Turn[C]], code model.Code) {
+	ticket.Value.ready <- l.refusal(code)
+}
+
+// refusal returns a refusal that tells when to come back.
+func (l *Lane[C]) refusal(code model.Code) *model.Refusal {
+	refusal := model.Refuse(code, "%d waiting, %d of %d running, %d of %d connections kept", l.queue.Len(), l.used, l.Slots, l.held, l.Connections)
+	refusal.RetryAfter = l.queue.RetryAfter(l.Now(), l.Slots)
+	return refusal
+}
+
+// refuseAll refuses all waiting work with the code.
+func (l *Lane[C]) refuseAll(code model.Code) {
+	for i := range l.pins {
+		for ticket := l.pins[i].Pop(l.Now(), admit.RoomAny); ticket != nil; ticket = l.pins[i].Pop(l.Now(), admit.RoomAny) {
+			ticket.Value.pinning = false
+			l.refuse(ticket, code)
+		}
+	}
+	for l.queue.Len() > 0 {
+		ticket, verdict := l.queue.Next(l.Now(), admit.RoomAny)
+		if verdict == admit.Run {
+			l.queue.Cancel(ticket)
+		}
+		l.refuse(ticket, code)
+	}
+}
+
+// pinsWaiting returns the number of transactions that wait for a connection to keep.
+func (l *Lane[C]) pinsWaiting() (waiting int) {
+	for rank := model.RankOne; rank <= model.RankThree; rank++ {
+		waiting += l.pins[rank.Index()].Waiting(rank)
+	}
+	return waiting
+}
--- /dev/null
+++ b/internal/lane/turn.go
@@ -0,0 +1,186 @@
+package lane
+
+import (
+	"context"
+	"time"
+
+	"redwingspread/internal/admit"
+	"redwingspread/internal/model"
+)
+
+// Want describes one piece of work that asks for its turn.
+type Want struct {
+	Class    admit.Class
+	Deadline time.Time // by which the work must be answered
+	Keep     bool      // the connection is kept after the statement, for a transaction
+}
+
+// Turn is a connection and a slot that a piece of work may use.
+type Turn[C any] struct {
+	// Conn is the connection, valid until Done or Release.
+	Conn C
+
+	ticket  admit.Ticket[*Turn[C]]
+	ready   chan *model.Refusal // nil is sent when the turn has come
+	started time.Time
+	pinning bool // waits for a connection to keep
+	kept    bool
+	running bool
+}
+
+// Take waits for a turn; the error is a *model.Refusal of work that has not run.
+func (l *Lane[C]) Take(ctx context.Context, want Want) (turn *Turn[C], err error) {
+	turn = &Turn[C]{ready: make(chan *model.Refusal, 1)}
+	turn.ticket.Value = turn
+	turn.ticket.Class = want.Class
+	turn.ticket.Deadline = want.Deadline
+	timer := time.NewTimer(want.Deadline.Sub(l.Now()))
+	defer timer.Stop()
+	if want.Keep {
+		if refusal := l.pin(ctx, turn, timer.C); refusal != nil {
+			return nil, refusal
+		}
+	}
+	if refusal := l.offer(turn); refusal != nil {
+		l.unpin(want.Keep)
+		return nil, refusal
+	}
+	if refusal := l.wait(ctx, turn, timer.C); refusal != nil {
+		l.unpin(want.Keep)
+		return nil, refusal
+	}
+	turn.kept = want.Keep
+	turn.running = true
+	return turn, nil
+}
+
+// offer puts the turn into the queue.
+func (l *Lane[C]) offer(turn *Turn[C]) *model.Refusal {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.begin()
+	if l.stopping {
+		return l.refusal(model.CodeStopping)
+	}
+	verdict, out, outVerdict := l.queue.Offer(l.Now(), &turn.ticket)
+	if out != nil {
+		l.refuse(out, code(outVerdict))
+	}
+	if verdict != admit.Wait {
+		return l.refusal(code(verdict))
+	}
+	l.schedule()
+	return nil
+}
+
+// wait returns nil when the turn has come, and a refusal when it does not come in time.
+func (l *Lane[C]) wait(ctx context.Context, turn *Turn[C], timeout <-chan time.Time) *model.Refusal {
+	select {
+	case refusal := <-turn.ready:
+		return refusal
+	default:
+	}
+	select {
+	case refusal := <-turn.ready:
+		return refusal
+	case <-ctx.Done():
+	case <-timeout:
+	}
+	return l.withdraw(turn)
+}
+
+// withdraw ends a wait from the caller's side; a turn that has just come is given back unused.
+func (l *Lane[C]) withdraw(turn *Turn[C]) *model.Refusal {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.queue.Withdraw(l.Now(), &turn.ticket) {
+		return l.refusal(model.CodeDeadline)
+	}
+	if refusal := <-turn.ready; refusal != nil {
+		return refusal
+	}
+	l.queue.Cancel(&turn.ticket)
+	l.Pool.Put(turn.Conn)
+	l.used--
+	l.schedule()
+	return l.refusal(model.CodeDeadline)
+}
+
+// Done ends a turn whose connection is not kept; a connection that is not sound is closed.
+func (l *Lane[C]) Done(turn *Turn[C], sound, ran bool) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.rest(turn, ran)
+	l.giveBack(turn.Conn, sound)
+	l.schedule()
+}
+
+// Rest frees the slot of a kept connection between two statements of its transaction.
+func (l *Lane[C]) Rest(turn *Turn[C], ran bool) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.rest(turn, ran)
+	l.schedule()
+}
+
+// Resume takes a slot for the next statement on a kept connection, above the limit if need be.
+func (l *Lane[C]) Resume(turn *Turn[C]) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.used++
+	turn.started = l.Now()
+	turn.running = true
+}
+
+// Release ends a transaction's hold of its connection; one that is not sound is closed, which rolls back.
+func (l *Lane[C]) Release(turn *Turn[C], sound bool) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if turn.running {
+		l.rest(turn, false)
+	}
+	l.giveBack(turn.Conn, sound)
+	l.held--
+	l.grantPins()
+	l.schedule()
+}
+
+// rest frees the turn's slot and learns the time of work that ran.
+func (l *Lane[C]) rest(turn *Turn[C], ran bool) {
+	l.used--
+	turn.running = false
+	now := l.Now()
+	if ran {
+		l.queue.Finish(now, &turn.ticket, now.Sub(turn.started))
+	} else {
+		l.queue.Cancel(&turn.ticket)
+	}
+}
+
+// giveBack returns a connection to the pool or has it closed.
+func (l *Lane[C]) giveBack(conn C, sound bool) {
+	if sound {
+		l.Pool.Put(conn)
+	} else {
+		l.Pool.Discard(conn)
+	}
+}
+
+// code returns the reason of the refusal that follows from a verdict.
+func code(verdict admit.Verdict) model.Code {
+	if verdict == admit.Late {
+		return model.CodeDeadline
+	}
+	return model.CodeOverloaded
+}
+
+// Borrow returns an idle connection for a use beside the queue, and false when there is none.
+func (l *Lane[C]) Borrow() (C, bool) { return l.Pool.Take() }
+
+// Return gives a borrowed connection back.
+func (l *Lane[C]) Return(conn C, sound bool) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.giveBack(conn, sound)
+	l.schedule()
+}
--- /dev/null
+++ b/internal/mesh/copy.go
@@ -0,0 +1,125 @@
+package mesh
+
+import (
+	"fmt"
+
+	"redwingspread/internal/directory"
+	"redwingspread/internal/governor"
+	"redwingspread/internal/model"
+	"redwingspread/pkg/api/meshapi"
+)
+
+// reads maps the levels of consistency to their names in messages.
+var reads = map[model.Consistency]meshapi.KindReads{
+	model.ReadNewest: meshapi.KindReadsNewest,
+	model.ReadAged:   meshapi.KindReadsAged,
+	model.ReadOwn:    meshapi.KindReadsOwn,
+}
+
+// levels maps the names in messages to levels of consistency.
+var levels = map[meshapi.KindReads]model.Consistency{
+	meshapi.KindReadsNewest: model.ReadNewest,
+	meshapi.KindReadsAged:   model.ReadAged,
+	meshapi.KindReadsOwn:    model.ReadOwn,
+}
+
+// encodeDirectory returns the message of a directory.
+func encodeDirectory(nonce string, d *directory.Directory) meshapi.Directory {
+	message := meshapi.Directory{
+		Nonce:    nonce,
+		Version:  uint64(d.Version),
+		Revision: uint64(d.Revision),
+		Idle:     d.Idle.Milliseconds(),
+	}
+	for _, kind := range d.Kinds {
+		message.Kinds = append(message.Kinds, meshapi.Kind{
+			Name:     string(kind.ID),
+			Database: string(kind.Database),
+			Reads:    reads[kind.Reads],
+			Age:      int64(model.Millis(kind.Age.Duration())),
+			Timeout:  kind.Timeout.Milliseconds(),
+			Goal:     kind.Goal.Milliseconds(),
+			Rank:     int(kind.Rank),
+		})
+	}
+	for _, database := range d.Databases {
+		message.Databases = append(message.Databases, meshapi.Database{
+			Name:        string(database.ID),
+			Connections: int(database.Connections),
+			Sync:        meshapi.NewOptBool(database.Sync),
+		})
+	}
+	for _, instance := range d.Instances {
+		message.Instances = append(message.Instances, meshapi.Instance{
+			Name:     string(instance.ID),
+			Database: string(instance.Database),
+			Address:  string(instance.Address),
+			Centre:   string(instance.DataCentre),
+			Slots:    int(instance.Slots),
+			Role:     meshapi.InstanceRole(instance.Role),
+			Leaving:  meshapi.NewOptBool(instance.Leaving),
+			Cold:     meshapi.NewOptBool(instance.Cold),
+			Born:     meshapi.NewOptInt64(instance.Born),
+			Revision: uint64(instance.Revision),
+		})
+	}
+	return message
+}
+
+// decodeDirectory returns the news in a message; the regions of instances follow from their data centres.
+func decodeDirectory(source string, regions map[model.DataCentreID]model.RegionID, message *meshapi.Directory) (news *governor.News, err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("mesh: decode directory: %w", err)
+		}
+	}()
+	if err := message.Validate(); err != nil {
+		return nil, err
+	}
+	configuration := &directory.Configuration{
+		Version: model.Version(message.Version),
+		Idle:    model.Milliseconds(message.Idle).Duration(),
+	}
+	for _, kind := range message.Kinds {
+		configuration.Kinds = append(configuration.Kinds, model.Kind{
+			ID:       model.KindID(kind.Name),
+			Database: model.DatabaseID(kind.Database),
+			Reads:    levels[kind.Reads],
+			Age:      model.Age(model.Milliseconds(kind.Age).Duration()),
+			Timeout:  model.Milliseconds(kind.Timeout).Duration(),
+			Goal:     model.Milliseconds(kind.Goal).Duration(),
+			Rank:     model.Rank(kind.Rank),
+		})
+	}
+	for _, database := range message.Databases {
+		configuration.Databases = append(configuration.Databases, model.Database{
+			ID:          model.DatabaseID(database.Name),
+			Connections: model.Connections(database.Connections),
+			Sync:        database.Sync.Value,
+		})
+	}
+	news = &governor.News{
+		Source:        source,
+		Revision:      model.Revision(message.Revision),
+		Whole:         true,
+		Configuration: configuration,
+	}
+	for _, instance := range message.Instances {
+		news.Instances = append(news.Instances, directory.Instance{
+			Instance: model.Instance{
+				ID:         model.InstanceID(instance.Name),
+				Database:   model.DatabaseID(instance.Database),
+				Address:    model.Address(instance.Address),
+				DataCentre: model.DataCentreID(instance.Centre),
+				Region:     regions[model.DataCentreID(instance.Centre)],
+				Leaving:    instance.Leaving.Value,
+			},
+			Slots:    model.Slots(instance.Slots),
+			Role:     model.Role(instance.Role),
+			Cold:     instance.Cold.Value,
+			Born:     instance.Born.Value,
+			Revision: model.Revision(instance.Revision),
+		})
+	}
+	return news, nil
+}
--- a/internal/model/refusal.go
+++ b/internal/model/refusal.go
@@ -39,6 +39,10 @@
 	CodeLeaving           Code = "leaving"
 	CodeUnknownOperation  Code = "unknown_operation"
 	CodeConflict          Code = "conflict"
+	CodeFailed            Code = "failed"
+	CodeTimeout           Code = "timeout"
+	CodeNoStatement       Code = "no_statement"
+	CodeWrongInstance     Code = "wrong_instance"
 )
 
 // Refusal is the error of work that did not run, or whose outcome is unknown.
--- a/internal/model/units.go
+++ b/internal/model/units.go
@@ -31,3 +31,30 @@
 
 // Percent is a share in hundredths.
 type Percent int
+
+// Milliseconds is a span of time in logs and messages.
+type Milliseconds int64
+
+// Mebibytes is an amount of memory.
+type Mebibytes int
+
+// Token orders the promotions of a database; it is the fencing token.
+type Token uint64
+
+// Instant is a moment of the clock that goes on while the host sleeps, since the host's boot.
+type Instant time.Duration
+
+// Add returns the instant that lies the duration later.
+func (i Instant) Add(d time.Duration) Instant { return i + Instant(d) }
+
+// Sub returns the time from the other instant to this one.
+func (i Instant) Sub(other Instant) time.Duration { return time.Duration(i - other) }
+
+// Millis returns a duration in whole milliseconds.
+func Millis(d time.Duration) Milliseconds { return Milliseconds(d / time.Millisecond) }
+
+// Duration returns the span as a duration.
+func (m Milliseconds) Duration() time.Duration { return time.Duration(m) * time.Millisecond }
+
+// Duration returns the age as a duration.
+func (a Age) Duration() time.Duration { return time.Duration(a) }
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -6,18 +6,17 @@
 	"sync"
 	"time"
 
-	"redwingspread/internal/endpoint"
 	"redwingspread/internal/model"
 )
 
 // Pool keeps the connections of one host to one instance.
-type Pool struct {
-	// Host is the host that opens the connections.
-	Host model.HostID
-	// Database is the database of the instance.
-	Database model.DatabaseID
-	// Instance is where connections are opened.
-	Instance endpoint.Instance
+type Pool[C any] struct {
+	// Open opens one connection.
+	Open func(ctx context.Context) (C, error)
+	// Close closes one connection; its error is of no consequence, since instances drop what they did not hear of.
+	Close func(ctx context.Context, conn C) error
+	// Rest returns the least time without openings after one that failed with the error.
+	Rest func(err error) time.Duration
 	// Limit is the greatest number of connections, those being opened or closed included.
 	Limit model.Connections
 	// Parallel is the number of connections that are opened at once, against a stampede.
@@ -28,14 +27,13 @@
 	Jitter func() float64
 
 	mutex   sync.Mutex
-	term    model.Term
 	target  model.Connections // connections that should be open
-	idle    []endpoint.Conn   // newest last
+	idle    []C               // newest last
 	open    model.Connections // idle, taken and closing connections
 	opening model.Connections
-	closing []endpoint.Conn // to be closed
-	backOff time.Duration   // zero when the last opening succeeded
-	blocked bool            // true while the back-off lasts
+	closing []C           // to be closed
+	backOff time.Duration // zero when the last opening succeeded
+	blocked bool          // true while the back-off lasts
 	refused int
 	wake    chan struct{}
 }
@@ -57,31 +55,31 @@
 )
 
 // New returns a pool with defaults, whose exported fields are to be set before Run.
-func New() *Pool {
-	return &Pool{
+func New[C any]() *Pool[C] {
+	return &Pool[C]{
 		Parallel: defaultOpeners,
 		Ready:    func() {},
+		Rest:     func(error) time.Duration { return 0 },
 		Jitter:   rand.Float64,
 		wake:     make(chan struct{}, 1),
 	}
 }
 
 // Take returns an idle connection, the one used last, and false when there is none.
-func (p *Pool) Take() (endpoint.Conn, bool) {
+func (p *Pool[C]) Take() (conn C, found bool) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	if len(p.idle) == 0 {
-		return nil, false
+		return conn, false
 	}
 	last := len(p.idle) - 1
-	conn := p.idle[last]
-	p.idle[last] = nil
+	conn, p.idle[last] = p.idle[last], conn
 	p.idle = p.idle[:last]
 	return conn, true
 }
 
 // Put gives a taken connection back that has no answer outstanding.
-func (p *Pool) Put(conn endpoint.Conn) {
+func (p *Pool[C]) Put(conn C) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.idle = append(p.idle, conn)
@@ -89,7 +87,7 @@
 }
 
 // Discard has a taken connection closed.
-func (p *Pool) Discard(conn endpoint.Conn) {
+func (p *Pool[C]) Discard(conn C) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.closing = append(p.closing, conn)
@@ -97,7 +95,7 @@
 }
 
 // Clear has all idle connections closed, since the instance no longer knows them.
-func (p *Pool) Clear() {
+func (p *Pool[C]) Clear() {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.closing = append(p.closing, p.idle...)
@@ -105,21 +103,20 @@
 	p.signal()
 }
 
-// SetTarget sets how many connections should be open, and the term in which they are opened.
-func (p *Pool) SetTarget(target model.Connections, term model.Term) {
+// SetTarget sets how many connections should be open.
+func (p *Pool[C]) SetTarget(target model.Connections) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	if p.target == target && p.term >= term {
+	if p.target == target {
 		return
 	}
 	p.target = target
-	p.term = max(p.term, term)
 	p.trim()
 	p.signal()
 }
 
 // SetLimit changes the greatest number of connections; those too many are closed once they are idle.
-func (p *Pool) SetLimit(limit model.Connections) {
+func (p *Pool[C]) SetLimit(limit model.Connections) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.Limit = limit
@@ -128,7 +125,7 @@
 }
 
 // Counts returns the number of connections in each state.
-func (p *Pool) Counts() Counts {
+func (p *Pool[C]) Counts() Counts {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	return Counts{
@@ -140,7 +137,7 @@
 }
 
 // trim has idle connections closed that are above the limit.
-func (p *Pool) trim() {
+func (p *Pool[C]) trim() {
 	for p.open-model.Connections(len(p.closing)) > p.Limit && len(p.idle) > 0 {
 		p.closing = append(p.closing, p.idle[0])
 		p.idle = append(p.idle[:0], p.idle[1:]...)
@@ -149,7 +146,7 @@
 }
 
 // signal wakes Run without waiting for it.
-func (p *Pool) signal() {
+func (p *Pool[C]) signal() {
 	select {
 	case p.wake <- struct{}{}:
 	default:
@@ -159,7 +156,7 @@
 // Run opens and closes connections until the context ends, then closes all idle ones and reports its end on done.
 //
 // Its owner gives all taken connections back before it ends the context.
-func (p *Pool) Run(ctx context.Context, done chan<- error) {
+func (p *Pool[C]) Run(ctx context.Context, done chan<- error) {
 	ended := make(chan struct{})
 	running := 0
 	for ctx.Err() == nil {
@@ -179,7 +176,7 @@
 }
 
 // start starts what is to be opened and closed now and returns the number of goroutines.
-func (p *Pool) start(ctx context.Context, ended chan<- struct{}) int {
+func (p *Pool[C]) start(ctx context.Context, ended chan<- struct{}) int {
 	p.mutex.Lock()
 	closing := p.closing
 	p.closing = nil
@@ -188,16 +185,15 @@
 		p.opening++
 		opening++
 	}
-	term := p.term
 	p.mutex.Unlock()
 	for range opening {
-		go p.openOne(ctx, term, ended)
+		go p.openOne(ctx, ended)
 	}
 	return opening + p.startClosing(ctx, ended, closing)
 }
 
 // startClosing closes the connections in goroutines of their own and returns their number.
-func (p *Pool) startClosing(ctx context.Context, ended chan<- struct{}, conns []endpoint.Conn) int {
+func (p *Pool[C]) startClosing(ctx context.Context, ended chan<- struct{}, conns []C) int {
 	for _, conn := range conns {
 		go p.closeOne(ctx, conn, ended)
 	}
@@ -205,7 +201,7 @@
 }
 
 // wants reports whether one more connection is to be opened now.
-func (p *Pool) wants() bool {
+func (p *Pool[C]) wants() bool {
 	if p.blocked || int(p.opening) >= p.Parallel {
 		return false
 	}
@@ -216,7 +212,7 @@
 }
 
 // drain takes all connections that are to be closed at the end.
-func (p *Pool) drain() []endpoint.Conn {
+func (p *Pool[C]) drain() []C {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	conns := append(p.closing, p.idle...)
@@ -225,13 +221,13 @@
 }
 
 // openOne opens one connection and, when that fails, holds back the next ones.
-func (p *Pool) openOne(ctx context.Context, term model.Term, ended chan<- struct{}) {
+func (p *Pool[C]) openOne(ctx context.Context, ended chan<- struct{}) {
 	defer func() { ended <- struct{}{} }()
 	open, cancel := context.WithTimeout(ctx, openTimeout)
 	defer cancel()
-	conn, _, err := p.Instance.Open(open, p.Host, p.Database, term)
+	conn, err := p.Open(open)
 	if err != nil {
-		p.hold(ctx, p.failed())
+		p.hold(ctx, p.failed(p.Rest(err)))
 		return
 	}
 	p.opened(conn)
@@ -239,7 +235,7 @@
 }
 
 // opened adds an idle connection.
-func (p *Pool) opened(conn endpoint.Conn) {
+func (p *Pool[C]) opened(conn C) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.opening--
@@ -250,7 +246,7 @@
 }
 
 // failed counts a failed opening and returns how long to hold back; zero when another goroutine holds back already.
-func (p *Pool) failed() time.Duration {
+func (p *Pool[C]) failed(least time.Duration) time.Duration {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.opening--
@@ -259,12 +255,12 @@
 		return 0
 	}
 	p.blocked = true
-	p.backOff = min(max(2*p.backOff, leastBackOff), mostBackOff)
+	p.backOff = max(min(max(2*p.backOff, leastBackOff), mostBackOff), least)
 	return p.backOff/2 + time.Duration(p.Jitter()*float64(p.backOff/2))
 }
 
 // hold waits for the back-off to pass.
-func (p *Pool) hold(ctx context.Context, wait time.Duration) {
+func (p *Pool[C]) hold(ctx context.Context, wait time.Duration) {
 	if wait == 0 {
 		return
 	}
@@ -281,11 +277,11 @@
 }
 
 // closeOne closes one connection, even after the context has ended.
-func (p *Pool) closeOne(ctx context.Context, conn endpoint.Conn, ended chan<- struct{}) {
+func (p *Pool[C]) closeOne(ctx context.Context, conn C, ended chan<- struct{}) {
 	defer func() { ended <- struct{}{} }()
 	limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), closeTimeout)
 	defer cancel()
-	_ = conn.Close(limited) // what the instance did not hear of, it drops by itself
+	_ = p.Close(limited, conn) // what the instance did not hear of, it drops by itself
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.open--
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"fmt"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
-	"redwingspread/internal/endpoint"
 	"redwingspread/internal/model"
 )
 
@@ -17,8 +15,6 @@
 
 // instance is a fake that opens connections up to its limit.
 type instance struct {
-	endpoint.Instance
-
 	mutex       sync.Mutex
 	limit       int
 	down        bool // refuses every opening
@@ -32,12 +28,11 @@
 
 // conn is one connection of the fake.
 type conn struct {
-	endpoint.Conn
 	instance *instance
 	id       int
 }
 
-func (i *instance) Open(ctx context.Context, _ model.HostID, _ model.DatabaseID, _ model.Term) (endpoint.Conn, model.InstanceState, error) {
+func (i *instance) Open(ctx context.Context) (*conn, error) {
 	i.begin()
 	timer := time.NewTimer(openTime)
 	defer timer.Stop()
@@ -49,11 +44,11 @@
 	defer i.mutex.Unlock()
 	i.opening--
 	if i.down || i.open+i.others >= i.limit {
-		return nil, model.InstanceState{}, model.Refuse(model.CodeConnectionsFull, "%d open", i.open)
+		return nil, model.Refuse(model.CodeConnectionsFull, "%d open", i.open)
 	}
 	i.open++
 	i.mostOpen = max(i.mostOpen, i.open)
-	return &conn{instance: i, id: i.calls}, model.InstanceState{}, nil
+	return &conn{instance: i, id: i.calls}, nil
 }
 
 // begin counts a call.
@@ -72,9 +67,7 @@
 	change()
 }
 
-func (c *conn) ID() model.ConnectionID { return model.ConnectionID(fmt.Sprint(c.id)) }
-
-func (c *conn) Close(context.Context) error {
+func (c *conn) Close() error {
 	c.instance.set(func() { c.instance.open-- })
 	return nil
 }
@@ -82,7 +75,7 @@
 func TestPool(t *testing.T) {
 	tests := map[string]struct {
 		limit, target model.Connections
-		steps         func(t *testing.T, p *Pool, i *instance)
+		steps         func(t *testing.T, p *Pool[*conn], i *instance)
 		idle          model.Connections
 		most          int // connections open at once
 		calls         int // greatest number of openings tried
@@ -93,11 +86,11 @@
 		"a doubtful one is closed": {limit: 4, target: 4, idle: 4, most: 4, calls: 5, steps: discard},
 		"a smaller limit closes idle ones": {
 			limit: 6, target: 6, idle: 2, most: 6, calls: 6,
-			steps: func(_ *testing.T, p *Pool, _ *instance) { p.SetLimit(2) },
+			steps: func(_ *testing.T, p *Pool[*conn], _ *instance) { p.SetLimit(2) },
 		},
 		"connections that others hold are waited for": {
 			limit: 15, target: 6, idle: 6, most: 6, calls: 75,
-			steps: func(_ *testing.T, p *Pool, i *instance) {
+			steps: func(_ *testing.T, p *Pool[*conn], i *instance) {
 				i.set(func() { i.others = 15 })
 				takeAll(p)
 				time.Sleep(10 * time.Second)
@@ -106,7 +99,7 @@
 		},
 		"an instance that is down is tried seldom": {
 			limit: 15, target: 6, idle: 0, most: 6, calls: 75, // a pause is 188 ms on average
-			steps: func(_ *testing.T, p *Pool, i *instance) {
+			steps: func(_ *testing.T, p *Pool[*conn], i *instance) {
 				i.set(func() { i.down = true })
 				takeAll(p)
 				time.Sleep(10 * time.Second)
@@ -117,11 +110,12 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				fake := &instance{limit: 15}
-				p := New()
-				p.Instance = fake
+				p := New[*conn]()
+				p.Open = fake.Open
+				p.Close = func(_ context.Context, c *conn) error { return c.Close() }
 				p.Limit = test.limit
 				p.Jitter = func() float64 { return 0.5 }
-				p.SetTarget(test.target, 1)
+				p.SetTarget(test.target)
 				ctx, stop := context.WithCancel(t.Context())
 				done := make(chan error, 1)
 				go p.Run(ctx, done)
@@ -155,7 +149,7 @@
 }
 
 // putBack takes a connection and gives it back.
-func putBack(t *testing.T, p *Pool, _ *instance) {
+func putBack(t *testing.T, p *Pool[*conn], _ *instance) {
 	taken, found := p.Take()
 	if !found {
 		t.Fatal("got no connection, want one")
@@ -164,7 +158,7 @@
 }
 
 // discard takes a connection and has it closed.
-func discard(t *testing.T, p *Pool, _ *instance) {
+func discard(t *testing.T, p *Pool[*conn], _ *instance) {
 	taken, found := p.Take()
 	if !found {
 		t.Fatal("got no connection, want one")
@@ -173,7 +167,7 @@
 }
 
 // takeAll has all idle connections closed.
-func takeAll(p *Pool) {
+func takeAll(p *Pool[*conn]) {
 	for {
 		taken, found := p.Take()
 		if !found {
--- a/internal/schemagen/main.go
+++ b/internal/schemagen/main.go
@@ -41,19 +41,29 @@
 		}
 	}()
 	var settings settingsSchema
-	if err := readSchema(root, "settings.yaml", &settings); err != nil {
+	if err := readSchema(root, "schema/settings.yaml", &settings); err != nil {
 		return err
 	}
 	if err := settings.check(); err != nil {
 		return err
 	}
 	var events eventsSchema
-	if err := readSchema(root, "events.yaml", &events); err != nil {
+	if err := readSchema(root, "schema/events.yaml", &events); err != nil {
 		return err
 	}
 	if err := events.check(); err != nil {
 		return err
 	}
+	var line lineSchema
+	if err := readSchema(root, "platform/schema/line.yaml", &line); err != nil {
+		return err
+	}
+	if err := line.check(); err != nil {
+		return err
+	}
+	if err := render(root, line, output{"line.go.tmpl", "platform/line_gen.go"}); err != nil {
+		return err
+	}
 	if err := render(root, settings, output{"settings.go.tmpl", "internal/settings/settings_gen.go"}); err != nil {
 		return err
 	}
@@ -66,9 +76,9 @@
 	return render(root, events, output{"events.md.tmpl", "docs/EVENTS.md"})
 }
 
-// readSchema reads one document of the schema folder and refuses unknown keys.
+// readSchema reads one document of a schema folder and refuses unknown keys.
 func readSchema(root, name string, into any) error {
-	content, err := os.ReadFile(filepath.Join(root, "schema", name))
+	content, err := os.ReadFile(filepath.Join(root, name))
 	if err != nil {
 		return err
 	}
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -92,6 +92,64 @@
 	return loaded, r.err()
 }
 
+// Front holds the settings of one host that serves sessions on the users' platform.
+type Front struct {
+	Host           model.HostID       // Name of this host.
+	DataCentre     model.DataCentreID // Data centre of this host.
+	DataCentres    []string           // Regions of the data centres as centre=region, separated by commas.
+	SessionAddress model.Address      // Address on which callers open sessions.
+	ReadyAddress   model.Address      // Address that tells whether the host takes new sessions.
+	MeshAddress    model.Address      // Address between hosts, TCP and UDP.
+	MetricsAddress string             // Address of the metrics; empty for none.
+	StoreAddress   model.Address      // Address of the platform's store.
+	OrderAddress   model.Address      // Address that takes promotions.
+	StopLimit      time.Duration      // Time from the signal to stop until the process is killed.
+	LeaveLimit     time.Duration      // Time within which an instance that leaves gets no work any more.
+	Memory         model.Mebibytes    // Memory that the process may use in MiB.
+	SessionLimit   int                // Sessions that may be open.
+	LogLevel       string             // Least level of logged events.
+}
+
+// FrontFlags returns the command-line flags of Front.
+func FrontFlags() []cli.Flag {
+	return []cli.Flag{
+		textFlag("host", "REDWINGSPREAD_HOST", "", "Name of this host."),
+		textFlag("data-centre", "REDWINGSPREAD_DATA_CENTRE", "", "Data centre of this host."),
+		textFlag("data-centres", "REDWINGSPREAD_DATA_CENTRES", "", "Regions of the data centres as centre=region, separated by commas."),
+		textFlag("session-address", "REDWINGSPREAD_SESSION_ADDRESS", "", "Address on which callers open sessions."),
+		textFlag("ready-address", "REDWINGSPREAD_READY_ADDRESS", "", "Address that tells whether the host takes new sessions."),
+		textFlag("mesh-address", "REDWINGSPREAD_MESH_ADDRESS", "", "Address between hosts, TCP and UDP."),
+		textFlag("metrics-address", "REDWINGSPREAD_METRICS_ADDRESS", "", "Address of the metrics; empty for none."),
+		textFlag("store-address", "REDWINGSPREAD_STORE_ADDRESS", "", "Address of the platform's store."),
+		textFlag("order-address", "REDWINGSPREAD_ORDER_ADDRESS", "", "Address that takes promotions."),
+		textFlag("stop-limit", "REDWINGSPREAD_STOP_LIMIT", "6s", "Time from the signal to stop until the process is killed."),
+		textFlag("leave-limit", "REDWINGSPREAD_LEAVE_LIMIT", "7s", "Time within which an instance that leaves gets no work any more."),
+		textFlag("memory", "REDWINGSPREAD_MEMORY", "256", "Memory that the process may use in MiB."),
+		textFlag("session-limit", "REDWINGSPREAD_SESSION_LIMIT", "4096", "Sessions that may be open."),
+		textFlag("log-level", "REDWINGSPREAD_LOG_LEVEL", "info", "Least level of logged events."),
+	}
+}
+
+// LoadFront reads and checks every setting of Front and returns Problems that name all bad ones.
+func LoadFront(source Source) (loaded Front, err error) {
+	r := reader{source: source}
+	loaded.Host = model.HostID(r.string(rule{flag: "host", env: "REDWINGSPREAD_HOST", allows: "a text", required: true}))
+	loaded.DataCentre = model.DataCentreID(r.string(rule{flag: "data-centre", env: "REDWINGSPREAD_DATA_CENTRE", allows: "a text", required: true}))
+	loaded.DataCentres = r.list(rule{flag: "data-centres", env: "REDWINGSPREAD_DATA_CENTRES", allows: "texts separated by commas, or nothing", required: false})
+	loaded.SessionAddress = r.address(rule{flag: "session-address", env: "REDWINGSPREAD_SESSION_ADDRESS", allows: "an IP number and a port", required: true})
+	loaded.ReadyAddress = r.address(rule{flag: "ready-address", env: "REDWINGSPREAD_READY_ADDRESS", allows: "an IP number and a port", required: true})
+	loaded.MeshAddress = r.address(rule{flag: "mesh-address", env: "REDWINGSPREAD_MESH_ADDRESS", allows: "an IP number and a port", required: true})
+	loaded.MetricsAddress = r.string(rule{flag: "metrics-address", env: "REDWINGSPREAD_METRICS_ADDRESS", allows: "a text, or nothing", required: false})
+	loaded.StoreAddress = r.address(rule{flag: "store-address", env: "REDWINGSPREAD_STORE_ADDRESS", allows: "an IP number and a port", required: true})
+	loaded.OrderAddress = r.address(rule{flag: "order-address", env: "REDWINGSPREAD_ORDER_ADDRESS", allows: "an IP number and a port", required: true})
+	loaded.StopLimit = r.duration(rule{flag: "stop-limit", env: "REDWINGSPREAD_STOP_LIMIT", allows: "a duration such as 250ms or 10s from 1s to 10m", required: false, min: "1s", max: "10m"})
+	loaded.LeaveLimit = r.duration(rule{flag: "leave-limit", env: "REDWINGSPREAD_LEAVE_LIMIT", allows: "a duration such as 250ms or 10s from 1s to 10m", required: false, min: "1s", max: "10m"})
+	loaded.Memory = model.Mebibytes(r.int(rule{flag: "memory", env: "REDWINGSPREAD_MEMORY", allows: "a whole number from 32 to 1048576", required: false, min: "32", max: "1048576"}))
+	loaded.SessionLimit = r.int(rule{flag: "session-limit", env: "REDWINGSPREAD_SESSION_LIMIT", allows: "a whole number from 1 to 1000000", required: false, min: "1", max: "1000000"})
+	loaded.LogLevel = r.enum(rule{flag: "log-level", env: "REDWINGSPREAD_LOG_LEVEL", allows: "one of debug, info, warn, error", required: false, allowed: []string{"debug", "info", "warn", "error"}})
+	return loaded, r.err()
+}
+
 // Operate holds the settings of the operators' commands.
 type Operate struct {
 	OperatorAddress     model.Address // Operator address of any host.
--- a/pkg/api/doc.go
+++ b/pkg/api/doc.go
@@ -7,3 +7,4 @@
 //go:generate go tool ogen --config ../../schema/ogen.yaml --target platformapi --package platformapi --clean ../../schema/platform.yaml
 //go:generate go tool ogen --config ../../schema/ogen.yaml --target peerapi --package peerapi --clean ../../schema/peer.yaml
 //go:generate go tool ogen --config ../../schema/ogen.yaml --target standinapi --package standinapi --clean ../../schema/standin.yaml
+//go:generate go tool ogen --config ../../schema/ogen.yaml --target meshapi --package meshapi --clean ../../schema/mesh.yaml
--- /dev/null
+++ b/pkg/api/meshapi/doc.go
@@ -0,0 +1,2 @@
+// Package meshapi holds the generated messages between hosts, and their client and server.
+package meshapi
