Let beats say little, space the questions to the store, let demands fall slowly

Change: sights only of primaries in doubt, demands once a second, a spacing between questions, demands that fall by one connection in two seconds.

--- a/internal/failover/case.go
+++ b/internal/failover/case.go
@@ -203,7 +203,7 @@
 		id := member.Instance
 		h := health[id]
 		every := c.Timing.Probe
-		doubt := c.state != Led || h.Stalled || !h.Silent.IsZero() || c.doubted(now)
+		doubt := c.state != Led || h.Stalled || !h.Silent.IsZero() || c.Doubted(now)
 		if doubt {
 			every = c.Timing.Rush
 		}
@@ -222,8 +222,8 @@
 	return due
 }
 
-// doubted reports whether another host finds the believed primary silent.
-func (c *Case) doubted(now time.Time) bool {
+// Doubted reports whether another host finds the believed primary silent.
+func (c *Case) Doubted(now time.Time) bool {
 	for _, sight := range c.others {
 		if sight.Instance == c.primary && sight.State == Silent && now.Sub(sight.Heard) < time.Second {
 			return true
--- a/internal/front/follow.go
+++ b/internal/front/follow.go
@@ -19,22 +19,27 @@
 	feedWait = 10 * time.Second
 	// feedSlack is the time that an answer may take beyond the wait.
 	feedSlack = 2 * time.Second
+	// feedSpacing is the least time between two questions for one table, so that changes in quick succession cost few calls.
+	feedSpacing = 400 * time.Millisecond
+	// hostSpacing is the same for the hosts' rows, of which all change when a fleet starts.
+	hostSpacing = 1500 * time.Millisecond
 	// readTimeout is the time for an answer that waits for nothing; a slow store takes a few hundred milliseconds.
 	readTimeout = 2 * time.Second
 )
 
 // source is one table of the store that the host follows.
 type source[T any] struct {
-	name string
-	read func(ctx context.Context, after model.Revision, wait time.Duration) (T, model.Revision, error)
-	take func(ctx context.Context, news T) error
+	name    string
+	spacing time.Duration
+	read    func(ctx context.Context, after model.Revision, wait time.Duration) (T, model.Revision, error)
+	take    func(ctx context.Context, news T) error
 }
 
 // followAll follows the store until the context ends and reports its end on done.
 func (h *Host) followAll(ctx context.Context, done chan<- error) {
 	ended := make(chan error, 3)
-	go follow(ctx, h, source[governor.News]{"configuration", h.Platform.Configuration, h.tell}, ended)
-	go follow(ctx, h, source[governor.News]{"instances", h.Platform.Instances, h.tell}, ended)
+	go follow(ctx, h, source[governor.News]{"configuration", feedSpacing, h.Platform.Configuration, h.tell}, ended)
+	go follow(ctx, h, source[governor.News]{"instances", feedSpacing, h.Platform.Instances, h.tell}, ended)
 	go h.followHosts(ctx, ended)
 	for range 3 {
 		<-ended
@@ -59,7 +64,7 @@
 			break
 		}
 	}
-	follow(ctx, h, source[Rows]{"hosts", h.Platform.Hosts, h.enrol}, done)
+	follow(ctx, h, source[Rows]{"hosts", hostSpacing, h.Platform.Hosts, h.enrol}, done)
 }
 
 // enter writes the host's row and the common key, unless there is one.
@@ -117,7 +122,8 @@
 				backoff = retry.NewBackoff()
 			}
 			after = max(after, revision)
-			_ = s.take(ctx, news) // fails only at the context's end
+			_ = s.take(ctx, news)           // fails only at the context's end
+			_ = clock.Pause(ctx, s.spacing) // as above
 		}
 	}
 	done <- ctx.Err()
--- a/internal/governor/event.go
+++ b/internal/governor/event.go
@@ -65,7 +65,7 @@
 	Version     model.Version
 	Revision    model.Revision
 	Sights      map[model.DatabaseID]failover.Sight
-	Wants       map[model.InstanceID]model.Connections
+	Wants       map[model.InstanceID]model.Connections // nil when the beat does not tell demands
 }
 
 // Heard is a beat of another host and the address that it came from.
--- a/internal/governor/governor.go
+++ b/internal/governor/governor.go
@@ -20,6 +20,7 @@
 	Linger time.Duration // for which a gone host's connections still count at the instances
 	Fetch  time.Duration // that another host's newer directory may take to come from the store
 	Forget time.Duration // silence after which a gone host's row is removed
+	Fall   time.Duration // in which a demand that has passed falls by one connection
 	Rise   time.Duration // a replaced primary is expected back so long after the order
 }
 
@@ -31,6 +32,7 @@
 		Linger: 3 * time.Second,         // after which instances drop unreachable connections
 		Fetch:  300 * time.Millisecond,  // a change reaches all hosts from the store within this time as a rule
 		Forget: time.Minute,
+		Fall:   2 * time.Second,
 		Rise:   time.Second,
 	}
 }
@@ -55,6 +57,8 @@
 	demand    map[model.InstanceID]model.Connections
 	sequence  model.Sequence
 	beaten    time.Time
+	fallen    time.Time // when demands last fell
+	counted   time.Time // when a beat last told the demands
 	started   time.Time
 	stopping  bool
 	urgent    bool // the next beat does not wait
@@ -102,7 +106,7 @@
 	}
 	switch e := e.(type) {
 	case Tick:
-		g.observe(e)
+		g.observe(now, e)
 	case News:
 		g.learn(now, e)
 	case Roster:
@@ -130,20 +134,19 @@
 }
 
 // observe takes what traffic saw.
-func (g *Governor) observe(tick Tick) {
+//
+// A rising demand counts at once and a falling one bit by bit, so that shares do not swing and connections stay open.
+func (g *Governor) observe(now time.Time, tick Tick) {
+	fall := model.Connections(0)
+	if now.Sub(g.fallen) >= g.Timing.Fall {
+		g.fallen = now
+		fall = 1
+	}
 	clear(g.health)
 	for _, report := range tick.Health {
 		g.health[report.Instance] = report.Health
-		g.demand[report.Instance] = demand(g.demand[report.Instance], report.Demand)
-	}
-}
-
-// demand follows a rising demand at once and a falling one slowly, so that shares do not swing with each statement.
-func demand(before, now model.Connections) model.Connections {
-	if now >= before {
-		return now
+		g.demand[report.Instance] = max(report.Demand, g.demand[report.Instance]-fall)
 	}
-	return before - max((before-now)/8, 1)
 }
 
 // learn takes news of the directory.
--- a/internal/governor/host.go
+++ b/internal/governor/host.go
@@ -6,11 +6,15 @@
 	"time"
 
 	"redwingspread/internal/event"
+	"redwingspread/internal/failover"
 	"redwingspread/internal/model"
 )
 
 // beatFan is the number of hosts that one beat goes to; a larger fleet is told in turns, so that the cost stays flat.
-const beatFan = 12
+const beatFan = 8
+
+// wantEvery is the time between two beats that tell demands, which fall slowly.
+const wantEvery = time.Second
 
 // enrol takes the hosts' own rows.
 func (g *Governor) enrol(now time.Time, roster Roster) {
@@ -77,6 +81,9 @@
 		event.DependencyRegained(g.Logger, "host "+string(beat.Host), model.Millis(now.Sub(known.heard)))
 	}
 	known.Address, known.Incarnation = e.From, beat.Incarnation
+	if beat.Wants == nil {
+		beat.Wants = old.Wants // this beat tells no demands
+	}
 	known.beat = beat
 	known.heard = now
 	for database, sight := range beat.Sights {
@@ -131,7 +138,7 @@
 	g.urgent = false
 	g.beaten = now
 	g.sequence++
-	return Send{To: g.receivers(urgent), Beat: g.tell()}
+	return Send{To: g.receivers(urgent), Beat: g.tell(now)}
 }
 
 // heard returns the hosts that are heard.
@@ -160,7 +167,10 @@
 }
 
 // tell returns what a beat tells.
-func (g *Governor) tell() Beat {
+//
+// Sights go out only of primaries that some host finds silent, and demands only now and then, so that a calm fleet says
+// little.
+func (g *Governor) tell(now time.Time) Beat {
 	d := g.book.Directory()
 	beat := Beat{
 		Host:        g.Self.ID,
@@ -169,16 +179,20 @@
 		Leaving:     g.stopping,
 		Version:     d.Version,
 		Revision:    d.Revision,
-		Sights:      make(map[model.DatabaseID]sight, len(g.cases)),
-		Wants:       make(map[model.InstanceID]model.Connections),
+		Sights:      make(map[model.DatabaseID]sight),
 	}
 	for database, c := range g.cases {
-		if s := c.Sight(); s.Instance != "" {
+		if s := c.Sight(); s.State == failover.Silent || (s.Instance != "" && c.Doubted(now)) {
 			beat.Sights[database] = s
 		}
 	}
+	if now.Sub(g.counted) < wantEvery {
+		return beat
+	}
+	g.counted = now
+	beat.Wants = make(map[model.InstanceID]model.Connections)
 	for id, wanted := range g.demand {
-		if _, known := d.Instances[id]; known && wanted > 0 {
+		if _, known := d.Instances[id]; known && wanted > leastWanted {
 			beat.Wants[id] = wanted
 		}
 	}
--- a/internal/mesh/beat.go
+++ b/internal/mesh/beat.go
@@ -34,6 +34,7 @@
 			Age:      meshapi.NewOptInt64(now.Sub(sight.Since).Milliseconds()),
 		})
 	}
+	message.Counted = meshapi.NewOptBool(beat.Wants != nil)
 	for instance, count := range beat.Wants {
 		message.Wants = append(message.Wants, meshapi.Want{Instance: string(instance), Count: int(count)})
 	}
@@ -73,7 +74,9 @@
 		Version:     model.Version(message.Version),
 		Revision:    model.Revision(message.Revision),
 		Sights:      make(map[model.DatabaseID]failover.Sight, len(message.Leads)),
-		Wants:       make(map[model.InstanceID]model.Connections, len(message.Wants)),
+	}
+	if message.Counted.Value {
+		beat.Wants = make(map[model.InstanceID]model.Connections, len(message.Wants))
 	}
 	for _, sight := range message.Leads {
 		beat.Sights[model.DatabaseID(sight.Database)] = failover.Sight{
@@ -84,6 +87,9 @@
 		}
 	}
 	for _, want := range message.Wants {
+		if beat.Wants == nil {
+			break
+		}
 		beat.Wants[model.InstanceID(want.Instance)] = model.Connections(want.Count)
 	}
 	return beat, nil
--- a/pkg/api/meshapi/oas_json_gen.go
+++ b/pkg/api/meshapi/oas_json_gen.go
@@ -169,6 +169,12 @@
 			e.ArrEnd()
 		}
 	}
+	{
+		if s.Counted.Set {
+			e.FieldStart("counted")
+			s.Counted.Encode(e)
+		}
+	}
 	{
 		if s.Wants != nil {
 			e.FieldStart("wants")
@@ -181,7 +187,7 @@
 	}
 }
 
-var jsonFieldsNameOfBeat = [8]string{
+var jsonFieldsNameOfBeat = [9]string{
 	0: "host",
 	1: "incarnation",
 	2: "sequence",
@@ -189,7 +195,8 @@
 	4: "version",
 	5: "revision",
 	6: "leads",
-	7: "wants",
+	7: "counted",
+	8: "wants",
 }
 
 // Decode decodes Beat from json.
@@ -197,7 +204,7 @@
 	if s == nil {
 		return errors.New("invalid: unable to decode Beat to nil")
 	}
-	var requiredBitSet [1]uint8
+	var requiredBitSet [2]uint8
 
 	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
 		switch string(k) {
@@ -288,6 +295,16 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"leads\"")
 			}
+		case "counted":
+			if err := func() error {
+				s.Counted.Reset()
+				if err := s.Counted.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"counted\"")
+			}
 		case "wants":
 			if err := func() error {
 				s.Wants = make([]Want, 0)
@@ -314,8 +331,9 @@
 	}
 	// Validate required fields.
 	var failures []validate.FieldError
-	for i, mask := range [1]uint8{
+	for i, mask := range [2]uint8{
 		0b00110111,
+		0b00000000,
 	} {
 		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
 			// Mask only required fields and check equality to mask using XOR.
--- a/pkg/api/meshapi/oas_schemas_gen.go
+++ b/pkg/api/meshapi/oas_schemas_gen.go
@@ -43,7 +43,9 @@
 	// Newest change of the instances' entries.
 	Revision uint64  `json:"revision"`
 	Leads    []Sight `json:"leads"`
-	Wants    []Want  `json:"wants"`
+	// The beat tells all demands.
+	Counted OptBool `json:"counted"`
+	Wants   []Want  `json:"wants"`
 }
 
 // GetHost returns the value of Host.
@@ -81,6 +83,11 @@
 	return s.Leads
 }
 
+// GetCounted returns the value of Counted.
+func (s *Beat) GetCounted() OptBool {
+	return s.Counted
+}
+
 // GetWants returns the value of Wants.
 func (s *Beat) GetWants() []Want {
 	return s.Wants
@@ -121,6 +128,11 @@
 	s.Leads = val
 }
 
+// SetCounted sets the value of Counted.
+func (s *Beat) SetCounted(val OptBool) {
+	s.Counted = val
+}
+
 // SetWants sets the value of Wants.
 func (s *Beat) SetWants(val []Want) {
 	s.Wants = val
