--- a/internal/failover/case.go
+++ b/internal/failover/case.go
@@ -59,7 +59,7 @@
 		Partial:  1500 * time.Millisecond, // a move costs about as long a gap
 		Stagger:  400 * time.Millisecond,  // the time of a whole attempt without faults
 		Cooldown: 4 * time.Second,         // several times the gap of a change
-		Fresh:    500 * time.Millisecond,  // a proof between two beats
+		Fresh:    300 * time.Millisecond,  // a proof between two beats
 		Probe:    900 * time.Millisecond,  // keeps a mark within the ages that reads accept
 		Rush:     150 * time.Millisecond,  // a few round trips between regions
 		Patience: 2 * time.Second,         // a restart of an instance
@@ -320,7 +320,7 @@
 			first = since
 		}
 	}
-	if now.Sub(first) >= c.Timing.Partial+c.turn(self, led) {
+	if now.Sub(first) >= c.Timing.Partial+c.turn(self, led) && now.Sub(c.since) < c.Timing.Fresh {
 		return Move, "silent to most hosts, but not to this one"
 	}
 	return Keep, ""
--- a/internal/front/act.go
+++ b/internal/front/act.go
@@ -68,9 +68,10 @@
 //
 // An idle connection that does not answer may have gone silent alone, so that a new one decides.
 func (m *member) probe(ctx context.Context) error {
+	begun := time.Now()
 	err := m.with(ctx, m.prove)
 	if err != nil && model.CodeOf(err) == "" && ctx.Err() == nil {
-		m.failed(time.Now())
+		m.failed(begun)
 	}
 	return err
 }
--- a/internal/front/alone.go
+++ b/internal/front/alone.go
@@ -93,7 +93,7 @@
 
 // broken decides after a connection that broke or stayed silent while the statement was on its way.
 func (w *work) broken(ctx context.Context, t target, run exchange) (done bool, err error) {
-	t.member.failed(time.Now())
+	t.member.failed(run.began)
 	v := w.visit
 	if w.access == model.Write && run.sent {
 		refusal := model.Doubt("the connection ended before the answer: %v", run.err)
@@ -123,7 +123,7 @@
 		if w.access == model.Read && !w.leads() {
 			w.avoid(t.member)
 		}
-		pause = shortPause
+		pause = w.pause()
 	case model.CodeNoStatement:
 	case model.CodeFailed:
 		w.ran = true
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -21,7 +21,8 @@
 	link   *link
 	answer statement.Answer
 	sent   bool // the statement may have reached the instance
-	rest   int  // answers that are still to come
+	began  time.Time
+	rest   int // answers that are still to come
 	err    error
 }
 
@@ -43,6 +44,7 @@
 	}
 	now := time.Now()
 	sent := clock.Boot()
+	run.began = now
 	t.member.asked(now)
 	defer t.member.settled()
 	run.sent = true
--- a/internal/front/follow.go
+++ b/internal/front/follow.go
@@ -37,11 +37,12 @@
 
 // followAll follows the store until the context ends and reports its end on done.
 func (h *Host) followAll(ctx context.Context, done chan<- error) {
-	ended := make(chan error, 3)
+	ended := make(chan error, 4)
 	go follow(ctx, h, source[governor.News]{"configuration", feedSpacing, h.Platform.Configuration, h.tell}, ended)
 	go follow(ctx, h, source[governor.News]{"instances", feedSpacing, h.Platform.Instances, h.tell}, ended)
-	go h.followHosts(ctx, ended)
-	for range 3 {
+	go follow(ctx, h, source[Rows]{"hosts", hostSpacing, h.Platform.Hosts, h.enrol}, ended)
+	go h.enterAll(ctx, ended)
+	for range 4 {
 		<-ended
 	}
 	done <- ctx.Err()
@@ -52,8 +53,8 @@
 	return h.Loop.Send(ctx, news)
 }
 
-// followHosts enters the host among the others, learns their key, and follows their rows.
-func (h *Host) followHosts(ctx context.Context, done chan<- error) {
+// enterAll enters the host among the others and learns their key, tries until it has, and reports its end on done.
+func (h *Host) enterAll(ctx context.Context, done chan<- error) {
 	for backoff := retry.NewBackoff(); ctx.Err() == nil; {
 		err := h.enter(ctx)
 		if err == nil {
@@ -64,7 +65,7 @@
 			break
 		}
 	}
-	follow(ctx, h, source[Rows]{"hosts", hostSpacing, h.Platform.Hosts, h.enrol}, done)
+	done <- ctx.Err()
 }
 
 // enter writes the host's row and the common key, unless there is one.
--- a/internal/front/member.go
+++ b/internal/front/member.go
@@ -22,7 +22,7 @@
 	stallAfter    = 250 * time.Millisecond // without any answer while some are outstanding
 	leastBehind   = 30 * time.Millisecond  // a replica that lacked a point is left alone at least so long
 	mostBehind    = 400 * time.Millisecond // a replica that lags for long is asked again this often
-	fullRest      = 500 * time.Millisecond // after an opening that the instance refused as one too many
+	fullRest      = 300 * time.Millisecond // after an opening that the instance refused as one too many
 	urgentFloor   = model.Percent(0)       // the most urgent rank goes first and needs no floor
 	commonFloor   = model.Percent(10)      // of slot time, kept for each of the other ranks in a flood of urgent work
 	sampleWeight  = 8                      // a sample moves a learnt mean by one part in this many
@@ -56,7 +56,8 @@
 	mutex       sync.Mutex
 	health      failover.Health
 	outstanding int
-	progress    time.Time // of the newest answer, or of the oldest statement when none was outstanding
+	progress    time.Time // of the newest answer
+	since       time.Time // since when answers are overdue: the newest answer, or the first statement after it
 	reached     model.Point
 	behind      model.Instant
 	pause       time.Duration
@@ -94,6 +95,7 @@
 func (m *member) open(ctx context.Context) (*link, error) {
 	limited, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
+	begun := time.Now()
 	endpoint, err := m.dial(limited, m.entry)
 	if err == nil {
 		m.answered(time.Now())
@@ -104,7 +106,7 @@
 	case errors.As(err, &refusal):
 		m.answered(time.Now())
 	case ctx.Err() == nil:
-		m.failed(time.Now())
+		m.failed(begun)
 	}
 	return nil, err
 }
@@ -114,7 +116,7 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	if m.outstanding == 0 {
-		m.progress = now
+		m.since = now
 	}
 	m.outstanding++
 }
@@ -131,15 +133,16 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	m.progress = now
+	m.since = now
 	m.health.Silent = time.Time{}
 }
 
-// failed notes that the instance did not answer or broke a connection off.
-func (m *member) failed(now time.Time) {
+// failed notes that the instance did not answer what was sent at the moment, or broke a connection off.
+func (m *member) failed(sent time.Time) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	if m.health.Silent.IsZero() {
-		m.health.Silent = now
+	if m.health.Silent.IsZero() && sent.After(m.progress) {
+		m.health.Silent = sent
 	}
 }
 
@@ -196,10 +199,15 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	health := m.health
-	health.Stalled = m.outstanding > 0 && now.Sub(m.progress) > stallAfter
+	health.Stalled = m.stalled(now)
 	return governor.Report{Health: health, Demand: m.lane.Demand()}
 }
 
+// stalled reports whether answers are overdue; the caller holds the lock.
+func (m *member) stalled(now time.Time) bool {
+	return m.outstanding > 0 && now.Sub(m.since) > stallAfter
+}
+
 // candidate returns the instance as the choice of an instance sees it.
 func (m *member) candidate(now time.Time, kind model.KindID, primary model.InstanceID) place.Candidate {
 	expected := m.lane.Expect(now, kind)
@@ -207,7 +215,7 @@
 	defer m.mutex.Unlock()
 	return place.Candidate{
 		Primary:  m.entry.ID == primary,
-		Avoid:    m.leaving || !m.health.Silent.IsZero() || (m.outstanding > 0 && now.Sub(m.progress) > stallAfter),
+		Avoid:    m.leaving || !m.health.Silent.IsZero() || m.stalled(now),
 		Expected: expected,
 		Trip:     m.trip,
 		Reached:  m.reached,
--- a/internal/front/transaction.go
+++ b/internal/front/transaction.go
@@ -77,7 +77,7 @@
 
 // lost ends a transaction whose connection broke; only a commit that was sent leaves its outcome unknown.
 func (v *visit) lost(w *work, err error, committing bool) error {
-	v.open.member.failed(time.Now())
+	v.open.member.failed(w.arrived)
 	v.open.member.lane.Release(v.open.turn, false)
 	v.open = nil
 	if committing {
@@ -137,7 +137,7 @@
 	defer t.member.settled()
 	answer, err := ask(turn.Conn, own(verb, least), w.deadline)
 	if err != nil {
-		t.member.failed(time.Now())
+		t.member.failed(now)
 		release(false)
 		w.avoid(t.member)
 		if w.retry(ctx, err.Error(), 0) {
@@ -169,7 +169,7 @@
 		w.visit.host.poke()
 		w.avoid(t.member)
 	default:
-		pause = shortPause
+		pause = w.pause()
 	}
 	if w.retry(ctx, string(answer.Code), pause) {
 		return nil, true
@@ -206,7 +206,7 @@
 		}
 		open.member.note(sent, &answer, open.plain && request.Verb != statement.Commit)
 		busy := answer.Code == model.CodeOverloaded || answer.Code == model.CodeSlotsFull
-		if !busy || answer.State != statement.Open || !w.retry(ctx, string(answer.Code), shortPause) {
+		if !busy || answer.State != statement.Open || !w.retry(ctx, string(answer.Code), w.pause()) {
 			return answer, nil
 		}
 	}
--- a/internal/front/work.go
+++ b/internal/front/work.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"time"
 
 	"redwingspread/internal/admit"
@@ -18,9 +19,10 @@
 const (
 	candidateLimit = 16                     // instances of a database that a choice looks at
 	attemptLimit   = 12                     // tries of one statement, those on connections found closed included
-	shortPause     = 5 * time.Millisecond   // before a try after a refusal for want of a slot
 	readSilence    = 400 * time.Millisecond // after which a read is tried elsewhere
-	patienceShare  = 4                      // work that is not offered to an instance within this part of its goal is refused
+	leastPause     = 5 * time.Millisecond   // before a try after a refusal for want of a slot; it grows
+	mostPause      = 40 * time.Millisecond
+	patienceShare  = 0.25 // work that is not on its way to an instance within this part of its goal is refused
 	leastPatience  = 60 * time.Millisecond
 )
 
@@ -51,7 +53,7 @@
 		access:   v.account.Access(request.Statement),
 		arrived:  now,
 		deadline: now.Add(rules.Timeout),
-		patience: now.Add(max(rules.Goal/patienceShare, leastPatience)),
+		patience: now.Add(max(time.Duration(float64(rules.Goal)*patienceShare), leastPatience)),
 	}
 	if w.patience.After(w.deadline) {
 		w.patience = w.deadline
@@ -195,6 +197,12 @@
 	return clock.Pause(ctx, pause) == nil
 }
 
+// pause returns the wait before a try after a refusal for want of a slot, which grows and is spread.
+func (w *work) pause() time.Duration {
+	most := min(leastPause<<min(w.attempts, 8), mostPause)
+	return most/2 + rand.N(most/2)
+}
+
 // refused logs a refusal and returns it.
 func (w *work) refused(refusal *model.Refusal) *model.Refusal {
 	if w.ran && refusal.NotRun {
--- a/internal/governor/governor.go
+++ b/internal/governor/governor.go
@@ -20,7 +20,6 @@
 	Linger time.Duration // for which a gone host's connections still count at the instances
 	Fetch  time.Duration // that another host's newer directory may take to come from the store
 	Forget time.Duration // silence after which a gone host's row is removed
-	Fall   time.Duration // in which a demand that has passed falls by one connection
 	Rise   time.Duration // a replaced primary is expected back so long after the order
 }
 
@@ -30,9 +29,8 @@
 		Beat:   250 * time.Millisecond,
 		Silent: 1200 * time.Millisecond, // four beats
 		Linger: 3 * time.Second,         // after which instances drop unreachable connections
-		Fetch:  300 * time.Millisecond,  // a change reaches all hosts from the store within this time as a rule
+		Fetch:  1200 * time.Millisecond, // a change reaches all hosts from the store within this time as a rule
 		Forget: time.Minute,
-		Fall:   2 * time.Second,
 		Rise:   time.Second,
 	}
 }
@@ -57,10 +55,10 @@
 	demand    map[model.InstanceID]model.Connections
 	sequence  model.Sequence
 	beaten    time.Time
-	fallen    time.Time // when demands last fell
 	counted   time.Time // when a beat last told the demands
 	started   time.Time
 	stopping  bool
+	enrolled  bool // the hosts' rows have been read
 	urgent    bool // the next beat does not wait
 	round     int
 	snapshot  *View
@@ -106,7 +104,7 @@
 	}
 	switch e := e.(type) {
 	case Tick:
-		g.observe(now, e)
+		g.observe(e)
 	case News:
 		g.learn(now, e)
 	case Roster:
@@ -134,18 +132,11 @@
 }
 
 // observe takes what traffic saw.
-//
-// A rising demand counts at once and a falling one bit by bit, so that shares do not swing and connections stay open.
-func (g *Governor) observe(now time.Time, tick Tick) {
-	fall := model.Connections(0)
-	if now.Sub(g.fallen) >= g.Timing.Fall {
-		g.fallen = now
-		fall = 1
-	}
+func (g *Governor) observe(tick Tick) {
 	clear(g.health)
 	for _, report := range tick.Health {
 		g.health[report.Instance] = report.Health
-		g.demand[report.Instance] = max(report.Demand, g.demand[report.Instance]-fall)
+		g.demand[report.Instance] = report.Demand
 	}
 }
 
--- a/internal/governor/host.go
+++ b/internal/governor/host.go
@@ -29,6 +29,7 @@
 		g.remove(now, id)
 	}
 	if roster.Whole {
+		g.enrolled = true
 		for id := range g.hosts {
 			if !listed[id] {
 				g.remove(now, id)
@@ -202,19 +203,29 @@
 // fetch returns the fetches from hosts whose directory is newer and does not come from the store.
 func (g *Governor) fetch(now time.Time) (actions []Action) {
 	d := g.book.Directory()
-	for id, known := range g.hosts {
+	var best *host
+	for _, known := range g.hosts {
 		ahead := known.beat.Version > d.Version || known.beat.Revision > d.Revision
 		if !ahead {
 			known.newer = time.Time{}
 			continue
 		}
-		if known.fetched || known.dead || known.newer.IsZero() || now.Sub(known.newer) < g.Timing.Fetch {
+		if known.fetched {
+			return nil // one at a time
+		}
+		if known.dead || known.newer.IsZero() || now.Sub(known.newer) < g.Timing.Fetch {
 			continue
 		}
-		known.fetched = true
-		return []Action{Fetch{Host: id, Address: known.Address}}
+		near := known.DataCentre == g.Self.DataCentre
+		if best == nil || (near && best.DataCentre != g.Self.DataCentre) {
+			best = known
+		}
+	}
+	if best == nil {
+		return nil
 	}
-	return actions
+	best.fetched = true
+	return []Action{Fetch{Host: best.ID, Address: best.Address}}
 }
 
 // fetched takes the end of a fetch.
--- a/internal/governor/share.go
+++ b/internal/governor/share.go
@@ -23,6 +23,8 @@
 	leastWanted = 1
 	// slotDepth is how many statements may be on their way to each slot, so that none idles during a round trip.
 	slotDepth = 3
+	// unknownHosts is how many hosts share an instance as long as the others' rows have not been read.
+	unknownHosts = 8
 )
 
 // shares returns this host's part of each instance.
@@ -40,7 +42,7 @@
 			continue
 		}
 		wanted, self := g.wanted(id, sharers)
-		shares[id] = share(limit-spareConnections, instance.Slots, wanted, self)
+		shares[id] = share(limit-spareConnections, instance.Slots, wanted, self, g.enrolled)
 	}
 	return shares
 }
@@ -75,7 +77,7 @@
 }
 
 // share returns one host's part of an instance.
-func share(limit model.Connections, slots model.Slots, wanted []model.Slots, self int) Share {
+func share(limit model.Connections, slots model.Slots, wanted []model.Slots, self int, known bool) Share {
 	parts := quota.Demand(model.Slots(limit), wanted)
 	given := model.Slots(0)
 	for _, part := range parts {
@@ -83,6 +85,9 @@
 	}
 	rest := (model.Slots(limit) - given) / model.Slots(len(wanted))
 	connections := max(parts[self]+rest, 1)
+	if !known {
+		connections = max(model.Slots(limit)/unknownHosts, 1)
+	}
 	active := (slots*slotDepth*connections + model.Slots(limit) - 1) / max(model.Slots(limit), 1)
 	return Share{Slots: max(active, 1), Connections: model.Connections(connections)}
 }
--- a/internal/lane/lane.go
+++ b/internal/lane/lane.go
@@ -36,7 +36,11 @@
 	queue    admit.Queue[*Turn[C]]
 	pins     [model.Ranks]admit.Arrival[*Turn[C]] // transactions that wait for a connection to keep
 	used     model.Slots
-	held     model.Connections // connections kept by transactions
+	held     model.Connections // connections kept by transactions, those reserved for one included
+	taken    model.Connections // connections in use
+	peak     model.Connections // greatest demand in this span of time
+	former   model.Connections // and in the one before
+	spanned  time.Time         // when the span began
 	started  bool
 	stopping bool
 }
@@ -119,14 +123,34 @@
 	l.schedule()
 }
 
-// Demand returns the number of connections in use and wanted.
+// Demand returns the greatest number of connections in use and wanted of late, and closes idle ones beyond it.
+//
+// It answers the loss of all hosts at once: connections of a host without power count at the instance for seconds, and a
+// fleet that kept them all open would find no room when it is back.
 func (l *Lane[C]) Demand() model.Connections {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.begin()
-	return l.held + model.Connections(l.used) + model.Connections(l.queue.Len()+l.pinsWaiting())
+	demand := l.demand()
+	l.Pool.Trim(max(demand, l.Warm))
+	return demand
 }
 
+// demand notes what is in use and wanted now, and returns the greatest number of this span of time and the one before.
+func (l *Lane[C]) demand() model.Connections {
+	now := l.Now()
+	if now.Sub(l.spanned) >= peakSpan {
+		l.former, l.peak = l.peak, 0
+		l.spanned = now
+	}
+	wanted := l.taken + model.Connections(l.queue.Len()+l.pinsWaiting())
+	l.peak = max(l.peak, wanted)
+	return max(l.peak, l.former)
+}
+
+// peakSpan is how long a demand is remembered at least, and half of how long at most.
+const peakSpan = time.Second
+
 // Expect returns the time after which a statement of the kind that comes now is expected to be answered.
 func (l *Lane[C]) Expect(now time.Time, kind model.KindID) time.Duration {
 	l.mutex.Lock()
@@ -168,6 +192,7 @@
 		turn.Conn = conn
 		turn.started = l.Now()
 		l.used++
+		l.taken++
 		turn.ready <- nil
 	}
 	l.want()
@@ -176,9 +201,7 @@
 // want tells the pool how many connections should be open: those in use, those that work waits for, and the warm ones.
 func (l *Lane[C]) want() {
 	waiting := model.Connections(min(l.queue.Len(), int(max(l.Slots-l.used, 0))))
-	taken := l.held + model.Connections(l.used)
-	counts := l.Pool.Counts()
-	l.Pool.SetTarget(max(l.Warm, taken+waiting, counts.Open))
+	l.Pool.SetTarget(max(l.Warm, l.taken+waiting, l.demand()))
 }
 
 // refuse ends a ticket's wait with a refusal.
--- a/internal/lane/turn.go
+++ b/internal/lane/turn.go
@@ -100,7 +100,7 @@
 		return refusal
 	}
 	l.queue.Cancel(&turn.ticket)
-	l.Pool.Put(turn.Conn)
+	l.giveBack(turn.Conn, true)
 	l.used--
 	l.schedule()
 	return l.refusal(model.CodeDeadline)
@@ -159,6 +159,7 @@
 
 // giveBack returns a connection to the pool or has it closed.
 func (l *Lane[C]) giveBack(conn C, sound bool) {
+	l.taken--
 	if sound {
 		l.Pool.Put(conn)
 	} else {
@@ -175,7 +176,14 @@
 }
 
 // Borrow returns an idle connection for a use beside the queue, and false when there is none.
-func (l *Lane[C]) Borrow() (C, bool) { return l.Pool.Take() }
+func (l *Lane[C]) Borrow() (conn C, found bool) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if conn, found = l.Pool.Take(); found {
+		l.taken++
+	}
+	return conn, found
+}
 
 // Return gives a borrowed connection back.
 func (l *Lane[C]) Return(conn C, sound bool) {
--- a/internal/mesh/copy.go
+++ b/internal/mesh/copy.go
@@ -23,14 +23,25 @@
 	meshapi.KindReadsOwn:    model.ReadOwn,
 }
 
-// encodeDirectory returns the message of a directory.
-func encodeDirectory(nonce string, d *directory.Directory) meshapi.Directory {
+// encodeDirectory returns the message of what a directory has that the asking host lacks.
+func encodeDirectory(ask *meshapi.Ask, d *directory.Directory) meshapi.Directory {
 	message := meshapi.Directory{
-		Nonce:    nonce,
+		Nonce:    ask.Nonce,
 		Version:  uint64(d.Version),
 		Revision: uint64(d.Revision),
 		Idle:     d.Idle.Milliseconds(),
 	}
+	if uint64(d.Version) > ask.Version {
+		encodeConfiguration(&message, d)
+	}
+	if uint64(d.Revision) > ask.Revision {
+		encodeInstances(&message, d)
+	}
+	return message
+}
+
+// encodeConfiguration adds kinds of work and databases.
+func encodeConfiguration(message *meshapi.Directory, d *directory.Directory) {
 	for _, kind := range d.Kinds {
 		message.Kinds = append(message.Kinds, meshapi.Kind{
 			Name:     string(kind.ID),
@@ -49,6 +60,10 @@
 			Sync:        meshapi.NewOptBool(database.Sync),
 		})
 	}
+}
+
+// encodeInstances adds the instances.
+func encodeInstances(message *meshapi.Directory, d *directory.Directory) {
 	for _, instance := range d.Instances {
 		message.Instances = append(message.Instances, meshapi.Instance{
 			Name:     string(instance.ID),
@@ -63,7 +78,6 @@
 			Revision: uint64(instance.Revision),
 		})
 	}
-	return message
 }
 
 // decodeDirectory returns the news in a message; the regions of instances follow from their data centres.
@@ -76,6 +90,20 @@
 	if err := message.Validate(); err != nil {
 		return nil, err
 	}
+	news = &governor.News{Source: source}
+	if len(message.Kinds) > 0 {
+		news.Configuration = decodeConfiguration(message)
+	}
+	if len(message.Instances) > 0 {
+		news.Whole = true
+		news.Revision = model.Revision(message.Revision)
+		news.Instances = decodeInstances(regions, message)
+	}
+	return news, nil
+}
+
+// decodeConfiguration returns the configuration in a message.
+func decodeConfiguration(message *meshapi.Directory) *directory.Configuration {
 	configuration := &directory.Configuration{
 		Version: model.Version(message.Version),
 		Idle:    model.Milliseconds(message.Idle).Duration(),
@@ -98,14 +126,13 @@
 			Sync:        database.Sync.Value,
 		})
 	}
-	news = &governor.News{
-		Source:        source,
-		Revision:      model.Revision(message.Revision),
-		Whole:         true,
-		Configuration: configuration,
-	}
+	return configuration
+}
+
+// decodeInstances returns the instances in a message.
+func decodeInstances(regions map[model.DataCentreID]model.RegionID, message *meshapi.Directory) (instances []directory.Instance) {
 	for _, instance := range message.Instances {
-		news.Instances = append(news.Instances, directory.Instance{
+		instances = append(instances, directory.Instance{
 			Instance: model.Instance{
 				ID:         model.InstanceID(instance.Name),
 				Database:   model.DatabaseID(instance.Database),
@@ -121,5 +148,5 @@
 			Revision: model.Revision(instance.Revision),
 		})
 	}
-	return news, nil
+	return instances
 }
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -168,7 +168,7 @@
 		event.DatagramRefused(m.Logger, "a fetch", ErrSeal)
 		return &meshapi.FetchDirectoryDef{StatusCode: http.StatusForbidden}, nil
 	}
-	message := encodeDirectory(ask.Nonce, m.Directory())
+	message := encodeDirectory(&ask, m.Directory())
 	body, err := message.MarshalJSON()
 	if err != nil {
 		return nil, err
@@ -187,7 +187,8 @@
 	if key == nil {
 		return nil, ErrSeal
 	}
-	ask := meshapi.Ask{Host: string(m.Host), Nonce: rand.Text()}
+	known := m.Directory()
+	ask := meshapi.Ask{Host: string(m.Host), Nonce: rand.Text(), Version: uint64(known.Version), Revision: uint64(known.Revision)}
 	body, err := ask.MarshalJSON()
 	if err != nil {
 		return nil, err
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -136,9 +136,20 @@
 	}
 }
 
+// Trim has idle connections closed that are more than to be kept.
+func (p *Pool[C]) Trim(keep model.Connections) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.target = min(p.target, keep)
+	p.trimTo(keep)
+}
+
 // trim has idle connections closed that are above the limit.
-func (p *Pool[C]) trim() {
-	for p.open-model.Connections(len(p.closing)) > p.Limit && len(p.idle) > 0 {
+func (p *Pool[C]) trim() { p.trimTo(p.Limit) }
+
+// trimTo has the idle connections closed, those idle for longest first, that are more than to be kept.
+func (p *Pool[C]) trimTo(keep model.Connections) {
+	for p.open-model.Connections(len(p.closing)) > keep && len(p.idle) > 0 {
 		p.closing = append(p.closing, p.idle[0])
 		p.idle = append(p.idle[:0], p.idle[1:]...)
 		p.signal()
--- a/pkg/api/meshapi/oas_json_gen.go
+++ b/pkg/api/meshapi/oas_json_gen.go
@@ -28,11 +28,21 @@
 		e.FieldStart("nonce")
 		e.Str(s.Nonce)
 	}
+	{
+		e.FieldStart("version")
+		e.UInt64(s.Version)
+	}
+	{
+		e.FieldStart("revision")
+		e.UInt64(s.Revision)
+	}
 }
 
-var jsonFieldsNameOfAsk = [2]string{
+var jsonFieldsNameOfAsk = [4]string{
 	0: "host",
 	1: "nonce",
+	2: "version",
+	3: "revision",
 }
 
 // Decode decodes Ask from json.
@@ -68,6 +78,30 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"nonce\"")
 			}
+		case "version":
+			requiredBitSet[0] |= 1 << 2
+			if err := func() error {
+				v, err := d.UInt64()
+				s.Version = uint64(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"version\"")
+			}
+		case "revision":
+			requiredBitSet[0] |= 1 << 3
+			if err := func() error {
+				v, err := d.UInt64()
+				s.Revision = uint64(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"revision\"")
+			}
 		default:
 			return d.Skip()
 		}
@@ -78,7 +112,7 @@
 	// Validate required fields.
 	var failures []validate.FieldError
 	for i, mask := range [1]uint8{
-		0b00000011,
+		0b00001111,
 	} {
 		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
 			// Mask only required fields and check equality to mask using XOR.
@@ -535,28 +569,34 @@
 		e.Int64(s.Idle)
 	}
 	{
-		e.FieldStart("kinds")
-		e.ArrStart()
-		for _, elem := range s.Kinds {
-			elem.Encode(e)
+		if s.Kinds != nil {
+			e.FieldStart("kinds")
+			e.ArrStart()
+			for _, elem := range s.Kinds {
+				elem.Encode(e)
+			}
+			e.ArrEnd()
 		}
-		e.ArrEnd()
 	}
 	{
-		e.FieldStart("databases")
-		e.ArrStart()
-		for _, elem := range s.Databases {
-			elem.Encode(e)
+		if s.Databases != nil {
+			e.FieldStart("databases")
+			e.ArrStart()
+			for _, elem := range s.Databases {
+				elem.Encode(e)
+			}
+			e.ArrEnd()
 		}
-		e.ArrEnd()
 	}
 	{
-		e.FieldStart("instances")
-		e.ArrStart()
-		for _, elem := range s.Instances {
-			elem.Encode(e)
+		if s.Instances != nil {
+			e.FieldStart("instances")
+			e.ArrStart()
+			for _, elem := range s.Instances {
+				elem.Encode(e)
+			}
+			e.ArrEnd()
 		}
-		e.ArrEnd()
 	}
 }
 
@@ -628,7 +668,6 @@
 				return errors.Wrap(err, "decode field \"idle\"")
 			}
 		case "kinds":
-			requiredBitSet[0] |= 1 << 4
 			if err := func() error {
 				s.Kinds = make([]Kind, 0)
 				if err := d.Arr(func(d *jx.Decoder) error {
@@ -646,7 +685,6 @@
 				return errors.Wrap(err, "decode field \"kinds\"")
 			}
 		case "databases":
-			requiredBitSet[0] |= 1 << 5
 			if err := func() error {
 				s.Databases = make([]Database, 0)
 				if err := d.Arr(func(d *jx.Decoder) error {
@@ -664,7 +702,6 @@
 				return errors.Wrap(err, "decode field \"databases\"")
 			}
 		case "instances":
-			requiredBitSet[0] |= 1 << 6
 			if err := func() error {
 				s.Instances = make([]Instance, 0)
 				if err := d.Arr(func(d *jx.Decoder) error {
@@ -691,7 +728,7 @@
 	// Validate required fields.
 	var failures []validate.FieldError
 	for i, mask := range [1]uint8{
-		0b01111111,
+		0b00001111,
 	} {
 		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
 			// Mask only required fields and check equality to mask using XOR.
--- a/pkg/api/meshapi/oas_schemas_gen.go
+++ b/pkg/api/meshapi/oas_schemas_gen.go
@@ -10,6 +10,10 @@
 type Ask struct {
 	Host  string `json:"host"`
 	Nonce string `json:"nonce"`
+	// Configuration that the asking host has; an older one is left out of the answer.
+	Version uint64 `json:"version"`
+	// The same for the instances.
+	Revision uint64 `json:"revision"`
 }
 
 // GetHost returns the value of Host.
@@ -22,6 +26,16 @@
 	return s.Nonce
 }
 
+// GetVersion returns the value of Version.
+func (s *Ask) GetVersion() uint64 {
+	return s.Version
+}
+
+// GetRevision returns the value of Revision.
+func (s *Ask) GetRevision() uint64 {
+	return s.Revision
+}
+
 // SetHost sets the value of Host.
 func (s *Ask) SetHost(val string) {
 	s.Host = val
@@ -32,6 +46,16 @@
 	s.Nonce = val
 }
 
+// SetVersion sets the value of Version.
+func (s *Ask) SetVersion(val uint64) {
+	s.Version = val
+}
+
+// SetRevision sets the value of Revision.
+func (s *Ask) SetRevision(val uint64) {
+	s.Revision = val
+}
+
 // Ref: #/components/schemas/Beat
 type Beat struct {
 	Host        string  `json:"host"`
--- a/pkg/api/meshapi/oas_validators_gen.go
+++ b/pkg/api/meshapi/oas_validators_gen.go
@@ -53,9 +53,6 @@
 
 	var failures []validate.FieldError
 	if err := func() error {
-		if s.Kinds == nil {
-			return errors.New("nil is invalid value")
-		}
 		var failures []validate.FieldError
 		for i, elem := range s.Kinds {
 			if err := func() error {
@@ -81,20 +78,6 @@
 		})
 	}
 	if err := func() error {
-		if s.Databases == nil {
-			return errors.New("nil is invalid value")
-		}
-		return nil
-	}(); err != nil {
-		failures = append(failures, validate.FieldError{
-			Name:  "databases",
-			Error: err,
-		})
-	}
-	if err := func() error {
-		if s.Instances == nil {
-			return errors.New("nil is invalid value")
-		}
 		var failures []validate.FieldError
 		for i, elem := range s.Instances {
 			if err := func() error {
