--- a/internal/front/member.go
+++ b/internal/front/member.go
@@ -22,7 +22,7 @@
 	stallAfter    = 250 * time.Millisecond // without any answer while some are outstanding
 	leastBehind   = 30 * time.Millisecond  // a replica that lacked a point is left alone at least so long
 	mostBehind    = 400 * time.Millisecond // a replica that lags for long is asked again this often
-	fullRest      = 300 * time.Millisecond // after an opening that the instance refused as one too many
+	fullRest      = 500 * time.Millisecond // after an opening that the instance refused as one too many
 	urgentFloor   = model.Percent(0)       // the most urgent rank goes first and needs no floor
 	commonFloor   = model.Percent(10)      // of slot time, kept for each of the other ranks in a flood of urgent work
 	sampleWeight  = 8                      // a sample moves a learnt mean by one part in this many
--- a/internal/governor/share.go
+++ b/internal/governor/share.go
@@ -17,8 +17,9 @@
 var errSilent = errors.New("no beat of late")
 
 const (
-	// spareConnections of an instance are shared out to no host: they take up what hosts use at once that heard of each other late.
-	spareConnections = 1
+	// spareShare is the part of an instance's connections, one in this many, that is shared out to no host: room for hosts
+	// that start anew while the connections of their former lives still count, and for shares that overlap for a moment.
+	spareShare = 4
 	// leastWanted is the number of connections that each host may have before any demand counts.
 	leastWanted = 1
 	// slotDepth is how many statements may be on their way to each slot, so that none idles during a round trip.
@@ -42,7 +43,7 @@
 			continue
 		}
 		wanted, self := g.wanted(id, sharers)
-		shares[id] = share(limit-spareConnections, instance.Slots, wanted, self, g.enrolled)
+		shares[id] = share(limit-max(limit/spareShare, 1), instance.Slots, wanted, self, g.enrolled)
 	}
 	return shares
 }
