--- a/internal/directory/book.go
+++ b/internal/directory/book.go
@@ -54,15 +54,15 @@
 }
 
 // Replace takes all entries as of a revision; instances without one are used for the grace time only.
-func (b *Book) Replace(now time.Time, revision model.Revision, entries []Instance) bool {
+func (b *Book) Replace(now time.Time, revision model.Revision, entries []Entry) bool {
 	if revision < b.current.Revision {
 		return false
 	}
 	listed := make(map[model.InstanceID]bool, len(entries))
 	for _, entry := range entries {
-		listed[entry.ID] = true
+		listed[entry.ID] = !entry.Gone
 	}
-	changed := b.Change(now, revision, entries, nil)
+	changed := b.Change(now, revision, entries)
 	for id := range b.current.Instances {
 		if !listed[id] {
 			changed = b.miss(now, id) || changed
@@ -71,31 +71,29 @@
 	return changed
 }
 
-// Change takes entries that changed and names whose entry was removed, up to a revision.
-func (b *Book) Change(now time.Time, revision model.Revision, entries []Instance, removed []model.InstanceID) bool {
+// Change takes entries that changed up to a revision, in the order of their changes: an entry may go and come back.
+func (b *Book) Change(now time.Time, revision model.Revision, entries []Entry) (changed bool) {
 	next := *b.current
 	next.Revision = max(next.Revision, revision)
 	next.Instances = maps.Clone(b.current.Instances)
-	changed := false
 	for _, entry := range entries {
 		known, found := next.Instances[entry.ID]
 		if found && entry.Revision < known.Revision {
 			continue
 		}
-		if _, gone := b.missing[entry.ID]; gone || entry != known {
+		if entry.Gone {
+			changed = (found && b.miss(now, entry.ID)) || changed
+			continue
+		}
+		if _, missed := b.missing[entry.ID]; missed || entry.Instance != known {
 			changed = true
 		}
 		delete(b.missing, entry.ID)
-		next.Instances[entry.ID] = entry
+		next.Instances[entry.ID] = entry.Instance
 	}
 	if changed || next.Revision != b.current.Revision {
 		b.current = &next
 	}
-	for _, id := range removed {
-		if known, found := next.Instances[id]; found && known.Revision <= revision {
-			changed = b.miss(now, id) || changed
-		}
-	}
 	return changed
 }
 
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -26,6 +26,12 @@
 	Revision model.Revision // of the entry
 }
 
+// Entry is one change of an instance's entry; one that is gone has only its name and revision.
+type Entry struct {
+	Instance
+	Gone bool
+}
+
 // Configuration is what the operators wrote.
 type Configuration struct {
 	Version   model.Version
--- a/internal/governor/event.go
+++ b/internal/governor/event.go
@@ -26,10 +26,9 @@
 type News struct {
 	Source        string
 	Revision      model.Revision
-	Whole         bool // Instances holds all of them
+	Whole         bool // Entries holds all of them
 	Configuration *directory.Configuration
-	Instances     []directory.Instance
-	Removed       []model.InstanceID
+	Entries       []directory.Entry // in the order of their changes
 }
 
 // Roster is what the hosts' own rows tell.
--- a/internal/governor/governor.go
+++ b/internal/governor/governor.go
@@ -146,9 +146,9 @@
 	configured := news.Configuration != nil && g.book.Configure(*news.Configuration)
 	changed := false
 	if news.Whole {
-		changed = g.book.Replace(now, news.Revision, news.Instances)
+		changed = g.book.Replace(now, news.Revision, news.Entries)
 	} else {
-		changed = g.book.Change(now, news.Revision, news.Instances, news.Removed)
+		changed = g.book.Change(now, news.Revision, news.Entries)
 	}
 	if !configured && !changed {
 		return
--- a/internal/mesh/copy.go
+++ b/internal/mesh/copy.go
@@ -97,7 +97,7 @@
 	if len(message.Instances) > 0 {
 		news.Whole = true
 		news.Revision = model.Revision(message.Revision)
-		news.Instances = decodeInstances(regions, message)
+		news.Entries = decodeInstances(regions, message)
 	}
 	return news, nil
 }
@@ -130,9 +130,9 @@
 }
 
 // decodeInstances returns the instances in a message.
-func decodeInstances(regions map[model.DataCentreID]model.RegionID, message *meshapi.Directory) (instances []directory.Instance) {
+func decodeInstances(regions map[model.DataCentreID]model.RegionID, message *meshapi.Directory) (entries []directory.Entry) {
 	for _, instance := range message.Instances {
-		instances = append(instances, directory.Instance{
+		entries = append(entries, directory.Entry{Instance: directory.Instance{
 			Instance: model.Instance{
 				ID:         model.InstanceID(instance.Name),
 				Database:   model.DatabaseID(instance.Database),
@@ -146,7 +146,7 @@
 			Cold:     instance.Cold.Value,
 			Born:     instance.Born.Value,
 			Revision: model.Revision(instance.Revision),
-		})
+		}})
 	}
-	return instances
+	return entries
 }
