Share instances in proportion to load, with more on their way to far instances

Change: hosts tell mean loads; shares follow them; the number of statements on their way grows with the round trip.

--- a/internal/front/member.go
+++ b/internal/front/member.go
@@ -71,6 +71,7 @@
 	m.health.Instance = entry.ID
 	m.lane.Floors = [model.Ranks]model.Percent{urgentFloor, commonFloor, commonFloor}
 	m.lane.Warm = warmOfReplica
+	m.lane.Trip = trip
 	m.lane.Pool.Parallel = 2
 	m.lane.Pool.Open = m.open
 	m.lane.Pool.Close = func(_ context.Context, l *link) error { return l.Close() }
@@ -200,7 +201,7 @@
 	defer m.mutex.Unlock()
 	health := m.health
 	health.Stalled = m.stalled(now)
-	return governor.Report{Health: health, Demand: m.lane.Demand()}
+	return governor.Report{Health: health, Load: m.lane.Load()}
 }
 
 // stalled reports whether answers are overdue; the caller holds the lock.
--- a/internal/front/ready.go
+++ b/internal/front/ready.go
@@ -61,8 +61,8 @@
 	defer h.mutex.RUnlock()
 	for id, m := range h.members {
 		counts := m.lane.Pool.Counts()
-		if _, err := fmt.Fprintf(response, "connections_open{instance=%q} %d\nconnections_refused{instance=%q} %d\ndemand{instance=%q} %d\n",
-			id, counts.Open, id, counts.Refused, id, m.lane.Demand()); err != nil {
+		if _, err := fmt.Fprintf(response, "connections_open{instance=%q} %d\nconnections_refused{instance=%q} %d\nload_tenths{instance=%q} %d\n",
+			id, counts.Open, id, counts.Refused, id, m.lane.Load()); err != nil {
 			return
 		}
 	}
--- a/internal/governor/event.go
+++ b/internal/governor/event.go
@@ -19,7 +19,7 @@
 // Report is what traffic knows of one instance.
 type Report struct {
 	failover.Health
-	Demand model.Connections // in use and wanted
+	Load model.Load
 }
 
 // News is what a source tells of the directory.
@@ -64,7 +64,7 @@
 	Version     model.Version
 	Revision    model.Revision
 	Sights      map[model.DatabaseID]failover.Sight
-	Wants       map[model.InstanceID]model.Connections // nil when the beat does not tell demands
+	Loads       map[model.InstanceID]model.Load // nil when the beat does not tell loads
 }
 
 // Heard is a beat of another host and the address that it came from.
--- a/internal/governor/governor.go
+++ b/internal/governor/governor.go
@@ -52,10 +52,10 @@
 	leads     map[model.DatabaseID]Lead
 	changing  map[model.DatabaseID]bool
 	health    map[model.InstanceID]failover.Health
-	demand    map[model.InstanceID]model.Connections
+	loads     map[model.InstanceID]model.Load
 	sequence  model.Sequence
 	beaten    time.Time
-	counted   time.Time // when a beat last told the demands
+	counted   time.Time // when a beat last told the loads
 	started   time.Time
 	stopping  bool
 	enrolled  bool // the hosts' rows have been read
@@ -86,7 +86,7 @@
 		leads:    make(map[model.DatabaseID]Lead),
 		changing: make(map[model.DatabaseID]bool),
 		health:   make(map[model.InstanceID]failover.Health),
-		demand:   make(map[model.InstanceID]model.Connections),
+		loads:    make(map[model.InstanceID]model.Load),
 		snapshot: &View{Directory: directory.New().Directory()},
 	}
 }
@@ -136,7 +136,7 @@
 	clear(g.health)
 	for _, report := range tick.Health {
 		g.health[report.Instance] = report.Health
-		g.demand[report.Instance] = report.Demand
+		g.loads[report.Instance] = report.Load
 	}
 }
 
--- a/internal/governor/host.go
+++ b/internal/governor/host.go
@@ -13,8 +13,8 @@
 // beatFan is the number of hosts that one beat goes to; a larger fleet is told in turns, so that the cost stays flat.
 const beatFan = 8
 
-// wantEvery is the time between two beats that tell demands, which fall slowly.
-const wantEvery = time.Second
+// loadEvery is the time between two beats that tell loads, which are means over a longer time.
+const loadEvery = time.Second
 
 // enrol takes the hosts' own rows.
 func (g *Governor) enrol(now time.Time, roster Roster) {
@@ -82,8 +82,8 @@
 		event.DependencyRegained(g.Logger, "host "+string(beat.Host), model.Millis(now.Sub(known.heard)))
 	}
 	known.Address, known.Incarnation = e.From, beat.Incarnation
-	if beat.Wants == nil {
-		beat.Wants = old.Wants // this beat tells no demands
+	if beat.Loads == nil {
+		beat.Loads = old.Loads // this beat tells none
 	}
 	known.beat = beat
 	known.heard = now
@@ -169,7 +169,7 @@
 
 // tell returns what a beat tells.
 //
-// Sights go out only of primaries that some host finds silent, and demands only now and then, so that a calm fleet says
+// Sights go out only of primaries that some host finds silent, and loads only now and then, so that a calm fleet says
 // little.
 func (g *Governor) tell(now time.Time) Beat {
 	d := g.book.Directory()
@@ -187,14 +187,14 @@
 			beat.Sights[database] = s
 		}
 	}
-	if now.Sub(g.counted) < wantEvery {
+	if now.Sub(g.counted) < loadEvery {
 		return beat
 	}
 	g.counted = now
-	beat.Wants = make(map[model.InstanceID]model.Connections)
-	for id, wanted := range g.demand {
-		if _, known := d.Instances[id]; known && wanted > leastWanted {
-			beat.Wants[id] = wanted
+	beat.Loads = make(map[model.InstanceID]model.Load)
+	for id, load := range g.loads {
+		if _, known := d.Instances[id]; known && load > leastLoad {
+			beat.Loads[id] = load
 		}
 	}
 	return beat
--- a/internal/governor/share.go
+++ b/internal/governor/share.go
@@ -2,12 +2,10 @@
 
 import (
 	"errors"
-	"slices"
 	"time"
 
 	"redwingspread/internal/failover"
 	"redwingspread/internal/model"
-	"redwingspread/internal/quota"
 )
 
 // sight shortens the name of another package's type.
@@ -20,19 +18,18 @@
 	// spareShare is the part of an instance's connections, one in this many, that is shared out to no host: room for hosts
 	// that start anew while the connections of their former lives still count, and for shares that overlap for a moment.
 	spareShare = 4
-	// leastWanted is the number of connections that each host may have before any demand counts.
-	leastWanted = 1
-	// slotDepth is how many statements may be on their way to each slot, so that none idles during a round trip.
-	slotDepth = 3
+	// leastLoad is the load that counts for a host which has less, so that it may begin at once.
+	leastLoad = 3 * model.TenthsOfConnection / 10
+	// slotDepth is how many statements each slot may have: one that runs and one that waits.
+	slotDepth = 2
 	// unknownHosts is how many hosts share an instance as long as the others' rows have not been read.
 	unknownHosts = 8
 )
 
 // shares returns this host's part of each instance.
 //
-// It answers hosts of uneven traffic before few connections: those wanted are shared out one by one to the host that has
-// the fewest, and what nobody wants is shared evenly. Hosts compute it from the same beats; where these differ for a
-// moment, the instance refuses what is too much.
+// It answers hosts of uneven traffic before few connections and slots: each host has a part in proportion to its load.
+// Hosts compute it from the same beats; where these differ for a moment, the instance refuses what is too much.
 func (g *Governor) shares(now time.Time) map[model.InstanceID]Share {
 	d := g.book.Directory()
 	shares := make(map[model.InstanceID]Share, len(d.Instances))
@@ -42,8 +39,17 @@
 		if limit == 0 {
 			continue
 		}
-		wanted, self := g.wanted(id, sharers)
-		shares[id] = share(limit-max(limit/spareShare, 1), instance.Slots, wanted, self, g.enrolled)
+		limit -= max(limit/spareShare, 1)
+		if !g.enrolled {
+			shares[id] = share(limit, instance.Slots, 1, unknownHosts, unknownHosts)
+			continue
+		}
+		own := max(g.loads[id], leastLoad)
+		all := own
+		for _, other := range sharers {
+			all += max(other.beat.Loads[id], leastLoad)
+		}
+		shares[id] = share(limit, instance.Slots, own, all, len(sharers)+1)
 	}
 	return shares
 }
@@ -56,39 +62,18 @@
 			sharers = append(sharers, known)
 		}
 	}
-	slices.SortFunc(sharers, func(a, b *host) int { return compare(a.ID, b.ID) })
 	return sharers
 }
 
-// wanted returns the demand of all hosts in order of their names, the same order on each of them, and this host's place.
-func (g *Governor) wanted(id model.InstanceID, sharers []*host) (wanted []model.Slots, self int) {
-	self = -1
-	for _, other := range sharers {
-		if self < 0 && other.ID > g.Self.ID {
-			self = len(wanted)
-			wanted = append(wanted, model.Slots(max(g.demand[id], leastWanted)))
-		}
-		wanted = append(wanted, model.Slots(max(other.beat.Wants[id], leastWanted)))
-	}
-	if self < 0 {
-		self = len(wanted)
-		wanted = append(wanted, model.Slots(max(g.demand[id], leastWanted)))
-	}
-	return wanted, self
-}
-
-// share returns one host's part of an instance.
-func share(limit model.Connections, slots model.Slots, wanted []model.Slots, self int, known bool) Share {
-	parts := quota.Demand(model.Slots(limit), wanted)
-	given := model.Slots(0)
-	for _, part := range parts {
-		given += part
-	}
-	rest := (model.Slots(limit) - given) / model.Slots(len(wanted))
-	connections := max(parts[self]+rest, 1)
-	if !known {
-		connections = max(model.Slots(limit)/unknownHosts, 1)
+// share returns the part of an instance that follows from a host's part of the load.
+//
+// One connection goes to each host, and the rest by load; where hosts are more than connections, each may still have one.
+func share(limit model.Connections, slots model.Slots, own, all model.Load, hosts int) Share {
+	rest := max(int(limit)-hosts, 0)
+	connections := 1 + (rest*int(own)+int(all)/2)/int(all)
+	active := (slotDepth*int(slots)*int(own) + int(all) - 1) / int(all)
+	return Share{
+		Slots:       model.Slots(max(active, 1)),
+		Connections: model.Connections(connections),
 	}
-	active := (slots*slotDepth*connections + model.Slots(limit) - 1) / max(model.Slots(limit), 1)
-	return Share{Slots: max(active, 1), Connections: model.Connections(connections)}
 }
--- a/internal/lane/lane.go
+++ b/internal/lane/lane.go
@@ -17,8 +17,10 @@
 type Lane[C any] struct {
 	// Pool opens, keeps and closes the connections; its Open and Close are set by the lane's owner.
 	Pool *pool.Pool[C]
-	// Slots is the number of statements that may run at once.
+	// Slots is this host's part of the statements that the instance runs or has waiting at once.
 	Slots model.Slots
+	// Trip is the time of a round trip to the instance; as many more statements may be on their way as it takes.
+	Trip time.Duration
 	// Connections is the number of connections that may be open.
 	Connections model.Connections
 	// Warm is the number of connections kept open without work.
@@ -41,6 +43,8 @@
 	peak     model.Connections // greatest demand in this span of time
 	former   model.Connections // and in the one before
 	spanned  time.Time         // when the span began
+	load     float64           // mean number of connections in use and wanted
+	loaded   time.Time         // when the load was last averaged
 	started  bool
 	stopping bool
 }
@@ -123,17 +127,27 @@
 	l.schedule()
 }
 
-// Demand returns the greatest number of connections in use and wanted of late, and closes idle ones beyond it.
+// Load returns the mean number of connections in use and wanted of late, and closes idle ones beyond the greatest.
+//
+// The lane's owner calls it at regular times.
 //
 // It answers the loss of all hosts at once: connections of a host without power count at the instance for seconds, and a
 // fleet that kept them all open would find no room when it is back.
-func (l *Lane[C]) Demand() model.Connections {
+func (l *Lane[C]) Load() model.Load {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.begin()
-	demand := l.demand()
-	l.Pool.Trim(max(demand, l.Warm))
-	return demand
+	l.Pool.Trim(max(l.demand(), l.Warm))
+	now := l.Now()
+	passed := min(now.Sub(l.loaded), loadSpan)
+	l.loaded = now
+	l.load += (float64(l.wanted()) - l.load) * float64(passed) / float64(loadSpan)
+	return model.Load(l.load*float64(model.TenthsOfConnection) + 0.5)
+}
+
+// wanted returns the number of connections in use and wanted now.
+func (l *Lane[C]) wanted() model.Connections {
+	return l.taken + model.Connections(l.queue.Len()+l.pinsWaiting())
 }
 
 // demand notes what is in use and wanted now, and returns the greatest number of this span of time and the one before.
@@ -143,13 +157,14 @@
 		l.former, l.peak = l.peak, 0
 		l.spanned = now
 	}
-	wanted := l.taken + model.Connections(l.queue.Len()+l.pinsWaiting())
-	l.peak = max(l.peak, wanted)
+	l.peak = max(l.peak, l.wanted())
 	return max(l.peak, l.former)
 }
 
-// peakSpan is how long a demand is remembered at least, and half of how long at most.
-const peakSpan = time.Second
+const (
+	peakSpan = time.Second     // for which a demand is remembered at least; twice as long at most
+	loadSpan = 2 * time.Second // over which the load is averaged
+)
 
 // Expect returns the time after which a statement of the kind that comes now is expected to be answered.
 func (l *Lane[C]) Expect(now time.Time, kind model.KindID) time.Duration {
@@ -157,11 +172,12 @@
 	defer l.mutex.Unlock()
 	l.begin()
 	answer := l.queue.Service.Expect(now, kind)
-	ahead := l.queue.Len() + int(max(l.used-l.Slots+1, 0))
+	limit := l.limit()
+	ahead := l.queue.Len() + int(max(l.used-limit+1, 0))
 	if ahead == 0 {
 		return answer
 	}
-	return answer + time.Duration(ahead)*l.queue.Service.Mean(now)/time.Duration(max(l.Slots, 1))
+	return answer + time.Duration(ahead)*l.queue.Service.Mean(now)/time.Duration(max(limit, 1))
 }
 
 // ready starts waiting work when a connection has become idle.
@@ -173,7 +189,8 @@
 
 // schedule starts waiting work while there is a free slot and a connection, and asks for connections that are missing.
 func (l *Lane[C]) schedule() {
-	for l.used < l.Slots && l.queue.Len() > 0 {
+	limit := l.limit()
+	for l.used < limit && l.queue.Len() > 0 {
 		conn, found := l.Pool.Take()
 		if !found {
 			break
@@ -198,9 +215,22 @@
 	l.want()
 }
 
+// limit returns the number of statements that may be on their way: the part of the slots, and what a far instance would
+// miss during a round trip.
+func (l *Lane[C]) limit() model.Slots {
+	mean := l.queue.Service.Mean(l.Now()) - l.Trip
+	return l.Slots + model.Slots(l.Trip/max(mean, leastService))*l.Slots/slotDepth
+}
+
+// leastService bounds the statements on their way to a far instance whose service time is not known.
+const leastService = 5 * time.Millisecond
+
+// slotDepth is how many statements the part of a slot stands for: one that runs and one that waits.
+const slotDepth = 2
+
 // want tells the pool how many connections should be open: those in use, those that work waits for, and the warm ones.
 func (l *Lane[C]) want() {
-	waiting := model.Connections(min(l.queue.Len(), int(max(l.Slots-l.used, 0))))
+	waiting := model.Connections(min(l.queue.Len(), int(max(l.limit()-l.used, 0))))
 	l.Pool.SetTarget(max(l.Warm, l.taken+waiting, l.demand()))
 }
 
--- a/internal/mesh/beat.go
+++ b/internal/mesh/beat.go
@@ -34,9 +34,9 @@
 			Age:      meshapi.NewOptInt64(now.Sub(sight.Since).Milliseconds()),
 		})
 	}
-	message.Counted = meshapi.NewOptBool(beat.Wants != nil)
-	for instance, count := range beat.Wants {
-		message.Wants = append(message.Wants, meshapi.Want{Instance: string(instance), Count: int(count)})
+	message.Counted = meshapi.NewOptBool(beat.Loads != nil)
+	for instance, load := range beat.Loads {
+		message.Loads = append(message.Loads, meshapi.Load{Instance: string(instance), Tenths: int(load)})
 	}
 	body, err := message.MarshalJSON()
 	if err != nil {
@@ -76,7 +76,7 @@
 		Sights:      make(map[model.DatabaseID]failover.Sight, len(message.Leads)),
 	}
 	if message.Counted.Value {
-		beat.Wants = make(map[model.InstanceID]model.Connections, len(message.Wants))
+		beat.Loads = make(map[model.InstanceID]model.Load, len(message.Loads))
 	}
 	for _, sight := range message.Leads {
 		beat.Sights[model.DatabaseID(sight.Database)] = failover.Sight{
@@ -86,11 +86,11 @@
 			Since:    now.Add(-model.Milliseconds(sight.Age.Value).Duration()),
 		}
 	}
-	for _, want := range message.Wants {
-		if beat.Wants == nil {
+	for _, load := range message.Loads {
+		if beat.Loads == nil {
 			break
 		}
-		beat.Wants[model.InstanceID(want.Instance)] = model.Connections(want.Count)
+		beat.Loads[model.InstanceID(load.Instance)] = model.Load(load.Tenths)
 	}
 	return beat, nil
 }
--- a/internal/model/units.go
+++ b/internal/model/units.go
@@ -35,6 +35,12 @@
 // Milliseconds is a span of time in logs and messages.
 type Milliseconds int64
 
+// Load is a mean number of connections in use and wanted, in tenths.
+type Load int
+
+// TenthsOfConnection is the load of one connection in use all the time.
+const TenthsOfConnection Load = 10
+
 // Mebibytes is an amount of memory.
 type Mebibytes int
 
--- a/pkg/api/meshapi/oas_json_gen.go
+++ b/pkg/api/meshapi/oas_json_gen.go
@@ -210,10 +210,10 @@
 		}
 	}
 	{
-		if s.Wants != nil {
-			e.FieldStart("wants")
+		if s.Loads != nil {
+			e.FieldStart("loads")
 			e.ArrStart()
-			for _, elem := range s.Wants {
+			for _, elem := range s.Loads {
 				elem.Encode(e)
 			}
 			e.ArrEnd()
@@ -230,7 +230,7 @@
 	5: "revision",
 	6: "leads",
 	7: "counted",
-	8: "wants",
+	8: "loads",
 }
 
 // Decode decodes Beat from json.
@@ -339,22 +339,22 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"counted\"")
 			}
-		case "wants":
+		case "loads":
 			if err := func() error {
-				s.Wants = make([]Want, 0)
+				s.Loads = make([]Load, 0)
 				if err := d.Arr(func(d *jx.Decoder) error {
-					var elem Want
+					var elem Load
 					if err := elem.Decode(d); err != nil {
 						return err
 					}
-					s.Wants = append(s.Wants, elem)
+					s.Loads = append(s.Loads, elem)
 					return nil
 				}); err != nil {
 					return err
 				}
 				return nil
 			}(); err != nil {
-				return errors.Wrap(err, "decode field \"wants\"")
+				return errors.Wrap(err, "decode field \"loads\"")
 			}
 		default:
 			return d.Skip()
@@ -1577,6 +1577,119 @@
 	return s.Decode(d)
 }
 
+// Encode implements json.Marshaler.
+func (s *Load) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *Load) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("instance")
+		e.Str(s.Instance)
+	}
+	{
+		e.FieldStart("tenths")
+		e.Int(s.Tenths)
+	}
+}
+
+var jsonFieldsNameOfLoad = [2]string{
+	0: "instance",
+	1: "tenths",
+}
+
+// Decode decodes Load from json.
+func (s *Load) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode Load to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "instance":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Str()
+				s.Instance = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"instance\"")
+			}
+		case "tenths":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				v, err := d.Int()
+				s.Tenths = int(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"tenths\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode Load")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00000011,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfLoad) {
+					name = jsonFieldsNameOfLoad[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *Load) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *Load) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode encodes bool as json.
 func (o OptBool) Encode(e *jx.Encoder) {
 	if !o.Set {
@@ -1998,116 +2111,3 @@
 	d := jx.DecodeBytes(data)
 	return s.Decode(d)
 }
-
-// Encode implements json.Marshaler.
-func (s *Want) Encode(e *jx.Encoder) {
-	e.ObjStart()
-	s.encodeFields(e)
-	e.ObjEnd()
-}
-
-// encodeFields encodes fields.
-func (s *Want) encodeFields(e *jx.Encoder) {
-	{
-		e.FieldStart("instance")
-		e.Str(s.Instance)
-	}
-	{
-		e.FieldStart("count")
-		e.Int(s.Count)
-	}
-}
-
-var jsonFieldsNameOfWant = [2]string{
-	0: "instance",
-	1: "count",
-}
-
-// Decode decodes Want from json.
-func (s *Want) Decode(d *jx.Decoder) error {
-	if s == nil {
-		return errors.New("invalid: unable to decode Want to nil")
-	}
-	var requiredBitSet [1]uint8
-
-	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
-		switch string(k) {
-		case "instance":
-			requiredBitSet[0] |= 1 << 0
-			if err := func() error {
-				v, err := d.Str()
-				s.Instance = string(v)
-				if err != nil {
-					return err
-				}
-				return nil
-			}(); err != nil {
-				return errors.Wrap(err, "decode field \"instance\"")
-			}
-		case "count":
-			requiredBitSet[0] |= 1 << 1
-			if err := func() error {
-				v, err := d.Int()
-				s.Count = int(v)
-				if err != nil {
-					return err
-				}
-				return nil
-			}(); err != nil {
-				return errors.Wrap(err, "decode field \"count\"")
-			}
-		default:
-			return d.Skip()
-		}
-		return nil
-	}); err != nil {
-		return errors.Wrap(err, "decode Want")
-	}
-	// Validate required fields.
-	var failures []validate.FieldError
-	for i, mask := range [1]uint8{
-		0b00000011,
-	} {
-		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
-			// Mask only required fields and check equality to mask using XOR.
-			//
-			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
-			// Bits of fields which would be set are actually bits of missed fields.
-			missed := bits.OnesCount8(result)
-			for bitN := 0; bitN < missed; bitN++ {
-				bitIdx := bits.TrailingZeros8(result)
-				fieldIdx := i*8 + bitIdx
-				var name string
-				if fieldIdx < len(jsonFieldsNameOfWant) {
-					name = jsonFieldsNameOfWant[fieldIdx]
-				} else {
-					name = strconv.Itoa(fieldIdx)
-				}
-				failures = append(failures, validate.FieldError{
-					Name:  name,
-					Error: validate.ErrFieldRequired,
-				})
-				// Reset bit.
-				result &^= 1 << bitIdx
-			}
-		}
-	}
-	if len(failures) > 0 {
-		return &validate.Error{Fields: failures}
-	}
-
-	return nil
-}
-
-// MarshalJSON implements stdjson.Marshaler.
-func (s *Want) MarshalJSON() ([]byte, error) {
-	e := jx.Encoder{}
-	s.Encode(&e)
-	return e.Bytes(), nil
-}
-
-// UnmarshalJSON implements stdjson.Unmarshaler.
-func (s *Want) UnmarshalJSON(data []byte) error {
-	d := jx.DecodeBytes(data)
-	return s.Decode(d)
-}
--- a/pkg/api/meshapi/oas_schemas_gen.go
+++ b/pkg/api/meshapi/oas_schemas_gen.go
@@ -67,9 +67,9 @@
 	// Newest change of the instances' entries.
 	Revision uint64  `json:"revision"`
 	Leads    []Sight `json:"leads"`
-	// The beat tells all demands.
+	// The beat tells all loads.
 	Counted OptBool `json:"counted"`
-	Wants   []Want  `json:"wants"`
+	Loads   []Load  `json:"loads"`
 }
 
 // GetHost returns the value of Host.
@@ -112,9 +112,9 @@
 	return s.Counted
 }
 
-// GetWants returns the value of Wants.
-func (s *Beat) GetWants() []Want {
-	return s.Wants
+// GetLoads returns the value of Loads.
+func (s *Beat) GetLoads() []Load {
+	return s.Loads
 }
 
 // SetHost sets the value of Host.
@@ -157,9 +157,9 @@
 	s.Counted = val
 }
 
-// SetWants sets the value of Wants.
-func (s *Beat) SetWants(val []Want) {
-	s.Wants = val
+// SetLoads sets the value of Loads.
+func (s *Beat) SetLoads(val []Load) {
+	s.Loads = val
 }
 
 // BeatReceivedOK is response for BeatReceived operation.
@@ -679,6 +679,33 @@
 // LeadWrittenOK is response for LeadWritten operation.
 type LeadWrittenOK struct{}
 
+// Ref: #/components/schemas/Load
+type Load struct {
+	Instance string `json:"instance"`
+	// Mean number of connections in use and wanted in tenths.
+	Tenths int `json:"tenths"`
+}
+
+// GetInstance returns the value of Instance.
+func (s *Load) GetInstance() string {
+	return s.Instance
+}
+
+// GetTenths returns the value of Tenths.
+func (s *Load) GetTenths() int {
+	return s.Tenths
+}
+
+// SetInstance sets the value of Instance.
+func (s *Load) SetInstance(val string) {
+	s.Instance = val
+}
+
+// SetTenths sets the value of Tenths.
+func (s *Load) SetTenths(val int) {
+	s.Tenths = val
+}
+
 // NewOptBool returns new OptBool with value set to v.
 func NewOptBool(v bool) OptBool {
 	return OptBool{
@@ -953,30 +980,3 @@
 		return errors.Errorf("invalid value: %q", data)
 	}
 }
-
-// Ref: #/components/schemas/Want
-type Want struct {
-	Instance string `json:"instance"`
-	// Connections in use and wanted.
-	Count int `json:"count"`
-}
-
-// GetInstance returns the value of Instance.
-func (s *Want) GetInstance() string {
-	return s.Instance
-}
-
-// GetCount returns the value of Count.
-func (s *Want) GetCount() int {
-	return s.Count
-}
-
-// SetInstance sets the value of Instance.
-func (s *Want) SetInstance(val string) {
-	s.Instance = val
-}
-
-// SetCount sets the value of Count.
-func (s *Want) SetCount(val int) {
-	s.Count = val
-}
