--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -7,7 +7,6 @@
 	"redwingspread/internal/clock"
 	"redwingspread/internal/lane"
 	"redwingspread/internal/model"
-	"redwingspread/internal/session"
 	"redwingspread/internal/statement"
 )
 
@@ -38,7 +37,9 @@
 	t.member.asked(run.began)
 	defer t.member.settled()
 	commands, aligned := turn.Conn.footing.Align(w.visit.account, w.request.Statement, nil)
-	if t.proof {
+	if t.proof && turn.Conn.ready(w.version) {
+		turn.Conn.begun = false // the values and the statement go into it
+	} else if t.proof {
 		if refused := run.begin(commands, limit); refused || run.err != nil {
 			return run
 		}
@@ -54,13 +55,19 @@
 	if run.err = turn.Conn.Send(commands); run.err != nil {
 		return run
 	}
-	if run.err = align(turn.Conn, before, limit); run.err != nil {
+	failed := align(turn.Conn, before, limit)
+	if failed != nil && failed != errAlign {
+		run.err = failed
 		return run
 	}
 	run.answer, run.err = turn.Conn.Receive(limit)
 	if run.err != nil {
 		return run
 	}
+	if failed != nil && run.answer.Done() {
+		run.err = failed
+		return run
+	}
 	t.member.note(run.moment, &run.answer, t.proof || w.access == model.Write)
 	if run.answer.Done() && t.least != (model.Point{}) {
 		t.member.held()
@@ -86,10 +93,6 @@
 //
 // The statement is sent only after the begin was answered: one that follows a refused begin would run by itself.
 func (r *exchange) begin(commands []statement.Command, limit time.Time) (refused bool) {
-	if r.link.begun && r.link.version == r.version && len(commands) == 0 {
-		r.link.begun = false
-		return false
-	}
 	answer, err := r.link.begin(r.member, commands, limit)
 	r.answer, r.err = answer, err
 	return err == nil && !answer.Done()
@@ -116,18 +119,19 @@
 	return answer, err
 }
 
-// align receives the answers to the commands that make a connection ready for a session.
-func align(l *link, count int, limit time.Time) error {
+// align receives the answers to the commands that make a connection ready for a session; it returns errAlign when the
+// instance refused one of them.
+func align(l *link, count int, limit time.Time) (err error) {
 	for range count {
-		answer, err := l.Receive(limit)
-		if err != nil {
-			return err
+		answer, receiveErr := l.Receive(limit)
+		if receiveErr != nil {
+			return receiveErr
 		}
 		if !answer.Done() {
-			return errAlign
+			err = errAlign
 		}
 	}
-	return nil
+	return err
 }
 
 // note learns from an answer; one that only a primary gives proves that the instance led.
@@ -179,8 +183,6 @@
 	return err
 }
 
-// ready reports whether a statement of the account can go into the transaction that was begun ahead; one that was begun
-// under another configuration serves no more.
-func (l *link) ready(version model.Version, account *session.Account, s statement.Statement) bool {
-	return l.begun && l.version == version && l.footing.Ready(account, s)
-}
+// ready reports whether a statement can go into the transaction that was begun ahead; one that was begun under another
+// configuration serves no more.
+func (l *link) ready(version model.Version) bool { return l.begun && l.version == version }
--- a/internal/front/transaction.go
+++ b/internal/front/transaction.go
@@ -160,7 +160,7 @@
 
 // start begins the transaction on a connection; it returns a refusal, or whether to try again.
 //
-// On a primary the transaction that was begun ahead serves, unless the session needs other values.
+// On a primary the transaction that was begun ahead serves; the session's values go into it with the first statement.
 func (w *work) start(ctx context.Context, t target, turn *lane.Turn[*link]) (refusal *model.Refusal, again bool) {
 	conn, now := turn.Conn, time.Now()
 	if !conn.Alive() {
@@ -171,7 +171,7 @@
 		return model.Refuse(model.CodeUnavailable, "the connection was closed"), false
 	}
 	open := &transaction{member: t.member, turn: turn, began: now, plain: t.proof, version: w.version}
-	if t.proof && conn.ready(w.version, w.visit.account, w.request.Statement) {
+	if t.proof && conn.ready(w.version) {
 		conn.begun = false
 		w.visit.open = open
 		return nil, false
@@ -254,13 +254,15 @@
 		commands = append(commands, statement.Command{ID: w.request.ID, Statement: aligned})
 		now, sent := time.Now(), clock.Boot()
 		open.member.asked(now)
+		var failed error
 		if err = conn.Send(commands); err == nil {
-			err = align(conn, before, w.deadline)
-		}
-		if err == nil {
+			failed = align(conn, before, w.deadline)
 			answer, err = conn.Receive(w.deadline)
 		}
 		open.member.settled()
+		if failed != nil && (err != nil || answer.Done()) {
+			err = failed
+		}
 		if err != nil {
 			return answer, err
 		}
