Replay loads and losses in tests; add the soak; tell loads whole in large fleets

Cause: a test of shares among thirty hosts showed 346 connections handed out of 185: loads went out in one beat a second to eight hosts in turn, so that a host knew few of the others' for ten seconds. Change: in a fleet larger than a beat reaches, each beat tells loads, in a shorter form; a host that has told nothing counts as much as this one. The soak runs hosts as processes under signals, a misbehaving store and harmed connections, and checks the callers' promises.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -64,6 +64,7 @@
 		newDemo(),
 		newMeasure(),
 		newStandin(),
+		newSoak(),
 		newRun(),
 		newFront(),
 		newServe(),
--- a/internal/front/fleet_test.go
+++ b/internal/front/fleet_test.go
@@ -1,11 +1,9 @@
 package front_test
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"net"
-	"strings"
 	"testing"
 	"time"
 
@@ -133,93 +131,27 @@
 
 // served reports whether a read on a new session succeeds.
 func (f *fleet) served(host *member, kind string) bool {
-	s, err := dial(host.address, kind)
+	s, err := dial(host, kind)
 	if err != nil {
 		return false
 	}
-	defer s.close()
-	answer, err := s.query("READ a")
-	return err == nil && answer.code == ""
+	defer s.Close()
+	reply, err := s.Query("READ a")
+	return err == nil && reply.Code == ""
 }
 
-// session is a caller's session.
-type session struct {
-	conn  net.Conn
-	in    *bufio.Reader
-	count int
-}
-
-// reply is the answer to one request.
-type reply struct {
-	row, code, state string
-}
-
-// dial opens a session.
-func dial(address, kind string) (*session, error) {
-	conn, err := net.Dial("tcp4", address)
-	if err != nil {
-		return nil, err
-	}
-	s := &session{conn: conn, in: bufio.NewReader(conn)}
-	if _, err := fmt.Fprintf(conn, "START %s tester\r\n", kind); err != nil {
-		return nil, err
-	}
-	got, err := s.receive()
-	if err == nil && got.code != "" {
-		err = fmt.Errorf("refused: %s", got.code)
-	}
-	if err != nil {
-		s.close()
-		return nil, err
-	}
-	return s, nil
+// dial opens a session on a host.
+func dial(host *member, kind string) (*standin.Session, error) {
+	return standin.Dial(host.address, kind, "tester", patience)
 }
 
 // open opens a session on a host and fails the test when it can't.
-func (f *fleet) open(host *member, kind string) *session {
+func (f *fleet) open(host *member, kind string) *standin.Session {
 	f.t.Helper()
-	s, err := dial(host.address, kind)
+	s, err := dial(host, kind)
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	f.t.Cleanup(s.close)
+	f.t.Cleanup(s.Close)
 	return s
 }
-
-// close ends the session.
-func (s *session) close() { _ = s.conn.Close() }
-
-// receive reads the answer to one request.
-func (s *session) receive() (r reply, err error) {
-	if err := s.conn.SetReadDeadline(time.Now().Add(patience)); err != nil {
-		return r, err
-	}
-	for {
-		line, err := s.in.ReadString('\n')
-		if err != nil {
-			if r.code != "" {
-				return r, nil // a session that is refused is closed
-			}
-			return r, err
-		}
-		word, rest, _ := strings.Cut(strings.TrimRight(line, "\r\n"), " ")
-		switch word {
-		case "ROW":
-			r.row = rest
-		case "ERR":
-			r.code, _, _ = strings.Cut(rest, " ")
-		case "READY":
-			r.state, _, _ = strings.Cut(rest, " ")
-			return r, nil
-		}
-	}
-}
-
-// query sends one request and reads its answer.
-func (s *session) query(text string) (reply, error) {
-	s.count++
-	if _, err := fmt.Fprintf(s.conn, "QUERY q%d %s\r\n", s.count, text); err != nil {
-		return reply{}, err
-	}
-	return s.receive()
-}
--- a/internal/front/host_test.go
+++ b/internal/front/host_test.go
@@ -48,27 +48,27 @@
 		t.Run(name, func(t *testing.T) {
 			s := f.open(f.hosts[0], test.kind)
 			for _, step := range test.steps {
-				got, err := s.query(step.text)
+				got, err := s.Query(step.text)
 				if err != nil {
 					t.Fatalf("%s: got %v, want an answer", step.text, err)
 				}
-				if got.code != step.code || got.state != step.state || (step.row != "" && got.row != step.row) {
+				if got.Code != step.code || got.State != step.state || (step.row != "" && got.Row != step.row) {
 					t.Errorf("%s: got %+v, want %+v", step.text, got, step)
 				}
 			}
 		})
 	}
 	t.Run("an unknown kind", func(t *testing.T) {
-		if _, err := dial(f.hosts[0].address, "nothing"); err == nil || err.Error() != "refused: NODB" {
+		if _, err := dial(f.hosts[0], "nothing"); err == nil || err.Error() != "refused: NODB" {
 			t.Errorf("got %v, want a refusal as NODB", err)
 		}
 	})
 	t.Run("two starts", func(t *testing.T) {
 		s := f.open(f.hosts[0], "desk")
-		if _, err := s.conn.Write([]byte("START desk again\r\n")); err != nil {
+		if err := s.Send("START desk again\r\n"); err != nil {
 			t.Fatal(err)
 		}
-		if got, err := s.receive(); err != nil || got.code != "BAD" {
+		if got, err := s.Receive(); err != nil || got.Code != "BAD" {
 			t.Errorf("got %+v, %v, want BAD", got, err)
 		}
 	})
@@ -101,7 +101,7 @@
 		t.Run(name, func(t *testing.T) {
 			f := newFleet(t, 3)
 			before := f.open(f.hosts[0], "desk")
-			if got, err := before.query("WRITE kept 1"); err != nil || got.code != "" {
+			if got, err := before.Query("WRITE kept 1"); err != nil || got.Code != "" {
 				t.Fatalf("got %+v, %v, want a write", got, err)
 			}
 			time.Sleep(2 * f.database.Lag)
@@ -112,16 +112,16 @@
 			})
 			for _, host := range f.hosts {
 				f.eventually("each host writes to it", func() bool {
-					s, err := dial(host.address, "desk")
+					s, err := dial(host, "desk")
 					if err != nil {
 						return false
 					}
-					defer s.close()
-					got, err := s.query("WRITE after 1")
-					return err == nil && got.code == ""
+					defer s.Close()
+					got, err := s.Query("WRITE after 1")
+					return err == nil && got.Code == ""
 				})
 			}
-			if got, err := f.open(f.hosts[1], "desk").query("READ kept"); err != nil || got.row != "1" {
+			if got, err := f.open(f.hosts[1], "desk").Query("READ kept"); err != nil || got.Row != "1" {
 				t.Errorf("got %+v, %v, want the write from before", got, err)
 			}
 			if _, lost := f.database.Log(); len(lost) > 0 && !test.lossy {
@@ -173,20 +173,20 @@
 	f := newFleet(t, 2)
 	s := f.open(f.hosts[0], "desk")
 	for _, text := range []string{"BEGIN", "WRITE stop 1"} {
-		if got, err := s.query(text); err != nil || got.code != "" {
+		if got, err := s.Query(text); err != nil || got.Code != "" {
 			t.Fatalf("%s: got %+v, %v, want success", text, got, err)
 		}
 	}
 	f.hosts[0].stop()
 	time.Sleep(time.Second)
-	if got, err := s.query("COMMIT"); err != nil || got.code != "" {
+	if got, err := s.Query("COMMIT"); err != nil || got.Code != "" {
 		t.Errorf("got %+v, %v, want a commit", got, err)
 	}
 	if err := <-f.hosts[0].done; err != nil {
 		t.Errorf("got %v, want a clean end", err)
 	}
 	f.hosts[0].done <- nil
-	if got, err := f.open(f.hosts[1], "desk").query("READ stop"); err != nil || got.row != "1" {
+	if got, err := f.open(f.hosts[1], "desk").Query("READ stop"); err != nil || got.Row != "1" {
 		t.Errorf("got %+v, %v, want the committed write", got, err)
 	}
 }
--- a/internal/governor/host.go
+++ b/internal/governor/host.go
@@ -13,7 +13,8 @@
 // beatFan is the number of hosts that one beat goes to; a larger fleet is told in turns, so that the cost stays flat.
 const beatFan = 8
 
-// loadEvery is the time between two beats that tell loads, which are means over a longer time.
+// loadEvery is the time between two beats that tell loads, which are means over a longer time; in a large fleet, where a
+// host gets a beat about as seldom, each tells them.
 const loadEvery = time.Second
 
 // enrol takes the hosts' own rows.
@@ -187,7 +188,7 @@
 			beat.Sights[database] = s
 		}
 	}
-	if now.Sub(g.counted) < loadEvery {
+	if len(g.hosts) <= beatFan && now.Sub(g.counted) < loadEvery {
 		return beat
 	}
 	g.counted = now
--- a/internal/governor/share.go
+++ b/internal/governor/share.go
@@ -47,6 +47,10 @@
 		own := max(g.loads[id], leastLoad)
 		all := own
 		for _, other := range sharers {
+			if other.beat.Loads == nil {
+				all += own // as long as a host has told nothing, it counts as much as this one
+				continue
+			}
 			all += max(other.beat.Loads[id], leastLoad)
 		}
 		shares[id] = share(limit, instance.Slots, own, all, len(sharers)+1)
--- /dev/null
+++ b/internal/lane/lane_test.go
@@ -0,0 +1,317 @@
+package lane
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"redwingspread/internal/admit"
+	"redwingspread/internal/model"
+)
+
+// openTime is what a connection costs on the test's clock.
+const openTime = 12 * time.Millisecond
+
+// bench is a lane to a fake instance.
+type bench struct {
+	*Lane[int]
+	mutex  sync.Mutex
+	opened int
+	closed int
+}
+
+// newBench returns a lane that runs until the test's bubble ends.
+func newBench(t *testing.T, slots model.Slots, connections model.Connections) *bench {
+	t.Helper()
+	b := &bench{Lane: New[int]()}
+	b.Slots, b.Connections = slots, connections
+	b.Floors = [model.Ranks]model.Percent{0, 10, 10}
+	b.Pool.Open = func(ctx context.Context) (int, error) {
+		time.Sleep(openTime)
+		b.mutex.Lock()
+		defer b.mutex.Unlock()
+		b.opened++
+		return b.opened, nil
+	}
+	b.Pool.Close = func(context.Context, int) error {
+		b.mutex.Lock()
+		defer b.mutex.Unlock()
+		b.closed++
+		return nil
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go b.Run(ctx, done)
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return b
+}
+
+// open returns the number of open connections.
+func (b *bench) open() int {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.opened - b.closed
+}
+
+// job is one piece of work.
+type job struct {
+	at      time.Duration // of its arrival
+	rank    model.Rank
+	kind    model.KindID
+	takes   time.Duration
+	rests   time.Duration // a transaction that rests so long before its second statement; zero for a lone statement
+	patient time.Duration // from its arrival to its deadline
+}
+
+// outcome is what became of a job.
+type outcome struct {
+	waited time.Duration // until its turn or its refusal
+	code   model.Code    // empty when it was served
+}
+
+// play plays jobs and returns what became of them.
+func (b *bench) play(jobs []job) []outcome {
+	outcomes := make([]outcome, len(jobs))
+	var group sync.WaitGroup
+	for i, j := range jobs {
+		group.Go(func() {
+			time.Sleep(j.at)
+			outcomes[i] = b.do(j)
+		})
+	}
+	group.Wait()
+	return outcomes
+}
+
+// do carries out one job.
+func (b *bench) do(j job) outcome {
+	arrived := time.Now()
+	turn, err := b.Take(context.Background(), Want{
+		Class:    admit.Class{Rank: j.rank, Kind: j.kind},
+		Deadline: arrived.Add(j.patient),
+		Keep:     j.rests > 0,
+	})
+	waited := time.Since(arrived)
+	if err != nil {
+		return outcome{waited: waited, code: model.CodeOf(err)}
+	}
+	time.Sleep(j.takes)
+	if j.rests == 0 {
+		b.Done(turn, true, true)
+		return outcome{waited: waited}
+	}
+	b.Rest(turn, true)
+	time.Sleep(j.rests)
+	b.Resume(turn)
+	time.Sleep(j.takes)
+	b.Release(turn, true)
+	return outcome{waited: waited}
+}
+
+// many returns count jobs like the given one, with a distance between their arrivals.
+func many(count int, distance time.Duration, j job) []job {
+	jobs := make([]job, count)
+	for i := range jobs {
+		jobs[i] = j
+		jobs[i].at = j.at + time.Duration(i)*distance
+	}
+	return jobs
+}
+
+// TestLoadPatterns replays the loads that the lane's decisions answer; the bounds are those that the callers need.
+func TestLoadPatterns(t *testing.T) {
+	const ms = time.Millisecond
+	urgent := job{rank: model.RankOne, kind: "desk", takes: 3 * ms, patient: 400 * ms}
+	bulk := job{rank: model.RankThree, kind: "batch", takes: 9 * ms, patient: 300 * ms}
+	view := job{rank: model.RankTwo, kind: "view", takes: 15 * ms, patient: 500 * ms}
+	later := func(j job, at time.Duration) job { j.at = at; return j }
+	resting := func(j job) job { j.rests, j.patient = 500*ms, 900*ms; return j }
+	tests := map[string]struct {
+		slots       model.Slots
+		connections model.Connections
+		jobs        map[string][]job
+		served      map[string]float64       // least share of each group that is served
+		waited      map[string]time.Duration // longest wait of a served job of the group
+	}{
+		"lone statements beside transactions that rest": {
+			slots: 2, connections: 4,
+			jobs:   map[string][]job{"resting": many(12, 0, resting(bulk)), "urgent": many(40, 20*ms, later(urgent, 50*ms))},
+			served: map[string]float64{"urgent": 1},
+			waited: map[string]time.Duration{"urgent": 50 * ms},
+		},
+		"urgent transactions before bulk ones that rest": {
+			slots: 2, connections: 8,
+			jobs:   map[string][]job{"bulk": many(30, 0, resting(bulk)), "urgent": many(2, 0, resting(later(urgent, 100*ms)))},
+			served: map[string]float64{"urgent": 1},
+			waited: map[string]time.Duration{"urgent": 60 * ms},
+		},
+		"a flood of bulk work": {
+			slots: 2, connections: 4,
+			jobs:   map[string][]job{"bulk": many(1000, 1*ms, later(bulk, 0)), "urgent": many(100, 10*ms, later(urgent, 100*ms))},
+			served: map[string]float64{"urgent": 1, "bulk": 0.15},
+			waited: map[string]time.Duration{"urgent": 40 * ms},
+		},
+		// Two slots take 667 of 3,000 urgent statements in the second, less the views' time; 95 % of that are served.
+		"a flood of the most urgent work leaves the others their floor": {
+			slots: 2, connections: 4,
+			jobs:   map[string][]job{"urgent": many(3000, ms/3, urgent), "view": many(10, 100*ms, later(view, 100*ms))},
+			served: map[string]float64{"view": 0.9, "urgent": 0.195},
+		},
+		"the start with no connection open": {
+			slots: 4, connections: 8,
+			jobs:   map[string][]job{"urgent": many(20, 0, urgent)},
+			served: map[string]float64{"urgent": 1},
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBench(t, test.slots, test.connections)
+				var group sync.WaitGroup
+				var mutex sync.Mutex
+				results := make(map[string][]outcome)
+				for kind, jobs := range test.jobs {
+					group.Go(func() {
+						outcomes := b.play(jobs)
+						mutex.Lock()
+						defer mutex.Unlock()
+						results[kind] = outcomes
+					})
+				}
+				group.Wait()
+				for kind, want := range test.served {
+					served, longest := summary(results[kind])
+					if got := float64(served) / float64(len(results[kind])); got < want {
+						t.Errorf("got %.3f of %s served, want at least %.3f", got, kind, want)
+					}
+					if limit, bounded := test.waited[kind]; bounded && longest > limit {
+						t.Errorf("got a wait of %v of %s, want at most %v", longest, kind, limit)
+					}
+				}
+			})
+		})
+	}
+}
+
+// summary returns how many were served and the longest wait among them.
+func summary(outcomes []outcome) (served int, longest time.Duration) {
+	for _, o := range outcomes {
+		if o.code == "" {
+			served++
+			longest = max(longest, o.waited)
+		}
+	}
+	return served, longest
+}
+
+func TestWorkThatCannotMakeItIsRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 1, 1)
+		slow := job{rank: model.RankOne, kind: "slow", takes: 100 * time.Millisecond, patient: time.Second}
+		b.play(many(3, 0, slow))
+		got := b.do(job{rank: model.RankOne, kind: "slow", takes: 100 * time.Millisecond, patient: 50 * time.Millisecond})
+		if got.code != model.CodeDeadline || got.waited != 0 {
+			t.Errorf("got %+v, want a refusal at once, since the work takes longer than it has", got)
+		}
+	})
+}
+
+func TestRefusalTellsWhenToComeBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 1, 1)
+		b.QueueLimit = 1
+		jobs := many(3, 0, job{rank: model.RankOne, kind: "k", takes: 100 * time.Millisecond, patient: time.Second})
+		b.play(jobs)
+		_, err := b.Take(context.Background(), Want{Class: admit.Class{Rank: model.RankOne, Kind: "k"}, Deadline: time.Now().Add(time.Millisecond)})
+		var refusal *model.Refusal
+		if !errors.As(err, &refusal) || !refusal.NotRun || refusal.RetryAfter <= 0 {
+			t.Errorf("got %v, want a refusal as not run with a time to come back", err)
+		}
+	})
+}
+
+func TestIdleConnectionsBeyondTheDemandAreClosed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 6, 6)
+		b.play(many(60, 5*time.Millisecond, job{rank: model.RankTwo, kind: "k", takes: 40 * time.Millisecond, patient: time.Second}))
+		if got := b.open(); got < 3 {
+			t.Errorf("got %d connections under load, want several", got)
+		}
+		for range 60 {
+			b.Load()
+			time.Sleep(50 * time.Millisecond)
+		}
+		synctest.Wait()
+		if got, want := b.open(), int(b.Warm); got != want {
+			t.Errorf("got %d connections after the load, want %d", got, want)
+		}
+	})
+}
+
+func TestFarInstanceGetsMoreOnTheirWay(t *testing.T) {
+	tests := map[string]struct {
+		trip time.Duration
+		want model.Slots // statements on their way at least
+	}{
+		"near": {trip: 0, want: 2},
+		"far":  {trip: 25 * time.Millisecond, want: 6},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBench(t, 2, 12)
+				b.Trip = test.trip
+				b.play(many(100, 2*time.Millisecond, job{rank: model.RankTwo, kind: "k", takes: 5*time.Millisecond + test.trip, patient: time.Second}))
+				b.mutex.Lock()
+				defer b.mutex.Unlock()
+				if got := b.limit(); got < test.want {
+					t.Errorf("got a limit of %d, want at least %d", got, test.want)
+				}
+			})
+		})
+	}
+}
+
+func TestUnsoundConnectionsAreClosed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 1, 1)
+		want := Want{Class: admit.Class{Rank: model.RankOne, Kind: "k"}, Deadline: time.Now().Add(time.Second)}
+		first, err := b.Take(context.Background(), want)
+		if err != nil {
+			t.Fatal(err)
+		}
+		used := first.Conn
+		b.Done(first, false, false)
+		second, err := b.Take(context.Background(), want)
+		if err != nil || second.Conn == used {
+			t.Errorf("got connection %v again or %v, want a new one", used, err)
+		}
+		b.Done(second, true, true)
+	})
+}
+
+func BenchmarkTake(b *testing.B) {
+	lane := New[int]()
+	lane.Pool.Open = func(context.Context) (int, error) { return 1, nil }
+	lane.Pool.Close = func(context.Context, int) error { return nil }
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go lane.Run(ctx, done)
+	want := Want{Class: admit.Class{Rank: model.RankOne, Kind: "k"}, Deadline: time.Now().Add(time.Hour)}
+	b.ReportAllocs()
+	for b.Loop() {
+		turn, err := lane.Take(ctx, want)
+		if err != nil {
+			b.Fatal(err)
+		}
+		lane.Done(turn, true, true)
+	}
+	cancel()
+	<-done
+}
--- a/internal/mesh/beat.go
+++ b/internal/mesh/beat.go
@@ -35,8 +35,12 @@
 		})
 	}
 	message.Counted = meshapi.NewOptBool(beat.Loads != nil)
-	for instance, load := range beat.Loads {
-		message.Loads = append(message.Loads, meshapi.Load{Instance: string(instance), Tenths: int(load)})
+	if len(beat.Loads) > 0 {
+		loads := make(meshapi.BeatLoads, len(beat.Loads))
+		for instance, load := range beat.Loads {
+			loads[string(instance)] = int(load)
+		}
+		message.Loads = meshapi.NewOptBeatLoads(loads)
 	}
 	body, err := message.MarshalJSON()
 	if err != nil {
@@ -76,7 +80,10 @@
 		Sights:      make(map[model.DatabaseID]failover.Sight, len(message.Leads)),
 	}
 	if message.Counted.Value {
-		beat.Loads = make(map[model.InstanceID]model.Load, len(message.Loads))
+		beat.Loads = make(map[model.InstanceID]model.Load, len(message.Loads.Value))
+		for instance, load := range message.Loads.Value {
+			beat.Loads[model.InstanceID(instance)] = model.Load(load)
+		}
 	}
 	for _, sight := range message.Leads {
 		beat.Sights[model.DatabaseID(sight.Database)] = failover.Sight{
@@ -86,11 +93,5 @@
 			Since:    now.Add(-model.Milliseconds(sight.Age.Value).Duration()),
 		}
 	}
-	for _, load := range message.Loads {
-		if beat.Loads == nil {
-			break
-		}
-		beat.Loads[model.InstanceID(load.Instance)] = model.Load(load.Tenths)
-	}
 	return beat, nil
 }
--- /dev/null
+++ b/internal/sink/sink_test.go
@@ -0,0 +1,97 @@
+package sink
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+
+	"redwingspread/internal/event"
+)
+
+// stuck is a writer whose reader has stopped until it is let go.
+type stuck struct{ gone chan struct{} }
+
+// Write waits for the end.
+func (s stuck) Write(p []byte) (int, error) {
+	<-s.gone
+	return len(p), nil
+}
+
+// start returns a sink that writes until the test ends, and its logger.
+func start(t *testing.T, out io.Writer) (*Sink, log.Interface, func() error) {
+	t.Helper()
+	s := New()
+	s.Out = out
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go s.Run(ctx, done)
+	return s, &log.Logger{Handler: s, Level: log.InfoLevel}, func() error {
+		cancel()
+		return <-done
+	}
+}
+
+// TestSinkNeverBlocks logs much more than fits while nothing is written.
+func TestSinkNeverBlocks(t *testing.T) {
+	out := stuck{gone: make(chan struct{})}
+	s, logger, stop := start(t, out)
+	s.Now = func() time.Time { return time.Unix(0, 0).Add(time.Duration(s.Dropped()) * time.Second) } // the rate never binds
+	const lines = 3 * queueLimit
+	for range lines {
+		event.Stopping(logger, "h1")
+	}
+	if got := s.Dropped(); got < lines-queueLimit-burstEach {
+		t.Errorf("got %d lines left out, want the rest counted", got)
+	}
+	close(out.gone)
+	if err := stop(); err != nil {
+		t.Error(err)
+	}
+}
+
+func TestSinkBoundsEachEvent(t *testing.T) {
+	var out bytes.Buffer
+	s, logger, stop := start(t, &out)
+	s.Now = func() time.Time { return time.Unix(100, 0) }
+	for range 10 * burstEach {
+		event.Stopping(logger, "flood")
+	}
+	event.Stopped(logger, "rare")
+	if err := stop(); err != nil {
+		t.Fatal(err)
+	}
+	counts := make(map[string]int)
+	for line := range bytes.Lines(out.Bytes()) {
+		var fields map[string]any
+		if err := json.Unmarshal(line, &fields); err != nil {
+			t.Fatalf("got %q, want a JSON line", line)
+		}
+		counts[fields["id"].(string)]++
+	}
+	if counts["flood"] != burstEach || counts["rare"] != 1 {
+		t.Errorf("got %v, want %d of the flood and 1 of the rare event", counts, burstEach)
+	}
+	if got, want := s.Dropped(), uint64(9*burstEach); got != want {
+		t.Errorf("got %d lines left out, want %d", got, want)
+	}
+}
+
+func BenchmarkLine(b *testing.B) {
+	s := New()
+	s.Out = io.Discard
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go s.Run(ctx, done)
+	logger := &log.Logger{Handler: s, Level: log.InfoLevel}
+	b.ReportAllocs()
+	for b.Loop() {
+		event.RequestRefused(logger, "5c0e7a21d94b36f8", "desk", "deadline", "i-1", 98, "7 waiting")
+	}
+	cancel()
+	<-done
+}
--- a/pkg/api/meshapi/oas_json_gen.go
+++ b/pkg/api/meshapi/oas_json_gen.go
@@ -210,13 +210,9 @@
 		}
 	}
 	{
-		if s.Loads != nil {
+		if s.Loads.Set {
 			e.FieldStart("loads")
-			e.ArrStart()
-			for _, elem := range s.Loads {
-				elem.Encode(e)
-			}
-			e.ArrEnd()
+			s.Loads.Encode(e)
 		}
 	}
 }
@@ -341,15 +337,8 @@
 			}
 		case "loads":
 			if err := func() error {
-				s.Loads = make([]Load, 0)
-				if err := d.Arr(func(d *jx.Decoder) error {
-					var elem Load
-					if err := elem.Decode(d); err != nil {
-						return err
-					}
-					s.Loads = append(s.Loads, elem)
-					return nil
-				}); err != nil {
+				s.Loads.Reset()
+				if err := s.Loads.Decode(d); err != nil {
 					return err
 				}
 				return nil
@@ -413,6 +402,62 @@
 	return s.Decode(d)
 }
 
+// Encode implements json.Marshaler.
+func (s BeatLoads) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields implements json.Marshaler.
+func (s BeatLoads) encodeFields(e *jx.Encoder) {
+	for k, elem := range s {
+		e.FieldStart(k)
+
+		e.Int(elem)
+	}
+}
+
+// Decode decodes BeatLoads from json.
+func (s *BeatLoads) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode BeatLoads to nil")
+	}
+	m := s.init()
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		var elem int
+		if err := func() error {
+			v, err := d.Int()
+			elem = int(v)
+			if err != nil {
+				return err
+			}
+			return nil
+		}(); err != nil {
+			return errors.Wrapf(err, "decode field %q", k)
+		}
+		m[string(k)] = elem
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode BeatLoads")
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s BeatLoads) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *BeatLoads) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode implements json.Marshaler.
 func (s *Database) Encode(e *jx.Encoder) {
 	e.ObjStart()
@@ -1577,115 +1622,36 @@
 	return s.Decode(d)
 }
 
-// Encode implements json.Marshaler.
-func (s *Load) Encode(e *jx.Encoder) {
-	e.ObjStart()
-	s.encodeFields(e)
-	e.ObjEnd()
-}
-
-// encodeFields encodes fields.
-func (s *Load) encodeFields(e *jx.Encoder) {
-	{
-		e.FieldStart("instance")
-		e.Str(s.Instance)
-	}
-	{
-		e.FieldStart("tenths")
-		e.Int(s.Tenths)
+// Encode encodes BeatLoads as json.
+func (o OptBeatLoads) Encode(e *jx.Encoder) {
+	if !o.Set {
+		return
 	}
+	o.Value.Encode(e)
 }
 
-var jsonFieldsNameOfLoad = [2]string{
-	0: "instance",
-	1: "tenths",
-}
-
-// Decode decodes Load from json.
-func (s *Load) Decode(d *jx.Decoder) error {
-	if s == nil {
-		return errors.New("invalid: unable to decode Load to nil")
-	}
-	var requiredBitSet [1]uint8
-
-	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
-		switch string(k) {
-		case "instance":
-			requiredBitSet[0] |= 1 << 0
-			if err := func() error {
-				v, err := d.Str()
-				s.Instance = string(v)
-				if err != nil {
-					return err
-				}
-				return nil
-			}(); err != nil {
-				return errors.Wrap(err, "decode field \"instance\"")
-			}
-		case "tenths":
-			requiredBitSet[0] |= 1 << 1
-			if err := func() error {
-				v, err := d.Int()
-				s.Tenths = int(v)
-				if err != nil {
-					return err
-				}
-				return nil
-			}(); err != nil {
-				return errors.Wrap(err, "decode field \"tenths\"")
-			}
-		default:
-			return d.Skip()
-		}
-		return nil
-	}); err != nil {
-		return errors.Wrap(err, "decode Load")
-	}
-	// Validate required fields.
-	var failures []validate.FieldError
-	for i, mask := range [1]uint8{
-		0b00000011,
-	} {
-		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
-			// Mask only required fields and check equality to mask using XOR.
-			//
-			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
-			// Bits of fields which would be set are actually bits of missed fields.
-			missed := bits.OnesCount8(result)
-			for bitN := 0; bitN < missed; bitN++ {
-				bitIdx := bits.TrailingZeros8(result)
-				fieldIdx := i*8 + bitIdx
-				var name string
-				if fieldIdx < len(jsonFieldsNameOfLoad) {
-					name = jsonFieldsNameOfLoad[fieldIdx]
-				} else {
-					name = strconv.Itoa(fieldIdx)
-				}
-				failures = append(failures, validate.FieldError{
-					Name:  name,
-					Error: validate.ErrFieldRequired,
-				})
-				// Reset bit.
-				result &^= 1 << bitIdx
-			}
-		}
+// Decode decodes BeatLoads from json.
+func (o *OptBeatLoads) Decode(d *jx.Decoder) error {
+	if o == nil {
+		return errors.New("invalid: unable to decode OptBeatLoads to nil")
 	}
-	if len(failures) > 0 {
-		return &validate.Error{Fields: failures}
+	o.Set = true
+	o.Value = make(BeatLoads)
+	if err := o.Value.Decode(d); err != nil {
+		return err
 	}
-
 	return nil
 }
 
 // MarshalJSON implements stdjson.Marshaler.
-func (s *Load) MarshalJSON() ([]byte, error) {
+func (s OptBeatLoads) MarshalJSON() ([]byte, error) {
 	e := jx.Encoder{}
 	s.Encode(&e)
 	return e.Bytes(), nil
 }
 
 // UnmarshalJSON implements stdjson.Unmarshaler.
-func (s *Load) UnmarshalJSON(data []byte) error {
+func (s *OptBeatLoads) UnmarshalJSON(data []byte) error {
 	d := jx.DecodeBytes(data)
 	return s.Decode(d)
 }
--- a/pkg/api/meshapi/oas_schemas_gen.go
+++ b/pkg/api/meshapi/oas_schemas_gen.go
@@ -69,7 +69,8 @@
 	Leads    []Sight `json:"leads"`
 	// The beat tells all loads.
 	Counted OptBool `json:"counted"`
-	Loads   []Load  `json:"loads"`
+	// Mean number of connections in use and wanted in tenths by instance.
+	Loads OptBeatLoads `json:"loads"`
 }
 
 // GetHost returns the value of Host.
@@ -113,7 +114,7 @@
 }
 
 // GetLoads returns the value of Loads.
-func (s *Beat) GetLoads() []Load {
+func (s *Beat) GetLoads() OptBeatLoads {
 	return s.Loads
 }
 
@@ -158,10 +159,22 @@
 }
 
 // SetLoads sets the value of Loads.
-func (s *Beat) SetLoads(val []Load) {
+func (s *Beat) SetLoads(val OptBeatLoads) {
 	s.Loads = val
 }
 
+// Mean number of connections in use and wanted in tenths by instance.
+type BeatLoads map[string]int
+
+func (s *BeatLoads) init() BeatLoads {
+	m := *s
+	if m == nil {
+		m = map[string]int{}
+		*s = m
+	}
+	return m
+}
+
 // BeatReceivedOK is response for BeatReceived operation.
 type BeatReceivedOK struct{}
 
@@ -679,31 +692,50 @@
 // LeadWrittenOK is response for LeadWritten operation.
 type LeadWrittenOK struct{}
 
-// Ref: #/components/schemas/Load
-type Load struct {
-	Instance string `json:"instance"`
-	// Mean number of connections in use and wanted in tenths.
-	Tenths int `json:"tenths"`
+// NewOptBeatLoads returns new OptBeatLoads with value set to v.
+func NewOptBeatLoads(v BeatLoads) OptBeatLoads {
+	return OptBeatLoads{
+		Value: v,
+		Set:   true,
+	}
 }
 
-// GetInstance returns the value of Instance.
-func (s *Load) GetInstance() string {
-	return s.Instance
+// OptBeatLoads is optional BeatLoads.
+type OptBeatLoads struct {
+	Value BeatLoads
+	Set   bool
 }
 
-// GetTenths returns the value of Tenths.
-func (s *Load) GetTenths() int {
-	return s.Tenths
+// IsSet returns true if OptBeatLoads was set.
+func (o OptBeatLoads) IsSet() bool { return o.Set }
+
+// Reset unsets value.
+func (o *OptBeatLoads) Reset() {
+	var v BeatLoads
+	o.Value = v
+	o.Set = false
 }
 
-// SetInstance sets the value of Instance.
-func (s *Load) SetInstance(val string) {
-	s.Instance = val
+// SetTo sets value to v.
+func (o *OptBeatLoads) SetTo(v BeatLoads) {
+	o.Set = true
+	o.Value = v
+}
+
+// Get returns value and boolean that denotes whether value was set.
+func (o OptBeatLoads) Get() (v BeatLoads, ok bool) {
+	if !o.Set {
+		return v, false
+	}
+	return o.Value, true
 }
 
-// SetTenths sets the value of Tenths.
-func (s *Load) SetTenths(val int) {
-	s.Tenths = val
+// Or returns value if set, or given parameter if does not.
+func (o OptBeatLoads) Or(d BeatLoads) BeatLoads {
+	if v, ok := o.Get(); ok {
+		return v
+	}
+	return d
 }
 
 // NewOptBool returns new OptBool with value set to v.
