Remove the permits that nobody lent; hold the platform's names in its adapter by a test

Cause: shares follow from the hosts' beats on the platform, and the owner of the HTTP interface never lent anything.

--- a/Makefile
+++ b/Makefile
@@ -12,10 +12,10 @@
 	$(GO) generate $(PACKAGES)
 
 fmt:
-	gofmt -w cmd internal pkg
+	gofmt -w cmd internal pkg platform
 
 lint:
-	@test -z "$$(gofmt -l cmd internal pkg)" || { gofmt -l cmd internal pkg; exit 1; }
+	@test -z "$$(gofmt -l cmd internal pkg platform)" || { gofmt -l cmd internal pkg platform; exit 1; }
 	$(GO) vet $(PACKAGES)
 	$(GO) tool staticcheck $(PACKAGES)
 
--- a/internal/front/fleet_test.go
+++ b/internal/front/fleet_test.go
@@ -25,7 +25,6 @@
 	t        *testing.T
 	cloud    *standin.Cloud
 	database *standin.Database
-	stores   []string // the address of the store that each host is given
 	hosts    []*member
 }
 
--- a/internal/governor/governor.go
+++ b/internal/governor/governor.go
@@ -46,23 +46,22 @@
 	// Logger takes the events; it never blocks.
 	Logger log.Interface
 
-	book      *directory.Book
-	hosts     map[model.HostID]*host
-	cases     map[model.DatabaseID]*failover.Case
-	leads     map[model.DatabaseID]Lead
-	changing  map[model.DatabaseID]bool
-	health    map[model.InstanceID]failover.Health
-	loads     map[model.InstanceID]model.Load
-	sequence  model.Sequence
-	beaten    time.Time
-	counted   time.Time // when a beat last told the loads
-	started   time.Time
-	stopping  bool
-	enrolled  bool // the hosts' rows have been read
-	urgent    bool // the next beat does not wait
-	round     int
-	snapshot  *View
-	published map[model.DatabaseID]Primary
+	book     *directory.Book
+	hosts    map[model.HostID]*host
+	cases    map[model.DatabaseID]*failover.Case
+	leads    map[model.DatabaseID]Lead
+	changing map[model.DatabaseID]bool
+	health   map[model.InstanceID]failover.Health
+	loads    map[model.InstanceID]model.Load
+	sequence model.Sequence
+	beaten   time.Time
+	counted  time.Time // when a beat last told the loads
+	started  time.Time
+	stopping bool
+	enrolled bool // the hosts' rows have been read
+	urgent   bool // the next beat does not wait
+	round    int
+	snapshot *View
 }
 
 // host is what is known of another host.
--- a/internal/layout/layout_test.go
+++ b/internal/layout/layout_test.go
@@ -16,7 +16,8 @@
 
 // decisions are the packages that decide and reach nothing outside.
 var decisions = []string{
-	"admit", "config", "fleet", "history", "member", "model", "quota", "route", "session", "spread", "view",
+	"admit", "config", "directory", "failover", "fleet", "freshness", "history", "member", "model", "place", "route",
+	"session", "spread", "statement", "view",
 }
 
 // forbidden are the packages, and what lies below them, that no decision may reach.
--- /dev/null
+++ b/internal/layout/words_test.go
@@ -0,0 +1,69 @@
+package layout
+
+import (
+	"os"
+	"os/exec"
+	"regexp"
+	"strings"
+	"testing"
+)
+
+// platformWords are names of the users' platform that only its adapter knows.
+var platformWords = regexp.MustCompile(`rows-(tx|get|feed)|Fence-Token|Duty-Holder|MaxStalenessMs|DutyPerS|ColdLeftMs|ExpectedRev|BeatIntervalMs|WRONGNODE|NOSTMT|READONLY|"(START|QUERY|READY|BEGIN|ROLLBACK)"`)
+
+// adapters are the folders that may know them, and the generator's templates, which hold none of their own.
+var adapters = []string{"platform/", "deploy/", "internal/layout/"}
+
+func TestOnlyTheAdapterKnowsThePlatformsNames(t *testing.T) {
+	out, err := exec.Command("git", "-C", "../..", "ls-files", "*.go").Output()
+	if err != nil {
+		t.Fatalf("got %v, want the list of files", err)
+	}
+	files := strings.Fields(string(out))
+	if len(files) == 0 {
+		t.Fatal("got no files, want some")
+	}
+	for _, file := range files {
+		if isAdapter(file) || strings.HasSuffix(file, "_test.go") {
+			continue
+		}
+		content, err := os.ReadFile("../../" + file)
+		if os.IsNotExist(err) {
+			continue // removed and not yet committed
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := platformWords.FindString(string(content)); got != "" {
+			t.Errorf("got %s in %s, want it in platform/ alone", got, file)
+		}
+	}
+}
+
+// isAdapter reports whether a file may know the platform's names.
+func isAdapter(file string) bool {
+	for _, folder := range adapters {
+		if strings.HasPrefix(file, folder) {
+			return true
+		}
+	}
+	return false
+}
+
+func TestPlatformWords(t *testing.T) {
+	tests := map[string]struct {
+		text string
+		want bool
+	}{
+		"a header":           {text: `request.Header.Set("Fence-Token", "1")`, want: true},
+		"a word of the line": {text: `c.line("START")`, want: true},
+		"our own name":       {text: "fencing token", want: false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			if got := platformWords.MatchString(test.text); got != test.want {
+				t.Errorf("got %v, want %v", got, test.want)
+			}
+		})
+	}
+}
--- a/internal/peer/handler.go
+++ b/internal/peer/handler.go
@@ -85,11 +85,6 @@
 	return encodeHeartbeat(beat), nil
 }
 
-// LendPermits refuses: the owner schedules its replicas itself.
-func (h *handler) LendPermits(context.Context, *peerapi.PermitRequest) (*peerapi.Permits, error) {
-	return nil, model.Refuse(model.CodeUnavailable, "the owner lends no permits")
-}
-
 // NewError translates an error into the message of a refusal.
 func (h *handler) NewError(_ context.Context, err error) *peerapi.RefusalStatusCode {
 	return encodeRefusal(err)
--- a/internal/quota/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package quota lends parts of an instance's slots and connections to hosts, so that their sum never passes the limit.
-package quota
--- a/pkg/api/peerapi/oas_client_gen.go
+++ b/pkg/api/peerapi/oas_client_gen.go
@@ -69,12 +69,6 @@
 	//
 	// POST /v1/heartbeats
 	Heartbeat(ctx context.Context, request *Heartbeat) (*Heartbeat, error)
-	// LendPermits invokes lendPermits operation.
-	//
-	// Lends a share of a replica's slots and connections until they lapse.
-	//
-	// POST /v1/permits
-	LendPermits(ctx context.Context, request *PermitRequest) (*Permits, error)
 }
 
 // Client implements OAS client.
@@ -532,58 +526,3 @@
 
 	return result, nil
 }
-
-// LendPermits invokes lendPermits operation.
-//
-// Lends a share of a replica's slots and connections until they lapse.
-//
-// POST /v1/permits
-func (c *Client) LendPermits(ctx context.Context, request *PermitRequest) (*Permits, error) {
-	res, err := c.sendLendPermits(ctx, request)
-	return res, err
-}
-
-func (c *Client) sendLendPermits(ctx context.Context, request *PermitRequest) (res *Permits, err error) {
-	// Validate request before sending.
-	if err := func() error {
-		if err := request.Validate(); err != nil {
-			return err
-		}
-		return nil
-	}(); err != nil {
-		return res, errors.Wrap(err, "validate")
-	}
-
-	u := uri.Clone(c.requestURL(ctx))
-	var pathParts [1]string
-	pathParts[0] = "/v1/permits"
-	uri.AddPathParts(u, pathParts[:]...)
-
-	r, err := ht.NewRequest(ctx, "POST", u)
-	if err != nil {
-		return res, errors.Wrap(err, "create request")
-	}
-	if err := encodeLendPermitsRequest(request, r); err != nil {
-		return res, errors.Wrap(err, "encode request")
-	}
-
-	resp, err := c.cfg.Client.Do(r)
-	if err != nil {
-		return res, errors.Wrap(err, "do request")
-	}
-	body := resp.Body
-	defer func() {
-		// Drain the body to EOF before closing, so the underlying
-		// connection can be reused by the Transport regardless of the
-		// response status code. See https://github.com/ogen-go/ogen/issues/1670.
-		_, _ = io.Copy(io.Discard, body)
-		_ = body.Close()
-	}()
-
-	result, err := decodeLendPermitsResponse(resp)
-	if err != nil {
-		return res, errors.Wrap(err, "decode response")
-	}
-
-	return result, nil
-}
--- a/pkg/api/peerapi/oas_operations_gen.go
+++ b/pkg/api/peerapi/oas_operations_gen.go
@@ -14,5 +14,4 @@
 	GetConfigurationOperation OperationName = "GetConfiguration"
 	GetFleetOperation         OperationName = "GetFleet"
 	HeartbeatOperation        OperationName = "Heartbeat"
-	LendPermitsOperation      OperationName = "LendPermits"
 )
--- a/pkg/api/peerapi/oas_request_encoders_gen.go
+++ b/pkg/api/peerapi/oas_request_encoders_gen.go
@@ -93,17 +93,3 @@
 	ht.SetBody(r, bytes.NewReader(encoded), contentType)
 	return nil
 }
-
-func encodeLendPermitsRequest(
-	req *PermitRequest,
-	r *http.Request,
-) error {
-	const contentType = "application/json"
-	e := new(jx.Encoder)
-	{
-		req.Encode(e)
-	}
-	encoded := e.Bytes()
-	ht.SetBody(r, bytes.NewReader(encoded), contentType)
-	return nil
-}
--- a/pkg/api/peerapi/oas_response_encoders_gen.go
+++ b/pkg/api/peerapi/oas_response_encoders_gen.go
@@ -163,19 +163,6 @@
 	return nil
 }
 
-func encodeLendPermitsResponse(response *Permits, w http.ResponseWriter) error {
-	w.Header().Set("Content-Type", "application/json; charset=utf-8")
-	w.WriteHeader(200)
-
-	e := new(jx.Encoder)
-	response.Encode(e)
-	if _, err := e.WriteTo(w); err != nil {
-		return errors.Wrap(err, "write")
-	}
-
-	return nil
-}
-
 func encodeErrorResponse(response *RefusalStatusCode, w http.ResponseWriter) error {
 	if err := func() error {
 		if err := response.Validate(); err != nil {
--- a/pkg/api/peerapi/oas_router_gen.go
+++ b/pkg/api/peerapi/oas_router_gen.go
@@ -20,9 +20,6 @@
 	rn4AllowedHeaders = map[string]string{
 		"POST": "Content-Type",
 	}
-	rn11AllowedHeaders = map[string]string{
-		"POST": "Content-Type",
-	}
 	rn5AllowedHeaders = map[string]string{
 		"POST": "Content-Type",
 	}
@@ -223,31 +220,6 @@
 					return
 				}
 
-			case 'p': // Prefix: "permits"
-
-				if l := len("permits"); len(elem) >= l && elem[0:l] == "permits" {
-					elem = elem[l:]
-				} else {
-					break
-				}
-
-				if len(elem) == 0 {
-					// Leaf node.
-					switch r.Method {
-					case "POST":
-						s.handleLendPermitsRequest([0]string{}, elemIsEscaped, w, r)
-					default:
-						s.notAllowed(w, r, notAllowedParams{
-							allowedMethods: "POST",
-							allowedHeaders: rn11AllowedHeaders,
-							acceptPost:     "application/json",
-							acceptPatch:    "",
-						})
-					}
-
-					return
-				}
-
 			case 'r': // Prefix: "rollbacks"
 
 				if l := len("rollbacks"); len(elem) >= l && elem[0:l] == "rollbacks" {
@@ -562,31 +534,6 @@
 					}
 				}
 
-			case 'p': // Prefix: "permits"
-
-				if l := len("permits"); len(elem) >= l && elem[0:l] == "permits" {
-					elem = elem[l:]
-				} else {
-					break
-				}
-
-				if len(elem) == 0 {
-					// Leaf node.
-					switch method {
-					case "POST":
-						r.name = LendPermitsOperation
-						r.summary = "Lends a share of a replica's slots and connections until they lapse."
-						r.operationID = "lendPermits"
-						r.operationGroup = ""
-						r.pathPattern = "/v1/permits"
-						r.args = args
-						r.count = 0
-						return r, true
-					default:
-						return
-					}
-				}
-
 			case 'r': // Prefix: "rollbacks"
 
 				if l := len("rollbacks"); len(elem) >= l && elem[0:l] == "rollbacks" {
--- a/pkg/api/peerapi/oas_server_gen.go
+++ b/pkg/api/peerapi/oas_server_gen.go
@@ -57,12 +57,6 @@
 	//
 	// POST /v1/heartbeats
 	Heartbeat(ctx context.Context, req *Heartbeat) (*Heartbeat, error)
-	// LendPermits implements lendPermits operation.
-	//
-	// Lends a share of a replica's slots and connections until they lapse.
-	//
-	// POST /v1/permits
-	LendPermits(ctx context.Context, req *PermitRequest) (*Permits, error)
 	// NewError creates *RefusalStatusCode from error returned by handler.
 	//
 	// Used for common default response.
