--- a/internal/front/follow.go
+++ b/internal/front/follow.go
@@ -93,14 +93,15 @@
 
 // follow hands on each change of a table until the context ends and reports its end on done.
 //
-// When the history is gone, or the store was away, it reads the whole table anew.
+// When the history is gone it reads the whole table anew. A table that was lost is asked without a wait until it answers,
+// since a connection that holds a question may go silent again.
 func follow[T any](ctx context.Context, h *Host, s source[T], done chan<- error) {
 	after := model.Revision(0)
 	lost := time.Time{}
 	backoff := retry.NewBackoff()
 	for ctx.Err() == nil {
 		wait, limit := feedWait, feedWait+feedSlack
-		if after == 0 {
+		if after == 0 || !lost.IsZero() {
 			wait, limit = 0, readTimeout
 		}
 		limited, cancel := context.WithTimeout(ctx, limit)
--- /dev/null
+++ b/internal/front/follow_internal_test.go
@@ -0,0 +1,95 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+
+	"redwingspread/internal/model"
+)
+
+// fakeTable is a table of a store that misbehaves for a while.
+type fakeTable struct {
+	begun  time.Time
+	fails  func(since time.Duration) error // nil error for an answer; errHang for none
+	calls  int
+	change time.Duration // when the table changes
+}
+
+// errHang has a call get no answer.
+var errHang = errors.New("no answer")
+
+// read answers like the store: at once when there is a change after the revision, or else after the wait.
+func (f *fakeTable) read(ctx context.Context, after model.Revision, wait time.Duration) (int, model.Revision, error) {
+	f.calls++
+	if err := f.fails(time.Since(f.begun)); errors.Is(err, errHang) {
+		<-ctx.Done()
+		return 0, 0, ctx.Err()
+	} else if err != nil {
+		return 0, 0, err
+	}
+	for end := time.Now().Add(wait); after != 0 && time.Since(f.begun) < f.change && time.Now().Before(end); {
+		time.Sleep(min(time.Until(end), f.change-time.Since(f.begun)))
+	}
+	revision := model.Revision(1)
+	if time.Since(f.begun) >= f.change {
+		revision = 2
+	}
+	return int(revision), revision, nil
+}
+
+// TestFollowComesBackSoon plays a table whose answers fail for a while and change meanwhile.
+func TestFollowComesBackSoon(t *testing.T) {
+	within := func(from, to time.Duration, err error) func(time.Duration) error {
+		return func(since time.Duration) error {
+			if since >= from && since < to {
+				return err
+			}
+			return nil
+		}
+	}
+	tests := map[string]struct {
+		fails  func(time.Duration) error
+		change time.Duration
+		by     time.Duration // the change is known
+	}{
+		"nothing fails":                   {fails: within(0, 0, nil), change: 30 * time.Second, by: 31 * time.Second},
+		"turned away":                     {fails: within(10*time.Second, 20*time.Second, errors.New("status 503")), change: 15 * time.Second, by: 21 * time.Second},
+		"connections that went silent":    {fails: within(10*time.Second, 24*time.Second, errHang), change: 15 * time.Second, by: 27 * time.Second},
+		"no history":                      {fails: within(10*time.Second, 10100*time.Millisecond, ErrHistory), change: 15 * time.Second, by: 16 * time.Second},
+		"the first answers are a failure": {fails: within(0, 5*time.Second, errHang), change: 0, by: 8 * time.Second},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				table := &fakeTable{begun: time.Now(), fails: test.fails, change: test.change}
+				h := New()
+				h.Logger = &log.Logger{Handler: discard.New(), Level: log.ErrorLevel}
+				ctx, cancel := context.WithCancel(context.Background())
+				done := make(chan error, 1)
+				known := time.Duration(-1)
+				take := func(_ context.Context, revision int) error {
+					if revision == 2 && known < 0 {
+						known = time.Since(table.begun)
+					}
+					return nil
+				}
+				go follow(ctx, h, source[int]{"table", feedSpacing, table.read, take}, done)
+				time.Sleep(time.Minute)
+				cancel()
+				<-done
+				if known < 0 || known > test.by {
+					t.Errorf("got the change after %v, want it by %v", known, test.by)
+				}
+				if most := 200; table.calls > most {
+					t.Errorf("got %d calls in a minute, want at most %d", table.calls, most)
+				}
+			})
+		})
+	}
+}
