--- a/internal/front/act.go
+++ b/internal/front/act.go
@@ -7,12 +7,8 @@
 	"redwingspread/internal/event"
 	"redwingspread/internal/governor"
 	"redwingspread/internal/model"
-	"redwingspread/internal/session"
 )
 
-// newAccount returns the account of a new session.
-func newAccount() *session.Account { return session.NewAccount() }
-
 const (
 	probeTimeout = 250 * time.Millisecond // several round trips between regions
 	storeTimeout = time.Second            // of one call; a slow store takes a few hundred milliseconds
--- a/internal/front/host.go
+++ b/internal/front/host.go
@@ -12,6 +12,7 @@
 
 	"github.com/apex/log"
 
+	"redwingspread/internal/clock"
 	"redwingspread/internal/control"
 	"redwingspread/internal/directory"
 	"redwingspread/internal/event"
@@ -19,6 +20,7 @@
 	"redwingspread/internal/mesh"
 	"redwingspread/internal/model"
 	"redwingspread/internal/place"
+	"redwingspread/internal/session"
 	"redwingspread/internal/settings"
 )
 
@@ -305,7 +307,7 @@
 			return
 		}
 		if err != nil {
-			time.Sleep(acceptPause) // descriptors are short for a moment
+			_ = clock.Pause(ctx, acceptPause) // descriptors are short for a moment; the context ends the listener too
 			continue
 		}
 		select {
@@ -327,7 +329,7 @@
 		host:    h,
 		caller:  caller,
 		id:      model.SessionID(strconv.FormatInt(h.sessions.Add(1), 36)),
-		account: newAccount(),
+		account: session.NewAccount(),
 	}
 	h.counters.Sessions.Add(1)
 	h.enlist(v)
