--- a/internal/failover/case.go
+++ b/internal/failover/case.go
@@ -85,6 +85,7 @@
 	others  map[model.HostID]Sight
 	changed time.Time // of the newest change of the primary
 	ordered time.Time // of the newest promotion that is known
+	denied  time.Time // since when every instance says that it does not lead; zero when one may lead
 	probed  map[model.InstanceID]time.Time
 }
 
@@ -133,6 +134,7 @@
 // It reports whether the belief changed, and why.
 func (c *Case) Believe(now time.Time, members []Member, health map[model.InstanceID]Health) (bool, string) {
 	before, stateBefore := c.primary, c.state
+	c.deny(now, members, health)
 	reason := c.choose(members, health)
 	h := health[c.primary]
 	switch {
@@ -157,6 +159,20 @@
 	return c.primary != before || c.state != stateBefore, reason
 }
 
+// deny notes since when every instance says that it does not lead, as after a demotion whose promotion never came.
+func (c *Case) deny(now time.Time, members []Member, health map[model.InstanceID]Health) {
+	for _, member := range members {
+		h := health[member.Instance]
+		if !h.Refused.After(h.Led) || now.Sub(h.Refused) > c.Timing.Confirm || !h.Silent.IsZero() {
+			c.denied = time.Time{}
+			return
+		}
+	}
+	if c.denied.IsZero() && len(members) > 0 {
+		c.denied = now
+	}
+}
+
 // choose picks the instance and returns the reason.
 func (c *Case) choose(members []Member, health map[model.InstanceID]Health) string {
 	var proven, claimed model.InstanceID
@@ -268,7 +284,13 @@
 		}
 	}
 	count = Count{Silent: len(silent), Led: len(led), Live: len(hosts)}
-	if c.primary == "" || now.Sub(c.ordered) < c.Timing.Cooldown || now.Sub(c.changed) < c.Timing.Confirm {
+	if now.Sub(c.ordered) < c.Timing.Cooldown {
+		return Keep, count, ""
+	}
+	if !c.denied.IsZero() && now.Sub(c.denied) >= c.Timing.Partial+c.turn(self, hosts) {
+		return Replace, count, "no instance leads"
+	}
+	if c.primary == "" || now.Sub(c.changed) < c.Timing.Confirm {
 		return Keep, count, ""
 	}
 	if verdict, reason := c.replace(now, self, hosts, silent, led, latest); verdict != Keep {
--- a/internal/failover/case_test.go
+++ b/internal/failover/case_test.go
@@ -128,6 +128,45 @@
 	}
 }
 
+// TestNoInstanceLeads plays a demotion whose promotion never came, as when the acting host is killed in between.
+func TestNoInstanceLeads(t *testing.T) {
+	refused := func(id model.InstanceID, ms int) Health {
+		return Health{Instance: id, Term: 1, Led: after(0), Refused: after(ms)}
+	}
+	tests := map[string]struct {
+		health  func(ms int) []Health
+		ordered int // of a promotion by another host; zero for none
+		until   int
+		want    Verdict
+	}{
+		"all refuse for long":     {health: func(ms int) []Health { return []Health{refused("a", ms), refused("b", ms), refused("c", ms)} }, until: 2600, want: Replace},
+		"all refuse for a moment": {health: func(ms int) []Health { return []Health{refused("a", ms), refused("b", ms), refused("c", ms)} }, until: 1600, want: Keep},
+		"one does not answer": {health: func(ms int) []Health {
+			return []Health{refused("a", ms), refused("b", ms), {Instance: "c", Silent: after(500)}}
+		}, until: 2600, want: Keep},
+		"a promotion is under way":     {health: func(ms int) []Health { return []Health{refused("a", ms), refused("b", ms), refused("c", ms)} }, ordered: 900, until: 2600, want: Keep},
+		"a promotion never came about": {health: func(ms int) []Health { return []Health{refused("a", ms), refused("b", ms), refused("c", ms)} }, ordered: 900, until: 5000, want: Replace},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := New(DefaultTiming())
+			if test.ordered > 0 {
+				c.Learn(after(test.ordered), Lead{Instance: "b", Token: 2})
+			}
+			for ms := 1000; ms <= test.until; ms += 50 {
+				health := make(map[model.InstanceID]Health)
+				for _, h := range test.health(ms) {
+					health[h.Instance] = h
+				}
+				c.Believe(after(ms), trio, health)
+			}
+			if got, _, reason := c.Judge(after(test.until), "h1", []model.HostID{"h1", "h2"}, trio); got != test.want {
+				t.Errorf("got %v (%s), want %v", got, reason, test.want)
+			}
+		})
+	}
+}
+
 func TestProbes(t *testing.T) {
 	stalled := led("a", 1, after(0))
 	stalled.Stalled = true
--- a/internal/front/host_test.go
+++ b/internal/front/host_test.go
@@ -91,6 +91,17 @@
 			_, address := f.cloud.Instance("seats-0")
 			f.cloud.Publish("seats-0", address, "draining", 2)
 		}},
+		"it is demoted, and the host that did so is gone": {lose: func(f *fleet) {
+			_, address := f.cloud.Instance("seats-0")
+			s, err := standin.Dial(address, "seats", "tester", patience)
+			if err != nil {
+				f.t.Fatal(err)
+			}
+			defer s.Close()
+			if got, err := s.Query("DEMOTE 2"); err != nil || got.Code != "" {
+				f.t.Fatalf("got %+v, %v, want a demotion", got, err)
+			}
+		}},
 		"it crashes, and the first order's answer is lost": {lossy: true, lose: func(f *fleet) {
 			f.cloud.LoseOrders(1)
 			instance, _ := f.cloud.Instance("seats-0")
