--- a/internal/lane/lane_test.go
+++ b/internal/lane/lane_test.go
@@ -23,12 +23,15 @@
 	closed int
 }
 
-// newBench returns a lane that runs until the test's bubble ends.
-func newBench(t *testing.T, slots model.Slots, connections model.Connections) *bench {
+// newBench returns a lane with the given changes that runs until the test's bubble ends.
+func newBench(t *testing.T, slots model.Slots, connections model.Connections, changes ...func(*Lane[int])) *bench {
 	t.Helper()
 	b := &bench{Lane: New[int]()}
 	b.Slots, b.Connections = slots, connections
 	b.Floors = [model.Ranks]model.Percent{0, 10, 10}
+	for _, change := range changes {
+		change(b.Lane)
+	}
 	b.Pool.Open = func(ctx context.Context) (int, error) {
 		time.Sleep(openTime)
 		b.mutex.Lock()
@@ -224,8 +227,7 @@
 
 func TestRefusalTellsWhenToComeBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := newBench(t, 1, 1)
-		b.QueueLimit = 1
+		b := newBench(t, 1, 1, func(l *Lane[int]) { l.QueueLimit = 1 })
 		jobs := many(3, 0, job{rank: model.RankOne, kind: "k", takes: 100 * time.Millisecond, patient: time.Second})
 		b.play(jobs)
 		_, err := b.Take(context.Background(), Want{Class: admit.Class{Rank: model.RankOne, Kind: "k"}, Deadline: time.Now().Add(time.Millisecond)})
@@ -265,11 +267,10 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				b := newBench(t, 2, 12)
-				b.Trip = test.trip
+				b := newBench(t, 2, 12, func(l *Lane[int]) { l.Trip = test.trip })
 				b.play(many(100, 2*time.Millisecond, job{rank: model.RankTwo, kind: "k", takes: 5*time.Millisecond + test.trip, patient: time.Second}))
-				b.mutex.Lock()
-				defer b.mutex.Unlock()
+				b.Lane.mutex.Lock()
+				defer b.Lane.mutex.Unlock()
 				if got := b.limit(); got < test.want {
 					t.Errorf("got a limit of %d, want at least %d", got, test.want)
 				}
