Choose the tests' ports below those of outgoing connections, and report a host that ends

Likely its port, chosen and given back a moment before, was taken by an outgoing connection of another process; the test did not show the host's end, so that this is not proved.

--- a/internal/front/fleet_test.go
+++ b/internal/front/fleet_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"testing"
 	"time"
 
@@ -67,7 +66,14 @@
 		f.add(f.cloud.StoreAddress)
 	}
 	for _, host := range f.hosts {
-		f.eventually("the host answers", func() bool { return f.served(host, "desk") })
+		f.eventually("the host answers", func() bool {
+			select {
+			case err := <-host.done:
+				t.Fatalf("got the end of a host: %v, want it to run", err)
+			default:
+			}
+			return f.served(host, "desk")
+		})
 	}
 	return f
 }
@@ -102,16 +108,16 @@
 	return m
 }
 
-// free returns addresses that nobody listens on.
-func free(t *testing.T, count int) (addresses []model.Address) {
+// free returns addresses that nobody listens on, with ports that no outgoing connection takes meanwhile.
+func free(t *testing.T, count int) []model.Address {
 	t.Helper()
-	for range count {
-		listener, err := net.Listen("tcp4", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer func() { _ = listener.Close() }() // the address is free again from here on
-		addresses = append(addresses, model.Address(listener.Addr().String()))
+	texts, err := standin.FreeAddresses(count)
+	if err != nil {
+		t.Fatal(err)
+	}
+	addresses := make([]model.Address, 0, count)
+	for _, text := range texts {
+		addresses = append(addresses, model.Address(text))
 	}
 	return addresses
 }
