Tell a wait that a change of primary ended apart from one whose time is over

The owner ends the attempts of a primary that has been replaced by cancelling their context; the dispatcher told each wait that a context ended as 'deadline', which the callers' library does not repeat. Ruled out: the learnt service time (the deadline was a minute away), the callers' own deadline. Change: a cancelled context ends a wait as 'unavailable', not run, which is tried again. The borrowers of the whole path's test keep a trail of what became of each request, printed when a session's account differs.

--- a/internal/dispatch/pin.go
+++ b/internal/dispatch/pin.go
@@ -20,7 +20,7 @@
 	select {
 	case refusal = <-turn.ready:
 	case <-ctx.Done():
-		refusal = d.withdrawPin(turn)
+		refusal = d.withdrawPin(turn, cause(ctx))
 	}
 	if refusal != nil {
 		return refusal
@@ -58,20 +58,20 @@
 	return nil, nil
 }
 
-// withdrawPin ends a wait from the caller's side; a connection that was just reserved is given back.
-func (d *Dispatcher) withdrawPin(turn *Turn) *model.Refusal {
+// withdrawPin ends a wait from the caller's side with the code; a connection that was just reserved is given back.
+func (d *Dispatcher) withdrawPin(turn *Turn, code model.Code) *model.Refusal {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	if turn.pinning {
 		turn.pinning = false
 		d.pins[turn.ticket.Class.Rank.Index()].Remove(d.Now(), &turn.ticket)
-		return d.refusal(model.CodeDeadline)
+		return d.refusal(code)
 	}
 	if refusal := <-turn.ready; refusal != nil {
 		return refusal
 	}
 	d.unpinLocked()
-	return d.refusal(model.CodeDeadline)
+	return d.refusal(code)
 }
 
 // grantPins reserves connections for waiting transactions, the most urgent first.
--- a/internal/dispatch/turn.go
+++ b/internal/dispatch/turn.go
@@ -29,7 +29,7 @@
 // await waits for a turn; the connection is the transaction's, or nil to get one of the pool.
 func (d *Dispatcher) await(ctx context.Context, term model.Term, deadline time.Time, class admit.Class, conn endpoint.Conn) (_ *Turn, err error) {
 	if ctx.Err() != nil {
-		return nil, model.Refuse(model.CodeDeadline, "the request ended before its turn")
+		return nil, model.Refuse(cause(ctx), "the request ended before its turn")
 	}
 	if !class.Rank.Valid() {
 		return nil, model.Refuse(model.CodeInvalid, "unknown rank %d", class.Rank)
@@ -88,7 +88,16 @@
 	case <-ctx.Done():
 	case <-timeout:
 	}
-	return d.withdraw(turn)
+	return d.withdraw(turn, cause(ctx))
+}
+
+// cause returns why a wait ended: its time is over, or its context was cancelled, as by a change of the primary, after
+// which the work may be tried again.
+func cause(ctx context.Context) model.Code {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return model.CodeUnavailable
+	}
+	return model.CodeDeadline
 }
 
 // timeout returns a channel that fires when the turn can no longer end before its deadline.
@@ -100,12 +109,12 @@
 	return timer.C, timer.Stop
 }
 
-// withdraw ends a wait from the caller's side; a turn that has just come is given back unused.
-func (d *Dispatcher) withdraw(turn *Turn) *model.Refusal {
+// withdraw ends a wait from the caller's side with the code; a turn that has just come is given back unused.
+func (d *Dispatcher) withdraw(turn *Turn, code model.Code) *model.Refusal {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	if d.queue.Withdraw(d.Now(), &turn.ticket) {
-		return d.refusal(model.CodeDeadline)
+		return d.refusal(code)
 	}
 	if refusal := <-turn.ready; refusal != nil {
 		return refusal
@@ -115,7 +124,7 @@
 		d.pool.Put(turn.conn)
 	}
 	d.release()
-	return d.refusal(model.CodeDeadline)
+	return d.refusal(code)
 }
 
 // release frees a slot and starts what waits for it.
--- /dev/null
+++ b/internal/dispatch/wait_test.go
@@ -0,0 +1,74 @@
+package dispatch
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"redwingspread/internal/admit"
+	"redwingspread/internal/model"
+)
+
+// TestWaitsThatEnd has work wait behind other work and ends the wait; a replaced primary ends it by a cancelled context.
+func TestWaitsThatEnd(t *testing.T) {
+	const slot = 2 * time.Millisecond
+	cancelled := func(ctx context.Context) (context.Context, context.CancelFunc) {
+		ctx, cancel := context.WithCancel(ctx)
+		timer := time.AfterFunc(slot/2, cancel)
+		return ctx, func() { timer.Stop(); cancel() }
+	}
+	timed := func(ctx context.Context) (context.Context, context.CancelFunc) {
+		return context.WithTimeout(ctx, slot/2)
+	}
+	waits := map[string]func(context.Context, *Dispatcher) error{
+		"statement": func(ctx context.Context, d *Dispatcher) error {
+			return do(ctx, d, request{rank: 1, kind: "pay"})
+		},
+		"transaction": func(ctx context.Context, d *Dispatcher) error {
+			_, err := d.Begin(ctx, 1, model.Work{}, admit.Class{Rank: 1, Kind: "pay"})
+			return err
+		},
+	}
+	tests := map[string]struct {
+		limit func(context.Context) (context.Context, context.CancelFunc)
+		want  string
+	}{
+		"the primary is replaced": {limit: cancelled, want: "unavailable"},
+		"the time is over":        {limit: timed, want: "deadline"},
+	}
+	for name, test := range tests {
+		for kind, wait := range waits {
+			t.Run(name+", "+kind, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					fake := newInstance()
+					fake.connections = 2
+					d, stop, done := open(t, fake)
+					held, err := begin(t, d, 1)
+					if err != nil {
+						t.Fatal(err)
+					}
+					busy := make(chan error, 2)
+					for range cap(busy) {
+						go func() { busy <- do(t.Context(), d, request{rank: 1, kind: "pay"}) }()
+					}
+					synctest.Wait()
+					ctx, cancel := test.limit(t.Context())
+					got := outcome(wait(ctx, d))
+					cancel()
+					if got != test.want {
+						t.Errorf("got outcome %q, want %q", got, test.want)
+					}
+					held.Close()
+					for range cap(busy) {
+						if got, want := outcome(<-busy), "ran"; got != want {
+							t.Errorf("got outcome %q of the work in front, want %q", got, want)
+						}
+					}
+					stop()
+					<-done
+				})
+			})
+		}
+	}
+}
--- a/internal/history/path_test.go
+++ b/internal/history/path_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -81,6 +82,7 @@
 			for _, one := range borrowers {
 				if one.share.stale > 0 || len(one.share.unknown) > 0 {
 					t.Errorf("got %d reads of %s that differ from its own account and unknown outcomes %v, want none", one.share.stale, one.lamp, one.share.unknown)
+					t.Log(strings.Join(one.trail, "\n"))
 				}
 				if one.share.reads == 0 {
 					t.Errorf("got no read of %s answered, want some", one.lamp)
--- a/internal/history/share_test.go
+++ b/internal/history/share_test.go
@@ -46,6 +46,12 @@
 	token   string
 	loans   int
 	lent    bool
+	trail   []string // what became of each request, to explain a failure
+}
+
+// note adds a line to the trail.
+func (b *borrower) note(format string, arguments ...any) {
+	b.trail = append(b.trail, time.Now().Format("05.000 ")+fmt.Sprintf(format, arguments...))
 }
 
 // run runs a statement through any host.
@@ -73,6 +79,7 @@
 	}
 	answer, token, err := b.run(ctx, statement, b.token)
 	b.token = token
+	b.note("%s %s: done %v, durability %s, repeated %v, %s, error %v", statement.Operation, answer.Request, answer.Done, answer.Durability, answer.Repeated, answer.Instance, err)
 	b.doubt(err)
 	if err != nil || !answer.Done {
 		return
@@ -99,6 +106,7 @@
 	}
 	b.share.mutex.Lock()
 	defer b.share.mutex.Unlock()
+	b.note("read, aged %v: %v by %s, want %d loans, lent %v, error %v", aged, answer.Rows, answer.Instance, b.loans, b.lent, err)
 	if err != nil {
 		b.share.refused++
 		return
