--- a/internal/lane/lane.go
+++ b/internal/lane/lane.go
@@ -153,7 +153,7 @@
 // demand notes what is in use and wanted now, and returns the greatest number of this span of time and the one before.
 func (l *Lane[C]) demand() model.Connections {
 	now := l.Now()
-	if now.Sub(l.spanned) >= peakSpan {
+	if now.Sub(l.spanned) >= lingerTime {
 		l.former, l.peak = l.peak, 0
 		l.spanned = now
 	}
@@ -162,8 +162,10 @@
 }
 
 const (
-	peakSpan = time.Second     // for which a demand is remembered at least; twice as long at most
-	loadSpan = 2 * time.Second // over which the load is averaged
+	// lingerTime is for how long an instance counts the connections of a host that it can't reach; a demand is remembered
+	// for one to two such times, since what is closed sooner may be missing again before it would have made room.
+	lingerTime = 3 * time.Second
+	loadSpan   = 2 * time.Second // over which the load is averaged
 )
 
 // Expect returns the time after which a statement of the kind that comes now is expected to be answered.
--- a/internal/lane/lane_test.go
+++ b/internal/lane/lane_test.go
@@ -55,6 +55,13 @@
 	return b
 }
 
+// openings returns the number of connections that were ever opened.
+func (b *bench) openings() int {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.opened
+}
+
 // open returns the number of open connections.
 func (b *bench) open() int {
 	b.mutex.Lock()
@@ -238,22 +245,52 @@
 	})
 }
 
-func TestIdleConnectionsBeyondTheDemandAreClosed(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		b := newBench(t, 6, 6)
-		b.play(many(60, 5*time.Millisecond, job{rank: model.RankTwo, kind: "k", takes: 40 * time.Millisecond, patient: time.Second}))
-		if got := b.open(); got < 3 {
-			t.Errorf("got %d connections under load, want several", got)
-		}
-		for range 60 {
-			b.Load()
-			time.Sleep(50 * time.Millisecond)
-		}
-		synctest.Wait()
-		if got, want := b.open(), int(b.Warm); got != want {
-			t.Errorf("got %d connections after the load, want %d", got, want)
-		}
-	})
+// lookTime is how often a host looks at its lanes.
+const lookTime = 50 * time.Millisecond
+
+// rest lets a time without work pass, in which the lane's owner looks at the load.
+func (b *bench) rest(idle time.Duration) {
+	for range idle / lookTime {
+		b.Load()
+		time.Sleep(lookTime)
+	}
+	synctest.Wait()
+}
+
+func TestIdleConnections(t *testing.T) {
+	const waves = 5
+	load := many(60, 5*time.Millisecond, job{rank: model.RankTwo, kind: "k", takes: 40 * time.Millisecond, patient: time.Second})
+	tests := map[string]struct {
+		pause time.Duration
+		kept  bool
+	}{
+		"work that comes in waves keeps its connections":        {pause: lingerTime - time.Second, kept: true},
+		"connections beyond the demand are closed in the pause": {pause: 2 * lingerTime},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBench(t, 6, 6)
+				first := 0
+				for wave := range waves {
+					b.play(load)
+					if got := b.open(); got < 3 {
+						t.Errorf("got %d connections under load, want several", got)
+					}
+					if wave == 0 {
+						first = b.openings()
+					}
+					b.rest(test.pause)
+					if got, want := b.open(), int(b.Warm); !test.kept && got != want {
+						t.Errorf("got %d connections after the load, want %d", got, want)
+					}
+				}
+				if got := b.openings() - first; test.kept != (got == 0) {
+					t.Errorf("got %d connections opened after the first wave, want none: %v", got, test.kept)
+				}
+			})
+		})
+	}
 }
 
 func TestFarInstanceGetsMoreOnTheirWay(t *testing.T) {
