Ask a store less that is down or keeps no history

Each of three tables at each of 32 hosts began its pauses at 5 ms. Two smaller ones: changes asked for in vain while the history is dropped all the while, and the hosts' rows, of which each start changes one. Change: pauses towards the store grow from 100 ms to 1 s; a table whose whole reading did not help is read whole once a second; the hosts' rows are asked for every 4 s, as a host that starts tells the others itself.

--- a/internal/front/follow.go
+++ b/internal/front/follow.go
@@ -21,8 +21,14 @@
 	feedSlack = 2 * time.Second
 	// feedSpacing is the least time between two questions for one table, so that changes in quick succession cost few calls.
 	feedSpacing = 400 * time.Millisecond
-	// hostSpacing is the same for the hosts' rows, of which all change when a fleet starts.
-	hostSpacing = 1500 * time.Millisecond
+	// hostSpacing is the same for the hosts' rows, of which all change when a fleet starts; a host that starts reads them and
+	// tells the others itself, so that they need not hear of it soon.
+	hostSpacing = 4 * time.Second
+	// blindSpacing is the time between two readings of a whole table while the store keeps no history: a third of the shortest
+	// time in which a configuration must be in force.
+	blindSpacing = time.Second
+	// blindReads is the number of such readings before changes are asked for again.
+	blindReads = 4
 	// readTimeout is the time for an answer that waits for nothing; a slow store takes a few hundred milliseconds.
 	readTimeout = 2 * time.Second
 )
@@ -55,7 +61,7 @@
 
 // enterAll enters the host among the others and learns their key, tries until it has, and reports its end on done.
 func (h *Host) enterAll(ctx context.Context, done chan<- error) {
-	for backoff := retry.NewBackoff(); ctx.Err() == nil; {
+	for backoff := retry.NewSharedBackoff(); ctx.Err() == nil; {
 		err := h.enter(ctx)
 		if err == nil {
 			break
@@ -93,12 +99,14 @@
 
 // follow hands on each change of a table until the context ends and reports its end on done.
 //
-// When the history is gone it reads the whole table anew. A table that was lost is asked without a wait until it answers,
+// When the history is gone it reads the whole table anew; when that does not help, since the store drops its history all the
+// while, it asks for changes only now and then, as each such question would cost a call for nothing. A table that was lost is asked without a wait until it answers,
 // since a connection that holds a question may go silent again.
 func follow[T any](ctx context.Context, h *Host, s source[T], done chan<- error) {
 	after := model.Revision(0)
 	lost := time.Time{}
-	backoff := retry.NewBackoff()
+	backoff := retry.NewSharedBackoff()
+	anew, blind := false, 0 // the newest answer was a whole table; whole readings to come
 	for ctx.Err() == nil {
 		wait, limit := feedWait, feedWait+feedSlack
 		if after == 0 || !lost.IsZero() {
@@ -111,6 +119,9 @@
 		case ctx.Err() != nil:
 		case errors.Is(err, ErrHistory):
 			after = 0
+			if anew {
+				blind = blindReads
+			}
 		case err != nil:
 			if lost.IsZero() {
 				lost = time.Now()
@@ -121,11 +132,18 @@
 			if !lost.IsZero() {
 				event.DependencyRegained(h.Logger, "store: "+s.name, model.Millis(time.Since(lost)))
 				lost = time.Time{}
-				backoff = retry.NewBackoff()
+				backoff = retry.NewSharedBackoff()
+			}
+			_ = s.take(ctx, news) // fails only at the context's end
+			anew = after == 0
+			pause := s.spacing
+			if blind > 0 {
+				blind--
+				pause = max(pause, blindSpacing)
+			} else {
+				after = max(after, revision)
 			}
-			after = max(after, revision)
-			_ = s.take(ctx, news)           // fails only at the context's end
-			_ = clock.Pause(ctx, s.spacing) // as above
+			_ = clock.Pause(ctx, pause) // as above
 		}
 	}
 	done <- ctx.Err()
--- a/internal/front/follow_internal_test.go
+++ b/internal/front/follow_internal_test.go
@@ -18,7 +18,8 @@
 	begun  time.Time
 	fails  func(since time.Duration) error // nil error for an answer; errHang for none
 	calls  int
-	change time.Duration // when the table changes
+	change time.Duration                  // when the table changes
+	forgot func(since time.Duration) bool // whether the store keeps no history
 }
 
 // errHang has a call get no answer.
@@ -33,16 +34,32 @@
 	} else if err != nil {
 		return 0, 0, err
 	}
-	for end := time.Now().Add(wait); after != 0 && time.Since(f.begun) < f.change && time.Now().Before(end); {
-		time.Sleep(min(time.Until(end), f.change-time.Since(f.begun)))
+	if after != 0 && f.forgot != nil && f.forgot(time.Since(f.begun)) {
+		return 0, 0, ErrHistory
 	}
-	revision := model.Revision(1)
-	if time.Since(f.begun) >= f.change {
-		revision = 2
+	for end := time.Now().Add(wait); after >= f.revision() && time.Now().Before(end); {
+		time.Sleep(min(time.Until(end), f.untilChange()))
 	}
+	revision := f.revision()
 	return int(revision), revision, nil
 }
 
+// revision returns the newest revision of the table.
+func (f *fakeTable) revision() model.Revision {
+	if time.Since(f.begun) >= f.change {
+		return 2
+	}
+	return 1
+}
+
+// untilChange returns the time until the table changes, or a long one when it has changed.
+func (f *fakeTable) untilChange() time.Duration {
+	if left := f.change - time.Since(f.begun); left > 0 {
+		return left
+	}
+	return time.Hour
+}
+
 // TestFollowComesBackSoon plays a table whose answers fail for a while and change meanwhile.
 func TestFollowComesBackSoon(t *testing.T) {
 	within := func(from, to time.Duration, err error) func(time.Duration) error {
@@ -57,17 +74,26 @@
 		fails  func(time.Duration) error
 		change time.Duration
 		by     time.Duration // the change is known
+		forgot func(time.Duration) bool
+		calls  int // in a minute, at most
 	}{
-		"nothing fails":                   {fails: within(0, 0, nil), change: 30 * time.Second, by: 31 * time.Second},
-		"turned away":                     {fails: within(10*time.Second, 20*time.Second, errors.New("status 503")), change: 15 * time.Second, by: 21 * time.Second},
-		"connections that went silent":    {fails: within(10*time.Second, 24*time.Second, errHang), change: 15 * time.Second, by: 27 * time.Second},
-		"no history":                      {fails: within(10*time.Second, 10100*time.Millisecond, ErrHistory), change: 15 * time.Second, by: 16 * time.Second},
-		"the first answers are a failure": {fails: within(0, 5*time.Second, errHang), change: 0, by: 8 * time.Second},
+		"nothing fails": {fails: within(0, 0, nil), change: 30 * time.Second, by: 31 * time.Second, calls: 40},
+		"turned away all the while": {
+			fails: within(10*time.Second, 20*time.Second, errors.New("reset")), change: 15 * time.Second, by: 21200 * time.Millisecond, calls: 25,
+		},
+		"turned away":                  {fails: within(10*time.Second, 20*time.Second, errors.New("status 503")), change: 15 * time.Second, by: 21 * time.Second, calls: 40},
+		"connections that went silent": {fails: within(10*time.Second, 24*time.Second, errHang), change: 15 * time.Second, by: 27 * time.Second, calls: 40},
+		"no history":                   {fails: within(10*time.Second, 10100*time.Millisecond, ErrHistory), change: 15 * time.Second, by: 16 * time.Second, calls: 40},
+		"no history for long": {
+			fails: within(0, 0, nil), change: 15 * time.Second, by: 16 * time.Second, calls: 40,
+			forgot: func(since time.Duration) bool { return since >= 10*time.Second && since < 25*time.Second },
+		},
+		"the first answers are a failure": {fails: within(0, 5*time.Second, errHang), change: 0, by: 8 * time.Second, calls: 40},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				table := &fakeTable{begun: time.Now(), fails: test.fails, change: test.change}
+				table := &fakeTable{begun: time.Now(), fails: test.fails, change: test.change, forgot: test.forgot}
 				h := New()
 				h.Logger = &log.Logger{Handler: discard.New(), Level: log.ErrorLevel}
 				ctx, cancel := context.WithCancel(context.Background())
@@ -86,8 +112,8 @@
 				if known < 0 || known > test.by {
 					t.Errorf("got the change after %v, want it by %v", known, test.by)
 				}
-				if most := 200; table.calls > most {
-					t.Errorf("got %d calls in a minute, want at most %d", table.calls, most)
+				if table.calls > test.calls {
+					t.Errorf("got %d calls in a minute, want at most %d", table.calls, test.calls)
 				}
 			})
 		})
--- a/internal/retry/backoff.go
+++ b/internal/retry/backoff.go
@@ -6,22 +6,35 @@
 	"github.com/cenkalti/backoff/v5"
 )
 
-// The bounds of a back-off.
+// The bounds of a back-off between the tries of a request, whose caller waits meanwhile.
 const (
 	firstInterval = 5 * time.Millisecond
 	maxInterval   = 500 * time.Millisecond
 )
 
+// The bounds of a back-off towards a dependency that all hosts share: when it is down they all ask, and nobody's request
+// waits for the answer.
+const (
+	firstShared = 100 * time.Millisecond
+	maxShared   = time.Second
+)
+
 // Backoff gives jittered, growing pauses between the tries of one request.
 type Backoff struct {
 	policy *backoff.ExponentialBackOff
 }
 
-// NewBackoff returns a back-off whose first pause is the shortest.
-func NewBackoff() *Backoff {
+// NewBackoff returns a back-off between the tries of a request, whose first pause is the shortest.
+func NewBackoff() *Backoff { return within(firstInterval, maxInterval) }
+
+// NewSharedBackoff returns a back-off towards a dependency that all hosts share.
+func NewSharedBackoff() *Backoff { return within(firstShared, maxShared) }
+
+// within returns a back-off whose pauses grow from the first to the most.
+func within(first, most time.Duration) *Backoff {
 	policy := backoff.NewExponentialBackOff()
-	policy.InitialInterval = firstInterval
-	policy.MaxInterval = maxInterval
+	policy.InitialInterval = first
+	policy.MaxInterval = most
 	return &Backoff{policy: policy}
 }
 
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -87,14 +87,30 @@
 }
 
 func TestBackoffGrowsAndObeys(t *testing.T) {
-	pauses := NewBackoff()
-	for try := range 20 {
-		got := pauses.Next(0)
-		if got <= 0 || got > 2*maxInterval {
-			t.Errorf("got a pause of %v at try %d, want more than 0 and at most %v", got, try, 2*maxInterval)
-		}
+	tests := map[string]struct {
+		pauses *Backoff
+		most   time.Duration // of a pause
+		tries  int           // in ten seconds, at most
+	}{
+		"of a request":           {pauses: NewBackoff(), most: 2 * maxInterval, tries: 60},
+		"of a shared dependency": {pauses: NewSharedBackoff(), most: 2 * maxShared, tries: 30},
 	}
-	if got, want := pauses.Next(time.Minute), time.Minute; got != want {
-		t.Errorf("got a pause of %v, want the %v that the refusal asked for", got, want)
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			tries := 0
+			for passed := time.Duration(0); passed < 10*time.Second; tries++ {
+				got := test.pauses.Next(0)
+				if got <= 0 || got > test.most {
+					t.Fatalf("got a pause of %v at try %d, want more than 0 and at most %v", got, tries, test.most)
+				}
+				passed += got
+			}
+			if tries > test.tries {
+				t.Errorf("got %d tries in ten seconds, want at most %d", tries, test.tries)
+			}
+			if got, want := test.pauses.Next(time.Minute), time.Minute; got != want {
+				t.Errorf("got a pause of %v, want the %v that the refusal asked for", got, want)
+			}
+		})
 	}
 }
