Open only connections that a slot or a transaction could use

The log of one host shows refusals of full instances from 0.4 s after its start on, with queues of one to five statements and no connection free. Change: a lane's demand for connections counts waiting statements only as far as there are slots for them.

--- a/internal/lane/lane.go
+++ b/internal/lane/lane.go
@@ -150,14 +150,20 @@
 	return l.taken + model.Connections(l.queue.Len()+l.pinsWaiting())
 }
 
-// demand notes what is in use and wanted now, and returns the greatest number of this span of time and the one before.
+// useful returns the number of connections that work could use now: a statement that waits for a slot needs none yet.
+func (l *Lane[C]) useful() model.Connections {
+	waiting := min(l.queue.Len(), int(max(l.limit()-l.used, 0)))
+	return l.taken + model.Connections(waiting+l.pinsWaiting())
+}
+
+// demand notes what work could use now, and returns the greatest number of this span of time and the one before.
 func (l *Lane[C]) demand() model.Connections {
 	now := l.Now()
 	if now.Sub(l.spanned) >= lingerTime {
 		l.former, l.peak = l.peak, 0
 		l.spanned = now
 	}
-	l.peak = max(l.peak, l.wanted())
+	l.peak = max(l.peak, l.useful())
 	return max(l.peak, l.former)
 }
 
@@ -232,8 +238,7 @@
 
 // want tells the pool how many connections should be open: those in use, those that work waits for, and the warm ones.
 func (l *Lane[C]) want() {
-	waiting := model.Connections(min(l.queue.Len(), int(max(l.limit()-l.used, 0))))
-	l.Pool.SetTarget(max(l.Warm, l.taken+waiting, l.demand()))
+	l.Pool.SetTarget(max(l.Warm, l.demand()))
 }
 
 // refuse ends a ticket's wait with a refusal.
--- a/internal/lane/lane_test.go
+++ b/internal/lane/lane_test.go
@@ -148,6 +148,7 @@
 		jobs        map[string][]job
 		served      map[string]float64       // least share of each group that is served
 		waited      map[string]time.Duration // longest wait of a served job of the group
+		opened      int                      // connections at most, each of which takes a slot for a while; zero for any
 	}{
 		"lone statements beside transactions that rest": {
 			slots: 2, connections: 4,
@@ -178,6 +179,19 @@
 			jobs:   map[string][]job{"urgent": many(20, 0, urgent)},
 			served: map[string]float64{"urgent": 1},
 		},
+		// Connections that no slot could use would cost the instance time when it has least of it.
+		"all callers at once after a loss of power": {
+			slots: 1, connections: 8,
+			jobs:   map[string][]job{"urgent": many(20, 0, urgent)},
+			served: map[string]float64{"urgent": 1},
+			opened: 1,
+		},
+		"all callers at once, some with transactions that rest": {
+			slots: 1, connections: 8,
+			jobs:   map[string][]job{"urgent": many(20, 0, urgent), "resting": many(3, 0, resting(urgent))},
+			served: map[string]float64{"urgent": 1, "resting": 1},
+			opened: 4,
+		},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -195,6 +209,9 @@
 					})
 				}
 				group.Wait()
+				if got := b.openings(); test.opened > 0 && got > test.opened {
+					t.Errorf("got %d connections opened, want at most %d", got, test.opened)
+				}
 				for kind, want := range test.served {
 					served, longest := summary(results[kind])
 					if got := float64(served) / float64(len(results[kind])); got < want {
