Tell callers of a host that has just started to come back, and follow a request through the logs

Change: a session that comes before the first configuration waits for it for up to 400 ms and is then refused as busy. A session's refusal has a line of its own (6019). The command explain prints a request's lines, what changed around it and the cause; METRICS.md has the metrics of front, held by a test.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -69,6 +69,7 @@
 		newFront(),
 		newServe(),
 		newConfig(),
+		newExplain(),
 		newStatus(),
 		newKeys(),
 	}
--- /dev/null
+++ b/internal/cli/explain_test.go
@@ -0,0 +1,43 @@
+package cli
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+func TestExplain(t *testing.T) {
+	folder := t.TempDir()
+	log := filepath.Join(folder, "h1.log")
+	line := `{"event":6010,"time":"2026-05-16T12:00:10Z","request":"r","kind":"k","instance":"i-1","code":"deadline","reason":"7 waiting"}` + "\n"
+	if err := os.WriteFile(log, []byte(line), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	tests := map[string]struct {
+		arguments []string
+		want      string // a part of what is printed
+		code      int
+	}{
+		"a request":        {arguments: []string{"r", log}, want: "cause: i-1 had no room in time at h1: 7 waiting", code: exitDone},
+		"another one":      {arguments: []string{"x", log}, want: "cause: no log has a line of it", code: exitDone},
+		"no id":            {code: exitUsage},
+		"a log that is no": {arguments: []string{"r", filepath.Join(folder, "gone.log")}, code: exitFailed},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var out bytes.Buffer
+			root := newRoot()
+			root.Writer = &out
+			code := exitDone
+			if err := root.Run(context.Background(), append([]string{"redwingspread", "explain"}, test.arguments...)); err != nil {
+				code = exitCode(err)
+			}
+			if code != test.code || !strings.Contains(out.String(), test.want) {
+				t.Errorf("got exit code %d and %q, want %d and %q", code, out.String(), test.code, test.want)
+			}
+		})
+	}
+}
--- a/internal/event/events_gen.go
+++ b/internal/event/events_gen.go
@@ -56,6 +56,7 @@
 	NumberDatagramRefused          Number = 6016
 	NumberRequestServed            Number = 6017
 	NumberReadyChanged             Number = 6018
+	NumberSessionRefused           Number = 6019
 )
 
 // unused keeps the import of package model when no event needs it.
@@ -511,3 +512,14 @@
 		"reason": reason,
 	}).Info("the host changed whether it takes new sessions")
 }
+
+// SessionRefused logs event 6019: a session was refused at its start.
+func SessionRefused(logger log.Interface, kind model.KindID, code model.Code, version model.Version, reason string) {
+	logger.WithFields(log.Fields{
+		"event":   NumberSessionRefused,
+		"kind":    kind,
+		"code":    code,
+		"version": version,
+		"reason":  reason,
+	}).Info("a session was refused at its start")
+}
--- a/internal/front/fleet_test.go
+++ b/internal/front/fleet_test.go
@@ -30,6 +30,7 @@
 // member is one host.
 type member struct {
 	address string
+	metrics string // its metrics' address
 	stop    context.CancelFunc
 	done    chan error
 }
@@ -82,7 +83,7 @@
 func (f *fleet) add(store string) *member {
 	f.t.Helper()
 	host := front.New()
-	addresses := free(f.t, 3)
+	addresses := free(f.t, 4)
 	host.Settings = settings.Front{
 		Host:           model.HostID(fmt.Sprintf("h%d", len(f.hosts)+1)),
 		DataCentre:     "east",
@@ -90,6 +91,7 @@
 		SessionAddress: addresses[0],
 		ReadyAddress:   addresses[1],
 		MeshAddress:    addresses[2],
+		MetricsAddress: string(addresses[3]),
 		StopLimit:      4 * time.Second,
 		LeaveLimit:     7 * time.Second,
 		SessionLimit:   64,
@@ -102,7 +104,7 @@
 	client.Logger, host.Logger = logger, logger
 	host.Platform = client
 	ctx, stop := context.WithCancel(context.Background())
-	m := &member{address: string(addresses[0]), stop: stop, done: make(chan error, 1)}
+	m := &member{address: string(addresses[0]), metrics: string(addresses[3]), stop: stop, done: make(chan error, 1)}
 	f.hosts = append(f.hosts, m)
 	go host.Run(ctx, m.done)
 	return m
--- a/internal/front/host_test.go
+++ b/internal/front/host_test.go
@@ -1,6 +1,8 @@
 package front_test
 
 import (
+	"errors"
+	"syscall"
 	"testing"
 	"time"
 
@@ -180,6 +182,37 @@
 	f.eventually("it serves the new kind", func() bool { return f.served(cut, "new") })
 }
 
+// TestHostThatKnowsNothingSaysSo has callers come to a host that has just started: that it knows no kind of work yet does
+// not mean that there is none.
+func TestHostThatKnowsNothingSaysSo(t *testing.T) {
+	f := newFleet(t, 1)
+	f.cloud.Store.SetFaults(standin.Faults{Status: 503})
+	host := f.add(f.cloud.StoreAddress)
+	refused := ""
+	f.eventually("the host listens and refuses", func() bool {
+		_, err := dial(host, "desk")
+		if err != nil {
+			refused = err.Error()
+		}
+		return !errors.Is(err, syscall.ECONNREFUSED)
+	})
+	if got, want := refused, "refused: BUSY"; got != want {
+		t.Errorf("got %q while the store is away, want %q", got, want)
+	}
+	f.cloud.Store.SetFaults(standin.Faults{})
+	f.eventually("the host serves", func() bool {
+		s, err := dial(host, "desk")
+		if err == nil {
+			s.Close()
+			return true
+		}
+		if got, want := err.Error(), "refused: BUSY"; got != want {
+			t.Fatalf("got %q before the store's answer, want %q", got, want)
+		}
+		return false
+	})
+}
+
 func TestStopLetsTransactionsEnd(t *testing.T) {
 	f := newFleet(t, 2)
 	s := f.open(f.hosts[0], "desk")
--- /dev/null
+++ b/internal/front/metrics_test.go
@@ -0,0 +1,47 @@
+package front_test
+
+import (
+	"io"
+	"maps"
+	"net/http"
+	"os"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+)
+
+// names returns the first group of each match, sorted and once each.
+func names(pattern *regexp.Regexp, text string) []string {
+	found := make(map[string]bool)
+	for _, match := range pattern.FindAllStringSubmatch(text, -1) {
+		found[match[1]] = true
+	}
+	return slices.Sorted(maps.Keys(found))
+}
+
+// TestMetrics reads a host's metrics and compares their names with the operators' page.
+func TestMetrics(t *testing.T) {
+	f := newFleet(t, 1)
+	if _, err := dial(f.hosts[0], "nothing"); err == nil {
+		t.Error("got a session for an unknown kind of work, want a refusal to count")
+	}
+	response, err := http.Get("http://" + f.hosts[0].metrics)
+	if err != nil {
+		t.Fatal(err)
+	}
+	text, err := io.ReadAll(response.Body)
+	if closeErr := response.Body.Close(); err != nil || closeErr != nil {
+		t.Fatal(err, closeErr)
+	}
+	page, err := os.ReadFile("../../docs/METRICS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	section, _, _ := strings.Cut(string(page), "## A host with the HTTP interface")
+	got := names(regexp.MustCompile(`(?m)^([a-z_]+)[{ ]`), string(text))
+	want := names(regexp.MustCompile("(?m)^\\| `([a-z_]+)[{`]"), section)
+	if !slices.Equal(got, want) {
+		t.Errorf("got metrics %v, want those of the page %v", got, want)
+	}
+}
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -31,9 +31,10 @@
 	if err != nil {
 		return v.reject(err)
 	}
-	if _, found := v.host.view().Directory.Kinds[kind]; !found {
-		v.host.counters.refused(model.CodeUnknownDatabase)
-		return v.caller.Reject(model.Refuse(model.CodeUnknownDatabase, "no kind of work has this name"))
+	if refusal := v.host.offers(ctx, kind); refusal != nil {
+		v.host.counters.refused(refusal.Code)
+		event.SessionRefused(v.host.Logger, kind, refusal.Code, v.host.view().Directory.Version, refusal.Message)
+		return v.caller.Reject(refusal)
 	}
 	v.kind = kind
 	if err := v.caller.Welcome(); err != nil {
@@ -60,6 +61,28 @@
 	return nil
 }
 
+// learnTime is how long a caller waits at a host that has just started: with a store that is slow, a first configuration
+// takes a few hundred milliseconds, and another host may have one already.
+const learnTime = 400 * time.Millisecond
+
+// offers returns a refusal when there is no such kind of work, or none is known yet.
+func (h *Host) offers(ctx context.Context, kind model.KindID) *model.Refusal {
+	limit := time.Now().Add(learnTime)
+	for {
+		changed := h.Loop.Changed()
+		d := h.view().Directory
+		if _, found := d.Kinds[kind]; found {
+			return nil
+		}
+		if d.Version > 0 {
+			return unknownKind()
+		}
+		if !wait(ctx, changed, limit) {
+			return later(model.Refuse(model.CodeUnavailable, "the host has just started and knows no configuration"), learnTime)
+		}
+	}
+}
+
 // reject tells a caller why the session does not begin.
 func (v *visit) reject(err error) error {
 	var refusal *model.Refusal
