Let a decision of a lane cost no memory, and remove what nothing calls

Lane.Flush, Footing.Ready and Directory.Members had no callers outside tests. Change: a timer is made only when a turn has to wait; turns that have ended are used again; the three are gone, and TestAlign keeps its check of the commands, which Ready only repeated. Conclusion: allocations are gone; the time is to be taken again on a quiet machine.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -40,17 +40,6 @@
 	Databases []model.Database
 }
 
-// Members returns the instances of a database, in no order.
-func (d *Directory) Members(database model.DatabaseID) []Instance {
-	var members []Instance
-	for _, instance := range d.Instances {
-		if instance.Database == database {
-			members = append(members, instance)
-		}
-	}
-	return members
-}
-
 // Known reports whether the directory can serve sessions.
 func (d *Directory) Known() bool {
 	return d.Version > 0 && len(d.Instances) > 0
--- a/internal/lane/lane.go
+++ b/internal/lane/lane.go
@@ -47,6 +47,7 @@
 	loaded   time.Time         // when the load was last averaged
 	started  bool
 	stopping bool
+	turns    sync.Pool // turns that have ended
 }
 
 // The defaults of a lane.
@@ -105,14 +106,6 @@
 	l.refuseAll(model.CodeStopping)
 }
 
-// Flush refuses all waiting work as not run, so that it goes elsewhere.
-func (l *Lane[C]) Flush(code model.Code) {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	l.begin()
-	l.refuseAll(code)
-}
-
 // SetLimits changes how many statements may run and connections may be open.
 func (l *Lane[C]) SetLimits(slots model.Slots, connections model.Connections) {
 	l.mutex.Lock()
--- a/internal/lane/pin.go
+++ b/internal/lane/pin.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"redwingspread/internal/admit"
 	"redwingspread/internal/model"
@@ -12,20 +11,12 @@
 //
 // It answers bursts in which transactions keep connections through the pauses of their callers: lone statements always
 // have a connection left, and less urgent transactions leave some to more urgent ones.
-func (l *Lane[C]) pin(ctx context.Context, turn *Turn[C], timeout <-chan time.Time) *model.Refusal {
+func (l *Lane[C]) pin(ctx context.Context, turn *Turn[C]) *model.Refusal {
 	if refusal := l.offerPin(turn); refusal != nil {
 		return refusal
 	}
-	select {
-	case refusal := <-turn.ready:
+	if refusal, told := l.await(ctx, turn); told {
 		return refusal
-	default:
-	}
-	select {
-	case refusal := <-turn.ready:
-		return refusal
-	case <-ctx.Done():
-	case <-timeout:
 	}
 	return l.withdrawPin(turn)
 }
--- a/internal/lane/turn.go
+++ b/internal/lane/turn.go
@@ -17,7 +17,7 @@
 
 // Turn is a connection and a slot that a piece of work may use.
 type Turn[C any] struct {
-	// Conn is the connection, valid until Done or Release.
+	// Conn is the connection, valid until Done or Release, as the turn itself is.
 	Conn C
 
 	ticket  admit.Ticket[*Turn[C]]
@@ -30,28 +30,52 @@
 
 // Take waits for a turn; the error is a *model.Refusal of work that has not run.
 func (l *Lane[C]) Take(ctx context.Context, want Want) (turn *Turn[C], err error) {
-	turn = &Turn[C]{ready: make(chan *model.Refusal, 1)}
-	turn.ticket.Value = turn
-	turn.ticket.Class = want.Class
-	turn.ticket.Deadline = want.Deadline
-	timer := time.NewTimer(want.Deadline.Sub(l.Now()))
-	defer timer.Stop()
+	turn = l.newTurn(want)
+	if refusal := l.admit(ctx, turn, want); refusal != nil {
+		l.recycle(turn)
+		return nil, refusal
+	}
+	turn.kept = want.Keep
+	turn.running = true
+	return turn, nil
+}
+
+// admit takes the turn through its waits: for a connection to keep, and for a slot.
+func (l *Lane[C]) admit(ctx context.Context, turn *Turn[C], want Want) *model.Refusal {
 	if want.Keep {
-		if refusal := l.pin(ctx, turn, timer.C); refusal != nil {
-			return nil, refusal
+		if refusal := l.pin(ctx, turn); refusal != nil {
+			return refusal
 		}
 	}
 	if refusal := l.offer(turn); refusal != nil {
 		l.unpin(want.Keep)
-		return nil, refusal
+		return refusal
 	}
-	if refusal := l.wait(ctx, turn, timer.C); refusal != nil {
+	if refusal := l.wait(ctx, turn); refusal != nil {
 		l.unpin(want.Keep)
-		return nil, refusal
+		return refusal
 	}
-	turn.kept = want.Keep
-	turn.running = true
-	return turn, nil
+	return nil
+}
+
+// newTurn returns a turn, one that has ended where there is one, so that a decision costs no memory.
+func (l *Lane[C]) newTurn(want Want) *Turn[C] {
+	turn, found := l.turns.Get().(*Turn[C])
+	if !found {
+		turn = &Turn[C]{ready: make(chan *model.Refusal, 1)}
+		turn.ticket.Value = turn
+	}
+	turn.ticket.Class = want.Class
+	turn.ticket.Deadline = want.Deadline
+	return turn
+}
+
+// recycle keeps a turn that has ended for another use; nobody may hold it any more.
+func (l *Lane[C]) recycle(turn *Turn[C]) {
+	var none C
+	turn.Conn, turn.started = none, time.Time{}
+	turn.pinning, turn.kept, turn.running = false, false, false
+	l.turns.Put(turn)
 }
 
 // offer puts the turn into the queue.
@@ -74,19 +98,29 @@
 }
 
 // wait returns nil when the turn has come, and a refusal when it does not come in time.
-func (l *Lane[C]) wait(ctx context.Context, turn *Turn[C], timeout <-chan time.Time) *model.Refusal {
-	select {
-	case refusal := <-turn.ready:
+func (l *Lane[C]) wait(ctx context.Context, turn *Turn[C]) *model.Refusal {
+	if refusal, told := l.await(ctx, turn); told {
 		return refusal
+	}
+	return l.withdraw(turn)
+}
+
+// await returns what the turn is told, or false when its time is over or the context ends first.
+func (l *Lane[C]) await(ctx context.Context, turn *Turn[C]) (refusal *model.Refusal, told bool) {
+	select {
+	case refusal = <-turn.ready:
+		return refusal, true
 	default:
 	}
+	timer := time.NewTimer(turn.ticket.Deadline.Sub(l.Now()))
+	defer timer.Stop()
 	select {
-	case refusal := <-turn.ready:
-		return refusal
+	case refusal = <-turn.ready:
+		return refusal, true
 	case <-ctx.Done():
-	case <-timeout:
+	case <-timer.C:
 	}
-	return l.withdraw(turn)
+	return nil, false
 }
 
 // withdraw ends a wait from the caller's side; a turn that has just come is given back unused.
@@ -112,6 +146,7 @@
 	defer l.mutex.Unlock()
 	l.rest(turn, ran)
 	l.giveBack(turn.Conn, sound)
+	l.recycle(turn)
 	l.schedule()
 }
 
@@ -140,6 +175,7 @@
 		l.rest(turn, false)
 	}
 	l.giveBack(turn.Conn, sound)
+	l.recycle(turn)
 	l.held--
 	l.grantPins()
 	l.schedule()
--- a/internal/session/account_test.go
+++ b/internal/session/account_test.go
@@ -124,10 +124,9 @@
 				}
 				footing.Align(test.earlier, s, nil)
 			}
-			ready := footing.Ready(test.account, test.s)
 			commands, aligned := footing.Align(test.account, test.s, nil)
-			if len(commands) != len(test.want) || ready != (len(test.want) == 0) {
-				t.Fatalf("got commands %v, ready %v, want %v", commands, ready, test.want)
+			if len(commands) != len(test.want) {
+				t.Fatalf("got commands %v, want %v", commands, test.want)
 			}
 			for i, command := range commands {
 				if command.Verb != test.want[i] || command.ID != "" {
--- a/internal/session/footing.go
+++ b/internal/session/footing.go
@@ -64,18 +64,6 @@
 	return false
 }
 
-// Ready reports whether the connection needs no command before the account's statement.
-func (f *Footing) Ready(account *Account, s statement.Statement) bool {
-	if !maps.Equal(f.values, account.Values) || len(f.names) >= footingLimit {
-		return false
-	}
-	if s.Verb != statement.Execute {
-		return true
-	}
-	_, found := f.names[account.Names[s.Name]]
-	return found
-}
-
 // own returns a command of the host's own.
 func own(s statement.Statement) statement.Command {
 	return statement.Command{Statement: s}
