Keep one copy of four pieces of code that stood twice

Cause: the list of duplicates, generated code left out: the messages of heartbeats in the measure of their size, the commands that take away what their argument names, the owner's way to a primary, and what follows from an instance that lacks a point or the lead. Change: peer.EncodeHeartbeat, removeNamed, Executor.leader, work.misplaced.

--- a/internal/capacity/size.go
+++ b/internal/capacity/size.go
@@ -3,8 +3,8 @@
 import (
 	"redwingspread/internal/fleet"
 	"redwingspread/internal/model"
+	"redwingspread/internal/peer"
 	"redwingspread/pkg/api/endpointapi"
-	"redwingspread/pkg/api/peerapi"
 	"redwingspread/pkg/api/platformapi"
 )
 
@@ -26,40 +26,7 @@
 }
 
 // sizeOfBeat returns the size of a heartbeat.
-func sizeOfBeat(beat fleet.Heartbeat) Bytes {
-	message := &peerapi.Heartbeat{
-		From:          string(beat.From),
-		Address:       peerapi.NewOptString(string(beat.Address)),
-		Incarnation:   uint64(beat.Incarnation),
-		Sequence:      uint64(beat.Sequence),
-		Configuration: uint64(beat.Configuration),
-	}
-	for _, news := range beat.Members {
-		message.Members = append(message.Members, peerapi.MemberNews{
-			Host:        string(news.Host),
-			Incarnation: uint64(news.Incarnation),
-			Sequence:    uint64(news.Sequence),
-			State:       peerapi.MemberNewsState(news.State),
-		})
-	}
-	for _, news := range beat.Owners {
-		message.Owners = append(message.Owners, peerapi.OwnerNews{
-			Database: string(news.Database),
-			Owner:    string(news.Owner),
-			Term:     uint64(news.Term),
-			Primary:  string(news.Primary),
-		})
-	}
-	for _, news := range beat.Instances {
-		message.Instances = append(message.Instances, peerapi.InstanceNews{
-			Instance:  string(news.Instance),
-			Term:      uint64(news.Term),
-			Reachable: news.Reachable,
-			Asked:     peerapi.NewOptBool(news.Asked),
-		})
-	}
-	return sizeOf(message)
-}
+func sizeOfBeat(beat fleet.Heartbeat) Bytes { return sizeOf(peer.EncodeHeartbeat(beat)) }
 
 // sizeOfState returns the size of an instance's state.
 func sizeOfState(state model.InstanceState) Bytes {
--- a/internal/cli/change.go
+++ b/internal/cli/change.go
@@ -126,3 +126,19 @@
 	}
 	return printEffects(w, c.Effects)
 }
+
+// removeNamed returns the action of a command that takes away what its argument names.
+func removeNamed(what string, remove func(config.Document, config.Name) (config.Document, bool)) cli.ActionFunc {
+	return operateAction(func(ctx context.Context, o *operating, command *cli.Command) error {
+		from, err := o.inForce(ctx)
+		if err != nil {
+			return err
+		}
+		name := config.Name(command.Args().First())
+		changed, found := remove(from.document, name)
+		if !found {
+			return exitError{error: fmt.Errorf("no %s is named %q", what, name), code: exitUsage}
+		}
+		return o.submit(ctx, command, from, changed)
+	})
+}
--- a/internal/cli/config_exception.go
+++ b/internal/cli/config_exception.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"time"
 
 	"github.com/urfave/cli/v3"
@@ -85,19 +84,8 @@
 		ArgsUsage: "NAME",
 		Description: `Example:
   redwingspread config exception retire fresh-roster --author Dana`,
-		Flags: changeFlags(),
-		Action: operateAction(func(ctx context.Context, o *operating, command *cli.Command) error {
-			from, err := o.inForce(ctx)
-			if err != nil {
-				return err
-			}
-			name := config.Name(command.Args().First())
-			changed, found := from.document.Retire(name)
-			if !found {
-				return exitError{error: fmt.Errorf("no exception is named %q", name), code: exitUsage}
-			}
-			return o.submit(ctx, command, from, changed)
-		}),
+		Flags:  changeFlags(),
+		Action: removeNamed("exception", config.Document.Retire),
 	}
 }
 
--- a/internal/cli/keys.go
+++ b/internal/cli/keys.go
@@ -137,18 +137,7 @@
 		Usage:     "take a token away",
 		ArgsUsage: "NAME",
 		Flags:     changeFlags(),
-		Action: operateAction(func(ctx context.Context, o *operating, command *cli.Command) error {
-			from, err := o.inForce(ctx)
-			if err != nil {
-				return err
-			}
-			name := config.Name(command.Args().First())
-			changed, found := from.document.Revoke(name)
-			if !found {
-				return exitError{error: fmt.Errorf("no token is named %q", name), code: exitUsage}
-			}
-			return o.submit(ctx, command, from, changed)
-		}),
+		Action:    removeNamed("token", config.Document.Revoke),
 	}
 }
 
--- a/internal/front/alone.go
+++ b/internal/front/alone.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"redwingspread/internal/clock"
 	"redwingspread/internal/event"
 	"redwingspread/internal/lane"
 	"redwingspread/internal/model"
@@ -120,12 +119,8 @@
 func (w *work) declined(ctx context.Context, t target, answer *statement.Answer) (done bool, err error) {
 	pause := time.Duration(0)
 	switch answer.Code {
-	case model.CodeBehind:
-		t.member.lacked(clock.Boot())
-		w.avoid(t.member)
-	case model.CodeNotPrimary:
-		w.visit.host.poke()
-		w.avoid(t.member)
+	case model.CodeBehind, model.CodeNotPrimary:
+		w.misplaced(t.member, answer.Code)
 	case model.CodeOverloaded, model.CodeSlotsFull:
 		if w.access == model.Read && !w.leads() {
 			w.avoid(t.member)
--- a/internal/front/transaction.go
+++ b/internal/front/transaction.go
@@ -229,12 +229,8 @@
 func (w *work) notBegun(ctx context.Context, t target, answer *statement.Answer) (refusal *model.Refusal, again bool) {
 	pause := time.Duration(0)
 	switch answer.Code {
-	case model.CodeBehind:
-		t.member.lacked(clock.Boot())
-		w.avoid(t.member)
-	case model.CodeNotPrimary:
-		w.visit.host.poke()
-		w.avoid(t.member)
+	case model.CodeBehind, model.CodeNotPrimary:
+		w.misplaced(t.member, answer.Code)
 	default:
 		pause = w.pause()
 	}
--- a/internal/front/work.go
+++ b/internal/front/work.go
@@ -179,6 +179,16 @@
 	w.tried[m.entry.ID] = true
 }
 
+// misplaced learns from an instance that lacks what the work needs, a point of the log or the lead, and leaves it out.
+func (w *work) misplaced(m *member, code model.Code) {
+	if code == model.CodeBehind {
+		m.lacked(clock.Boot())
+	} else {
+		w.visit.host.poke()
+	}
+	w.avoid(m)
+}
+
 // take waits for a turn on the target's instance.
 func (w *work) take(ctx context.Context, t target) (*lane.Turn[*link], error) {
 	w.member = t.member
--- a/internal/owner/executor.go
+++ b/internal/owner/executor.go
@@ -106,6 +106,19 @@
 	}
 }
 
+// leader returns the database and its primary, and waits while its owner or primary changes.
+func (e *Executor) leader(ctx context.Context, id model.DatabaseID) (*view.Database, *view.Instance, error) {
+	database, err := e.serving(ctx, id)
+	if err != nil {
+		return nil, nil, err
+	}
+	primary := database.Instance(database.Primary)
+	if primary == nil {
+		return nil, nil, model.Refuse(model.CodeUnavailable, "primary %q is not known", database.Primary)
+	}
+	return database, primary, nil
+}
+
 // owned returns the database when this host owns it, or a refusal that names the owner.
 func (e *Executor) owned(id model.DatabaseID) (*view.Database, error) {
 	database := e.View().Databases[id]
--- a/internal/owner/outcome.go
+++ b/internal/owner/outcome.go
@@ -18,14 +18,10 @@
 
 // recorded asks the primary for the outcome of a request of which no attempt is in progress, and closes the request id when there is none.
 func (e *Executor) recorded(ctx context.Context, work model.Work) (model.Result, error) {
-	database, err := e.serving(ctx, work.Database)
+	database, primary, err := e.leader(ctx, work.Database)
 	if err != nil {
 		return model.Result{}, err
 	}
-	primary := database.Instance(database.Primary)
-	if primary == nil {
-		return model.Result{}, model.Refuse(model.CodeUnavailable, "primary %q is not known", database.Primary)
-	}
 	mayCome := e.Instances.doubts.may(work.Request, database.Term)
 	result, found, err := e.Instances.Client(primary.Instance).Outcome(ctx, database.Term, work.Request)
 	if err != nil {
--- a/internal/owner/transaction.go
+++ b/internal/owner/transaction.go
@@ -29,14 +29,10 @@
 	if err != nil {
 		return model.Result{}, err
 	}
-	database, err := e.serving(ctx, work.Database)
+	database, primary, err := e.leader(ctx, work.Database)
 	if err != nil {
 		return model.Result{}, err
 	}
-	primary := database.Instance(database.Primary)
-	if primary == nil {
-		return model.Result{}, model.Refuse(model.CodeUnavailable, "primary %q is not known", database.Primary)
-	}
 	begun, err := e.Instances.Dispatcher(*primary).Begin(ctx, database.Term, work, class(work, effective))
 	if err != nil {
 		e.learn(database, primary.ID, err)
--- a/internal/peer/handler.go
+++ b/internal/peer/handler.go
@@ -82,7 +82,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return encodeHeartbeat(beat), nil
+	return EncodeHeartbeat(beat), nil
 }
 
 // NewError translates an error into the message of a refusal.
--- a/internal/peer/heartbeat.go
+++ b/internal/peer/heartbeat.go
@@ -16,7 +16,7 @@
 	if err != nil {
 		return fleet.Heartbeat{}, err
 	}
-	answer, err := api.Heartbeat(ctx, encodeHeartbeat(beat))
+	answer, err := api.Heartbeat(ctx, EncodeHeartbeat(beat))
 	if err != nil {
 		return fleet.Heartbeat{}, decodeCall(err)
 	}
@@ -36,8 +36,8 @@
 	return model.Version(answer.Version), answer.Document, nil
 }
 
-// encodeHeartbeat translates a heartbeat into a message.
-func encodeHeartbeat(beat fleet.Heartbeat) *peerapi.Heartbeat {
+// EncodeHeartbeat translates a heartbeat into a message.
+func EncodeHeartbeat(beat fleet.Heartbeat) *peerapi.Heartbeat {
 	message := &peerapi.Heartbeat{
 		From:          string(beat.From),
 		Address:       peerapi.NewOptString(string(beat.Address)),
--- a/internal/peer/translate_test.go
+++ b/internal/peer/translate_test.go
@@ -116,7 +116,7 @@
 	}
 	for name, want := range tests {
 		t.Run(name, func(t *testing.T) {
-			if got := decodeHeartbeat(encodeHeartbeat(want)); !reflect.DeepEqual(got, want) {
+			if got := decodeHeartbeat(EncodeHeartbeat(want)); !reflect.DeepEqual(got, want) {
 				t.Errorf("got %+v, want %+v", got, want)
 			}
 		})
@@ -150,7 +150,7 @@
 			return
 		}
 		beat := decodeHeartbeat(&message)
-		if got := decodeHeartbeat(encodeHeartbeat(beat)); !reflect.DeepEqual(got, beat) {
+		if got := decodeHeartbeat(EncodeHeartbeat(beat)); !reflect.DeepEqual(got, beat) {
 			t.Errorf("got %+v, want %+v", got, beat)
 		}
 	})
