--- a/internal/front/host.go
+++ b/internal/front/host.go
@@ -238,7 +238,7 @@
 		m.leaving = entry.Leaving
 		m.mutex.Unlock()
 		if share, found := view.Shares[id]; found {
-			m.lane.SetLimits(share.Slots, share.Connections)
+			m.lane.SetLimits(share.Slots, share.Connections, share.Scarce)
 		}
 	}
 	h.mutex.Unlock()
--- a/internal/governor/governor_test.go
+++ b/internal/governor/governor_test.go
@@ -117,12 +117,13 @@
 		loads       func(host, step int) model.Load
 		most        func(hosts int, limit model.Connections) int // connections that hosts may have together
 		busiest     int                                          // least share of host 0
+		scarce      bool
 	}{
 		"even":                {hosts: 4, connections: 16, loads: func(int, int) model.Load { return 30 }, busiest: 2},
 		"one busy host":       {hosts: 4, connections: 16, loads: func(h, _ int) model.Load { return model.Load(3 + 97*max(1-h, 0)) }, busiest: 8},
 		"all idle":            {hosts: 4, connections: 16, loads: func(int, int) model.Load { return 0 }, busiest: 1},
 		"loads that swing":    {hosts: 4, connections: 55, loads: func(h, s int) model.Load { return model.Load((h*37 + s*53) % 90) }, busiest: 1},
-		"more hosts than fit": {hosts: 30, connections: 16, loads: func(int, int) model.Load { return 10 }, busiest: 1, most: func(hosts int, _ model.Connections) int { return hosts }},
+		"more hosts than fit": {hosts: 30, connections: 16, loads: func(int, int) model.Load { return 10 }, busiest: 1, scarce: true, most: func(hosts int, _ model.Connections) int { return hosts }},
 		"a fleet before many": {hosts: 30, connections: 185, loads: func(h, _ int) model.Load { return model.Load(h) }, busiest: 1},
 	}
 	for name, test := range tests {
@@ -145,6 +146,9 @@
 					t.Fatalf("got %d connections in all at step %d, want at most %d", sum, step, limit)
 				}
 			}
+			if got := w.governors["h00"].Snapshot().Shares["i0"].Scarce; got != test.scarce {
+				t.Errorf("got connections that are scarce: %v, want %v", got, test.scarce)
+			}
 			if got := int(w.governors["h00"].Snapshot().Shares["i0"].Connections); got < test.busiest {
 				t.Errorf("got %d connections of the first host, want at least %d", got, test.busiest)
 			}
--- a/internal/governor/share.go
+++ b/internal/governor/share.go
@@ -79,5 +79,6 @@
 	return Share{
 		Slots:       model.Slots(max(active, 1)),
 		Connections: model.Connections(connections),
+		Scarce:      hosts > int(limit),
 	}
 }
--- a/internal/governor/view.go
+++ b/internal/governor/view.go
@@ -28,4 +28,5 @@
 type Share struct {
 	Slots       model.Slots
 	Connections model.Connections
+	Scarce      bool // hosts are more than connections, so that none is to keep one without work
 }
--- a/internal/lane/lane.go
+++ b/internal/lane/lane.go
@@ -47,6 +47,7 @@
 	loaded   time.Time         // when the load was last averaged
 	started  bool
 	stopping bool
+	scarce   bool      // hosts are more than connections
 	turns    sync.Pool // turns that have ended
 }
 
@@ -107,14 +108,16 @@
 }
 
 // SetLimits changes how many statements may run and connections may be open.
-func (l *Lane[C]) SetLimits(slots model.Slots, connections model.Connections) {
+//
+// Connections are scarce where hosts are more than they: then none is kept without work, so that each host has its turn.
+func (l *Lane[C]) SetLimits(slots model.Slots, connections model.Connections, scarce bool) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if slots == l.Slots && connections == l.Connections {
+	if slots == l.Slots && connections == l.Connections && scarce == l.scarce {
 		return
 	}
 	l.begin()
-	l.Slots, l.Connections = slots, connections
+	l.Slots, l.Connections, l.scarce = slots, connections, scarce
 	l.Pool.SetLimit(connections)
 	l.grantPins()
 	l.schedule()
@@ -130,7 +133,7 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.begin()
-	l.Pool.Trim(max(l.demand(), l.Warm))
+	l.Pool.Trim(max(l.demand(), l.warm()))
 	now := l.Now()
 	passed := min(now.Sub(l.loaded), loadSpan)
 	l.loaded = now
@@ -152,7 +155,7 @@
 // demand notes what work could use now, and returns the greatest number of this span of time and the one before.
 func (l *Lane[C]) demand() model.Connections {
 	now := l.Now()
-	if now.Sub(l.spanned) >= lingerTime {
+	if now.Sub(l.spanned) >= l.span() {
 		l.former, l.peak = l.peak, 0
 		l.spanned = now
 	}
@@ -160,7 +163,25 @@
 	return max(l.peak, l.former)
 }
 
+// warm returns the number of connections that are kept without work.
+func (l *Lane[C]) warm() model.Connections {
+	if l.scarce {
+		return 0
+	}
+	return l.Warm
+}
+
+// span returns the time for which a demand is remembered at least; twice as long at most.
+func (l *Lane[C]) span() time.Duration {
+	if l.scarce {
+		return scarceTime
+	}
+	return lingerTime
+}
+
 const (
+	// scarceTime is long enough for the statements of one operation to follow each other on a connection.
+	scarceTime = 100 * time.Millisecond
 	// lingerTime is for how long an instance counts the connections of a host that it can't reach; a demand is remembered
 	// for one to two such times, since what is closed sooner may be missing again before it would have made room.
 	lingerTime = 3 * time.Second
@@ -231,7 +252,7 @@
 
 // want tells the pool how many connections should be open: those in use, those that work waits for, and the warm ones.
 func (l *Lane[C]) want() {
-	l.Pool.SetTarget(max(l.Warm, l.demand()))
+	l.Pool.SetTarget(max(l.warm(), l.demand()))
 }
 
 // refuse ends a ticket's wait with a refusal.
--- a/internal/lane/lane_test.go
+++ b/internal/lane/lane_test.go
@@ -267,11 +267,16 @@
 
 // rest lets a time without work pass, in which the lane's owner looks at the load.
 func (b *bench) rest(idle time.Duration) {
-	for range idle / lookTime {
+	b.looks(idle)
+	synctest.Wait()
+}
+
+// looks lets a time pass in which the lane's owner looks at the load.
+func (b *bench) looks(passes time.Duration) {
+	for range passes / lookTime {
 		b.Load()
 		time.Sleep(lookTime)
 	}
-	synctest.Wait()
 }
 
 func TestIdleConnections(t *testing.T) {
@@ -310,6 +315,48 @@
 	}
 }
 
+// TestScarceConnectionsAreShared has more hosts use an instance than it has connections: each has its turn, since none keeps a
+// connection without work.
+func TestScarceConnectionsAreShared(t *testing.T) {
+	const hosts, connections = 12, 3
+	synctest.Test(t, func(t *testing.T) {
+		var mutex sync.Mutex
+		open := 0
+		var lanes []*bench
+		for range hosts {
+			b := newBench(t, 1, 1, func(l *Lane[int]) { l.SetLimits(1, 1, true) })
+			b.Pool.Open = func(context.Context) (int, error) {
+				time.Sleep(openTime)
+				mutex.Lock()
+				defer mutex.Unlock()
+				if open == connections {
+					return 0, model.Refuse(model.CodeConnectionsFull, "the instance is full")
+				}
+				open++
+				return open, nil
+			}
+			b.Pool.Close = func(context.Context, int) error {
+				mutex.Lock()
+				defer mutex.Unlock()
+				open--
+				return nil
+			}
+			lanes = append(lanes, b)
+		}
+		var group sync.WaitGroup
+		for i, b := range lanes {
+			group.Go(func() {
+				outcomes := b.play(many(5, 2*time.Second, job{at: time.Duration(i) * 150 * time.Millisecond, rank: model.RankOne, kind: "k", takes: 5 * time.Millisecond, patient: time.Second}))
+				if served, _ := summary(outcomes); served != len(outcomes) {
+					t.Errorf("got %d of %d jobs of host %d served, want all", served, len(outcomes), i)
+				}
+			})
+			group.Go(func() { b.looks(12 * time.Second) })
+		}
+		group.Wait()
+	})
+}
+
 func TestFarInstanceGetsMoreOnTheirWay(t *testing.T) {
 	tests := map[string]struct {
 		trip time.Duration
