Space beats to all hosts and probes in large fleets, and let a beat cost little

Each change that a host learns had it beat to all hosts at once, and each beat had the receiver work out all shares again: a start of n hosts cost n to the third. Each host in doubt of a primary probes it every 150 ms, on a connection of its own while it has none. Change: beats to all hosts are spaced by 25 ms for each eight hosts; a beat that tells nothing urgent is looked at by the next tick; probes of a primary in doubt are spaced by the fleet's size beyond forty hosts, and none opens a connection while the first is being opened.

--- a/internal/failover/case.go
+++ b/internal/failover/case.go
@@ -213,7 +213,9 @@
 }
 
 // Probes returns the instances that are to prove now whether they lead: the believed one, and all of them in doubt.
-func (c *Case) Probes(now time.Time, members []Member, health map[model.InstanceID]Health) []model.InstanceID {
+//
+// Hosts of a large fleet probe seldomer, since each probe may take a connection and all doubt the same primary at once.
+func (c *Case) Probes(now time.Time, hosts int, members []Member, health map[model.InstanceID]Health) []model.InstanceID {
 	var due []model.InstanceID
 	for _, member := range members {
 		id := member.Instance
@@ -221,7 +223,7 @@
 		every := c.Timing.Probe
 		doubt := c.state != Led || h.Stalled || !h.Silent.IsZero() || c.Doubted(now)
 		if doubt {
-			every = c.Timing.Rush
+			every = min(c.Timing.Rush*time.Duration(1+hosts/rushHosts), max(c.Timing.Rush, mostRush))
 		}
 		if id != c.primary && c.state == Led && h.Silent.IsZero() {
 			continue
@@ -235,6 +237,11 @@
 	return due
 }
 
+const (
+	rushHosts = 40              // hosts whose probes of one primary in doubt an instance carries beside its work
+	mostRush  = 2 * time.Second // leaves a change of primary within seven seconds in the largest fleet
+)
+
 // Doubted reports whether another host finds the believed primary silent.
 func (c *Case) Doubted(now time.Time) bool {
 	for _, sight := range c.others {
--- a/internal/failover/case_test.go
+++ b/internal/failover/case_test.go
@@ -195,17 +195,51 @@
 				c.Hear("h2", Sight{Instance: "a", State: Silent, Heard: after(test.now)})
 			}
 			c.Believe(after(test.now), trio, health)
-			got := c.Probes(after(test.now), trio, health)
+			got := c.Probes(after(test.now), 4, trio, health)
 			if !slices.Equal(got, test.want) {
 				t.Errorf("got %v, want %v", got, test.want)
 			}
-			if again := c.Probes(after(test.now+1), trio, health); len(again) != 0 {
+			if again := c.Probes(after(test.now+1), 4, trio, health); len(again) != 0 {
 				t.Errorf("got %v a moment later, want none", again)
 			}
 		})
 	}
 }
 
+// TestProbesOfALargeFleet has every host of a fleet find the primary silent at once.
+func TestProbesOfALargeFleet(t *testing.T) {
+	const span = 6000 // milliseconds
+	tests := map[string]struct {
+		hosts int
+		least int // probes of one host
+		most  int // probes of all hosts a second
+	}{
+		"a few hosts": {hosts: 3, least: 35, most: 27},
+		"thirty":      {hosts: 31, least: 35, most: 220},
+		"a hundred":   {hosts: 99, least: 12, most: 240},
+		"very many":   {hosts: 1799, least: 3, most: 1200},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := New(DefaultTiming())
+			health := map[model.InstanceID]Health{"a": {Instance: "a", Silent: after(0)}}
+			c.Believe(after(1000), trio, health)
+			probes := 0
+			for ms := 1000; ms < 1000+span; ms += 50 {
+				if slices.Contains(c.Probes(after(ms), test.hosts, trio, health), "a") {
+					probes++
+				}
+			}
+			if probes < test.least {
+				t.Errorf("got %d probes of a host in %d ms, want at least %d", probes, span, test.least)
+			}
+			if got := probes * (test.hosts + 1) * 1000 / span; got > test.most {
+				t.Errorf("got %d probes of all hosts a second, want at most %d", got, test.most)
+			}
+		})
+	}
+}
+
 func TestSuccessor(t *testing.T) {
 	at := func(term model.Term, position model.Position) model.Point {
 		return model.Point{Term: term, Position: position}
--- a/internal/front/act.go
+++ b/internal/front/act.go
@@ -62,8 +62,13 @@
 // probe has the instance begin a transaction, which only a primary does and which takes no slot.
 //
 // An idle connection that does not answer may have gone silent alone, so that a new one decides.
+//
+// While a first connection is being opened, a second one would only take more of the instance's time.
 func (m *member) probe(ctx context.Context, version model.Version) error {
 	begun := time.Now()
+	if m.opening() {
+		return nil
+	}
 	err := m.with(ctx, func(l *link) error { return m.prove(version, l) })
 	if err != nil && model.CodeOf(err) == "" && ctx.Err() == nil {
 		m.failed(begun)
--- a/internal/front/member.go
+++ b/internal/front/member.go
@@ -223,6 +223,14 @@
 	return m.outstanding > 0 && now.Sub(m.since) > stallAfter
 }
 
+// opening reports whether the host is opening its first connection to the instance, and none has failed of late.
+func (m *member) opening() bool {
+	counts := m.lane.Pool.Counts()
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return counts.Open == 0 && counts.Opening > 0 && m.health.Silent.IsZero()
+}
+
 // candidate returns the instance as the choice of an instance sees it.
 func (m *member) candidate(now time.Time, kind model.KindID, primary model.InstanceID) place.Candidate {
 	expected := m.lane.Expect(now, kind)
--- a/internal/governor/governor.go
+++ b/internal/governor/governor.go
@@ -16,6 +16,7 @@
 // Timing holds the times of control.
 type Timing struct {
 	Beat   time.Duration // between two beats
+	Urgent time.Duration // between two beats to all hosts, for each beatFan of them
 	Silent time.Duration // silence after which a host counts as gone
 	Linger time.Duration // for which a gone host's connections still count at the instances
 	Fetch  time.Duration // that another host's newer directory may take to come from the store
@@ -27,6 +28,7 @@
 func DefaultTiming() Timing {
 	return Timing{
 		Beat:   250 * time.Millisecond,
+		Urgent: 25 * time.Millisecond,   // a tenth of a beat, so that a fleet which starts does little else
 		Silent: 1200 * time.Millisecond, // four beats
 		Linger: 3 * time.Second,         // after which instances drop unreachable connections
 		Fetch:  1200 * time.Millisecond, // a change reaches all hosts from the store within this time as a rule
@@ -55,6 +57,7 @@
 	loads    map[model.InstanceID]model.Load
 	sequence model.Sequence
 	beaten   time.Time
+	rushed   time.Time // of the newest beat to all hosts
 	counted  time.Time // when a beat last told the loads
 	started  time.Time
 	stopping bool
@@ -110,6 +113,9 @@
 		g.enrol(now, e)
 	case Heard:
 		g.hear(now, e)
+		if !g.urgent && len(e.Beat.Sights) == 0 {
+			return g.fetch(now) // the next tick looks at the rest, so that a beat in a large fleet costs little
+		}
 	case Fetched:
 		g.fetched(now, e)
 	case Changed:
@@ -212,7 +218,7 @@
 			event.PrimaryBelieved(g.Logger, database, sight.Instance, sight.Term, string(sight.State), reason)
 			g.urgent = true
 		}
-		probes = append(probes, c.Probes(now, list, g.health)...)
+		probes = append(probes, c.Probes(now, len(g.hosts), list, g.health)...)
 		if action := g.judge(now, database, c, list); action != nil {
 			actions = append(actions, action)
 		}
--- a/internal/governor/governor_test.go
+++ b/internal/governor/governor_test.go
@@ -23,6 +23,7 @@
 	loads     map[model.HostID]model.Load
 	changes   []Change // that hosts ordered
 	by        []model.HostID
+	sent      map[model.HostID]int // datagrams of each host
 }
 
 // tick is the time between two ticks of the fleet.
@@ -35,6 +36,7 @@
 		governors: make(map[model.HostID]*Governor),
 		silent:    make(map[model.HostID]bool),
 		loads:     make(map[model.HostID]model.Load),
+		sent:      make(map[model.HostID]int),
 	}
 	w.sees = func(model.HostID, model.InstanceID) failover.Health { return failover.Health{} }
 	var roster Roster
@@ -80,6 +82,7 @@
 	for _, action := range w.governors[id].Handle(w.now, e) {
 		switch action := action.(type) {
 		case Send:
+			w.sent[id] += len(action.To)
 			for _, to := range action.To {
 				if !w.silent[id] && !w.silent[model.HostID(to)] && w.governors[model.HostID(to)] != nil {
 					w.handle(model.HostID(to), Heard{Beat: action.Beat, From: model.Address(id)})
@@ -109,6 +112,35 @@
 	}
 }
 
+// TestBeatsStayFew has a fleet start at once while its directory changes all the time, as when instances appear one by one.
+func TestBeatsStayFew(t *testing.T) {
+	const (
+		span   = 5 * time.Second
+		change = 100 * time.Millisecond
+		most   = 8 * 40 // datagrams a second of a host: eight in each Urgent
+	)
+	for name, hosts := range map[string]int{"a small fleet": 4, "a fleet": 32, "a large fleet": 100} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(hosts, 16)
+			clear(w.sent)
+			for step := range int(span / change) {
+				for _, id := range w.hosts() {
+					w.handle(id, News{Source: "store", Revision: model.Revision(10 + step), Entries: []directory.Entry{{Instance: directory.Instance{
+						Instance: model.Instance{ID: "i1", Database: "seats", Leaving: step%2 == 0},
+						Role:     model.RoleReplica, Slots: 2, Revision: model.Revision(10 + step),
+					}}}})
+				}
+				w.run(change)
+			}
+			for _, id := range w.hosts() {
+				if got := w.sent[id]; got > most*int(span/time.Second) {
+					t.Errorf("got %d datagrams of %s in %v, want at most %d a second", got, id, span, most)
+				}
+			}
+		})
+	}
+}
+
 // TestSharesNeverAddUp replays uneven and changing loads before few connections.
 func TestSharesNeverAddUp(t *testing.T) {
 	tests := map[string]struct {
--- a/internal/governor/host.go
+++ b/internal/governor/host.go
@@ -104,10 +104,12 @@
 
 // silence returns the silence after which a host counts as gone: longer where beats take turns.
 func (g *Governor) silence() time.Duration {
-	turns := (len(g.hosts) + beatFan - 1) / beatFan
-	return g.Timing.Silent + time.Duration(max(turns-1, 0))*3*g.Timing.Beat
+	return g.Timing.Silent + time.Duration(max(g.turns()-1, 0))*3*g.Timing.Beat
 }
 
+// turns returns the number of beats after which each host has got one.
+func (g *Governor) turns() int { return (len(g.hosts) + beatFan - 1) / beatFan }
+
 // live returns the hosts that are heard, this one included.
 func (g *Governor) live(now time.Time) []model.HostID {
 	live := []model.HostID{g.Self.ID}
@@ -133,11 +135,14 @@
 			}
 		}
 	}
-	if len(g.hosts) == 0 || (!g.urgent && now.Sub(g.beaten) < g.Timing.Beat) {
+	urgent := g.urgent && now.Sub(g.rushed) >= time.Duration(g.turns())*g.Timing.Urgent
+	if len(g.hosts) == 0 || (!urgent && now.Sub(g.beaten) < g.Timing.Beat) {
 		return nil
 	}
-	urgent := g.urgent
-	g.urgent = false
+	if urgent {
+		g.urgent = false
+		g.rushed = now
+	}
 	g.beaten = now
 	g.sequence++
 	return Send{To: g.receivers(urgent), Beat: g.tell(now)}
