--- a/internal/explain/line.go
+++ b/internal/explain/line.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"redwingspread/internal/event"
+	"redwingspread/internal/failover"
 	"redwingspread/internal/model"
 )
 
@@ -18,21 +19,19 @@
 
 // Line is one line of a host's log, with those of its fields that a cause may follow from.
 type Line struct {
-	Source     string             `json:"-"` // the host, as the reader names it
-	Raw        string             `json:"-"` // the line's JSON as it was written
-	Time       time.Time          `json:"time"`
-	Event      event.Number       `json:"event"`
-	Message    string             `json:"message"`
-	Request    model.RequestID    `json:"request"`
-	Kind       model.KindID       `json:"kind"`
-	Code       model.Code         `json:"code"`
-	Reason     string             `json:"reason"`
-	Instance   model.InstanceID   `json:"instance"`
-	Database   model.DatabaseID   `json:"database"`
-	Dependency string             `json:"dependency"`
-	State      string             `json:"state"`
-	Version    model.Version      `json:"version"`
-	Waited     model.Milliseconds `json:"waited"`
+	Source   string           `json:"-"` // the host, as the reader names it
+	Raw      string           `json:"-"` // the line's JSON as it was written
+	Time     time.Time        `json:"time"`
+	Event    event.Number     `json:"event"`
+	Message  string           `json:"message"`
+	Request  model.RequestID  `json:"request"`
+	Kind     model.KindID     `json:"kind"`
+	Code     model.Code       `json:"code"`
+	Reason   string           `json:"reason"`
+	Instance model.InstanceID `json:"instance"`
+	Database model.DatabaseID `json:"database"`
+	State    failover.State   `json:"state"`
+	Version  model.Version    `json:"version"`
 }
 
 // Read returns the lines of one log and the number of those that are no log lines.
--- a/internal/explain/way.go
+++ b/internal/explain/way.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"redwingspread/internal/event"
+	"redwingspread/internal/failover"
 	"redwingspread/internal/model"
 )
 
@@ -144,10 +145,7 @@
 		if last.Event == event.NumberSessionRefused {
 			return fmt.Sprintf("%s refused the session: %s", last.Source, last.Reason)
 		}
-		if change, found := find(way.Around, event.NumberPrimaryJudged, event.NumberPromotionOrdered, event.NumberPrimaryBelieved); found {
-			return fmt.Sprintf("the primary of %s was being replaced (%s by %s: %s)", change.Database, change.Message, change.Source, change.Reason)
-		}
-		return fmt.Sprintf("no instance would do: %s", last.Reason)
+		return unserved(way, last)
 	case model.CodeDeadline, model.CodeOverloaded, model.CodeSlotsFull:
 		return overload(way, last)
 	case model.CodeTransactionEnded:
@@ -180,6 +178,17 @@
 		max(starts-stops-len(hosts), 0), len(hosts), dropped)
 }
 
+// unserved tells why no instance would do.
+func unserved(way Way, last Line) string {
+	if change, found := find(way.Around, event.NumberPrimaryJudged, event.NumberPromotionOrdered); found {
+		return fmt.Sprintf("the primary of %s was being replaced (%s by %s: %s)", change.Database, change.Message, change.Source, change.Reason)
+	}
+	if belief, found := find(way.Around, event.NumberPrimaryBelieved); found && belief.State != failover.Led {
+		return fmt.Sprintf("%s did not know a primary of %s that leads (%s)", belief.Source, belief.Database, belief.State)
+	}
+	return fmt.Sprintf("no instance would do: %s", last.Reason)
+}
+
 // unsure tells why an outcome is unknown.
 func unsure(way Way, last Line) string {
 	if change, found := find(way.Around, event.NumberPrimaryJudged, event.NumberPromotionOrdered); found {
--- a/internal/explain/way_test.go
+++ b/internal/explain/way_test.go
@@ -63,6 +63,16 @@
 			logs:  map[string]string{"h1": refused + `"code":"unavailable","reason":"the primary is lost"}`, "h2": appeared + judged + other},
 			cause: "the primary of d1 was being replaced", lines: 1, near: 1,
 		},
+		"a primary that is not known": {
+			logs: map[string]string{"h1": `{"event":6006,"time":"2026-05-16T12:00:09Z","instance":"i-1","database":"d1","state":"silent"}` + "\n" +
+				refused + `"code":"unavailable","reason":"no primary is known"}`},
+			cause: "h1 did not know a primary of d1 that leads (silent)", lines: 1, near: 1,
+		},
+		"a primary that leads": {
+			logs: map[string]string{"h1": `{"event":6006,"time":"2026-05-16T12:00:09Z","instance":"i-1","database":"d1","state":"led"}` + "\n" +
+				refused + `"code":"unavailable","reason":"each instance has failed"}`},
+			cause: "no instance would do: each instance has failed", lines: 1, near: 1,
+		},
 		"unsure around a change of primary": {
 			logs: map[string]string{"h1": unsure, "h2": appeared + judged}, cause: "while the primary of d1 was replaced", lines: 1, near: 1,
 		},
