--- a/internal/standin/fault/handler.go
+++ b/internal/standin/fault/handler.go
@@ -103,7 +103,7 @@
 func writeOutage(w http.ResponseWriter) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(http.StatusServiceUnavailable)
-	_, _ = io.WriteString(w, outageAnswer)
+	_, _ = io.WriteString(w, outageAnswer) // the asker may be gone
 }
 
 // answer keeps what a handler wrote.
@@ -139,7 +139,7 @@
 		body = body[:len(body)/2]
 	}
 	w.WriteHeader(a.status)
-	_, _ = w.Write(body)
+	_, _ = w.Write(body) // the asker may be gone
 	if cut {
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/standin/serve.go
+++ b/internal/standin/serve.go
@@ -26,7 +26,7 @@
 func WriteInvalid(_ context.Context, w http.ResponseWriter, _ *http.Request, err error) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(http.StatusBadRequest)
-	_ = json.NewEncoder(w).Encode(badRequest{Code: model.CodeInvalid, NotRun: true, Message: err.Error()})
+	_ = json.NewEncoder(w).Encode(badRequest{Code: model.CodeInvalid, NotRun: true, Message: err.Error()}) // the asker may be gone
 }
 
 // Serve answers on the listener until the context ends, as a crash would end it, and reports its own end on done.
