--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -10,6 +10,7 @@
 	"redwingspread/internal/directory"
 	"redwingspread/internal/event"
 	"redwingspread/internal/failover"
+	"redwingspread/internal/lease"
 	"redwingspread/internal/model"
 )
 
@@ -45,6 +46,8 @@
 	Timing Timing
 	// Failover holds the timing of failover decisions.
 	Failover failover.Timing
+	// Unfenced is set where the platform doesn't stop a primary when it promotes another instance.
+	Unfenced bool
 	// Logger receives log events; it never blocks.
 	Logger log.Interface
 
@@ -52,7 +55,8 @@
 	hosts         map[model.HostID]*host
 	monitors      map[model.DatabaseID]*failover.Monitor
 	promotions    map[model.DatabaseID]Promotion
-	changing      map[model.DatabaseID]bool // databases whose primary this host is changing
+	changing      map[model.DatabaseID]bool        // databases whose primary this host is changing
+	claims        map[model.DatabaseID]model.Token // token of this host's newest promotion of each database
 	health        map[model.InstanceID]failover.Health
 	loads         map[model.InstanceID]model.Load
 	sequence      model.Sequence
@@ -61,9 +65,13 @@
 	lastLoads     time.Time // time of the last heartbeat that carried loads
 	started       time.Time
 	stopping      bool
-	hostsRead     bool // all hosts' rows have been read once
-	urgent        bool // the next heartbeat is sent early and to all hosts
-	lastReceiver  int  // index of the last receiver in the rotation over the sorted hosts
+	hostsRead     bool         // all hosts' rows have been read once
+	urgent        bool         // the next heartbeat is sent early and to all hosts
+	lastReceiver  int          // index of the last receiver in the rotation over the sorted hosts
+	lease         *lease.State // nil where the platform fences primaries
+	boot          model.Instant
+	leaseRead     bool          // a ReadPromotions is running
+	lastLeaseRead model.Instant // time of the newest ReadPromotions
 	snapshot      *View
 }
 
@@ -87,6 +95,7 @@
 		monitors:   make(map[model.DatabaseID]*failover.Monitor),
 		promotions: make(map[model.DatabaseID]Promotion),
 		changing:   make(map[model.DatabaseID]bool),
+		claims:     make(map[model.DatabaseID]model.Token),
 		health:     make(map[model.InstanceID]failover.Health),
 		loads:      make(map[model.InstanceID]model.Load),
 		snapshot:   &View{Directory: directory.NewTracker().Directory()},
@@ -103,10 +112,12 @@
 func (c *Controller) Handle(now time.Time, e Event) (actions []Action) {
 	if c.started.IsZero() {
 		c.started = now
+		c.startLease()
 	}
 	switch e := e.(type) {
 	case Tick:
 		c.setHealth(e)
+		c.updateLease(e)
 	case DirectoryUpdate:
 		c.updateDirectory(now, e)
 	case MembershipUpdate:
@@ -120,6 +131,10 @@
 		c.finishFetch(now, e)
 	case PrimaryChangeDone:
 		c.finishChange(now, e)
+	case PromotionClaimed:
+		c.claimed(now, e)
+	case PromotionsRead:
+		c.finishLeaseRead(now, e)
 	case Stop:
 		c.stopping = true
 		c.urgent = true
@@ -130,6 +145,9 @@
 	actions = append(actions, c.checkPrimaries(now, live)...)
 	actions = append(actions, c.dueFetches(now)...)
 	actions = append(actions, c.dueDeletion(now, live)...)
+	if read := c.dueLeaseRead(); read != nil {
+		actions = append(actions, read)
+	}
 	if heartbeat := c.dueHeartbeat(now); heartbeat != nil {
 		actions = append(actions, heartbeat)
 	}
@@ -177,14 +195,15 @@
 	}
 }
 
-// membersByDatabase returns the instances of each database, sorted by ID.
-func membersByDatabase(d *directory.Directory) map[model.DatabaseID][]failover.Member {
+// membersByDatabase returns the instances of each database, sorted by ID; missing reports whether an instance has no entry.
+func membersByDatabase(d *directory.Directory, missing func(model.InstanceID) bool) map[model.DatabaseID][]failover.Member {
 	all := make(map[model.DatabaseID][]failover.Member)
 	for _, instance := range d.Instances {
 		all[instance.Database] = append(all[instance.Database], failover.Member{
 			Instance:      instance.ID,
 			ClaimsPrimary: instance.Role == model.RolePrimary,
 			Leaving:       instance.Leaving,
+			Missing:       missing(instance.ID),
 		})
 	}
 	for _, list := range all {
@@ -210,7 +229,7 @@
 		event.InstanceChanged(c.Logger, id, "", "is gone")
 	}
 	var probes []model.InstanceID
-	byDatabase := membersByDatabase(c.directory.Directory())
+	byDatabase := membersByDatabase(c.directory.Directory(), c.directory.Missing)
 	for _, database := range slices.Sorted(maps.Keys(byDatabase)) {
 		members := byDatabase[database]
 		monitor := c.monitorOf(database)
@@ -235,6 +254,7 @@
 	monitor, found := c.monitors[database]
 	if !found {
 		monitor = failover.New(c.Failover)
+		monitor.Unfenced = c.Unfenced
 		c.monitors[database] = monitor
 	}
 	return monitor
@@ -245,7 +265,8 @@
 	if c.changing[database] || c.stopping {
 		return nil
 	}
-	verdict, count, reason := monitor.Decide(now, c.Self.ID, live, members)
+	monitor.ReleaseTime = c.releaseTime()
+	verdict, count, reason := monitor.Decide(now, c.Self.ID, live, len(c.hosts)+1, members)
 	if verdict == failover.Keep {
 		return nil
 	}
@@ -260,6 +281,7 @@
 		Promotion: c.promotions[database],
 		Since:     observation.Since,
 		Reason:    reason,
+		Release:   c.releaseTime(),
 	}
 	for _, member := range members {
 		if member.Instance != observation.Instance && !c.directory.Missing(member.Instance) {
@@ -272,6 +294,9 @@
 // finishChange processes the result of a ChangePrimary.
 func (c *Controller) finishChange(now time.Time, e PrimaryChangeDone) {
 	delete(c.changing, e.Database)
+	if c.lease != nil {
+		c.lease.End(e.Database)
+	}
 	if e.Promotion != nil {
 		c.setPromotion(now, *e.Promotion)
 	}
@@ -286,6 +311,9 @@
 		return
 	}
 	c.promotions[promotion.Database] = promotion
+	if c.lease != nil && c.lease.Assign(c.boot, lease.Assignment{Database: promotion.Database, Instance: promotion.Instance, Token: promotion.Token}) {
+		c.urgent = true
+	}
 	c.monitorOf(promotion.Database).RecordPromotion(now, promotion.Promotion)
 }
 
@@ -297,12 +325,13 @@
 		Shares:    c.shares(now),
 		LiveHosts: len(live),
 		Ready:     c.directory.Directory().Usable() && !c.stopping,
+		Lease:     c.leaseEnd(),
 	}
 	for database, monitor := range c.monitors {
-		next.Primaries[database] = c.primaryView(monitor)
+		next.Primaries[database] = c.primaryView(database, monitor)
 	}
 	old := c.snapshot
-	if old.Directory == next.Directory && old.LiveHosts == next.LiveHosts && old.Ready == next.Ready &&
+	if old.Directory == next.Directory && old.LiveHosts == next.LiveHosts && old.Ready == next.Ready && old.Lease == next.Lease &&
 		maps.Equal(old.Primaries, next.Primaries) && maps.Equal(old.Shares, next.Shares) {
 		return
 	}
@@ -310,7 +339,7 @@
 }
 
 // primaryView returns the state of a primary for the view.
-func (c *Controller) primaryView(monitor *failover.Monitor) Primary {
+func (c *Controller) primaryView(database model.DatabaseID, monitor *failover.Monitor) Primary {
 	observation := monitor.Observation()
 	primary := Primary{Instance: observation.Instance, State: observation.State}
 	if observation.State == failover.Silent {
@@ -319,5 +348,9 @@
 	if back := monitor.PromotedAt().Add(c.Timing.PromotionTime); observation.State != failover.Leading && !monitor.PromotedAt().IsZero() && back.After(primary.ExpectedBack) {
 		primary.ExpectedBack = back
 	}
+	if c.lease != nil {
+		primary.Assigned = c.lease.Assigned(database)
+		primary.Cleared = c.lease.Cleared(c.boot, database)
+	}
 	return primary
 }
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -21,9 +21,11 @@
 	isolated    map[model.HostID]bool                                              // hosts whose heartbeats, in both directions, are lost
 	health      func(host model.HostID, instance model.InstanceID) failover.Health // what a host observes of an instance
 	loads       map[model.HostID]model.Load
-	changes     []ChangePrimary      // ordered by any host
-	changedBy   []model.HostID       // host that ordered each of the changes, by index
-	datagrams   map[model.HostID]int // sent by each host
+	rows        func() *MembershipUpdate // rows that the store returns to a ReadPromotions; it fails when nil
+	inUse       map[model.HostID]bool    // hosts whose statements on the first instance never end
+	changes     []ChangePrimary          // ordered by any host
+	changedBy   []model.HostID           // host that ordered each of the changes, by index
+	datagrams   map[model.HostID]int     // sent by each host
 }
 
 // tick is the interval between two Tick events.
@@ -88,6 +90,12 @@
 					f.handle(model.HostID(to), HeartbeatReceived{Heartbeat: action.Heartbeat, From: model.Address(id)})
 				}
 			}
+		case ReadPromotions:
+			read := PromotionsRead{SentAt: model.Instant(f.now.UnixNano())}
+			if f.rows != nil {
+				read.Update = f.rows()
+			}
+			f.handle(id, read)
 		case ChangePrimary:
 			f.changes = append(f.changes, action)
 			f.changedBy = append(f.changedBy, id)
@@ -100,12 +108,16 @@
 	for end := f.now.Add(span); f.now.Before(end); {
 		f.now = f.now.Add(tick)
 		for _, id := range f.hosts() {
-			var t Tick
+			t := Tick{Boot: model.Instant(f.now.UnixNano())}
 			for i := range 3 {
 				instance := model.InstanceID(fmt.Sprintf("i%d", i))
 				health := f.health(id, instance)
 				health.Instance = instance
-				t.Instances = append(t.Instances, InstanceReport{Health: health, Load: f.loads[id]})
+				report := InstanceReport{Health: health, Load: f.loads[id]}
+				if assigned := f.controllers[id].Snapshot().Primaries["seats"].Assigned; assigned.Instance != instance && !f.inUse[id] {
+					report.Released = assigned.Token
+				}
+				t.Instances = append(t.Instances, report)
 			}
 			f.handle(id, t)
 		}
--- a/internal/controller/event.go
+++ b/internal/controller/event.go
@@ -5,6 +5,7 @@
 
 	"redwingspread/internal/directory"
 	"redwingspread/internal/failover"
+	"redwingspread/internal/lease"
 	"redwingspread/internal/model"
 )
 
@@ -14,12 +15,14 @@
 // Tick is the periodic event; it carries what the goroutines that serve sessions observed of the instances.
 type Tick struct {
 	Instances []InstanceReport
+	Boot      model.Instant // when the reports were made
 }
 
 // InstanceReport is what the goroutines that serve sessions observed of one instance.
 type InstanceReport struct {
 	failover.Health
-	Load model.Load
+	Load     model.Load
+	Released model.Token // assignment of another instance for which this one is no longer used as a primary
 }
 
 // DirectoryUpdate is a change of the directory, or a full copy of it.
@@ -65,6 +68,7 @@
 	Revision    model.Revision                            // of the sender's directory
 	Primaries   map[model.DatabaseID]failover.Observation // of the primaries that some host finds silent
 	Loads       map[model.InstanceID]model.Load           // nil when the heartbeat carries no loads
+	Lease       *lease.Message                            // nil where the platform fences primaries
 }
 
 // HeartbeatReceived reports a heartbeat of another host and its source address.
@@ -88,6 +92,18 @@
 	Err       error
 }
 
+// PromotionClaimed reports that this host has written a promotion row, and that the order waits until no host uses the
+// replaced primary any more.
+type PromotionClaimed struct {
+	Promotion Promotion
+}
+
+// PromotionsRead reports the result of a ReadPromotions.
+type PromotionsRead struct {
+	SentAt model.Instant
+	Update *MembershipUpdate // nil when the read failed
+}
+
 // Stop reports that the host is shutting down.
 type Stop struct{}
 
@@ -100,6 +116,8 @@
 func (HeartbeatReceived) event()  {}
 func (DirectoryFetchDone) event() {}
 func (PrimaryChangeDone) event()  {}
+func (PromotionClaimed) event()   {}
+func (PromotionsRead) event()     {}
 func (Stop) event()               {}
 func (ActionDone) event()         {}
 
@@ -132,8 +150,12 @@
 	Promotion Promotion // newest known row
 	Since     time.Time // first failure of a silent primary, or last proof of a leading one
 	Reason    string
+	Release   time.Duration // longest time for which other hosts may still use the primary; zero where the platform fences it
 }
 
+// ReadPromotions reads all promotion rows, which renews the lease of a host that hears only a minority of the hosts.
+type ReadPromotions struct{}
+
 // DeleteHostRow deletes the store's row of a host that is gone for good.
 type DeleteHostRow struct {
 	Host model.HostID
@@ -143,4 +165,5 @@
 func (FetchDirectory) action() {}
 func (ProbeInstances) action() {}
 func (ChangePrimary) action()  {}
+func (ReadPromotions) action() {}
 func (DeleteHostRow) action()  {}
--- a/internal/controller/host.go
+++ b/internal/controller/host.go
@@ -32,6 +32,9 @@
 	}
 	if update.Full {
 		c.hostsRead = true
+		if c.lease != nil {
+			defer c.lease.RowsRead(0) // once the promotions are recorded
+		}
 		for id := range c.hosts {
 			if !listed[id] {
 				c.removeHost(now, id)
@@ -87,8 +90,13 @@
 	if heartbeat.Loads == nil {
 		heartbeat.Loads = previous.Loads // this heartbeat carries none
 	}
+	if c.lease != nil && heartbeat.Incarnation > previous.Incarnation {
+		c.lease.Restarted(heartbeat.Host)
+		c.urgent = true // it needs confirmations
+	}
 	known.heartbeat = heartbeat
 	known.lastHeard = now
+	c.receiveLease(now, heartbeat.Host, heartbeat.Lease)
 	for database, observed := range heartbeat.Primaries {
 		observed.ReceivedAt = now
 		c.monitorOf(database).SetPeer(heartbeat.Host, observed)
@@ -146,7 +154,17 @@
 	}
 	c.lastHeartbeat = now
 	c.sequence++
-	return SendHeartbeat{To: c.receivers(urgent), Heartbeat: c.newHeartbeat(now)}
+	receivers := c.receivers(urgent)
+	heartbeat := c.newHeartbeat(now)
+	if c.lease != nil {
+		message := c.lease.Compose(c.boot, receivers)
+		heartbeat.Lease = &message
+	}
+	to := make([]model.Address, 0, len(receivers))
+	for _, id := range receivers {
+		to = append(to, c.hosts[id].Address)
+	}
+	return SendHeartbeat{To: to, Heartbeat: heartbeat}
 }
 
 // liveSet returns the live hosts as a set.
@@ -158,19 +176,16 @@
 	return live
 }
 
-// receivers returns the addresses for the next heartbeat: all hosts in a small fleet or when it is urgent, otherwise the
+// receivers returns the hosts that the next heartbeat is sent to: all hosts in a small fleet or when it is urgent, otherwise the
 // next ones in rotation.
-func (c *Controller) receivers(urgent bool) (to []model.Address) {
+func (c *Controller) receivers(urgent bool) (to []model.HostID) {
 	ids := slices.Sorted(maps.Keys(c.hosts))
 	if len(ids) <= heartbeatFanout || urgent {
-		for _, id := range ids {
-			to = append(to, c.hosts[id].Address)
-		}
-		return to
+		return ids
 	}
 	for range heartbeatFanout {
 		c.lastReceiver = (c.lastReceiver + 1) % len(ids)
-		to = append(to, c.hosts[ids[c.lastReceiver]].Address)
+		to = append(to, ids[c.lastReceiver])
 	}
 	return to
 }
--- a/internal/controller/view.go
+++ b/internal/controller/view.go
@@ -5,6 +5,7 @@
 
 	"redwingspread/internal/directory"
 	"redwingspread/internal/failover"
+	"redwingspread/internal/lease"
 	"redwingspread/internal/model"
 )
 
@@ -13,15 +14,18 @@
 	Directory *directory.Directory
 	Primaries map[model.DatabaseID]Primary
 	Shares    map[model.InstanceID]Share
-	LiveHosts int  // number of live hosts, this one included
-	Ready     bool // the host accepts new sessions
+	LiveHosts int           // number of live hosts, this one included
+	Ready     bool          // the host accepts new sessions
+	Lease     model.Instant // until when this host may use primaries
 }
 
 // Primary is a database's primary as this host believes it to be.
 type Primary struct {
 	Instance     model.InstanceID
 	State        failover.State
-	ExpectedBack time.Time // when a primary is expected to be available again; zero when there is nothing to wait for
+	ExpectedBack time.Time        // when a primary is expected to be available again; zero when there is nothing to wait for
+	Assigned     lease.Assignment // the only instance that may be used as the primary, unless its token is zero
+	Cleared      model.Token      // the promotion that this host may order now, since no host uses another primary
 }
 
 // Share is the part of an instance's capacity that this host may use.
--- a/internal/event/events_gen.go
+++ b/internal/event/events_gen.go
@@ -57,6 +57,8 @@
 	NumberRequestServed            Number = 6017
 	NumberReadyChanged             Number = 6018
 	NumberSessionRefused           Number = 6019
+	NumberPrimaryReleased          Number = 6020
+	NumberPromotionCleared         Number = 6021
 )
 
 // Keeps the import of package model when no event uses it.
@@ -523,3 +525,23 @@
 		"reason":  reason,
 	}).Info("a session was refused at its start")
 }
+
+// PrimaryReleased logs event 6020: this host uses no other instance as the primary any more.
+func PrimaryReleased(logger log.Interface, database model.DatabaseID, instance model.InstanceID, token model.Token) {
+	logger.WithFields(log.Fields{
+		"event":    NumberPrimaryReleased,
+		"database": database,
+		"instance": instance,
+		"token":    token,
+	}).Info("this host uses no other instance as the primary any more")
+}
+
+// PromotionCleared logs event 6021: no host uses the replaced primary any more.
+func PromotionCleared(logger log.Interface, database model.DatabaseID, token model.Token, waited model.Milliseconds) {
+	logger.WithFields(log.Fields{
+		"event":    NumberPromotionCleared,
+		"database": database,
+		"token":    token,
+		"waited":   waited,
+	}).Info("no host uses the replaced primary any more")
+}
--- a/internal/failover/monitor.go
+++ b/internal/failover/monitor.go
@@ -76,6 +76,11 @@
 // Monitor tracks the primary of one database on one host; it is not safe for concurrent use.
 type Monitor struct {
 	Timing Timing
+	// Unfenced is set where the platform doesn't stop a primary when it promotes another instance: the newest promotion names
+	// the only instance that may be used as the primary.
+	Unfenced bool
+	// ReleaseTime is how long an unfenced primary may still be used after the decision to replace it.
+	ReleaseTime time.Duration
 
 	primary          model.InstanceID               // empty while no primary is known
 	term             model.Term                     // newest term in which a primary was proven
@@ -127,6 +132,7 @@
 	Instance      model.InstanceID
 	ClaimsPrimary bool // whether its directory entry names it as primary
 	Leaving       bool // whether it is marked as leaving
+	Missing       bool // whether its directory entry has disappeared, as that of an instance that no longer runs
 }
 
 // UpdatePrimary selects the primary: from proofs first, then from the newest promotion, then from the directory.
@@ -162,6 +168,9 @@
 // updateLeaderless records since when every instance has denied being primary, as after a demotion without a promotion.
 func (m *Monitor) updateLeaderless(now time.Time, members []Member, health map[model.InstanceID]Health) {
 	for _, member := range members {
+		if m.assigned() && member.Instance != m.promotion.Instance {
+			continue // it is not used, whatever it says
+		}
 		h := health[member.Instance]
 		if !h.LastRefusal.After(h.LastProof) || now.Sub(h.LastRefusal) > m.Timing.SilenceTimeout || !h.SilentSince.IsZero() {
 			m.leaderlessSince = time.Time{}
@@ -175,6 +184,9 @@
 
 // selectPrimary selects the primary and returns what the selection is based on.
 func (m *Monitor) selectPrimary(members []Member, health map[model.InstanceID]Health) string {
+	if m.assigned() {
+		return m.selectAssigned(members)
+	}
 	var proven, claimed model.InstanceID
 	var best Health
 	promoted := false
@@ -207,6 +219,22 @@
 	return "unchanged"
 }
 
+// assigned reports whether only the newest promotion names the primary.
+func (m *Monitor) assigned() bool { return m.Unfenced && m.promotion.Token > 0 }
+
+// selectAssigned selects the instance of the newest promotion, and none while that instance is unknown.
+func (m *Monitor) selectAssigned(members []Member) string {
+	switch {
+	case !contains(members, m.promotion.Instance):
+		m.primary = ""
+		return "none"
+	case m.primary != m.promotion.Instance:
+		m.primary = m.promotion.Instance
+		return "promotion"
+	}
+	return "unchanged"
+}
+
 // contains reports whether the instance is one of the members.
 func contains(members []Member, instance model.InstanceID) bool {
 	return slices.ContainsFunc(members, func(m Member) bool { return m.Instance == instance })
@@ -237,8 +265,9 @@
 	Silent, Leading, Live int
 }
 
-// Decide decides whether this host changes the primary now; hosts are the live ones, including this one.
-func (m *Monitor) Decide(now time.Time, self model.HostID, hosts []model.HostID, members []Member) (Decision, HostCounts, string) {
+// Decide decides whether this host changes the primary now; hosts are the live ones, including this one, and known is the
+// number of all hosts.
+func (m *Monitor) Decide(now time.Time, self model.HostID, hosts []model.HostID, known int, members []Member) (Decision, HostCounts, string) {
 	var counts HostCounts
 	var silent, leading []model.HostID
 	newestProof := time.Time{}
@@ -261,22 +290,34 @@
 		}
 	}
 	counts = HostCounts{Silent: len(silent), Leading: len(leading), Live: len(hosts)}
-	if now.Sub(m.promotedAt) < m.Timing.Cooldown {
+	if now.Sub(m.promotedAt) < m.Timing.Cooldown+m.ReleaseTime {
 		return Keep, counts, ""
 	}
-	if !m.leaderlessSince.IsZero() && now.Sub(m.leaderlessSince) >= m.Timing.PartialTimeout+m.staggerDelay(self, hosts) {
+	mayFailOver := !m.Unfenced || 2*len(hosts) > known || m.primaryMissing(members)
+	if mayFailOver && !m.leaderlessSince.IsZero() && now.Sub(m.leaderlessSince) >= m.Timing.PartialTimeout+m.staggerDelay(self, hosts) {
 		return Failover, counts, "no instance leads"
 	}
 	if m.primary == "" || now.Sub(m.primaryChangedAt) < m.Timing.SilenceTimeout {
 		return Keep, counts, ""
 	}
-	if decision, reason := m.decideFailover(now, self, hosts, silent, leading, newestProof); decision != Keep {
+	if decision, reason := m.decideFailover(now, self, hosts, silent, leading, newestProof); decision != Keep && mayFailOver {
 		return decision, counts, reason
 	}
 	decision, reason := m.decideSwitchover(now, self, hosts, silent, leading, members)
 	return decision, counts, reason
 }
 
+// primaryMissing reports whether the primary has no directory entry: hosts that hear only a minority of the hosts can't tell
+// by themselves whether a silent primary still serves the others.
+func (m *Monitor) primaryMissing(members []Member) bool {
+	for _, member := range members {
+		if member.Instance == m.primary {
+			return member.Missing
+		}
+	}
+	return true
+}
+
 // decideFailover decides whether a primary that this host and most others observe as silent is lost.
 func (m *Monitor) decideFailover(now time.Time, self model.HostID, hosts, silent, leading []model.HostID, newestProof time.Time) (Decision, string) {
 	if m.state != Silent || 2*len(silent) <= len(hosts) {
--- a/internal/failover/monitor_test.go
+++ b/internal/failover/monitor_test.go
@@ -120,7 +120,7 @@
 			if members == nil {
 				members = threeMembers
 			}
-			got, counts, reason := monitor.Decide(after(test.now), test.self, live, members)
+			got, counts, reason := monitor.Decide(after(test.now), test.self, live, len(live), members)
 			if got != test.want {
 				t.Errorf("got decision %v (%+v, %s), want %v", got, counts, reason, test.want)
 			}
@@ -161,7 +161,7 @@
 				}
 				monitor.UpdatePrimary(after(ms), threeMembers, health)
 			}
-			if got, _, reason := monitor.Decide(after(test.until), "h1", []model.HostID{"h1", "h2"}, threeMembers); got != test.want {
+			if got, _, reason := monitor.Decide(after(test.until), "h1", []model.HostID{"h1", "h2"}, 2, threeMembers); got != test.want {
 				t.Errorf("got %v (%s), want %v", got, reason, test.want)
 			}
 		})
--- a/internal/front/actions.go
+++ b/internal/front/actions.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"redwingspread/internal/clock"
 	"redwingspread/internal/controller"
 	"redwingspread/internal/event"
 	"redwingspread/internal/model"
@@ -32,6 +33,8 @@
 		return h.newTick()
 	case controller.ChangePrimary:
 		return h.replacePrimary(ctx, action)
+	case controller.ReadPromotions:
+		return h.readPromotions(ctx)
 	case controller.DeleteHostRow:
 		callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 		defer cancel()
@@ -42,6 +45,20 @@
 	return controller.ActionDone{}
 }
 
+// readPromotions reads the hosts' own table, with the time at which the read was sent.
+func (h *Host) readPromotions(ctx context.Context) controller.PromotionsRead {
+	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	result := controller.PromotionsRead{SentAt: clock.Boot()}
+	rows, _, err := h.Platform.Hosts(callCtx, 0, 0)
+	if err != nil {
+		event.DependencyLost(h.Logger, "store: promotions", err)
+		return result
+	}
+	result.Update = &rows.MembershipUpdate
+	return result
+}
+
 // probeAll probes instances concurrently and waits for all of them.
 func (h *Host) probeAll(ctx context.Context, ids []model.InstanceID) {
 	ended := make(chan error, len(ids))
--- a/internal/front/autocommit.go
+++ b/internal/front/autocommit.go
@@ -64,7 +64,17 @@
 		}
 		return true, s.caller.SendRefusal(e.recordRefusal(model.Refuse(model.CodeUnavailable, "the connection was closed")), statement.Idle)
 	}
+	if t.primary && !t.backend.enterPrimary(permit.Conn) {
+		t.backend.scheduler.FinishStatement(permit, true, false)
+		if e.prepareRetry(ctx, errReplaced.Error(), 0) {
+			return false, nil
+		}
+		return true, s.caller.SendRefusal(e.recordRefusal(model.Refuse(model.CodeUnavailable, "%v", errReplaced)), statement.Idle)
+	}
 	trip := e.sendAutocommit(t, permit)
+	if t.primary {
+		trip.err = t.backend.leavePrimary(permit.Conn, trip.err)
+	}
 	if trip.err != nil {
 		t.backend.scheduler.FinishStatement(permit, false, false)
 		return e.handleBrokenConn(ctx, t, trip)
@@ -100,7 +110,7 @@
 
 // handleBrokenConn handles a connection that failed or timed out while the statement was in progress.
 func (e *execution) handleBrokenConn(ctx context.Context, t target, trip roundTrip) (done bool, err error) {
-	t.backend.noteFailure(trip.startedAt)
+	t.backend.noteError(trip.startedAt, trip.err)
 	s := e.session
 	if e.access == model.Write && trip.sent {
 		refusal := model.OutcomeUnknown("the connection ended before the answer: %v", trip.err)
--- a/internal/front/backend.go
+++ b/internal/front/backend.go
@@ -11,6 +11,7 @@
 	"redwingspread/internal/directory"
 	"redwingspread/internal/failover"
 	"redwingspread/internal/freshness"
+	"redwingspread/internal/lease"
 	"redwingspread/internal/model"
 	"redwingspread/internal/placement"
 	"redwingspread/internal/scheduler"
@@ -26,6 +27,7 @@
 	fullProbeDelay = 2 * time.Second        // no probes for so long after that: the instance responds, and other hosts use its connections
 	topRankFloor   = model.Percent(0)       // the most urgent rank is served first and needs no guaranteed share
 	lowerRankFloor = model.Percent(10)      // share of slot time guaranteed to each other rank under a flood of urgent work
+	releaseGrace   = 150 * time.Millisecond // for statements in progress on a primary that is replaced
 	minConnections = 1                      // connections to an instance kept open without work
 )
 
@@ -63,6 +65,9 @@
 	cancel context.CancelFunc
 	done   chan error
 
+	unfenced bool                    // the platform doesn't stop it when it promotes another instance
+	gate     lease.Gate[*pooledConn] // of its use as the primary, where that is unfenced
+
 	mutex           sync.Mutex
 	health          failover.Health
 	outstanding     int           // number of statements sent and not done yet
@@ -165,6 +170,9 @@
 	b.health.LastProof = time.Now()
 	b.health.Term = max(b.health.Term, point.Term)
 	b.mutex.Unlock()
+	if !b.admitsPrimary() {
+		return // another instance may lead by now, with newer commits
+	}
 	b.replicaSet.mutex.Lock()
 	defer b.replicaSet.mutex.Unlock()
 	b.replicaSet.history.Observe(sent, point)
@@ -220,7 +228,46 @@
 	defer b.mutex.Unlock()
 	health := b.health
 	health.Overdue = b.stalled(now)
-	return controller.InstanceReport{Health: health, Load: b.scheduler.Load()}
+	return controller.InstanceReport{Health: health, Load: b.scheduler.Load(), Released: b.gate.Closed()}
+}
+
+// admitsPrimary reports whether the instance may be used as the primary now.
+func (b *backend) admitsPrimary() bool { return !b.unfenced || b.gate.Admits(clock.Boot()) }
+
+// enterPrimary reports whether a statement may be sent to the instance as the primary now; if so, leavePrimary ends its use.
+func (b *backend) enterPrimary(conn *pooledConn) bool {
+	return !b.unfenced || b.gate.Enter(clock.Boot(), conn)
+}
+
+// leavePrimary ends a statement's use of the instance as the primary and returns the statement's error; a response counts only
+// while the lease lasts.
+func (b *backend) leavePrimary(conn *pooledConn, err error) error {
+	if !b.unfenced {
+		return err
+	}
+	if err == nil && !b.gate.Valid(clock.Boot(), conn) {
+		err = errLeaseEnded
+	}
+	b.gate.Leave(conn)
+	return err
+}
+
+// applyLease opens or closes the instance's use as the primary, and reports whether it has been closed.
+func (b *backend) applyLease(until model.Instant, assigned lease.Assignment) (closed bool) {
+	if assigned.Token == 0 || assigned.Instance == b.instance.ID {
+		b.gate.Open(clock.Boot(), until)
+		return false
+	}
+	b.gate.Close(clock.Boot(), assigned.Token)
+	return true
+}
+
+// closeOverdue closes connections whose statements are still in progress some time after the instance was replaced as the primary.
+func (b *backend) closeOverdue(now model.Instant) (err error) {
+	for _, conn := range b.gate.Overdue(now, releaseGrace) {
+		err = errors.Join(err, conn.Close())
+	}
+	return err
 }
 
 // stalled reports whether responses are overdue; the caller holds the lock.
--- a/internal/front/execution.go
+++ b/internal/front/execution.go
@@ -97,6 +97,9 @@
 		if ok {
 			return found, nil
 		}
+		if e.session.host.outOfTouch() {
+			return target{}, withRetryAfter(model.Refuse(model.CodeUnavailable, "the host is out of touch with the other hosts and the store"), outOfTouchRetry)
+		}
 		if len(e.excluded) > 0 && primary.Instance != "" && primary.State == failover.Leading {
 			return target{}, model.Refuse(model.CodeUnavailable, "each instance that would do has refused or failed")
 		}
@@ -114,6 +117,16 @@
 	}
 }
 
+const (
+	outOfTouchWait  = 500 * time.Millisecond // without a lease until statements that need a primary are refused at once; two heartbeats
+	outOfTouchRetry = time.Second            // suggested delay of such callers, whose next session may reach another host
+)
+
+// outOfTouch reports whether the host may not use primaries and is not likely to regain that right soon.
+func (h *Host) outOfTouch() bool {
+	return h.unfenced() && clock.Boot().Sub(h.view().Lease) > outOfTouchWait
+}
+
 // withRetryAfter sets the delay after which the caller should retry.
 func withRetryAfter(refusal *model.Refusal, after time.Duration) *model.Refusal {
 	refusal.RetryAfter = max(after, 0)
@@ -141,7 +154,7 @@
 	candidates := buffer[:0]
 	for _, b := range backends[:min(len(backends), maxCandidates)] {
 		c := b.candidate(now, e.policy.ID, primary)
-		c.Tried = e.excluded[b.instance.ID]
+		c.Tried = e.excluded[b.instance.ID] || (c.Primary && !b.admitsPrimary())
 		candidates = append(candidates, c)
 	}
 	if e.needsPrimary() {
--- a/internal/front/fleet_test.go
+++ b/internal/front/fleet_test.go
@@ -25,6 +25,7 @@
 	cloud    *standin.Cloud
 	database *standin.Database
 	hosts    []*testHost
+	fencing  string // setting of the hosts
 }
 
 // testHost is one host of the fleet.
@@ -45,7 +46,13 @@
 // newFleet starts a platform with one database of three instances, starts hosts, and waits until each serves.
 func newFleet(t *testing.T, hosts int) *fleet {
 	t.Helper()
-	f := &fleet{t: t, cloud: standin.NewCloud()}
+	return newFleetWith(t, hosts, "on")
+}
+
+// newFleetWith is newFleet with a value of the hosts' setting of fencing.
+func newFleetWith(t *testing.T, hosts int, fencing string) *fleet {
+	t.Helper()
+	f := &fleet{t: t, cloud: standin.NewCloud(), fencing: fencing}
 	if err := f.cloud.Start(); err != nil {
 		t.Fatal(err)
 	}
@@ -95,6 +102,7 @@
 		StopLimit:      4 * time.Second,
 		LeaveLimit:     7 * time.Second,
 		SessionLimit:   64,
+		Fencing:        f.fencing,
 	}
 	client, err := platform.New(model.Address(store), model.Address(f.cloud.OrderAddress))
 	if err != nil {
--- a/internal/front/host.go
+++ b/internal/front/host.go
@@ -55,6 +55,9 @@
 	openSessions map[*callerSession]struct{}
 }
 
+// fencingOff is the setting for a platform that doesn't stop a primary when it promotes another instance.
+const fencingOff = "off"
+
 // Stages of a host's life.
 const (
 	stageRunning     int32 = iota
@@ -114,6 +117,7 @@
 	c := controller.New()
 	c.Self = h.self
 	c.Logger = h.Logger
+	c.Unfenced = h.unfenced()
 	c.SetGrace(h.Settings.LeaveLimit / 2) // the other half is left for requests already in progress
 	h.Loop = control.New(c)
 	h.Loop.Do = h.execute
@@ -182,12 +186,28 @@
 	return err
 }
 
+// unfenced reports whether the platform doesn't stop a primary when it promotes another instance.
+func (h *Host) unfenced() bool { return h.Settings.Fencing == fencingOff }
+
+// closeOverdue closes connections whose statements are still in progress on replaced primaries; the caller holds the lock.
+func (h *Host) closeOverdue(now model.Instant) {
+	for _, b := range h.backends {
+		if err := b.closeOverdue(now); err != nil {
+			event.DependencyLost(h.Logger, "connection to a replaced primary", err)
+		}
+	}
+}
+
 // newTick returns the health and load of all instances as seen by traffic.
 func (h *Host) newTick() controller.Tick {
 	now := time.Now()
 	h.mutex.RLock()
 	defer h.mutex.RUnlock()
 	tick := controller.Tick{Instances: make([]controller.InstanceReport, 0, len(h.backends))}
+	if h.unfenced() {
+		tick.Boot = clock.Boot()
+		h.closeOverdue(tick.Boot)
+	}
 	for _, b := range h.backends {
 		tick.Instances = append(tick.Instances, b.report(now))
 	}
@@ -221,6 +241,7 @@
 // syncBackends adds and removes backends to match the view, and applies this host's limits on each instance.
 func (h *Host) syncBackends(ctx context.Context, view *controller.View) {
 	var removed []*backend
+	released := false
 	h.mutex.Lock()
 	for id, b := range h.backends {
 		entry, found := view.Directory.Instances[id]
@@ -237,6 +258,9 @@
 		b.mutex.Lock()
 		b.leaving = entry.Leaving
 		b.mutex.Unlock()
+		if b.unfenced && b.applyLease(view.Lease, view.Primaries[entry.Database].Assigned) && b.gate.Closed() != 0 {
+			released = true
+		}
 		if share, found := view.Shares[id]; found {
 			b.scheduler.SetLimits(share.Slots, share.Connections, share.Scarce)
 		}
@@ -245,6 +269,9 @@
 	for _, b := range removed {
 		b.close()
 	}
+	if released {
+		h.tickNow()
+	}
 }
 
 // addBackend adds an instance; the caller holds the lock.
@@ -256,6 +283,7 @@
 	}
 	rtt := placement.RoundTrip(entry.DataCentre == h.Settings.DataCentre, h.regions[entry.DataCentre] == h.regions[h.Settings.DataCentre])
 	b := newBackend(ctx, rs, entry, rtt, h.Platform.Dial)
+	b.unfenced = h.unfenced()
 	h.backends[entry.ID] = b
 	rs.mutex.Lock()
 	defer rs.mutex.Unlock()
--- a/internal/front/host_test.go
+++ b/internal/front/host_test.go
@@ -81,9 +81,10 @@
 
 func TestPrimaryIsReplaced(t *testing.T) {
 	tests := map[string]struct {
-		lose   func(f *fleet)
-		reason string
-		lossy  bool // commits may be rolled back
+		lose     func(f *fleet)
+		reason   string
+		lossy    bool // commits may be rolled back
+		unfenced bool // the platform does not stop the old primary
 	}{
 		"it crashes": {lossy: true, lose: func(f *fleet) {
 			instance, _ := f.cloud.Instance("seats-0")
@@ -93,6 +94,14 @@
 			_, address := f.cloud.Instance("seats-0")
 			f.cloud.Publish("seats-0", address, "draining", 2)
 		}},
+		"it crashes where nothing fences it": {lossy: true, unfenced: true, lose: func(f *fleet) {
+			instance, _ := f.cloud.Instance("seats-0")
+			instance.SetDown(true)
+		}},
+		"it drains where nothing fences it": {unfenced: true, lose: func(f *fleet) {
+			_, address := f.cloud.Instance("seats-0")
+			f.cloud.Publish("seats-0", address, "draining", 2)
+		}},
 		"it is demoted by a host that then disappears": {lose: func(f *fleet) {
 			_, address := f.cloud.Instance("seats-0")
 			s, err := standin.Dial(address, "seats", "tester", waitLimit)
@@ -112,7 +121,11 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			f := newFleet(t, 3)
+			fencing := "on"
+			if test.unfenced {
+				fencing = "off"
+			}
+			f := newFleetWith(t, 3, fencing)
 			before := f.openSession(f.hosts[0], "desk")
 			if got, err := before.Query("WRITE kept 1"); err != nil || got.Code != "" {
 				t.Fatalf("got %+v, %v, want a write", got, err)
--- a/internal/front/promote.go
+++ b/internal/front/promote.go
@@ -17,7 +17,8 @@
 )
 
 const (
-	replaceTimeout  = 5 * time.Second        // from reading the promotion row to the accepted order
+	replaceTimeout  = 5 * time.Second        // from reading the promotion row to the accepted order, without the wait for other hosts
+	minorityWait    = 7 * time.Second        // longest wait for hosts that learn of the change from the store only
 	statusTimeout   = 300 * time.Millisecond // per status request to an instance
 	catchUpTimeout  = 500 * time.Millisecond // for a replica to receive the rest of a demoted primary's log
 	catchUpInterval = 15 * time.Millisecond  // between two status requests to that replica
@@ -37,7 +38,7 @@
 // replacePrimary promotes another instance to primary and returns the promotion row as it stands afterwards.
 func (h *Host) replacePrimary(ctx context.Context, c controller.ChangePrimary) (result controller.PrimaryChangeDone) {
 	result = controller.PrimaryChangeDone{Database: c.Database}
-	callCtx, cancel := context.WithTimeout(ctx, replaceTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, replaceTimeout+c.Release+minorityWait)
 	defer cancel()
 	defer func() {
 		if result.Err != nil {
@@ -66,8 +67,13 @@
 		return result
 	}
 	result.Promotion = &claimed
-	if c.Demote {
-		h.demotePrimary(callCtx, c, best.Instance)
+	demoted := c.Demote && h.demotePrimary(callCtx, c, best.Instance)
+	if c.Release > 0 {
+		if claimed, best, err = h.releasePrimary(callCtx, c, claimed, best, demoted); err != nil {
+			result.Err = err
+			return result
+		}
+		result.Promotion, result.Instance = &claimed, best.Instance
 	}
 	event.PromotionOrdered(h.Logger, c.Database, best.Instance, claimed.Token, formatPoint(best.Received), c.Reason)
 	h.counters.Promotions.Add(1)
@@ -204,28 +210,70 @@
 // demotePrimary demotes the primary, so that it acknowledges no more commits, and waits for the successor to receive its whole log.
 //
 // If the primary can't be reached or the replica does not catch up in time, the replacement goes ahead: the promotion itself
-// then stops the primary.
-func (h *Host) demotePrimary(ctx context.Context, c controller.ChangePrimary, successor model.InstanceID) {
+// then stops the primary, or the hosts stop using it. It reports whether the primary was demoted.
+func (h *Host) demotePrimary(ctx context.Context, c controller.ChangePrimary, successor model.InstanceID) (demoted bool) {
 	statusCommand := statement.Command{Statement: statement.Statement{Verb: statement.Status}}
 	before, err := h.requestStatus(ctx, c.Primary.ID, statusCommand)
 	if err != nil {
 		event.DependencyLost(h.Logger, "primary status", err)
-		return
+		return false
 	}
 	after, err := h.requestStatus(ctx, c.Primary.ID, statement.Command{Term: before.Term + 1, Statement: statement.Statement{Verb: statement.Demote}})
 	if err != nil {
 		event.DependencyLost(h.Logger, "primary demotion", err)
-		return
+		return false
 	}
 	for limit := time.Now().Add(catchUpTimeout); time.Now().Before(limit); {
 		status, err := h.requestStatus(ctx, successor, statusCommand)
 		if err == nil && status.Received.Compare(after.Received) >= 0 {
-			return
+			return true
 		}
 		if clock.Pause(ctx, catchUpInterval) != nil {
-			return
+			return true
+		}
+	}
+	return true
+}
+
+// releasePrimary waits until no host uses the replaced primary any more, and returns the promotion to order: where a replica
+// has received more meanwhile, that one is promoted under the next token.
+//
+// A demoted primary acknowledges nothing, so that nobody has to stop using it.
+func (h *Host) releasePrimary(ctx context.Context, c controller.ChangePrimary, claimed controller.Promotion, best failover.Candidate, demoted bool) (controller.Promotion, failover.Candidate, error) {
+	if err := h.Loop.Send(ctx, controller.PromotionClaimed{Promotion: claimed}); err != nil {
+		return claimed, best, err
+	}
+	if demoted {
+		return claimed, best, nil
+	}
+	started := time.Now()
+	for {
+		changed := h.Loop.Changed()
+		if h.primary(c.Database).Cleared >= claimed.Token {
+			break
 		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return claimed, best, ctx.Err()
+		}
+	}
+	event.PromotionCleared(h.Logger, c.Database, claimed.Token, model.Millis(time.Since(started)))
+	row, err := h.readPromotion(ctx, c.Database)
+	if err != nil {
+		return claimed, best, err
+	}
+	if row.Nonce != claimed.Nonce {
+		return claimed, best, errPrimaryChanged
+	}
+	newest, found := failover.Successor(h.replicaStatuses(ctx, c.Primary, c.Replicas))
+	if !found || newest.Instance == best.Instance || newest.Received.Compare(best.Received) <= 0 {
+		return row, best, nil
+	}
+	if claimed, err = h.claimPromotion(ctx, row, newest.Instance); err != nil {
+		return claimed, best, err
 	}
+	return claimed, newest, h.Loop.Send(ctx, controller.PromotionClaimed{Promotion: claimed})
 }
 
 // orderPromotion orders the promotion; without a response it repeats the order with the same token.
--- a/internal/front/roundtrip.go
+++ b/internal/front/roundtrip.go
@@ -16,6 +16,19 @@
 // errSetup is the error of a connection that refused a session's values or prepared statements.
 var errSetup = errors.New("the connection did not take the session's values")
 
+// Errors of the use of an instance as the primary.
+var (
+	errReplaced   = errors.New("another instance replaces the primary, or this host has lost touch with the others")
+	errLeaseEnded = errors.New("the answer came after this host had lost touch with the others, so that another instance may lead")
+)
+
+// noteError records a failed statement, unless it says nothing about the instance.
+func (b *backend) noteError(sent time.Time, err error) {
+	if !errors.Is(err, errReplaced) && !errors.Is(err, errLeaseEnded) {
+		b.noteFailure(sent)
+	}
+}
+
 // roundTrip is a statement sent together with its setup and follow-up commands, and its response.
 type roundTrip struct {
 	backend    *backend
--- a/internal/front/transaction.go
+++ b/internal/front/transaction.go
@@ -89,7 +89,7 @@
 	reason := string(response.Code)
 	if err != nil {
 		reason = err.Error()
-		tx.backend.noteFailure(e.arrived)
+		tx.backend.noteError(e.arrived, err)
 		e.startBy = e.deadline // the statement had been sent; the rest of its time is for another attempt
 	}
 	tx.backend.scheduler.FinishTransaction(tx.permit, false)
@@ -120,15 +120,15 @@
 
 // handleLostConn ends a transaction whose connection failed before a commit was sent, so that nothing of it is kept.
 func (s *callerSession) handleLostConn(e *execution, err error) error {
-	s.discardTransaction(e)
+	s.discardTransaction(e, err)
 	s.state.FailTransaction()
 	refusal := model.Refuse(model.CodeTransactionEnded, "the connection of the transaction ended: %v", err)
 	return s.caller.SendRefusal(e.recordRefusal(refusal), s.state.Transaction)
 }
 
 // discardTransaction closes the connection of the open transaction.
-func (s *callerSession) discardTransaction(e *execution) {
-	s.tx.backend.noteFailure(e.arrived)
+func (s *callerSession) discardTransaction(e *execution, err error) {
+	s.tx.backend.noteError(e.arrived, err)
 	s.tx.backend.scheduler.FinishTransaction(s.tx.permit, false)
 	s.tx = nil
 }
@@ -245,6 +245,9 @@
 	tx := e.session.tx
 	conn := tx.permit.Conn
 	for {
+		if tx.readWrite && !tx.backend.enterPrimary(conn) {
+			return response, errReplaced
+		}
 		commands, adapted := conn.connectionState.Sync(e.session.state, e.request.Statement, nil)
 		setupCount := len(commands)
 		commands = append(commands, statement.Command{ID: e.request.ID, Statement: adapted})
@@ -256,6 +259,9 @@
 			response, err = conn.Receive(e.deadline)
 		}
 		tx.backend.requestDone()
+		if tx.readWrite {
+			err = tx.backend.leavePrimary(conn, err)
+		}
 		if setupErr != nil && (err != nil || response.Succeeded()) {
 			err = setupErr
 		}
@@ -285,10 +291,10 @@
 	trip := e.sendCommit()
 	tx, wrote := s.tx, s.state.Wrote
 	if trip.err != nil {
-		s.discardTransaction(e)
+		s.discardTransaction(e, trip.err)
 		s.state.EndTransaction()
 		refusal := model.Refuse(model.CodeTransactionEnded, "the connection ended before the answer to the commit: %v", trip.err)
-		if wrote {
+		if wrote && trip.sent {
 			refusal = model.OutcomeUnknown("the connection ended before the answer to the commit: %v", trip.err)
 		}
 		return s.caller.SendRefusal(e.recordRefusal(refusal), statement.Idle)
@@ -318,8 +324,16 @@
 		commands = append(commands, hostCommand(statement.Begin, model.Point{}))
 		trip.pending, trip.beginsNext = 1, true
 	}
+	if tx.readWrite {
+		if !tx.backend.enterPrimary(trip.conn) {
+			trip.err = errReplaced
+			return trip
+		}
+		defer func() { trip.err = tx.backend.leavePrimary(trip.conn, trip.err) }()
+	}
 	tx.backend.requestSent(trip.startedAt)
 	defer tx.backend.requestDone()
+	trip.sent = true
 	if trip.err = trip.conn.Send(commands); trip.err != nil {
 		return trip
 	}
--- a/internal/mesh/heartbeat.go
+++ b/internal/mesh/heartbeat.go
@@ -6,6 +6,7 @@
 
 	"redwingspread/internal/controller"
 	"redwingspread/internal/failover"
+	"redwingspread/internal/lease"
 	"redwingspread/internal/model"
 	"redwingspread/pkg/api/meshapi"
 )
@@ -42,6 +43,9 @@
 		}
 		message.Loads = meshapi.NewOptBeatLoads(loads)
 	}
+	if heartbeat.Lease != nil {
+		encodeLease(&message, heartbeat.Lease)
+	}
 	body, err := message.MarshalJSON()
 	if err != nil {
 		return nil, err
@@ -93,5 +97,60 @@
 			Since:    now.Add(-model.Milliseconds(observation.Age.Value).Duration()),
 		}
 	}
+	heartbeat.Lease = decodeLease(&message)
 	return heartbeat, nil
 }
+
+// encodeLease adds the lease part of a heartbeat.
+func encodeLease(message *meshapi.Beat, part *lease.Message) {
+	message.Sent = meshapi.NewOptInt64(int64(part.Sent))
+	message.Digest = meshapi.NewOptInt64(int64(part.Digest))
+	if len(part.Heard) > 0 {
+		heard := make(meshapi.BeatHeard, len(part.Heard))
+		for host, at := range part.Heard {
+			heard[string(host)] = int64(at)
+		}
+		message.Heard = meshapi.NewOptBeatHeard(heard)
+	}
+	if len(part.Released) > 0 {
+		released := make(meshapi.BeatReleased, len(part.Released))
+		for database, token := range part.Released {
+			released[string(database)] = int64(token)
+		}
+		message.Released = meshapi.NewOptBeatReleased(released)
+	}
+	for _, assignment := range part.Assignments {
+		message.Assigned = append(message.Assigned, meshapi.Assignment{
+			Database: string(assignment.Database),
+			Instance: string(assignment.Instance),
+			Token:    int64(assignment.Token),
+		})
+	}
+}
+
+// decodeLease returns the lease part of a heartbeat, or nil if there is none.
+func decodeLease(message *meshapi.Beat) *lease.Message {
+	if !message.Sent.Set {
+		return nil
+	}
+	part := &lease.Message{
+		Sent:     model.Instant(message.Sent.Value),
+		Digest:   lease.Digest(message.Digest.Value),
+		Heard:    make(map[model.HostID]model.Instant, len(message.Heard.Value)),
+		Released: make(map[model.DatabaseID]model.Token, len(message.Released.Value)),
+	}
+	for host, at := range message.Heard.Value {
+		part.Heard[model.HostID(host)] = model.Instant(at)
+	}
+	for database, token := range message.Released.Value {
+		part.Released[model.DatabaseID(database)] = model.Token(token)
+	}
+	for _, assignment := range message.Assigned {
+		part.Assignments = append(part.Assignments, lease.Assignment{
+			Database: model.DatabaseID(assignment.Database),
+			Instance: model.InstanceID(assignment.Instance),
+			Token:    model.Token(assignment.Token),
+		})
+	}
+	return part
+}
--- a/pkg/api/meshapi/oas_json_gen.go
+++ b/pkg/api/meshapi/oas_json_gen.go
@@ -158,6 +158,136 @@
 	return s.Decode(d)
 }
 
+// Encode implements json.Marshaler.
+func (s *Assignment) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *Assignment) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("database")
+		e.Str(s.Database)
+	}
+	{
+		e.FieldStart("instance")
+		e.Str(s.Instance)
+	}
+	{
+		e.FieldStart("token")
+		e.Int64(s.Token)
+	}
+}
+
+var jsonFieldsNameOfAssignment = [3]string{
+	0: "database",
+	1: "instance",
+	2: "token",
+}
+
+// Decode decodes Assignment from json.
+func (s *Assignment) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode Assignment to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "database":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Str()
+				s.Database = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"database\"")
+			}
+		case "instance":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				v, err := d.Str()
+				s.Instance = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"instance\"")
+			}
+		case "token":
+			requiredBitSet[0] |= 1 << 2
+			if err := func() error {
+				v, err := d.Int64()
+				s.Token = int64(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"token\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode Assignment")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00000111,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfAssignment) {
+					name = jsonFieldsNameOfAssignment[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *Assignment) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *Assignment) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode implements json.Marshaler.
 func (s *Beat) Encode(e *jx.Encoder) {
 	e.ObjStart()
@@ -215,18 +345,57 @@
 			s.Loads.Encode(e)
 		}
 	}
+	{
+		if s.Sent.Set {
+			e.FieldStart("sent")
+			s.Sent.Encode(e)
+		}
+	}
+	{
+		if s.Heard.Set {
+			e.FieldStart("heard")
+			s.Heard.Encode(e)
+		}
+	}
+	{
+		if s.Digest.Set {
+			e.FieldStart("digest")
+			s.Digest.Encode(e)
+		}
+	}
+	{
+		if s.Assigned != nil {
+			e.FieldStart("assigned")
+			e.ArrStart()
+			for _, elem := range s.Assigned {
+				elem.Encode(e)
+			}
+			e.ArrEnd()
+		}
+	}
+	{
+		if s.Released.Set {
+			e.FieldStart("released")
+			s.Released.Encode(e)
+		}
+	}
 }
 
-var jsonFieldsNameOfBeat = [9]string{
-	0: "host",
-	1: "incarnation",
-	2: "sequence",
-	3: "leaving",
-	4: "version",
-	5: "revision",
-	6: "leads",
-	7: "counted",
-	8: "loads",
+var jsonFieldsNameOfBeat = [14]string{
+	0:  "host",
+	1:  "incarnation",
+	2:  "sequence",
+	3:  "leaving",
+	4:  "version",
+	5:  "revision",
+	6:  "leads",
+	7:  "counted",
+	8:  "loads",
+	9:  "sent",
+	10: "heard",
+	11: "digest",
+	12: "assigned",
+	13: "released",
 }
 
 // Decode decodes Beat from json.
@@ -345,6 +514,63 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"loads\"")
 			}
+		case "sent":
+			if err := func() error {
+				s.Sent.Reset()
+				if err := s.Sent.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"sent\"")
+			}
+		case "heard":
+			if err := func() error {
+				s.Heard.Reset()
+				if err := s.Heard.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"heard\"")
+			}
+		case "digest":
+			if err := func() error {
+				s.Digest.Reset()
+				if err := s.Digest.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"digest\"")
+			}
+		case "assigned":
+			if err := func() error {
+				s.Assigned = make([]Assignment, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem Assignment
+					if err := elem.Decode(d); err != nil {
+						return err
+					}
+					s.Assigned = append(s.Assigned, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"assigned\"")
+			}
+		case "released":
+			if err := func() error {
+				s.Released.Reset()
+				if err := s.Released.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"released\"")
+			}
 		default:
 			return d.Skip()
 		}
@@ -402,6 +628,62 @@
 	return s.Decode(d)
 }
 
+// Encode implements json.Marshaler.
+func (s BeatHeard) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields implements json.Marshaler.
+func (s BeatHeard) encodeFields(e *jx.Encoder) {
+	for k, elem := range s {
+		e.FieldStart(k)
+
+		e.Int64(elem)
+	}
+}
+
+// Decode decodes BeatHeard from json.
+func (s *BeatHeard) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode BeatHeard to nil")
+	}
+	m := s.init()
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		var elem int64
+		if err := func() error {
+			v, err := d.Int64()
+			elem = int64(v)
+			if err != nil {
+				return err
+			}
+			return nil
+		}(); err != nil {
+			return errors.Wrapf(err, "decode field %q", k)
+		}
+		m[string(k)] = elem
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode BeatHeard")
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s BeatHeard) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *BeatHeard) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode implements json.Marshaler.
 func (s BeatLoads) Encode(e *jx.Encoder) {
 	e.ObjStart()
@@ -458,6 +740,62 @@
 	return s.Decode(d)
 }
 
+// Encode implements json.Marshaler.
+func (s BeatReleased) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields implements json.Marshaler.
+func (s BeatReleased) encodeFields(e *jx.Encoder) {
+	for k, elem := range s {
+		e.FieldStart(k)
+
+		e.Int64(elem)
+	}
+}
+
+// Decode decodes BeatReleased from json.
+func (s *BeatReleased) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode BeatReleased to nil")
+	}
+	m := s.init()
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		var elem int64
+		if err := func() error {
+			v, err := d.Int64()
+			elem = int64(v)
+			if err != nil {
+				return err
+			}
+			return nil
+		}(); err != nil {
+			return errors.Wrapf(err, "decode field %q", k)
+		}
+		m[string(k)] = elem
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode BeatReleased")
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s BeatReleased) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *BeatReleased) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode implements json.Marshaler.
 func (s *Database) Encode(e *jx.Encoder) {
 	e.ObjStart()
@@ -1622,6 +1960,40 @@
 	return s.Decode(d)
 }
 
+// Encode encodes BeatHeard as json.
+func (o OptBeatHeard) Encode(e *jx.Encoder) {
+	if !o.Set {
+		return
+	}
+	o.Value.Encode(e)
+}
+
+// Decode decodes BeatHeard from json.
+func (o *OptBeatHeard) Decode(d *jx.Decoder) error {
+	if o == nil {
+		return errors.New("invalid: unable to decode OptBeatHeard to nil")
+	}
+	o.Set = true
+	o.Value = make(BeatHeard)
+	if err := o.Value.Decode(d); err != nil {
+		return err
+	}
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s OptBeatHeard) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *OptBeatHeard) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode encodes BeatLoads as json.
 func (o OptBeatLoads) Encode(e *jx.Encoder) {
 	if !o.Set {
@@ -1656,6 +2028,40 @@
 	return s.Decode(d)
 }
 
+// Encode encodes BeatReleased as json.
+func (o OptBeatReleased) Encode(e *jx.Encoder) {
+	if !o.Set {
+		return
+	}
+	o.Value.Encode(e)
+}
+
+// Decode decodes BeatReleased from json.
+func (o *OptBeatReleased) Decode(d *jx.Decoder) error {
+	if o == nil {
+		return errors.New("invalid: unable to decode OptBeatReleased to nil")
+	}
+	o.Set = true
+	o.Value = make(BeatReleased)
+	if err := o.Value.Decode(d); err != nil {
+		return err
+	}
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s OptBeatReleased) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *OptBeatReleased) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode encodes bool as json.
 func (o OptBool) Encode(e *jx.Encoder) {
 	if !o.Set {
--- a/pkg/api/meshapi/oas_schemas_gen.go
+++ b/pkg/api/meshapi/oas_schemas_gen.go
@@ -56,6 +56,44 @@
 	s.Revision = val
 }
 
+// Ref: #/components/schemas/Assignment
+type Assignment struct {
+	Database string `json:"database"`
+	// The only instance that may be used as the primary.
+	Instance string `json:"instance"`
+	Token    int64  `json:"token"`
+}
+
+// GetDatabase returns the value of Database.
+func (s *Assignment) GetDatabase() string {
+	return s.Database
+}
+
+// GetInstance returns the value of Instance.
+func (s *Assignment) GetInstance() string {
+	return s.Instance
+}
+
+// GetToken returns the value of Token.
+func (s *Assignment) GetToken() int64 {
+	return s.Token
+}
+
+// SetDatabase sets the value of Database.
+func (s *Assignment) SetDatabase(val string) {
+	s.Database = val
+}
+
+// SetInstance sets the value of Instance.
+func (s *Assignment) SetInstance(val string) {
+	s.Instance = val
+}
+
+// SetToken sets the value of Token.
+func (s *Assignment) SetToken(val int64) {
+	s.Token = val
+}
+
 // Ref: #/components/schemas/Beat
 type Beat struct {
 	Host        string  `json:"host"`
@@ -71,6 +109,17 @@
 	Counted OptBool `json:"counted"`
 	// Mean number of connections in use and requested in tenths by instance.
 	Loads OptBeatLoads `json:"loads"`
+	// Time of sending in nanoseconds on the boot-time clock of the sender; zero when the platform fences
+	// primaries.
+	Sent OptInt64 `json:"sent"`
+	// The newest sent that arrived from other hosts.
+	Heard OptBeatHeard `json:"heard"`
+	// Digest of the assignments that the sender knows.
+	Digest OptInt64 `json:"digest"`
+	// Assignments that some receiver may not know.
+	Assigned []Assignment `json:"assigned"`
+	// Newest token by database for which the sender uses no other primary.
+	Released OptBeatReleased `json:"released"`
 }
 
 // GetHost returns the value of Host.
@@ -118,6 +167,31 @@
 	return s.Loads
 }
 
+// GetSent returns the value of Sent.
+func (s *Beat) GetSent() OptInt64 {
+	return s.Sent
+}
+
+// GetHeard returns the value of Heard.
+func (s *Beat) GetHeard() OptBeatHeard {
+	return s.Heard
+}
+
+// GetDigest returns the value of Digest.
+func (s *Beat) GetDigest() OptInt64 {
+	return s.Digest
+}
+
+// GetAssigned returns the value of Assigned.
+func (s *Beat) GetAssigned() []Assignment {
+	return s.Assigned
+}
+
+// GetReleased returns the value of Released.
+func (s *Beat) GetReleased() OptBeatReleased {
+	return s.Released
+}
+
 // SetHost sets the value of Host.
 func (s *Beat) SetHost(val string) {
 	s.Host = val
@@ -163,6 +237,43 @@
 	s.Loads = val
 }
 
+// SetSent sets the value of Sent.
+func (s *Beat) SetSent(val OptInt64) {
+	s.Sent = val
+}
+
+// SetHeard sets the value of Heard.
+func (s *Beat) SetHeard(val OptBeatHeard) {
+	s.Heard = val
+}
+
+// SetDigest sets the value of Digest.
+func (s *Beat) SetDigest(val OptInt64) {
+	s.Digest = val
+}
+
+// SetAssigned sets the value of Assigned.
+func (s *Beat) SetAssigned(val []Assignment) {
+	s.Assigned = val
+}
+
+// SetReleased sets the value of Released.
+func (s *Beat) SetReleased(val OptBeatReleased) {
+	s.Released = val
+}
+
+// The newest sent that arrived from other hosts.
+type BeatHeard map[string]int64
+
+func (s *BeatHeard) init() BeatHeard {
+	m := *s
+	if m == nil {
+		m = map[string]int64{}
+		*s = m
+	}
+	return m
+}
+
 // Mean number of connections in use and requested in tenths by instance.
 type BeatLoads map[string]int
 
@@ -178,6 +289,18 @@
 // BeatReceivedOK is response for BeatReceived operation.
 type BeatReceivedOK struct{}
 
+// Newest token by database for which the sender uses no other primary.
+type BeatReleased map[string]int64
+
+func (s *BeatReleased) init() BeatReleased {
+	m := *s
+	if m == nil {
+		m = map[string]int64{}
+		*s = m
+	}
+	return m
+}
+
 // Ref: #/components/schemas/Database
 type Database struct {
 	Name        string  `json:"name"`
@@ -692,6 +815,52 @@
 // LeadWrittenOK is response for LeadWritten operation.
 type LeadWrittenOK struct{}
 
+// NewOptBeatHeard returns new OptBeatHeard with value set to v.
+func NewOptBeatHeard(v BeatHeard) OptBeatHeard {
+	return OptBeatHeard{
+		Value: v,
+		Set:   true,
+	}
+}
+
+// OptBeatHeard is optional BeatHeard.
+type OptBeatHeard struct {
+	Value BeatHeard
+	Set   bool
+}
+
+// IsSet returns true if OptBeatHeard was set.
+func (o OptBeatHeard) IsSet() bool { return o.Set }
+
+// Reset unsets value.
+func (o *OptBeatHeard) Reset() {
+	var v BeatHeard
+	o.Value = v
+	o.Set = false
+}
+
+// SetTo sets value to v.
+func (o *OptBeatHeard) SetTo(v BeatHeard) {
+	o.Set = true
+	o.Value = v
+}
+
+// Get returns value and boolean that denotes whether value was set.
+func (o OptBeatHeard) Get() (v BeatHeard, ok bool) {
+	if !o.Set {
+		return v, false
+	}
+	return o.Value, true
+}
+
+// Or returns value if set, or given parameter if does not.
+func (o OptBeatHeard) Or(d BeatHeard) BeatHeard {
+	if v, ok := o.Get(); ok {
+		return v
+	}
+	return d
+}
+
 // NewOptBeatLoads returns new OptBeatLoads with value set to v.
 func NewOptBeatLoads(v BeatLoads) OptBeatLoads {
 	return OptBeatLoads{
@@ -738,6 +907,52 @@
 	return d
 }
 
+// NewOptBeatReleased returns new OptBeatReleased with value set to v.
+func NewOptBeatReleased(v BeatReleased) OptBeatReleased {
+	return OptBeatReleased{
+		Value: v,
+		Set:   true,
+	}
+}
+
+// OptBeatReleased is optional BeatReleased.
+type OptBeatReleased struct {
+	Value BeatReleased
+	Set   bool
+}
+
+// IsSet returns true if OptBeatReleased was set.
+func (o OptBeatReleased) IsSet() bool { return o.Set }
+
+// Reset unsets value.
+func (o *OptBeatReleased) Reset() {
+	var v BeatReleased
+	o.Value = v
+	o.Set = false
+}
+
+// SetTo sets value to v.
+func (o *OptBeatReleased) SetTo(v BeatReleased) {
+	o.Set = true
+	o.Value = v
+}
+
+// Get returns value and boolean that denotes whether value was set.
+func (o OptBeatReleased) Get() (v BeatReleased, ok bool) {
+	if !o.Set {
+		return v, false
+	}
+	return o.Value, true
+}
+
+// Or returns value if set, or given parameter if does not.
+func (o OptBeatReleased) Or(d BeatReleased) BeatReleased {
+	if v, ok := o.Get(); ok {
+		return v
+	}
+	return d
+}
+
 // NewOptBool returns new OptBool with value set to v.
 func NewOptBool(v bool) OptBool {
 	return OptBool{
