--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -195,10 +195,13 @@
 	}
 }
 
-// membersByDatabase returns the instances of each database, sorted by ID; missing reports whether an instance has no entry.
+// membersByDatabase returns the instances of each configured database, sorted by ID; missing reports whether an instance has no entry.
 func membersByDatabase(d *directory.Directory, missing func(model.InstanceID) bool) map[model.DatabaseID][]failover.Member {
 	all := make(map[model.DatabaseID][]failover.Member)
 	for _, instance := range d.Instances {
+		if _, configured := d.Databases[instance.Database]; !configured {
+			continue // another writer's entry, or one that is ahead of the configuration
+		}
 		all[instance.Database] = append(all[instance.Database], failover.Member{
 			Instance:      instance.ID,
 			ClaimsPrimary: instance.Role == model.RolePrimary,
--- a/internal/front/host.go
+++ b/internal/front/host.go
@@ -251,6 +251,9 @@
 		}
 	}
 	for id, entry := range view.Directory.Instances {
+		if _, configured := view.Directory.Databases[entry.Database]; !configured {
+			continue
+		}
 		b, found := h.backends[id]
 		if !found {
 			b = h.addBackend(ctx, entry)
