boundary: a panic ends one session, message, table read or event, not the process

Cause: no goroutine of a host recovered, so that one unexpected value in a session, a heartbeat, a row or an event of the control loop would have ended the process with all its sessions. An action that panics still completes, so that control does not wait for it for ever.

--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync/atomic"
 	"time"
+
+	"redwingspread/internal/boundary"
 )
 
 // Machine is a state machine without I/O that makes the control decisions; only the loop's goroutine calls it.
@@ -26,6 +28,8 @@
 	TickEvent func() E
 	// TickInterval is the time between two ticks.
 	TickInterval time.Duration
+	// Failed is called with the error of an event whose processing panicked; the event is dropped.
+	Failed func(error)
 
 	events   chan E
 	snapshot atomic.Pointer[S]
@@ -40,6 +44,7 @@
 	l := &Loop[E, A, S]{
 		Machine: machine,
 		Now:     time.Now,
+		Failed:  func(error) {},
 		events:  make(chan E, eventQueueSize),
 	}
 	l.publish()
@@ -101,7 +106,14 @@
 
 // step processes an event, starts the resulting actions and returns their number.
 func (l *Loop[E, A, S]) step(ctx context.Context, event E, ended chan<- struct{}) int {
-	actions := l.Machine.Handle(l.Now(), event)
+	var actions []A
+	err := boundary.Run(func() error {
+		actions = l.Machine.Handle(l.Now(), event)
+		return nil
+	})
+	if err != nil {
+		l.Failed(err)
+	}
 	l.publish()
 	for _, action := range actions {
 		go l.act(ctx, action, ended)
--- a/internal/control/loop_test.go
+++ b/internal/control/loop_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"redwingspread/internal/boundary"
 )
 
 // adder sums its events; while the sum is below the limit, each event but 0 results in an action.
@@ -23,6 +26,44 @@
 
 func (a *adder) Snapshot() int { return a.sum }
 
+// fragile panics on negative events.
+type fragile struct{ adder }
+
+func (f *fragile) Handle(now time.Time, event int) []int {
+	if event < 0 {
+		panic("negative event")
+	}
+	return f.adder.Handle(now, event)
+}
+
+// TestLoopSurvivesAPanic checks that an event whose processing panics is dropped and reported, and that the loop goes on.
+func TestLoopSurvivesAPanic(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		loop := New(&fragile{})
+		loop.TickEvent = func() int { return 0 }
+		loop.TickInterval = time.Second
+		var failures []error
+		loop.Failed = func(err error) { failures = append(failures, err) }
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go loop.Run(ctx, done)
+		for _, event := range []int{2, -1, 3} {
+			if err := loop.Send(ctx, event); err != nil {
+				t.Fatalf("got %v, want no error", err)
+			}
+		}
+		synctest.Wait()
+		if got, want := loop.Snapshot(), 5; got != want {
+			t.Errorf("got sum %d, want %d", got, want)
+		}
+		cancel()
+		<-done
+		if len(failures) != 1 || !errors.Is(failures[0], boundary.ErrPanic) {
+			t.Errorf("got failures %v, want one panic", failures)
+		}
+	})
+}
+
 func TestLoop(t *testing.T) {
 	tests := map[string]struct {
 		events []int
--- a/internal/event/events_gen.go
+++ b/internal/event/events_gen.go
@@ -59,6 +59,7 @@
 	NumberSessionRefused           Number = 6019
 	NumberPrimaryReleased          Number = 6020
 	NumberPromotionCleared         Number = 6021
+	NumberPanicCaught              Number = 6022
 )
 
 // Keeps the import of package model when no event uses it.
@@ -545,3 +546,12 @@
 		"waited":   waited,
 	}).Info("no host uses the replaced primary any more")
 }
+
+// PanicCaught logs event 6022: a part of the process failed unexpectedly and was ended.
+func PanicCaught(logger log.Interface, part string, error error) {
+	logger.WithFields(log.Fields{
+		"event": NumberPanicCaught,
+		"part":  part,
+		"error": errorText(error),
+	}).Error("a part of the process failed unexpectedly and was ended")
+}
--- a/internal/front/actions.go
+++ b/internal/front/actions.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
+	"redwingspread/internal/boundary"
 	"redwingspread/internal/clock"
 	"redwingspread/internal/controller"
 	"redwingspread/internal/event"
@@ -15,8 +17,29 @@
 	storeTimeout = time.Second            // per call; a slow store takes a few hundred milliseconds
 )
 
-// execute carries out one action of the control loop and returns the event that completes it.
-func (h *Host) execute(ctx context.Context, action controller.Action) controller.Event {
+// execute carries out one action of the control loop and returns the event that completes it, also when it panics.
+func (h *Host) execute(ctx context.Context, action controller.Action) (completed controller.Event) {
+	err := boundary.Run(func() error {
+		completed = h.perform(ctx, action)
+		return nil
+	})
+	if err == nil {
+		return completed
+	}
+	event.PanicCaught(h.Logger, fmt.Sprintf("action %T", action), err)
+	switch action := action.(type) {
+	case controller.FetchDirectory:
+		return controller.DirectoryFetchDone{Host: action.Host, Err: err}
+	case controller.ChangePrimary:
+		return controller.PrimaryChangeDone{Database: action.Database, Err: err}
+	case controller.ReadPromotions:
+		return controller.PromotionsRead{}
+	}
+	return controller.ActionDone{}
+}
+
+// perform carries out one action.
+func (h *Host) perform(ctx context.Context, action controller.Action) controller.Event {
 	switch action := action.(type) {
 	case controller.SendHeartbeat:
 		if err := h.mesh.SendHeartbeat(action.To, action.Heartbeat); err != nil {
--- a/internal/front/fleet_test.go
+++ b/internal/front/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"testing"
 	"time"
 
@@ -110,7 +111,7 @@
 	}
 	logger := &log.Logger{Handler: memory.New(), Level: log.InfoLevel}
 	client.Logger, host.Logger = logger, logger
-	host.Platform = client
+	host.Platform = fragilePlatform{client}
 	ctx, stop := context.WithCancel(context.Background())
 	h := &testHost{address: string(addresses[0]), metrics: string(addresses[3]), stop: stop, done: make(chan error, 1)}
 	f.hosts = append(f.hosts, h)
@@ -118,6 +119,26 @@
 	return h
 }
 
+// fragilePlatform is a platform whose sessions for the kind of work "boom" panic.
+type fragilePlatform struct{ *platform.Client }
+
+// NewCaller wraps an accepted caller connection.
+func (p fragilePlatform) NewCaller(conn net.Conn) front.Caller {
+	return fragileCaller{p.Client.NewCaller(conn)}
+}
+
+// fragileCaller panics when its session is for the kind of work "boom".
+type fragileCaller struct{ front.Caller }
+
+// ReadStart returns the kind of work that the session is for.
+func (c fragileCaller) ReadStart() (model.KindID, error) {
+	kind, err := c.Caller.ReadStart()
+	if kind == "boom" {
+		panic("odd kind of work")
+	}
+	return kind, err
+}
+
 // freeAddresses returns unused addresses, with ports outside the range of outgoing connections.
 func freeAddresses(t *testing.T, count int) []model.Address {
 	t.Helper()
--- a/internal/front/follow.go
+++ b/internal/front/follow.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"redwingspread/internal/boundary"
 	"redwingspread/internal/clock"
 	"redwingspread/internal/controller"
 	"redwingspread/internal/event"
@@ -113,7 +114,12 @@
 			wait, limit = 0, readTimeout
 		}
 		callCtx, cancel := context.WithTimeout(ctx, limit)
-		update, revision, err := t.read(callCtx, after, wait)
+		var update T
+		var revision model.Revision
+		err := boundary.Run(func() (err error) {
+			update, revision, err = t.read(callCtx, after, wait)
+			return err
+		})
 		cancel()
 		switch {
 		case ctx.Err() != nil:
--- a/internal/front/host.go
+++ b/internal/front/host.go
@@ -12,6 +12,7 @@
 
 	"github.com/apex/log"
 
+	"redwingspread/internal/boundary"
 	"redwingspread/internal/clock"
 	"redwingspread/internal/control"
 	"redwingspread/internal/controller"
@@ -121,6 +122,7 @@
 	c.SetGrace(h.Settings.LeaveLimit / 2) // the other half is left for requests already in progress
 	h.Loop = control.New(c)
 	h.Loop.Do = h.execute
+	h.Loop.Failed = func(err error) { event.PanicCaught(h.Logger, "control", err) }
 	h.Loop.TickInterval = controlInterval
 	h.Loop.TickEvent = func() controller.Event { return h.newTick() }
 	h.mesh = mesh.New()
@@ -368,7 +370,10 @@
 	if overLimit {
 		err = caller.RejectSession(model.Refuse(model.CodeConnectionsFull, "the host has as many sessions as it may"))
 	} else {
-		err = s.serve(ctx)
+		err = boundary.Run(func() error { return s.serve(ctx) })
+		if errors.Is(err, boundary.ErrPanic) {
+			event.PanicCaught(h.Logger, "session", err)
+		}
 	}
 	h.removeSession(s)
 	h.counters.Sessions.Add(-1)
--- a/internal/front/host_test.go
+++ b/internal/front/host_test.go
@@ -247,3 +247,20 @@
 		t.Errorf("got %+v, %v, want the committed write", got, err)
 	}
 }
+
+// TestPanicEndsOneSession checks that an unexpected error in one session ends that session and not the process.
+func TestPanicEndsOneSession(t *testing.T) {
+	f := newFleet(t, 1)
+	open := f.openSession(f.hosts[0], "desk")
+	for range 3 {
+		if _, err := dial(f.hosts[0], "boom"); err == nil {
+			t.Error("got an open session, want it to end")
+		}
+	}
+	if got, err := open.Query("WRITE still 1"); err != nil || got.Code != "" {
+		t.Errorf("got %+v, %v on a session opened before, want a write", got, err)
+	}
+	if got, err := f.openSession(f.hosts[0], "desk").Query("READ still"); err != nil || got.Row != "1" {
+		t.Errorf("got %+v, %v on a new session, want the write", got, err)
+	}
+}
--- a/internal/mesh/node.go
+++ b/internal/mesh/node.go
@@ -13,6 +13,7 @@
 
 	"github.com/apex/log"
 
+	"redwingspread/internal/boundary"
 	"redwingspread/internal/controller"
 	"redwingspread/internal/directory"
 	"redwingspread/internal/event"
@@ -128,12 +129,16 @@
 		if key == nil {
 			continue // from hosts that have read the key before this one
 		}
-		heartbeat, err := DecodeHeartbeat(key, n.Now(), buffer[:size])
+		err = boundary.Run(func() error {
+			heartbeat, err := DecodeHeartbeat(key, n.Now(), buffer[:size])
+			if err == nil {
+				n.OnHeartbeat(heartbeat, model.Address(from.String()))
+			}
+			return err
+		})
 		if err != nil {
 			event.DatagramRefused(n.Logger, from.String(), err)
-			continue
 		}
-		n.OnHeartbeat(heartbeat, model.Address(from.String()))
 	}
 }
 
