scout: a few hosts of each data centre probe idle primaries of crowded instances

Change: one host in twenty of a data centre, by rendezvous hashing, probes idle primaries; the others ask it and take its positions, dated by their own question that reached it before the primary was asked, so that no position looks newer than it is. A scout that is silent for 1.2 s is passed over. Once a primary is in doubt all hosts probe it, as before. Answers keep within the bound of datagrams.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -12,6 +12,7 @@
 	"redwingspread/internal/failover"
 	"redwingspread/internal/lease"
 	"redwingspread/internal/model"
+	"redwingspread/internal/scout"
 )
 
 // Timing holds the intervals and time limits of the controller.
@@ -62,6 +63,7 @@
 	sequence      model.Sequence
 	lastHeartbeat time.Time
 	lastUrgent    time.Time // time of the last urgent heartbeat
+	directSent    int       // heartbeats sent to single hosts since then
 	lastLoads     time.Time // time of the last heartbeat that carried loads
 	started       time.Time
 	stopping      bool
@@ -72,6 +74,8 @@
 	boot          model.Instant
 	leaseRead     bool          // a ReadPromotions is running
 	lastLeaseRead model.Instant // time of the newest ReadPromotions
+	scouts        *scout.State
+	crowded       bool // there are more hosts than an instance has connections
 	snapshot      *View
 }
 
@@ -98,6 +102,7 @@
 		claims:     make(map[model.DatabaseID]model.Token),
 		health:     make(map[model.InstanceID]failover.Health),
 		loads:      make(map[model.InstanceID]model.Load),
+		scouts:     scout.New(),
 		snapshot:   &View{Directory: directory.NewTracker().Directory()},
 	}
 }
@@ -113,19 +118,21 @@
 	if c.started.IsZero() {
 		c.started = now
 		c.startLease()
+		c.scouts.Self = scout.Host{ID: c.Self.ID, DataCentre: c.Self.DataCentre}
 	}
 	switch e := e.(type) {
 	case Tick:
 		c.setHealth(e)
 		c.updateLease(e)
+		actions = append(actions, c.askScout(e, now)...)
 	case DirectoryUpdate:
 		c.updateDirectory(now, e)
 	case MembershipUpdate:
 		c.updateMembership(now, e)
 	case HeartbeatReceived:
-		c.receiveHeartbeat(now, e)
+		actions = append(actions, c.receiveHeartbeat(now, e)...)
 		if !c.urgent && len(e.Heartbeat.Primaries) == 0 {
-			return c.dueFetches(now) // the next tick does the rest, which keeps heartbeats cheap in a large fleet
+			return append(actions, c.dueFetches(now)...) // the next tick does the rest, which keeps heartbeats cheap in a large fleet
 		}
 	case DirectoryFetchDone:
 		c.finishFetch(now, e)
@@ -241,7 +248,7 @@
 			event.PrimaryBelieved(c.Logger, database, observation.Instance, observation.Term, string(observation.State), reason)
 			c.urgent = true
 		}
-		probes = append(probes, monitor.DueProbes(now, len(c.hosts), members, c.health)...)
+		probes = append(probes, monitor.DueProbes(now, len(c.hosts), c.idleProbeInterval(), members, c.health)...)
 		if action := c.dueChange(now, live, database, monitor, members); action != nil {
 			actions = append(actions, action)
 		}
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -12,6 +12,7 @@
 	"redwingspread/internal/directory"
 	"redwingspread/internal/failover"
 	"redwingspread/internal/model"
+	"redwingspread/internal/scout"
 )
 
 // fleet is a set of controllers on one clock; heartbeats arrive at once unless a host is isolated.
@@ -21,11 +22,14 @@
 	isolated    map[model.HostID]bool                                              // hosts whose heartbeats, in both directions, are lost
 	health      func(host model.HostID, instance model.InstanceID) failover.Health // what a host observes of an instance
 	loads       map[model.HostID]model.Load
-	rows        func() *MembershipUpdate // rows that the store returns to a ReadPromotions; it fails when nil
-	inUse       map[model.HostID]bool    // hosts whose statements on the first instance never end
-	changes     []ChangePrimary          // ordered by any host
-	changedBy   []model.HostID           // host that ordered each of the changes, by index
-	datagrams   map[model.HostID]int     // sent by each host
+	rows        func() *MembershipUpdate     // rows that the store returns to a ReadPromotions; it fails when nil
+	inUse       map[model.HostID]bool        // hosts whose statements on the first instance never end
+	changes     []ChangePrimary              // ordered by any host
+	changedBy   []model.HostID               // host that ordered each of the changes, by index
+	datagrams   map[model.HostID]int         // sent by each host
+	probes      map[model.HostID]int         // instances probed by each host
+	observed    map[model.HostID]scout.Proof // newest proof of the first instance that each host got from another one
+	proofs      map[model.HostID]scout.Proof // newest proof of the first instance by a probe of each host
 }
 
 // tick is the interval between two Tick events.
@@ -39,6 +43,9 @@
 		isolated:    make(map[model.HostID]bool),
 		loads:       make(map[model.HostID]model.Load),
 		datagrams:   make(map[model.HostID]int),
+		probes:      make(map[model.HostID]int),
+		observed:    make(map[model.HostID]scout.Proof),
+		proofs:      make(map[model.HostID]scout.Proof),
 	}
 	f.health = func(model.HostID, model.InstanceID) failover.Health { return failover.Health{} }
 	var membership MembershipUpdate
@@ -86,10 +93,24 @@
 		case SendHeartbeat:
 			f.datagrams[id] += len(action.To)
 			for _, to := range action.To {
-				if !f.isolated[id] && !f.isolated[model.HostID(to)] && f.controllers[model.HostID(to)] != nil {
-					f.handle(model.HostID(to), HeartbeatReceived{Heartbeat: action.Heartbeat, From: model.Address(id)})
+				receiver := model.HostID(to.Address)
+				heartbeat := action.Heartbeat
+				if heartbeat.Lease != nil {
+					part := *heartbeat.Lease
+					part.Heard = to.Heard
+					heartbeat.Lease = &part
 				}
+				if !f.isolated[id] && !f.isolated[receiver] && f.controllers[receiver] != nil {
+					f.handle(receiver, HeartbeatReceived{Heartbeat: heartbeat, From: model.Address(id), ArrivedAt: model.Instant(f.now.UnixNano())})
+				}
+			}
+		case ProbeInstances:
+			f.probes[id] += len(action.Instances)
+			if slices.Contains(action.Instances, "i0") {
+				f.proofs[id] = scout.Proof{Database: "seats", Instance: "i0", Point: model.Point{Term: 1, Position: 1}, SentAt: model.Instant(f.now.UnixNano())}
 			}
+		case ObserveProofs:
+			f.observed[id] = action.Proofs[0]
 		case ReadPromotions:
 			read := PromotionsRead{SentAt: model.Instant(f.now.UnixNano())}
 			if f.rows != nil {
@@ -114,6 +135,9 @@
 				health := f.health(id, instance)
 				health.Instance = instance
 				report := InstanceReport{Health: health, Load: f.loads[id]}
+				if instance == "i0" {
+					report.Proof = f.proofs[id]
+				}
 				if assigned := f.controllers[id].Snapshot().Primaries["seats"].Assigned; assigned.Instance != instance && !f.inUse[id] {
 					report.Released = assigned.Token
 				}
--- a/internal/controller/event.go
+++ b/internal/controller/event.go
@@ -7,6 +7,7 @@
 	"redwingspread/internal/failover"
 	"redwingspread/internal/lease"
 	"redwingspread/internal/model"
+	"redwingspread/internal/scout"
 )
 
 // Event is an input of the controller.
@@ -23,6 +24,7 @@
 	failover.Health
 	Load     model.Load
 	Released model.Token // assignment of another instance for which this one is no longer used as a primary
+	Proof    scout.Proof // newest position that it proved to this host as the primary
 }
 
 // DirectoryUpdate is a change of the directory, or a full copy of it.
@@ -69,12 +71,15 @@
 	Primaries   map[model.DatabaseID]failover.Observation // of the primaries that some host finds silent
 	Loads       map[model.InstanceID]model.Load           // nil when the heartbeat carries no loads
 	Lease       *lease.Message                            // nil where the platform fences primaries
+	Asked       model.Instant                             // a question for positions, by its time on the sender's clock; zero for none
+	Proofs      []scout.Proof                             // the answer to questions of the receiver
 }
 
 // HeartbeatReceived reports a heartbeat of another host and its source address.
 type HeartbeatReceived struct {
 	Heartbeat Heartbeat
 	From      model.Address
+	ArrivedAt model.Instant // not before its arrival; set when it has a question
 }
 
 // DirectoryFetchDone reports the result of a FetchDirectory.
@@ -126,8 +131,14 @@
 
 // SendHeartbeat sends a heartbeat to hosts.
 type SendHeartbeat struct {
-	To        []model.Address
-	Heartbeat Heartbeat
+	To        []Receiver
+	Heartbeat Heartbeat // without the confirmations in its lease part
+}
+
+// Receiver is a receiver of a heartbeat.
+type Receiver struct {
+	Address model.Address
+	Heard   model.Instant // confirmation of the receiver's newest heartbeat; zero for none
 }
 
 // FetchDirectory fetches the directory from another host.
@@ -153,6 +164,11 @@
 	Release   time.Duration // longest time for which other hosts may still use the primary; zero where the platform fences it
 }
 
+// ObserveProofs passes on positions that primaries proved to another host.
+type ObserveProofs struct {
+	Proofs []scout.Proof
+}
+
 // ReadPromotions reads all promotion rows, which renews the lease of a host that hears only a minority of the hosts.
 type ReadPromotions struct{}
 
@@ -165,5 +181,6 @@
 func (FetchDirectory) action() {}
 func (ProbeInstances) action() {}
 func (ChangePrimary) action()  {}
+func (ObserveProofs) action()  {}
 func (ReadPromotions) action() {}
 func (DeleteHostRow) action()  {}
--- a/internal/controller/host.go
+++ b/internal/controller/host.go
@@ -63,14 +63,15 @@
 func (c *Controller) removeHost(now time.Time, id model.HostID) {
 	if known, found := c.hosts[id]; found && now.Sub(known.lastHeard) > c.hostTimeout() {
 		delete(c.hosts, id)
+		c.scouts.Forget(id)
 	}
 }
 
 // receiveHeartbeat processes a heartbeat of another host; duplicates and reordered ones are ignored.
-func (c *Controller) receiveHeartbeat(now time.Time, e HeartbeatReceived) {
+func (c *Controller) receiveHeartbeat(now time.Time, e HeartbeatReceived) []Action {
 	heartbeat := e.Heartbeat
 	if heartbeat.Host == c.Self.ID {
-		return
+		return nil
 	}
 	known, found := c.hosts[heartbeat.Host]
 	if !found {
@@ -80,7 +81,7 @@
 	}
 	previous := known.heartbeat
 	if heartbeat.Incarnation < previous.Incarnation || (heartbeat.Incarnation == previous.Incarnation && heartbeat.Sequence <= previous.Sequence) {
-		return
+		return nil
 	}
 	if known.dead {
 		known.dead = false
@@ -109,6 +110,7 @@
 	} else {
 		known.newerSince = time.Time{}
 	}
+	return c.receiveQuestion(known, e)
 }
 
 // hostTimeout returns the silence after which a host counts as dead; it is longer where the receivers of heartbeats rotate.
@@ -144,29 +146,46 @@
 			}
 		}
 	}
-	urgent := c.urgent && now.Sub(c.lastUrgent) >= time.Duration(c.rounds())*c.Timing.UrgentInterval
+	pause := time.Duration(c.rounds()) * c.Timing.UrgentInterval
+	pause += min(time.Duration(c.directSent)*c.Timing.UrgentInterval/heartbeatFanout, pause) // keeps the rate of datagrams
+	urgent := c.urgent && now.Sub(c.lastUrgent) >= pause
 	if len(c.hosts) == 0 || (!urgent && now.Sub(c.lastHeartbeat) < c.Timing.HeartbeatInterval) {
 		return nil
 	}
 	if urgent {
 		c.urgent = false
 		c.lastUrgent = now
+		c.directSent = 0
 	}
 	c.lastHeartbeat = now
 	c.sequence++
 	receivers := c.receivers(urgent)
 	heartbeat := c.newHeartbeat(now)
-	if c.lease != nil {
-		message := c.lease.Compose(c.boot, receivers)
-		heartbeat.Lease = &message
-	}
-	to := make([]model.Address, 0, len(receivers))
+	c.addLease(&heartbeat)
+	to := make([]Receiver, 0, len(receivers))
 	for _, id := range receivers {
-		to = append(to, c.hosts[id].Address)
+		to = append(to, c.receiver(id))
 	}
 	return SendHeartbeat{To: to, Heartbeat: heartbeat}
 }
 
+// receiver returns a host as the receiver of a heartbeat.
+func (c *Controller) receiver(id model.HostID) Receiver {
+	receiver := Receiver{Address: c.hosts[id].Address}
+	if c.lease != nil {
+		receiver.Heard = c.lease.Heard(id)
+	}
+	return receiver
+}
+
+// addLease adds the lease part of a heartbeat.
+func (c *Controller) addLease(heartbeat *Heartbeat) {
+	if c.lease != nil {
+		message := c.lease.Compose(c.boot)
+		heartbeat.Lease = &message
+	}
+}
+
 // liveSet returns the live hosts as a set.
 func (c *Controller) liveSet(now time.Time) map[model.HostID]bool {
 	live := make(map[model.HostID]bool)
--- a/internal/controller/shares.go
+++ b/internal/controller/shares.go
@@ -34,12 +34,14 @@
 	d := c.directory.Directory()
 	shares := make(map[model.InstanceID]Share, len(d.Instances))
 	sharers := c.sharers(now)
+	c.crowded = false
 	for id, instance := range d.Instances {
 		limit := d.Databases[instance.Database].Connections
 		if limit == 0 {
 			continue
 		}
 		limit -= max(limit/spareDivisor, 1)
+		c.crowded = c.crowded || len(sharers)+1 > int(limit)
 		if !c.hostsRead {
 			shares[id] = shareOf(limit, instance.Slots, 1, assumedHosts, assumedHosts)
 			continue
--- a/internal/failover/monitor_test.go
+++ b/internal/failover/monitor_test.go
@@ -196,11 +196,11 @@
 				monitor.SetPeer("h2", Observation{Instance: "a", State: Silent, ReceivedAt: after(test.now)})
 			}
 			monitor.UpdatePrimary(after(test.now), threeMembers, health)
-			got := monitor.DueProbes(after(test.now), 4, threeMembers, health)
+			got := monitor.DueProbes(after(test.now), 4, DefaultTiming().ProbeInterval, threeMembers, health)
 			if !slices.Equal(got, test.want) {
 				t.Errorf("got %v, want %v", got, test.want)
 			}
-			if again := monitor.DueProbes(after(test.now+1), 4, threeMembers, health); len(again) != 0 {
+			if again := monitor.DueProbes(after(test.now+1), 4, DefaultTiming().ProbeInterval, threeMembers, health); len(again) != 0 {
 				t.Errorf("got %v 1 ms later, want none", again)
 			}
 		})
@@ -227,7 +227,7 @@
 			monitor.UpdatePrimary(after(1000), threeMembers, health)
 			probes := 0
 			for ms := 1000; ms < 1000+span; ms += 50 {
-				if slices.Contains(monitor.DueProbes(after(ms), test.hosts, threeMembers, health), "a") {
+				if slices.Contains(monitor.DueProbes(after(ms), test.hosts, DefaultTiming().ProbeInterval, threeMembers, health), "a") {
 					probes++
 				}
 			}
--- a/internal/front/actions.go
+++ b/internal/front/actions.go
@@ -10,6 +10,7 @@
 	"redwingspread/internal/controller"
 	"redwingspread/internal/event"
 	"redwingspread/internal/model"
+	"redwingspread/internal/scout"
 )
 
 const (
@@ -56,6 +57,8 @@
 		return h.newTick()
 	case controller.ChangePrimary:
 		return h.replacePrimary(ctx, action)
+	case controller.ObserveProofs:
+		h.observeProofs(action.Proofs)
 	case controller.ReadPromotions:
 		return h.readPromotions(ctx)
 	case controller.DeleteHostRow:
@@ -68,6 +71,16 @@
 	return controller.ActionDone{}
 }
 
+// observeProofs records positions that primaries proved to another host.
+func (h *Host) observeProofs(proofs []scout.Proof) {
+	now := time.Now()
+	for _, proof := range proofs {
+		if b := h.backend(proof.Instance); b != nil && b.instance.Database == proof.Database {
+			b.noteRemoteProof(now, proof)
+		}
+	}
+}
+
 // readPromotions reads the hosts' own table, with the time at which the read was sent.
 func (h *Host) readPromotions(ctx context.Context) controller.PromotionsRead {
 	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
--- a/internal/front/autocommit.go
+++ b/internal/front/autocommit.go
@@ -83,8 +83,8 @@
 		if e.access == model.Write {
 			s.state.RecordCommit(trip.response.Point)
 		}
-		err = s.caller.SendResponse(&trip.response, statement.Idle)
 		e.recordServed()
+		err = s.caller.SendResponse(&trip.response, statement.Idle)
 		t.backend.scheduler.FinishStatement(permit, trip.drain(), true)
 		return true, err
 	}
--- a/internal/front/backend.go
+++ b/internal/front/backend.go
@@ -15,6 +15,7 @@
 	"redwingspread/internal/model"
 	"redwingspread/internal/placement"
 	"redwingspread/internal/scheduler"
+	"redwingspread/internal/scout"
 	"redwingspread/internal/session"
 )
 
@@ -70,6 +71,7 @@
 
 	mutex           sync.Mutex
 	health          failover.Health
+	proof           scout.Proof   // newest position that it proved to this host as the primary
 	outstanding     int           // number of statements sent and not done yet
 	lastResponse    time.Time     // time of the latest response
 	overdueSince    time.Time     // start of the current wait: the latest response, or the first statement sent after it
@@ -169,8 +171,12 @@
 	b.mutex.Lock()
 	b.health.LastProof = time.Now()
 	b.health.Term = max(b.health.Term, point.Term)
+	admitted := b.admitsPrimary()
+	if admitted && sent > b.proof.SentAt {
+		b.proof = scout.Proof{Database: b.instance.Database, Instance: b.instance.ID, Point: point, SentAt: sent}
+	}
 	b.mutex.Unlock()
-	if !b.admitsPrimary() {
+	if !admitted {
 		return // another instance may lead by now, with newer commits
 	}
 	b.replicaSet.mutex.Lock()
@@ -178,6 +184,20 @@
 	b.replicaSet.history.Observe(sent, point)
 }
 
+// noteRemoteProof records that the instance proved to another host that it is the primary. It says nothing about whether this
+// host reaches the instance.
+func (b *backend) noteRemoteProof(now time.Time, proof scout.Proof) {
+	b.mutex.Lock()
+	if b.health.SilentSince.IsZero() {
+		b.health.LastProof = now
+		b.health.Term = max(b.health.Term, proof.Point.Term)
+	}
+	b.mutex.Unlock()
+	b.replicaSet.mutex.Lock()
+	defer b.replicaSet.mutex.Unlock()
+	b.replicaSet.history.Observe(proof.SentAt, proof.Point)
+}
+
 // noteNotPrimary records that the instance said it is not the primary.
 func (b *backend) noteNotPrimary() {
 	b.mutex.Lock()
@@ -228,7 +248,7 @@
 	defer b.mutex.Unlock()
 	health := b.health
 	health.Overdue = b.stalled(now)
-	return controller.InstanceReport{Health: health, Load: b.scheduler.Load(), Released: b.gate.Closed()}
+	return controller.InstanceReport{Health: health, Load: b.scheduler.Load(), Released: b.gate.Closed(), Proof: b.proof}
 }
 
 // admitsPrimary reports whether the instance may be used as the primary now.
--- a/internal/front/host.go
+++ b/internal/front/host.go
@@ -132,7 +132,11 @@
 	h.mesh.Logger = h.Logger
 	h.mesh.Directory = func() *directory.Directory { return h.view().Directory }
 	h.mesh.OnHeartbeat = func(heartbeat controller.Heartbeat, from model.Address) {
-		h.Loop.Offer(controller.HeartbeatReceived{Heartbeat: heartbeat, From: from})
+		received := controller.HeartbeatReceived{Heartbeat: heartbeat, From: from}
+		if heartbeat.Asked != 0 {
+			received.ArrivedAt = clock.Boot()
+		}
+		h.Loop.Offer(received)
 	}
 	return nil
 }
@@ -205,9 +209,8 @@
 	now := time.Now()
 	h.mutex.RLock()
 	defer h.mutex.RUnlock()
-	tick := controller.Tick{Instances: make([]controller.InstanceReport, 0, len(h.backends))}
+	tick := controller.Tick{Instances: make([]controller.InstanceReport, 0, len(h.backends)), Boot: clock.Boot()}
 	if h.unfenced() {
-		tick.Boot = clock.Boot()
 		h.closeOverdue(tick.Boot)
 	}
 	for _, b := range h.backends {
--- a/internal/front/transaction.go
+++ b/internal/front/transaction.go
@@ -309,8 +309,8 @@
 	if wrote {
 		s.state.RecordCommit(trip.response.Point)
 	}
-	err := s.caller.SendResponse(&trip.response, statement.Idle)
 	e.recordServed()
+	err := s.caller.SendResponse(&trip.response, statement.Idle)
 	tx.backend.scheduler.FinishTransaction(tx.permit, trip.drain())
 	return err
 }
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -27,13 +27,13 @@
 	Token    model.Token // rises with each assignment of the database
 }
 
-// Digest identifies a set of assignments.
-type Digest uint64
+// Digest identifies a set of assignments; it is zero for none.
+type Digest uint32
 
 // Message is the part of a heartbeat that concerns leases.
 type Message struct {
-	Sent        model.Instant                    // on the sender's clock
-	Heard       map[model.HostID]model.Instant   // newest Sent that the sender has received from each of some hosts
+	Sent        model.Instant                    // on the sender's clock, in whole milliseconds
+	Heard       model.Instant                    // newest Sent that the sender has received from the receiver; zero for none
 	Digest      Digest                           // of the assignments that the sender knows
 	Assignments []Assignment                     // nil when the receivers are expected to know them
 	Released    map[model.DatabaseID]model.Token // assignments for which the sender no longer uses another primary
@@ -129,17 +129,18 @@
 	return max(end, times[len(times)-needed].Add(s.Duration()))
 }
 
-// Compose returns the lease part of a heartbeat that is sent now or later, with confirmations for its receivers.
-func (s *State) Compose(now model.Instant, receivers []model.HostID) Message {
-	s.lastSent = now
-	message := Message{Sent: now, Digest: s.digest, Heard: make(map[model.HostID]model.Instant)}
-	if s.rowsRead {
-		for _, id := range receivers {
-			if at, found := s.heard[id]; found {
-				message.Heard[id] = at
-			}
-		}
+// Heard returns the confirmation for a receiver of a heartbeat, or zero.
+func (s *State) Heard(receiver model.HostID) model.Instant {
+	if !s.rowsRead {
+		return 0
 	}
+	return s.heard[receiver]
+}
+
+// Compose returns the lease part of a heartbeat that is sent now or later, without the confirmations for its receivers.
+func (s *State) Compose(now model.Instant) Message {
+	s.lastSent = now - now%model.Instant(time.Millisecond)
+	message := Message{Sent: s.lastSent, Digest: s.digest}
 	if now < s.repeatUntil {
 		message.Assignments = slices.SortedFunc(maps.Values(s.assignments), func(a, b Assignment) int {
 			if a.Database < b.Database {
@@ -170,7 +171,7 @@
 		s.repeatUntil = max(s.repeatUntil, now.Add(noticeIntervals*s.Interval))
 		return learnt // one of the two hosts may still use a primary that the other knows to be replaced
 	}
-	if at, found := message.Heard[s.Self]; found && at <= s.lastSent && at >= s.started {
+	if at := message.Heard; at != 0 && at <= s.lastSent && at >= s.started {
 		s.confirmed[from] = max(s.confirmed[from], at)
 	}
 	return learnt
@@ -259,10 +260,10 @@
 
 // digestOf returns the digest of a set of assignments.
 func digestOf(assignments map[model.DatabaseID]Assignment) Digest {
-	hash := fnv.New64a()
+	hash := fnv.New32a()
 	for _, database := range slices.Sorted(maps.Keys(assignments)) {
 		_, _ = hash.Write(append([]byte(database), 0)) // a hash never fails
 		_, _ = hash.Write(binary.BigEndian.AppendUint64(nil, uint64(assignments[database].Token)))
 	}
-	return Digest(hash.Sum64() >> 1)
+	return Digest(hash.Sum32())
 }
--- a/internal/lease/model_test.go
+++ b/internal/lease/model_test.go
@@ -170,9 +170,10 @@
 		if i == sleeper {
 			continue
 		}
-		part := n.state.Compose(w.now, n.state.members)
+		part := n.state.Compose(w.now)
 		for j := range w.nodes {
 			if i != j && !lost(l, i, j) {
+				part.Heard = n.state.Heard(hostName(j))
 				sent = append(sent, message{i, j, part})
 			}
 		}
@@ -219,9 +220,8 @@
 	if w.mutant == ignoresDigest {
 		part.Digest = n.state.digest
 	}
-	if _, found := part.Heard[n.state.Self]; found && w.mutant == datesByArrival {
-		part.Heard = maps.Clone(part.Heard)
-		part.Heard[n.state.Self] = n.state.lastSent
+	if part.Heard != 0 && w.mutant == datesByArrival {
+		part.Heard = n.state.lastSent
 	}
 	n.state.Receive(w.now, hostName(d.from), part)
 }
--- a/internal/mesh/heartbeat.go
+++ b/internal/mesh/heartbeat.go
@@ -8,6 +8,7 @@
 	"redwingspread/internal/failover"
 	"redwingspread/internal/lease"
 	"redwingspread/internal/model"
+	"redwingspread/internal/scout"
 	"redwingspread/pkg/api/meshapi"
 )
 
@@ -43,6 +44,18 @@
 		}
 		message.Loads = meshapi.NewOptBeatLoads(loads)
 	}
+	if heartbeat.Asked != 0 {
+		message.Asked = meshapi.NewOptInt64(int64(heartbeat.Asked))
+	}
+	for _, proof := range heartbeat.Proofs {
+		message.Proofs = append(message.Proofs, meshapi.Proof{
+			Database: string(proof.Database),
+			Instance: string(proof.Instance),
+			Term:     uint64(proof.Point.Term),
+			Position: uint64(proof.Point.Position),
+			Asked:    int64(proof.SentAt),
+		})
+	}
 	if heartbeat.Lease != nil {
 		encodeLease(&message, heartbeat.Lease)
 	}
@@ -98,19 +111,26 @@
 		}
 	}
 	heartbeat.Lease = decodeLease(&message)
+	heartbeat.Asked = model.Instant(message.Asked.Value)
+	for _, proof := range message.Proofs {
+		heartbeat.Proofs = append(heartbeat.Proofs, scout.Proof{
+			Database: model.DatabaseID(proof.Database),
+			Instance: model.InstanceID(proof.Instance),
+			Point:    model.Point{Term: model.Term(proof.Term), Position: model.Position(proof.Position)},
+			SentAt:   model.Instant(proof.Asked),
+		})
+	}
 	return heartbeat, nil
 }
 
 // encodeLease adds the lease part of a heartbeat.
 func encodeLease(message *meshapi.Beat, part *lease.Message) {
-	message.Sent = meshapi.NewOptInt64(int64(part.Sent))
-	message.Digest = meshapi.NewOptInt64(int64(part.Digest))
-	if len(part.Heard) > 0 {
-		heard := make(meshapi.BeatHeard, len(part.Heard))
-		for host, at := range part.Heard {
-			heard[string(host)] = int64(at)
-		}
-		message.Heard = meshapi.NewOptBeatHeard(heard)
+	message.Sent = meshapi.NewOptInt64(millisecondsOf(part.Sent))
+	if part.Digest != 0 {
+		message.Digest = meshapi.NewOptInt64(int64(part.Digest))
+	}
+	if part.Heard != 0 {
+		message.Heard = meshapi.NewOptInt64(millisecondsOf(part.Heard))
 	}
 	if len(part.Released) > 0 {
 		released := make(meshapi.BeatReleased, len(part.Released))
@@ -128,20 +148,25 @@
 	}
 }
 
+// millisecondsOf returns the whole milliseconds of an instant.
+func millisecondsOf(at model.Instant) int64 { return int64(at) / int64(time.Millisecond) }
+
+// instantOf returns the instant of a number of milliseconds.
+func instantOf(milliseconds int64) model.Instant {
+	return model.Instant(model.Milliseconds(milliseconds).Duration())
+}
+
 // decodeLease returns the lease part of a heartbeat, or nil if there is none.
 func decodeLease(message *meshapi.Beat) *lease.Message {
 	if !message.Sent.Set {
 		return nil
 	}
 	part := &lease.Message{
-		Sent:     model.Instant(message.Sent.Value),
+		Sent:     instantOf(message.Sent.Value),
+		Heard:    instantOf(message.Heard.Value),
 		Digest:   lease.Digest(message.Digest.Value),
-		Heard:    make(map[model.HostID]model.Instant, len(message.Heard.Value)),
 		Released: make(map[model.DatabaseID]model.Token, len(message.Released.Value)),
 	}
-	for host, at := range message.Heard.Value {
-		part.Heard[model.HostID(host)] = model.Instant(at)
-	}
 	for database, token := range message.Released.Value {
 		part.Released[model.DatabaseID(database)] = model.Token(token)
 	}
--- a/internal/mesh/node.go
+++ b/internal/mesh/node.go
@@ -143,28 +143,41 @@
 }
 
 // SendHeartbeat sends a heartbeat to hosts; datagrams that can't be sent count as lost, which heartbeats tolerate.
-func (n *Node) SendHeartbeat(to []model.Address, heartbeat controller.Heartbeat) (err error) {
+func (n *Node) SendHeartbeat(to []controller.Receiver, heartbeat controller.Heartbeat) (err error) {
 	key, socket := n.key.Load(), n.socket.Load()
 	if key == nil || socket == nil {
 		return nil
 	}
-	datagram, err := EncodeHeartbeat(key, n.Now(), heartbeat)
-	if err != nil {
-		return err
-	}
-	for _, address := range to {
-		receiver, parseErr := netip.ParseAddrPort(string(address))
+	var datagram []byte
+	for _, receiver := range to {
+		if datagram == nil || heartbeat.Lease != nil {
+			var encodeErr error
+			if datagram, encodeErr = encodeFor(key, n.Now(), receiver, heartbeat); encodeErr != nil {
+				return errors.Join(err, encodeErr)
+			}
+		}
+		address, parseErr := netip.ParseAddrPort(string(receiver.Address))
 		if parseErr != nil {
 			err = errors.Join(err, parseErr)
 			continue
 		}
-		if _, sendErr := socket.WriteToUDPAddrPort(datagram, receiver); sendErr != nil {
+		if _, sendErr := socket.WriteToUDPAddrPort(datagram, address); sendErr != nil {
 			err = errors.Join(err, sendErr)
 		}
 	}
 	return err
 }
 
+// encodeFor returns the datagram of a heartbeat with the confirmation for one receiver.
+func encodeFor(key *Key, now time.Time, receiver controller.Receiver, heartbeat controller.Heartbeat) ([]byte, error) {
+	if heartbeat.Lease != nil {
+		part := *heartbeat.Lease
+		part.Heard = receiver.Heard
+		heartbeat.Lease = &part
+	}
+	return EncodeHeartbeat(key, now, heartbeat)
+}
+
 // FetchDirectory implements the generated server interface; it handles another host's Fetch.
 func (n *Node) FetchDirectory(_ context.Context, request *meshapi.Sealed) (meshapi.FetchDirectoryRes, error) {
 	key := n.key.Load()
--- a/internal/mesh/node_test.go
+++ b/internal/mesh/node_test.go
@@ -14,7 +14,9 @@
 	"redwingspread/internal/controller"
 	"redwingspread/internal/directory"
 	"redwingspread/internal/failover"
+	"redwingspread/internal/lease"
 	"redwingspread/internal/model"
+	"redwingspread/internal/scout"
 )
 
 // now is the time in the tests.
@@ -26,6 +28,13 @@
 		Host: "h1", Incarnation: 17, Sequence: 4, Leaving: true, Version: 9, Revision: 31,
 		Primaries: map[model.DatabaseID]failover.Observation{"seats": {Instance: "i1", Term: 3, State: failover.Silent, Since: now.Add(-700 * time.Millisecond)}},
 		Loads:     map[model.InstanceID]model.Load{"i1": 27},
+		Asked:     model.Instant(17 * time.Second),
+		Proofs:    []scout.Proof{{Database: "seats", Instance: "i1", Point: model.Point{Term: 3, Position: 88}, SentAt: model.Instant(5 * time.Second)}},
+		Lease: &lease.Message{
+			Sent: model.Instant(18 * time.Second), Heard: model.Instant(4 * time.Second), Digest: 91,
+			Assignments: []lease.Assignment{{Database: "seats", Instance: "i1", Token: 6}},
+			Released:    map[model.DatabaseID]model.Token{"seats": 6},
+		},
 	}
 }
 
--- a/pkg/api/meshapi/oas_json_gen.go
+++ b/pkg/api/meshapi/oas_json_gen.go
@@ -379,9 +379,25 @@
 			s.Released.Encode(e)
 		}
 	}
+	{
+		if s.Asked.Set {
+			e.FieldStart("asked")
+			s.Asked.Encode(e)
+		}
+	}
+	{
+		if s.Proofs != nil {
+			e.FieldStart("proofs")
+			e.ArrStart()
+			for _, elem := range s.Proofs {
+				elem.Encode(e)
+			}
+			e.ArrEnd()
+		}
+	}
 }
 
-var jsonFieldsNameOfBeat = [14]string{
+var jsonFieldsNameOfBeat = [16]string{
 	0:  "host",
 	1:  "incarnation",
 	2:  "sequence",
@@ -396,6 +412,8 @@
 	11: "digest",
 	12: "assigned",
 	13: "released",
+	14: "asked",
+	15: "proofs",
 }
 
 // Decode decodes Beat from json.
@@ -571,6 +589,33 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"released\"")
 			}
+		case "asked":
+			if err := func() error {
+				s.Asked.Reset()
+				if err := s.Asked.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"asked\"")
+			}
+		case "proofs":
+			if err := func() error {
+				s.Proofs = make([]Proof, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem Proof
+					if err := elem.Decode(d); err != nil {
+						return err
+					}
+					s.Proofs = append(s.Proofs, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"proofs\"")
+			}
 		default:
 			return d.Skip()
 		}
@@ -628,62 +673,6 @@
 	return s.Decode(d)
 }
 
-// Encode implements json.Marshaler.
-func (s BeatHeard) Encode(e *jx.Encoder) {
-	e.ObjStart()
-	s.encodeFields(e)
-	e.ObjEnd()
-}
-
-// encodeFields implements json.Marshaler.
-func (s BeatHeard) encodeFields(e *jx.Encoder) {
-	for k, elem := range s {
-		e.FieldStart(k)
-
-		e.Int64(elem)
-	}
-}
-
-// Decode decodes BeatHeard from json.
-func (s *BeatHeard) Decode(d *jx.Decoder) error {
-	if s == nil {
-		return errors.New("invalid: unable to decode BeatHeard to nil")
-	}
-	m := s.init()
-	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
-		var elem int64
-		if err := func() error {
-			v, err := d.Int64()
-			elem = int64(v)
-			if err != nil {
-				return err
-			}
-			return nil
-		}(); err != nil {
-			return errors.Wrapf(err, "decode field %q", k)
-		}
-		m[string(k)] = elem
-		return nil
-	}); err != nil {
-		return errors.Wrap(err, "decode BeatHeard")
-	}
-
-	return nil
-}
-
-// MarshalJSON implements stdjson.Marshaler.
-func (s BeatHeard) MarshalJSON() ([]byte, error) {
-	e := jx.Encoder{}
-	s.Encode(&e)
-	return e.Bytes(), nil
-}
-
-// UnmarshalJSON implements stdjson.Unmarshaler.
-func (s *BeatHeard) UnmarshalJSON(data []byte) error {
-	d := jx.DecodeBytes(data)
-	return s.Decode(d)
-}
-
 // Encode implements json.Marshaler.
 func (s BeatLoads) Encode(e *jx.Encoder) {
 	e.ObjStart()
@@ -1960,40 +1949,6 @@
 	return s.Decode(d)
 }
 
-// Encode encodes BeatHeard as json.
-func (o OptBeatHeard) Encode(e *jx.Encoder) {
-	if !o.Set {
-		return
-	}
-	o.Value.Encode(e)
-}
-
-// Decode decodes BeatHeard from json.
-func (o *OptBeatHeard) Decode(d *jx.Decoder) error {
-	if o == nil {
-		return errors.New("invalid: unable to decode OptBeatHeard to nil")
-	}
-	o.Set = true
-	o.Value = make(BeatHeard)
-	if err := o.Value.Decode(d); err != nil {
-		return err
-	}
-	return nil
-}
-
-// MarshalJSON implements stdjson.Marshaler.
-func (s OptBeatHeard) MarshalJSON() ([]byte, error) {
-	e := jx.Encoder{}
-	s.Encode(&e)
-	return e.Bytes(), nil
-}
-
-// UnmarshalJSON implements stdjson.Unmarshaler.
-func (s *OptBeatHeard) UnmarshalJSON(data []byte) error {
-	d := jx.DecodeBytes(data)
-	return s.Decode(d)
-}
-
 // Encode encodes BeatLoads as json.
 func (o OptBeatLoads) Encode(e *jx.Encoder) {
 	if !o.Set {
@@ -2167,6 +2122,170 @@
 	return s.Decode(d)
 }
 
+// Encode implements json.Marshaler.
+func (s *Proof) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *Proof) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("database")
+		e.Str(s.Database)
+	}
+	{
+		e.FieldStart("instance")
+		e.Str(s.Instance)
+	}
+	{
+		e.FieldStart("term")
+		e.UInt64(s.Term)
+	}
+	{
+		e.FieldStart("position")
+		e.UInt64(s.Position)
+	}
+	{
+		e.FieldStart("asked")
+		e.Int64(s.Asked)
+	}
+}
+
+var jsonFieldsNameOfProof = [5]string{
+	0: "database",
+	1: "instance",
+	2: "term",
+	3: "position",
+	4: "asked",
+}
+
+// Decode decodes Proof from json.
+func (s *Proof) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode Proof to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "database":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Str()
+				s.Database = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"database\"")
+			}
+		case "instance":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				v, err := d.Str()
+				s.Instance = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"instance\"")
+			}
+		case "term":
+			requiredBitSet[0] |= 1 << 2
+			if err := func() error {
+				v, err := d.UInt64()
+				s.Term = uint64(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"term\"")
+			}
+		case "position":
+			requiredBitSet[0] |= 1 << 3
+			if err := func() error {
+				v, err := d.UInt64()
+				s.Position = uint64(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"position\"")
+			}
+		case "asked":
+			requiredBitSet[0] |= 1 << 4
+			if err := func() error {
+				v, err := d.Int64()
+				s.Asked = int64(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"asked\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode Proof")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00011111,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfProof) {
+					name = jsonFieldsNameOfProof[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *Proof) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *Proof) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode implements json.Marshaler.
 func (s *Sealed) Encode(e *jx.Encoder) {
 	e.ObjStart()
--- a/pkg/api/meshapi/oas_schemas_gen.go
+++ b/pkg/api/meshapi/oas_schemas_gen.go
@@ -109,17 +109,21 @@
 	Counted OptBool `json:"counted"`
 	// Mean number of connections in use and requested in tenths by instance.
 	Loads OptBeatLoads `json:"loads"`
-	// Time of sending in nanoseconds on the boot-time clock of the sender; zero when the platform fences
-	// primaries.
+	// Time of sending in milliseconds on the boot-time clock of the sender; absent when the platform
+	// fences primaries.
 	Sent OptInt64 `json:"sent"`
-	// The newest sent that arrived from other hosts.
-	Heard OptBeatHeard `json:"heard"`
+	// The newest sent that arrived from the receiver.
+	Heard OptInt64 `json:"heard"`
 	// Digest of the assignments that the sender knows.
 	Digest OptInt64 `json:"digest"`
 	// Assignments that some receiver may not know.
 	Assigned []Assignment `json:"assigned"`
 	// Newest token by database for which the sender uses no other primary.
 	Released OptBeatReleased `json:"released"`
+	// A question for positions: its time in nanoseconds on the boot-time clock of the sender.
+	Asked OptInt64 `json:"asked"`
+	// Positions that primaries proved to the sender after questions of the receiver.
+	Proofs []Proof `json:"proofs"`
 }
 
 // GetHost returns the value of Host.
@@ -173,7 +177,7 @@
 }
 
 // GetHeard returns the value of Heard.
-func (s *Beat) GetHeard() OptBeatHeard {
+func (s *Beat) GetHeard() OptInt64 {
 	return s.Heard
 }
 
@@ -192,6 +196,16 @@
 	return s.Released
 }
 
+// GetAsked returns the value of Asked.
+func (s *Beat) GetAsked() OptInt64 {
+	return s.Asked
+}
+
+// GetProofs returns the value of Proofs.
+func (s *Beat) GetProofs() []Proof {
+	return s.Proofs
+}
+
 // SetHost sets the value of Host.
 func (s *Beat) SetHost(val string) {
 	s.Host = val
@@ -243,7 +257,7 @@
 }
 
 // SetHeard sets the value of Heard.
-func (s *Beat) SetHeard(val OptBeatHeard) {
+func (s *Beat) SetHeard(val OptInt64) {
 	s.Heard = val
 }
 
@@ -262,16 +276,14 @@
 	s.Released = val
 }
 
-// The newest sent that arrived from other hosts.
-type BeatHeard map[string]int64
+// SetAsked sets the value of Asked.
+func (s *Beat) SetAsked(val OptInt64) {
+	s.Asked = val
+}
 
-func (s *BeatHeard) init() BeatHeard {
-	m := *s
-	if m == nil {
-		m = map[string]int64{}
-		*s = m
-	}
-	return m
+// SetProofs sets the value of Proofs.
+func (s *Beat) SetProofs(val []Proof) {
+	s.Proofs = val
 }
 
 // Mean number of connections in use and requested in tenths by instance.
@@ -815,52 +827,6 @@
 // LeadWrittenOK is response for LeadWritten operation.
 type LeadWrittenOK struct{}
 
-// NewOptBeatHeard returns new OptBeatHeard with value set to v.
-func NewOptBeatHeard(v BeatHeard) OptBeatHeard {
-	return OptBeatHeard{
-		Value: v,
-		Set:   true,
-	}
-}
-
-// OptBeatHeard is optional BeatHeard.
-type OptBeatHeard struct {
-	Value BeatHeard
-	Set   bool
-}
-
-// IsSet returns true if OptBeatHeard was set.
-func (o OptBeatHeard) IsSet() bool { return o.Set }
-
-// Reset unsets value.
-func (o *OptBeatHeard) Reset() {
-	var v BeatHeard
-	o.Value = v
-	o.Set = false
-}
-
-// SetTo sets value to v.
-func (o *OptBeatHeard) SetTo(v BeatHeard) {
-	o.Set = true
-	o.Value = v
-}
-
-// Get returns value and boolean that denotes whether value was set.
-func (o OptBeatHeard) Get() (v BeatHeard, ok bool) {
-	if !o.Set {
-		return v, false
-	}
-	return o.Value, true
-}
-
-// Or returns value if set, or given parameter if does not.
-func (o OptBeatHeard) Or(d BeatHeard) BeatHeard {
-	if v, ok := o.Get(); ok {
-		return v
-	}
-	return d
-}
-
 // NewOptBeatLoads returns new OptBeatLoads with value set to v.
 func NewOptBeatLoads(v BeatLoads) OptBeatLoads {
 	return OptBeatLoads{
@@ -1091,6 +1057,66 @@
 	return d
 }
 
+// Ref: #/components/schemas/Proof
+type Proof struct {
+	Database string `json:"database"`
+	Instance string `json:"instance"`
+	Term     uint64 `json:"term"`
+	Position uint64 `json:"position"`
+	// Time of the newest question that arrived before the primary was asked.
+	Asked int64 `json:"asked"`
+}
+
+// GetDatabase returns the value of Database.
+func (s *Proof) GetDatabase() string {
+	return s.Database
+}
+
+// GetInstance returns the value of Instance.
+func (s *Proof) GetInstance() string {
+	return s.Instance
+}
+
+// GetTerm returns the value of Term.
+func (s *Proof) GetTerm() uint64 {
+	return s.Term
+}
+
+// GetPosition returns the value of Position.
+func (s *Proof) GetPosition() uint64 {
+	return s.Position
+}
+
+// GetAsked returns the value of Asked.
+func (s *Proof) GetAsked() int64 {
+	return s.Asked
+}
+
+// SetDatabase sets the value of Database.
+func (s *Proof) SetDatabase(val string) {
+	s.Database = val
+}
+
+// SetInstance sets the value of Instance.
+func (s *Proof) SetInstance(val string) {
+	s.Instance = val
+}
+
+// SetTerm sets the value of Term.
+func (s *Proof) SetTerm(val uint64) {
+	s.Term = val
+}
+
+// SetPosition sets the value of Position.
+func (s *Proof) SetPosition(val uint64) {
+	s.Position = val
+}
+
+// SetAsked sets the value of Asked.
+func (s *Proof) SetAsked(val int64) {
+	s.Asked = val
+}
+
 // Ref: #/components/schemas/Sealed
 type Sealed struct {
 	Body []byte `json:"body"`
