controller: hosts keep connections to the nearest instance of a crowded database; stop: a request that arrives is answered

Change: the hosts to which an instance is the nearest of its database keep connections, at most three quarters of those shared; the others take turns. A read counts the time to open a connection. Cause, calls: each host held three polls of 10 s. Change: about twelve hosts do, the others hold theirs for 28 s and poll again after 1.6 s at the earliest (the last not measured yet). Cause, stop: a session that was interrupted by a planned stop at the moment of a request closed without reading it, which the caller saw as a reset; a START that was interrupted ended without an answer. Change: a session that ends looks once more for a request and answers it. TestStopAnswersARequestThatArrives fails without it.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -47,6 +47,8 @@
 	Timing Timing
 	// Failover holds the timing of failover decisions.
 	Failover failover.Timing
+	// Regions maps data centres to their regions.
+	Regions map[model.DataCentreID]model.RegionID
 	// Unfenced is set where the platform doesn't stop a primary when it promotes another instance.
 	Unfenced bool
 	// Logger receives log events; it never blocks.
@@ -76,6 +78,8 @@
 	lastLeaseRead model.Instant // time of the newest ReadPromotions
 	scouts        *scout.State
 	crowded       bool // there are more hosts than an instance has connections
+	membership    int  // counts the changes of the known hosts and their data centres
+	homes         homes
 	snapshot      *View
 }
 
--- a/internal/controller/host.go
+++ b/internal/controller/host.go
@@ -51,10 +51,14 @@
 	known, found := c.hosts[row.ID]
 	if !found {
 		c.hosts[row.ID] = &host{Host: row, lastHeard: now}
+		c.membership++
 		c.urgent = true
 		return
 	}
 	if row.Incarnation >= known.Incarnation {
+		if row.DataCentre != known.DataCentre {
+			c.membership++
+		}
 		known.Host = row
 	}
 }
@@ -63,6 +67,7 @@
 func (c *Controller) removeHost(now time.Time, id model.HostID) {
 	if known, found := c.hosts[id]; found && now.Sub(known.lastHeard) > c.hostTimeout() {
 		delete(c.hosts, id)
+		c.membership++
 		c.scouts.Forget(id)
 	}
 }
@@ -77,6 +82,7 @@
 	if !found {
 		known = &host{Host: Host{ID: heartbeat.Host, Address: e.From, Incarnation: heartbeat.Incarnation}}
 		c.hosts[heartbeat.Host] = known
+		c.membership++
 		c.urgent = true
 	}
 	previous := known.heartbeat
@@ -290,6 +296,7 @@
 	for id, known := range c.hosts {
 		if known.dead && now.Sub(known.lastHeard) > c.Timing.RowRetention && now.Sub(c.started) > c.Timing.RowRetention {
 			delete(c.hosts, id)
+			c.membership++
 			return []Action{DeleteHostRow{Host: id}}
 		}
 	}
--- a/internal/controller/shares.go
+++ b/internal/controller/shares.go
@@ -46,6 +46,10 @@
 			shares[id] = shareOf(limit, instance.Slots, 1, assumedHosts, assumedHosts)
 			continue
 		}
+		if crowded := len(sharers)+1 > int(limit); crowded {
+			shares[id] = c.crowdedShare(id, instance.Slots, limit, len(sharers)+1)
+			continue
+		}
 		own := max(c.loads[id], minLoad)
 		all := own
 		for _, other := range sharers {
@@ -60,6 +64,23 @@
 	return shares
 }
 
+// crowdedShare returns this host's share of an instance that has fewer connections than there are hosts: its home hosts keep
+// connections, the others open one when they need it.
+func (c *Controller) crowdedShare(id model.InstanceID, slots model.Slots, limit model.Connections, hosts int) Share {
+	homes := c.homesOf(id, limit)
+	if !homes[c.Self.ID] {
+		return Share{Slots: max(statementsPerSlot*slots/model.Slots(hosts), 1), Connections: 1, Scarce: true}
+	}
+	own := max(c.loads[id], minLoad)
+	all := own
+	for other := range homes {
+		if known, found := c.hosts[other]; found {
+			all += max(known.heartbeat.Loads[id], minLoad)
+		}
+	}
+	return shareOf(limit-limit/turnsDivisor, slots, own, all, len(homes))
+}
+
 // sharers returns the other hosts whose connections still count at the instances: live ones, and those that timed out
 // less than Linger ago.
 func (c *Controller) sharers(now time.Time) (sharers []*host) {
--- a/internal/front/backend.go
+++ b/internal/front/backend.go
@@ -28,6 +28,7 @@
 	fullProbeDelay = 2 * time.Second        // no probes for so long after that: the instance responds, and other hosts use its connections
 	topRankFloor   = model.Percent(0)       // the most urgent rank is served first and needs no guaranteed share
 	lowerRankFloor = model.Percent(10)      // share of slot time guaranteed to each other rank under a flood of urgent work
+	setupTime      = 15 * time.Millisecond  // of a connection at an instance, which takes a slot meanwhile
 	releaseGrace   = 150 * time.Millisecond // for statements in progress on a primary that is replaced
 	minConnections = 1                      // connections to an instance kept open without work
 )
@@ -317,6 +318,9 @@
 // candidate returns the inputs for choosing among instances.
 func (b *backend) candidate(now time.Time, kind model.KindID, primary model.InstanceID) placement.Candidate {
 	expected := b.scheduler.ExpectedLatency(now, kind)
+	if b.scheduler.OpensConnection() {
+		expected += 2*b.rtt + setupTime
+	}
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	return placement.Candidate{
--- a/internal/front/fleet_test.go
+++ b/internal/front/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"testing"
@@ -13,6 +14,7 @@
 	"redwingspread/internal/front"
 	"redwingspread/internal/model"
 	"redwingspread/internal/settings"
+	"redwingspread/internal/statement"
 	"redwingspread/platform"
 	"redwingspread/platform/standin"
 )
@@ -22,11 +24,12 @@
 
 // fleet is a stand-in platform and the hosts that run on it.
 type fleet struct {
-	t        *testing.T
-	cloud    *standin.Cloud
-	database *standin.Database
-	hosts    []*testHost
-	fencing  string // setting of the hosts
+	t           *testing.T
+	cloud       *standin.Cloud
+	database    *standin.Database
+	hosts       []*testHost
+	fencing     string        // setting of the hosts
+	interrupted chan struct{} // see fragileCaller
 }
 
 // testHost is one host of the fleet.
@@ -53,7 +56,7 @@
 // newFleetWith is newFleet with a value of the hosts' setting of fencing.
 func newFleetWith(t *testing.T, hosts int, fencing string) *fleet {
 	t.Helper()
-	f := &fleet{t: t, cloud: standin.NewCloud(), fencing: fencing}
+	f := &fleet{t: t, cloud: standin.NewCloud(), fencing: fencing, interrupted: make(chan struct{})}
 	if err := f.cloud.Start(); err != nil {
 		t.Fatal(err)
 	}
@@ -111,7 +114,7 @@
 	}
 	logger := &log.Logger{Handler: memory.New(), Level: log.InfoLevel}
 	client.Logger, host.Logger = logger, logger
-	host.Platform = fragilePlatform{client}
+	host.Platform = fragilePlatform{client, f.interrupted}
 	ctx, stop := context.WithCancel(context.Background())
 	h := &testHost{address: string(addresses[0]), metrics: string(addresses[3]), stop: stop, done: make(chan error, 1)}
 	f.hosts = append(f.hosts, h)
@@ -120,15 +123,21 @@
 }
 
 // fragilePlatform is a platform whose sessions for the kind of work "boom" panic.
-type fragilePlatform struct{ *platform.Client }
+type fragilePlatform struct {
+	*platform.Client
+	interrupted chan struct{}
+}
 
 // NewCaller wraps an accepted caller connection.
 func (p fragilePlatform) NewCaller(conn net.Conn) front.Caller {
-	return fragileCaller{p.Client.NewCaller(conn)}
+	return fragileCaller{p.Client.NewCaller(conn), p.interrupted}
 }
 
 // fragileCaller panics when its session is for the kind of work "boom".
-type fragileCaller struct{ front.Caller }
+type fragileCaller struct {
+	front.Caller
+	interrupted chan struct{} // receives and returns a value at each interrupt, where the test listens; nil if it doesn't
+}
 
 // ReadStart returns the kind of work that the session is for.
 func (c fragileCaller) ReadStart() (model.KindID, error) {
@@ -139,6 +148,19 @@
 	return kind, err
 }
 
+// ReadRequest waits for a request. At an interrupt it lets the test send a request first, if the test listens.
+func (c fragileCaller) ReadRequest(limit time.Time) (statement.Request, error) {
+	request, err := c.Caller.ReadRequest(limit)
+	if errors.Is(err, front.ErrNoRequest) && c.interrupted != nil {
+		select {
+		case c.interrupted <- struct{}{}:
+			<-c.interrupted
+		default:
+		}
+	}
+	return request, err
+}
+
 // freeAddresses returns unused addresses, with ports outside the range of outgoing connections.
 func freeAddresses(t *testing.T, count int) []model.Address {
 	t.Helper()
--- a/internal/front/follow.go
+++ b/internal/front/follow.go
@@ -5,6 +5,8 @@
 	"errors"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"redwingspread/internal/boundary"
 	"redwingspread/internal/clock"
 	"redwingspread/internal/controller"
@@ -18,6 +20,12 @@
 	// longPollWait is how long the store may hold a long poll: it keeps the number of calls low, and the keep-alive detects a
 	// connection that went silent meanwhile.
 	longPollWait = 10 * time.Second
+	// longestPollWait is the same for hosts that learn of changes from others when the store's answer is lost.
+	longestPollWait = 28 * time.Second
+	// infrequentSpread is the factor on the time between two polls of such hosts, within the time that a change may take.
+	infrequentSpread = 4
+	// frequentPollers is the expected number of hosts that use longPollWait in a larger fleet.
+	frequentPollers = 12
 	// longPollSlack is how much longer than the wait a response may take.
 	longPollSlack = 2 * time.Second
 	// pollInterval is the minimum time between two polls of a table, so that a burst of changes costs few calls.
@@ -40,14 +48,21 @@
 	interval time.Duration
 	read     func(ctx context.Context, after model.Revision, wait time.Duration) (T, model.Revision, error)
 	apply    func(ctx context.Context, update T) error
+	pace     func() pollPace
+}
+
+// pollPace is how often a host polls a table.
+type pollPace struct {
+	wait   time.Duration // for which the store may hold a poll
+	spread int           // factor on the minimum time between two polls
 }
 
 // followAll follows all tables until the context ends, then sends its result on done.
 func (h *Host) followAll(ctx context.Context, done chan<- error) {
 	ended := make(chan error, 4)
-	go follow(ctx, h, table[controller.DirectoryUpdate]{"configuration", pollInterval, h.Platform.Configuration, h.sendUpdate}, ended)
-	go follow(ctx, h, table[controller.DirectoryUpdate]{"instances", pollInterval, h.Platform.Instances, h.sendUpdate}, ended)
-	go follow(ctx, h, table[HostRows]{"hosts", hostPollInterval, h.Platform.Hosts, h.applyHostRows}, ended)
+	go follow(ctx, h, table[controller.DirectoryUpdate]{"configuration", pollInterval, h.Platform.Configuration, h.sendUpdate, h.pollPace}, ended)
+	go follow(ctx, h, table[controller.DirectoryUpdate]{"instances", pollInterval, h.Platform.Instances, h.sendUpdate, h.pollPace}, ended)
+	go follow(ctx, h, table[HostRows]{"hosts", hostPollInterval, h.Platform.Hosts, h.applyHostRows, h.hostPollPace}, ended)
 	go h.registerLoop(ctx, ended)
 	for range 4 {
 		<-ended
@@ -98,6 +113,22 @@
 	return h.Loop.Send(ctx, rows.MembershipUpdate)
 }
 
+// pollPace returns how often this host polls.
+//
+// In a large fleet a few hosts notice a poll that is lost soon, and their heartbeats tell the others that they lack a change.
+func (h *Host) pollPace() pollPace { return paceOf(h.self.ID, h.view().LiveHosts) }
+
+// hostPollPace is pollPace for the hosts' rows, which hold the promotions and whose polls are far apart anyway.
+func (h *Host) hostPollPace() pollPace { return pollPace{wait: h.pollPace().wait, spread: 1} }
+
+// paceOf returns how often a host polls in a fleet with so many live hosts.
+func paceOf(self model.HostID, hosts int) pollPace {
+	if hosts <= frequentPollers || xxhash.Sum64String(string(self))%uint64(hosts) < frequentPollers {
+		return pollPace{wait: longPollWait, spread: 1}
+	}
+	return pollPace{wait: longestPollWait, spread: infrequentSpread}
+}
+
 // follow applies each change of a table until the context ends, then sends its result on done.
 //
 // When the history has been truncated, it reads the full table. If the store truncates its history all the time, it polls for
@@ -109,7 +140,8 @@
 	backoff := retry.NewSharedBackoff()
 	fullRead, fullReadsLeft := false, 0 // the latest response was a full table; number of full reads left
 	for ctx.Err() == nil {
-		wait, limit := longPollWait, longPollWait+longPollSlack
+		pace := t.pace()
+		wait, limit := pace.wait, pace.wait+longPollSlack
 		if after == 0 || !lostSince.IsZero() {
 			wait, limit = 0, readTimeout
 		}
@@ -142,7 +174,7 @@
 			}
 			_ = t.apply(ctx, update) // fails only when the context ends
 			fullRead = after == 0
-			pause := t.interval
+			pause := t.interval * time.Duration(pace.spread)
 			if fullReadsLeft > 0 {
 				fullReadsLeft--
 				pause = max(pause, fullReadInterval)
--- a/internal/front/follow_internal_test.go
+++ b/internal/front/follow_internal_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -102,7 +103,7 @@
 					}
 					return nil
 				}
-				go follow(ctx, h, table[int]{"table", pollInterval, fake.read, apply}, done)
+				go follow(ctx, h, table[int]{"table", pollInterval, fake.read, apply, func() pollPace { return pollPace{longPollWait, 1} }}, done)
 				time.Sleep(time.Minute)
 				cancel()
 				<-done
@@ -116,3 +117,26 @@
 		})
 	}
 }
+
+// TestPollPace checks that the number of hosts that poll often doesn't grow with the fleet, and that it is never zero.
+func TestPollPace(t *testing.T) {
+	tests := map[string]struct{ hosts, least, most int }{
+		"a small fleet":  {hosts: 4, least: 4, most: 4},
+		"a medium fleet": {hosts: 35, least: 4, most: 24},
+		"a large fleet":  {hosts: 118, least: 4, most: 24},
+		"a huge fleet":   {hosts: 1800, least: 4, most: 24},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			got := 0
+			for i := range test.hosts {
+				if paceOf(model.HostID(fmt.Sprintf("front-hill-a-%d", i)), test.hosts).wait == longPollWait {
+					got++
+				}
+			}
+			if got < test.least || got > test.most {
+				t.Errorf("got %d hosts that poll often, want between %d and %d", got, test.least, test.most)
+			}
+		})
+	}
+}
--- a/internal/front/host.go
+++ b/internal/front/host.go
@@ -119,6 +119,7 @@
 	c.Self = h.self
 	c.Logger = h.Logger
 	c.Unfenced = h.unfenced()
+	c.Regions = h.regions
 	c.SetGrace(h.Settings.LeaveLimit / 2) // the other half is left for requests already in progress
 	h.Loop = control.New(c)
 	h.Loop.Do = h.execute
--- a/internal/front/host_test.go
+++ b/internal/front/host_test.go
@@ -264,3 +264,31 @@
 		t.Errorf("got %+v, %v on a new session, want the write", got, err)
 	}
 }
+
+// TestStopAnswersARequestThatArrives checks that a request that arrives at the moment in which a stopping host ends the session
+// is answered.
+func TestStopAnswersARequestThatArrives(t *testing.T) {
+	f := newFleet(t, 1)
+	s := f.openSession(f.hosts[0], "desk")
+	if got, err := s.Query("WRITE early 1"); err != nil || got.Code != "" {
+		t.Fatalf("got %+v, %v, want a write", got, err)
+	}
+	f.hosts[0].stop()
+	select {
+	case <-f.interrupted:
+	case <-time.After(waitLimit):
+		t.Fatal("got no interrupt of the idle session")
+	}
+	if err := s.Send("QUERY 77 WRITE late 1\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(50 * time.Millisecond) // for the request to reach the host's socket, whose reader is held up
+	f.interrupted <- struct{}{}
+	if got, err := s.Receive(); err != nil || got.Code != "" {
+		t.Errorf("got %+v, %v, want the write to be answered", got, err)
+	}
+	if err := <-f.hosts[0].done; err != nil {
+		t.Errorf("got %v, want a clean end", err)
+	}
+	f.hosts[0].done <- nil
+}
--- a/internal/front/interfaces.go
+++ b/internal/front/interfaces.go
@@ -15,7 +15,8 @@
 
 // Errors of a caller's connection.
 var (
-	// ErrNoRequest is returned by Caller.ReadRequest when the time limit passed, or Interrupt was called, before a request arrived.
+	// ErrNoRequest is returned by Caller.ReadStart and Caller.ReadRequest when the time limit passed, or Interrupt was called, before
+	// a message was read.
 	ErrNoRequest = errors.New("no request came in time")
 	// ErrClosed is returned by Caller.ReadRequest when the caller has ended the session.
 	ErrClosed = errors.New("the caller has ended the session")
@@ -35,7 +36,7 @@
 	SendRefusal(refusal *model.Refusal, state statement.State) error
 	// RejectSession refuses to open the session.
 	RejectSession(refusal *model.Refusal) error
-	// Interrupt makes a pending ReadRequest return ErrNoRequest.
+	// Interrupt makes a pending ReadStart or ReadRequest return ErrNoRequest, also when a message has just arrived.
 	Interrupt()
 	// Close closes the connection.
 	Close() error
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -28,6 +28,9 @@
 func (s *callerSession) serve(ctx context.Context) error {
 	defer s.cleanUp()
 	kind, err := s.caller.ReadStart()
+	if errors.Is(err, ErrNoRequest) && s.host.draining() {
+		kind, err = s.caller.ReadStart() // the interrupt came first; the message is likely to have arrived
+	}
 	if err != nil {
 		return s.reject(err)
 	}
@@ -43,10 +46,9 @@
 	for ctx.Err() == nil {
 		request, err := s.nextRequest()
 		switch {
+		case errors.Is(err, ErrNoRequest) && s.shouldEnd():
+			return s.handleLast(ctx)
 		case errors.Is(err, ErrNoRequest):
-			if s.shouldEnd() {
-				return nil
-			}
 			continue
 		case err != nil:
 			return s.endWithRefusal(err)
@@ -61,6 +63,21 @@
 	return nil
 }
 
+// lastReadTime is how long a session that ends looks for a request that arrived at the moment of the interrupt.
+const lastReadTime = 5 * time.Millisecond
+
+// handleLast processes a request that has arrived at a session that ends, so that it isn't cut off without an answer.
+func (s *callerSession) handleLast(ctx context.Context) error {
+	request, err := s.caller.ReadRequest(time.Now().Add(lastReadTime))
+	switch {
+	case errors.Is(err, ErrNoRequest):
+		return nil
+	case err != nil:
+		return s.endWithRefusal(err)
+	}
+	return s.handle(ctx, request)
+}
+
 // configurationWait is how long a caller waits at a host that has just started: with a slow store the first configuration
 // takes a few hundred milliseconds, and another host may already have one.
 const configurationWait = 400 * time.Millisecond
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -138,6 +138,13 @@
 	return serviceTime + time.Duration(ahead)*s.queue.ServiceTimes.Mean(now)/time.Duration(max(limit, 1))
 }
 
+// OpensConnection reports whether work that arrives now has to wait for a connection to be opened, since none is kept.
+func (s *Scheduler[C]) OpensConnection() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.scarce && s.Pool.Counts().Idle == 0
+}
+
 // connectionReady starts waiting work; the pool calls it when a connection has become idle.
 func (s *Scheduler[C]) connectionReady() {
 	s.mutex.Lock()
