controller: a host that has just started keeps no connections to a crowded instance

Change: within three seconds of its start a home host opens connections for its work only. TestHomesAfterAStart replays it.

--- a/internal/controller/homes_test.go
+++ b/internal/controller/homes_test.go
@@ -18,8 +18,8 @@
 }
 
 // regionalController returns one of many hosts, spread over the data centres, before a database with an instance in each of
-// the given data centres.
-func regionalController(self, hosts int, connections model.Connections, instances ...model.DataCentreID) *Controller {
+// the given data centres, some time after its start.
+func regionalController(age time.Duration, self, hosts int, connections model.Connections, instances ...model.DataCentreID) *Controller {
 	order := []model.DataCentreID{"east-a", "west-a", "south-a", "east-b", "west-b", "south-b"}
 	now := time.Unix(1000, 0)
 	c := New()
@@ -41,6 +41,8 @@
 		}})
 	}
 	c.Handle(now, update)
+	c.started = now.Add(-age)
+	c.Handle(now, Tick{})
 	return c
 }
 
@@ -64,7 +66,7 @@
 			home := make(map[model.InstanceID]int)
 			kept := make(map[model.InstanceID]model.Connections)
 			for self := range test.hosts {
-				for id, share := range regionalController(self, test.hosts, test.connections, test.instances...).Snapshot().Shares {
+				for id, share := range regionalController(time.Minute, self, test.hosts, test.connections, test.instances...).Snapshot().Shares {
 					if share.Connections < 1 || share.Slots < 1 {
 						t.Errorf("got %+v of %s at host %d, want at least one connection and slot", share, id, self)
 					}
@@ -90,3 +92,15 @@
 		})
 	}
 }
+
+// TestHomesAfterAStart replays the return of all hosts after a loss of power, while the instances still count what the hosts
+// kept before: nobody keeps connections without work then.
+func TestHomesAfterAStart(t *testing.T) {
+	for age, want := range map[time.Duration]bool{0: true, 2900 * time.Millisecond: true, 3100 * time.Millisecond: false} {
+		for id, share := range regionalController(age, 0, 114, 88, "east-a", "west-a", "south-a").Snapshot().Shares {
+			if got := share.Scarce; got != want && id == "i0" {
+				t.Errorf("got scarce %v %v after the start, want %v", got, age, want)
+			}
+		}
+	}
+}
--- a/internal/controller/shares.go
+++ b/internal/controller/shares.go
@@ -47,7 +47,7 @@
 			continue
 		}
 		if crowded := len(sharers)+1 > int(limit); crowded {
-			shares[id] = c.crowdedShare(id, instance.Slots, limit, len(sharers)+1)
+			shares[id] = c.crowdedShare(now, id, instance.Slots, limit, len(sharers)+1)
 			continue
 		}
 		own := max(c.loads[id], minLoad)
@@ -66,7 +66,9 @@
 
 // crowdedShare returns this host's share of an instance that has fewer connections than there are hosts: its home hosts keep
 // connections, the others open one when they need it.
-func (c *Controller) crowdedShare(id model.InstanceID, slots model.Slots, limit model.Connections, hosts int) Share {
+//
+// A host that has just started keeps none: where all hosts lost power, the instance still counts what they kept before.
+func (c *Controller) crowdedShare(now time.Time, id model.InstanceID, slots model.Slots, limit model.Connections, hosts int) Share {
 	homes := c.homesOf(id, limit)
 	if !homes[c.Self.ID] {
 		return Share{Slots: max(statementsPerSlot*slots/model.Slots(hosts), 1), Connections: 1, Scarce: true}
@@ -78,7 +80,9 @@
 			all += max(known.heartbeat.Loads[id], minLoad)
 		}
 	}
-	return shareOf(limit-limit/turnsDivisor, slots, own, all, len(homes))
+	share := shareOf(limit-limit/turnsDivisor, slots, own, all, len(homes))
+	share.Scarce = now.Sub(c.started) < c.Timing.Linger
+	return share
 }
 
 // sharers returns the other hosts whose connections still count at the instances: live ones, and those that timed out
