lease: a host that nobody has heard for a lease is left out of the wait before a promotion

Change: a host says in its row that it renews its lease from the store, before it does. The acting host reads the rows after it has written the promotion row; a host whose row says nothing and that so many hosts have not heard for a lease that the rest form no majority holds no lease.

--- a/internal/controller/event.go
+++ b/internal/controller/event.go
@@ -50,6 +50,7 @@
 	Address     model.Address
 	DataCentre  model.DataCentreID
 	Incarnation model.Incarnation
+	Lone        bool // it may renew its lease from the store
 }
 
 // Promotion is the store's row of the newest promotion in a database.
@@ -101,6 +102,7 @@
 // replaced primary any more.
 type PromotionClaimed struct {
 	Promotion Promotion
+	Hosts     []Host // the hosts' rows as read after the promotion row was written; empty when they could not be read
 }
 
 // PromotionsRead reports the result of a ReadPromotions.
@@ -169,7 +171,8 @@
 	Proofs []scout.Proof
 }
 
-// ReadPromotions reads all promotion rows, which renews the lease of a host that hears only a minority of the hosts.
+// ReadPromotions makes the host's row say that the host is alone and reads all promotion rows, which renews the lease of a host
+// that hears only a minority of the hosts.
 type ReadPromotions struct{}
 
 // DeleteHostRow deletes the store's row of a host that is gone for good.
--- a/internal/controller/lease.go
+++ b/internal/controller/lease.go
@@ -67,10 +67,22 @@
 	}
 	c.setPromotion(now, e.Promotion)
 	c.claims[e.Promotion.Database] = e.Promotion.Token
-	c.lease.Begin(c.boot, e.Promotion.Database, e.Promotion.Token)
+	c.lease.Begin(c.boot, e.Promotion.Database, e.Promotion.Token, c.loneHosts(e.Hosts))
 	c.urgent = true
 }
 
+// loneHosts returns the hosts that may hold a lease from the store: those whose rows say so, and those without a known row.
+func (c *Controller) loneHosts(rows []Host) map[model.HostID]bool {
+	lone := make(map[model.HostID]bool, len(c.hosts))
+	for id := range c.hosts {
+		lone[id] = true
+	}
+	for _, row := range rows {
+		lone[row.ID] = row.Lone
+	}
+	return lone
+}
+
 // dueLeaseRead returns a read of the promotion rows when the lease is about to end, or nil.
 func (c *Controller) dueLeaseRead() Action {
 	if c.lease == nil || c.leaseRead || !c.hostsRead || c.stopping {
--- a/internal/front/actions.go
+++ b/internal/front/actions.go
@@ -81,10 +81,20 @@
 	}
 }
 
-// readPromotions reads the hosts' own table, with the time at which the read was sent.
+// readPromotions makes the host's row say that it is alone and reads the hosts' own table, with the time at which the read was
+// sent.
 func (h *Host) readPromotions(ctx context.Context) controller.PromotionsRead {
 	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
+	lone := h.self
+	lone.Lone = true
+	if !h.lone.Load() {
+		if err := h.Platform.WriteHost(callCtx, lone); err != nil {
+			event.DependencyLost(h.Logger, "store: own row", err)
+			return controller.PromotionsRead{}
+		}
+		h.lone.Store(true)
+	}
 	result := controller.PromotionsRead{SentAt: clock.Boot()}
 	rows, _, err := h.Platform.Hosts(callCtx, 0, 0)
 	if err != nil {
--- a/internal/front/host.go
+++ b/internal/front/host.go
@@ -49,6 +49,7 @@
 	lastTrafficTick atomic.Int64
 	sessionsOpened  atomic.Int64 // opened since the start
 	loggedReady     atomic.Bool  // readiness as last logged
+	lone            atomic.Bool  // the host's row says that it may renew its lease from the store
 
 	mutex        sync.RWMutex
 	replicaSets  map[model.DatabaseID]*replicaSet
--- a/internal/front/promote.go
+++ b/internal/front/promote.go
@@ -235,12 +235,24 @@
 	return true
 }
 
+// readHosts reads the hosts' rows, or returns none.
+func (h *Host) readHosts(ctx context.Context) []controller.Host {
+	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	rows, _, err := h.Platform.Hosts(callCtx, 0, 0)
+	if err != nil {
+		event.DependencyLost(h.Logger, "store: hosts", err)
+		return nil
+	}
+	return rows.MembershipUpdate.Hosts
+}
+
 // releasePrimary waits until no host uses the replaced primary any more, and returns the promotion to order: where a replica
 // has received more meanwhile, that one is promoted under the next token.
 //
 // A demoted primary acknowledges nothing, so that nobody has to stop using it.
 func (h *Host) releasePrimary(ctx context.Context, c controller.ChangePrimary, claimed controller.Promotion, best failover.Candidate, demoted bool) (controller.Promotion, failover.Candidate, error) {
-	if err := h.Loop.Send(ctx, controller.PromotionClaimed{Promotion: claimed}); err != nil {
+	if err := h.Loop.Send(ctx, controller.PromotionClaimed{Promotion: claimed, Hosts: h.readHosts(ctx)}); err != nil {
 		return claimed, best, err
 	}
 	if demoted {
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -37,6 +37,7 @@
 	Digest      Digest                           // of the assignments that the sender knows
 	Assignments []Assignment                     // nil when the receivers are expected to know them
 	Released    map[model.DatabaseID]model.Token // assignments for which the sender no longer uses another primary
+	Silent      []model.HostID                   // hosts that the sender has not heard for longer than a lease lasts
 }
 
 // State is what one host knows of leases and assignments; it isn't safe for concurrent use.
@@ -52,9 +53,11 @@
 	lastSent    model.Instant
 	rowsRead    bool // the store's rows have been read since the start, so that no assignment is missing
 	members     []model.HostID
-	heard       map[model.HostID]model.Instant // newest Sent received from each host
-	confirmed   map[model.HostID]model.Instant // newest own Sent that each host has confirmed
-	storeRead   model.Instant                  // when the newest complete read of the assignments was sent
+	heard       map[model.HostID]model.Instant  // newest Sent received from each host
+	heardAt     map[model.HostID]model.Instant  // when each host was heard last, on this host's clock
+	silentTo    map[model.HostID][]model.HostID // hosts that each host has not heard, by its newest message that says so
+	confirmed   map[model.HostID]model.Instant  // newest own Sent that each host has confirmed
+	storeRead   model.Instant                   // when the newest complete read of the assignments was sent
 	assignments map[model.DatabaseID]Assignment
 	digest      Digest
 	repeatUntil model.Instant // until when assignments are part of the messages
@@ -66,6 +69,7 @@
 // change is a change of a primary by this host that waits until the old primary is released.
 type change struct {
 	token     model.Token
+	lone      map[model.HostID]bool // hosts that may hold a lease from the store
 	startedAt model.Instant
 	blockedAt model.Instant // when so many hosts had released the old primary that the others form no majority
 	blocked   bool
@@ -75,6 +79,8 @@
 func New() *State {
 	return &State{
 		heard:       make(map[model.HostID]model.Instant),
+		heardAt:     make(map[model.HostID]model.Instant),
+		silentTo:    make(map[model.HostID][]model.HostID),
 		confirmed:   make(map[model.HostID]model.Instant),
 		assignments: make(map[model.DatabaseID]Assignment),
 		released:    make(map[model.DatabaseID]model.Token),
@@ -149,13 +155,44 @@
 			return 1
 		})
 		message.Released = maps.Clone(s.released)
+		message.Silent = s.silent(now)
 	}
 	return message
 }
 
+// silent returns the members that this host has not heard for longer than a lease lasts, so that none of its confirmations
+// keeps a lease of theirs.
+func (s *State) silent(now model.Instant) (silent []model.HostID) {
+	for _, id := range s.members {
+		if now.Sub(max(s.heardAt[id], s.started)) >= s.Duration()+s.Interval {
+			silent = append(silent, id)
+		}
+	}
+	return silent
+}
+
+// lapsed reports whether the lease of a host that has not released a primary must have ended: it holds none from the store, and
+// so many hosts have not heard it that the rest can't confirm one.
+func (s *State) lapsed(now model.Instant, database model.DatabaseID, c *change, id model.HostID) bool {
+	if c.lone[id] || !slices.Contains(s.silent(now), id) {
+		return false
+	}
+	others := 0
+	for _, witness := range s.members {
+		if s.releasedBy[database][witness] >= c.token && slices.Contains(s.silentTo[witness], id) {
+			others++
+		}
+	}
+	return others >= s.blocking()
+}
+
 // Receive processes the lease part of another host's heartbeat and returns the assignments that were unknown.
 func (s *State) Receive(now model.Instant, from model.HostID, message Message) (learnt []Assignment) {
 	s.heard[from] = max(s.heard[from], message.Sent)
+	s.heardAt[from] = now
+	if message.Released != nil {
+		s.silentTo[from] = message.Silent
+	}
 	for _, assignment := range message.Assignments {
 		if s.Assign(now, assignment) {
 			learnt = append(learnt, assignment)
@@ -180,6 +217,7 @@
 // Restarted forgets what a host released in an earlier incarnation.
 func (s *State) Restarted(id model.HostID) {
 	delete(s.heard, id)
+	delete(s.silentTo, id)
 	for _, tokens := range s.releasedBy {
 		delete(tokens, id)
 	}
@@ -215,9 +253,10 @@
 // Assigned returns the assignment of a database; its token is zero when there is none.
 func (s *State) Assigned(database model.DatabaseID) Assignment { return s.assignments[database] }
 
-// Begin starts the wait for the release of a database's old primary.
-func (s *State) Begin(now model.Instant, database model.DatabaseID, token model.Token) {
-	s.changes[database] = &change{token: token, startedAt: now}
+// Begin starts the wait for the release of a database's old primary. Lone holds the hosts that, by their rows as read after the
+// assignment was written, may hold a lease from the store.
+func (s *State) Begin(now model.Instant, database model.DatabaseID, token model.Token, lone map[model.HostID]bool) {
+	s.changes[database] = &change{token: token, lone: lone, startedAt: now}
 }
 
 // End ends the wait.
@@ -236,14 +275,17 @@
 	if s.released[database] < c.token {
 		return 0
 	}
-	others := 0
+	others, lapsed := 0, 0
 	for _, id := range s.members {
-		if s.releasedBy[database][id] >= c.token {
+		switch {
+		case s.releasedBy[database][id] >= c.token:
 			others++
+		case s.lapsed(now, database, c, id):
+			lapsed++
 		}
 	}
 	switch {
-	case others == len(s.members):
+	case others+lapsed == len(s.members):
 		return c.token
 	case others >= s.blocking():
 		if !c.blocked {
--- a/internal/mesh/heartbeat.go
+++ b/internal/mesh/heartbeat.go
@@ -139,6 +139,9 @@
 		}
 		message.Released = meshapi.NewOptBeatReleased(released)
 	}
+	for _, id := range part.Silent {
+		message.Silent = append(message.Silent, string(id))
+	}
 	for _, assignment := range part.Assignments {
 		message.Assigned = append(message.Assigned, meshapi.Assignment{
 			Database: string(assignment.Database),
@@ -162,14 +165,19 @@
 		return nil
 	}
 	part := &lease.Message{
-		Sent:     instantOf(message.Sent.Value),
-		Heard:    instantOf(message.Heard.Value),
-		Digest:   lease.Digest(message.Digest.Value),
-		Released: make(map[model.DatabaseID]model.Token, len(message.Released.Value)),
+		Sent:   instantOf(message.Sent.Value),
+		Heard:  instantOf(message.Heard.Value),
+		Digest: lease.Digest(message.Digest.Value),
+	}
+	if message.Released.Set {
+		part.Released = make(map[model.DatabaseID]model.Token, len(message.Released.Value))
 	}
 	for database, token := range message.Released.Value {
 		part.Released[model.DatabaseID(database)] = model.Token(token)
 	}
+	for _, id := range message.Silent {
+		part.Silent = append(part.Silent, model.HostID(id))
+	}
 	for _, assignment := range message.Assigned {
 		part.Assignments = append(part.Assignments, lease.Assignment{
 			Database: model.DatabaseID(assignment.Database),
--- a/internal/mesh/node_test.go
+++ b/internal/mesh/node_test.go
@@ -34,6 +34,7 @@
 			Sent: model.Instant(18 * time.Second), Heard: model.Instant(4 * time.Second), Digest: 91,
 			Assignments: []lease.Assignment{{Database: "seats", Instance: "i1", Token: 6}},
 			Released:    map[model.DatabaseID]model.Token{"seats": 6},
+			Silent:      []model.HostID{"h7"},
 		},
 	}
 }
--- a/pkg/api/meshapi/oas_json_gen.go
+++ b/pkg/api/meshapi/oas_json_gen.go
@@ -395,9 +395,19 @@
 			e.ArrEnd()
 		}
 	}
+	{
+		if s.Silent != nil {
+			e.FieldStart("silent")
+			e.ArrStart()
+			for _, elem := range s.Silent {
+				e.Str(elem)
+			}
+			e.ArrEnd()
+		}
+	}
 }
 
-var jsonFieldsNameOfBeat = [16]string{
+var jsonFieldsNameOfBeat = [17]string{
 	0:  "host",
 	1:  "incarnation",
 	2:  "sequence",
@@ -414,6 +424,7 @@
 	13: "released",
 	14: "asked",
 	15: "proofs",
+	16: "silent",
 }
 
 // Decode decodes Beat from json.
@@ -421,7 +432,7 @@
 	if s == nil {
 		return errors.New("invalid: unable to decode Beat to nil")
 	}
-	var requiredBitSet [2]uint8
+	var requiredBitSet [3]uint8
 
 	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
 		switch string(k) {
@@ -616,6 +627,25 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"proofs\"")
 			}
+		case "silent":
+			if err := func() error {
+				s.Silent = make([]string, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem string
+					v, err := d.Str()
+					elem = string(v)
+					if err != nil {
+						return err
+					}
+					s.Silent = append(s.Silent, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"silent\"")
+			}
 		default:
 			return d.Skip()
 		}
@@ -625,9 +655,10 @@
 	}
 	// Validate required fields.
 	var failures []validate.FieldError
-	for i, mask := range [2]uint8{
+	for i, mask := range [3]uint8{
 		0b00110111,
 		0b00000000,
+		0b00000000,
 	} {
 		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
 			// Mask only required fields and check equality to mask using XOR.
@@ -1167,12 +1198,19 @@
 		e.FieldStart("incarnation")
 		e.UInt64(s.Incarnation)
 	}
+	{
+		if s.Lone.Set {
+			e.FieldStart("lone")
+			s.Lone.Encode(e)
+		}
+	}
 }
 
-var jsonFieldsNameOfHost = [3]string{
+var jsonFieldsNameOfHost = [4]string{
 	0: "address",
 	1: "centre",
 	2: "incarnation",
+	3: "lone",
 }
 
 // Decode decodes Host from json.
@@ -1220,6 +1258,16 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"incarnation\"")
 			}
+		case "lone":
+			if err := func() error {
+				s.Lone.Reset()
+				if err := s.Lone.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"lone\"")
+			}
 		default:
 			return d.Skip()
 		}
--- a/pkg/api/meshapi/oas_schemas_gen.go
+++ b/pkg/api/meshapi/oas_schemas_gen.go
@@ -124,6 +124,8 @@
 	Asked OptInt64 `json:"asked"`
 	// Positions that primaries proved to the sender after questions of the receiver.
 	Proofs []Proof `json:"proofs"`
+	// Hosts that the sender has not heard for longer than a lease lasts.
+	Silent []string `json:"silent"`
 }
 
 // GetHost returns the value of Host.
@@ -206,6 +208,11 @@
 	return s.Proofs
 }
 
+// GetSilent returns the value of Silent.
+func (s *Beat) GetSilent() []string {
+	return s.Silent
+}
+
 // SetHost sets the value of Host.
 func (s *Beat) SetHost(val string) {
 	s.Host = val
@@ -286,6 +293,11 @@
 	s.Proofs = val
 }
 
+// SetSilent sets the value of Silent.
+func (s *Beat) SetSilent(val []string) {
+	s.Silent = val
+}
+
 // Mean number of connections in use and requested in tenths by instance.
 type BeatLoads map[string]int
 
@@ -454,6 +466,9 @@
 	Address     string `json:"address"`
 	Centre      string `json:"centre"`
 	Incarnation uint64 `json:"incarnation"`
+	// True when the host has heard only a minority of the hosts since its start and then renews its lease
+	// from the store.
+	Lone OptBool `json:"lone"`
 }
 
 // GetAddress returns the value of Address.
@@ -471,6 +486,11 @@
 	return s.Incarnation
 }
 
+// GetLone returns the value of Lone.
+func (s *Host) GetLone() OptBool {
+	return s.Lone
+}
+
 // SetAddress sets the value of Address.
 func (s *Host) SetAddress(val string) {
 	s.Address = val
@@ -486,6 +506,11 @@
 	s.Incarnation = val
 }
 
+// SetLone sets the value of Lone.
+func (s *Host) SetLone(val OptBool) {
+	s.Lone = val
+}
+
 // HostWrittenOK is response for HostWritten operation.
 type HostWrittenOK struct{}
 
