front: the use of a primary that is gone from the directory ends at once

Cause, found by reading: an instance that leaves the directory loses its backend, and with it the report of its statements in progress. A host could say that it had released the primary while one of them was still on its way, and count its answer within the lease. Change: its gate is closed for good and the connections of its statements are closed. TestWithdrawn.

--- a/internal/controller/shares.go
+++ b/internal/controller/shares.go
@@ -46,7 +46,7 @@
 			shares[id] = shareOf(limit, instance.Slots, 1, assumedHosts, assumedHosts)
 			continue
 		}
-		if crowded := len(sharers)+1 > int(limit); crowded {
+		if len(sharers)+1 > int(limit) {
 			shares[id] = c.crowdedShare(now, id, instance.Slots, limit, len(sharers)+1)
 			continue
 		}
--- a/internal/front/backend.go
+++ b/internal/front/backend.go
@@ -283,9 +283,17 @@
 	return true
 }
 
-// closeOverdue closes connections whose statements are still in progress some time after the instance was replaced as the primary.
-func (b *backend) closeOverdue(now model.Instant) (err error) {
-	for _, conn := range b.gate.Overdue(now, releaseGrace) {
+// abandon ends the use of an instance that is gone from the directory as the primary, since nothing waits for it any more.
+func (b *backend) abandon() error {
+	now := clock.Boot()
+	b.gate.Close(now, lease.Withdrawn)
+	return b.closeOverdue(now, 0)
+}
+
+// closeOverdue closes connections whose statements are still in progress the given time after the instance was replaced as the
+// primary.
+func (b *backend) closeOverdue(now model.Instant, grace time.Duration) (err error) {
+	for _, conn := range b.gate.Overdue(now, grace) {
 		err = errors.Join(err, conn.Close())
 	}
 	return err
--- a/internal/front/host.go
+++ b/internal/front/host.go
@@ -200,7 +200,7 @@
 // closeOverdue closes connections whose statements are still in progress on replaced primaries; the caller holds the lock.
 func (h *Host) closeOverdue(now model.Instant) {
 	for _, b := range h.backends {
-		if err := b.closeOverdue(now); err != nil {
+		if err := b.closeOverdue(now, releaseGrace); err != nil {
 			event.DependencyLost(h.Logger, "connection to a replaced primary", err)
 		}
 	}
@@ -277,6 +277,11 @@
 	}
 	h.mutex.Unlock()
 	for _, b := range removed {
+		if b.unfenced {
+			if err := b.abandon(); err != nil {
+				event.DependencyLost(h.Logger, "connection to an instance that is gone", err)
+			}
+		}
 		b.close()
 	}
 	if released {
--- a/internal/lease/gate.go
+++ b/internal/lease/gate.go
@@ -11,6 +11,9 @@
 // Forever is the end of a lease that doesn't end.
 const Forever = model.Instant(math.MaxInt64)
 
+// Withdrawn is the token that closes the gate of an instance that is gone.
+const Withdrawn = model.Token(math.MaxUint64)
+
 // Gate controls the use of one instance as a primary; it is safe for concurrent use.
 //
 // Each statement enters with the connection that it uses and leaves once its response has arrived.
--- a/internal/lease/gate_test.go
+++ b/internal/lease/gate_test.go
@@ -55,6 +55,17 @@
 	}
 }
 
+// TestWithdrawn checks that the use of an instance that is gone ends at once.
+func TestWithdrawn(t *testing.T) {
+	g := &Gate[string]{}
+	g.Open(at(0), Forever)
+	g.Enter(at(10), "conn")
+	g.Close(at(20), Withdrawn)
+	if got := len(g.Overdue(at(20), 0)); got != 1 || g.Admits(at(20)) {
+		t.Errorf("got %d connections to close and admitted %v, want 1 and false", got, g.Admits(at(20)))
+	}
+}
+
 func TestOverdue(t *testing.T) {
 	g := &Gate[string]{}
 	g.Open(at(0), Forever)
