lease: a host whose first lease is still to come is not out of touch

A host refuses statements that need a primary at once when its lease ended more than 0.5 s ago, and the end of a lease that was never there counted as the start of the machine. The same happens when a host joins and a lease needs its confirmation. Change: the view tells by when a lease is to be expected after a start or a join; until then such statements wait for it inside their deadline. The decision (View.OutOfTouch) is apart from the sessions. TestOutOfTouch and TestStartingHostIsNotOutOfTouch replay it.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -340,12 +340,15 @@
 		LiveHosts: len(live),
 		Ready:     c.directory.Directory().Usable() && !c.stopping,
 		Lease:     c.leaseEnd(),
+
+		LeaseExpected: c.leaseExpected(),
 	}
 	for database, monitor := range c.monitors {
 		next.Primaries[database] = c.primaryView(database, monitor)
 	}
 	old := c.snapshot
 	if old.Directory == next.Directory && old.LiveHosts == next.LiveHosts && old.Ready == next.Ready && old.Lease == next.Lease &&
+		old.LeaseExpected == next.LeaseExpected &&
 		maps.Equal(old.Primaries, next.Primaries) && maps.Equal(old.Shares, next.Shares) {
 		return
 	}
--- a/internal/controller/lease.go
+++ b/internal/controller/lease.go
@@ -38,7 +38,7 @@
 		c.lease.Start(tick.Boot)
 	}
 	c.boot = tick.Boot
-	c.lease.SetMembers(slices.Collect(maps.Keys(c.hosts)))
+	c.lease.SetMembers(tick.Boot, slices.Collect(maps.Keys(c.hosts)))
 	reports := make(map[model.InstanceID]model.Token, len(tick.Instances))
 	for _, report := range tick.Instances {
 		reports[report.Instance] = report.Released
@@ -121,6 +121,14 @@
 	return until
 }
 
+// leaseExpected returns the time by which the host has a lease unless it is out of touch.
+func (c *Controller) leaseExpected() model.Instant {
+	if c.lease == nil {
+		return lease.Forever
+	}
+	return c.lease.ExpectedBy()
+}
+
 // releaseTime returns how long other hosts may use a primary after they could have learnt that it is replaced.
 func (c *Controller) releaseTime() time.Duration {
 	if c.lease == nil {
--- a/internal/controller/lease_test.go
+++ b/internal/controller/lease_test.go
@@ -192,3 +192,56 @@
 		t.Errorf("got a lease of %v while neither hosts nor the store are heard, want none", got)
 	}
 }
+
+// TestOutOfTouch checks when a host refuses statements for lack of a lease at once: not while its first lease, or the one that a
+// host that has joined confirms, is still to be expected.
+func TestOutOfTouch(t *testing.T) {
+	const second = model.Instant(time.Second)
+	tests := map[string]struct {
+		view View
+		now  model.Instant
+		want bool
+	}{
+		"nothing is known yet":             {now: 100 * second},
+		"just started":                     {view: View{LeaseExpected: 101 * second}, now: 100 * second},
+		"started long ago without a lease": {view: View{LeaseExpected: 101 * second}, now: 102 * second, want: true},
+		"has a lease":                      {view: View{LeaseExpected: 10 * second, Lease: 101 * second}, now: 100 * second},
+		"the lease has just ended":         {view: View{LeaseExpected: 10 * second, Lease: 100 * second}, now: 100*second + second/4},
+		"the lease ended long ago":         {view: View{LeaseExpected: 10 * second, Lease: 90 * second}, now: 100 * second, want: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			if got := test.view.OutOfTouch(test.now); got != test.want {
+				t.Errorf("got %v, want %v", got, test.want)
+			}
+		})
+	}
+}
+
+// TestStartingHostIsNotOutOfTouch replays the start of a fleet, in which no host has a lease before others have answered, and of a
+// host that nobody answers.
+func TestStartingHostIsNotOutOfTouch(t *testing.T) {
+	tests := map[string]struct {
+		isolated bool
+		span     time.Duration
+		want     bool
+	}{
+		"before the first answers":        {span: 100 * time.Millisecond},
+		"cut off from its start":          {isolated: true, span: 500 * time.Millisecond},
+		"cut off for longer than a lease": {isolated: true, span: 5 * time.Second, want: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(3, 16)
+			f.isolated["h00"] = test.isolated
+			for _, c := range f.controllers {
+				c.Unfenced = true
+				c.startLease()
+			}
+			f.run(test.span)
+			if got := f.controllers["h00"].Snapshot().OutOfTouch(model.Instant(f.now.UnixNano())); got != test.want {
+				t.Errorf("got %v after %s, want %v", got, test.span, test.want)
+			}
+		})
+	}
+}
--- a/internal/controller/view.go
+++ b/internal/controller/view.go
@@ -17,6 +17,16 @@
 	LiveHosts int           // number of live hosts, this one included
 	Ready     bool          // the host accepts new sessions
 	Lease     model.Instant // until when this host may use primaries
+	// LeaseExpected is the time by which the host has its first lease, or one that a host that has joined confirms.
+	LeaseExpected model.Instant
+}
+
+// outOfTouchWait is the time without a lease after which a host is out of touch; two heartbeats.
+const outOfTouchWait = 500 * time.Millisecond
+
+// OutOfTouch reports whether the host may not use primaries and is not likely to regain that right soon.
+func (v *View) OutOfTouch(now model.Instant) bool {
+	return v.LeaseExpected != 0 && now.Sub(max(v.Lease, v.LeaseExpected)) > outOfTouchWait
 }
 
 // Primary is a database's primary as this host believes it to be.
--- a/internal/front/execution.go
+++ b/internal/front/execution.go
@@ -117,15 +117,11 @@
 	}
 }
 
-const (
-	outOfTouchWait  = 500 * time.Millisecond // without a lease until statements that need a primary are refused at once; two heartbeats
-	outOfTouchRetry = time.Second            // suggested delay of such callers, whose next session may reach another host
-)
+// outOfTouchRetry is the suggested delay of callers whose host may not use primaries; their next session may reach another host.
+const outOfTouchRetry = time.Second
 
 // outOfTouch reports whether the host may not use primaries and is not likely to regain that right soon.
-func (h *Host) outOfTouch() bool {
-	return h.unfenced() && clock.Boot().Sub(h.view().Lease) > outOfTouchWait
-}
+func (h *Host) outOfTouch() bool { return h.unfenced() && h.view().OutOfTouch(clock.Boot()) }
 
 // withRetryAfter sets the delay after which the caller should retry.
 func withRetryAfter(refusal *model.Refusal, after time.Duration) *model.Refusal {
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -50,6 +50,7 @@
 	Fanout int
 
 	started     model.Instant
+	joinedAt    model.Instant // when a host was added to the members last
 	lastSent    model.Instant
 	rowsRead    bool // the store's rows have been read since the start, so that no assignment is missing
 	members     []model.HostID
@@ -93,7 +94,15 @@
 func (s *State) Start(now model.Instant) { s.started = now }
 
 // SetMembers sets the other hosts, dead ones included until their rows are deleted.
-func (s *State) SetMembers(members []model.HostID) { s.members = members }
+func (s *State) SetMembers(now model.Instant, members []model.HostID) {
+	slices.Sort(members)
+	for _, id := range members {
+		if _, found := slices.BinarySearch(s.members, id); !found {
+			s.joinedAt = now
+		}
+	}
+	s.members = members
+}
 
 // Duration is how long a confirmation keeps the lease, counted from the sending of the confirmed message.
 //
@@ -135,6 +144,10 @@
 	return max(end, times[len(times)-needed].Add(s.Duration()))
 }
 
+// ExpectedBy returns the time by which a host that hears the others, or reaches the store, has a lease: after its start, and
+// after a host has joined whose confirmation may be needed.
+func (s *State) ExpectedBy() model.Instant { return max(s.started, s.joinedAt).Add(s.Duration()) }
+
 // Heard returns the confirmation for a receiver of a heartbeat, or zero.
 func (s *State) Heard(receiver model.HostID) model.Instant {
 	if !s.rowsRead {
--- a/internal/lease/model_test.go
+++ b/internal/lease/model_test.go
@@ -140,7 +140,7 @@
 			others = append(others, hostName(j))
 		}
 	}
-	n.state.SetMembers(others)
+	n.state.SetMembers(w.now, others)
 	n.state.rowsRead = w.mutant == confirmsUnread
 	for j := range n.gates {
 		n.gates[j] = &Gate[int]{}
