mesh: an instance whose entry has disappeared is not passed on to other hosts

Cause: a host that can't read the store fetches the instances from another host. The answer listed instances in their grace period like the others, so that the receiver took them for present; their end changes no revision, so no later fetch took them away. A host that started while the store was down used an instance that had left, for as long as the store was down. Change: the directory names the instances whose entries are missing, and the answer leaves them out; the receiver starts its own grace period for those that it knows.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -14,6 +14,7 @@
 	Kinds                map[model.KindID]model.Kind
 	Databases            map[model.DatabaseID]model.Database
 	Instances            map[model.InstanceID]Instance
+	Missing              map[model.InstanceID]bool // instances that are still in use though their entries have disappeared
 }
 
 // Instance is an instance as its entry in the store describes it.
--- a/internal/directory/tracker.go
+++ b/internal/directory/tracker.go
@@ -65,12 +65,18 @@
 		listed[entry.ID] = !entry.Removed
 	}
 	changed := t.Apply(now, revision, entries)
+	marked := false
 	for id := range t.current.Instances {
 		if !listed[id] {
-			changed = t.markMissing(now, id) || changed
+			marked = t.markMissing(now, id) || marked
 		}
 	}
-	return changed
+	if marked {
+		next := *t.current
+		next.Missing = t.missing()
+		t.current = &next
+	}
+	return changed || marked
 }
 
 // Apply applies entries that changed up to a revision, in the order of their changes, and reports whether anything changed; an
@@ -95,6 +101,7 @@
 		next.Instances[entry.ID] = entry.Instance
 	}
 	if changed || next.Revision != t.current.Revision {
+		next.Missing = t.missing()
 		t.current = &next
 	}
 	return changed
@@ -125,10 +132,20 @@
 		delete(next.Instances, id)
 		delete(t.missingSince, id)
 	}
+	next.Missing = t.missing()
 	t.current = &next
 	return dropped
 }
 
+// missing returns the instances in their grace periods.
+func (t *Tracker) missing() map[model.InstanceID]bool {
+	missing := make(map[model.InstanceID]bool, len(t.missingSince))
+	for id := range t.missingSince {
+		missing[id] = true
+	}
+	return missing
+}
+
 // Missing reports whether an instance is in its grace period, without an entry.
 func (t *Tracker) Missing(id model.InstanceID) bool {
 	_, missing := t.missingSince[id]
--- a/internal/mesh/directory.go
+++ b/internal/mesh/directory.go
@@ -62,9 +62,12 @@
 	}
 }
 
-// encodeInstances adds the instances.
+// encodeInstances adds the instances that have an entry; the receiver then notices that the others have lost theirs.
 func encodeInstances(message *meshapi.Directory, d *directory.Directory) {
-	for _, instance := range d.Instances {
+	for id, instance := range d.Instances {
+		if d.Missing[id] {
+			continue
+		}
 		message.Instances = append(message.Instances, meshapi.Instance{
 			Name:     string(instance.ID),
 			Database: string(instance.Database),
--- a/internal/mesh/node_test.go
+++ b/internal/mesh/node_test.go
@@ -17,6 +17,7 @@
 	"redwingspread/internal/lease"
 	"redwingspread/internal/model"
 	"redwingspread/internal/scout"
+	"redwingspread/pkg/api/meshapi"
 )
 
 // now is the time in the tests.
@@ -188,6 +189,45 @@
 	}
 }
 
+// TestFetchedInstanceThatLeft checks that a host which learns of instances from another host stops using one whose entry has
+// disappeared there.
+func TestFetchedInstanceThatLeft(t *testing.T) {
+	tests := map[string]struct {
+		knows []directory.Entry // what the fetching host has read before
+		want  int               // instances that it uses after the grace period
+	}{
+		"the host has just started": {want: 1},
+		"the host knew the instance": {knows: []directory.Entry{
+			{Instance: directory.Instance{Instance: model.Instance{ID: "i1", Database: "seats"}, Revision: 30}},
+			{Instance: directory.Instance{Instance: model.Instance{ID: "i2", Database: "seats"}, Revision: 29}},
+		}, want: 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			peer, own := directory.NewTracker(), directory.NewTracker()
+			peer.Grace, own.Grace = time.Second, time.Second
+			peer.Replace(now, 30, []directory.Entry{
+				{Instance: fullDirectory().Instances["i1"]},
+				{Instance: directory.Instance{Instance: model.Instance{ID: "i2", Database: "seats", Address: "127.0.0.1:2", DataCentre: "east"}, Slots: 2, Role: model.RolePrimary, Revision: 29}},
+			})
+			peer.Apply(now, 31, []directory.Entry{{Instance: directory.Instance{Instance: model.Instance{ID: "i2"}, Revision: 31}, Removed: true}})
+			if len(test.knows) > 0 {
+				own.Replace(now, 30, test.knows)
+			}
+			message := encodeDirectory(&meshapi.Ask{Revision: uint64(own.Directory().Revision)}, peer.Directory())
+			update, err := decodeDirectory("host h1", nil, &message)
+			if err != nil {
+				t.Fatal(err)
+			}
+			own.Replace(now, update.Revision, update.Entries)
+			own.Expire(now.Add(time.Second))
+			if got := len(own.Directory().Instances); got != test.want || own.Missing("i1") {
+				t.Errorf("got %v, want %d instances without the one that left", own.Directory().Instances, test.want)
+			}
+		})
+	}
+}
+
 func FuzzDecodeHeartbeat(f *testing.F) {
 	key := NewKey()
 	datagram, err := EncodeHeartbeat(&key, now, fullHeartbeat())
