--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/cespare/xxhash/v2"
 
 	"redwingspread/internal/directory"
 	"redwingspread/internal/event"
@@ -21,7 +22,8 @@
 	UrgentInterval    time.Duration // least time between two urgent heartbeats, for every heartbeatFanout hosts in the fleet
 	HostTimeout       time.Duration // silence after which a host counts as dead
 	Linger            time.Duration // time for which a dead host's connections still count towards an instance's limit
-	FetchDelay        time.Duration // time that the store has to deliver a directory which another host already has
+	FetchDelay        time.Duration // time that the store has to deliver a directory which another host already has, and between two fetches
+	RemoteFetchDelay  time.Duration // time after which a host that doesn't poll the store fetches from another data centre
 	RowRetention      time.Duration // silence after which a dead host's row is deleted
 	PromotionTime     time.Duration // expected time from the order to the end of a promotion
 }
@@ -34,6 +36,7 @@
 		HostTimeout:       1200 * time.Millisecond, // more than four heartbeat intervals
 		Linger:            3 * time.Second,         // time after which instances drop unreachable connections
 		FetchDelay:        1200 * time.Millisecond, // usual time for a change to reach all hosts from the store
+		RemoteFetchDelay:  300 * time.Millisecond,  // heartbeats of hosts in the own data centre arrive meanwhile
 		RowRetention:      time.Minute,
 		PromotionTime:     time.Second,
 	}
@@ -80,6 +83,12 @@
 	crowded       bool // there are more hosts than an instance has connections
 	membership    int  // counts the changes of the known hosts and their data centres
 	homes         homes
+	rows          model.Revision // of the hosts' rows
+	known         *Membership    // that other hosts can fetch
+	storeLost     bool           // a poll of the store has failed and none has succeeded since
+	followerHeard time.Time      // when a host was heard last that reaches the store
+	fetchFailed   time.Time      // when a fetch from another host failed last
+	lastFetch     time.Time
 	snapshot      *View
 }
 
@@ -122,10 +131,12 @@
 	if c.started.IsZero() {
 		c.started = now
 		c.startLease()
+		c.lastReceiver = int(xxhash.Sum64String(string(c.Self.ID)) >> 1) // hosts that start together don't all send to the same ones
 		c.scouts.Self = scout.Host{ID: c.Self.ID, DataCentre: c.Self.DataCentre}
 	}
 	switch e := e.(type) {
 	case Tick:
+		c.storeLost = e.StoreLost
 		c.setHealth(e)
 		c.updateLease(e)
 		actions = append(actions, c.askScout(e, now)...)
@@ -185,12 +196,13 @@
 	} else {
 		changed = c.directory.Apply(now, update.Revision, update.Entries)
 	}
+	c.directory.Advance(update.Newest)
 	if !configured && !changed {
 		return
 	}
 	after := c.directory.Directory()
 	event.DirectoryInForce(c.Logger, after.Version, after.Revision, len(after.Kinds), len(after.Instances), update.Source)
-	c.urgent = true
+	c.urgent = c.urgent || c.snapshot.Following != FollowHosts // the others hear of it from the hosts that poll the store
 	for id, instance := range after.Instances {
 		known, found := before.Instances[id]
 		switch {
@@ -342,13 +354,15 @@
 		Lease:     c.leaseEnd(),
 
 		LeaseExpected: c.leaseExpected(),
+		Following:     c.following(now, live),
+		Membership:    c.updateKnown(),
 	}
 	for database, monitor := range c.monitors {
 		next.Primaries[database] = c.primaryView(database, monitor)
 	}
 	old := c.snapshot
 	if old.Directory == next.Directory && old.LiveHosts == next.LiveHosts && old.Ready == next.Ready && old.Lease == next.Lease &&
-		old.LeaseExpected == next.LeaseExpected &&
+		old.LeaseExpected == next.LeaseExpected && old.Following == next.Following && old.Membership == next.Membership &&
 		maps.Equal(old.Primaries, next.Primaries) && maps.Equal(old.Shares, next.Shares) {
 		return
 	}
--- a/internal/controller/event.go
+++ b/internal/controller/event.go
@@ -17,6 +17,7 @@
 type Tick struct {
 	Instances []InstanceReport
 	Boot      model.Instant // when the reports were made
+	StoreLost bool          // a poll of the store has failed and none of the same table has succeeded since
 }
 
 // InstanceReport is what the goroutines that serve sessions observed of one instance.
@@ -31,6 +32,7 @@
 type DirectoryUpdate struct {
 	Source        string                   // where the update was read, for the log
 	Revision      model.Revision           // up to which Entries are complete
+	Newest        model.Revision           // of the newest change that the source knows; zero when it doesn't tell
 	Full          bool                     // Entries lists every instance
 	Configuration *directory.Configuration // nil when the update carries none
 	Entries       []directory.Entry        // in the order of their changes
@@ -38,7 +40,8 @@
 
 // MembershipUpdate is a change of the hosts' rows in the store, or a full copy of them.
 type MembershipUpdate struct {
-	Full       bool // Hosts lists every host
+	Revision   model.Revision // up to which the update is complete
+	Full       bool           // Hosts lists every host
 	Hosts      []Host
 	Removed    []model.HostID
 	Promotions []Promotion
@@ -69,6 +72,8 @@
 	Leaving     bool
 	Version     model.Version                             // of the sender's configuration
 	Revision    model.Revision                            // of the sender's directory
+	Rows        model.Revision                            // of the hosts' rows that the sender knows
+	Follows     bool                                      // the sender polls the store and reaches it
 	Primaries   map[model.DatabaseID]failover.Observation // of the primaries that some host finds silent
 	Loads       map[model.InstanceID]model.Load           // nil when the heartbeat carries no loads
 	Lease       *lease.Message                            // nil where the platform fences primaries
@@ -85,9 +90,10 @@
 
 // DirectoryFetchDone reports the result of a FetchDirectory.
 type DirectoryFetchDone struct {
-	Host   model.HostID
-	Update *DirectoryUpdate // nil when the fetch failed
-	Err    error
+	Host       model.HostID
+	Update     *DirectoryUpdate  // nil when the fetch failed
+	Membership *MembershipUpdate // nil when the other host has no newer rows
+	Err        error
 }
 
 // PrimaryChangeDone reports the result of a ChangePrimary.
--- /dev/null
+++ b/internal/controller/following_test.go
@@ -0,0 +1,128 @@
+package controller
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"redwingspread/internal/directory"
+	"redwingspread/internal/failover"
+	"redwingspread/internal/model"
+)
+
+// newSpreadFleet returns a fleet whose hosts are in six data centres.
+func newSpreadFleet(hosts int) *fleet {
+	f := newFleet(hosts, 185)
+	for i, id := range f.hosts() {
+		f.controllers[id].Self.DataCentre = model.DataCentreID(fmt.Sprintf("dc%d", i%6))
+	}
+	membership := MembershipUpdate{Full: true, Revision: 5}
+	for _, c := range f.controllers {
+		c.Self.Incarnation = 2
+		membership.Hosts = append(membership.Hosts, c.Self)
+	}
+	for _, id := range f.hosts() {
+		f.handle(id, membership)
+	}
+	return f
+}
+
+// change is what changes in the store in the tests.
+func storeChange(revision model.Revision) (DirectoryUpdate, MembershipUpdate) {
+	update := DirectoryUpdate{Source: "store", Revision: revision, Configuration: &directory.Configuration{
+		Version: model.Version(revision), Kinds: []model.Kind{{ID: "new"}}, Databases: []model.Database{{ID: "seats", Connections: 185}},
+	}, Entries: []directory.Entry{
+		{Instance: directory.Instance{Instance: model.Instance{ID: "i1"}, Revision: revision}, Removed: true},
+		{Instance: directory.Instance{Instance: model.Instance{ID: "i2", Database: "seats", Leaving: true}, Slots: 2, Revision: revision}},
+	}}
+	return update, MembershipUpdate{Revision: revision + 1, Promotions: []Promotion{
+		{Database: "seats", Promotion: failover.Promotion{Instance: "i2", Token: 7}},
+	}}
+}
+
+// knows reports whether a host has all that storeChange changes.
+func (f *fleet) knows(id model.HostID, revision model.Revision) bool {
+	d := f.controllers[id].Snapshot().Directory
+	return d.Version == model.Version(revision) && d.Instances["i2"].Leaving && (d.Missing["i1"] || d.Instances["i1"].ID == "") &&
+		f.controllers[id].promotions["seats"].Token == 7
+}
+
+// polling returns the hosts that poll the store.
+func (f *fleet) polling() (ids []model.HostID) {
+	for _, id := range f.hosts() {
+		if f.controllers[id].Snapshot().Following != FollowHosts {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// TestChangesReachAllHosts checks that the number of hosts that poll the store doesn't grow with the fleet, and that a change of the
+// store is known everywhere in time, also when those hosts don't reach the store, or a host doesn't hear or reach the others.
+func TestChangesReachAllHosts(t *testing.T) {
+	const within = 4 * time.Second // of the six within which a configuration must be in force
+	tests := map[string]struct {
+		hosts      int
+		storeLost  bool // the hosts that poll the store don't reach it
+		isolated   bool // the last host neither hears nor reaches the others
+		fetchFails bool // the last host hears the others and can't fetch from them
+		most       int  // hosts that poll the store before the change
+		fetches    int  // of the whole fleet; zero for no limit
+	}{
+		"a small fleet":                       {hosts: 4, most: 4},
+		"a fleet of hundreds":                 {hosts: 118, most: 12, fetches: 3 * 118},
+		"a medium fleet":                      {hosts: 35, most: 12, fetches: 3 * 35},
+		"those that poll don't reach it":      {hosts: 118, storeLost: true, most: 12},
+		"a host is cut off from the others":   {hosts: 118, isolated: true, most: 13},
+		"a host can't fetch from the others":  {hosts: 118, fetchFails: true, most: 13},
+		"a small fleet, one host is cut off":  {hosts: 4, isolated: true, most: 4},
+		"a medium fleet, one host is cut off": {hosts: 35, isolated: true, most: 13},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newSpreadFleet(test.hosts)
+			last := f.hosts()[test.hosts-1]
+			f.run(8 * time.Second)
+			f.isolated[last], f.fetchFails[last] = test.isolated, test.fetchFails
+			f.run(3 * time.Second)
+			polling := f.polling()
+			if len(polling) > test.most || len(polling) == 0 {
+				t.Errorf("got %d hosts that poll the store, want 1 to %d", len(polling), test.most)
+			}
+			for _, id := range polling {
+				f.storeLost[id] = test.storeLost
+			}
+			clear(f.fetches)
+			const revision = 90
+			update, membership := storeChange(revision)
+			changed, missing := f.now, test.hosts
+			for f.now.Sub(changed) < within && missing > 0 {
+				for _, id := range f.polling() {
+					if !f.storeLost[id] && f.controllers[id].Snapshot().Directory.Revision < revision {
+						f.handle(id, update)
+						f.handle(id, membership)
+					}
+				}
+				f.run(tick)
+				missing = 0
+				for id := range f.controllers {
+					if !f.knows(id, revision) {
+						missing++
+					}
+				}
+			}
+			if missing > 0 {
+				t.Errorf("got %d hosts that lack the change after %v, want none", missing, within)
+			}
+			f.run(3 * time.Second)
+			total := 0
+			for _, count := range f.fetches {
+				total += count
+			}
+			t.Logf("%d hosts polled, known after %v, %d fetches", len(polling), f.now.Sub(changed)-3*time.Second, total)
+			if test.fetches > 0 && total > test.fetches {
+				t.Errorf("got %d fetches, want at most %d", total, test.fetches)
+			}
+		})
+	}
+}
--- a/internal/controller/host.go
+++ b/internal/controller/host.go
@@ -20,6 +20,7 @@
 
 // updateMembership applies changes of the hosts' rows.
 func (c *Controller) updateMembership(now time.Time, update MembershipUpdate) {
+	c.rows = max(c.rows, update.Revision)
 	listed := make(map[model.HostID]bool, len(update.Hosts))
 	for _, row := range update.Hosts {
 		listed[row.ID] = true
@@ -103,13 +104,15 @@
 	}
 	known.heartbeat = heartbeat
 	known.lastHeard = now
+	if heartbeat.Follows {
+		c.followerHeard = now
+	}
 	c.receiveLease(now, heartbeat.Host, heartbeat.Lease)
 	for database, observed := range heartbeat.Primaries {
 		observed.ReceivedAt = now
 		c.monitorOf(database).SetPeer(heartbeat.Host, observed)
 	}
-	d := c.directory.Directory()
-	if heartbeat.Version > d.Version || heartbeat.Revision > d.Revision {
+	if c.ahead(heartbeat) {
 		if known.newerSince.IsZero() {
 			known.newerSince = now
 		}
@@ -228,6 +231,8 @@
 		Leaving:     c.stopping,
 		Version:     d.Version,
 		Revision:    d.Revision,
+		Rows:        c.rows,
+		Follows:     c.reachesStore(),
 		Primaries:   make(map[model.DatabaseID]observation),
 	}
 	for database, monitor := range c.monitors {
@@ -248,21 +253,42 @@
 	return heartbeat
 }
 
-// dueFetches returns a fetch from a host, preferably in the same data centre, whose newer directory the store hasn't
-// delivered within FetchDelay.
-func (c *Controller) dueFetches(now time.Time) (actions []Action) {
+// ahead reports whether the sender of a heartbeat knows something of the store that this host doesn't.
+//
+// Where the platform doesn't fence primaries, each host reads the hosts' rows itself: others wait for it to see a promotion.
+func (c *Controller) ahead(heartbeat Heartbeat) bool {
 	d := c.directory.Directory()
+	return heartbeat.Version > d.Version || heartbeat.Revision > d.Revision || (c.lease == nil && heartbeat.Rows > c.rows)
+}
+
+// fetchDelay returns for how long another host has to be ahead before this one fetches from it: the time that the store has to
+// deliver the change where this host polls it, otherwise none within the data centre.
+func (c *Controller) fetchDelay(known *host) time.Duration {
+	switch {
+	case c.snapshot.Following != FollowHosts:
+		return c.Timing.FetchDelay
+	case known.DataCentre != c.Self.DataCentre:
+		return c.Timing.RemoteFetchDelay
+	}
+	return 0
+}
+
+// dueFetches returns a fetch from a host that is ahead, preferably in the same data centre.
+//
+// Changes of instances and rows that follow each other closely are fetched together; a configuration is fetched at once.
+func (c *Controller) dueFetches(now time.Time) (actions []Action) {
+	recent := now.Sub(c.lastFetch) < c.Timing.FetchDelay
 	var best *host
 	for _, known := range c.hosts {
-		ahead := known.heartbeat.Version > d.Version || known.heartbeat.Revision > d.Revision
-		if !ahead {
+		if !c.ahead(known.heartbeat) {
 			known.newerSince = time.Time{}
 			continue
 		}
 		if known.fetching {
 			return nil // one at a time
 		}
-		if known.dead || known.newerSince.IsZero() || now.Sub(known.newerSince) < c.Timing.FetchDelay {
+		if known.dead || known.newerSince.IsZero() || now.Sub(known.newerSince) < c.fetchDelay(known) ||
+			(recent && known.heartbeat.Version <= c.directory.Directory().Version) {
 			continue
 		}
 		sameCentre := known.DataCentre == c.Self.DataCentre
@@ -274,6 +300,7 @@
 		return nil
 	}
 	best.fetching = true
+	c.lastFetch = now
 	return []Action{FetchDirectory{Host: best.ID, Address: best.Address}}
 }
 
@@ -283,9 +310,15 @@
 		known.fetching = false
 		known.newerSince = now
 	}
+	if e.Err != nil {
+		c.fetchFailed = now
+	}
 	if e.Update != nil {
 		c.updateDirectory(now, *e.Update)
 	}
+	if e.Membership != nil && e.Membership.Revision > c.rows && c.lease == nil {
+		c.updateMembership(now, *e.Membership)
+	}
 }
 
 // dueDeletion returns the deletion of the row of a host that is gone for good; only the first live host deletes rows.
--- a/internal/controller/view.go
+++ b/internal/controller/view.go
@@ -19,6 +19,8 @@
 	Lease     model.Instant // until when this host may use primaries
 	// LeaseExpected is the time by which the host has its first lease, or one that a host that has joined confirms.
 	LeaseExpected model.Instant
+	Following     Following   // how this host learns what changes in the store
+	Membership    *Membership // that other hosts can fetch
 }
 
 // outOfTouchWait is the time without a lease after which a host is out of touch; two heartbeats.
--- a/internal/directory/tracker.go
+++ b/internal/directory/tracker.go
@@ -16,6 +16,7 @@
 	Grace time.Duration
 
 	current      *Directory
+	completeTo   model.Revision                 // of the store, which rises with changes elsewhere too
 	missingSince map[model.InstanceID]time.Time // time at which the entry disappeared
 }
 
@@ -57,7 +58,7 @@
 // Replace applies a full list of entries as of a revision and reports whether anything changed; instances that aren't listed
 // stay in use for the grace period only.
 func (t *Tracker) Replace(now time.Time, revision model.Revision, entries []Entry) bool {
-	if revision < t.current.Revision {
+	if revision < t.completeTo {
 		return false
 	}
 	listed := make(map[model.InstanceID]bool, len(entries))
@@ -73,6 +74,7 @@
 	}
 	if marked {
 		next := *t.current
+		next.Revision = max(next.Revision, revision)
 		next.Missing = t.missing()
 		t.current = &next
 	}
@@ -82,14 +84,15 @@
 // Apply applies entries that changed up to a revision, in the order of their changes, and reports whether anything changed; an
 // entry may be removed and come back.
 func (t *Tracker) Apply(now time.Time, revision model.Revision, entries []Entry) (changed bool) {
+	t.completeTo = max(t.completeTo, revision)
 	next := *t.current
-	next.Revision = max(next.Revision, revision)
 	next.Instances = maps.Clone(t.current.Instances)
 	for _, entry := range entries {
 		known, found := next.Instances[entry.ID]
 		if found && entry.Revision < known.Revision {
 			continue
 		}
+		next.Revision = max(next.Revision, entry.Revision)
 		if entry.Removed {
 			changed = (found && t.markMissing(now, entry.ID)) || changed
 			continue
@@ -107,6 +110,16 @@
 	return changed
 }
 
+// Advance records that nothing has changed up to a revision other than what the tracker knows.
+func (t *Tracker) Advance(revision model.Revision) {
+	if revision <= t.current.Revision {
+		return
+	}
+	next := *t.current
+	next.Revision = revision
+	t.current = &next
+}
+
 // markMissing starts the grace period of an instance whose entry is missing, and reports false if it is running already.
 func (t *Tracker) markMissing(now time.Time, id model.InstanceID) bool {
 	if _, found := t.missingSince[id]; found {
--- a/internal/front/actions.go
+++ b/internal/front/actions.go
@@ -47,11 +47,11 @@
 			event.DependencyLost(h.Logger, "datagrams", err)
 		}
 	case controller.FetchDirectory:
-		update, err := h.mesh.Fetch(ctx, action.Host, action.Address)
+		update, membership, err := h.mesh.Fetch(ctx, action.Host, action.Address)
 		if err != nil {
 			event.DependencyLost(h.Logger, "directory of host "+string(action.Host), err)
 		}
-		return controller.DirectoryFetchDone{Host: action.Host, Update: update, Err: err}
+		return controller.DirectoryFetchDone{Host: action.Host, Update: update, Membership: membership, Err: err}
 	case controller.ProbeInstances:
 		h.probeAll(ctx, action.Instances)
 		return h.newTick()
--- a/internal/front/follow.go
+++ b/internal/front/follow.go
@@ -5,8 +5,6 @@
 	"errors"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"redwingspread/internal/boundary"
 	"redwingspread/internal/clock"
 	"redwingspread/internal/controller"
@@ -20,12 +18,9 @@
 	// longPollWait is how long the store may hold a long poll: it keeps the number of calls low, and the keep-alive detects a
 	// connection that went silent meanwhile.
 	longPollWait = 10 * time.Second
-	// longestPollWait is the same for hosts that learn of changes from others when the store's answer is lost.
-	longestPollWait = 28 * time.Second
-	// infrequentSpread is the factor on the time between two polls of such hosts, within the time that a change may take.
-	infrequentSpread = 4
-	// frequentPollers is the expected number of hosts that use longPollWait in a larger fleet.
-	frequentPollers = 12
+	// seldomPause is the least time between two polls after a failure where other hosts, which reach the store first once it is
+	// back, poll it more often; a third of the time within which a configuration must be in force.
+	seldomPause = 2 * time.Second
 	// longPollSlack is how much longer than the wait a response may take.
 	longPollSlack = 2 * time.Second
 	// pollInterval is the minimum time between two polls of a table, so that a burst of changes costs few calls.
@@ -51,10 +46,11 @@
 	pace     func() pollPace
 }
 
-// pollPace is how often a host polls a table.
+// pollPace is how a host polls a table.
 type pollPace struct {
-	wait   time.Duration // for which the store may hold a poll
-	spread int           // factor on the minimum time between two polls
+	wait         time.Duration // for which the store may hold a poll
+	failurePause time.Duration // least pause after a failure
+	idle         bool          // the host learns of changes from other hosts
 }
 
 // followAll follows all tables until the context ends, then sends its result on done.
@@ -113,20 +109,42 @@
 	return h.Loop.Send(ctx, rows.MembershipUpdate)
 }
 
-// pollPace returns how often this host polls.
-//
-// In a large fleet a few hosts notice a poll that is lost soon, and their heartbeats tell the others that they lack a change.
-func (h *Host) pollPace() pollPace { return paceOf(h.self.ID, h.view().LiveHosts) }
+// pollPace returns how this host polls the configuration and the instances.
+func (h *Host) pollPace() pollPace { return paceOf(h.view().Following) }
+
+// hostPollPace is pollPace for the hosts' rows. Where the platform doesn't fence primaries, each host polls them, since other hosts
+// wait until it has seen a promotion.
+func (h *Host) hostPollPace() pollPace {
+	if h.unfenced() {
+		return pollPace{wait: longPollWait}
+	}
+	return h.pollPace()
+}
 
-// hostPollPace is pollPace for the hosts' rows, which hold the promotions and whose polls are far apart anyway.
-func (h *Host) hostPollPace() pollPace { return pollPace{wait: h.pollPace().wait, spread: 1} }
+// paceOf returns how a host polls a table.
+func paceOf(following controller.Following) pollPace {
+	switch following {
+	case controller.FollowHosts:
+		return pollPace{idle: true}
+	case controller.FollowEither:
+		return pollPace{wait: longPollWait, failurePause: seldomPause}
+	}
+	return pollPace{wait: longPollWait}
+}
 
-// paceOf returns how often a host polls in a fleet with so many live hosts.
-func paceOf(self model.HostID, hosts int) pollPace {
-	if hosts <= frequentPollers || xxhash.Sum64String(string(self))%uint64(hosts) < frequentPollers {
-		return pollPace{wait: longPollWait, spread: 1}
+// awaitTurn waits while the host has read a table and learns of its changes from other hosts.
+func (h *Host) awaitTurn(ctx context.Context, pace func() pollPace) {
+	for pace().idle {
+		changed := h.Loop.Changed()
+		if !pace().idle {
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
 	}
-	return pollPace{wait: longestPollWait, spread: infrequentSpread}
 }
 
 // follow applies each change of a table until the context ends, then sends its result on done.
@@ -140,6 +158,9 @@
 	backoff := retry.NewSharedBackoff()
 	fullRead, fullReadsLeft := false, 0 // the latest response was a full table; number of full reads left
 	for ctx.Err() == nil {
+		if after != 0 {
+			h.awaitTurn(ctx, t.pace)
+		}
 		pace := t.pace()
 		wait, limit := pace.wait, pace.wait+longPollSlack
 		if after == 0 || !lostSince.IsZero() {
@@ -163,18 +184,20 @@
 		case err != nil:
 			if lostSince.IsZero() {
 				lostSince = time.Now()
+				h.tablesLost.Add(1)
 				event.DependencyLost(h.Logger, "store: "+t.name, err)
 			}
-			_ = clock.Pause(ctx, backoff.Next(0)) // the loop condition checks for the end of the context
+			_ = clock.Pause(ctx, backoff.Next(pace.failurePause)) // the loop condition checks for the end of the context
 		default:
 			if !lostSince.IsZero() {
 				event.DependencyRegained(h.Logger, "store: "+t.name, model.Millis(time.Since(lostSince)))
 				lostSince = time.Time{}
+				h.tablesLost.Add(-1)
 				backoff = retry.NewSharedBackoff()
 			}
 			_ = t.apply(ctx, update) // fails only when the context ends
 			fullRead = after == 0
-			pause := t.interval * time.Duration(pace.spread)
+			pause := t.interval
 			if fullReadsLeft > 0 {
 				fullReadsLeft--
 				pause = max(pause, fullReadInterval)
--- a/internal/front/host.go
+++ b/internal/front/host.go
@@ -49,6 +49,7 @@
 	lastTrafficTick atomic.Int64
 	sessionsOpened  atomic.Int64 // opened since the start
 	loggedReady     atomic.Bool  // readiness as last logged
+	tablesLost      atomic.Int64 // tables of the store whose newest poll has failed
 	lone            atomic.Bool  // the host's row says that it may renew its lease from the store
 
 	mutex        sync.RWMutex
@@ -133,6 +134,9 @@
 	h.mesh.Regions = h.regions
 	h.mesh.Logger = h.Logger
 	h.mesh.Directory = func() *directory.Directory { return h.view().Directory }
+	if !h.unfenced() {
+		h.mesh.Membership = func() *controller.Membership { return h.view().Membership }
+	}
 	h.mesh.OnHeartbeat = func(heartbeat controller.Heartbeat, from model.Address) {
 		received := controller.HeartbeatReceived{Heartbeat: heartbeat, From: from}
 		if heartbeat.Asked != 0 {
@@ -211,7 +215,11 @@
 	now := time.Now()
 	h.mutex.RLock()
 	defer h.mutex.RUnlock()
-	tick := controller.Tick{Instances: make([]controller.InstanceReport, 0, len(h.backends)), Boot: clock.Boot()}
+	tick := controller.Tick{
+		Instances: make([]controller.InstanceReport, 0, len(h.backends)),
+		Boot:      clock.Boot(),
+		StoreLost: h.tablesLost.Load() > 0,
+	}
 	if h.unfenced() {
 		h.closeOverdue(tick.Boot)
 	}
--- a/internal/mesh/directory.go
+++ b/internal/mesh/directory.go
@@ -5,6 +5,7 @@
 
 	"redwingspread/internal/controller"
 	"redwingspread/internal/directory"
+	"redwingspread/internal/failover"
 	"redwingspread/internal/model"
 	"redwingspread/pkg/api/meshapi"
 )
@@ -23,8 +24,8 @@
 	meshapi.KindReadsOwn:    model.ReadYourWrites,
 }
 
-// encodeDirectory returns the parts of a directory that are newer than those of the requesting host.
-func encodeDirectory(query *meshapi.Ask, d *directory.Directory) meshapi.Directory {
+// encodeDirectory returns the parts of what a host knows that are newer than those of the requesting host.
+func encodeDirectory(query *meshapi.Ask, d *directory.Directory, membership *controller.Membership) meshapi.Directory {
 	message := meshapi.Directory{
 		Nonce:    query.Nonce,
 		Version:  uint64(d.Version),
@@ -37,9 +38,64 @@
 	if uint64(d.Revision) > query.Revision {
 		encodeInstances(&message, d)
 	}
+	if membership != nil && query.Rows.Set && uint64(membership.Revision) > query.Rows.Value {
+		encodeMembership(&message, membership)
+	}
 	return message
 }
 
+// encodeMembership adds the hosts and the promotions.
+func encodeMembership(message *meshapi.Directory, membership *controller.Membership) {
+	message.Rows = meshapi.NewOptUint64(uint64(membership.Revision))
+	for _, host := range membership.Hosts {
+		message.Hosts = append(message.Hosts, meshapi.Peer{
+			Name:        string(host.ID),
+			Address:     string(host.Address),
+			Centre:      string(host.DataCentre),
+			Incarnation: uint64(host.Incarnation),
+		})
+	}
+	for _, promotion := range membership.Promotions {
+		message.Promotions = append(message.Promotions, meshapi.Promotion{
+			Database: string(promotion.Database),
+			Instance: string(promotion.Instance),
+			Token:    uint64(promotion.Token),
+			Holder:   string(promotion.Holder),
+			Nonce:    string(promotion.Nonce),
+			Revision: uint64(promotion.Revision),
+		})
+	}
+}
+
+// decodeMembership returns the hosts and the promotions in a message, or nil if it has none.
+func decodeMembership(message *meshapi.Directory) *controller.MembershipUpdate {
+	if !message.Rows.Set {
+		return nil
+	}
+	update := &controller.MembershipUpdate{Full: true, Revision: model.Revision(message.Rows.Value)}
+	for _, host := range message.Hosts {
+		update.Hosts = append(update.Hosts, controller.Host{
+			ID:          model.HostID(host.Name),
+			Address:     model.Address(host.Address),
+			DataCentre:  model.DataCentreID(host.Centre),
+			Incarnation: model.Incarnation(host.Incarnation),
+		})
+	}
+	for _, promotion := range message.Promotions {
+		update.Promotions = append(update.Promotions, controller.Promotion{
+			Database: model.DatabaseID(promotion.Database),
+			Promotion: failover.Promotion{
+				Instance: model.InstanceID(promotion.Instance),
+				Token:    model.Token(promotion.Token),
+				Holder:   model.HostID(promotion.Holder),
+			},
+			Nonce:    model.Nonce(promotion.Nonce),
+			Revision: model.Revision(promotion.Revision),
+		})
+	}
+	return update
+}
+
 // encodeConfiguration adds the kinds of work and the databases.
 func encodeConfiguration(message *meshapi.Directory, d *directory.Directory) {
 	for _, kind := range d.Kinds {
@@ -100,6 +156,7 @@
 	if len(message.Instances) > 0 {
 		update.Full = true
 		update.Revision = model.Revision(message.Revision)
+		update.Newest = update.Revision
 		update.Entries = decodeInstances(regions, message)
 	}
 	return update, nil
--- a/internal/mesh/heartbeat.go
+++ b/internal/mesh/heartbeat.go
@@ -26,6 +26,10 @@
 		Leaving:     meshapi.NewOptBool(heartbeat.Leaving),
 		Version:     uint64(heartbeat.Version),
 		Revision:    uint64(heartbeat.Revision),
+		Rows:        meshapi.NewOptUint64(uint64(heartbeat.Rows)),
+	}
+	if heartbeat.Follows {
+		message.Follows = meshapi.NewOptBool(true)
 	}
 	for database, observation := range heartbeat.Primaries {
 		message.Leads = append(message.Leads, meshapi.Sight{
@@ -94,6 +98,8 @@
 		Leaving:     message.Leaving.Value,
 		Version:     model.Version(message.Version),
 		Revision:    model.Revision(message.Revision),
+		Rows:        model.Revision(message.Rows.Value),
+		Follows:     message.Follows.Value,
 		Primaries:   make(map[model.DatabaseID]failover.Observation, len(message.Leads)),
 	}
 	if message.Counted.Value {
--- a/internal/mesh/node.go
+++ b/internal/mesh/node.go
@@ -39,6 +39,8 @@
 	OnHeartbeat func(heartbeat controller.Heartbeat, from model.Address)
 	// Directory returns what this host knows of instances and configuration.
 	Directory func() *directory.Directory
+	// Membership returns what this host knows of the hosts' rows, or nil where each host reads them itself.
+	Membership func() *controller.Membership
 	// Logger receives events.
 	Logger log.Interface
 	// Now returns the current time.
@@ -52,7 +54,8 @@
 // New returns a node; set its exported fields before Run.
 func New() *Node {
 	return &Node{
-		Now: time.Now,
+		Now:        time.Now,
+		Membership: func() *controller.Membership { return nil },
 		client: &http.Client{
 			Timeout:   fetchTimeout,
 			Transport: &http.Transport{DisableKeepAlives: true}, // fetches are rare, and a kept connection may have gone silent
@@ -186,7 +189,7 @@
 		event.DatagramRefused(n.Logger, "directory fetch", ErrInvalidMAC)
 		return &meshapi.FetchDirectoryDef{StatusCode: http.StatusForbidden}, nil
 	}
-	message := encodeDirectory(&query, n.Directory())
+	message := encodeDirectory(&query, n.Directory(), n.Membership())
 	body, err := message.MarshalJSON()
 	if err != nil {
 		return nil, err
@@ -194,8 +197,8 @@
 	return &meshapi.Sealed{Body: body, Seal: key.computeMAC(purposeResponse, body)}, nil
 }
 
-// Fetch returns what another host knows and this one does not.
-func (n *Node) Fetch(ctx context.Context, host model.HostID, address model.Address) (update *controller.DirectoryUpdate, err error) {
+// Fetch returns what another host knows and this one does not; the membership is nil if the other host has no newer one.
+func (n *Node) Fetch(ctx context.Context, host model.HostID, address model.Address) (update *controller.DirectoryUpdate, membership *controller.MembershipUpdate, err error) {
 	defer func() {
 		if err != nil {
 			err = fmt.Errorf("mesh: fetch from %s: %w", host, err)
@@ -203,35 +206,41 @@
 	}()
 	key := n.key.Load()
 	if key == nil {
-		return nil, ErrInvalidMAC
+		return nil, nil, ErrInvalidMAC
 	}
 	known := n.Directory()
 	query := meshapi.Ask{Host: string(n.Host), Nonce: rand.Text(), Version: uint64(known.Version), Revision: uint64(known.Revision)}
+	if membership := n.Membership(); membership != nil {
+		query.Rows = meshapi.NewOptUint64(uint64(membership.Revision))
+	}
 	body, err := query.MarshalJSON()
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	client, err := meshapi.NewClient("http://"+string(address), meshapi.WithClient(n.client))
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	response, err := client.FetchDirectory(ctx, &meshapi.Sealed{Body: body, Seal: key.computeMAC(purposeRequest, body)})
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	sealed, ok := response.(*meshapi.Sealed)
 	if !ok {
-		return nil, ErrInvalidMAC
+		return nil, nil, ErrInvalidMAC
 	}
 	if err := key.verifyMAC(purposeResponse, sealed.Body, sealed.Seal); err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	var message meshapi.Directory
 	if err := message.UnmarshalJSON(sealed.Body); err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	if message.Nonce != query.Nonce {
-		return nil, ErrInvalidMAC
+		return nil, nil, ErrInvalidMAC
+	}
+	if update, err = decodeDirectory("host "+string(host), n.Regions, &message); err != nil {
+		return nil, nil, err
 	}
-	return decodeDirectory("host "+string(host), n.Regions, &message)
+	return update, decodeMembership(&message), nil
 }
--- a/pkg/api/meshapi/oas_json_gen.go
+++ b/pkg/api/meshapi/oas_json_gen.go
@@ -36,13 +36,20 @@
 		e.FieldStart("revision")
 		e.UInt64(s.Revision)
 	}
+	{
+		if s.Rows.Set {
+			e.FieldStart("rows")
+			s.Rows.Encode(e)
+		}
+	}
 }
 
-var jsonFieldsNameOfAsk = [4]string{
+var jsonFieldsNameOfAsk = [5]string{
 	0: "host",
 	1: "nonce",
 	2: "version",
 	3: "revision",
+	4: "rows",
 }
 
 // Decode decodes Ask from json.
@@ -102,6 +109,16 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"revision\"")
 			}
+		case "rows":
+			if err := func() error {
+				s.Rows.Reset()
+				if err := s.Rows.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"rows\"")
+			}
 		default:
 			return d.Skip()
 		}
@@ -323,6 +340,18 @@
 		e.FieldStart("revision")
 		e.UInt64(s.Revision)
 	}
+	{
+		if s.Rows.Set {
+			e.FieldStart("rows")
+			s.Rows.Encode(e)
+		}
+	}
+	{
+		if s.Follows.Set {
+			e.FieldStart("follows")
+			s.Follows.Encode(e)
+		}
+	}
 	{
 		if s.Leads != nil {
 			e.FieldStart("leads")
@@ -407,24 +436,26 @@
 	}
 }
 
-var jsonFieldsNameOfBeat = [17]string{
+var jsonFieldsNameOfBeat = [19]string{
 	0:  "host",
 	1:  "incarnation",
 	2:  "sequence",
 	3:  "leaving",
 	4:  "version",
 	5:  "revision",
-	6:  "leads",
-	7:  "counted",
-	8:  "loads",
-	9:  "sent",
-	10: "heard",
-	11: "digest",
-	12: "assigned",
-	13: "released",
-	14: "asked",
-	15: "proofs",
-	16: "silent",
+	6:  "rows",
+	7:  "follows",
+	8:  "leads",
+	9:  "counted",
+	10: "loads",
+	11: "sent",
+	12: "heard",
+	13: "digest",
+	14: "assigned",
+	15: "released",
+	16: "asked",
+	17: "proofs",
+	18: "silent",
 }
 
 // Decode decodes Beat from json.
@@ -506,6 +537,26 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"revision\"")
 			}
+		case "rows":
+			if err := func() error {
+				s.Rows.Reset()
+				if err := s.Rows.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"rows\"")
+			}
+		case "follows":
+			if err := func() error {
+				s.Follows.Reset()
+				if err := s.Follows.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"follows\"")
+			}
 		case "leads":
 			if err := func() error {
 				s.Leads = make([]Sight, 0)
@@ -1001,9 +1052,35 @@
 			e.ArrEnd()
 		}
 	}
+	{
+		if s.Rows.Set {
+			e.FieldStart("rows")
+			s.Rows.Encode(e)
+		}
+	}
+	{
+		if s.Hosts != nil {
+			e.FieldStart("hosts")
+			e.ArrStart()
+			for _, elem := range s.Hosts {
+				elem.Encode(e)
+			}
+			e.ArrEnd()
+		}
+	}
+	{
+		if s.Promotions != nil {
+			e.FieldStart("promotions")
+			e.ArrStart()
+			for _, elem := range s.Promotions {
+				elem.Encode(e)
+			}
+			e.ArrEnd()
+		}
+	}
 }
 
-var jsonFieldsNameOfDirectory = [7]string{
+var jsonFieldsNameOfDirectory = [10]string{
 	0: "nonce",
 	1: "version",
 	2: "revision",
@@ -1011,6 +1088,9 @@
 	4: "kinds",
 	5: "databases",
 	6: "instances",
+	7: "rows",
+	8: "hosts",
+	9: "promotions",
 }
 
 // Decode decodes Directory from json.
@@ -1018,7 +1098,7 @@
 	if s == nil {
 		return errors.New("invalid: unable to decode Directory to nil")
 	}
-	var requiredBitSet [1]uint8
+	var requiredBitSet [2]uint8
 
 	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
 		switch string(k) {
@@ -1121,6 +1201,50 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"instances\"")
 			}
+		case "rows":
+			if err := func() error {
+				s.Rows.Reset()
+				if err := s.Rows.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"rows\"")
+			}
+		case "hosts":
+			if err := func() error {
+				s.Hosts = make([]Peer, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem Peer
+					if err := elem.Decode(d); err != nil {
+						return err
+					}
+					s.Hosts = append(s.Hosts, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"hosts\"")
+			}
+		case "promotions":
+			if err := func() error {
+				s.Promotions = make([]Promotion, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem Promotion
+					if err := elem.Decode(d); err != nil {
+						return err
+					}
+					s.Promotions = append(s.Promotions, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"promotions\"")
+			}
 		default:
 			return d.Skip()
 		}
@@ -1130,8 +1254,9 @@
 	}
 	// Validate required fields.
 	var failures []validate.FieldError
-	for i, mask := range [1]uint8{
+	for i, mask := range [2]uint8{
 		0b00001111,
+		0b00000000,
 	} {
 		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
 			// Mask only required fields and check equality to mask using XOR.
@@ -2170,6 +2295,334 @@
 	return s.Decode(d)
 }
 
+// Encode implements json.Marshaler.
+func (s *Peer) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *Peer) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("name")
+		e.Str(s.Name)
+	}
+	{
+		e.FieldStart("address")
+		e.Str(s.Address)
+	}
+	{
+		e.FieldStart("centre")
+		e.Str(s.Centre)
+	}
+	{
+		e.FieldStart("incarnation")
+		e.UInt64(s.Incarnation)
+	}
+}
+
+var jsonFieldsNameOfPeer = [4]string{
+	0: "name",
+	1: "address",
+	2: "centre",
+	3: "incarnation",
+}
+
+// Decode decodes Peer from json.
+func (s *Peer) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode Peer to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "name":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Str()
+				s.Name = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"name\"")
+			}
+		case "address":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				v, err := d.Str()
+				s.Address = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"address\"")
+			}
+		case "centre":
+			requiredBitSet[0] |= 1 << 2
+			if err := func() error {
+				v, err := d.Str()
+				s.Centre = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"centre\"")
+			}
+		case "incarnation":
+			requiredBitSet[0] |= 1 << 3
+			if err := func() error {
+				v, err := d.UInt64()
+				s.Incarnation = uint64(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"incarnation\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode Peer")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00001111,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfPeer) {
+					name = jsonFieldsNameOfPeer[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *Peer) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *Peer) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
+// Encode implements json.Marshaler.
+func (s *Promotion) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *Promotion) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("database")
+		e.Str(s.Database)
+	}
+	{
+		e.FieldStart("instance")
+		e.Str(s.Instance)
+	}
+	{
+		e.FieldStart("token")
+		e.UInt64(s.Token)
+	}
+	{
+		e.FieldStart("holder")
+		e.Str(s.Holder)
+	}
+	{
+		e.FieldStart("nonce")
+		e.Str(s.Nonce)
+	}
+	{
+		e.FieldStart("revision")
+		e.UInt64(s.Revision)
+	}
+}
+
+var jsonFieldsNameOfPromotion = [6]string{
+	0: "database",
+	1: "instance",
+	2: "token",
+	3: "holder",
+	4: "nonce",
+	5: "revision",
+}
+
+// Decode decodes Promotion from json.
+func (s *Promotion) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode Promotion to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "database":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Str()
+				s.Database = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"database\"")
+			}
+		case "instance":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				v, err := d.Str()
+				s.Instance = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"instance\"")
+			}
+		case "token":
+			requiredBitSet[0] |= 1 << 2
+			if err := func() error {
+				v, err := d.UInt64()
+				s.Token = uint64(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"token\"")
+			}
+		case "holder":
+			requiredBitSet[0] |= 1 << 3
+			if err := func() error {
+				v, err := d.Str()
+				s.Holder = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"holder\"")
+			}
+		case "nonce":
+			requiredBitSet[0] |= 1 << 4
+			if err := func() error {
+				v, err := d.Str()
+				s.Nonce = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"nonce\"")
+			}
+		case "revision":
+			requiredBitSet[0] |= 1 << 5
+			if err := func() error {
+				v, err := d.UInt64()
+				s.Revision = uint64(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"revision\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode Promotion")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00111111,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfPromotion) {
+					name = jsonFieldsNameOfPromotion[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *Promotion) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *Promotion) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode implements json.Marshaler.
 func (s *Proof) Encode(e *jx.Encoder) {
 	e.ObjStart()
--- a/pkg/api/meshapi/oas_schemas_gen.go
+++ b/pkg/api/meshapi/oas_schemas_gen.go
@@ -14,6 +14,8 @@
 	Version uint64 `json:"version"`
 	// Revision of the instances that the requesting host has.
 	Revision uint64 `json:"revision"`
+	// Revision of the hosts' rows that the requesting host has; absent when it reads them itself.
+	Rows OptUint64 `json:"rows"`
 }
 
 // GetHost returns the value of Host.
@@ -36,6 +38,11 @@
 	return s.Revision
 }
 
+// GetRows returns the value of Rows.
+func (s *Ask) GetRows() OptUint64 {
+	return s.Rows
+}
+
 // SetHost sets the value of Host.
 func (s *Ask) SetHost(val string) {
 	s.Host = val
@@ -56,6 +63,11 @@
 	s.Revision = val
 }
 
+// SetRows sets the value of Rows.
+func (s *Ask) SetRows(val OptUint64) {
+	s.Rows = val
+}
+
 // Ref: #/components/schemas/Assignment
 type Assignment struct {
 	Database string `json:"database"`
@@ -103,8 +115,12 @@
 	// Version of the configuration in force.
 	Version uint64 `json:"version"`
 	// Revision of the newest change to an instance.
-	Revision uint64  `json:"revision"`
-	Leads    []Sight `json:"leads"`
+	Revision uint64 `json:"revision"`
+	// Revision of the hosts' rows that the sender knows.
+	Rows OptUint64 `json:"rows"`
+	// True when the sender polls the store and reaches it.
+	Follows OptBool `json:"follows"`
+	Leads   []Sight `json:"leads"`
 	// True when the heartbeat has the loads of all instances.
 	Counted OptBool `json:"counted"`
 	// Mean number of connections in use and requested in tenths by instance.
@@ -158,6 +174,16 @@
 	return s.Revision
 }
 
+// GetRows returns the value of Rows.
+func (s *Beat) GetRows() OptUint64 {
+	return s.Rows
+}
+
+// GetFollows returns the value of Follows.
+func (s *Beat) GetFollows() OptBool {
+	return s.Follows
+}
+
 // GetLeads returns the value of Leads.
 func (s *Beat) GetLeads() []Sight {
 	return s.Leads
@@ -243,6 +269,16 @@
 	s.Revision = val
 }
 
+// SetRows sets the value of Rows.
+func (s *Beat) SetRows(val OptUint64) {
+	s.Rows = val
+}
+
+// SetFollows sets the value of Follows.
+func (s *Beat) SetFollows(val OptBool) {
+	s.Follows = val
+}
+
 // SetLeads sets the value of Leads.
 func (s *Beat) SetLeads(val []Sight) {
 	s.Leads = val
@@ -372,6 +408,10 @@
 	Kinds     []Kind     `json:"kinds"`
 	Databases []Database `json:"databases"`
 	Instances []Instance `json:"instances"`
+	// Revision of the hosts and promotions.
+	Rows       OptUint64   `json:"rows"`
+	Hosts      []Peer      `json:"hosts"`
+	Promotions []Promotion `json:"promotions"`
 }
 
 // GetNonce returns the value of Nonce.
@@ -409,6 +449,21 @@
 	return s.Instances
 }
 
+// GetRows returns the value of Rows.
+func (s *Directory) GetRows() OptUint64 {
+	return s.Rows
+}
+
+// GetHosts returns the value of Hosts.
+func (s *Directory) GetHosts() []Peer {
+	return s.Hosts
+}
+
+// GetPromotions returns the value of Promotions.
+func (s *Directory) GetPromotions() []Promotion {
+	return s.Promotions
+}
+
 // SetNonce sets the value of Nonce.
 func (s *Directory) SetNonce(val string) {
 	s.Nonce = val
@@ -444,6 +499,21 @@
 	s.Instances = val
 }
 
+// SetRows sets the value of Rows.
+func (s *Directory) SetRows(val OptUint64) {
+	s.Rows = val
+}
+
+// SetHosts sets the value of Hosts.
+func (s *Directory) SetHosts(val []Peer) {
+	s.Hosts = val
+}
+
+// SetPromotions sets the value of Promotions.
+func (s *Directory) SetPromotions(val []Promotion) {
+	s.Promotions = val
+}
+
 // FetchDirectoryDef is default response for FetchDirectory operation.
 type FetchDirectoryDef struct {
 	StatusCode int
@@ -1082,6 +1152,125 @@
 	return d
 }
 
+// Ref: #/components/schemas/Peer
+type Peer struct {
+	Name        string `json:"name"`
+	Address     string `json:"address"`
+	Centre      string `json:"centre"`
+	Incarnation uint64 `json:"incarnation"`
+}
+
+// GetName returns the value of Name.
+func (s *Peer) GetName() string {
+	return s.Name
+}
+
+// GetAddress returns the value of Address.
+func (s *Peer) GetAddress() string {
+	return s.Address
+}
+
+// GetCentre returns the value of Centre.
+func (s *Peer) GetCentre() string {
+	return s.Centre
+}
+
+// GetIncarnation returns the value of Incarnation.
+func (s *Peer) GetIncarnation() uint64 {
+	return s.Incarnation
+}
+
+// SetName sets the value of Name.
+func (s *Peer) SetName(val string) {
+	s.Name = val
+}
+
+// SetAddress sets the value of Address.
+func (s *Peer) SetAddress(val string) {
+	s.Address = val
+}
+
+// SetCentre sets the value of Centre.
+func (s *Peer) SetCentre(val string) {
+	s.Centre = val
+}
+
+// SetIncarnation sets the value of Incarnation.
+func (s *Peer) SetIncarnation(val uint64) {
+	s.Incarnation = val
+}
+
+// Ref: #/components/schemas/Promotion
+type Promotion struct {
+	Database string `json:"database"`
+	Instance string `json:"instance"`
+	Token    uint64 `json:"token"`
+	Holder   string `json:"holder"`
+	Nonce    string `json:"nonce"`
+	// Revision of the row.
+	Revision uint64 `json:"revision"`
+}
+
+// GetDatabase returns the value of Database.
+func (s *Promotion) GetDatabase() string {
+	return s.Database
+}
+
+// GetInstance returns the value of Instance.
+func (s *Promotion) GetInstance() string {
+	return s.Instance
+}
+
+// GetToken returns the value of Token.
+func (s *Promotion) GetToken() uint64 {
+	return s.Token
+}
+
+// GetHolder returns the value of Holder.
+func (s *Promotion) GetHolder() string {
+	return s.Holder
+}
+
+// GetNonce returns the value of Nonce.
+func (s *Promotion) GetNonce() string {
+	return s.Nonce
+}
+
+// GetRevision returns the value of Revision.
+func (s *Promotion) GetRevision() uint64 {
+	return s.Revision
+}
+
+// SetDatabase sets the value of Database.
+func (s *Promotion) SetDatabase(val string) {
+	s.Database = val
+}
+
+// SetInstance sets the value of Instance.
+func (s *Promotion) SetInstance(val string) {
+	s.Instance = val
+}
+
+// SetToken sets the value of Token.
+func (s *Promotion) SetToken(val uint64) {
+	s.Token = val
+}
+
+// SetHolder sets the value of Holder.
+func (s *Promotion) SetHolder(val string) {
+	s.Holder = val
+}
+
+// SetNonce sets the value of Nonce.
+func (s *Promotion) SetNonce(val string) {
+	s.Nonce = val
+}
+
+// SetRevision sets the value of Revision.
+func (s *Promotion) SetRevision(val uint64) {
+	s.Revision = val
+}
+
 // Ref: #/components/schemas/Proof
 type Proof struct {
 	Database string `json:"database"`
