mesh: heartbeats are packed for hosts that read that

Change: a heartbeat says which packing its sender reads; hosts that do get it compressed with DEFLATE and a fixed dictionary, the others, of the release before, get it plain. A packed message unpacks to no more than a plain one may have.

--- a/internal/controller/event.go
+++ b/internal/controller/event.go
@@ -74,6 +74,7 @@
 	Revision    model.Revision                            // of the sender's directory
 	Rows        model.Revision                            // of the hosts' rows that the sender knows
 	Follows     bool                                      // the sender polls the store and reaches it
+	Packing     model.Packing                             // that the sender can read
 	Primaries   map[model.DatabaseID]failover.Observation // of the primaries that some host finds silent
 	Loads       map[model.InstanceID]model.Load           // nil when the heartbeat carries no loads
 	Lease       *lease.Message                            // nil where the platform fences primaries
@@ -147,6 +148,7 @@
 type Receiver struct {
 	Address model.Address
 	Heard   model.Instant // confirmation of the receiver's newest heartbeat; zero for none
+	Packing model.Packing // that the receiver can read
 }
 
 // FetchDirectory fetches the directory from another host.
--- a/internal/controller/host.go
+++ b/internal/controller/host.go
@@ -180,7 +180,7 @@
 
 // receiver returns a host as the receiver of a heartbeat.
 func (c *Controller) receiver(id model.HostID) Receiver {
-	receiver := Receiver{Address: c.hosts[id].Address}
+	receiver := Receiver{Address: c.hosts[id].Address, Packing: c.hosts[id].heartbeat.Packing}
 	if c.lease != nil {
 		receiver.Heard = c.lease.Heard(id)
 	}
--- a/internal/mesh/heartbeat.go
+++ b/internal/mesh/heartbeat.go
@@ -14,11 +14,20 @@
 
 // EncodeHeartbeat returns the datagram of a heartbeat with its MAC; ages are relative to now.
 func EncodeHeartbeat(key *Key, now time.Time, heartbeat controller.Heartbeat) (datagram []byte, err error) {
-	defer func() {
-		if err != nil {
-			err = fmt.Errorf("mesh: encode heartbeat: %w", err)
-		}
-	}()
+	body, err := encodeBeat(now, heartbeat)
+	if err != nil {
+		return nil, fmt.Errorf("mesh: encode heartbeat: %w", err)
+	}
+	return sealHeartbeat(key, body), nil
+}
+
+// sealHeartbeat returns the datagram of a plain or packed body.
+func sealHeartbeat(key *Key, body []byte) []byte {
+	return append(key.computeMAC(purposeHeartbeat, body), body...)
+}
+
+// encodeBeat returns the body of a heartbeat.
+func encodeBeat(now time.Time, heartbeat controller.Heartbeat) ([]byte, error) {
 	message := meshapi.Beat{
 		Host:        string(heartbeat.Host),
 		Incarnation: uint64(heartbeat.Incarnation),
@@ -31,6 +40,9 @@
 	if heartbeat.Follows {
 		message.Follows = meshapi.NewOptBool(true)
 	}
+	if heartbeat.Packing != 0 {
+		message.Packs = meshapi.NewOptUint(uint(heartbeat.Packing))
+	}
 	for database, observation := range heartbeat.Primaries {
 		message.Leads = append(message.Leads, meshapi.Sight{
 			Database: string(database),
@@ -63,11 +75,7 @@
 	if heartbeat.Lease != nil {
 		encodeLease(&message, heartbeat.Lease)
 	}
-	body, err := message.MarshalJSON()
-	if err != nil {
-		return nil, err
-	}
-	return append(key.computeMAC(purposeHeartbeat, body), body...), nil
+	return message.MarshalJSON()
 }
 
 // DecodeHeartbeat verifies the MAC of a datagram and returns its heartbeat; ages become times relative to now.
@@ -84,6 +92,9 @@
 	if err := key.verifyMAC(purposeHeartbeat, body, datagram[:macSize]); err != nil {
 		return heartbeat, err
 	}
+	if body, err = unpack(body); err != nil {
+		return heartbeat, err
+	}
 	var message meshapi.Beat
 	if err := message.UnmarshalJSON(body); err != nil {
 		return heartbeat, err
@@ -100,6 +111,7 @@
 		Revision:    model.Revision(message.Revision),
 		Rows:        model.Revision(message.Rows.Value),
 		Follows:     message.Follows.Value,
+		Packing:     model.Packing(message.Packs.Value),
 		Primaries:   make(map[model.DatabaseID]failover.Observation, len(message.Leads)),
 	}
 	if message.Counted.Value {
--- a/internal/mesh/node.go
+++ b/internal/mesh/node.go
@@ -49,6 +49,7 @@
 	key    atomic.Pointer[Key]
 	socket atomic.Pointer[net.UDPConn]
 	client *http.Client
+	packer packer
 }
 
 // New returns a node; set its exported fields before Run.
@@ -151,34 +152,44 @@
 	if key == nil || socket == nil {
 		return nil
 	}
-	var datagram []byte
+	heartbeat.Packing = packing
+	var datagrams [packing + 1][]byte // by what the receiver reads
 	for _, receiver := range to {
-		if datagram == nil || heartbeat.Lease != nil {
-			var encodeErr error
-			if datagram, encodeErr = encodeFor(key, n.Now(), receiver, heartbeat); encodeErr != nil {
-				return errors.Join(err, encodeErr)
+		read := min(receiver.Packing, packing)
+		if datagrams[read] == nil || heartbeat.Lease != nil {
+			datagram, encodeErr := n.encodeFor(key, receiver, heartbeat)
+			if encodeErr != nil {
+				return errors.Join(err, fmt.Errorf("mesh: encode heartbeat: %w", encodeErr))
 			}
+			datagrams[read] = datagram
 		}
 		address, parseErr := netip.ParseAddrPort(string(receiver.Address))
 		if parseErr != nil {
 			err = errors.Join(err, parseErr)
 			continue
 		}
-		if _, sendErr := socket.WriteToUDPAddrPort(datagram, address); sendErr != nil {
+		if _, sendErr := socket.WriteToUDPAddrPort(datagrams[read], address); sendErr != nil {
 			err = errors.Join(err, sendErr)
 		}
 	}
 	return err
 }
 
-// encodeFor returns the datagram of a heartbeat with the confirmation for one receiver.
-func encodeFor(key *Key, now time.Time, receiver controller.Receiver, heartbeat controller.Heartbeat) ([]byte, error) {
+// encodeFor returns the datagram of a heartbeat with the confirmation for one receiver, packed if the receiver can read that.
+func (n *Node) encodeFor(key *Key, receiver controller.Receiver, heartbeat controller.Heartbeat) ([]byte, error) {
 	if heartbeat.Lease != nil {
 		part := *heartbeat.Lease
 		part.Heard = receiver.Heard
 		heartbeat.Lease = &part
 	}
-	return EncodeHeartbeat(key, now, heartbeat)
+	body, err := encodeBeat(n.Now(), heartbeat)
+	if err == nil && receiver.Packing >= packing {
+		body, err = n.packer.pack(body)
+	}
+	if err != nil {
+		return nil, err
+	}
+	return sealHeartbeat(key, body), nil
 }
 
 // FetchDirectory implements the generated server interface; it handles another host's Fetch.
--- a/internal/mesh/node_test.go
+++ b/internal/mesh/node_test.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"net"
@@ -26,7 +27,7 @@
 // fullHeartbeat returns a heartbeat with every field set.
 func fullHeartbeat() controller.Heartbeat {
 	return controller.Heartbeat{
-		Host: "h1", Incarnation: 17, Sequence: 4, Leaving: true, Version: 9, Revision: 31, Rows: 12, Follows: true,
+		Host: "h1", Incarnation: 17, Sequence: 4, Leaving: true, Version: 9, Revision: 31, Rows: 12, Follows: true, Packing: packing,
 		Primaries: map[model.DatabaseID]failover.Observation{"seats": {Instance: "i1", Term: 3, State: failover.Silent, Since: now.Add(-700 * time.Millisecond)}},
 		Loads:     map[model.InstanceID]model.Load{"i1": 27},
 		Asked:     model.Instant(17 * time.Second),
@@ -84,6 +85,73 @@
 	}
 }
 
+// TestPacking checks that packed heartbeats are read like plain ones, that they are short, and that hosts of an earlier release get
+// plain ones.
+func TestPacking(t *testing.T) {
+	idle := controller.Heartbeat{
+		Host: "front-brazos-b-12", Incarnation: 1_780_000_000_000_000_000, Sequence: 812, Version: 37, Revision: 2231, Rows: 2100,
+		Primaries: map[model.DatabaseID]failover.Observation{}, Loads: map[model.InstanceID]model.Load{}, Packing: packing,
+	}
+	tests := map[string]struct {
+		heartbeat controller.Heartbeat
+		receiver  controller.Receiver
+		packed    bool
+		most      int // bytes of the datagram
+	}{
+		"complete":               {heartbeat: fullHeartbeat(), receiver: controller.Receiver{Packing: packing, Heard: model.Instant(4 * time.Second)}, packed: true, most: 250},
+		"of an idle host":        {heartbeat: idle, receiver: controller.Receiver{Packing: packing}, packed: true, most: 80},
+		"for an earlier release": {heartbeat: idle, most: 250},
+		"for a later release":    {heartbeat: idle, receiver: controller.Receiver{Packing: packing + 1}, packed: true, most: 80},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			key := NewKey()
+			n := New()
+			n.Now = func() time.Time { return now }
+			for range 2 { // the second one reuses the first one's compressor
+				datagram, err := n.encodeFor(&key, test.receiver, test.heartbeat)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if got := datagram[macSize] == packMark; got != test.packed || len(datagram) > test.most {
+					t.Errorf("got %d bytes, packed %v, want at most %d, packed %v", len(datagram), got, test.most, test.packed)
+				}
+				if got, err := DecodeHeartbeat(&key, now, datagram); err != nil || !reflect.DeepEqual(got, test.heartbeat) {
+					t.Errorf("got %+v, %v, want %+v", got, err, test.heartbeat)
+				}
+			}
+		})
+	}
+}
+
+// TestUnpackRefuses checks that a packed message can't take more memory than a plain one, and that a broken one is refused.
+func TestUnpackRefuses(t *testing.T) {
+	pack := func(body []byte) []byte {
+		packed, err := new(packer).pack(body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return packed
+	}
+	tests := map[string]struct {
+		body []byte
+		want bool // it is read
+	}{
+		"as large as a message may be": {body: pack(make([]byte, maxMessageSize)), want: true},
+		"larger":                       {body: pack(make([]byte, 100*maxMessageSize))},
+		"cut off":                      {body: pack([]byte("a message of some length"))[:6]},
+		"not compressed":               {body: append([]byte{packMark}, bytes.Repeat([]byte{255}, 40)...)},
+		"nothing after the mark":       {body: []byte{packMark}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			if message, err := unpack(test.body); (err == nil) != test.want {
+				t.Errorf("got %d bytes, %v, want them: %v", len(message), err, test.want)
+			}
+		})
+	}
+}
+
 func TestMACPurposes(t *testing.T) {
 	key := NewKey()
 	body := []byte(`{"host":"h1"}`)
@@ -275,6 +343,11 @@
 		f.Fatal(err)
 	}
 	f.Add(datagram[macSize:])
+	packed, err := new(packer).pack(datagram[macSize:])
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(packed)
 	f.Fuzz(func(t *testing.T, body []byte) {
 		if _, err := DecodeHeartbeat(&key, now, body); err == nil {
 			t.Errorf("got a heartbeat of %q without a MAC, want an error", body)
--- a/internal/model/units.go
+++ b/internal/model/units.go
@@ -11,6 +11,9 @@
 // Incarnation identifies one run of a host by its start time, in nanoseconds since the Unix epoch.
 type Incarnation uint64
 
+// Packing is a form of compression of messages between hosts; zero is none.
+type Packing uint
+
 // Sequence is the number of a heartbeat within one incarnation.
 type Sequence uint64
 
--- a/pkg/api/meshapi/oas_json_gen.go
+++ b/pkg/api/meshapi/oas_json_gen.go
@@ -352,6 +352,12 @@
 			s.Follows.Encode(e)
 		}
 	}
+	{
+		if s.Packs.Set {
+			e.FieldStart("packs")
+			s.Packs.Encode(e)
+		}
+	}
 	{
 		if s.Leads != nil {
 			e.FieldStart("leads")
@@ -436,7 +442,7 @@
 	}
 }
 
-var jsonFieldsNameOfBeat = [19]string{
+var jsonFieldsNameOfBeat = [20]string{
 	0:  "host",
 	1:  "incarnation",
 	2:  "sequence",
@@ -445,17 +451,18 @@
 	5:  "revision",
 	6:  "rows",
 	7:  "follows",
-	8:  "leads",
-	9:  "counted",
-	10: "loads",
-	11: "sent",
-	12: "heard",
-	13: "digest",
-	14: "assigned",
-	15: "released",
-	16: "asked",
-	17: "proofs",
-	18: "silent",
+	8:  "packs",
+	9:  "leads",
+	10: "counted",
+	11: "loads",
+	12: "sent",
+	13: "heard",
+	14: "digest",
+	15: "assigned",
+	16: "released",
+	17: "asked",
+	18: "proofs",
+	19: "silent",
 }
 
 // Decode decodes Beat from json.
@@ -557,6 +564,16 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"follows\"")
 			}
+		case "packs":
+			if err := func() error {
+				s.Packs.Reset()
+				if err := s.Packs.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"packs\"")
+			}
 		case "leads":
 			if err := func() error {
 				s.Leads = make([]Sight, 0)
@@ -2260,6 +2277,41 @@
 	return s.Decode(d)
 }
 
+// Encode encodes uint as json.
+func (o OptUint) Encode(e *jx.Encoder) {
+	if !o.Set {
+		return
+	}
+	e.UInt(uint(o.Value))
+}
+
+// Decode decodes uint from json.
+func (o *OptUint) Decode(d *jx.Decoder) error {
+	if o == nil {
+		return errors.New("invalid: unable to decode OptUint to nil")
+	}
+	o.Set = true
+	v, err := d.UInt()
+	if err != nil {
+		return err
+	}
+	o.Value = uint(v)
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s OptUint) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *OptUint) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode encodes uint64 as json.
 func (o OptUint64) Encode(e *jx.Encoder) {
 	if !o.Set {
--- a/pkg/api/meshapi/oas_schemas_gen.go
+++ b/pkg/api/meshapi/oas_schemas_gen.go
@@ -120,7 +120,9 @@
 	Rows OptUint64 `json:"rows"`
 	// True when the sender polls the store and reaches it.
 	Follows OptBool `json:"follows"`
-	Leads   []Sight `json:"leads"`
+	// Compression that the sender reads; 1 is DEFLATE with a dictionary.
+	Packs OptUint `json:"packs"`
+	Leads []Sight `json:"leads"`
 	// True when the heartbeat has the loads of all instances.
 	Counted OptBool `json:"counted"`
 	// Mean number of connections in use and requested in tenths by instance.
@@ -184,6 +186,11 @@
 	return s.Follows
 }
 
+// GetPacks returns the value of Packs.
+func (s *Beat) GetPacks() OptUint {
+	return s.Packs
+}
+
 // GetLeads returns the value of Leads.
 func (s *Beat) GetLeads() []Sight {
 	return s.Leads
@@ -279,6 +286,11 @@
 	s.Follows = val
 }
 
+// SetPacks sets the value of Packs.
+func (s *Beat) SetPacks(val OptUint) {
+	s.Packs = val
+}
+
 // SetLeads sets the value of Leads.
 func (s *Beat) SetLeads(val []Sight) {
 	s.Leads = val
@@ -1106,6 +1118,52 @@
 	return d
 }
 
+// NewOptUint returns new OptUint with value set to v.
+func NewOptUint(v uint) OptUint {
+	return OptUint{
+		Value: v,
+		Set:   true,
+	}
+}
+
+// OptUint is optional uint.
+type OptUint struct {
+	Value uint
+	Set   bool
+}
+
+// IsSet returns true if OptUint was set.
+func (o OptUint) IsSet() bool { return o.Set }
+
+// Reset unsets value.
+func (o *OptUint) Reset() {
+	var v uint
+	o.Value = v
+	o.Set = false
+}
+
+// SetTo sets value to v.
+func (o *OptUint) SetTo(v uint) {
+	o.Set = true
+	o.Value = v
+}
+
+// Get returns value and boolean that denotes whether value was set.
+func (o OptUint) Get() (v uint, ok bool) {
+	if !o.Set {
+		return v, false
+	}
+	return o.Value, true
+}
+
+// Or returns value if set, or given parameter if does not.
+func (o OptUint) Or(d uint) uint {
+	if v, ok := o.Get(); ok {
+		return v
+	}
+	return d
+}
+
 // NewOptUint64 returns new OptUint64 with value set to v.
 func NewOptUint64(v uint64) OptUint64 {
 	return OptUint64{
