front: fewer calls to the store at a start

Cause: a starting host read the shared key by itself, once or twice, though it reads the hosts' rows with the key anyway; and while instances start, each of their changes cost a call of each polling host, every 0.4 s. Polls of a table that has changed each time are spaced by up to 1.6 s.

--- a/internal/front/follow.go
+++ b/internal/front/follow.go
@@ -25,7 +25,10 @@
 	longPollSlack = 2 * time.Second
 	// pollInterval is the minimum time between two polls of a table, so that a burst of changes costs few calls.
 	pollInterval = 400 * time.Millisecond
-	// hostPollInterval is the same for the hosts' rows, which all change when the fleet starts. A starting host reads them and
+	// instanceSpread is the factor on pollInterval up to which instances that keep changing are polled more rarely, as while a
+	// fleet of them starts. Traffic notices before the entries when one of them fails.
+	instanceSpread = 4
+	// hostPollInterval is the same as pollInterval for the hosts' rows, which all change when the fleet starts. A starting host reads them and
 	// announces itself to the others, so they need not see its row soon.
 	hostPollInterval = 4 * time.Second
 	// fullReadInterval is the time between full reads of a table while the store keeps no history: a third of the shortest time
@@ -33,6 +36,8 @@
 	fullReadInterval = time.Second
 	// fullReadCount is the number of full reads before changes are polled again.
 	fullReadCount = 4
+	// rowsReadWait is how long a starting host waits for the first read of the hosts' rows before it creates a key.
+	rowsReadWait = 250 * time.Millisecond
 	// readTimeout limits a call that does not wait for a change; a slow store takes a few hundred milliseconds.
 	readTimeout = 2 * time.Second
 )
@@ -41,6 +46,7 @@
 type table[T any] struct {
 	name     string
 	interval time.Duration
+	spread   int // factor on the interval up to which it grows while each poll finds a change
 	read     func(ctx context.Context, after model.Revision, wait time.Duration) (T, model.Revision, error)
 	apply    func(ctx context.Context, update T) error
 	pace     func() pollPace
@@ -56,9 +62,9 @@
 // followAll follows all tables until the context ends, then sends its result on done.
 func (h *Host) followAll(ctx context.Context, done chan<- error) {
 	ended := make(chan error, 4)
-	go follow(ctx, h, table[controller.DirectoryUpdate]{"configuration", pollInterval, h.Platform.Configuration, h.sendUpdate, h.pollPace}, ended)
-	go follow(ctx, h, table[controller.DirectoryUpdate]{"instances", pollInterval, h.Platform.Instances, h.sendUpdate, h.pollPace}, ended)
-	go follow(ctx, h, table[HostRows]{"hosts", hostPollInterval, h.Platform.Hosts, h.applyHostRows, h.hostPollPace}, ended)
+	go follow(ctx, h, table[controller.DirectoryUpdate]{"configuration", pollInterval, 1, h.Platform.Configuration, h.sendUpdate, h.pollPace}, ended)
+	go follow(ctx, h, table[controller.DirectoryUpdate]{"instances", pollInterval, instanceSpread, h.Platform.Instances, h.sendUpdate, h.pollPace}, ended)
+	go follow(ctx, h, table[HostRows]{"hosts", hostPollInterval, 1, h.Platform.Hosts, h.applyHostRows, h.hostPollPace}, ended)
 	go h.registerLoop(ctx, ended)
 	for range 4 {
 		<-ended
@@ -93,6 +99,14 @@
 	if err := h.Platform.WriteHost(callCtx, h.self); err != nil {
 		return err
 	}
+	select {
+	case <-h.rowsRead:
+	case <-time.After(rowsReadWait):
+	case <-ctx.Done():
+	}
+	if h.mesh.HasKey() {
+		return nil
+	}
 	key, err := h.Platform.CreateKey(callCtx, mesh.NewKey())
 	if err != nil {
 		return err
@@ -106,6 +120,7 @@
 	if rows.Key != nil {
 		h.mesh.SetKey(*rows.Key)
 	}
+	h.noteRowsRead.Do(func() { close(h.rowsRead) })
 	return h.Loop.Send(ctx, rows.MembershipUpdate)
 }
 
@@ -132,6 +147,23 @@
 	return pollPace{wait: longPollWait}
 }
 
+// spacing is the pause between polls of one table: it grows while each poll finds a change at once.
+type spacing struct {
+	least, most time.Duration
+	current     time.Duration
+}
+
+// next returns the pause after a poll that took so long.
+func (s *spacing) next(took time.Duration) time.Duration {
+	if took < s.least {
+		s.current = min(2*s.current, s.most)
+	} else {
+		s.current = s.least
+	}
+	s.current = max(s.current, s.least)
+	return s.current
+}
+
 // awaitTurn waits while the host has read a table and learns of its changes from other hosts.
 func (h *Host) awaitTurn(ctx context.Context, pace func() pollPace) {
 	for pace().idle {
@@ -156,6 +188,7 @@
 	after := model.Revision(0)
 	lostSince := time.Time{}
 	backoff := retry.NewSharedBackoff()
+	between := spacing{least: t.interval, most: t.interval * time.Duration(t.spread)}
 	fullRead, fullReadsLeft := false, 0 // the latest response was a full table; number of full reads left
 	for ctx.Err() == nil {
 		if after != 0 {
@@ -167,6 +200,7 @@
 			wait, limit = 0, readTimeout
 		}
 		callCtx, cancel := context.WithTimeout(ctx, limit)
+		sent := time.Now()
 		var update T
 		var revision model.Revision
 		err := boundary.Run(func() (err error) {
@@ -197,7 +231,7 @@
 			}
 			_ = t.apply(ctx, update) // fails only when the context ends
 			fullRead = after == 0
-			pause := t.interval
+			pause := between.next(time.Since(sent))
 			if fullReadsLeft > 0 {
 				fullReadsLeft--
 				pause = max(pause, fullReadInterval)
--- a/internal/front/follow_internal_test.go
+++ b/internal/front/follow_internal_test.go
@@ -103,7 +103,7 @@
 					}
 					return nil
 				}
-				go follow(ctx, h, table[int]{"table", pollInterval, fake.read, apply, func() pollPace { return pollPace{wait: longPollWait} }}, done)
+				go follow(ctx, h, table[int]{"table", pollInterval, 1, fake.read, apply, func() pollPace { return pollPace{wait: longPollWait} }}, done)
 				time.Sleep(time.Minute)
 				cancel()
 				<-done
@@ -118,6 +118,36 @@
 	}
 }
 
+// TestSpacing replays polls of a table that changes all the time, now and then, and for a while.
+func TestSpacing(t *testing.T) {
+	const at, late = 5 * time.Millisecond, 9 * time.Second // durations of polls that find a change at once, and after a wait
+	tests := map[string]struct {
+		polls []time.Duration
+		want  []time.Duration
+	}{
+		"changes now and then": {polls: []time.Duration{late, late}, want: []time.Duration{400 * time.Millisecond, 400 * time.Millisecond}},
+		"changes all the time": {
+			polls: []time.Duration{late, at, at, at, at},
+			want:  []time.Duration{400 * time.Millisecond, 800 * time.Millisecond, 1600 * time.Millisecond, 1600 * time.Millisecond, 1600 * time.Millisecond},
+		},
+		"changes for a while": {
+			polls: []time.Duration{late, at, late, at},
+			want:  []time.Duration{400 * time.Millisecond, 800 * time.Millisecond, 400 * time.Millisecond, 800 * time.Millisecond},
+		},
+		"the first read": {polls: []time.Duration{at}, want: []time.Duration{400 * time.Millisecond}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := spacing{least: pollInterval, most: instanceSpread * pollInterval}
+			for i, took := range test.polls {
+				if got := s.next(took); got != test.want[i] {
+					t.Errorf("got a pause of %v after poll %d, want %v", got, i, test.want[i])
+				}
+			}
+		})
+	}
+}
+
 // TestPollPace checks that a host polls while it follows the store, seldom while that fails and others do, and not at all while it
 // follows other hosts.
 func TestPollPace(t *testing.T) {
--- a/internal/front/host.go
+++ b/internal/front/host.go
@@ -47,8 +47,10 @@
 	counters        *counters
 	stage           atomic.Int32
 	lastTrafficTick atomic.Int64
-	sessionsOpened  atomic.Int64 // opened since the start
-	loggedReady     atomic.Bool  // readiness as last logged
+	sessionsOpened  atomic.Int64  // opened since the start
+	loggedReady     atomic.Bool   // readiness as last logged
+	rowsRead        chan struct{} // closed once the hosts' rows have been read
+	noteRowsRead    sync.Once
 	tablesLost      atomic.Int64 // tables of the store whose newest poll has failed
 	lone            atomic.Bool  // the host's row says that it may renew its lease from the store
 
@@ -75,6 +77,7 @@
 		replicaSets:  make(map[model.DatabaseID]*replicaSet),
 		backends:     make(map[model.InstanceID]*backend),
 		openSessions: make(map[*callerSession]struct{}),
+		rowsRead:     make(chan struct{}),
 	}
 }
 
