controller: hosts follow others before instances appear

Change: what counts is that the hosts' rows have been read; each table is read until that succeeds in any case.

--- a/internal/controller/following.go
+++ b/internal/controller/following.go
@@ -36,7 +36,7 @@
 // following decides how this host learns of changes.
 func (c *Controller) following(now time.Time, live []model.HostID) Following {
 	switch {
-	case len(live) <= frequentFollowers || !c.directory.Directory().Usable() || !c.hostsRead || c.follower(live):
+	case len(live) <= frequentFollowers || !c.hostsRead || c.follower(live):
 		return FollowStore
 	case now.Sub(c.followerHeard) > c.followerTimeout() || now.Sub(c.fetchFailed) < fetchRetreat:
 		return FollowEither
