--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,9 @@
 GO ?= go
 PACKAGES = ./...
 TESTFLAGS =
+FUZZTIME = 3s
 
-.PHONY: all build generate fmt lint test bench run measure
+.PHONY: all build generate fmt lint test fuzz bench run measure
 
 all: generate fmt lint test
 
@@ -23,6 +24,14 @@
 test:
 	$(GO) test -race -p 4 -timeout 20m $(TESTFLAGS) $(PACKAGES)
 
+# Fuzzes each decoder of input from outside for FUZZTIME.
+fuzz:
+	@set -e; for file in $$(grep -rl --include='*_test.go' '^func Fuzz' cmd internal pkg platform); do \
+		for name in $$(sed -n 's/^func \(Fuzz[A-Za-z]*\)(.*/\1/p' $$file); do \
+			$(GO) test -run '^$$' -fuzz "^$$name\$$" -fuzztime $(FUZZTIME) ./$$(dirname $$file); \
+		done; \
+	done
+
 bench:
 	$(GO) test -run '^$$' -bench . -benchmem $(PACKAGES)
 
--- a/internal/mesh/node_test.go
+++ b/internal/mesh/node_test.go
@@ -336,6 +336,32 @@
 	}
 }
 
+// FuzzDecodeDirectory reads answers of other hosts: whatever they hold, a full list of instances or hosts comes with its revision.
+func FuzzDecodeDirectory(f *testing.F) {
+	message := encodeDirectory(&meshapi.Ask{Rows: meshapi.NewOptUint64(1)}, fullDirectory(), &controller.Membership{
+		Revision: 12, Hosts: []controller.Host{{ID: "h1", Address: "127.0.0.1:7", DataCentre: "east", Incarnation: 17}},
+	})
+	body, err := message.MarshalJSON()
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(body)
+	f.Add([]byte(`{"nonce":"n","version":1,"revision":1,"idle":-1,"rows":18446744073709551615,"instances":[{"name":"","slots":-9}]}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		var message meshapi.Directory
+		if message.UnmarshalJSON(body) != nil {
+			return
+		}
+		update, err := decodeDirectory("host h1", nil, &message)
+		if err == nil && update.Full != (len(update.Entries) > 0) {
+			t.Errorf("got %+v, want a full list only with instances", update)
+		}
+		if membership := decodeMembership(&message); membership != nil && !membership.Full {
+			t.Errorf("got %+v, want a full list", membership)
+		}
+	})
+}
+
 func FuzzDecodeHeartbeat(f *testing.F) {
 	key := NewKey()
 	datagram, err := EncodeHeartbeat(&key, now, fullHeartbeat())
