--- a/internal/controller/following_test.go
+++ b/internal/controller/following_test.go
@@ -126,3 +126,78 @@
 		})
 	}
 }
+
+// TestFetchFromAHostThatIsBehind checks that nothing that has been replaced or has left comes back with what another host knows, when
+// that host is behind, as when both have lost the store.
+func TestFetchFromAHostThatIsBehind(t *testing.T) {
+	tests := map[string]struct {
+		fetched func(known *View) DirectoryFetchDone // what another host knows
+		check   func(c *Controller) (got, want any)
+	}{
+		"an older configuration": {
+			fetched: func(known *View) DirectoryFetchDone {
+				return DirectoryFetchDone{Update: &DirectoryUpdate{Source: "host h01", Configuration: &directory.Configuration{
+					Version: known.Directory.Version - 1, Kinds: []model.Kind{{ID: "removed"}},
+				}}}
+			},
+			check: func(c *Controller) (got, want any) {
+				_, found := c.Snapshot().Directory.Kinds["removed"]
+				return found, false
+			},
+		},
+		"an instance that has left": {
+			fetched: func(*View) DirectoryFetchDone {
+				return DirectoryFetchDone{Update: &DirectoryUpdate{Source: "host h01", Full: true, Revision: 40, Newest: 40, Entries: []directory.Entry{
+					{Instance: directory.Instance{Instance: model.Instance{ID: "i1", Database: "seats"}, Slots: 2, Revision: 2}},
+				}}}
+			},
+			check: func(c *Controller) (got, want any) {
+				d := c.Snapshot().Directory
+				_, found := d.Instances["i1"]
+				return found && !d.Missing["i1"], false
+			},
+		},
+		"an older promotion": {
+			fetched: func(known *View) DirectoryFetchDone {
+				return DirectoryFetchDone{Membership: &MembershipUpdate{Full: true, Revision: known.Membership.Revision + 1, Hosts: known.Membership.Hosts, Promotions: []Promotion{
+					{Database: "seats", Promotion: failover.Promotion{Instance: "i0", Token: 6}},
+				}}}
+			},
+			check: func(c *Controller) (got, want any) { return c.promotions["seats"].Token, model.Token(7) },
+		},
+		"older rows of hosts": {
+			fetched: func(known *View) DirectoryFetchDone {
+				return DirectoryFetchDone{Membership: &MembershipUpdate{Full: true, Revision: known.Membership.Revision - 1, Hosts: []Host{{ID: "gone", Address: "gone"}}}}
+			},
+			check: func(c *Controller) (got, want any) { return c.hosts["gone"] != nil, false },
+		},
+		"an older incarnation of a host": {
+			fetched: func(known *View) DirectoryFetchDone {
+				return DirectoryFetchDone{Membership: &MembershipUpdate{Full: true, Revision: known.Membership.Revision + 1, Hosts: []Host{
+					{ID: "h01", Address: "former", DataCentre: "dc1", Incarnation: 1},
+				}}}
+			},
+			check: func(c *Controller) (got, want any) { return c.hosts["h01"].Address, model.Address("h01") },
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newSpreadFleet(4)
+			f.run(2 * time.Second)
+			update, membership := storeChange(50)
+			for _, id := range f.hosts() {
+				f.handle(id, update)
+				f.handle(id, membership)
+			}
+			f.run(time.Second)
+			c := f.controllers["h00"]
+			done := test.fetched(c.Snapshot())
+			done.Host = "h01"
+			f.handle("h00", done)
+			f.run(time.Second)
+			if got, want := test.check(c); got != want {
+				t.Errorf("got %v, want %v", got, want)
+			}
+		})
+	}
+}
