capacity: direct reads follow the term; a failed read is told with its reason

Ten copies at once showed them: hosts that get no processor lose their terms, and the readers that go straight to the instances kept the first term for ever, so that each later read failed as wrong_term. Change: such a reader asks for the term again; the first failure is part of the test's message.

--- a/internal/capacity/deployment.go
+++ b/internal/capacity/deployment.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -26,6 +27,8 @@
 	CPUShare    float64 `json:"cpu_share"`    // CPU time as a fraction of one core
 	Memory      Bytes   `json:"memory_bytes"` // growth of the heap and the stacks in use
 	FailedReads int     `json:"refused"`
+
+	FirstFailure error `json:"-"` // of a read; nil when none failed
 }
 
 // Sizes at which deployments are measured.
@@ -204,13 +207,14 @@
 	}, nil
 }
 
-// readInstance returns a function that reads from an instance over one connection, which it opens at the first read.
+// readInstance returns a function that reads from an instance over one connection, which it opens at the first read, and again
+// when the instance has got to know another term.
 func readInstance(instance *endpoint.Client, term model.Term) func(ctx context.Context) error {
 	var conn endpoint.Conn
 	work := model.Work{Request: "direct", Statement: model.Statement{
 		Kind: "catalogue", Access: model.Read, Operation: "catalogue", Arguments: map[string]string{"branch": "north"},
 	}}
-	return func(ctx context.Context) error {
+	read := func(ctx context.Context) error {
 		if conn == nil {
 			opened, _, err := instance.Open(ctx, "direct", instance.Target.Database, term)
 			if err != nil {
@@ -221,6 +225,18 @@
 		_, _, err := conn.Run(ctx, term, work)
 		return err
 	}
+	return func(ctx context.Context) error {
+		err := read(ctx)
+		if model.CodeOf(err) != model.CodeWrongTerm {
+			return err
+		}
+		state, stateErr := instance.State(ctx)
+		if stateErr != nil {
+			return stateErr
+		}
+		term, conn = state.Term, nil
+		return read(ctx)
+	}
 }
 
 // generateLoad reads at the given rate, in reads per second, from several workers whose reads are evenly spaced in time.
@@ -228,6 +244,7 @@
 	cost := DeploymentCost{Size: rate}
 	interval := time.Duration(loadWorkers) * time.Second / time.Duration(rate)
 	failures := make([]int, loadWorkers)
+	reasons := make([]error, loadWorkers) // first failure of each worker
 	startCPU, start := cpuTime(), time.Now()
 	var workers sync.WaitGroup
 	for worker := range loadWorkers {
@@ -238,16 +255,18 @@
 				if clock.Pause(ctx, time.Until(start.Add(at))) != nil {
 					return
 				}
-				if read(ctx) != nil {
+				if err := read(ctx); err != nil {
 					failures[worker]++
+					reasons[worker] = cmp.Or(reasons[worker], err)
 				}
 			}
 		})
 	}
 	workers.Wait()
 	cost.CPUShare = (cpuTime() - startCPU).Seconds() / time.Since(start).Seconds()
-	for _, count := range failures {
+	for worker, count := range failures {
 		cost.FailedReads += count
+		cost.FirstFailure = cmp.Or(cost.FirstFailure, reasons[worker])
 	}
 	return cost
 }
--- a/internal/capacity/deployment_test.go
+++ b/internal/capacity/deployment_test.go
@@ -17,6 +17,6 @@
 		t.Fatal(err)
 	}
 	if got := proxied[0].FailedReads + direct[0].FailedReads; got != 0 {
-		t.Errorf("got %d failed reads, want 0", got)
+		t.Errorf("got %d failed reads, want 0; the first: %v through a host, %v directly", got, proxied[0].FirstFailure, direct[0].FirstFailure)
 	}
 }
