--- a/internal/front/fleet_test.go
+++ b/internal/front/fleet_test.go
@@ -42,11 +42,7 @@
 }
 
 // routes are the kinds of work configured in the tests.
-var routes = []standin.Route{
-	{Host: "desk", Type: "primary", Service: "seats", TimeoutMs: 3000, GoalMs: 4000},
-	{Host: "view", Type: "bounded", Service: "seats", TimeoutMs: 3000, GoalMs: 4000, MaxStalenessMs: 1500, Prio: 1},
-	{Host: "batch", Type: "read_your_writes", Service: "seats", TimeoutMs: 3000, GoalMs: 4000, MaxStalenessMs: 2500, Prio: 2},
-}
+var routes = standin.SampleRoutes("seats")
 
 // newFleet starts a platform with one database of three instances, starts hosts, and waits until each serves.
 func newFleet(t *testing.T, hosts int) *fleet {
--- a/internal/scout/scout.go
+++ b/internal/scout/scout.go
@@ -57,7 +57,7 @@
 	scout     model.HostID // host that is asked; empty while this host is the scout
 	askingAt  model.Instant
 	askedAt   model.Instant                  // newest question of this host
-	answered  model.Instant                  // newest answer of the scout, or when it was chosen
+	answered  model.Instant                  // newest answer of the scout, or the start of its turn
 	excluded  map[model.HostID]model.Instant // until when a scout is passed over
 	questions map[model.HostID][]question    // oldest first
 	proofs    map[model.DatabaseID]Proof
