session: a token with line breaks in it is refused; make fuzz goes on after a failure

A real fault, small: a caller or a proxy that breaks a token's line got it accepted, and what compares tokens as texts took it for another one. `make fuzz` ended at that failure, so the fuzz tests after it did not run.

Change: Decode refuses a text with a line break as a bad token. `make fuzz` runs all fuzz tests and names those that failed at the end; the verdict is as before.

Result: TestDecodeRefuses/"line feed inside" and /"return at the end" fail before and pass after.

--- a/Makefile
+++ b/Makefile
@@ -24,13 +24,13 @@
 test:
 	$(GO) test -race -p 4 -timeout 20m $(TESTFLAGS) $(PACKAGES)
 
-# Fuzzes each decoder of input from outside for FUZZTIME.
+# Fuzzes each decoder of input from outside for FUZZTIME; one that fails doesn't keep the others from being fuzzed.
 fuzz:
-	@set -e; for file in $$(grep -rl --include='*_test.go' '^func Fuzz' cmd internal pkg platform); do \
+	@failed=; for file in $$(grep -rl --include='*_test.go' '^func Fuzz' cmd internal pkg platform); do \
 		for name in $$(sed -n 's/^func \(Fuzz[A-Za-z]*\)(.*/\1/p' $$file); do \
-			$(GO) test -run '^$$' -fuzz "^$$name\$$" -fuzztime $(FUZZTIME) ./$$(dirname $$file); \
+			$(GO) test -run '^$$' -fuzz "^$$name\$$" -fuzztime $(FUZZTIME) ./$$(dirname $$file) || failed="$$failed $$name"; \
 		done; \
-	done
+	done; test -z "$$failed" || { echo "fuzz found inputs that fail:$$failed"; exit 1; }
 
 bench:
 	$(GO) test -run '^$$' -bench . -benchmem $(PACKAGES)
--- a/internal/session/codec.go
+++ b/internal/session/codec.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/base64"
 	"encoding/binary"
+	"strings"
 
 	"redwingspread/internal/model"
 )
@@ -20,7 +21,10 @@
 	macContext    = "redwingspread session token" // separates these MACs from other uses of the key
 )
 
-// encoding is strict, so that each token has exactly one encoded form.
+// lineBreaks are characters that the decoder of the library skips wherever they stand.
+const lineBreaks = "\r\n"
+
+// encoding is strict, so that each token has exactly one encoded form once lineBreaks are refused.
 var encoding = base64.RawURLEncoding.Strict()
 
 // maxPayload is the maximum number of bytes before the MAC.
@@ -61,6 +65,9 @@
 	if len(text) > MaxEncoded {
 		return Token{}, badToken("it is longer than %d characters", MaxEncoded)
 	}
+	if strings.ContainsAny(text, lineBreaks) {
+		return Token{}, badToken("it has a line break")
+	}
 	signed, err := encoding.DecodeString(text)
 	if err != nil || len(signed) <= macBytes {
 		return Token{}, badToken("it is no session token")
--- a/internal/session/codec_test.go
+++ b/internal/session/codec_test.go
@@ -83,6 +83,8 @@
 		"text length too big": {codec: codec, text: sign(firstKey, []byte{formatVersion, 0, 0xff, 0xff, 0xff, 0xff, 0x0f})},
 		"version only":        {codec: codec, text: sign(firstKey, []byte{formatVersion})},
 		"too long":            {codec: codec, text: strings.Repeat("A", MaxEncoded+1)},
+		"line feed inside":    {codec: codec, text: good[:10] + "\n" + good[10:]},
+		"return at the end":   {codec: codec, text: good + "\r"},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
