controller: shares stay within the limit to the connection; hosts take turns from half of an instance's connections on

Cause: (1) each host rounded its share to the nearest connection by itself, so with equal loads all rounded up: 23 hosts before 46 connections took 46, and nothing was left of the quarter that is kept in reserve for restarts.

Change: the part above one connection is divided by the largest remainder method, which all hosts work out alike; equal remainders are ranked by the instance. An instance counts as crowded, so that only its home hosts keep connections, as soon as two connections for each host are more than it takes; where it has no home hosts, nothing changes. Scouts and their condition are as they were.

--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -423,3 +423,18 @@
 		})
 	}
 }
+
+// BenchmarkShares measures the shares of instances before hosts that all keep connections and report equal loads.
+func BenchmarkShares(b *testing.B) {
+	for _, hosts := range []int{4, 30, 90} {
+		b.Run(fmt.Sprint(hosts), func(b *testing.B) {
+			f := newFleet(hosts, 185)
+			f.run(200 * time.Millisecond)
+			c := f.controllers["h00"]
+			b.ReportAllocs()
+			for b.Loop() {
+				c.shares(f.now)
+			}
+		})
+	}
+}
--- a/internal/controller/shares.go
+++ b/internal/controller/shares.go
@@ -18,6 +18,9 @@
 	// spareDivisor divides an instance's connections to give the part that is kept in reserve: for hosts that restart while the
 	// connections of their previous incarnation still count, and for shares that overlap for a moment.
 	spareDivisor = 4
+	// crowdedDivisor divides an instance's connections to give the number of hosts beyond which not every host keeps one. Were all
+	// to keep one, a return of all hosts would find half of the connections counted for their previous incarnations.
+	crowdedDivisor = 2
 	// minLoad is the least load assumed for any host, so that an idle host can start work at once.
 	minLoad = 3 * model.TenthsOfConnection / 10
 	// statementsPerSlot is the number of statements sent for each slot: one that runs and one that waits.
@@ -40,31 +43,32 @@
 		if limit == 0 {
 			continue
 		}
+		most := int(limit / crowdedDivisor)
 		limit -= max(limit/spareDivisor, 1)
 		c.crowded = c.crowded || len(sharers)+1 > int(limit)
 		if !c.hostsRead {
-			shares[id] = shareOf(limit, instance.Slots, 1, assumedHosts, assumedHosts)
+			shares[id] = assumedShare(limit, instance.Slots)
 			continue
 		}
-		if len(sharers)+1 > int(limit) {
-			shares[id] = c.crowdedShare(now, id, instance.Slots, limit, len(sharers)+1)
+		if hosts := len(sharers) + 1; hosts > int(limit) || hosts > most && len(c.homesOf(id, limit)) > 0 {
+			shares[id] = c.crowdedShare(now, id, instance.Slots, limit, hosts)
 			continue
 		}
-		own := max(c.loads[id], minLoad)
-		all := own
+		own := claim{host: c.Self.ID, load: max(c.loads[id], minLoad)}
+		others := make([]claim, 0, len(sharers))
 		for _, other := range sharers {
-			if other.heartbeat.Loads == nil {
-				all += own // a host that hasn't reported its loads counts as much as this one
-				continue
+			load := own.load // a host that hasn't reported its loads counts as much as this one
+			if other.heartbeat.Loads != nil {
+				load = max(other.heartbeat.Loads[id], minLoad)
 			}
-			all += max(other.heartbeat.Loads[id], minLoad)
+			others = append(others, claim{host: other.ID, load: load})
 		}
-		shares[id] = shareOf(limit, instance.Slots, own, all, len(sharers)+1)
+		shares[id] = shareOf(id, limit, instance.Slots, own, others)
 	}
 	return shares
 }
 
-// crowdedShare returns this host's share of an instance that has fewer connections than there are hosts: its home hosts keep
+// crowdedShare returns this host's share of an instance that has too few connections for all hosts to keep one: its home hosts keep
 // connections, the others open one when they need it.
 //
 // A host that has just started keeps none: where all hosts lost power, the instance still counts what they kept before.
@@ -73,14 +77,14 @@
 	if !homes[c.Self.ID] {
 		return Share{Slots: max(statementsPerSlot*slots/model.Slots(hosts), 1), Connections: 1, Scarce: true}
 	}
-	own := max(c.loads[id], minLoad)
-	all := own
+	own := claim{host: c.Self.ID, load: max(c.loads[id], minLoad)}
+	others := make([]claim, 0, len(homes))
 	for other := range homes {
 		if known, found := c.hosts[other]; found {
-			all += max(known.heartbeat.Loads[id], minLoad)
+			others = append(others, claim{host: other, load: max(known.heartbeat.Loads[id], minLoad)})
 		}
 	}
-	share := shareOf(limit-limit/turnsDivisor, slots, own, all, len(homes))
+	share := shareOf(id, limit-limit/turnsDivisor, slots, own, others)
 	share.Scarce = now.Sub(c.started) < c.Timing.Linger
 	return share
 }
@@ -97,17 +101,60 @@
 	return sharers
 }
 
-// shareOf returns a host's share of an instance, given its own load and the load of all hosts.
+// claim is the load by which a host gets its share of an instance.
+type claim struct {
+	host model.HostID
+	load model.Load
+}
+
+// shareOf returns a host's share of an instance, given its own claim and those of the other hosts.
 //
-// Each host gets one connection and a part of the rest in proportion to its load. With more hosts than connections, each
-// host still gets one.
-func shareOf(limit model.Connections, slots model.Slots, own, all model.Load, hosts int) Share {
+// Each host gets one connection and a part of the rest in proportion to its load. What is left after rounding down goes to the
+// hosts that lost most by it, so that the shares together stay within the limit. With more hosts than connections, each host
+// still gets one.
+func shareOf(id model.InstanceID, limit model.Connections, slots model.Slots, own claim, others []claim) Share {
+	hosts := len(others) + 1
+	all := own.load
+	for _, other := range others {
+		all += other.load
+	}
 	rest := max(int(limit)-hosts, 0)
-	connections := 1 + (rest*int(own)+int(all)/2)/int(all)
-	active := (statementsPerSlot*int(slots)*int(own) + int(all) - 1) / int(all)
+	connections := 1 + portion(id, rest, all, own, others)
+	active := (statementsPerSlot*int(slots)*int(own.load) + int(all) - 1) / int(all)
 	return Share{
 		Slots:       model.Slots(max(active, 1)),
 		Connections: model.Connections(connections),
 		Scarce:      hosts > int(limit),
 	}
 }
+
+// portion returns the host's part of the rest by the largest remainder method; equal remainders are ranked differently for each
+// instance.
+func portion(id model.InstanceID, rest int, all model.Load, own claim, others []claim) int {
+	divide := func(load model.Load) (whole, remainder int) {
+		return rest * int(load) / int(all), rest * int(load) % int(all)
+	}
+	whole, remainder := divide(own.load)
+	rank := affinity(id, own.host)
+	left, ahead := rest-whole, 0
+	for _, other := range others {
+		otherWhole, otherRemainder := divide(other.load)
+		left -= otherWhole
+		if otherRemainder > remainder || otherRemainder == remainder && affinity(id, other.host) < rank {
+			ahead++
+		}
+	}
+	if ahead < left {
+		whole++
+	}
+	return whole
+}
+
+// assumedShare returns a host's share of an instance before it knows the other hosts.
+func assumedShare(limit model.Connections, slots model.Slots) Share {
+	return Share{
+		Slots:       max((statementsPerSlot*slots+assumedHosts-1)/assumedHosts, 1),
+		Connections: max((limit+assumedHosts/2)/assumedHosts, 1),
+		Scarce:      limit < assumedHosts,
+	}
+}
