stop, reload: the operator server finishes its requests; stages of a stop are logged; the log level is the sink's

Cause: serve.Server waited for requests in progress for DrainTimeout, which the operator server of the HTTP path was never given, so a stop cut its requests without an answer. front/stop.go logged a connection that was not closed cleanly as the end of a transaction, and a listener as a dependency that doesn't respond; how far a stop had come was not told. SIGHUP wrote the logger's level while others read it (a data race).

Change: a server has a drain timeout of 5 s from the start. Events 6023 (stage of the shutdown with the sessions that are open and the time since the signal) and 6024 (a socket was not closed cleanly). The level moved into the log sink, where it is atomic; the logger passes all entries on.

Result: TestStopAnswersRequestsInProgress fails before (no answer, "context deadline exceeded") and passes after.

--- a/internal/cli/front.go
+++ b/internal/cli/front.go
@@ -42,7 +42,8 @@
 	defer stop()
 	logSink := sink.New()
 	logSink.Out = os.Stdout
-	logger := &log.Logger{Handler: logSink, Level: log.MustParseLevel(loaded.LogLevel)}
+	logSink.SetLevel(log.MustParseLevel(loaded.LogLevel))
+	logger := &log.Logger{Handler: logSink, Level: log.DebugLevel} // the sink's level counts, since it may change
 	host := front.New()
 	host.Settings = loaded
 	host.Logger = logger
@@ -59,7 +60,7 @@
 	background, stopBackground := context.WithCancel(context.WithoutCancel(ctx))
 	logFlushed, reloadEnded, done := make(chan error, 1), make(chan error, 1), make(chan error, 1)
 	go logSink.Run(background, logFlushed)
-	go reloadOnHangup(background, file, loaded, logger, reloadEnded)
+	go reloadOnHangup(background, file, loaded, logSink, logger, reloadEnded)
 	go host.Run(ctx, done)
 	err = <-done
 	if err != nil {
@@ -74,7 +75,7 @@
 // reloadOnHangup reloads the settings at each SIGHUP until the context ends, then sends the context's error on done.
 //
 // Only the log level takes effect at once; other settings need a restart, and the logged event says so.
-func reloadOnHangup(ctx context.Context, file settings.Reloader, loaded settings.Front, logger *log.Logger, done chan<- error) {
+func reloadOnHangup(ctx context.Context, file settings.Reloader, loaded settings.Front, logSink *sink.Sink, logger log.Interface, done chan<- error) {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGHUP)
 	defer signal.Stop(signals)
@@ -91,7 +92,7 @@
 			event.SettingsReloaded(logger, "refused: "+err.Error())
 		case next.LogLevel != loaded.LogLevel:
 			event.SettingsReloaded(logger, "log level; other changes take effect at the next start")
-			logger.Level = log.MustParseLevel(next.LogLevel)
+			logSink.SetLevel(log.MustParseLevel(next.LogLevel))
 		default:
 			event.SettingsReloaded(logger, "none that takes effect without a restart")
 		}
--- a/internal/event/events_gen.go
+++ b/internal/event/events_gen.go
@@ -60,6 +60,8 @@
 	NumberPrimaryReleased          Number = 6020
 	NumberPromotionCleared         Number = 6021
 	NumberPanicCaught              Number = 6022
+	NumberStopStage                Number = 6023
+	NumberCloseFailed              Number = 6024
 )
 
 // Keeps the import of package model when no event uses it.
@@ -555,3 +557,22 @@
 		"error": errorText(error),
 	}).Error("a part of the process failed unexpectedly and was ended")
 }
+
+// StopStage logs event 6023: the shutdown entered its next stage.
+func StopStage(logger log.Interface, stage string, sessions int, after model.Milliseconds) {
+	logger.WithFields(log.Fields{
+		"event":    NumberStopStage,
+		"stage":    stage,
+		"sessions": sessions,
+		"after":    after,
+	}).Info("the shutdown entered its next stage")
+}
+
+// CloseFailed logs event 6024: a socket was not closed cleanly.
+func CloseFailed(logger log.Interface, socket string, error error) {
+	logger.WithFields(log.Fields{
+		"event":  NumberCloseFailed,
+		"socket": socket,
+		"error":  errorText(error),
+	}).Warn("a socket was not closed cleanly")
+}
--- a/internal/front/stop.go
+++ b/internal/front/stop.go
@@ -6,6 +6,7 @@
 
 	"redwingspread/internal/controller"
 	"redwingspread/internal/event"
+	"redwingspread/internal/model"
 )
 
 const (
@@ -15,6 +16,9 @@
 	exitMargin              = time.Second             // time kept at the end of the stop limit, after which the process is killed
 )
 
+// stageNames are the names of the stages in the log.
+var stageNames = map[int32]string{stageDraining: "draining", stageTerminating: "terminating"}
+
 // stop shuts sessions down in stages: first the load balancer takes the host out of rotation, then sessions without a transaction
 // end, then all sessions. At the exit time, the connections that are still open are closed.
 func (h *Host) stop(listener net.Listener, accepted <-chan error) {
@@ -31,9 +35,9 @@
 	for now := started; now.Before(exitAt); now = <-ticker.C {
 		switch {
 		case !now.Before(terminateAt):
-			h.stage.Store(stageTerminating)
+			h.enterStage(stageTerminating, now.Sub(started))
 		case !now.Before(drainAt):
-			h.stage.Store(stageDraining)
+			h.enterStage(stageDraining, now.Sub(started))
 		}
 		if h.draining() {
 			h.interruptSessions()
@@ -49,22 +53,34 @@
 		}
 	}
 	h.mutex.RLock()
+	defer h.mutex.RUnlock()
+	event.StopStage(h.Logger, "closing", len(h.openSessions), model.Millis(time.Since(started)))
 	for s := range h.openSessions {
 		s.closeCaller()
 	}
+}
+
+// enterStage puts a stage of the shutdown in force and logs it once.
+func (h *Host) enterStage(stage int32, after time.Duration) {
+	if h.stage.Swap(stage) == stage {
+		return
+	}
+	h.mutex.RLock()
+	sessions := len(h.openSessions)
 	h.mutex.RUnlock()
+	event.StopStage(h.Logger, stageNames[stage], sessions, model.Millis(after))
 }
 
 // closeListener closes the listener.
 func (h *Host) closeListener(listener net.Listener) {
 	if err := listener.Close(); err != nil {
-		event.DependencyLost(h.Logger, "listener", err)
+		event.CloseFailed(h.Logger, "listener of sessions", err)
 	}
 }
 
 // closeCaller closes the session's connection while it is in use; pending calls on it return an error.
 func (s *callerSession) closeCaller() {
 	if err := s.caller.Close(); err != nil {
-		event.TransactionEnded(s.host.Logger, s.kind, "", 0, err.Error())
+		event.CloseFailed(s.host.Logger, "connection of a caller", err)
 	}
 }
--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -20,6 +20,7 @@
 	headerTimeout   = 5 * time.Second
 	readTimeout     = 30 * time.Second
 	idleTimeout     = 2 * time.Minute
+	drainTimeout    = 5 * time.Second
 	headerSizeLimit = 16 << 10 // bytes
 	bodyLimit       = 1 << 20  // bytes
 )
@@ -44,9 +45,9 @@
 	listener net.Listener
 }
 
-// New returns a server with the default body limit; other fields are set before Listen.
+// New returns a server with the default body limit and drain timeout; other fields are set before Listen.
 func New(address model.Address, handler http.Handler) *Server {
-	return &Server{Address: address, Handler: handler, BodyLimit: bodyLimit}
+	return &Server{Address: address, Handler: handler, BodyLimit: bodyLimit, DrainTimeout: drainTimeout}
 }
 
 // Listen opens the server's socket, so that an address in use is reported before Run.
--- a/internal/serve/server_test.go
+++ b/internal/serve/server_test.go
@@ -81,3 +81,37 @@
 		w.WriteHeader(http.StatusBadRequest)
 	}
 }
+
+// TestStopAnswersRequestsInProgress stops a server with its defaults while a request is in progress.
+func TestStopAnswersRequestsInProgress(t *testing.T) {
+	begun, release := make(chan struct{}), make(chan struct{})
+	server := New("127.0.0.1:0", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		close(begun)
+		<-release
+		w.WriteHeader(http.StatusAccepted)
+	}))
+	if err := server.Listen(); err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	done, status := make(chan error, 1), make(chan int, 1)
+	go server.Run(ctx, done)
+	go func() {
+		response, err := http.Get("http://" + server.listener.Addr().String())
+		if err != nil {
+			status <- 0
+			return
+		}
+		response.Body.Close()
+		status <- response.StatusCode
+	}()
+	<-begun
+	stop()
+	time.AfterFunc(50*time.Millisecond, func() { close(release) })
+	if got := <-status; got != http.StatusAccepted {
+		t.Errorf("got status %d for the request in progress, want %d", got, http.StatusAccepted)
+	}
+	if err := <-done; err != nil {
+		t.Errorf("got error %v of the stop, want none", err)
+	}
+}
--- a/internal/sink/sink.go
+++ b/internal/sink/sink.go
@@ -29,6 +29,7 @@
 	// Now returns the current time.
 	Now func() time.Time
 
+	level   atomic.Int32
 	lines   chan []byte
 	dropped atomic.Uint64
 	mutex   sync.Mutex
@@ -37,18 +38,26 @@
 
 // New returns a sink; the exported fields must be set before Run is called.
 func New() *Sink {
-	return &Sink{
+	s := &Sink{
 		Now:    time.Now,
 		lines:  make(chan []byte, queueLimit),
 		limits: make(map[event.Number]*rate.Limiter),
 	}
+	s.SetLevel(log.InfoLevel)
+	return s
 }
 
+// SetLevel sets the lowest level of entries that are written; it may be called while others log.
+func (s *Sink) SetLevel(level log.Level) { s.level.Store(int32(level)) }
+
 // Dropped returns the number of lines dropped since the start.
 func (s *Sink) Dropped() uint64 { return s.dropped.Load() }
 
-// HandleLog queues one entry and returns nil; an entry that exceeds a limit or cannot be encoded is dropped and counted.
+// HandleLog queues one entry of a sufficient level and returns nil; an entry that exceeds a limit or cannot be encoded is dropped and counted.
 func (s *Sink) HandleLog(entry *log.Entry) error {
+	if entry.Level < log.Level(s.level.Load()) {
+		return nil
+	}
 	if !s.withinRate(entry) {
 		s.dropped.Add(1)
 		return nil
--- a/internal/sink/sink_test.go
+++ b/internal/sink/sink_test.go
@@ -95,3 +95,38 @@
 	cancel()
 	<-done
 }
+
+// TestLevelChangesWhileOthersLog changes the level while entries are logged, which the race detector watches.
+func TestLevelChangesWhileOthersLog(t *testing.T) {
+	tests := map[string]struct {
+		level log.Level
+		want  bool // an info event is written
+	}{
+		"debug": {level: log.DebugLevel, want: true},
+		"info":  {level: log.InfoLevel, want: true},
+		"warn":  {level: log.WarnLevel},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var out bytes.Buffer
+			s, logger, stop := startSink(t, &out)
+			s.Now = time.Now
+			logged := make(chan struct{})
+			go func() {
+				defer close(logged)
+				for range 100 {
+					event.Started(logger, "front", "early", "")
+				}
+			}()
+			s.SetLevel(test.level)
+			<-logged
+			event.Stopping(logger, "late")
+			if err := stop(); err != nil {
+				t.Fatal(err)
+			}
+			if got := bytes.Contains(out.Bytes(), []byte("late")); got != test.want {
+				t.Errorf("got info event written: %v, want %v", got, test.want)
+			}
+		})
+	}
+}
