failover: an instance whose order got no answer stays a candidate where nothing fences the primary

Cause: an order that gets no answer may be carried out seconds later (the platform checks no token there). The promotion row names its instance, which counts as the primary that is to be replaced when it goes on saying that it is a replica; it was therefore left out of the candidates, another instance was promoted, and the late order took the lead from it while the hosts wrote there.

Change: where nothing fences the primary, the instance of the newest promotion stays a candidate while it responds as a replica, and goes first among equal received logs (Candidate.Ordered); more received still comes first. The stand-in can carry orders out late, without an answer and without a look at the token (DelayOrders).

Result: TestLateOrderTakesNoLead fails before (term 3, another primary after the late orders) and passes after; TestOrderThatIsNotCarriedOut and two cases of TestSuccessor too. Controller, failover, lease (model) and platform pass with the race detector.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -311,13 +311,22 @@
 		Release:   c.releaseTime(),
 	}
 	for _, member := range members {
-		if member.Instance != observation.Instance && !c.directory.Missing(member.Instance) {
+		lost := member.Instance == observation.Instance && !c.neverLed(verdict, database, observation)
+		if !lost && !c.directory.Missing(member.Instance) {
 			change.Replicas = append(change.Replicas, d.Instances[member.Instance])
 		}
 	}
 	return change
 }
 
+// neverLed reports whether the primary to replace is a replica that responds: one whose promotion got no answer and did not
+// happen yet. A platform that checks no token may still carry the order out, so the instance stays a candidate.
+func (c *Controller) neverLed(verdict failover.Decision, database model.DatabaseID, observation failover.Observation) bool {
+	health := c.health[observation.Instance]
+	return c.Unfenced && verdict == failover.Failover && c.promotions[database].Instance == observation.Instance &&
+		health.SilentSince.IsZero() && health.LastRefusal.After(health.LastProof)
+}
+
 // finishChange processes the result of a ChangePrimary.
 func (c *Controller) finishChange(now time.Time, e PrimaryChangeDone) {
 	delete(c.changing, e.Database)
--- a/internal/controller/event.go
+++ b/internal/controller/event.go
@@ -165,11 +165,11 @@
 // ChangePrimary promotes another instance of a database.
 type ChangePrimary struct {
 	Database  model.DatabaseID
-	Primary   directory.Instance // the current or lost primary
-	Replicas  []directory.Instance
-	Demote    bool      // the primary is reachable and is demoted first, so that no commit is lost
-	Promotion Promotion // newest known row
-	Since     time.Time // first failure of a silent primary, or last proof of a leading one
+	Primary   directory.Instance   // the current or lost primary
+	Replicas  []directory.Instance // instances that may be promoted
+	Demote    bool                 // the primary is reachable and is demoted first, so that no commit is lost
+	Promotion Promotion            // newest known row
+	Since     time.Time            // first failure of a silent primary, or last proof of a leading one
 	Reason    string
 	Release   time.Duration // longest time for which other hosts may still use the primary; zero where the platform fences it
 }
--- a/internal/controller/lease_test.go
+++ b/internal/controller/lease_test.go
@@ -245,3 +245,50 @@
 		})
 	}
 }
+
+// TestOrderThatIsNotCarriedOut replays a promotion whose order got no answer: the instance that was ordered, a replica still, stays a
+// candidate while it responds, since the platform may carry the order out later.
+func TestOrderThatIsNotCarriedOut(t *testing.T) {
+	tests := map[string]struct {
+		health func(now, since time.Time) failover.Health // of the instance that was ordered
+		want   bool
+	}{
+		"it says that it is a replica": {want: true, health: func(now, _ time.Time) failover.Health {
+			return failover.Health{LastRefusal: now}
+		}},
+		"it led and was lost": {health: func(_, since time.Time) failover.Health {
+			return failover.Health{Term: 2, LastProof: since, SilentSince: since.Add(tick)}
+		}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newUnfencedFleet(4)
+			for _, c := range f.controllers {
+				c.Handle(f.now, PromotionsRead{Update: &MembershipUpdate{Promotions: []Promotion{{Database: "seats", Promotion: failover.Promotion{Instance: "i1", Token: 1}}}}})
+			}
+			since := f.now
+			f.health = func(_ model.HostID, instance model.InstanceID) failover.Health {
+				if instance == "i1" {
+					return test.health(f.now, since)
+				}
+				return failover.Health{LastRefusal: f.now}
+			}
+			for range 400 {
+				f.run(tick)
+				if len(f.changes) > 0 {
+					break
+				}
+			}
+			if len(f.changes) == 0 {
+				t.Fatal("got no change of the primary, want one")
+			}
+			got := false
+			for _, replica := range f.changes[0].Replicas {
+				got = got || replica.ID == "i1"
+			}
+			if got != test.want {
+				t.Errorf("got candidates %+v, want the ordered instance among them: %v", f.changes[0].Replicas, test.want)
+			}
+		})
+	}
+}
--- a/internal/failover/monitor.go
+++ b/internal/failover/monitor.go
@@ -378,13 +378,15 @@
 type Candidate struct {
 	Instance       model.InstanceID
 	Received       model.Point
+	Ordered        bool // whether the newest promotion names it; an order without an answer may still be carried out
 	SameDataCentre bool // whether it is in the data centre of the previous primary
 	Leaving        bool
 }
 
 // Successor returns the best candidate: one that is not leaving, with the newest received point, near the previous primary.
 //
-// Points are received, not applied ones, since a promoted replica serves everything that it has received.
+// Points are received, not applied ones, since a promoted replica serves everything that it has received. Among equal points it
+// stays with the ordered instance: if another one were promoted, a late order would take the lead from it.
 func Successor(candidates []Candidate) (Candidate, bool) {
 	var best Candidate
 	found := false
@@ -392,6 +394,7 @@
 		better := cmp.Or(
 			compareBool(!candidate.Leaving, !best.Leaving),
 			candidate.Received.Compare(best.Received),
+			compareBool(candidate.Ordered, best.Ordered),
 			compareBool(candidate.SameDataCentre, best.SameDataCentre),
 			cmp.Compare(best.Instance, candidate.Instance),
 		) > 0
--- a/internal/failover/monitor_test.go
+++ b/internal/failover/monitor_test.go
@@ -249,12 +249,14 @@
 		candidates []Candidate
 		want       model.InstanceID
 	}{
-		"none":                            {},
-		"most received":                   {candidates: []Candidate{{Instance: "b", Received: at(1, 5)}, {Instance: "c", Received: at(1, 9)}}, want: "c"},
-		"newer term over higher position": {candidates: []Candidate{{Instance: "b", Received: at(2, 5)}, {Instance: "c", Received: at(1, 9)}}, want: "b"},
-		"same data centre breaks a tie":   {candidates: []Candidate{{Instance: "b", Received: at(1, 5)}, {Instance: "c", Received: at(1, 5), SameDataCentre: true}}, want: "c"},
-		"leaving candidate comes last":    {candidates: []Candidate{{Instance: "b", Received: at(1, 5)}, {Instance: "c", Received: at(1, 9), Leaving: true}}, want: "b"},
-		"lowest id breaks a tie":          {candidates: []Candidate{{Instance: "c", Received: at(1, 5)}, {Instance: "b", Received: at(1, 5)}}, want: "b"},
+		"none":                              {},
+		"most received":                     {candidates: []Candidate{{Instance: "b", Received: at(1, 5)}, {Instance: "c", Received: at(1, 9)}}, want: "c"},
+		"newer term over higher position":   {candidates: []Candidate{{Instance: "b", Received: at(2, 5)}, {Instance: "c", Received: at(1, 9)}}, want: "b"},
+		"same data centre breaks a tie":     {candidates: []Candidate{{Instance: "b", Received: at(1, 5)}, {Instance: "c", Received: at(1, 5), SameDataCentre: true}}, want: "c"},
+		"an order may still be carried out": {candidates: []Candidate{{Instance: "b", Received: at(1, 5), SameDataCentre: true}, {Instance: "c", Received: at(1, 5), Ordered: true}}, want: "c"},
+		"more received than the ordered":    {candidates: []Candidate{{Instance: "b", Received: at(1, 6)}, {Instance: "c", Received: at(1, 5), Ordered: true}}, want: "b"},
+		"leaving candidate comes last":      {candidates: []Candidate{{Instance: "b", Received: at(1, 5)}, {Instance: "c", Received: at(1, 9), Leaving: true}}, want: "b"},
+		"lowest id breaks a tie":            {candidates: []Candidate{{Instance: "c", Received: at(1, 5)}, {Instance: "b", Received: at(1, 5)}}, want: "b"},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/internal/front/host_test.go
+++ b/internal/front/host_test.go
@@ -160,6 +160,29 @@
 	}
 }
 
+// TestLateOrderTakesNoLead lets the orders of a promotion go without an answer and be carried out after the next promotion, on a
+// platform that checks no token. The lead must stay where the next promotion put it.
+func TestLateOrderTakesNoLead(t *testing.T) {
+	f := newFleetWith(t, 3, "off")
+	const late = 9 * time.Second // after the orders were given up and the primary was replaced again
+	f.cloud.DelayOrders(4, late)
+	instance, _ := f.cloud.Instance("seats-0")
+	instance.SetDown(true)
+	lost := time.Now()
+	f.eventually("another instance is the primary", func() bool {
+		primary, _ := f.database.Primary()
+		return primary != "seats-0"
+	})
+	led, _ := f.database.Primary()
+	time.Sleep(time.Until(lost.Add(late + 4*time.Second))) // the orders were given in the first seconds
+	if got, term := f.database.Primary(); got != led || term != 2 {
+		t.Errorf("got primary %s of term %d after the late orders, want %s of term 2", got, term, led)
+	}
+	if got := f.database.Violations(); len(got) > 0 {
+		t.Errorf("got violations %v, want none", got)
+	}
+}
+
 // TestWaitingStatementGoesOnAtTheNewPrimary sends a write while the primary is lost, with a goal so short that it would have to be
 // sent to an instance long before another one leads; it has to go on there within its deadline.
 func TestWaitingStatementGoesOnAtTheNewPrimary(t *testing.T) {
--- a/internal/front/promote.go
+++ b/internal/front/promote.go
@@ -9,7 +9,6 @@
 
 	"redwingspread/internal/clock"
 	"redwingspread/internal/controller"
-	"redwingspread/internal/directory"
 	"redwingspread/internal/event"
 	"redwingspread/internal/failover"
 	"redwingspread/internal/model"
@@ -131,7 +130,7 @@
 // While all of them are far behind the primary, it waits for the primary or a better replica to come back.
 func (h *Host) chooseSuccessor(ctx context.Context, c controller.ChangePrimary) (failover.Candidate, error) {
 	for {
-		best, found := failover.Successor(h.replicaStatuses(ctx, c.Primary, c.Replicas))
+		best, found := failover.Successor(h.replicaStatuses(ctx, c))
 		mayWait := time.Since(c.Since) < failover.DefaultTiming().ReturnGrace && !c.Demote
 		if found && (!mayWait || !h.isFarBehind(c.Database, best.Received)) {
 			return best, nil
@@ -160,10 +159,10 @@
 }
 
 // replicaStatuses requests the status of all replicas concurrently.
-func (h *Host) replicaStatuses(ctx context.Context, primary directory.Instance, replicas []directory.Instance) (candidates []failover.Candidate) {
-	statuses := make(chan failover.Candidate, len(replicas))
-	failed := make(chan error, len(replicas))
-	for _, replica := range replicas {
+func (h *Host) replicaStatuses(ctx context.Context, c controller.ChangePrimary) (candidates []failover.Candidate) {
+	statuses := make(chan failover.Candidate, len(c.Replicas))
+	failed := make(chan error, len(c.Replicas))
+	for _, replica := range c.Replicas {
 		go func() {
 			status, err := h.requestStatus(ctx, replica.ID, statement.Command{Statement: statement.Statement{Verb: statement.Status}})
 			if err != nil {
@@ -173,12 +172,13 @@
 			statuses <- failover.Candidate{
 				Instance:       replica.ID,
 				Received:       status.Received,
-				SameDataCentre: replica.DataCentre == primary.DataCentre,
+				Ordered:        replica.ID == c.Promotion.Instance,
+				SameDataCentre: replica.DataCentre == c.Primary.DataCentre,
 				Leaving:        replica.Leaving,
 			}
 		}()
 	}
-	for range replicas {
+	for range c.Replicas {
 		select {
 		case candidate := <-statuses:
 			candidates = append(candidates, candidate)
@@ -278,7 +278,7 @@
 	if row.Nonce != claimed.Nonce {
 		return claimed, best, errPrimaryChanged
 	}
-	newest, found := failover.Successor(h.replicaStatuses(ctx, c.Primary, c.Replicas))
+	newest, found := failover.Successor(h.replicaStatuses(ctx, c))
 	if !found || newest.Instance == best.Instance || newest.Received.Compare(best.Received) <= 0 {
 		return row, best, nil
 	}
