--- a/internal/front/follow.go
+++ b/internal/front/follow.go
@@ -62,9 +62,15 @@
 // followAll follows all tables until the context ends, then sends its result on done.
 func (h *Host) followAll(ctx context.Context, done chan<- error) {
 	ended := make(chan error, 4)
-	go follow(ctx, h, table[controller.DirectoryUpdate]{"configuration", pollInterval, 1, h.Platform.Configuration, h.sendUpdate, h.pollPace}, ended)
-	go follow(ctx, h, table[controller.DirectoryUpdate]{"instances", pollInterval, instanceSpread, h.Platform.Instances, h.sendUpdate, h.pollPace}, ended)
-	go follow(ctx, h, table[HostRows]{"hosts", hostPollInterval, 1, h.Platform.Hosts, h.applyHostRows, h.hostPollPace}, ended)
+	go follow(ctx, h, table[controller.DirectoryUpdate]{
+		name: "configuration", interval: pollInterval, spread: 1, read: h.Platform.Configuration, apply: h.sendUpdate, pace: h.pollPace,
+	}, ended)
+	go follow(ctx, h, table[controller.DirectoryUpdate]{
+		name: "instances", interval: pollInterval, spread: instanceSpread, read: h.Platform.Instances, apply: h.sendUpdate, pace: h.pollPace,
+	}, ended)
+	go follow(ctx, h, table[HostRows]{
+		name: "hosts", interval: hostPollInterval, spread: 1, read: h.Platform.Hosts, apply: h.applyHostRows, pace: h.hostPollPace,
+	}, ended)
 	go h.registerLoop(ctx, ended)
 	for range 4 {
 		<-ended
