pool, scheduler: work that can't get a connection in time is refused at once; full instances are tried again sooner

Hosts that take turns free a connection after 100 to 200 ms.

Change: the pool tells how long it stays without a connection (BlockedFor); work whose time ends before that is refused at once, also when it waits already, and Retry-After is at least that time. Placement adds it to the expected time, so that reads go elsewhere.

--- a/internal/front/backend.go
+++ b/internal/front/backend.go
@@ -24,7 +24,7 @@
 	stallTimeout   = 250 * time.Millisecond // without any response while some are outstanding
 	minBehindPause = 30 * time.Millisecond  // first pause of reads that need a newer point than the replica had
 	maxBehindPause = 400 * time.Millisecond // longest such pause, so that a lagging replica is tried again
-	fullOpenDelay  = 500 * time.Millisecond // wait after the instance refused a connection because its limit was reached
+	fullOpenDelay  = 100 * time.Millisecond // least wait after the instance refused a connection because its limit was reached; hosts that take turns free one about as often
 	fullProbeDelay = 2 * time.Second        // no probes for so long after that: the instance responds, and other hosts use its connections
 	topRankFloor   = model.Percent(0)       // the most urgent rank is served first and needs no guaranteed share
 	lowerRankFloor = model.Percent(10)      // share of slot time guaranteed to each other rank under a flood of urgent work
@@ -327,7 +327,7 @@
 func (b *backend) candidate(now time.Time, kind model.KindID, primary model.InstanceID) placement.Candidate {
 	expected := b.scheduler.ExpectedLatency(now, kind)
 	if b.scheduler.OpensConnection() {
-		expected += 2*b.rtt + setupTime
+		expected += 2*b.rtt + setupTime + b.scheduler.BlockedFor()
 	}
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -23,8 +23,12 @@
 	MaxOpening int
 	// OnIdle is called, without the lock held, when a newly opened connection becomes idle.
 	OnIdle func()
+	// OnBlocked is called, without the lock held, after a failure for which MinBackoff asks for a backoff.
+	OnBlocked func()
 	// Jitter returns a random number in [0, 1) that spreads the backoff.
 	Jitter func() float64
+	// Now returns the current time.
+	Now func() time.Time
 
 	mutex      sync.Mutex
 	target     model.Connections // number of connections to keep open
@@ -34,6 +38,7 @@
 	closing    []C               // waiting to be closed
 	backoff    time.Duration     // current backoff; zero when the last attempt to open succeeded
 	backingOff bool              // a backoff is in progress
+	fullUntil  time.Time         // end of the latest backoff for which MinBackoff asked
 	failures   int               // failed attempts to open since the start
 	wake       chan struct{}     // wakes Run
 }
@@ -59,8 +64,10 @@
 	return &Pool[C]{
 		MaxOpening: defaultMaxOpening,
 		OnIdle:     func() {},
+		OnBlocked:  func() {},
 		MinBackoff: func(error) time.Duration { return 0 },
 		Jitter:     rand.Float64,
+		Now:        time.Now,
 		wake:       make(chan struct{}, 1),
 	}
 }
@@ -239,7 +246,12 @@
 	defer cancel()
 	conn, err := p.Open(openCtx)
 	if err != nil {
-		p.waitBackoff(ctx, p.recordFailure(p.MinBackoff(err)))
+		least := p.MinBackoff(err)
+		wait := p.recordFailure(least)
+		if least > 0 {
+			p.OnBlocked()
+		}
+		p.waitBackoff(ctx, wait)
 		return
 	}
 	p.addIdle(conn)
@@ -268,7 +280,23 @@
 	}
 	p.backingOff = true
 	p.backoff = max(min(max(2*p.backoff, minBackoff), maxBackoff), least)
-	return p.backoff/2 + time.Duration(p.Jitter()*float64(p.backoff/2))
+	wait := p.backoff/2 + time.Duration(p.Jitter()*float64(p.backoff/2))
+	p.fullUntil = time.Time{}
+	if least > 0 {
+		p.fullUntil = p.Now().Add(wait)
+	}
+	return wait
+}
+
+// BlockedFor returns how long the pool stays without a connection at least: none is open or being opened, and the instance has
+// refused the latest one for a reason for which MinBackoff asks.
+func (p *Pool[C]) BlockedFor() time.Duration {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if !p.backingOff || p.open+p.opening > 0 {
+		return 0
+	}
+	return max(p.fullUntil.Sub(p.Now()), 0)
 }
 
 // waitBackoff waits for the backoff and then wakes Run.
--- a/internal/scheduler/permit.go
+++ b/internal/scheduler/permit.go
@@ -41,7 +41,12 @@
 }
 
 // waitForPermit waits for a connection to pin, if requested, and then for a slot.
+//
+// Work that can't get a connection by its deadline is refused at once.
 func (s *Scheduler[C]) waitForPermit(ctx context.Context, permit *Permit[C], request Request) *model.Refusal {
+	if s.blockedPast(request.Deadline) {
+		return s.refuseBlocked()
+	}
 	if request.KeepConnection {
 		if refusal := s.pin(ctx, permit); refusal != nil {
 			return refusal
@@ -58,6 +63,20 @@
 	return nil
 }
 
+// blockedPast reports whether no connection can be opened before the deadline.
+func (s *Scheduler[C]) blockedPast(deadline time.Time) bool {
+	blocked := s.BlockedFor()
+	return blocked > 0 && !s.Now().Add(blocked).Before(deadline)
+}
+
+// refuseBlocked returns the refusal of work that can't get a connection before its deadline.
+func (s *Scheduler[C]) refuseBlocked() *model.Refusal {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.applySettings()
+	return s.refusal(model.CodeDeadline)
+}
+
 // newPermit returns a permit, reusing an ended one to avoid an allocation.
 func (s *Scheduler[C]) newPermit(request Request) *Permit[C] {
 	permit, found := s.permits.Get().(*Permit[C])
@@ -105,7 +124,8 @@
 	return s.cancelWait(permit)
 }
 
-// awaitDecision returns the decision on the permit, or false if the deadline or the end of the context comes first.
+// awaitDecision returns the decision on the permit, or false if the deadline or the end of the context comes first, or once the
+// deadline can't be met since no connection can be opened.
 func (s *Scheduler[C]) awaitDecision(ctx context.Context, permit *Permit[C]) (refusal *model.Refusal, decided bool) {
 	select {
 	case refusal = <-permit.decision:
@@ -114,13 +134,36 @@
 	}
 	timer := time.NewTimer(permit.ticket.Deadline.Sub(s.Now()))
 	defer timer.Stop()
-	select {
-	case refusal = <-permit.decision:
-		return refusal, true
-	case <-ctx.Done():
-	case <-timer.C:
+	for {
+		blocked := s.blockedSignal()
+		if s.blockedPast(permit.ticket.Deadline) {
+			return nil, false
+		}
+		select {
+		case refusal = <-permit.decision:
+			return refusal, true
+		case <-blocked:
+		case <-ctx.Done():
+			return nil, false
+		case <-timer.C:
+			return nil, false
+		}
 	}
-	return nil, false
+}
+
+// blockedSignal returns a channel that is closed when the instance takes no further connection.
+func (s *Scheduler[C]) blockedSignal() <-chan struct{} {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.blocked
+}
+
+// connectionBlocked wakes waiting work that may no longer get a connection in time.
+func (s *Scheduler[C]) connectionBlocked() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	close(s.blocked)
+	s.blocked = make(chan struct{})
 }
 
 // cancelWait ends the wait for a slot after a timeout or cancellation; a slot granted meanwhile is returned unused.
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -47,8 +47,9 @@
 	loadUpdated        time.Time // when meanLoad was last updated
 	started            bool
 	stopping           bool
-	scarce             bool      // whether the instance has fewer connections than there are hosts
-	permits            sync.Pool // unused permits
+	scarce             bool          // whether the instance has fewer connections than there are hosts
+	blocked            chan struct{} // closed, and replaced, when the instance takes no further connection
+	permits            sync.Pool     // unused permits
 }
 
 // The defaults of a scheduler.
@@ -68,6 +69,7 @@
 		QueueLimit:     defaultQueueLimit,
 		Policy:         admit.NewFairShare[*Permit[C]](),
 		Now:            time.Now,
+		blocked:        make(chan struct{}),
 		queue:          admit.Queue[*Permit[C]]{ServiceTimes: admit.NewServiceTimes()},
 	}
 }
@@ -96,6 +98,7 @@
 	s.queue.Limit = s.QueueLimit
 	s.Pool.Limit = s.Connections
 	s.Pool.OnIdle = s.connectionReady
+	s.Pool.OnBlocked = s.connectionBlocked
 }
 
 // stop refuses all waiting and later work.
@@ -145,6 +148,10 @@
 	return s.scarce && s.Pool.Counts().Idle == 0
 }
 
+// BlockedFor returns how long work that arrives now waits at least until a connection can be opened, since none is open and the
+// instance takes no more.
+func (s *Scheduler[C]) BlockedFor() time.Duration { return s.Pool.BlockedFor() }
+
 // connectionReady starts waiting work; the pool calls it when a connection has become idle.
 func (s *Scheduler[C]) connectionReady() {
 	s.mutex.Lock()
@@ -209,7 +216,7 @@
 // refusal returns a refusal with the code and the time after which to retry.
 func (s *Scheduler[C]) refusal(code model.Code) *model.Refusal {
 	refusal := model.Refuse(code, "%d waiting, %d of %d running, %d of %d connections kept", s.queue.Len(), s.running, s.Slots, s.pinned, s.Connections)
-	refusal.RetryAfter = s.queue.RetryAfter(s.Now(), s.Slots)
+	refusal.RetryAfter = max(s.queue.RetryAfter(s.Now(), s.Slots), s.BlockedFor())
 	return refusal
 }
 
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -250,6 +250,53 @@
 	})
 }
 
+// TestBurstAtAFullInstance replays work that arrives in a burst at an instance which takes no further connection for a while, as that
+// of many hosts that take turns: what can't get a connection in time is told so at once, the rest waits for one.
+func TestBurstAtAFullInstance(t *testing.T) {
+	const backoff = 200 * time.Millisecond
+	tests := map[string]struct {
+		arrival, timeout time.Duration
+		code             model.Code
+		atMost           time.Duration // longest wait of a refusal
+	}{
+		"arrives before the refusal, short of time": {timeout: 100 * time.Millisecond, code: model.CodeDeadline, atMost: connectTime},
+		"arrives after it, short of time":           {arrival: 50 * time.Millisecond, timeout: 100 * time.Millisecond, code: model.CodeDeadline},
+		"arrives after it, with time to wait":       {arrival: 50 * time.Millisecond, timeout: 375 * time.Millisecond},
+		"arrives before it, with time to wait":      {timeout: 375 * time.Millisecond},
+		"arrives when a connection is soon opened":  {arrival: 180 * time.Millisecond, timeout: 100 * time.Millisecond},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newTestScheduler(t, 1, 1, func(s *Scheduler[int]) {
+					s.SetLimits(1, 1, true)
+					s.Pool.MinBackoff = func(error) time.Duration { return backoff }
+					s.Pool.Jitter = func() float64 { return 1 }
+				})
+				full := true
+				s.Pool.Open = func(context.Context) (int, error) {
+					time.Sleep(connectTime)
+					if full {
+						full = false
+						return 0, model.Refuse(model.CodeConnectionsFull, "the instance is full")
+					}
+					return 1, nil
+				}
+				work := job{rank: model.RankOne, kind: "k", serviceTime: 5 * time.Millisecond, timeout: 500 * time.Millisecond}
+				tested := work
+				tested.arrival, tested.timeout = test.arrival, test.timeout
+				got := s.runJobs([]job{work, tested})[1]
+				if got.code != test.code {
+					t.Errorf("got %+v, want code %q", got, test.code)
+				}
+				if test.code != "" && got.waited > test.atMost {
+					t.Errorf("got a refusal after %v, want one within %v", got.waited, test.atMost)
+				}
+			})
+		})
+	}
+}
+
 func TestRefusalHasRetryAfter(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newTestScheduler(t, 1, 1, func(s *Scheduler[int]) { s.QueueLimit = 1 })
