front: statements that wait for an instance that goes are tried again

Change: such a statement is tried again within its time: a read on another instance, a write at the next primary, unless the host itself stops.

--- a/internal/front/autocommit.go
+++ b/internal/front/autocommit.go
@@ -32,7 +32,7 @@
 		if err != nil {
 			refusal := asRefusal(err)
 			e.exclude(t.backend)
-			if e.access == model.Read && refusal.Code != model.CodeStopping && e.prepareRetry(ctx, refusal.Message, 0) && e.hasCandidate() {
+			if e.mayTryAnother(refusal, e.access == model.Read) && e.prepareRetry(ctx, refusal.Message, 0) {
 				continue
 			}
 			return s.caller.SendRefusal(e.recordRefusal(refusal), statement.Idle)
@@ -44,6 +44,15 @@
 	}
 }
 
+// mayTryAnother reports whether work that a scheduler refused may be tried again: on another instance if any would do, and in any case
+// if the instance is gone, which stops its scheduler; another instance is then found, or a primary waited for.
+func (e *execution) mayTryAnother(refusal *model.Refusal, anyInstance bool) bool {
+	if refusal.Code == model.CodeStopping {
+		return !e.session.host.terminating()
+	}
+	return anyInstance && e.hasCandidate()
+}
+
 // hasCandidate reports whether any instance has not been excluded.
 func (e *execution) hasCandidate() bool {
 	rs := e.session.host.replicaSet(e.policy.Database)
--- a/internal/front/follow_internal_test.go
+++ b/internal/front/follow_internal_test.go
@@ -93,7 +93,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				fake := &fakeTable{start: time.Now(), failAt: test.failAt, changeAt: test.changeAt, truncatedAt: test.truncatedAt}
 				h := New()
-				h.Logger = &log.Logger{Handler: discard.New(), Level: log.ErrorLevel}
+				h.Logger = quietLogger()
 				ctx, cancel := context.WithCancel(context.Background())
 				done := make(chan error, 1)
 				known := time.Duration(-1)
@@ -191,3 +191,8 @@
 		})
 	}
 }
+
+// quietLogger returns a logger that writes nothing.
+func quietLogger() log.Interface {
+	return &log.Logger{Handler: discard.New(), Level: log.ErrorLevel}
+}
--- a/internal/front/transaction.go
+++ b/internal/front/transaction.go
@@ -146,7 +146,7 @@
 		if err != nil {
 			refusal := asRefusal(err)
 			e.exclude(t.backend)
-			if !e.needsPrimary() && refusal.Code != model.CodeStopping && e.prepareRetry(ctx, refusal.Message, 0) && e.hasCandidate() {
+			if e.mayTryAnother(refusal, !e.needsPrimary()) && e.prepareRetry(ctx, refusal.Message, 0) {
 				continue
 			}
 			return refusal
