--- a/internal/bounded/map.go
+++ b/internal/bounded/map.go
@@ -16,19 +16,25 @@
 
 	mutex      sync.Mutex
 	values     map[K]entry[V]
-	insertions []insertion[K] // oldest first; a replaced value leaves its earlier insertion behind
+	insertions []insertion[K] // oldest first; a replaced value leaves its earlier insertion behind until compact removes it
+	sequence   uint64         // of the latest insertion
 }
 
-// entry is a value and the time at which it was put.
+// compactSlack is the number of insertions without a value that are kept at least, so that small maps are seldom compacted.
+const compactSlack = 16
+
+// entry is a value, the time at which it was put and the sequence number of its insertion.
 type entry[V any] struct {
-	value   V
-	addedAt time.Time
+	value    V
+	addedAt  time.Time
+	sequence uint64
 }
 
 // insertion is a key and the time at which it was put.
 type insertion[K comparable] struct {
-	key     K
-	addedAt time.Time
+	key      K
+	addedAt  time.Time
+	sequence uint64
 }
 
 // New returns an empty map. Its exported fields may be changed only before its first use.
@@ -41,9 +47,13 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	now := m.Now()
-	m.values[key] = entry[V]{value: value, addedAt: now}
-	m.insertions = append(m.insertions, insertion[K]{key: key, addedAt: now})
+	m.sequence++
+	m.values[key] = entry[V]{value: value, addedAt: now, sequence: m.sequence}
+	m.insertions = append(m.insertions, insertion[K]{key: key, addedAt: now, sequence: m.sequence})
 	m.evict(now)
+	if len(m.insertions) > 2*len(m.values)+compactSlack {
+		m.compact()
+	}
 }
 
 // Get returns the value of the key and whether it is present and not expired.
@@ -70,13 +80,27 @@
 func (m *Map[K, V]) evict(now time.Time) {
 	for len(m.insertions) > 0 {
 		oldest := m.insertions[0]
-		newer := m.values[oldest.key].addedAt.After(oldest.addedAt)
-		if !newer && len(m.values) <= m.Limit && now.Sub(oldest.addedAt) < m.TTL {
+		replaced := m.replaced(oldest)
+		if !replaced && len(m.values) <= m.Limit && now.Sub(oldest.addedAt) < m.TTL {
 			return
 		}
-		if !newer {
+		if !replaced {
 			delete(m.values, oldest.key)
 		}
 		m.insertions = m.insertions[1:]
 	}
 }
+
+// replaced reports whether the value of an insertion was replaced later.
+func (m *Map[K, V]) replaced(i insertion[K]) bool { return m.values[i.key].sequence != i.sequence }
+
+// compact removes the insertions whose value was replaced later.
+func (m *Map[K, V]) compact() {
+	kept := make([]insertion[K], 0, len(m.values))
+	for _, i := range m.insertions {
+		if !m.replaced(i) {
+			kept = append(kept, i)
+		}
+	}
+	m.insertions = kept
+}
--- a/internal/bounded/map_test.go
+++ b/internal/bounded/map_test.go
@@ -44,3 +44,34 @@
 		})
 	}
 }
+
+// TestReplacedValuesLeaveNothing replaces one value often while an older one keeps its place.
+func TestReplacedValuesLeaveNothing(t *testing.T) {
+	tests := map[string]struct {
+		step time.Duration // between two puts; zero for puts within the clock's resolution
+	}{
+		"at one moment": {},
+		"in turn":       {step: time.Microsecond},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(0, 0)
+			m := New[string, int](100, time.Hour)
+			m.Now = func() time.Time { return now }
+			m.Put("old", 0)
+			for i := range 10000 {
+				now = now.Add(test.step)
+				m.Put("often", i)
+			}
+			if got, most := len(m.insertions), 2*m.Len()+compactSlack; got > most {
+				t.Errorf("got %d insertions kept for %d values, want at most %d", got, m.Len(), most)
+			}
+			if _, found := m.Get("old"); !found {
+				t.Error("got no old value, want it kept")
+			}
+			if got, _ := m.Get("often"); got != 9999 {
+				t.Errorf("got %d, want the latest value", got)
+			}
+		})
+	}
+}
