controller: a clearer name for the primary that responds as a replica

Cause: neverLed also holds for a primary that led and lost the lead. Change: respondsAsReplica, and its comment. Result: no behaviour changed; TestOrderThatIsNotCarriedOut passes.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -311,7 +311,7 @@
 		Release:   c.releaseTime(),
 	}
 	for _, member := range members {
-		lost := member.Instance == observation.Instance && !c.neverLed(verdict, database, observation)
+		lost := member.Instance == observation.Instance && !c.respondsAsReplica(verdict, database, observation)
 		if !lost && !c.directory.Missing(member.Instance) {
 			change.Replicas = append(change.Replicas, d.Instances[member.Instance])
 		}
@@ -319,9 +319,9 @@
 	return change
 }
 
-// neverLed reports whether the primary to replace is a replica that responds: one whose promotion got no answer and did not
-// happen yet. A platform that checks no token may still carry the order out, so the instance stays a candidate.
-func (c *Controller) neverLed(verdict failover.Decision, database model.DatabaseID, observation failover.Observation) bool {
+// respondsAsReplica reports whether the primary to replace says that it is a replica, as one does whose promotion got no answer and
+// did not happen yet. A platform that checks no token may still carry the order out, so the instance stays a candidate.
+func (c *Controller) respondsAsReplica(verdict failover.Decision, database model.DatabaseID, observation failover.Observation) bool {
 	health := c.health[observation.Instance]
 	return c.Unfenced && verdict == failover.Failover && c.promotions[database].Instance == observation.Instance &&
 		health.SilentSince.IsZero() && health.LastRefusal.After(health.LastProof)
