--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -215,7 +215,9 @@
 
 // refusal returns a refusal with the code and the time after which to retry.
 func (s *Scheduler[C]) refusal(code model.Code) *model.Refusal {
-	refusal := model.Refuse(code, "%d waiting, %d of %d running, %d of %d connections kept", s.queue.Len(), s.running, s.Slots, s.pinned, s.Connections)
+	counts := s.Pool.Counts()
+	refusal := model.Refuse(code, "%d waiting, %d of %d running, %d of %d connections open, %d being opened, %d held by transactions",
+		s.queue.Len(), s.running, s.Slots, counts.Open, s.Connections, counts.Opening, s.pinned)
 	refusal.RetryAfter = max(s.queue.RetryAfter(s.Now(), s.Slots), s.BlockedFor())
 	return refusal
 }
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -297,6 +297,49 @@
 	}
 }
 
+// TestRefusalTellsWhatWasMissing refuses work for lack of a connection that is being opened, and of one that a transaction holds.
+func TestRefusalTellsWhatWasMissing(t *testing.T) {
+	tests := map[string]struct {
+		held bool // a transaction holds the connection
+		want string
+	}{
+		"being opened":          {want: "0 waiting, 0 of 1 running, 0 of 1 connections open, 1 being opened, 0 held by transactions"},
+		"held by a transaction": {held: true, want: "0 waiting, 0 of 1 running, 1 of 1 connections open, 0 being opened, 1 held by transactions"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newTestScheduler(t, 1, 1)
+				class := admit.Class{Rank: model.RankOne, Kind: "k"}
+				timeout := connectTime / 2
+				if test.held {
+					permit, err := s.Acquire(t.Context(), Request{Class: class, Deadline: time.Now().Add(time.Second), KeepConnection: true})
+					if err != nil {
+						t.Fatal(err)
+					}
+					s.Suspend(permit, true)
+					defer s.FinishTransaction(permit, true)
+					timeout = time.Second
+				}
+				_, err := s.Acquire(t.Context(), Request{Class: class, Deadline: time.Now().Add(timeout)})
+				if got := asRefusal(t, err).Message; got != test.want {
+					t.Errorf("got %q, want %q", got, test.want)
+				}
+			})
+		})
+	}
+}
+
+// asRefusal returns the refusal in an error.
+func asRefusal(t *testing.T, err error) *model.Refusal {
+	t.Helper()
+	var refusal *model.Refusal
+	if !errors.As(err, &refusal) {
+		t.Fatalf("got %v, want a refusal", err)
+	}
+	return refusal
+}
+
 func TestRefusalHasRetryAfter(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newTestScheduler(t, 1, 1, func(s *Scheduler[int]) { s.QueueLimit = 1 })
