--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,7 @@
 fuzz:
 	@failed=; for file in $$(grep -rl --include='*_test.go' '^func Fuzz' cmd internal pkg platform); do \
 		for name in $$(sed -n 's/^func \(Fuzz[A-Za-z]*\)(.*/\1/p' $$file); do \
-			$(GO) test -run '^$$' -fuzz "^$$name\$$" -fuzztime $(FUZZTIME) ./$$(dirname $$file) || failed="$$failed $$name"; \
+			$(GO) test -run '^$$' -fuzz "^$$name\$$" -fuzztime $(FUZZTIME) ./$$(dirname $$file) || failed="$$failed $$(dirname $$file):$$name"; \
 		done; \
 	done; test -z "$$failed" || { echo "fuzz found inputs that fail:$$failed"; exit 1; }
 
