settings: a settings file is limited to 64 KB and 16 levels

Traced: the YAML parser takes time with the square of the depth (0.6 s for 20,000, 23 s for 100,000 on a loaded machine), and with the race detector 100,000 had the process killed. A malformed settings file could take a host down at SIGHUP.

Change: the file is read up to 64 KB and refused when it has more than 16 lists or mappings inside each other (open brackets, marks at the start of a line), before it is parsed. Settings are flat, one line each.

--- a/internal/settings/file.go
+++ b/internal/settings/file.go
@@ -1,8 +1,12 @@
 package settings
 
 import (
+	"bytes"
+	"errors"
 	"fmt"
+	"io"
 	"os"
+	"strings"
 
 	"github.com/goccy/go-yaml"
 	"github.com/urfave/cli/v3"
@@ -38,16 +42,68 @@
 	return LoadFront(fileOverlay{values, r.source})
 }
 
+// The limits of a settings file, which holds one line for each setting. They bound the work of the parser.
+const (
+	fileLimit    = 64 << 10 // bytes
+	nestingLimit = 16       // lists and mappings inside each other
+)
+
+// Errors of a settings file that is not parsed.
+var (
+	errFileTooLarge = fmt.Errorf("the settings file is larger than %d bytes", fileLimit)
+	errTooNested    = fmt.Errorf("the settings file has more than %d lists or mappings inside each other", nestingLimit)
+)
+
 // read returns the settings in the file, if there is one; unknown names are ignored, since a newer version may know them.
 func (r Reloader) read() (values map[string]string, err error) {
 	if r.path == "" {
 		return nil, nil
 	}
-	content, err := os.ReadFile(r.path)
+	file, err := os.Open(r.path)
 	if err != nil {
 		return nil, err
 	}
-	return values, yaml.Unmarshal(content, &values)
+	defer func() { err = errors.Join(err, file.Close()) }()
+	content, err := io.ReadAll(io.LimitReader(file, fileLimit+1))
+	switch {
+	case err != nil:
+		return nil, err
+	case len(content) > fileLimit:
+		return nil, errFileTooLarge
+	case nesting(content) > nestingLimit:
+		return nil, errTooNested
+	}
+	err = yaml.Unmarshal(content, &values)
+	return values, err
+}
+
+// nestingMarks start an entry of a list or a mapping inside another one on the same line.
+const nestingMarks = "-?:"
+
+// nesting returns an upper bound of the number of lists and mappings inside each other, from the brackets that are open at once and
+// the marks at the start of a line.
+func nesting(content []byte) (most int) {
+	open := 0
+	for line := range bytes.Lines(content) {
+		rest := bytes.TrimLeft(line, nestingMarks+" \t")
+		marks := 0
+		for _, c := range line[:len(line)-len(rest)] {
+			if strings.IndexByte(nestingMarks, c) >= 0 {
+				marks++
+			}
+		}
+		most = max(most, marks)
+		for _, c := range rest {
+			switch c {
+			case '[', '{':
+				open++
+			case ']', '}':
+				open = max(open-1, 0)
+			}
+			most = max(most, open)
+		}
+	}
+	return most
 }
 
 // fileOverlay is a source in which the settings of a file override those of another source.
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"os"
+	"path/filepath"
 	"slices"
 	"strings"
 	"testing"
@@ -65,3 +67,42 @@
 		t.Errorf("got %q, want the secret hidden", got)
 	}
 }
+
+// emptySource is a source without values.
+type emptySource struct{}
+
+// String returns an empty value.
+func (emptySource) String(string) string { return "" }
+
+// TestSettingsFileLimits reads files that would keep the parser busy for seconds or take its memory, and files that only look so.
+func TestSettingsFileLimits(t *testing.T) {
+	tests := map[string]struct {
+		content string
+		want    error
+		value   string // of the setting "host"
+	}{
+		"flat":                       {content: "host: h1\nlog-level: info\n", value: "h1"},
+		"starts with a document":     {content: "---\nhost: h1\n", value: "h1"},
+		"brackets in values":         {content: "host: \"h[1]\"\nmesh-address: \"[::1]:7003\"\n", value: "h[1]"},
+		"nested lists":               {content: "host: " + strings.Repeat("[", 60000), want: errTooNested},
+		"nested lists over lines":    {content: strings.Repeat("[\n", 1000), want: errTooNested},
+		"nested mappings":            {content: strings.Repeat("{a: ", 1000), want: errTooNested},
+		"nested entries on one line": {content: strings.Repeat("- ", 1000), want: errTooNested},
+		"too large":                  {content: "host: " + strings.Repeat("h", fileLimit), want: errFileTooLarge},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			path := filepath.Join(t.TempDir(), "settings.yaml")
+			if err := os.WriteFile(path, []byte(test.content), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			values, err := Reloader{path: path, source: emptySource{}}.read()
+			if !errors.Is(err, test.want) {
+				t.Errorf("got error %v, want %v", err, test.want)
+			}
+			if got := values["host"]; got != test.value {
+				t.Errorf("got %q, want %q", got, test.value)
+			}
+		})
+	}
+}
