review: case 3, a poll that a silent store has dropped holds up the configuration

After a second without answers from the store no host hears of a change for up to 12 s, four times the bound (CONFIG).

--- a/review/rig/store.go
+++ b/review/rig/store.go
@@ -27,6 +27,7 @@
 	version uint64
 	changed chan struct{}
 	down    bool // answers 503
+	silent  bool // calls that arrive get no answer
 	started time.Time
 }
 
@@ -76,11 +77,22 @@
 	s.commit()
 }
 
+// setSilent makes the store give no answer to the calls that arrive, or serve again.
+func (s *store) setSilent(silent bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.silent = silent
+}
+
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	time.Sleep(4 * time.Millisecond)
 	s.mutex.Lock()
-	down := s.down
+	down, silent := s.down, s.silent
 	s.mutex.Unlock()
+	if silent {
+		<-r.Context().Done()
+		return
+	}
 	if down {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
