--- a/review/rig/case_sync.go
+++ b/review/rig/case_sync.go
@@ -4,7 +4,7 @@
 
 func init() { cases["sync"] = playSync }
 
-// playSync replaces a replica as planned; meanwhile the other replica receives nothing for a while and the primary crashes.
+// playSync shuts a replica down as planned; meanwhile the other replica receives nothing for a while and the primary crashes.
 func playSync(w *world, trouble bool) error {
 	d, err := w.addDatabase("ecore1", 1, 2, 16, 3*time.Millisecond, zoneNames...)
 	if err != nil {
@@ -34,8 +34,7 @@
 	if trouble {
 		primary.revive()
 	}
-	leaving.crash() // the end of a planned stop, more than 7 s after the report
-	w.store.remove("servers", leaving.id)
+	leaving.replace() // the end of the planned shutdown, more than 7 s after the report
 	time.Sleep(3 * time.Second)
 	return nil
 }
--- a/review/rig/instance.go
+++ b/review/rig/instance.go
@@ -91,6 +91,20 @@
 	i.world.judge.record("%s: %s is back", i.db.name, i.id)
 }
 
+// replace ends the instance and starts a new one at its address, to which its log is transferred.
+func (i *instance) replace() {
+	i.crash()
+	i.world.store.remove("servers", i.id)
+	time.Sleep(time.Second)
+	i.db.mutex.Lock()
+	defer i.db.mutex.Unlock()
+	i.id += "-new"
+	i.down, i.draining, i.sequence = false, false, 0
+	i.db.catchUp(i)
+	i.publish()
+	i.world.judge.record("%s: %s starts with the log of the instance before it", i.db.name, i.id)
+}
+
 // serve accepts connections.
 func (i *instance) serve(listener net.Listener) {
 	for {
--- a/review/rig/world.go
+++ b/review/rig/world.go
@@ -78,10 +78,14 @@
 // The ports of the hosts and proxies lie below those that outgoing connections take.
 const firstPort, portCount = 20000, 12000
 
+// nextPort is the offset of the next port to try; no port is given out twice.
+var nextPort = rand.IntN(portCount)
+
 // freeAddress returns a loopback address whose port is free for TCP and UDP.
 func freeAddress() (string, error) {
-	for range 1000 {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(portCount))
+	for range portCount {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort%portCount)
+		nextPort++
 		listener, err := net.Listen("tcp4", address)
 		if err != nil {
 			continue
@@ -230,6 +234,13 @@
 	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
 		ready := 0
 		for _, h := range w.hosts {
+			select {
+			case <-h.ended: // the platform starts a process again that has ended, as when another program has taken a port
+				if err := w.start(h); err != nil {
+					return err
+				}
+			default:
+			}
 			response, err := client.Get("http://" + h.ready + "/v1/ready")
 			if err != nil {
 				continue
