--- a/review/rig/case_mix.go
+++ b/review/rig/case_mix.go
@@ -12,18 +12,23 @@
 
 func init() { cases["mix"] = playMix }
 
-// playMix lets clients use all statements while random disruptions come and go. MIX_SEED draws them, MIX_SECONDS limits it.
+// playMix lets clients use all statements while random disruptions come and go. MIX_SEED draws them; MIX_SECONDS is the length,
+// MIX_SYNC the number of SyncReplicas and MIX_CONNS the connection limit of an instance.
 func playMix(w *world, trouble bool) error {
 	seed, _ := strconv.ParseUint(os.Getenv("MIX_SEED"), 10, 64)
 	seconds, _ := strconv.Atoi(os.Getenv("MIX_SECONDS"))
 	syncReplicas, _ := strconv.Atoi(os.Getenv("MIX_SYNC"))
+	maxConns, _ := strconv.Atoi(os.Getenv("MIX_CONNS"))
 	if seconds == 0 {
 		seconds = 60
 	}
+	if maxConns == 0 {
+		maxConns = 16
+	}
 	random := rand.New(rand.NewPCG(seed, 1))
 	proxies := make(map[*instance]*proxy)
 	for _, name := range []string{"ecore1", "ecore2"} {
-		d, err := w.addDatabase(name, syncReplicas, 2, 16, 4*time.Millisecond, zoneNames...)
+		d, err := w.addDatabase(name, syncReplicas, 2, maxConns, 4*time.Millisecond, zoneNames...)
 		if err != nil {
 			return err
 		}
