--- a/review/rig/case_mix.go
+++ b/review/rig/case_mix.go
@@ -69,7 +69,7 @@
 		i := d.instances[random.IntN(len(d.instances))]
 		h := w.hosts[random.IntN(len(w.hosts))]
 		span := time.Duration(300+random.IntN(3500)) * time.Millisecond
-		switch random.IntN(9) {
+		switch random.IntN(10) {
 		case 0, 1:
 			w.judge.record("%s is dark for %s", i.id, span)
 			p := proxies[i]
@@ -103,6 +103,15 @@
 			w.judge.record("the store is down for %s", span)
 			w.store.setDown(true)
 			time.AfterFunc(span, func() { w.store.setDown(false) })
+		case 9:
+			w.judge.record("%s loses answers for %s", i.id, span)
+			lose := func(share float64) {
+				d.mutex.Lock()
+				defer d.mutex.Unlock()
+				i.lose = share
+			}
+			lose(0.2)
+			time.AfterFunc(span, func() { lose(0) })
 		case 8:
 			d.mutex.Lock()
 			leader := d.leader
--- a/review/rig/case_values.go
+++ b/review/rig/case_values.go
@@ -9,7 +9,8 @@
 func init() { cases["values"] = playValues }
 
 // playValues lets clients set a value and prepare a name between the statements of a transaction, while the primary is dark for
-// 2.5 s and another instance is promoted, and then go on with their sessions.
+// 2.5 s and another instance is promoted, and then go on with their sessions. A third client has the value
+// that the first one sets.
 func playValues(w *world, trouble bool) error {
 	d, err := w.addDatabase("ecore1", 0, 2, 16, 3*time.Millisecond, zoneNames...)
 	if err != nil {
@@ -28,6 +29,14 @@
 	traffic := w.startTraffic(urgent, 60*time.Millisecond)
 	defer traffic.stop()
 	time.Sleep(time.Second)
+	other, err := w.open("c2", w.hosts[0].address, own)
+	if err != nil {
+		return err
+	}
+	defer other.close()
+	if _, err := other.set("tenant", "south0"); err != nil {
+		return err
+	}
 	const clients = 2 // the first sets a value, the second prepares a name
 	var group sync.WaitGroup
 	ready, resume := make(chan error, clients), make(chan struct{})
@@ -41,7 +50,7 @@
 				return
 			}
 			defer s.close()
-			s.visit(n, ready, resume)
+			s.visit(n, ready, resume, other)
 		}()
 	}
 	for range clients {
@@ -60,12 +69,12 @@
 	}
 	close(resume)
 	group.Wait()
-	time.Sleep(time.Second)
 	return nil
 }
 
-// visit is what a client does: a transaction with a pause between its statements, then reads in and outside transactions.
-func (s *session) visit(n int, ready chan<- error, resume <-chan struct{}) {
+// visit is what a client does: a transaction with a pause between its statements, then reads in and outside transactions. After the
+// first client's transaction another session at the host, which has the same value, reads first.
+func (s *session) visit(n int, ready chan<- error, resume <-chan struct{}, other *session) {
 	_, err := s.set("tenant", fmt.Sprintf("north%d", n))
 	if err == nil {
 		_, err = s.begin(false)
@@ -97,7 +106,10 @@
 	} else {
 		_, err = s.rollback()
 	}
-	for k := 0; k < 20 && err == nil; k++ {
+	for k := 0; n == 0 && k < 5 && err == nil; k++ {
+		_, err = other.data(fmt.Sprintf("READ item%d", k))
+	}
+	for k := 0; k < 10 && err == nil; k++ {
 		if n == 0 {
 			_, err = s.data(fmt.Sprintf("READ item%d", k%7))
 		} else if _, err = s.begin(true); err == nil {
--- a/review/rig/instance.go
+++ b/review/rig/instance.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"maps"
+	"math/rand/v2"
 	"net"
 	"strings"
 	"sync"
@@ -27,6 +28,7 @@
 	received, applied int
 	term              int // newest term that it knows
 	down, deaf        bool
+	lose              float64 // share of the answers to statements that ran which are lost
 	draining          bool
 	sequence          int
 
@@ -204,10 +206,23 @@
 			return
 		}
 		c.execute(id, text)
+		if id != "-" && i.loses() {
+			if rand.IntN(2) == 0 {
+				time.Sleep(4 * time.Second) // the connection delivers nothing further
+			}
+			return
+		}
 		c.ready()
 	}
 }
 
+// loses reports whether the next answer is lost.
+func (i *instance) loses() bool {
+	i.db.mutex.Lock()
+	defer i.db.mutex.Unlock()
+	return rand.Float64() < i.lose
+}
+
 func (c *conn) line(kind string, fields ...string) {
 	c.out.WriteString(word[kind])
 	for _, f := range fields {
