--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -63,6 +63,7 @@
 	s := &session{name: name, world: w, route: r, conn: c, in: bufio.NewReaderSize(c, 64<<10), state: "I", values: make(map[string]string), prepared: make(map[string]string), timeout: 3 * time.Second}
 	fmt.Fprintf(c, "%s %s %s\r\n", word["start"], r.host, name)
 	got, err := s.receive()
+	w.judge.opened(name, r.host, got, err)
 	if err == nil && got.code != "" {
 		err = fmt.Errorf("%w: %s", errSessionRefused, got.code)
 	}
--- a/review/rig/judge.go
+++ b/review/rig/judge.go
@@ -88,6 +88,13 @@
 	j.statement("client %s sends %s %s %s", a.session, a.id, a.verb, a.text)
 }
 
+// opened records the start of a session and its answer.
+func (j *judge) opened(session, route string, r answer, err error) {
+	j.mutex.Lock()
+	defer j.mutex.Unlock()
+	j.statement("client %s starts a session on route %s and gets %s (%v)", session, route, r, err)
+}
+
 // ran checks a statement that an instance runs; the database's mutex must be held.
 func (j *judge) ran(i *instance, c *conn, id, verb, text, shape string, values map[string]string) *attempt {
 	j.mutex.Lock()
