front: an instance's refusal to prepare a connection is logged and counted

The host's log said nothing between a value that a caller was told is set and the wrong read. Hypotheses: (1) the host notes a value as held by the connection although the instance refused it; (2) the instance forgets values, as after a restart under the same connection; (3) two sessions use one connection at once. Logs could not tell them apart, as a refused SET, PREPARE or RESET left no trace.

Change: event 6025 (SetupRefused) with the request, instance, command, code and connection state, and the metric setup_refused. The error of a refused command carries the command and the code. No change of behaviour.

--- a/internal/event/events_gen.go
+++ b/internal/event/events_gen.go
@@ -62,6 +62,7 @@
 	NumberPanicCaught              Number = 6022
 	NumberStopStage                Number = 6023
 	NumberCloseFailed              Number = 6024
+	NumberSetupRefused             Number = 6025
 )
 
 // Keeps the import of package model when no event uses it.
@@ -576,3 +577,16 @@
 		"error":  errorText(error),
 	}).Warn("a socket was not closed cleanly")
 }
+
+// SetupRefused logs event 6025: an instance refused to prepare a connection for a session.
+func SetupRefused(logger log.Interface, request model.RequestID, kind model.KindID, instance model.InstanceID, command string, code model.Code, state string) {
+	logger.WithFields(log.Fields{
+		"event":    NumberSetupRefused,
+		"request":  request,
+		"kind":     kind,
+		"instance": instance,
+		"command":  command,
+		"code":     code,
+		"state":    state,
+	}).Warn("an instance refused to prepare a connection for a session")
+}
--- a/internal/front/roundtrip.go
+++ b/internal/front/roundtrip.go
@@ -2,9 +2,11 @@
 
 import (
 	"errors"
+	"fmt"
 	"time"
 
 	"redwingspread/internal/clock"
+	"redwingspread/internal/event"
 	"redwingspread/internal/model"
 	"redwingspread/internal/scheduler"
 	"redwingspread/internal/statement"
@@ -13,9 +15,6 @@
 // drainTimeout limits the wait for the responses after the statement's own; they usually arrive in the same packet.
 const drainTimeout = 300 * time.Millisecond
 
-// errSetup is the error of a connection that refused a session's values or prepared statements.
-var errSetup = errors.New("the connection did not take the session's values")
-
 // Errors of the use of an instance as the primary.
 var (
 	errReplaced   = errors.New("another instance replaces the primary, or this host has lost touch with the others")
@@ -53,23 +52,23 @@
 	if t.provesPrimary && permit.Conn.begunUnder(e.version) {
 		permit.Conn.txBegun = false // the values and the statement become part of it
 	} else if t.provesPrimary {
-		if refused := trip.begin(commands, limit); refused || trip.err != nil {
+		if refused := trip.begin(e, commands, limit); refused || trip.err != nil {
 			return trip
 		}
 		commands = nil
-	} else if permit.Conn.txBegun {
-		commands = append([]statement.Command{hostCommand(statement.Rollback, model.Point{})}, commands...)
-		permit.Conn.txBegun = false
+	} else {
+		commands = permit.Conn.discardBegun(commands)
 	}
-	setupCount := len(commands)
+	setup := commands
 	commands = append(commands, statement.Command{ID: e.request.ID, MinPoint: t.minPoint, Statement: adapted})
 	commands = append(commands, trip.followUp(t)...)
 	trip.sent, trip.sentAt = true, clock.Boot()
 	if trip.err = permit.Conn.Send(commands); trip.err != nil {
 		return trip
 	}
-	setupErr := receiveSetup(permit.Conn, setupCount, limit)
-	if setupErr != nil && setupErr != errSetup {
+	setupErr := permit.Conn.receiveSetup(setup, limit)
+	e.recordSetup(setupErr)
+	if setupErr != nil && !isSetupRefusal(setupErr) {
 		trip.err = setupErr
 		return trip
 	}
@@ -101,28 +100,25 @@
 	return commands
 }
 
-// begin runs the given commands outside a transaction and then begins a transaction of the host's own; it reports whether
-// the instance refused.
+// begin prepares the connection outside a transaction and then begins a transaction of the host's own; it reports whether the
+// instance refused.
 //
 // The statement must be sent only after the response to the begin: after a refused begin it would run outside a transaction.
-func (r *roundTrip) begin(commands []statement.Command, limit time.Time) (refused bool) {
-	response, err := r.conn.begin(r.backend, commands, limit)
+func (r *roundTrip) begin(e *execution, setup []statement.Command, limit time.Time) (refused bool) {
+	response, err := r.conn.begin(r.backend, setup, limit)
+	e.recordSetup(err)
 	r.response, r.err = response, err
 	return err == nil && !response.Succeeded()
 }
 
-// begin rolls back an unused transaction, sends the commands and begins a transaction.
-func (c *pooledConn) begin(b *backend, commands []statement.Command, limit time.Time) (response statement.Response, err error) {
-	if c.txBegun {
-		commands = append([]statement.Command{hostCommand(statement.Rollback, model.Point{})}, commands...)
-		c.txBegun = false
-	}
-	setupCount := len(commands)
+// begin prepares the connection, which rolls back an unused transaction, and begins a transaction.
+func (c *pooledConn) begin(b *backend, setup []statement.Command, limit time.Time) (response statement.Response, err error) {
+	setup = c.discardBegun(setup)
 	sentAt := clock.Boot()
-	if err := c.Send(append(commands, hostCommand(statement.Begin, model.Point{}))); err != nil {
+	if err := c.Send(append(setup, hostCommand(statement.Begin, model.Point{}))); err != nil {
 		return response, err
 	}
-	if err := receiveSetup(c, setupCount, limit); err != nil {
+	if err := c.receiveSetup(setup, limit); err != nil {
 		return response, err
 	}
 	response, err = c.Receive(limit)
@@ -132,21 +128,57 @@
 	return response, err
 }
 
-// receiveSetup receives the responses to the setup commands of a session; it returns errSetup if the instance refused one of
-// them.
-func receiveSetup(c *pooledConn, count int, limit time.Time) (err error) {
-	for range count {
+// receiveSetup receives the responses to the commands that prepare the connection for a statement; it returns the first refusal
+// as a *setupError.
+func (c *pooledConn) receiveSetup(commands []statement.Command, limit time.Time) (err error) {
+	for _, command := range commands {
 		response, receiveErr := c.Receive(limit)
 		if receiveErr != nil {
 			return receiveErr
 		}
-		if !response.Succeeded() {
-			err = errSetup
+		if !response.Succeeded() && err == nil {
+			err = &setupError{verb: command.Verb, code: response.Code, state: response.State}
 		}
 	}
 	return err
 }
 
+// setupNames names the commands that prepare a connection, for the log.
+var setupNames = map[statement.Verb]string{
+	statement.Reset: "reset", statement.Set: "value", statement.Prepare: "prepared statement", statement.Rollback: "rollback",
+}
+
+// stateNames names the states of a connection, for the log.
+var stateNames = map[statement.State]string{statement.Idle: "idle", statement.Open: "open", statement.Failed: "failed"}
+
+// setupError is the error of a command that prepares a connection and that the instance refused.
+type setupError struct {
+	verb  statement.Verb
+	code  model.Code
+	state statement.State // of the connection afterwards
+}
+
+// Error describes the refusal.
+func (e *setupError) Error() string {
+	return fmt.Sprintf("the instance refused to prepare the connection: %s, %s", setupNames[e.verb], e.code)
+}
+
+// isSetupRefusal reports whether an instance refused to prepare a connection, which then is still usable.
+func isSetupRefusal(err error) bool {
+	var refused *setupError
+	return errors.As(err, &refused)
+}
+
+// recordSetup counts and logs the refusal of a command that prepares a connection, if the error is one.
+func (e *execution) recordSetup(err error) {
+	var refused *setupError
+	if !errors.As(err, &refused) {
+		return
+	}
+	e.session.host.counters.SetupRefused.Add(1)
+	event.SetupRefused(e.session.host.Logger, e.request.ID, e.policy.ID, e.instanceID(), setupNames[refused.verb], refused.code, stateNames[refused.state])
+}
+
 // observe updates the backend from a response; a successful one that only a primary gives proves that the instance was the primary.
 func (b *backend) observe(sent model.Instant, response *statement.Response, proves bool) {
 	b.noteResponse(time.Now())
@@ -183,6 +215,15 @@
 	return state == statement.Idle
 }
 
+// discardBegun puts the rollback of a transaction begun in advance before the commands.
+func (c *pooledConn) discardBegun(commands []statement.Command) []statement.Command {
+	if !c.txBegun {
+		return commands
+	}
+	c.txBegun = false
+	return append([]statement.Command{hostCommand(statement.Rollback, model.Point{})}, commands...)
+}
+
 // rollbackBegun rolls back a transaction begun in advance, so that commands run outside a transaction.
 func (c *pooledConn) rollbackBegun(limit time.Time) error {
 	if !c.txBegun {
--- a/internal/front/transaction.go
+++ b/internal/front/transaction.go
@@ -201,17 +201,16 @@
 func (e *execution) sendBegin(t target, conn *pooledConn) (response statement.Response, err error) {
 	commands, _ := conn.connectionState.Sync(e.session.state, e.request.Statement, nil)
 	if t.provesPrimary {
-		return conn.begin(t.backend, commands, e.deadline)
-	}
-	if conn.txBegun {
-		commands = append([]statement.Command{hostCommand(statement.Rollback, model.Point{})}, commands...)
-		conn.txBegun = false
+		response, err = conn.begin(t.backend, commands, e.deadline)
+		e.recordSetup(err)
+		return response, err
 	}
-	setupCount := len(commands)
+	commands = conn.discardBegun(commands)
 	if err := conn.Send(append(commands, hostCommand(statement.BeginRead, t.minPoint))); err != nil {
 		return response, err
 	}
-	if err := receiveSetup(conn, setupCount, e.deadline); err != nil {
+	if err := conn.receiveSetup(commands, e.deadline); err != nil {
+		e.recordSetup(err)
 		return response, err
 	}
 	response, err = conn.Receive(e.deadline)
@@ -248,14 +247,13 @@
 		if tx.readWrite && !tx.backend.enterPrimary(conn) {
 			return response, errReplaced
 		}
-		commands, adapted := conn.connectionState.Sync(e.session.state, e.request.Statement, nil)
-		setupCount := len(commands)
-		commands = append(commands, statement.Command{ID: e.request.ID, Statement: adapted})
+		setup, adapted := conn.connectionState.Sync(e.session.state, e.request.Statement, nil)
 		now, sent := time.Now(), clock.Boot()
 		tx.backend.requestSent(now)
 		var setupErr error
-		if err = conn.Send(commands); err == nil {
-			setupErr = receiveSetup(conn, setupCount, e.deadline)
+		if err = conn.Send(append(setup, statement.Command{ID: e.request.ID, Statement: adapted})); err == nil {
+			setupErr = conn.receiveSetup(setup, e.deadline)
+			e.recordSetup(setupErr)
 			response, err = conn.Receive(e.deadline)
 		}
 		tx.backend.requestDone()
