session: a connection holds only the values and prepared statements that the instance has acknowledged

Cause: ConnectionState.Sync noted values and names as held by the connection when it built the commands. Where the instance refused them, as in a transaction whose instance has lost the lead, and refused the statement too, the refusal of the setup was dropped and the connection went back into the pool as if it held them.

Change: Sync changes nothing by itself; Acknowledge applies each answer in turn. After a refusal, or with answers outstanding, the next Sync begins with a RESET, in the same packet. The same after NOSTMT (Distrust), so that the connection no longer has to be closed. A refused setup no longer counts as silence of the instance.

Why it works: there is no other place that writes what a connection holds, and it needs the instance's answer.

--- a/internal/front/autocommit.go
+++ b/internal/front/autocommit.go
@@ -106,7 +106,7 @@
 		return true, e.relayRefusal(&trip.response)
 	}
 	ran := trip.response.Code == model.CodeFailed || trip.response.Code == model.CodeTimeout
-	t.backend.scheduler.FinishStatement(permit, trip.drain() && trip.response.Code != model.CodeNoStatement, ran)
+	t.backend.scheduler.FinishStatement(permit, trip.drain(), ran)
 	return e.handleRefusal(ctx, t, &trip.response)
 }
 
--- a/internal/front/fleet_test.go
+++ b/internal/front/fleet_test.go
@@ -219,3 +219,25 @@
 	f.t.Cleanup(s.Close)
 	return s
 }
+
+// run sends requests on a session, and fails the test unless each succeeds.
+func (f *fleet) run(s *standin.Session, texts ...string) {
+	f.t.Helper()
+	for _, text := range texts {
+		if got, err := s.Query(text); err != nil || got.Code != "" {
+			f.t.Fatalf("%s: got %+v, %v, want success", text, got, err)
+		}
+	}
+}
+
+// demote demotes an instance behind the hosts' backs.
+func (f *fleet) demote(id string) {
+	f.t.Helper()
+	_, address := f.cloud.Instance(id)
+	s, err := standin.Dial(address, f.database.Name, "tester", waitLimit)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	defer s.Close()
+	f.run(s, "DEMOTE 2")
+}
--- a/internal/front/host_test.go
+++ b/internal/front/host_test.go
@@ -103,15 +103,7 @@
 			f.cloud.Publish("seats-0", address, "draining", 2)
 		}},
 		"it is demoted by a host that then disappears": {lose: func(f *fleet) {
-			_, address := f.cloud.Instance("seats-0")
-			s, err := standin.Dial(address, "seats", "tester", waitLimit)
-			if err != nil {
-				f.t.Fatal(err)
-			}
-			defer s.Close()
-			if got, err := s.Query("DEMOTE 2"); err != nil || got.Code != "" {
-				f.t.Fatalf("got %+v, %v, want a demotion", got, err)
-			}
+			f.demote("seats-0")
 		}},
 		"it crashes, and the response to the first order is lost": {lossy: true, lose: func(f *fleet) {
 			f.cloud.LoseOrderAnswers(1)
--- a/internal/front/roundtrip.go
+++ b/internal/front/roundtrip.go
@@ -23,7 +23,7 @@
 
 // noteError records a failed statement, unless it says nothing about the instance.
 func (b *backend) noteError(sent time.Time, err error) {
-	if !errors.Is(err, errReplaced) && !errors.Is(err, errLeaseEnded) {
+	if !errors.Is(err, errReplaced) && !errors.Is(err, errLeaseEnded) && !isSetupRefusal(err) {
 		b.noteFailure(sent)
 	}
 }
@@ -80,6 +80,7 @@
 		trip.err = setupErr
 		return trip
 	}
+	permit.Conn.noteDenied(&trip.response)
 	t.backend.observe(trip.sentAt, &trip.response, t.provesPrimary || e.access == model.Write)
 	if trip.response.Succeeded() && t.minPoint != (model.Point{}) {
 		t.backend.noteCaughtUp()
@@ -128,14 +129,17 @@
 	return response, err
 }
 
-// receiveSetup receives the responses to the commands that prepare the connection for a statement; it returns the first refusal
-// as a *setupError.
+// receiveSetup receives the responses to the commands that prepare the connection for a statement, and records what the instance
+// has acknowledged; it returns the first refusal as a *setupError.
 func (c *pooledConn) receiveSetup(commands []statement.Command, limit time.Time) (err error) {
 	for _, command := range commands {
 		response, receiveErr := c.Receive(limit)
 		if receiveErr != nil {
 			return receiveErr
 		}
+		if command.Verb != statement.Rollback {
+			c.connectionState.Acknowledge(command.Statement, response.Succeeded())
+		}
 		if !response.Succeeded() && err == nil {
 			err = &setupError{verb: command.Verb, code: response.Code, state: response.State}
 		}
@@ -215,6 +219,13 @@
 	return state == statement.Idle
 }
 
+// noteDenied notes that the instance denies having a prepared statement that it had acknowledged.
+func (c *pooledConn) noteDenied(response *statement.Response) {
+	if response.Code == model.CodeNoStatement {
+		c.connectionState.Distrust()
+	}
+}
+
 // discardBegun puts the rollback of a transaction begun in advance before the commands.
 func (c *pooledConn) discardBegun(commands []statement.Command) []statement.Command {
 	if !c.txBegun {
--- a/internal/front/transaction.go
+++ b/internal/front/transaction.go
@@ -266,6 +266,7 @@
 		if err != nil {
 			return response, err
 		}
+		conn.noteDenied(&response)
 		tx.backend.observe(sent, &response, tx.readWrite)
 		busy := response.Code == model.CodeOverloaded || response.Code == model.CodeSlotsFull
 		if !busy || response.State != statement.Open || !e.prepareRetry(ctx, string(response.Code), e.retryPause()) {
--- a/internal/session/connection.go
+++ b/internal/session/connection.go
@@ -13,10 +13,16 @@
 const maxConnectionPrepared = 512
 
 // ConnectionState tracks the session variables and prepared statements on a pooled connection to an instance.
+//
+// Only what the instance has acknowledged counts: each command that Sync returns is reported to Acknowledge once it has been
+// answered. After a refusal, or while answers are outstanding, what the connection holds is uncertain, and the next Sync
+// begins with a reset.
 type ConnectionState struct {
-	values      map[string]string             // session variables by name
-	prepared    map[statement.Prepared]string // names of the prepared statements
+	values      map[string]string             // acknowledged session variables by name
+	prepared    map[statement.Prepared]string // names of the acknowledged prepared statements
 	namesIssued int                           // number of names issued so far; a name is never reused
+	unanswered  int                           // commands that Sync returned and that have not been answered
+	uncertain   bool                          // the connection may hold something else
 }
 
 // NewConnectionState returns the state of a newly opened connection.
@@ -27,34 +33,54 @@
 // Sync appends the commands that give the connection exactly the session's variables and, for an Execute, its prepared
 // statement. It also returns the statement, for an Execute with the name under which the connection has it prepared.
 func (c *ConnectionState) Sync(session *Session, s statement.Statement, commands []statement.Command) ([]statement.Command, statement.Statement) {
-	if c.hasExtraValue(session) || len(c.prepared) >= maxConnectionPrepared {
+	before := len(commands)
+	reset := c.uncertain || c.unanswered > 0 || c.hasExtraValue(session) || len(c.prepared) >= maxConnectionPrepared
+	if reset {
 		commands = append(commands, hostCommand(statement.Statement{Verb: statement.Reset}))
-		clear(c.values)
-		clear(c.prepared)
 	}
 	for _, name := range slices.Sorted(maps.Keys(session.Values)) {
 		value := session.Values[name]
-		if held, found := c.values[name]; found && held == value {
+		if held, found := c.values[name]; found && held == value && !reset {
 			continue
 		}
-		c.values[name] = value
 		commands = append(commands, hostCommand(statement.Statement{Verb: statement.Set, Name: name, Value: value}))
 	}
-	if s.Verb != statement.Execute {
-		return commands, s
-	}
-	definition := session.Prepared[s.Name]
-	name, found := c.prepared[definition]
-	if !found {
-		c.namesIssued++
-		name = "p" + strconv.Itoa(c.namesIssued)
-		c.prepared[definition] = name
-		commands = append(commands, hostCommand(statement.Statement{Verb: statement.Prepare, Name: name, Prepared: definition}))
+	if s.Verb == statement.Execute {
+		definition := session.Prepared[s.Name]
+		name, found := c.prepared[definition]
+		if !found || reset {
+			c.namesIssued++
+			name = "p" + strconv.Itoa(c.namesIssued)
+			commands = append(commands, hostCommand(statement.Statement{Verb: statement.Prepare, Name: name, Prepared: definition}))
+		}
+		s.Name = name
 	}
-	s.Name = name
+	c.unanswered = len(commands) - before
 	return commands, s
 }
 
+// Acknowledge records the instance's answer to a command that Sync returned; the answers come in the order of the commands.
+func (c *ConnectionState) Acknowledge(s statement.Statement, succeeded bool) {
+	c.unanswered--
+	if !succeeded {
+		c.uncertain = true
+		return
+	}
+	switch s.Verb {
+	case statement.Reset:
+		clear(c.values)
+		clear(c.prepared)
+		c.uncertain = false
+	case statement.Set:
+		c.values[s.Name] = s.Value
+	case statement.Prepare:
+		c.prepared[s.Prepared] = s.Name
+	}
+}
+
+// Distrust makes the next Sync begin with a reset, as when the instance denies having a statement that it had acknowledged.
+func (c *ConnectionState) Distrust() { c.uncertain = true }
+
 // hasExtraValue reports whether the connection has a variable that the session has not set.
 func (c *ConnectionState) hasExtraValue(session *Session) bool {
 	for name := range c.values {
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -1,6 +1,7 @@
 package session
 
 import (
+	"slices"
 	"testing"
 
 	"redwingspread/internal/model"
@@ -122,7 +123,10 @@
 				if len(test.earlier.Prepared) > 0 {
 					s = execute
 				}
-				connection.Sync(test.earlier, s, nil)
+				commands, _ := connection.Sync(test.earlier, s, nil)
+				for _, command := range commands {
+					connection.Acknowledge(command.Statement, true)
+				}
 			}
 			commands, rewritten := connection.Sync(test.session, test.s, nil)
 			if len(commands) != len(test.want) {
@@ -139,3 +143,54 @@
 		})
 	}
 }
+
+// TestConnectionStateAfterRefusal guards against a connection that counts values or prepared statements as held by the instance
+// although the instance has refused them, or has not answered.
+func TestConnectionStateAfterRefusal(t *testing.T) {
+	definition := statement.Prepared{Access: model.Read, Text: "q"}
+	north := &Session{Values: map[string]string{"tenant": "north"}}
+	south := &Session{Values: map[string]string{"tenant": "south"}}
+	prepared := &Session{Values: map[string]string{"tenant": "north"}, Prepared: map[string]statement.Prepared{"s": definition}}
+	tests := map[string]struct {
+		s       *Session
+		answers []bool // to the commands of the session, in turn; commands without one are not answered
+		next    *Session
+		last    statement.Statement // of the next session
+		want    []statement.Verb
+	}{
+		"a value is acknowledged":                   {s: south, answers: []bool{true}, next: south, last: read},
+		"a value is refused":                        {s: south, answers: []bool{false}, next: south, last: read, want: []statement.Verb{statement.Reset, statement.Set}},
+		"a value is refused, the old one is wanted": {s: south, answers: []bool{false}, next: north, last: read, want: []statement.Verb{statement.Reset, statement.Set}},
+		"a value is not answered":                   {s: south, next: south, last: read, want: []statement.Verb{statement.Reset, statement.Set}},
+		"a reset is refused, and the value after it": {s: &Session{Values: map[string]string{"language": "kk"}}, answers: []bool{false, false}, next: north, last: read,
+			want: []statement.Verb{statement.Reset, statement.Set}},
+		"a reset is acknowledged, the value after it refused": {s: &Session{Values: map[string]string{"language": "kk"}}, answers: []bool{true, false}, next: &Session{}, last: read,
+			want: []statement.Verb{statement.Reset}},
+		"a prepared statement is acknowledged": {s: prepared, answers: []bool{true}, next: prepared, last: execute},
+		"a prepared statement is refused":      {s: prepared, answers: []bool{false}, next: prepared, last: execute, want: []statement.Verb{statement.Reset, statement.Set, statement.Prepare}},
+		"a prepared statement is not answered": {s: prepared, next: prepared, last: execute, want: []statement.Verb{statement.Reset, statement.Set, statement.Prepare}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			connection := NewConnectionState()
+			sync := func(s *Session, last statement.Statement, answers []bool) (got []statement.Verb) {
+				commands, _ := connection.Sync(s, last, nil)
+				for i, command := range commands {
+					if i < len(answers) {
+						connection.Acknowledge(command.Statement, answers[i])
+					}
+					got = append(got, command.Verb)
+				}
+				return got
+			}
+			sync(north, read, []bool{true})
+			sync(test.s, test.last, test.answers)
+			if got := sync(test.next, test.last, []bool{true, true, true}); !slices.Equal(got, test.want) {
+				t.Errorf("got commands %v, want %v", got, test.want)
+			}
+			if got := sync(test.next, test.last, nil); len(got) > 0 {
+				t.Errorf("got commands %v once all are acknowledged, want none", got)
+			}
+		})
+	}
+}
