front: an answer behind a lost one is not taken for the statement's

What callers could see: a refusal that belongs to a session's value, or to another command, in place of the answer to their own statement; the connection, still one answer behind, went back into the pool after the rollback and shifted the answers of the next session by one.

Cause: sendInTransaction went on receiving after an error of the setup's answers, and dropped that error where the statement's supposed answer was a refusal. The setup's answer may arrive just after the deadline.

Change: one function, exchange, sends a batch and receives its answers for statements in and outside transactions; it ends with the first error of receiving.

--- a/internal/front/roundtrip.go
+++ b/internal/front/roundtrip.go
@@ -59,28 +59,14 @@
 	} else {
 		commands = permit.Conn.discardBegun(commands)
 	}
-	setup := commands
-	commands = append(commands, statement.Command{ID: e.request.ID, MinPoint: t.minPoint, Statement: adapted})
-	commands = append(commands, trip.followUp(t)...)
 	trip.sent, trip.sentAt = true, clock.Boot()
-	if trip.err = permit.Conn.Send(commands); trip.err != nil {
-		return trip
-	}
-	setupErr := permit.Conn.receiveSetup(setup, limit)
-	e.recordSetup(setupErr)
-	if setupErr != nil && !isSetupRefusal(setupErr) {
-		trip.err = setupErr
-		return trip
-	}
-	trip.response, trip.err = permit.Conn.Receive(limit)
+	own := statement.Command{ID: e.request.ID, MinPoint: t.minPoint, Statement: adapted}
+	var refused error
+	trip.response, refused, trip.err = permit.Conn.exchange(commands, own, trip.followUp(t), limit)
+	e.recordSetup(refused)
 	if trip.err != nil {
 		return trip
 	}
-	if setupErr != nil && trip.response.Succeeded() {
-		trip.err = setupErr
-		return trip
-	}
-	permit.Conn.noteDenied(&trip.response)
 	t.backend.observe(trip.sentAt, &trip.response, t.provesPrimary || e.access == model.Write)
 	if trip.response.Succeeded() && t.minPoint != (model.Point{}) {
 		t.backend.noteCaughtUp()
@@ -129,6 +115,29 @@
 	return response, err
 }
 
+// exchange sends the commands that prepare the connection, a statement and the commands after it as one batch, and receives the
+// response to the statement and the refusal of its preparation, if there was one.
+//
+// After an error no further response is received: it could be that of another command. A statement that succeeded although its
+// preparation was refused ran on a connection that was not the session's, which is an error too.
+func (c *pooledConn) exchange(setup []statement.Command, own statement.Command, after []statement.Command, limit time.Time) (response statement.Response, refused, err error) {
+	if err = c.Send(append(append(setup[:len(setup):len(setup)], own), after...)); err != nil {
+		return response, nil, err
+	}
+	if err = c.receiveSetup(setup, limit); err != nil && !isSetupRefusal(err) {
+		return response, nil, err
+	}
+	refused = err
+	if response, err = c.Receive(limit); err != nil {
+		return response, refused, err
+	}
+	if refused != nil && response.Succeeded() {
+		return response, refused, refused
+	}
+	c.noteDenied(&response)
+	return response, refused, nil
+}
+
 // receiveSetup receives the responses to the commands that prepare the connection for a statement, and records what the instance
 // has acknowledged; it returns the first refusal as a *setupError.
 func (c *pooledConn) receiveSetup(commands []statement.Command, limit time.Time) (err error) {
--- a/internal/front/transaction.go
+++ b/internal/front/transaction.go
@@ -250,23 +250,16 @@
 		setup, adapted := conn.connectionState.Sync(e.session.state, e.request.Statement, nil)
 		now, sent := time.Now(), clock.Boot()
 		tx.backend.requestSent(now)
-		var setupErr error
-		if err = conn.Send(append(setup, statement.Command{ID: e.request.ID, Statement: adapted})); err == nil {
-			setupErr = conn.receiveSetup(setup, e.deadline)
-			e.recordSetup(setupErr)
-			response, err = conn.Receive(e.deadline)
-		}
+		var refused error
+		response, refused, err = conn.exchange(setup, statement.Command{ID: e.request.ID, Statement: adapted}, nil, e.deadline)
+		e.recordSetup(refused)
 		tx.backend.requestDone()
 		if tx.readWrite {
 			err = tx.backend.leavePrimary(conn, err)
 		}
-		if setupErr != nil && (err != nil || response.Succeeded()) {
-			err = setupErr
-		}
 		if err != nil {
 			return response, err
 		}
-		conn.noteDenied(&response)
 		tx.backend.observe(sent, &response, tx.readWrite)
 		busy := response.Code == model.CodeOverloaded || response.Code == model.CodeSlotsFull
 		if !busy || response.State != statement.Open || !e.prepareRetry(ctx, string(response.Code), e.retryPause()) {
