front: the log tells what each replica had received when the next primary was chosen

Event 6008 names only the chosen instance and its point. Hypotheses that it can't tell apart: (1) the replica that holds more was heard and passed over; (2) it did not answer STATUS in time; (3) its entry was missing, so that it was not asked.

Change: event 6026 (ReplicasCompared) with the received point of each replica, which are leaving and which did not respond; a lost status names its instance. No change of behaviour.

--- a/internal/event/events_gen.go
+++ b/internal/event/events_gen.go
@@ -63,6 +63,7 @@
 	NumberStopStage                Number = 6023
 	NumberCloseFailed              Number = 6024
 	NumberSetupRefused             Number = 6025
+	NumberReplicasCompared         Number = 6026
 )
 
 // Keeps the import of package model when no event uses it.
@@ -590,3 +591,14 @@
 		"state":    state,
 	}).Warn("an instance refused to prepare a connection for a session")
 }
+
+// ReplicasCompared logs event 6026: the replicas were compared to choose the next primary.
+func ReplicasCompared(logger log.Interface, database model.DatabaseID, instance model.InstanceID, received string, unheard string) {
+	logger.WithFields(log.Fields{
+		"event":    NumberReplicasCompared,
+		"database": database,
+		"instance": instance,
+		"received": received,
+		"unheard":  unheard,
+	}).Info("the replicas were compared to choose the next primary")
+}
--- a/internal/failover/monitor.go
+++ b/internal/failover/monitor.go
@@ -383,6 +383,12 @@
 	Leaving        bool
 }
 
+// Survey is what the replicas of a database say before one is promoted.
+type Survey struct {
+	Candidates []Candidate
+	Unheard    []model.InstanceID // replicas that did not respond
+}
+
 // Successor returns the best candidate: one that is not leaving, with the newest received point, near the previous primary.
 //
 // Points are received, not applied ones, since a promoted replica serves everything that it has received. Among equal points it
--- a/internal/front/promote.go
+++ b/internal/front/promote.go
@@ -5,6 +5,8 @@
 	"crypto/rand"
 	"errors"
 	"fmt"
+	"slices"
+	"strings"
 	"time"
 
 	"redwingspread/internal/clock"
@@ -130,9 +132,11 @@
 // While all of them are far behind the primary, it waits for the primary or a better replica to come back.
 func (h *Host) chooseSuccessor(ctx context.Context, c controller.ChangePrimary) (failover.Candidate, error) {
 	for {
-		best, found := failover.Successor(h.replicaStatuses(ctx, c))
+		survey := h.replicaStatuses(ctx, c)
+		best, found := failover.Successor(survey.Candidates)
 		mayWait := time.Since(c.Since) < failover.DefaultTiming().ReturnGrace && !c.Demote
 		if found && (!mayWait || !h.isFarBehind(c.Database, best.Received)) {
+			h.logSurvey(c.Database, best.Instance, survey)
 			return best, nil
 		}
 		if !mayWait {
@@ -159,14 +163,15 @@
 }
 
 // replicaStatuses requests the status of all replicas concurrently.
-func (h *Host) replicaStatuses(ctx context.Context, c controller.ChangePrimary) (candidates []failover.Candidate) {
+func (h *Host) replicaStatuses(ctx context.Context, c controller.ChangePrimary) (survey failover.Survey) {
 	statuses := make(chan failover.Candidate, len(c.Replicas))
-	failed := make(chan error, len(c.Replicas))
+	failed := make(chan model.InstanceID, len(c.Replicas))
 	for _, replica := range c.Replicas {
 		go func() {
 			status, err := h.requestStatus(ctx, replica.ID, statement.Command{Statement: statement.Statement{Verb: statement.Status}})
 			if err != nil {
-				failed <- err
+				event.DependencyLost(h.Logger, "status of "+string(replica.ID), err)
+				failed <- replica.ID
 				return
 			}
 			statuses <- failover.Candidate{
@@ -181,12 +186,30 @@
 	for range c.Replicas {
 		select {
 		case candidate := <-statuses:
-			candidates = append(candidates, candidate)
-		case err := <-failed:
-			event.DependencyLost(h.Logger, "replica status", err)
+			survey.Candidates = append(survey.Candidates, candidate)
+		case id := <-failed:
+			survey.Unheard = append(survey.Unheard, id)
 		}
 	}
-	return candidates
+	return survey
+}
+
+// logSurvey logs what each replica had received and which one was chosen.
+func (h *Host) logSurvey(database model.DatabaseID, chosen model.InstanceID, survey failover.Survey) {
+	var received, unheard []string
+	for _, candidate := range survey.Candidates {
+		text := string(candidate.Instance) + " " + formatPoint(candidate.Received)
+		if candidate.Leaving {
+			text += " leaving"
+		}
+		received = append(received, text)
+	}
+	for _, id := range survey.Unheard {
+		unheard = append(unheard, string(id))
+	}
+	slices.Sort(received)
+	slices.Sort(unheard)
+	event.ReplicasCompared(h.Logger, database, chosen, strings.Join(received, ", "), strings.Join(unheard, ", "))
 }
 
 // requestStatus sends a status or demote command and returns the instance status.
@@ -278,7 +301,7 @@
 	if row.Nonce != claimed.Nonce {
 		return claimed, best, errPrimaryChanged
 	}
-	newest, found := failover.Successor(h.replicaStatuses(ctx, c))
+	newest, found := failover.Successor(h.replicaStatuses(ctx, c).Candidates)
 	if !found || newest.Instance == best.Instance || newest.Received.Compare(best.Received) <= 0 {
 		return row, best, nil
 	}
