failover: a promotion keeps every acknowledged commit that some replica holds

Cause: Successor compared 'not leaving' before the received point, and nothing read SyncReplicas. Ruled out: a replica that did not answer or had no entry; both lose commits in the same way, though, and are mended with it.

Change: the received point comes first, in each database; among equals one that stays, then the ordered instance. With SyncReplicas the order waits until each replica in the directory has responded, or the former primary is a candidate. Instances whose entries have disappeared are asked too, and a demoted primary that responds is a candidate. After a demotion the replica that has caught up is promoted, or the primary itself, instead of one that lacks commits; with SyncReplicas a demotion without an answer ends the change. A promotion row that could not be written is no longer reported as the newest.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -304,27 +304,28 @@
 	change := ChangePrimary{
 		Database:  database,
 		Primary:   d.Instances[observation.Instance],
+		Sync:      d.Databases[database].SyncCommit,
 		Demote:    verdict == failover.Switchover,
 		Promotion: c.promotions[database],
 		Since:     observation.Since,
 		Reason:    reason,
 		Release:   c.releaseTime(),
 	}
+	responds := verdict == failover.Failover && c.respondsAsReplica(observation.Instance)
+	change.Demoted = responds && c.health[observation.Instance].LastProof.After(monitor.PromotedAt())
 	for _, member := range members {
-		lost := member.Instance == observation.Instance && !c.respondsAsReplica(verdict, database, observation)
-		if !lost && !c.directory.Missing(member.Instance) {
+		if member.Instance != observation.Instance || responds {
 			change.Replicas = append(change.Replicas, d.Instances[member.Instance])
 		}
 	}
 	return change
 }
 
-// respondsAsReplica reports whether the primary to replace says that it is a replica, as one does whose promotion got no answer and
-// did not happen yet. A platform that checks no token may still carry the order out, so the instance stays a candidate.
-func (c *Controller) respondsAsReplica(verdict failover.Decision, database model.DatabaseID, observation failover.Observation) bool {
-	health := c.health[observation.Instance]
-	return c.Unfenced && verdict == failover.Failover && c.promotions[database].Instance == observation.Instance &&
-		health.SilentSince.IsZero() && health.LastRefusal.After(health.LastProof)
+// respondsAsReplica reports whether the primary to replace says that it is a replica. One that was demoted holds every commit, and
+// one whose promotion got no answer may still be promoted by that order, so the instance stays a candidate.
+func (c *Controller) respondsAsReplica(primary model.InstanceID) bool {
+	health := c.health[primary]
+	return health.SilentSince.IsZero() && health.LastRefusal.After(health.LastProof)
 }
 
 // finishChange processes the result of a ChangePrimary.
--- a/internal/controller/event.go
+++ b/internal/controller/event.go
@@ -166,7 +166,9 @@
 type ChangePrimary struct {
 	Database  model.DatabaseID
 	Primary   directory.Instance   // the current or lost primary
-	Replicas  []directory.Instance // instances that may be promoted
+	Replicas  []directory.Instance // the other instances, and the primary if it says that it is a replica
+	Demoted   bool                 // the primary led, and says by now that it is a replica
+	Sync      bool                 // a commit is acknowledged once a replica has received it, and must not be lost then
 	Demote    bool                 // the primary is reachable and is demoted first, so that no commit is lost
 	Promotion Promotion            // newest known row
 	Since     time.Time            // first failure of a silent primary, or last proof of a leading one
--- a/internal/failover/monitor.go
+++ b/internal/failover/monitor.go
@@ -381,6 +381,7 @@
 	Ordered        bool // whether the newest promotion names it; an order without an answer may still be carried out
 	SameDataCentre bool // whether it is in the data centre of the previous primary
 	Leaving        bool
+	Former         bool // whether it is the primary to replace, which led and says by now that it is a replica
 }
 
 // Survey is what the replicas of a database say before one is promoted.
@@ -389,17 +390,26 @@
 	Unheard    []model.InstanceID // replicas that did not respond
 }
 
-// Successor returns the best candidate: one that is not leaving, with the newest received point, near the previous primary.
+// HoldsAcknowledged reports whether the candidate with the newest received point is known to hold every acknowledged commit of a
+// database that acknowledges a commit once one replica has received it: each of the replicas may be that one, so all of them must
+// be heard, unless the former primary is a candidate itself.
+func (s Survey) HoldsAcknowledged() bool {
+	return len(s.Unheard) == 0 || slices.ContainsFunc(s.Candidates, func(c Candidate) bool { return c.Former })
+}
+
+// Successor returns the best candidate: the one with the newest received point, since the commits that it lacks are lost.
 //
-// Points are received, not applied ones, since a promoted replica serves everything that it has received. Among equal points it
-// stays with the ordered instance: if another one were promoted, a late order would take the lead from it.
+// Points are received, not applied ones, since a promoted replica serves everything that it has received. Among equal points, one
+// that stays is better than one that has to be replaced again soon, and the ordered instance better than another: if another one
+// were promoted, a late order would take the lead from it.
 func Successor(candidates []Candidate) (Candidate, bool) {
 	var best Candidate
 	found := false
 	for _, candidate := range candidates {
 		better := cmp.Or(
-			compareBool(!candidate.Leaving, !best.Leaving),
 			candidate.Received.Compare(best.Received),
+			compareBool(!candidate.Former, !best.Former),
+			compareBool(!candidate.Leaving, !best.Leaving),
 			compareBool(candidate.Ordered, best.Ordered),
 			compareBool(candidate.SameDataCentre, best.SameDataCentre),
 			cmp.Compare(best.Instance, candidate.Instance),
--- a/internal/front/fleet_test.go
+++ b/internal/front/fleet_test.go
@@ -241,3 +241,15 @@
 	defer s.Close()
 	f.run(s, "DEMOTE 2")
 }
+
+// crash makes an instance crash.
+func (f *fleet) crash(id string) {
+	instance, _ := f.cloud.Instance(id)
+	instance.SetDown(true)
+}
+
+// revive brings a crashed instance back with its log.
+func (f *fleet) revive(id string) {
+	instance, _ := f.cloud.Instance(id)
+	instance.SetDown(false)
+}
--- a/internal/front/promote.go
+++ b/internal/front/promote.go
@@ -21,7 +21,7 @@
 	replaceTimeout  = 5 * time.Second        // from reading the promotion row to the accepted order, without the wait for other hosts
 	minorityWait    = 7 * time.Second        // longest wait for hosts that learn of the change from the store only
 	statusTimeout   = 300 * time.Millisecond // per status request to an instance
-	catchUpTimeout  = 500 * time.Millisecond // for a replica to receive the rest of a demoted primary's log
+	catchUpTimeout  = 500 * time.Millisecond // for the chosen replica to receive the rest of a demoted primary's log, and then for any replica
 	catchUpInterval = 15 * time.Millisecond  // between two status requests to that replica
 	claimAttempts   = 3                      // writes of the promotion row, each checked by reading it
 	orderAttempts   = 4                      // per promotion, all with the same token, which makes repeating safe
@@ -34,6 +34,8 @@
 	errPrimaryChanged = errors.New("another host has replaced the primary")
 	errNoReplica      = errors.New("no replica responds")
 	errPrimaryBack    = errors.New("the primary responds again")
+	errMayLose        = errors.New("a replica that may be the only one to hold acknowledged commits does not respond")
+	errNotDemoted     = errors.New("the primary was not demoted and may acknowledge more commits")
 )
 
 // replacePrimary promotes another instance to primary and returns the promotion row as it stands afterwards.
@@ -68,7 +70,14 @@
 		return result
 	}
 	result.Promotion = &claimed
-	demoted := c.Demote && h.demotePrimary(callCtx, c, best.Instance)
+	demoted := false
+	if c.Demote {
+		if claimed, best, demoted, err = h.demoteAndCatchUp(callCtx, c, claimed, best); err != nil {
+			result.Err = err
+			return result
+		}
+		result.Promotion, result.Instance = &claimed, best.Instance
+	}
 	if c.Release > 0 {
 		if claimed, best, err = h.releasePrimary(callCtx, c, claimed, best, demoted); err != nil {
 			result.Err = err
@@ -129,17 +138,29 @@
 
 // chooseSuccessor requests the status of the replicas and returns the one to promote.
 //
-// While all of them are far behind the primary, it waits for the primary or a better replica to come back.
+// While all of them are far behind the primary, it waits for the primary or a better replica to come back. Where acknowledged
+// commits must not be lost, it waits for each replica in the directory, and gives up after a while so that the primary's state is
+// assessed anew.
 func (h *Host) chooseSuccessor(ctx context.Context, c controller.ChangePrimary) (failover.Candidate, error) {
+	started := time.Now()
 	for {
 		survey := h.replicaStatuses(ctx, c)
 		best, found := failover.Successor(survey.Candidates)
+		mayLose := c.Sync && !survey.HoldsAcknowledged()
 		mayWait := time.Since(c.Since) < failover.DefaultTiming().ReturnGrace && !c.Demote
-		if found && (!mayWait || !h.isFarBehind(c.Database, best.Received)) {
+		if found && !mayLose && (!mayWait || !h.isFarBehind(c.Database, best.Received)) {
 			h.logSurvey(c.Database, best.Instance, survey)
 			return best, nil
 		}
-		if !mayWait {
+		if mayLose {
+			mayWait = time.Since(started) < failover.DefaultTiming().ReturnGrace
+		}
+		switch {
+		case mayWait:
+		case found && mayLose:
+			h.logSurvey(c.Database, "", survey)
+			return best, errMayLose
+		default:
 			return best, errNoReplica
 		}
 		if b := h.backend(c.Primary.ID); b != nil && b.probe(ctx, h.view().Directory.Version) == nil && b.isPrimary() {
@@ -166,6 +187,7 @@
 func (h *Host) replicaStatuses(ctx context.Context, c controller.ChangePrimary) (survey failover.Survey) {
 	statuses := make(chan failover.Candidate, len(c.Replicas))
 	failed := make(chan model.InstanceID, len(c.Replicas))
+	directory := h.view().Directory
 	for _, replica := range c.Replicas {
 		go func() {
 			status, err := h.requestStatus(ctx, replica.ID, statement.Command{Statement: statement.Statement{Verb: statement.Status}})
@@ -174,12 +196,18 @@
 				failed <- replica.ID
 				return
 			}
+			former := c.Demoted && replica.ID == c.Primary.ID
+			if replica.ID == c.Primary.ID && status.Role != model.RoleReplica {
+				failed <- replica.ID
+				return
+			}
 			statuses <- failover.Candidate{
 				Instance:       replica.ID,
 				Received:       status.Received,
 				Ordered:        replica.ID == c.Promotion.Instance,
 				SameDataCentre: replica.DataCentre == c.Primary.DataCentre,
-				Leaving:        replica.Leaving,
+				Leaving:        replica.Leaving || directory.Missing[replica.ID],
+				Former:         former,
 			}
 		}()
 	}
@@ -188,6 +216,9 @@
 		case candidate := <-statuses:
 			survey.Candidates = append(survey.Candidates, candidate)
 		case id := <-failed:
+			if id == c.Primary.ID {
+				continue // what it acknowledged, replicas hold
+			}
 			survey.Unheard = append(survey.Unheard, id)
 		}
 	}
@@ -230,32 +261,70 @@
 	return status, err
 }
 
-// demotePrimary demotes the primary, so that it acknowledges no more commits, and waits for the successor to receive its whole log.
+// demoteAndCatchUp demotes the primary, so that it acknowledges no more commits, and waits until a replica has received its whole
+// log; the promotion then names that replica, or the primary itself if none has received it in time.
 //
-// If the primary can't be reached or the replica does not catch up in time, the replacement goes ahead: the promotion itself
-// then stops the primary, or the hosts stop using it. It reports whether the primary was demoted.
-func (h *Host) demotePrimary(ctx context.Context, c controller.ChangePrimary, successor model.InstanceID) (demoted bool) {
-	statusCommand := statement.Command{Statement: statement.Statement{Verb: statement.Status}}
-	before, err := h.requestStatus(ctx, c.Primary.ID, statusCommand)
-	if err != nil {
-		event.DependencyLost(h.Logger, "primary status", err)
-		return false
+// If the primary can't be reached, the replacement goes ahead, since the promotion itself then stops the primary or the hosts stop
+// using it; not so where no acknowledged commit may be lost. It reports whether the primary was demoted.
+func (h *Host) demoteAndCatchUp(ctx context.Context, c controller.ChangePrimary, claimed controller.Promotion, best failover.Candidate) (controller.Promotion, failover.Candidate, bool, error) {
+	last, err := h.demotePrimary(ctx, c)
+	switch {
+	case err != nil && c.Sync:
+		return claimed, best, false, errors.Join(errNotDemoted, err)
+	case err != nil:
+		event.DependencyLost(h.Logger, "primary demotion", err)
+		return claimed, best, false, nil
 	}
-	after, err := h.requestStatus(ctx, c.Primary.ID, statement.Command{Term: before.Term + 1, Statement: statement.Statement{Verb: statement.Demote}})
+	if h.catchesUp(ctx, best.Instance, last) {
+		return claimed, best, true, nil
+	}
+	c.Replicas, c.Demoted = append(slices.Clone(c.Replicas), c.Primary), true
+	newest, survey := best, failover.Survey{}
+	for limit := time.Now().Add(catchUpTimeout); newest.Received.Compare(last) < 0; {
+		survey = h.replicaStatuses(ctx, c)
+		if candidate, found := failover.Successor(survey.Candidates); found {
+			newest = candidate
+		}
+		if time.Now().After(limit) || clock.Pause(ctx, catchUpInterval) != nil {
+			break
+		}
+	}
+	h.logSurvey(c.Database, newest.Instance, survey)
+	switch {
+	case c.Sync && newest.Received.Compare(last) < 0:
+		return claimed, best, true, errMayLose
+	case newest.Instance == best.Instance:
+		return claimed, best, true, nil
+	}
+	next, err := h.claimPromotion(ctx, claimed, newest.Instance)
 	if err != nil {
-		event.DependencyLost(h.Logger, "primary demotion", err)
-		return false
+		return claimed, best, true, err
 	}
+	return next, newest, true, nil
+}
+
+// catchesUp waits until a replica has received the log up to a point, and reports whether it has in time.
+func (h *Host) catchesUp(ctx context.Context, replica model.InstanceID, last model.Point) bool {
 	for limit := time.Now().Add(catchUpTimeout); time.Now().Before(limit); {
-		status, err := h.requestStatus(ctx, successor, statusCommand)
-		if err == nil && status.Received.Compare(after.Received) >= 0 {
+		status, err := h.requestStatus(ctx, replica, statement.Command{Statement: statement.Statement{Verb: statement.Status}})
+		if err == nil && status.Received.Compare(last) >= 0 {
 			return true
 		}
 		if clock.Pause(ctx, catchUpInterval) != nil {
-			return true
+			return false
 		}
 	}
-	return true
+	return false
+}
+
+// demotePrimary demotes the primary and returns the end of its log.
+func (h *Host) demotePrimary(ctx context.Context, c controller.ChangePrimary) (model.Point, error) {
+	before, err := h.requestStatus(ctx, c.Primary.ID, statement.Command{Statement: statement.Statement{Verb: statement.Status}})
+	if err != nil {
+		return model.Point{}, err
+	}
+	after, err := h.requestStatus(ctx, c.Primary.ID, statement.Command{Term: before.Term + 1, Statement: statement.Statement{Verb: statement.Demote}})
+	return after.Received, err
 }
 
 // readHosts reads the hosts' rows, or returns none.
@@ -305,10 +374,11 @@
 	if !found || newest.Instance == best.Instance || newest.Received.Compare(best.Received) <= 0 {
 		return row, best, nil
 	}
-	if claimed, err = h.claimPromotion(ctx, row, newest.Instance); err != nil {
-		return claimed, best, err
+	next, err := h.claimPromotion(ctx, row, newest.Instance)
+	if err != nil {
+		return row, best, err
 	}
-	return claimed, newest, h.Loop.Send(ctx, controller.PromotionClaimed{Promotion: claimed})
+	return next, newest, h.Loop.Send(ctx, controller.PromotionClaimed{Promotion: next})
 }
 
 // orderPromotion orders the promotion; without a response it repeats the order with the same token.
