front: a metric tells how old each table of the store is on a host

Hypotheses: (1) the poll that waits for the change was dropped by the store and is waited for; (2) the connections to the store are dead; (3) the change arrives and is not applied; (4) hosts wait for each other. No metric told them apart: a poll that waits looks the same.

Change: table_age_milliseconds{table}, since the store last answered a call for the table. No change of behaviour.

--- a/internal/front/counters.go
+++ b/internal/front/counters.go
@@ -4,6 +4,7 @@
 	"expvar"
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -30,17 +31,29 @@
 
 	refusals  expvar.Map // by code
 	mutex     sync.Mutex
+	answered  map[string]time.Time // when the store last answered a call for a table
 	latencies map[model.KindID]*hdrhistogram.Histogram
 }
 
 // newCounters returns counters at zero.
 func newCounters() *counters {
-	return &counters{latencies: make(map[model.KindID]*hdrhistogram.Histogram), DroppedLines: func() uint64 { return 0 }}
+	return &counters{
+		latencies:    make(map[model.KindID]*hdrhistogram.Histogram),
+		answered:     make(map[string]time.Time),
+		DroppedLines: func() uint64 { return 0 },
+	}
 }
 
 // countRefusal counts a refusal.
 func (c *counters) countRefusal(code model.Code) { c.refusals.Add(string(code), 1) }
 
+// noteAnswer records that the store answered a call for a table.
+func (c *counters) noteAnswer(table string) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.answered[table] = time.Now()
+}
+
 // observeLatency records a successful statement and its latency.
 func (c *counters) observeLatency(kind model.KindID, took time.Duration) {
 	c.mutex.Lock()
@@ -72,6 +85,9 @@
 	c.refusals.Do(func(kv expvar.KeyValue) { line("refusals{code=%q} %s", kv.Key, kv.Value.String()) })
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	for _, table := range slices.Sorted(maps.Keys(c.answered)) {
+		line("table_age_milliseconds{table=%q} %d", table, time.Since(c.answered[table]).Milliseconds())
+	}
 	var kinds []model.KindID
 	for kind := range c.latencies {
 		kinds = append(kinds, kind)
--- a/internal/front/follow.go
+++ b/internal/front/follow.go
@@ -229,6 +229,7 @@
 			}
 			_ = clock.Pause(ctx, backoff.Next(pace.failurePause)) // the loop condition checks for the end of the context
 		default:
+			h.counters.noteAnswer(t.name)
 			if !lostSince.IsZero() {
 				event.DependencyRegained(h.Logger, "store: "+t.name, model.Millis(time.Since(lostSince)))
 				lostSince = time.Time{}
