front: a poll of the store is given up within the time in which a change must be in force

Cause: the store drops calls while it is silent. A dropped poll looks like one that it holds, and each was given 12 s, four times ConfigApplyMs; after a change all hosts poll at the same moment, so that none could tell the others.

Ruled out with it: dead connections, a change that is not applied, hosts that wait for each other.

Change: the setting apply-limit (ConfigApplyMs in the template, 3 s by default). A poll without a response is given up after two thirds of it, one of the instances after two thirds of half of leave-limit, one of the hosts' rows where nothing fences primaries after two thirds of the longest wait for it. The slack for the response follows the store's own pace. Why it works: whatever is dropped, when and for whom, a host asks anew while there is time left.

--- a/internal/front/fleet_test.go
+++ b/internal/front/fleet_test.go
@@ -102,6 +102,7 @@
 		MetricsAddress: string(addresses[3]),
 		StopLimit:      4 * time.Second,
 		LeaveLimit:     7 * time.Second,
+		ApplyLimit:     3 * time.Second,
 		SessionLimit:   64,
 		Fencing:        f.fencing,
 	}
--- a/internal/front/follow.go
+++ b/internal/front/follow.go
@@ -15,14 +15,16 @@
 )
 
 const (
-	// longPollWait is how long the store may hold a long poll: it keeps the number of calls low, and the keep-alive detects a
-	// connection that went silent meanwhile.
-	longPollWait = 10 * time.Second
+	// longPollLimit is the time after which a poll without an answer is given up where nobody waits for the changes of the table.
+	longPollLimit = 12 * time.Second
+	// leastPollLimit is the least such time.
+	leastPollLimit = time.Second
 	// seldomPause is the least time between two polls after a failure where other hosts, which reach the store first once it is
 	// back, poll it more often; a third of the time within which a configuration must be in force.
 	seldomPause = 2 * time.Second
-	// longPollSlack is how much longer than the wait a response may take.
-	longPollSlack = 2 * time.Second
+	// leastSlack and mostSlack are how much longer than the store may hold a poll its response may take: twice what the latest one took.
+	leastSlack = 300 * time.Millisecond
+	mostSlack  = 2 * time.Second
 	// pollInterval is the minimum time between two polls of a table, so that a burst of changes costs few calls.
 	pollInterval = 400 * time.Millisecond
 	// instanceSpread is the factor on pollInterval up to which instances that keep changing are polled more rarely, as while a
@@ -54,7 +56,7 @@
 
 // pollPace is how a host polls a table.
 type pollPace struct {
-	wait         time.Duration // for which the store may hold a poll
+	limit        time.Duration // after which a poll without a response is given up
 	failurePause time.Duration // least pause after a failure
 	idle         bool          // the host learns of changes from other hosts
 }
@@ -63,10 +65,12 @@
 func (h *Host) followAll(ctx context.Context, done chan<- error) {
 	ended := make(chan error, 4)
 	go follow(ctx, h, table[controller.DirectoryUpdate]{
-		name: "configuration", interval: pollInterval, spread: 1, read: h.Platform.Configuration, apply: h.sendUpdate, pace: h.pollPace,
+		name: "configuration", interval: pollInterval, spread: 1, read: h.Platform.Configuration, apply: h.sendUpdate,
+		pace: func() pollPace { return h.pollPace(pollLimit(h.Settings.ApplyLimit)) },
 	}, ended)
 	go follow(ctx, h, table[controller.DirectoryUpdate]{
-		name: "instances", interval: pollInterval, spread: instanceSpread, read: h.Platform.Instances, apply: h.sendUpdate, pace: h.pollPace,
+		name: "instances", interval: pollInterval, spread: instanceSpread, read: h.Platform.Instances, apply: h.sendUpdate,
+		pace: func() pollPace { return h.pollPace(pollLimit(h.Settings.LeaveLimit / 2)) }, // the other half is the grace period of missing entries
 	}, ended)
 	go follow(ctx, h, table[HostRows]{
 		name: "hosts", interval: hostPollInterval, spread: 1, read: h.Platform.Hosts, apply: h.applyHostRows, pace: h.hostPollPace,
@@ -130,27 +134,49 @@
 	return h.Loop.Send(ctx, rows.MembershipUpdate)
 }
 
-// pollPace returns how this host polls the configuration and the instances.
-func (h *Host) pollPace() pollPace { return paceOf(h.view().Following) }
+// pollLimit returns the time after which a poll without a response is given up, for a table whose changes must be in force within
+// the given time: two thirds of it, which leaves time to read the table again and to tell other hosts.
+//
+// The store holds a poll until something changes, so that a poll that it has dropped looks like one without changes. Nothing else
+// shows the difference: the connection may be alive, and the other hosts' polls may have been dropped with it.
+func pollLimit(inForce time.Duration) time.Duration { return max(inForce*2/3, leastPollLimit) }
+
+// pollPace returns how this host polls the configuration or the instances.
+func (h *Host) pollPace(limit time.Duration) pollPace { return paceOf(h.view().Following, limit) }
 
 // hostPollPace is pollPace for the hosts' rows. Where the platform doesn't fence primaries, each host polls them, since other hosts
-// wait until it has seen a promotion.
+// wait until it has seen a promotion, for minorityWait at most.
 func (h *Host) hostPollPace() pollPace {
 	if h.unfenced() {
-		return pollPace{wait: longPollWait}
+		return pollPace{limit: pollLimit(minorityWait)}
 	}
-	return h.pollPace()
+	return h.pollPace(longPollLimit)
 }
 
 // paceOf returns how a host polls a table.
-func paceOf(following controller.Following) pollPace {
+func paceOf(following controller.Following, limit time.Duration) pollPace {
 	switch following {
 	case controller.FollowHosts:
 		return pollPace{idle: true}
 	case controller.FollowEither:
-		return pollPace{wait: longPollWait, failurePause: seldomPause}
+		return pollPace{limit: limit, failurePause: seldomPause}
+	}
+	return pollPace{limit: limit}
+}
+
+// slack is how much longer than the store may hold a poll its response may take.
+type slack struct{ overhead time.Duration }
+
+// observe records how long a response took beyond the time for which the store may have held it.
+func (s *slack) observe(took, wait time.Duration) {
+	if took >= wait {
+		s.overhead = took - wait
 	}
-	return pollPace{wait: longPollWait}
+}
+
+// of returns the slack of a poll that is given up after the limit, which leaves the store at least half of that time.
+func (s *slack) of(limit time.Duration) time.Duration {
+	return min(max(2*s.overhead, leastSlack), mostSlack, limit/2)
 }
 
 // spacing is the pause between polls of one table: it grows while each poll finds a change at once.
@@ -189,19 +215,20 @@
 //
 // When the history has been truncated, it reads the full table. If the store truncates its history all the time, it polls for
 // changes only now and then, since each such poll is a wasted call. After a failure the table is read without waiting until
-// a read succeeds, since a connection that holds a long poll may go silent again.
+// a read succeeds, since the next poll may be dropped too.
 func follow[T any](ctx context.Context, h *Host, t table[T], done chan<- error) {
 	after := model.Revision(0)
 	lostSince := time.Time{}
 	backoff := retry.NewSharedBackoff()
 	between := spacing{least: t.interval, most: t.interval * time.Duration(t.spread)}
+	overhead := slack{}
 	fullRead, fullReadsLeft := false, 0 // the latest response was a full table; number of full reads left
 	for ctx.Err() == nil {
 		if after != 0 {
 			h.awaitTurn(ctx, t.pace)
 		}
 		pace := t.pace()
-		wait, limit := pace.wait, pace.wait+longPollSlack
+		wait, limit := pace.limit-overhead.of(pace.limit), pace.limit
 		if after == 0 || !lostSince.IsZero() {
 			wait, limit = 0, readTimeout
 		}
@@ -230,6 +257,7 @@
 			_ = clock.Pause(ctx, backoff.Next(pace.failurePause)) // the loop condition checks for the end of the context
 		default:
 			h.counters.noteAnswer(t.name)
+			overhead.observe(time.Since(sent), wait)
 			if !lostSince.IsZero() {
 				event.DependencyRegained(h.Logger, "store: "+t.name, model.Millis(time.Since(lostSince)))
 				lostSince = time.Time{}
--- a/internal/front/follow_internal_test.go
+++ b/internal/front/follow_internal_test.go
@@ -103,7 +103,7 @@
 					}
 					return nil
 				}
-				go follow(ctx, h, table[int]{"table", pollInterval, 1, fake.read, apply, func() pollPace { return pollPace{wait: longPollWait} }}, done)
+				go follow(ctx, h, table[int]{"table", pollInterval, 1, fake.read, apply, func() pollPace { return pollPace{limit: longPollLimit} }}, done)
 				time.Sleep(time.Minute)
 				cancel()
 				<-done
@@ -118,6 +118,65 @@
 	}
 }
 
+// TestDroppedPoll guards against a change that goes unnoticed since the store has dropped the poll that waits for it, while it
+// answers new calls: it must be known within the time in which it must be in force, also with a slow store, and with few calls.
+func TestDroppedPoll(t *testing.T) {
+	tests := map[string]struct {
+		inForce  time.Duration // within which a change must be in force
+		dropped  time.Duration // length of the time in which calls are dropped, from the first call after 10 s
+		changeAt time.Duration // after that call
+		took     time.Duration // of each response
+	}{
+		"configuration, small deployment":  {inForce: 3 * time.Second, dropped: time.Second, changeAt: 1500 * time.Millisecond},
+		"configuration, large deployment":  {inForce: 6 * time.Second, dropped: time.Second, changeAt: 1500 * time.Millisecond},
+		"instances":                        {inForce: 3500 * time.Millisecond, dropped: 2 * time.Second, changeAt: 2500 * time.Millisecond},
+		"a change while calls are dropped": {inForce: 3 * time.Second, dropped: time.Second, changeAt: 500 * time.Millisecond},
+		"a slow store":                     {inForce: 3 * time.Second, dropped: time.Second, changeAt: 1500 * time.Millisecond, took: 300 * time.Millisecond},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				start, droppedAt := time.Now(), time.Duration(-1)
+				fake := &fakeTable{start: start, changeAt: time.Hour}
+				fake.failAt = func(since time.Duration) error {
+					if droppedAt < 0 && since > 10*time.Second {
+						droppedAt = since
+						fake.changeAt = since + test.changeAt
+					}
+					if droppedAt >= 0 && since < droppedAt+test.dropped {
+						return errNoResponse
+					}
+					time.Sleep(test.took)
+					return nil
+				}
+				h := New()
+				h.Logger = quietLogger()
+				ctx, cancel := context.WithCancel(context.Background())
+				done := make(chan error, 1)
+				known := time.Duration(-1)
+				apply := func(_ context.Context, revision int) error {
+					if revision == 2 && known < 0 {
+						known = time.Since(start)
+					}
+					return nil
+				}
+				pace := func() pollPace { return pollPace{limit: pollLimit(test.inForce)} }
+				go follow(ctx, h, table[int]{"table", pollInterval, 1, fake.read, apply, pace}, done)
+				time.Sleep(time.Minute)
+				cancel()
+				<-done
+				if by := fake.changeAt + test.inForce; known < 0 || known > by {
+					t.Errorf("got the change after %v, want it by %v", known, by)
+				}
+				// One call for each limit, and the first one, the dropped one, the read after it and the change.
+				if most := int(time.Minute/pollLimit(test.inForce)) + 4; fake.calls > most {
+					t.Errorf("got %d calls in a minute, want at most %d", fake.calls, most)
+				}
+			})
+		})
+	}
+}
+
 // TestSpacing replays polls of a table that changes all the time, now and then, and for a while.
 func TestSpacing(t *testing.T) {
 	const at, late = 5 * time.Millisecond, 9 * time.Second // durations of polls that find a change at once, and after a wait
@@ -155,13 +214,13 @@
 		following controller.Following
 		want      pollPace
 	}{
-		"follows the store":       {following: controller.FollowStore, want: pollPace{wait: longPollWait}},
+		"follows the store":       {following: controller.FollowStore, want: pollPace{limit: longPollLimit}},
 		"follows other hosts":     {following: controller.FollowHosts, want: pollPace{idle: true}},
-		"knows no host to follow": {following: controller.FollowEither, want: pollPace{wait: longPollWait, failurePause: seldomPause}},
+		"knows no host to follow": {following: controller.FollowEither, want: pollPace{limit: longPollLimit, failurePause: seldomPause}},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			if got := paceOf(test.following); got != test.want {
+			if got := paceOf(test.following, longPollLimit); got != test.want {
 				t.Errorf("got %+v, want %+v", got, test.want)
 			}
 		})
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -105,6 +105,7 @@
 	OrderAddress   model.Address      // Address of the platform service that promotes instances.
 	StopLimit      time.Duration      // Time from the signal to stop until the process is killed.
 	LeaveLimit     time.Duration      // Time within which a leaving instance stops getting work.
+	ApplyLimit     time.Duration      // Time within which a change of the configuration must be in force.
 	Fencing        string             // Whether the platform stops a primary when it promotes another instance; off makes the hosts wait for each other before a promotion.
 	Memory         model.Mebibytes    // Memory limit of the process in MiB.
 	SessionLimit   int                // Maximum number of open sessions.
@@ -125,6 +126,7 @@
 		textFlag("order-address", "REDWINGSPREAD_ORDER_ADDRESS", "", "Address of the platform service that promotes instances."),
 		textFlag("stop-limit", "REDWINGSPREAD_STOP_LIMIT", "6s", "Time from the signal to stop until the process is killed."),
 		textFlag("leave-limit", "REDWINGSPREAD_LEAVE_LIMIT", "7s", "Time within which a leaving instance stops getting work."),
+		textFlag("apply-limit", "REDWINGSPREAD_APPLY_LIMIT", "3s", "Time within which a change of the configuration must be in force."),
 		textFlag("fencing", "REDWINGSPREAD_FENCING", "on", "Whether the platform stops a primary when it promotes another instance; off makes the hosts wait for each other before a promotion."),
 		textFlag("memory", "REDWINGSPREAD_MEMORY", "256", "Memory limit of the process in MiB."),
 		textFlag("session-limit", "REDWINGSPREAD_SESSION_LIMIT", "4096", "Maximum number of open sessions."),
@@ -146,6 +148,7 @@
 	loaded.OrderAddress = r.address(rule{flag: "order-address", env: "REDWINGSPREAD_ORDER_ADDRESS", allowed: "an IP address and a port", required: true})
 	loaded.StopLimit = r.duration(rule{flag: "stop-limit", env: "REDWINGSPREAD_STOP_LIMIT", allowed: "a duration such as 250ms or 10s from 1s to 10m", required: false, min: "1s", max: "10m"})
 	loaded.LeaveLimit = r.duration(rule{flag: "leave-limit", env: "REDWINGSPREAD_LEAVE_LIMIT", allowed: "a duration such as 250ms or 10s from 1s to 10m", required: false, min: "1s", max: "10m"})
+	loaded.ApplyLimit = r.duration(rule{flag: "apply-limit", env: "REDWINGSPREAD_APPLY_LIMIT", allowed: "a duration such as 250ms or 10s from 1s to 10m", required: false, min: "1s", max: "10m"})
 	loaded.Fencing = r.enum(rule{flag: "fencing", env: "REDWINGSPREAD_FENCING", allowed: "one of on, off", required: false, options: []string{"on", "off"}})
 	loaded.Memory = model.Mebibytes(r.int(rule{flag: "memory", env: "REDWINGSPREAD_MEMORY", allowed: "a whole number from 32 to 1048576", required: false, min: "32", max: "1048576"}))
 	loaded.SessionLimit = r.int(rule{flag: "session-limit", env: "REDWINGSPREAD_SESSION_LIMIT", allowed: "a whole number from 1 to 1000000", required: false, min: "1", max: "1000000"})
