front: a stopping host answers the requests that have arrived behind the one that it answers

Cause: serve ended a session after any answer once it was to end; requests that lay in its buffer were never read. Only a session that waited looked for a last request, for one alone, and an interrupt cut that look short.

Change: a session that is to end looks for a request before each end, 5 ms after an interrupt and 1 ms after an answer; an interrupt does not shorten it. An open transaction is rolled back after that look, with event 6013 as before.

With it, for the promotion without a fence: the survey after the release is held to the same proof (SyncReplicas) as the one before.

--- a/internal/front/host_test.go
+++ b/internal/front/host_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"syscall"
 	"testing"
 	"time"
@@ -340,3 +341,44 @@
 	}
 	f.hosts[0].done <- nil
 }
+
+// TestStopAnswersRequestsBehindOne guards against requests that a stopping host has read behind the one that it answers, and drops.
+func TestStopAnswersRequestsBehindOne(t *testing.T) {
+	tests := map[string]struct {
+		requests []string
+		states   []string
+	}{
+		"reads":         {requests: []string{"READ a", "READ b", "READ c", "READ d"}, states: []string{"I", "I", "I", "I"}},
+		"a write":       {requests: []string{"READ a", "WRITE b 1", "READ b"}, states: []string{"I", "I", "I"}},
+		"a transaction": {requests: []string{"READ a", "BEGIN", "WRITE b 1", "COMMIT"}, states: []string{"I", "T", "T", "I"}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 1)
+			s := f.openSession(f.hosts[0], "desk")
+			f.run(s, "WRITE early 1")
+			for _, id := range []string{"seats-0", "seats-1", "seats-2"} {
+				instance, _ := f.cloud.Instance(id)
+				instance.SetServiceTime(200 * time.Millisecond)
+			}
+			packet := ""
+			for i, text := range test.requests {
+				packet += fmt.Sprintf("QUERY behind-%d %s\r\n", i, text)
+			}
+			f.hosts[0].stop()
+			time.Sleep(1900 * time.Millisecond) // sessions end after half of the stop limit, while the first request is running
+			if err := s.Send(packet); err != nil {
+				t.Fatal(err)
+			}
+			for i, text := range test.requests {
+				if got, err := s.Receive(); err != nil || got.Code != "" || got.State != test.states[i] {
+					t.Fatalf("%s: got %+v, %v, want success in state %s", text, got, err, test.states[i])
+				}
+			}
+			if err := <-f.hosts[0].done; err != nil {
+				t.Errorf("got %v, want a clean end", err)
+			}
+			f.hosts[0].done <- nil
+		})
+	}
+}
--- a/internal/front/promote.go
+++ b/internal/front/promote.go
@@ -370,7 +370,11 @@
 	if row.Nonce != claimed.Nonce {
 		return claimed, best, errPrimaryChanged
 	}
-	newest, found := failover.Successor(h.replicaStatuses(ctx, c).Candidates)
+	survey := h.replicaStatuses(ctx, c)
+	if c.Sync && !survey.HoldsAcknowledged() {
+		return row, best, errMayLose
+	}
+	newest, found := failover.Successor(survey.Candidates)
 	if !found || newest.Instance == best.Instance || newest.Received.Compare(best.Received) <= 0 {
 		return row, best, nil
 	}
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -43,11 +43,14 @@
 	if err := s.caller.AcceptSession(); err != nil {
 		return err
 	}
+	lookFor := lastReadTime
 	for ctx.Err() == nil {
-		request, err := s.nextRequest()
+		ending := s.shouldEnd()
+		request, err := s.nextRequest(ending, lookFor)
+		lookFor = lastReadTime
 		switch {
-		case errors.Is(err, ErrNoRequest) && s.shouldEnd():
-			return s.handleLast(ctx)
+		case errors.Is(err, ErrNoRequest) && ending:
+			return nil
 		case errors.Is(err, ErrNoRequest):
 			continue
 		case err != nil:
@@ -56,27 +59,18 @@
 		if err := s.handle(ctx, request); err != nil {
 			return err
 		}
-		if s.shouldEnd() {
-			return nil
-		}
+		lookFor = behindReadTime
 	}
 	return nil
 }
 
-// lastReadTime is how long a session that ends looks for a request that arrived at the moment of the interrupt.
-const lastReadTime = 5 * time.Millisecond
-
-// handleLast processes a request that has arrived at a session that ends, so that it isn't cut off without an answer.
-func (s *callerSession) handleLast(ctx context.Context) error {
-	request, err := s.caller.ReadRequest(time.Now().Add(lastReadTime))
-	switch {
-	case errors.Is(err, ErrNoRequest):
-		return nil
-	case err != nil:
-		return s.endWithRefusal(err)
-	}
-	return s.handle(ctx, request)
-}
+const (
+	// lastReadTime is how long a session that ends looks for a request that arrived at the moment of the interrupt.
+	lastReadTime = 5 * time.Millisecond
+	// behindReadTime is how long it looks for a request that arrived behind one that it has answered; a caller that waits for each
+	// answer needs longer for its next one, so that its session ends.
+	behindReadTime = time.Millisecond
+)
 
 // configurationWait is how long a caller waits at a host that has just started: with a slow store the first configuration
 // takes a few hundred milliseconds, and another host may already have one.
@@ -122,9 +116,13 @@
 	return err
 }
 
-// nextRequest waits for a request; a transaction that stays idle for too long is rolled back meanwhile.
-func (s *callerSession) nextRequest() (statement.Request, error) {
+// nextRequest waits for a request; a transaction that stays idle for too long is rolled back meanwhile. A session that ends only
+// looks for one that has arrived, so that it isn't cut off without an answer.
+func (s *callerSession) nextRequest(ending bool, lookFor time.Duration) (statement.Request, error) {
 	s.waitingSince = time.Now()
+	if ending {
+		return s.lookForRequest(s.waitingSince.Add(lookFor))
+	}
 	limit := time.Time{}
 	idle := s.host.view().Directory.TransactionIdleLimit
 	if s.tx != nil && idle > 0 {
@@ -144,6 +142,24 @@
 	return request, err
 }
 
+// lookForRequest returns a request that has arrived at a session that ends. If there is none until the limit, an open transaction is
+// rolled back.
+func (s *callerSession) lookForRequest(limit time.Time) (statement.Request, error) {
+	for {
+		request, err := s.caller.ReadRequest(limit)
+		if !errors.Is(err, ErrNoRequest) {
+			return request, err
+		}
+		if time.Now().Before(limit) {
+			continue // an interrupt, while the request may be arriving
+		}
+		if s.tx != nil {
+			s.abortTransaction("the host is stopping")
+		}
+		return request, err
+	}
+}
+
 // shouldEnd reports whether the session must end: the host is stopping and either no transaction is open or time is up.
 func (s *callerSession) shouldEnd() bool {
 	return s.host.draining() && s.state.Transaction != statement.Open || s.host.terminating()
