--- a/internal/front/follow_internal_test.go
+++ b/internal/front/follow_internal_test.go
@@ -61,6 +61,26 @@
 	return time.Hour
 }
 
+// follow follows the table for a minute, and returns when the change was known, or a negative time if it never was.
+func (f *fakeTable) follow(pace pollPace) (known time.Duration) {
+	h := New()
+	h.Logger = quietLogger()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	known = -1
+	apply := func(_ context.Context, revision int) error {
+		if revision == 2 && known < 0 {
+			known = time.Since(f.start)
+		}
+		return nil
+	}
+	go follow(ctx, h, table[int]{"table", pollInterval, 1, f.read, apply, func() pollPace { return pace }}, done)
+	time.Sleep(time.Minute)
+	cancel()
+	<-done
+	return known
+}
+
 // TestFollowComesBackSoon changes a table while its reads fail, and checks that the change is seen soon after and with few calls.
 func TestFollowComesBackSoon(t *testing.T) {
 	within := func(from, to time.Duration, err error) func(time.Duration) error {
@@ -92,21 +112,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				fake := &fakeTable{start: time.Now(), failAt: test.failAt, changeAt: test.changeAt, truncatedAt: test.truncatedAt}
-				h := New()
-				h.Logger = quietLogger()
-				ctx, cancel := context.WithCancel(context.Background())
-				done := make(chan error, 1)
-				known := time.Duration(-1)
-				apply := func(_ context.Context, revision int) error {
-					if revision == 2 && known < 0 {
-						known = time.Since(fake.start)
-					}
-					return nil
-				}
-				go follow(ctx, h, table[int]{"table", pollInterval, 1, fake.read, apply, func() pollPace { return pollPace{limit: longPollLimit} }}, done)
-				time.Sleep(time.Minute)
-				cancel()
-				<-done
+				known := fake.follow(pollPace{limit: longPollLimit})
 				if known < 0 || known > test.by {
 					t.Errorf("got the change after %v, want it by %v", known, test.by)
 				}
@@ -136,8 +142,8 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				start, droppedAt := time.Now(), time.Duration(-1)
-				fake := &fakeTable{start: start, changeAt: time.Hour}
+				droppedAt := time.Duration(-1)
+				fake := &fakeTable{start: time.Now(), changeAt: time.Hour}
 				fake.failAt = func(since time.Duration) error {
 					if droppedAt < 0 && since > 10*time.Second {
 						droppedAt = since
@@ -149,22 +155,7 @@
 					time.Sleep(test.took)
 					return nil
 				}
-				h := New()
-				h.Logger = quietLogger()
-				ctx, cancel := context.WithCancel(context.Background())
-				done := make(chan error, 1)
-				known := time.Duration(-1)
-				apply := func(_ context.Context, revision int) error {
-					if revision == 2 && known < 0 {
-						known = time.Since(start)
-					}
-					return nil
-				}
-				pace := func() pollPace { return pollPace{limit: pollLimit(test.inForce)} }
-				go follow(ctx, h, table[int]{"table", pollInterval, 1, fake.read, apply, pace}, done)
-				time.Sleep(time.Minute)
-				cancel()
-				<-done
+				known := fake.follow(pollPace{limit: pollLimit(test.inForce)})
 				if by := fake.changeAt + test.inForce; known < 0 || known > by {
 					t.Errorf("got the change after %v, want it by %v", known, by)
 				}
