--- a/internal/front/promote.go
+++ b/internal/front/promote.go
@@ -225,7 +225,7 @@
 	return survey
 }
 
-// logSurvey logs what each replica had received and which one was chosen.
+// logSurvey logs what each replica had received, and the successor.
 func (h *Host) logSurvey(database model.DatabaseID, chosen model.InstanceID, survey failover.Survey) {
 	var received, unheard []string
 	for _, candidate := range survey.Candidates {
