--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -13,6 +13,9 @@
 	TransactionIdleLimit time.Duration  // how long a transaction may be idle; zero for no limit
 	Kinds                map[model.KindID]model.Kind
 	Databases            map[model.DatabaseID]model.Database
+	Keyed                bool // callers need an API key, and connections to instances belong to tenants
+	Tenants              map[model.TenantID]model.Tenant
+	Keys                 map[model.KeyDigest]model.TenantID // of the API keys in force
 	Instances            map[model.InstanceID]Instance
 	Missing              map[model.InstanceID]bool // instances that are still in use though their entries have disappeared
 }
@@ -39,9 +42,21 @@
 	TransactionIdleLimit time.Duration
 	Kinds                []model.Kind
 	Databases            []model.Database
+	Keyed                bool // callers need an API key
+	Tenants              []model.Tenant
 }
 
 // Usable reports whether the directory has a configuration and an instance, so that sessions can be served.
 func (d *Directory) Usable() bool {
 	return d.Version > 0 && len(d.Instances) > 0
 }
+
+// Authorize returns the tenant of a caller that uses a kind of work with an API key, and whether the caller may use it. The tenant is
+// empty where keys are not needed, and for a public kind of work whose caller has no key in force.
+func (d *Directory) Authorize(kind model.Kind, key model.KeyDigest) (tenant model.TenantID, allowed bool) {
+	if !d.Keyed {
+		return "", true
+	}
+	tenant, found := d.Keys[key]
+	return tenant, found || kind.Public
+}
--- a/internal/directory/tracker.go
+++ b/internal/directory/tracker.go
@@ -51,10 +51,32 @@
 	for _, database := range configuration.Databases {
 		next.Databases[database.ID] = database
 	}
+	next.Keyed = configuration.Keyed
+	next.Tenants, next.Keys = indexTenants(configuration.Tenants)
 	t.current = &next
 	return true
 }
 
+// indexTenants returns the tenants by ID and by key. A key that several tenants have identifies none of them.
+func indexTenants(tenants []model.Tenant) (byID map[model.TenantID]model.Tenant, byKey map[model.KeyDigest]model.TenantID) {
+	byID = make(map[model.TenantID]model.Tenant, len(tenants))
+	byKey = make(map[model.KeyDigest]model.TenantID, len(tenants))
+	shared := make(map[model.KeyDigest]bool)
+	for _, tenant := range tenants {
+		byID[tenant.ID] = tenant
+		for _, key := range tenant.Keys {
+			if other, found := byKey[key]; found && other != tenant.ID {
+				shared[key] = true
+			}
+			byKey[key] = tenant.ID
+		}
+	}
+	for key := range shared {
+		delete(byKey, key)
+	}
+	return byID, byKey
+}
+
 // Replace applies a full list of entries as of a revision and reports whether anything changed; instances that aren't listed
 // stay in use for the grace period only.
 func (t *Tracker) Replace(now time.Time, revision model.Revision, entries []Entry) bool {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -107,7 +107,7 @@
 	d.Policy.SetFloors(d.RankFloors)
 	d.queue.Policy = d.Policy
 	d.queue.Limit = d.QueueLimit
-	d.pool.Open = d.open
+	d.pool.Open = func(ctx context.Context, _ model.TenantID) (endpoint.Conn, error) { return d.open(ctx) }
 	d.pool.Close = func(ctx context.Context, conn endpoint.Conn) error { return conn.Close(ctx) }
 	d.pool.Limit = d.Connections
 	d.pool.OnIdle = d.connectionReady
--- a/internal/event/events_gen.go
+++ b/internal/event/events_gen.go
@@ -64,6 +64,7 @@
 	NumberCloseFailed              Number = 6024
 	NumberSetupRefused             Number = 6025
 	NumberReplicasCompared         Number = 6026
+	NumberTenantRefused            Number = 6027
 )
 
 // Keeps the import of package model when no event uses it.
@@ -602,3 +603,14 @@
 		"unheard":  unheard,
 	}).Info("the replicas were compared to choose the next primary")
 }
+
+// TenantRefused logs event 6027: a tenant in the configuration has an error and is left out.
+func TenantRefused(logger log.Interface, version model.Version, entry int, tenant model.TenantID, error error) {
+	logger.WithFields(log.Fields{
+		"event":   NumberTenantRefused,
+		"version": version,
+		"entry":   entry,
+		"tenant":  tenant,
+		"error":   errorText(error),
+	}).Warn("a tenant in the configuration has an error and is left out")
+}
--- a/internal/front/actions.go
+++ b/internal/front/actions.go
@@ -158,7 +158,7 @@
 			return nil
 		}
 	}
-	c, err := b.open(ctx)
+	c, err := b.open(ctx, "")
 	if err != nil {
 		return err
 	}
--- a/internal/front/autocommit.go
+++ b/internal/front/autocommit.go
@@ -17,9 +17,9 @@
 
 // runAutocommit runs a statement outside any transaction and responds to the caller.
 func (s *callerSession) runAutocommit(ctx context.Context, request statement.Request) error {
-	policy, found := s.host.view().Directory.Kinds[s.kind]
-	if !found {
-		return s.refuse(request, unknownKind())
+	policy, refusal := s.authorize()
+	if refusal != nil {
+		return s.refuse(request, refusal)
 	}
 	e := s.newExecution(request, policy)
 	s.host.counters.Requests.Add(1)
--- a/internal/front/backend.go
+++ b/internal/front/backend.go
@@ -39,6 +39,7 @@
 // statement of such a transaction, so whatever runs in it ran on a primary, without an extra round trip for the begin.
 type pooledConn struct {
 	InstanceConn
+	tenant          model.TenantID // to which the instance counts it; empty for none
 	connectionState *session.ConnectionState
 	txBegun         bool
 	txVersion       model.Version // configuration version when txBegun was set
@@ -62,7 +63,7 @@
 	replicaSet *replicaSet
 	scheduler  *scheduler.Scheduler[*pooledConn]
 	rtt        time.Duration
-	dial       func(ctx context.Context, instance directory.Instance) (InstanceConn, error)
+	dial       dialFunc
 
 	cancel context.CancelFunc
 	done   chan error
@@ -84,8 +85,11 @@
 	lastFullRefusal time.Time // time of the latest connection refused because the limit was reached
 }
 
+// dialFunc opens a connection to an instance, in the name of the tenant unless that is empty.
+type dialFunc func(ctx context.Context, instance directory.Instance, tenant model.TenantID) (InstanceConn, error)
+
 // newBackend returns a backend of a replica set, whose scheduler runs until close.
-func newBackend(ctx context.Context, rs *replicaSet, entry directory.Instance, rtt time.Duration, dial func(context.Context, directory.Instance) (InstanceConn, error)) *backend {
+func newBackend(ctx context.Context, rs *replicaSet, entry directory.Instance, rtt time.Duration, dial dialFunc) *backend {
 	b := &backend{instance: entry, replicaSet: rs, rtt: rtt, dial: dial, scheduler: scheduler.New[*pooledConn](), done: make(chan error, 1)}
 	b.health.Instance = entry.ID
 	b.scheduler.Floors = [model.RankCount]model.Percent{topRankFloor, lowerRankFloor, lowerRankFloor}
@@ -93,6 +97,7 @@
 	b.scheduler.RoundTrip = rtt
 	b.scheduler.Pool.MaxOpening = 2
 	b.scheduler.Pool.Open = b.open
+	b.scheduler.Pool.Tenant = func(c *pooledConn) model.TenantID { return c.tenant }
 	b.scheduler.Pool.Close = func(_ context.Context, c *pooledConn) error { return c.Close() }
 	b.scheduler.Pool.MinBackoff = func(err error) time.Duration {
 		if model.CodeOf(err) == model.CodeConnectionsFull {
@@ -111,15 +116,15 @@
 	<-b.done
 }
 
-// open opens a connection.
-func (b *backend) open(ctx context.Context) (*pooledConn, error) {
+// open opens a connection of the tenant.
+func (b *backend) open(ctx context.Context, tenant model.TenantID) (*pooledConn, error) {
 	callCtx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	begun := time.Now()
-	conn, err := b.dial(callCtx, b.instance)
+	conn, err := b.dial(callCtx, b.instance, tenant)
 	if err == nil {
 		b.noteResponse(time.Now())
-		return &pooledConn{InstanceConn: conn, connectionState: session.NewConnectionState()}, nil
+		return &pooledConn{InstanceConn: conn, tenant: tenant, connectionState: session.NewConnectionState()}, nil
 	}
 	var refusal *model.Refusal
 	switch {
@@ -324,9 +329,9 @@
 }
 
 // candidate returns the inputs for choosing among instances.
-func (b *backend) candidate(now time.Time, kind model.KindID, primary model.InstanceID) placement.Candidate {
+func (b *backend) candidate(now time.Time, kind model.KindID, tenant model.TenantID, primary model.InstanceID) placement.Candidate {
 	expected := b.scheduler.ExpectedLatency(now, kind)
-	if b.scheduler.OpensConnection() {
+	if b.scheduler.OpensConnection(tenant) {
 		expected += 2*b.rtt + setupTime + b.scheduler.BlockedFor()
 	}
 	b.mutex.Lock()
--- a/internal/front/execution.go
+++ b/internal/front/execution.go
@@ -181,7 +181,7 @@
 	backends := rs.list()
 	candidates := buffer[:0]
 	for _, b := range backends[:min(len(backends), maxCandidates)] {
-		c := b.candidate(now, e.policy.ID, primary)
+		c := b.candidate(now, e.policy.ID, e.session.tenant, primary)
 		c.Tried = e.excluded[b.instance.ID] || (c.Primary && !b.admitsPrimary())
 		candidates = append(candidates, c)
 	}
@@ -237,6 +237,7 @@
 		Class:          admit.Class{Rank: e.policy.Rank, Kind: e.policy.ID, Session: e.session.id},
 		Deadline:       e.startBy.Add(t.backend.scheduler.ExpectedLatency(time.Now(), e.policy.ID)),
 		KeepConnection: e.startsTransaction,
+		Tenant:         e.session.tenant,
 	})
 }
 
--- a/internal/front/fleet_test.go
+++ b/internal/front/fleet_test.go
@@ -146,13 +146,13 @@
 	interrupted chan struct{} // receives and returns a value at each interrupt, where the test listens; nil if it doesn't
 }
 
-// ReadStart returns the kind of work that the session is for.
-func (c fragileCaller) ReadStart() (model.KindID, error) {
-	kind, err := c.Caller.ReadStart()
-	if kind == "boom" {
+// ReadStart returns what the session is for.
+func (c fragileCaller) ReadStart() (front.Start, error) {
+	start, err := c.Caller.ReadStart()
+	if start.Kind == "boom" {
 		panic("odd kind of work")
 	}
-	return kind, err
+	return start, err
 }
 
 // ReadRequest waits for a request. At an interrupt it lets the test send a request first, if the test listens.
--- a/internal/front/follow.go
+++ b/internal/front/follow.go
@@ -52,6 +52,7 @@
 	read     func(ctx context.Context, after model.Revision, wait time.Duration) (T, model.Revision, error)
 	apply    func(ctx context.Context, update T) error
 	pace     func() pollPace
+	confirm  func(at model.Instant) // called when the table that the host knows was up to date at a moment not before the given one; nil for none
 }
 
 // pollPace is how a host polls a table.
@@ -66,7 +67,8 @@
 	ended := make(chan error, 4)
 	go follow(ctx, h, table[controller.DirectoryUpdate]{
 		name: "configuration", interval: pollInterval, spread: 1, read: h.Platform.Configuration, apply: h.sendUpdate,
-		pace: func() pollPace { return h.pollPace(pollLimit(h.Settings.ApplyLimit)) },
+		pace:    func() pollPace { return h.pollPace(pollLimit(h.Settings.ApplyLimit)) },
+		confirm: h.noteConfigurationHeard,
 	}, ended)
 	go follow(ctx, h, table[controller.DirectoryUpdate]{
 		name: "instances", interval: pollInterval, spread: instanceSpread, read: h.Platform.Instances, apply: h.sendUpdate,
@@ -179,6 +181,14 @@
 	return min(max(2*s.overhead, leastSlack), mostSlack, limit/2)
 }
 
+// heldFor returns for how long the store has held a poll at least: for all of the wait if the response took that long.
+func heldFor(took, wait time.Duration) time.Duration {
+	if took < wait {
+		return 0
+	}
+	return wait
+}
+
 // spacing is the pause between polls of one table: it grows while each poll finds a change at once.
 type spacing struct {
 	least, most time.Duration
@@ -233,7 +243,7 @@
 			wait, limit = 0, readTimeout
 		}
 		callCtx, cancel := context.WithTimeout(ctx, limit)
-		sent := time.Now()
+		sent, sentAt := time.Now(), clock.Boot()
 		var update T
 		var revision model.Revision
 		err := boundary.Run(func() (err error) {
@@ -265,6 +275,9 @@
 				backoff = retry.NewSharedBackoff()
 			}
 			_ = t.apply(ctx, update) // fails only when the context ends
+			if t.confirm != nil {
+				t.confirm(sentAt.Add(heldFor(time.Since(sent), wait)))
+			}
 			fullRead = after == 0
 			pause := between.next(time.Since(sent))
 			if fullReadsLeft > 0 {
--- a/internal/front/follow_internal_test.go
+++ b/internal/front/follow_internal_test.go
@@ -74,7 +74,7 @@
 		}
 		return nil
 	}
-	go follow(ctx, h, table[int]{"table", pollInterval, 1, f.read, apply, func() pollPace { return pace }}, done)
+	go follow(ctx, h, table[int]{"table", pollInterval, 1, f.read, apply, func() pollPace { return pace }, nil}, done)
 	time.Sleep(time.Minute)
 	cancel()
 	<-done
--- a/internal/front/gone_internal_test.go
+++ b/internal/front/gone_internal_test.go
@@ -16,7 +16,7 @@
 type hangingPlatform struct{ Platform }
 
 // Dial waits for the end of the context.
-func (hangingPlatform) Dial(ctx context.Context, _ directory.Instance) (InstanceConn, error) {
+func (hangingPlatform) Dial(ctx context.Context, _ directory.Instance, _ model.TenantID) (InstanceConn, error) {
 	<-ctx.Done()
 	return nil, ctx.Err()
 }
--- a/internal/front/host.go
+++ b/internal/front/host.go
@@ -41,18 +41,19 @@
 	// Loop owns the control state.
 	Loop *control.Loop[controller.Event, controller.Action, *controller.View]
 
-	regions         map[model.DataCentreID]model.RegionID
-	mesh            *mesh.Node
-	self            controller.Host
-	counters        *counters
-	stage           atomic.Int32
-	lastTrafficTick atomic.Int64
-	sessionsOpened  atomic.Int64  // opened since the start
-	loggedReady     atomic.Bool   // readiness as last logged
-	rowsRead        chan struct{} // closed once the hosts' rows have been read
-	noteRowsRead    sync.Once
-	tablesLost      atomic.Int64 // tables of the store whose newest poll has failed
-	lone            atomic.Bool  // the host's row says that it may renew its lease from the store
+	regions            map[model.DataCentreID]model.RegionID
+	mesh               *mesh.Node
+	self               controller.Host
+	counters           *counters
+	stage              atomic.Int32
+	lastTrafficTick    atomic.Int64
+	sessionsOpened     atomic.Int64  // opened since the start
+	loggedReady        atomic.Bool   // readiness as last logged
+	rowsRead           chan struct{} // closed once the hosts' rows have been read
+	noteRowsRead       sync.Once
+	tablesLost         atomic.Int64 // tables of the store whose newest poll has failed
+	lone               atomic.Bool  // the host's row says that it may renew its lease from the store
+	configurationHeard atomic.Int64 // boot-clock time at which the configuration that the host knows was last known to be in force
 
 	mutex        sync.RWMutex
 	replicaSets  map[model.DatabaseID]*replicaSet
@@ -141,6 +142,9 @@
 		h.mesh.Membership = func() *controller.Membership { return h.view().Membership }
 	}
 	h.mesh.OnHeartbeat = func(heartbeat controller.Heartbeat, from model.Address) {
+		if heartbeat.Follows && heartbeat.Version <= h.view().Directory.Version {
+			h.noteConfigurationHeard(clock.Boot())
+		}
 		received := controller.HeartbeatReceived{Heartbeat: heartbeat, From: from}
 		if heartbeat.Asked != 0 {
 			received.ArrivedAt = clock.Boot()
@@ -279,6 +283,7 @@
 		b.mutex.Lock()
 		b.leaving = entry.Leaving
 		b.mutex.Unlock()
+		b.scheduler.SetPerTenant(view.Directory.Keyed)
 		if b.unfenced && b.applyLease(view.Lease, view.Primaries[entry.Database].Assigned) && b.gate.Closed() != 0 {
 			released = true
 		}
--- a/internal/front/interfaces.go
+++ b/internal/front/interfaces.go
@@ -22,10 +22,16 @@
 	ErrClosed = errors.New("the caller has ended the session")
 )
 
+// Start is a caller's message that opens a session.
+type Start struct {
+	Kind model.KindID
+	Key  model.KeyDigest // digest of the API key
+}
+
 // Caller is the protocol side of one caller's session; only Interrupt and Close are safe for concurrent use.
 type Caller interface {
-	// ReadStart returns the kind of work that the session is for; an error is either a *model.Refusal or ends the session.
-	ReadStart() (model.KindID, error)
+	// ReadStart returns what the session is for; an error is either a *model.Refusal or ends the session.
+	ReadStart() (Start, error)
 	// AcceptSession tells the caller that the session is open.
 	AcceptSession() error
 	// ReadRequest waits for a request until the limit; a zero limit waits forever. A *model.Refusal error is sent to the caller before the session ends.
@@ -60,8 +66,9 @@
 type Platform interface {
 	// NewCaller wraps an accepted caller connection.
 	NewCaller(conn net.Conn) Caller
-	// Dial opens a connection to an instance; a *model.Refusal error means that the instance responded with a refusal.
-	Dial(ctx context.Context, instance directory.Instance) (InstanceConn, error)
+	// Dial opens a connection to an instance, in the name of the tenant unless that is empty; a *model.Refusal error means that the
+	// instance responded with a refusal.
+	Dial(ctx context.Context, instance directory.Instance, tenant model.TenantID) (InstanceConn, error)
 	// Promote orders the promotion of an instance to primary; a *model.Refusal error means that the order is invalid.
 	Promote(ctx context.Context, holder model.HostID, order PromotionOrder) error
 	Store
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"redwingspread/internal/clock"
 	"redwingspread/internal/controller"
 	"redwingspread/internal/event"
 	"redwingspread/internal/model"
@@ -18,6 +19,8 @@
 	caller       Caller
 	id           model.SessionID
 	kind         model.KindID
+	key          model.KeyDigest
+	tenant       model.TenantID // of the key, as of the newest operation; empty where keys are not needed
 	state        *session.Session
 	tx           *transaction // nil while no instance holds a transaction of the session
 	policy       model.Kind   // in force for the open transaction
@@ -27,19 +30,23 @@
 // serve serves the session until it ends.
 func (s *callerSession) serve(ctx context.Context) error {
 	defer s.cleanUp()
-	kind, err := s.caller.ReadStart()
+	start, err := s.caller.ReadStart()
 	if errors.Is(err, ErrNoRequest) && s.host.draining() {
-		kind, err = s.caller.ReadStart() // the interrupt came first; the message is likely to have arrived
+		start, err = s.caller.ReadStart() // the interrupt came first; the message is likely to have arrived
 	}
 	if err != nil {
 		return s.reject(err)
 	}
-	if refusal := s.host.checkKind(ctx, kind); refusal != nil {
+	s.kind, s.key = start.Kind, start.Key
+	refusal := s.host.awaitConfiguration(ctx)
+	if refusal == nil {
+		_, refusal = s.authorize()
+	}
+	if refusal != nil {
 		s.host.counters.countRefusal(refusal.Code)
-		event.SessionRefused(s.host.Logger, kind, refusal.Code, s.host.view().Directory.Version, refusal.Message)
+		event.SessionRefused(s.host.Logger, s.kind, refusal.Code, s.host.view().Directory.Version, refusal.Message)
 		return s.caller.RejectSession(refusal)
 	}
-	s.kind = kind
 	if err := s.caller.AcceptSession(); err != nil {
 		return err
 	}
@@ -76,24 +83,48 @@
 // takes a few hundred milliseconds, and another host may already have one.
 const configurationWait = 400 * time.Millisecond
 
-// checkKind returns a refusal if the kind of work does not exist or no configuration is known yet.
-func (h *Host) checkKind(ctx context.Context, kind model.KindID) *model.Refusal {
+// awaitConfiguration returns a refusal if no configuration is known in time.
+func (h *Host) awaitConfiguration(ctx context.Context) *model.Refusal {
 	limit := time.Now().Add(configurationWait)
 	for {
 		changed := h.Loop.Changed()
-		d := h.view().Directory
-		if _, found := d.Kinds[kind]; found {
+		if h.view().Directory.Version > 0 {
 			return nil
 		}
-		if d.Version > 0 {
-			return unknownKind()
-		}
 		if !waitChanged(ctx, changed, limit) {
 			return withRetryAfter(model.Refuse(model.CodeUnavailable, "the host has just started and knows no configuration"), configurationWait)
 		}
 	}
 }
 
+// authorize returns the kind of work of the session's next operation, for which it sets the tenant, or a refusal if the kind or the
+// key are not in force any more.
+func (s *callerSession) authorize() (kind model.Kind, refusal *model.Refusal) {
+	d := s.host.view().Directory
+	kind, found := d.Kinds[s.kind]
+	if !found {
+		return kind, model.Refuse(model.CodeUnknownDatabase, "no kind of work has this name")
+	}
+	tenant, allowed := d.Authorize(kind, s.key)
+	if !allowed {
+		return kind, model.Refuse(model.CodeUnauthorized, "no tenant has this API key")
+	}
+	if d.Keyed && s.host.outdated() {
+		return kind, model.Refuse(model.CodeUnavailable, "the host has had no word of the API keys in force for too long")
+	}
+	s.tenant = tenant
+	return kind, nil
+}
+
+// outdated reports whether the host must not rely on the API keys that it knows, since it has had no word of the configuration for too
+// long.
+func (h *Host) outdated() bool {
+	return h.Settings.RevokeStrict == "on" && clock.Boot().Sub(model.Instant(h.configurationHeard.Load())) > h.Settings.RevokeLimit
+}
+
+// noteConfigurationHeard records that the configuration that the host knows was in force at a moment that is not before the given one.
+func (h *Host) noteConfigurationHeard(at model.Instant) { h.configurationHeard.Store(int64(at)) }
+
 // reject tells a caller why the session is not opened.
 func (s *callerSession) reject(err error) error {
 	var refusal *model.Refusal
@@ -203,21 +234,16 @@
 // respondLocally responds to a request that needs no instance.
 func (s *callerSession) respondLocally(request statement.Request) error {
 	if request.Verb == statement.Begin || request.Verb == statement.BeginRead {
-		policy, found := s.host.view().Directory.Kinds[s.kind]
-		if !found {
+		policy, refusal := s.authorize()
+		if refusal != nil {
 			s.state.EndTransaction()
-			return s.refuse(request, unknownKind())
+			return s.refuse(request, refusal)
 		}
 		s.policy = policy
 	}
 	return s.caller.SendResponse(&statement.Response{}, s.state.Transaction)
 }
 
-// unknownKind returns the refusal of a kind of work that is not configured.
-func unknownKind() *model.Refusal {
-	return model.Refuse(model.CodeUnknownDatabase, "no kind of work has this name")
-}
-
 // refuse sends a refusal to the caller and logs it.
 func (s *callerSession) refuse(request statement.Request, refusal *model.Refusal) error {
 	s.host.counters.countRefusal(refusal.Code)
--- a/internal/mesh/directory.go
+++ b/internal/mesh/directory.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"errors"
 	"fmt"
 
 	"redwingspread/internal/controller"
@@ -25,8 +26,8 @@
 }
 
 // encodeDirectory returns the parts of what a host knows that are newer than those of the requesting host.
-func encodeDirectory(query *meshapi.Ask, d *directory.Directory, membership *controller.Membership) meshapi.Directory {
-	message := meshapi.Directory{
+func encodeDirectory(key *Key, query *meshapi.Ask, d *directory.Directory, membership *controller.Membership) (message meshapi.Directory, err error) {
+	message = meshapi.Directory{
 		Nonce:    query.Nonce,
 		Version:  uint64(d.Version),
 		Revision: uint64(d.Revision),
@@ -34,6 +35,9 @@
 	}
 	if uint64(d.Version) > query.Version {
 		encodeConfiguration(&message, d)
+		if err := encodeTenants(key, &message, d); err != nil {
+			return message, err
+		}
 	}
 	if uint64(d.Revision) > query.Revision {
 		encodeInstances(&message, d)
@@ -41,7 +45,78 @@
 	if membership != nil && query.Rows.Set && uint64(membership.Revision) > query.Rows.Value {
 		encodeMembership(&message, membership)
 	}
-	return message
+	return message, nil
+}
+
+// encodeTenants adds the tenants, encrypted since they have the digests of API keys.
+func encodeTenants(key *Key, message *meshapi.Directory, d *directory.Directory) (err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("mesh: encode tenants: %w", err)
+		}
+	}()
+	message.Keyed = meshapi.NewOptBool(d.Keyed)
+	if !d.Keyed {
+		return nil
+	}
+	secrets := meshapi.Tenants{Tenants: make([]meshapi.Tenant, 0, len(d.Tenants))}
+	for _, tenant := range d.Tenants {
+		encoded := meshapi.Tenant{
+			Name:    string(tenant.ID),
+			Limited: meshapi.NewOptBool(tenant.Limited),
+			Rate:    meshapi.NewOptFloat64(float64(tenant.Rate)),
+			Burst:   meshapi.NewOptFloat64(float64(tenant.Burst)),
+		}
+		for _, digest := range tenant.Keys {
+			encoded.Keys = append(encoded.Keys, digest[:])
+		}
+		secrets.Tenants = append(secrets.Tenants, encoded)
+	}
+	body, err := secrets.MarshalJSON()
+	if err != nil {
+		return err
+	}
+	message.Secrets, err = key.encrypt(purposeTenants, body)
+	return err
+}
+
+// errDigestSize is the error of a digest of an API key that has the wrong length.
+var errDigestSize = errors.New("a digest has the wrong length")
+
+// decodeTenants returns the tenants in a message.
+func decodeTenants(key *Key, message *meshapi.Directory) (tenants []model.Tenant, err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("mesh: decode tenants: %w", err)
+		}
+	}()
+	if !message.Keyed.Value {
+		return nil, nil
+	}
+	body, err := key.decrypt(purposeTenants, message.Secrets)
+	if err != nil {
+		return nil, err
+	}
+	var secrets meshapi.Tenants
+	if err := secrets.UnmarshalJSON(body); err != nil {
+		return nil, err
+	}
+	for _, encoded := range secrets.Tenants {
+		tenant := model.Tenant{
+			ID:      model.TenantID(encoded.Name),
+			Limited: encoded.Limited.Value,
+			Rate:    model.Rate(encoded.Rate.Value),
+			Burst:   model.Operations(encoded.Burst.Value),
+		}
+		for _, digest := range encoded.Keys {
+			if len(digest) != len(model.KeyDigest{}) {
+				return nil, errDigestSize
+			}
+			tenant.Keys = append(tenant.Keys, model.KeyDigest(digest))
+		}
+		tenants = append(tenants, tenant)
+	}
+	return tenants, nil
 }
 
 // encodeMembership adds the hosts and the promotions.
@@ -107,6 +182,7 @@
 			Timeout:  kind.Timeout.Milliseconds(),
 			Goal:     kind.Goal.Milliseconds(),
 			Rank:     int(kind.Rank),
+			Public:   meshapi.NewOptBool(kind.Public),
 		})
 	}
 	for _, database := range d.Databases {
@@ -140,7 +216,7 @@
 }
 
 // decodeDirectory returns the updates in a message; the regions of instances are derived from their data centres.
-func decodeDirectory(source string, regions map[model.DataCentreID]model.RegionID, message *meshapi.Directory) (update *controller.DirectoryUpdate, err error) {
+func decodeDirectory(key *Key, source string, regions map[model.DataCentreID]model.RegionID, message *meshapi.Directory) (update *controller.DirectoryUpdate, err error) {
 	defer func() {
 		if err != nil {
 			err = fmt.Errorf("mesh: decode directory: %w", err)
@@ -150,8 +226,11 @@
 		return nil, err
 	}
 	update = &controller.DirectoryUpdate{Source: source}
-	if len(message.Kinds) > 0 {
+	if len(message.Kinds) > 0 && message.Keyed.Set { // a host of the previous release would leave the tenants out
 		update.Configuration = decodeConfiguration(message)
+		if update.Configuration.Tenants, err = decodeTenants(key, message); err != nil {
+			return nil, err
+		}
 	}
 	if len(message.Instances) > 0 {
 		update.Full = true
@@ -167,6 +246,7 @@
 	configuration := &directory.Configuration{
 		Version:              model.Version(message.Version),
 		TransactionIdleLimit: model.Milliseconds(message.Idle).Duration(),
+		Keyed:                message.Keyed.Value,
 	}
 	for _, kind := range message.Kinds {
 		configuration.Kinds = append(configuration.Kinds, model.Kind{
@@ -177,6 +257,7 @@
 			Timeout:     model.Milliseconds(kind.Timeout).Duration(),
 			Goal:        model.Milliseconds(kind.Goal).Duration(),
 			Rank:        model.Rank(kind.Rank),
+			Public:      kind.Public.Value,
 		})
 	}
 	for _, database := range message.Databases {
--- a/internal/mesh/key.go
+++ b/internal/mesh/key.go
@@ -1,6 +1,8 @@
 package mesh
 
 import (
+	"crypto/aes"
+	"crypto/cipher"
 	"crypto/hmac"
 	"crypto/rand"
 	"crypto/sha256"
@@ -43,9 +45,44 @@
 	return nil
 }
 
+// cipherFor returns the cipher for one purpose, under a key of its own.
+func (k *Key) cipherFor(purpose string) (cipher.AEAD, error) {
+	derived := hmac.New(sha256.New, k[:])
+	derived.Write([]byte("encrypt " + purpose))
+	block, err := aes.NewCipher(derived.Sum(nil))
+	if err != nil {
+		return nil, err
+	}
+	return cipher.NewGCM(block)
+}
+
+// encrypt returns a random nonce followed by the encrypted message.
+func (k *Key) encrypt(purpose string, message []byte) ([]byte, error) {
+	aead, err := k.cipherFor(purpose)
+	if err != nil {
+		return nil, err
+	}
+	nonce := make([]byte, aead.NonceSize())
+	_, _ = rand.Read(nonce) // crypto/rand crashes the process instead of returning an error
+	return aead.Seal(nonce, nonce, message, []byte(purpose)), nil
+}
+
+// decrypt returns the message that encrypt has encrypted.
+func (k *Key) decrypt(purpose string, encrypted []byte) ([]byte, error) {
+	aead, err := k.cipherFor(purpose)
+	if err != nil {
+		return nil, err
+	}
+	if len(encrypted) < aead.NonceSize() {
+		return nil, ErrInvalidMAC
+	}
+	return aead.Open(nil, encrypted[:aead.NonceSize()], encrypted[aead.NonceSize():], []byte(purpose))
+}
+
 // Purposes of MACs, so that a message of one type is never accepted as another.
 const (
 	purposeHeartbeat = "beat"
 	purposeRequest   = "ask"
 	purposeResponse  = "answer"
+	purposeTenants   = "tenants"
 )
--- a/internal/mesh/node.go
+++ b/internal/mesh/node.go
@@ -200,7 +200,10 @@
 		event.DatagramRefused(n.Logger, "directory fetch", ErrInvalidMAC)
 		return &meshapi.FetchDirectoryDef{StatusCode: http.StatusForbidden}, nil
 	}
-	message := encodeDirectory(&query, n.Directory(), n.Membership())
+	message, err := encodeDirectory(key, &query, n.Directory(), n.Membership())
+	if err != nil {
+		return nil, err
+	}
 	body, err := message.MarshalJSON()
 	if err != nil {
 		return nil, err
@@ -250,7 +253,7 @@
 	if message.Nonce != query.Nonce {
 		return nil, nil, ErrInvalidMAC
 	}
-	if update, err = decodeDirectory("host "+string(host), n.Regions, &message); err != nil {
+	if update, err = decodeDirectory(key, "host "+string(host), n.Regions, &message); err != nil {
 		return nil, nil, err
 	}
 	return update, decodeMembership(&message), nil
--- a/internal/mesh/node_test.go
+++ b/internal/mesh/node_test.go
@@ -281,7 +281,10 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			message := encodeDirectory(&test.query, fullDirectory(), test.has)
+			message, err := encodeDirectory(&testKey, &test.query, fullDirectory(), test.has)
+			if err != nil {
+				t.Fatal(err)
+			}
 			body, err := message.MarshalJSON()
 			if err != nil {
 				t.Fatal(err)
@@ -322,8 +325,11 @@
 			if len(test.knows) > 0 {
 				own.Replace(now, 30, test.knows)
 			}
-			message := encodeDirectory(&meshapi.Ask{Revision: uint64(own.Directory().Revision)}, peer.Directory(), nil)
-			update, err := decodeDirectory("host h1", nil, &message)
+			message, err := encodeDirectory(&testKey, &meshapi.Ask{Revision: uint64(own.Directory().Revision)}, peer.Directory(), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			update, err := decodeDirectory(&testKey, "host h1", nil, &message)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -336,11 +342,17 @@
 	}
 }
 
+// testKey is the shared key of the hosts in tests without a network.
+var testKey = NewKey()
+
 // FuzzDecodeDirectory reads answers of other hosts: whatever they hold, a full list of instances or hosts comes with its revision.
 func FuzzDecodeDirectory(f *testing.F) {
-	message := encodeDirectory(&meshapi.Ask{Rows: meshapi.NewOptUint64(1)}, fullDirectory(), &controller.Membership{
+	message, err := encodeDirectory(&testKey, &meshapi.Ask{Rows: meshapi.NewOptUint64(1)}, fullDirectory(), &controller.Membership{
 		Revision: 12, Hosts: []controller.Host{{ID: "h1", Address: "127.0.0.1:7", DataCentre: "east", Incarnation: 17}},
 	})
+	if err != nil {
+		f.Fatal(err)
+	}
 	body, err := message.MarshalJSON()
 	if err != nil {
 		f.Fatal(err)
@@ -352,7 +364,7 @@
 		if message.UnmarshalJSON(body) != nil {
 			return
 		}
-		update, err := decodeDirectory("host h1", nil, &message)
+		update, err := decodeDirectory(&testKey, "host h1", nil, &message)
 		if err == nil && update.Full != (len(update.Entries) > 0) {
 			t.Errorf("got %+v, want a full list only with instances", update)
 		}
--- a/internal/model/kind.go
+++ b/internal/model/kind.go
@@ -22,6 +22,7 @@
 	Timeout     time.Duration // time limit of one statement
 	Goal        time.Duration // target duration of a whole operation
 	Rank        Rank
+	Public      bool // callers need no API key
 }
 
 // Database is the configuration of a database.
--- a/internal/model/refusal.go
+++ b/internal/model/refusal.go
@@ -43,6 +43,7 @@
 	CodeTimeout           Code = "timeout"
 	CodeNoStatement       Code = "no_statement"
 	CodeWrongInstance     Code = "wrong_instance"
+	CodeAllowance         Code = "allowance"
 )
 
 // Refusal is the error of a request that did not run or whose outcome is unknown.
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -10,9 +10,14 @@
 )
 
 // Pool is the pool of one host's connections to one instance.
+//
+// Connections may belong to tenants. Those of a tenant are opened by the work that needs them, with TakeFor and OpenReserved; the
+// target counts connections of no tenant.
 type Pool[C any] struct {
-	// Open opens one connection.
-	Open func(ctx context.Context) (C, error)
+	// Open opens one connection, which belongs to the tenant unless that is empty.
+	Open func(ctx context.Context, tenant model.TenantID) (C, error)
+	// Tenant returns the tenant that a connection belongs to.
+	Tenant func(conn C) model.TenantID
 	// Close closes one connection; its error is ignored, since instances drop connections that they don't hear from.
 	Close func(ctx context.Context, conn C) error
 	// MinBackoff returns the least backoff after a failure to open with the error.
@@ -39,6 +44,7 @@
 	backoff    time.Duration     // current backoff; zero when the last attempt to open succeeded
 	backingOff bool              // a backoff is in progress
 	fullUntil  time.Time         // end of the latest backoff for which MinBackoff asked
+	backoffDue time.Duration     // backoff after a reserved opening that Run has to wait for; zero for none
 	failures   int               // failed attempts to open since the start
 	wake       chan struct{}     // wakes Run
 }
@@ -66,6 +72,7 @@
 		OnIdle:     func() {},
 		OnBlocked:  func() {},
 		MinBackoff: func(error) time.Duration { return 0 },
+		Tenant:     func(C) model.TenantID { return "" },
 		Jitter:     rand.Float64,
 		Now:        time.Now,
 		wake:       make(chan struct{}, 1),
@@ -199,6 +206,8 @@
 	p.mutex.Lock()
 	closing := p.closing
 	p.closing = nil
+	backoff := p.backoffDue
+	p.backoffDue = 0
 	opening := 0
 	for p.shouldOpen() {
 		p.opening++
@@ -208,7 +217,12 @@
 	for range opening {
 		go p.openOne(ctx, finished)
 	}
-	return opening + p.startClosing(ctx, finished, closing)
+	waiting := 0
+	if backoff > 0 {
+		waiting++
+		go p.endBackoff(ctx, backoff, finished)
+	}
+	return opening + waiting + p.startClosing(ctx, finished, closing)
 }
 
 // startClosing closes each connection in its own goroutine and returns the number of goroutines.
@@ -244,7 +258,7 @@
 	defer func() { finished <- struct{}{} }()
 	openCtx, cancel := context.WithTimeout(ctx, openTimeout)
 	defer cancel()
-	conn, err := p.Open(openCtx)
+	conn, err := p.Open(openCtx, "")
 	if err != nil {
 		least := p.MinBackoff(err)
 		wait := p.recordFailure(least)
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -32,7 +32,7 @@
 	id       int
 }
 
-func (i *fakeInstance) Open(ctx context.Context) (*fakeConn, error) {
+func (i *fakeInstance) Open(ctx context.Context, _ model.TenantID) (*fakeConn, error) {
 	i.startAttempt()
 	timer := time.NewTimer(openTime)
 	defer timer.Stop()
--- /dev/null
+++ b/internal/pool/reserve.go
@@ -0,0 +1,136 @@
+package pool
+
+import (
+	"context"
+	"time"
+
+	"redwingspread/internal/model"
+)
+
+// Reservation is the right to open one connection, in place of an idle one where the limit is reached.
+type Reservation[C any] struct {
+	evicted C
+	evicts  bool
+}
+
+// CanServe reports whether work of any tenant can have a connection now: an idle one, a new one, or a new one in place of an idle one.
+func (p *Pool[C]) CanServe() bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return len(p.idle) > 0 || p.hasRoom()
+}
+
+// hasRoom reports whether one more connection may be opened now.
+func (p *Pool[C]) hasRoom() bool { return !p.backingOff && p.open+p.opening < p.Limit }
+
+// HasIdle reports whether an idle connection belongs to the tenant.
+func (p *Pool[C]) HasIdle(tenant model.TenantID) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.idleOf(tenant) >= 0
+}
+
+// idleOf returns the index of the most recently used idle connection of the tenant, or -1.
+func (p *Pool[C]) idleOf(tenant model.TenantID) int {
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		if p.Tenant(p.idle[i]) == tenant {
+			return i
+		}
+	}
+	return -1
+}
+
+// TakeFor returns the most recently used idle connection of the tenant. Without one it reserves a connection, for which the caller
+// has to call OpenReserved. It must be called only while CanServe reports true, under a lock that keeps it so.
+func (p *Pool[C]) TakeFor(tenant model.TenantID) (conn C, found bool, reservation Reservation[C]) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if i := p.idleOf(tenant); i >= 0 {
+		conn = p.idle[i]
+		p.removeIdle(i)
+		return conn, true, reservation
+	}
+	if !p.hasRoom() && len(p.idle) > 0 {
+		reservation = Reservation[C]{evicted: p.idle[0], evicts: true}
+		p.removeIdle(0) // the least recently used one
+		p.open--
+	}
+	p.opening++
+	return conn, false, reservation
+}
+
+// removeIdle removes an idle connection.
+func (p *Pool[C]) removeIdle(i int) {
+	var none C
+	last := len(p.idle) - 1
+	copy(p.idle[i:], p.idle[i+1:])
+	p.idle[last] = none
+	p.idle = p.idle[:last]
+}
+
+// OpenReserved opens a reserved connection of the tenant and returns it as taken. The connection that it replaces is closed first,
+// so that the instance doesn't count both.
+//
+// After a failure for which MinBackoff asks for a backoff, CanServe grants new connections only in place of idle ones until the backoff
+// has ended; OnIdle is called then.
+func (p *Pool[C]) OpenReserved(ctx context.Context, tenant model.TenantID, reservation Reservation[C]) (conn C, err error) {
+	if reservation.evicts {
+		_ = p.Close(ctx, reservation.evicted) // the instance drops connections that it doesn't hear from
+	}
+	openCtx, cancel := context.WithTimeout(ctx, openTimeout)
+	defer cancel()
+	conn, err = p.Open(openCtx, tenant)
+	if err == nil {
+		p.addTaken()
+		return conn, nil
+	}
+	if least := p.MinBackoff(err); least > 0 {
+		p.backOff(least)
+		p.OnBlocked()
+		return conn, err
+	}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.opening--
+	p.failures++
+	return conn, err
+}
+
+// CancelReservation gives up a reservation; the connection that it would have replaced is idle again.
+func (p *Pool[C]) CancelReservation(reservation Reservation[C]) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.opening--
+	if reservation.evicts {
+		p.open++
+		p.idle = append(p.idle, reservation.evicted)
+		p.trimToLimit()
+	}
+}
+
+// addTaken counts a newly opened connection that is in use.
+func (p *Pool[C]) addTaken() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.opening--
+	p.open++
+	p.backoff = 0
+}
+
+// backOff makes Run wait for the backoff after a failure.
+func (p *Pool[C]) backOff(least time.Duration) {
+	wait := p.recordFailure(least)
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if wait > 0 {
+		p.backoffDue = wait
+		p.wakeRun()
+	}
+}
+
+// endBackoff waits for the backoff and then reports that connections may be opened again.
+func (p *Pool[C]) endBackoff(ctx context.Context, wait time.Duration, finished chan<- struct{}) {
+	defer func() { finished <- struct{}{} }()
+	p.waitBackoff(ctx, wait)
+	p.OnIdle()
+}
--- a/internal/scheduler/demand.go
+++ b/internal/scheduler/demand.go
@@ -49,7 +49,7 @@
 
 // minConnections returns the number of connections to keep open without work, which is none while connections are scarce.
 func (s *Scheduler[C]) minConnections() model.Connections {
-	if s.scarce {
+	if s.scarce || s.perTenant {
 		return 0
 	}
 	return s.MinConnections
--- a/internal/scheduler/permit.go
+++ b/internal/scheduler/permit.go
@@ -6,13 +6,15 @@
 
 	"redwingspread/internal/admit"
 	"redwingspread/internal/model"
+	"redwingspread/internal/pool"
 )
 
 // Request describes one piece of work that asks for a permit.
 type Request struct {
 	Class          admit.Class
-	Deadline       time.Time // time by which the work must be answered; must be set
-	KeepConnection bool      // whether to pin the connection for a transaction
+	Deadline       time.Time      // time by which the work must be answered; must be set
+	KeepConnection bool           // whether to pin the connection for a transaction
+	Tenant         model.TenantID // that the connection has to belong to, where connections belong to tenants
 }
 
 // Permit is the right of a piece of work to use a connection and a slot.
@@ -23,6 +25,9 @@
 	ticket        admit.Ticket[*Permit[C]]
 	decision      chan *model.Refusal // receives nil when the wait succeeds, else a refusal
 	started       time.Time           // start of the current statement
+	tenant        model.TenantID
+	reservation   pool.Reservation[C] // of the connection to open
+	opens         bool                // the connection has to be opened
 	waitingForPin bool
 	pinned        bool
 	running       bool
@@ -52,17 +57,63 @@
 			return refusal
 		}
 	}
-	if refusal := s.enqueue(permit); refusal != nil {
+	if refusal := s.waitForConnection(ctx, permit); refusal != nil {
 		s.unpin(request.KeepConnection)
 		return refusal
 	}
-	if refusal := s.waitForSlot(ctx, permit); refusal != nil {
-		s.unpin(request.KeepConnection)
-		return refusal
+	return nil
+}
+
+// waitForConnection waits for a slot and a connection. Where the instance takes no more connections, it waits again.
+func (s *Scheduler[C]) waitForConnection(ctx context.Context, permit *Permit[C]) *model.Refusal {
+	for {
+		if refusal := s.enqueue(permit); refusal != nil {
+			return refusal
+		}
+		if refusal := s.waitForSlot(ctx, permit); refusal != nil {
+			return refusal
+		}
+		if !permit.opens {
+			return nil
+		}
+		err := s.open(ctx, permit)
+		if err == nil {
+			return nil
+		}
+		s.cancelOpening(permit)
+		if model.CodeOf(err) != model.CodeConnectionsFull {
+			return model.Refuse(model.CodeUnavailable, "no connection could be opened: %v", err)
+		}
+		if !s.Now().Before(permit.ticket.Deadline) {
+			return s.refuseBlocked()
+		}
 	}
+}
+
+// open opens the connection of a permit that has its slot.
+func (s *Scheduler[C]) open(ctx context.Context, permit *Permit[C]) error {
+	openCtx, cancel := context.WithTimeout(ctx, permit.ticket.Deadline.Sub(s.Now()))
+	defer cancel()
+	conn, err := s.Pool.OpenReserved(openCtx, permit.tenant, permit.reservation)
+	if err != nil {
+		return err
+	}
+	permit.Conn, permit.opens = conn, false
+	permit.started = s.Now() // the service time doesn't include the opening
 	return nil
 }
 
+// cancelOpening returns the slot of a permit whose connection could not be opened.
+func (s *Scheduler[C]) cancelOpening(permit *Permit[C]) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	permit.opens = false
+	s.queue.Cancel(&permit.ticket)
+	s.running--
+	s.connectionsInUse--
+	s.schedule()
+}
+
 // blockedPast reports whether no connection can be opened before the deadline.
 func (s *Scheduler[C]) blockedPast(deadline time.Time) bool {
 	blocked := s.BlockedFor()
@@ -86,6 +137,7 @@
 	}
 	permit.ticket.Class = request.Class
 	permit.ticket.Deadline = request.Deadline
+	permit.tenant = request.Tenant
 	return permit
 }
 
@@ -93,7 +145,8 @@
 func (s *Scheduler[C]) recycle(permit *Permit[C]) {
 	var zero C
 	permit.Conn, permit.started = zero, time.Time{}
-	permit.waitingForPin, permit.pinned, permit.running = false, false, false
+	permit.waitingForPin, permit.pinned, permit.running, permit.opens = false, false, false, false
+	permit.reservation = pool.Reservation[C]{}
 	s.permits.Put(permit)
 }
 
@@ -177,7 +230,7 @@
 		return refusal
 	}
 	s.queue.Cancel(&permit.ticket)
-	s.returnConnection(permit.Conn, true)
+	s.returnUnused(permit)
 	s.running--
 	s.schedule()
 	return s.refusal(model.CodeDeadline)
@@ -248,6 +301,17 @@
 	}
 }
 
+// returnUnused returns the connection of a permit that was not used, or the right to open one.
+func (s *Scheduler[C]) returnUnused(permit *Permit[C]) {
+	if !permit.opens {
+		s.returnConnection(permit.Conn, true)
+		return
+	}
+	s.connectionsInUse--
+	s.Pool.CancelReservation(permit.reservation)
+	permit.opens = false
+}
+
 // refusalCode returns the code of the refusal for a verdict.
 func refusalCode(verdict admit.Verdict) model.Code {
 	if verdict == admit.Late {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -48,6 +48,7 @@
 	started            bool
 	stopping           bool
 	scarce             bool          // whether the instance has fewer connections than there are hosts
+	perTenant          bool          // whether connections belong to tenants
 	blocked            chan struct{} // closed, and replaced, when the instance takes no further connection
 	permits            sync.Pool     // unused permits
 }
@@ -141,10 +142,13 @@
 	return serviceTime + time.Duration(ahead)*s.queue.ServiceTimes.Mean(now)/time.Duration(max(limit, 1))
 }
 
-// OpensConnection reports whether work that arrives now has to wait for a connection to be opened, since none is kept.
-func (s *Scheduler[C]) OpensConnection() bool {
+// OpensConnection reports whether work of the tenant that arrives now has to wait for a connection to be opened, since none is kept.
+func (s *Scheduler[C]) OpensConnection(tenant model.TenantID) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	if s.perTenant {
+		return !s.Pool.HasIdle(tenant)
+	}
 	return s.scarce && s.Pool.Counts().Idle == 0
 }
 
@@ -152,6 +156,18 @@
 // instance takes no more.
 func (s *Scheduler[C]) BlockedFor() time.Duration { return s.Pool.BlockedFor() }
 
+// SetPerTenant sets whether connections belong to tenants; work then opens the connections that it needs, under its slot.
+func (s *Scheduler[C]) SetPerTenant(perTenant bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if perTenant == s.perTenant {
+		return
+	}
+	s.applySettings()
+	s.perTenant = perTenant
+	s.schedule()
+}
+
 // connectionReady starts waiting work; the pool calls it when a connection has become idle.
 func (s *Scheduler[C]) connectionReady() {
 	s.mutex.Lock()
@@ -162,31 +178,66 @@
 // schedule starts waiting work while there are a free slot and an idle connection, and updates the target of the pool.
 func (s *Scheduler[C]) schedule() {
 	limit := s.inFlightLimit()
-	for s.running < limit && s.queue.Len() > 0 {
-		conn, found := s.Pool.Take()
-		if !found {
-			break
-		}
-		ticket, verdict := s.queue.Next(s.Now(), admit.EligibleAny)
-		if ticket == nil {
-			s.Pool.Put(conn)
-			break
-		}
-		if verdict == admit.Late {
-			s.Pool.Put(conn)
-			s.refuse(ticket, model.CodeDeadline)
-			continue
-		}
-		permit := ticket.Value
-		permit.Conn = conn
-		permit.started = s.Now()
-		s.running++
-		s.connectionsInUse++
-		permit.decision <- nil
+	start := s.startNext
+	if s.perTenant {
+		start = s.startNextOfTenant
+	}
+	for s.running < limit && s.queue.Len() > 0 && start() {
 	}
 	s.updatePoolTarget()
 }
 
+// startNext starts or refuses the next waiting work; it returns false if there is no idle connection.
+func (s *Scheduler[C]) startNext() bool {
+	conn, found := s.Pool.Take()
+	if !found {
+		return false
+	}
+	ticket, verdict := s.queue.Next(s.Now(), admit.EligibleAny)
+	if ticket == nil {
+		s.Pool.Put(conn)
+		return false
+	}
+	if verdict == admit.Late {
+		s.Pool.Put(conn)
+		s.refuse(ticket, model.CodeDeadline)
+		return true
+	}
+	ticket.Value.Conn = conn
+	s.start(ticket.Value)
+	return true
+}
+
+// startNextOfTenant starts or refuses the next waiting work where connections belong to tenants; it returns false if no work could
+// have a connection. Work without an idle connection of its tenant opens one.
+func (s *Scheduler[C]) startNextOfTenant() bool {
+	if !s.Pool.CanServe() {
+		return false
+	}
+	ticket, verdict := s.queue.Next(s.Now(), admit.EligibleAny)
+	if ticket == nil {
+		return false
+	}
+	if verdict == admit.Late {
+		s.refuse(ticket, model.CodeDeadline)
+		return true
+	}
+	permit := ticket.Value
+	found := false
+	permit.Conn, found, permit.reservation = s.Pool.TakeFor(permit.tenant)
+	permit.opens = !found
+	s.start(permit)
+	return true
+}
+
+// start gives a permit its slot.
+func (s *Scheduler[C]) start(permit *Permit[C]) {
+	permit.started = s.Now()
+	s.running++
+	s.connectionsInUse++
+	permit.decision <- nil
+}
+
 // inFlightLimit returns the number of statements that may be in flight: the slots, and as many more as a distant instance
 // could run during a round trip.
 func (s *Scheduler[C]) inFlightLimit() model.Slots {
@@ -205,6 +256,11 @@
 // updatePoolTarget sets the number of connections that the pool should have open: the recent peak of demand, at least the
 // minimum.
 func (s *Scheduler[C]) updatePoolTarget() {
+	if s.perTenant {
+		s.peakDemand()
+		s.Pool.SetTarget(0) // work opens the connections of its tenant
+		return
+	}
 	s.Pool.SetTarget(max(s.minConnections(), s.peakDemand()))
 }
 
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -32,7 +32,7 @@
 	for _, change := range changes {
 		change(s.Scheduler)
 	}
-	s.Pool.Open = func(ctx context.Context) (int, error) {
+	s.Pool.Open = func(ctx context.Context, _ model.TenantID) (int, error) {
 		time.Sleep(connectTime)
 		s.mutex.Lock()
 		defer s.mutex.Unlock()
@@ -274,7 +274,7 @@
 					s.Pool.Jitter = func() float64 { return 1 }
 				})
 				full := true
-				s.Pool.Open = func(context.Context) (int, error) {
+				s.Pool.Open = func(context.Context, model.TenantID) (int, error) {
 					time.Sleep(connectTime)
 					if full {
 						full = false
@@ -416,7 +416,7 @@
 		var schedulers []*testScheduler
 		for range hosts {
 			s := newTestScheduler(t, 1, 1, func(s *Scheduler[int]) { s.SetLimits(1, 1, true) })
-			s.Pool.Open = func(context.Context) (int, error) {
+			s.Pool.Open = func(context.Context, model.TenantID) (int, error) {
 				time.Sleep(connectTime)
 				mutex.Lock()
 				defer mutex.Unlock()
@@ -491,7 +491,7 @@
 
 func BenchmarkAcquire(b *testing.B) {
 	s := New[int]()
-	s.Pool.Open = func(context.Context) (int, error) { return 1, nil }
+	s.Pool.Open = func(context.Context, model.TenantID) (int, error) { return 1, nil }
 	s.Pool.Close = func(context.Context, int) error { return nil }
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
--- a/pkg/api/meshapi/oas_json_gen.go
+++ b/pkg/api/meshapi/oas_json_gen.go
@@ -1049,6 +1049,16 @@
 			e.ArrEnd()
 		}
 	}
+	{
+		if s.Keyed.Set {
+			e.FieldStart("keyed")
+			s.Keyed.Encode(e)
+		}
+	}
+	{
+		e.FieldStart("secrets")
+		e.Base64(s.Secrets)
+	}
 	{
 		if s.Databases != nil {
 			e.FieldStart("databases")
@@ -1097,17 +1107,19 @@
 	}
 }
 
-var jsonFieldsNameOfDirectory = [10]string{
-	0: "nonce",
-	1: "version",
-	2: "revision",
-	3: "idle",
-	4: "kinds",
-	5: "databases",
-	6: "instances",
-	7: "rows",
-	8: "hosts",
-	9: "promotions",
+var jsonFieldsNameOfDirectory = [12]string{
+	0:  "nonce",
+	1:  "version",
+	2:  "revision",
+	3:  "idle",
+	4:  "kinds",
+	5:  "keyed",
+	6:  "secrets",
+	7:  "databases",
+	8:  "instances",
+	9:  "rows",
+	10: "hosts",
+	11: "promotions",
 }
 
 // Decode decodes Directory from json.
@@ -1184,6 +1196,27 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"kinds\"")
 			}
+		case "keyed":
+			if err := func() error {
+				s.Keyed.Reset()
+				if err := s.Keyed.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"keyed\"")
+			}
+		case "secrets":
+			if err := func() error {
+				v, err := d.Base64()
+				s.Secrets = []byte(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"secrets\"")
+			}
 		case "databases":
 			if err := func() error {
 				s.Databases = make([]Database, 0)
@@ -1791,9 +1824,15 @@
 		e.FieldStart("rank")
 		e.Int(s.Rank)
 	}
+	{
+		if s.Public.Set {
+			e.FieldStart("public")
+			s.Public.Encode(e)
+		}
+	}
 }
 
-var jsonFieldsNameOfKind = [7]string{
+var jsonFieldsNameOfKind = [8]string{
 	0: "name",
 	1: "database",
 	2: "reads",
@@ -1801,6 +1840,7 @@
 	4: "timeout",
 	5: "goal",
 	6: "rank",
+	7: "public",
 }
 
 // Decode decodes Kind from json.
@@ -1894,6 +1934,16 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"rank\"")
 			}
+		case "public":
+			if err := func() error {
+				s.Public.Reset()
+				if err := s.Public.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"public\"")
+			}
 		default:
 			return d.Skip()
 		}
@@ -2242,6 +2292,41 @@
 	return s.Decode(d)
 }
 
+// Encode encodes float64 as json.
+func (o OptFloat64) Encode(e *jx.Encoder) {
+	if !o.Set {
+		return
+	}
+	e.Float64(float64(o.Value))
+}
+
+// Decode decodes float64 from json.
+func (o *OptFloat64) Decode(d *jx.Decoder) error {
+	if o == nil {
+		return errors.New("invalid: unable to decode OptFloat64 to nil")
+	}
+	o.Set = true
+	v, err := d.Float64()
+	if err != nil {
+		return err
+	}
+	o.Value = float64(v)
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s OptFloat64) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *OptFloat64) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode encodes int64 as json.
 func (o OptInt64) Encode(e *jx.Encoder) {
 	if !o.Set {
@@ -3155,3 +3240,286 @@
 	d := jx.DecodeBytes(data)
 	return s.Decode(d)
 }
+
+// Encode implements json.Marshaler.
+func (s *Tenant) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *Tenant) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("name")
+		e.Str(s.Name)
+	}
+	{
+		if s.Keys != nil {
+			e.FieldStart("keys")
+			e.ArrStart()
+			for _, elem := range s.Keys {
+				e.Base64(elem)
+			}
+			e.ArrEnd()
+		}
+	}
+	{
+		if s.Limited.Set {
+			e.FieldStart("limited")
+			s.Limited.Encode(e)
+		}
+	}
+	{
+		if s.Rate.Set {
+			e.FieldStart("rate")
+			s.Rate.Encode(e)
+		}
+	}
+	{
+		if s.Burst.Set {
+			e.FieldStart("burst")
+			s.Burst.Encode(e)
+		}
+	}
+}
+
+var jsonFieldsNameOfTenant = [5]string{
+	0: "name",
+	1: "keys",
+	2: "limited",
+	3: "rate",
+	4: "burst",
+}
+
+// Decode decodes Tenant from json.
+func (s *Tenant) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode Tenant to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "name":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Str()
+				s.Name = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"name\"")
+			}
+		case "keys":
+			if err := func() error {
+				s.Keys = make([][]byte, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem []byte
+					v, err := d.Base64()
+					elem = []byte(v)
+					if err != nil {
+						return err
+					}
+					s.Keys = append(s.Keys, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"keys\"")
+			}
+		case "limited":
+			if err := func() error {
+				s.Limited.Reset()
+				if err := s.Limited.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"limited\"")
+			}
+		case "rate":
+			if err := func() error {
+				s.Rate.Reset()
+				if err := s.Rate.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"rate\"")
+			}
+		case "burst":
+			if err := func() error {
+				s.Burst.Reset()
+				if err := s.Burst.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"burst\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode Tenant")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00000001,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfTenant) {
+					name = jsonFieldsNameOfTenant[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *Tenant) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *Tenant) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
+// Encode implements json.Marshaler.
+func (s *Tenants) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *Tenants) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("tenants")
+		e.ArrStart()
+		for _, elem := range s.Tenants {
+			elem.Encode(e)
+		}
+		e.ArrEnd()
+	}
+}
+
+var jsonFieldsNameOfTenants = [1]string{
+	0: "tenants",
+}
+
+// Decode decodes Tenants from json.
+func (s *Tenants) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode Tenants to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "tenants":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				s.Tenants = make([]Tenant, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem Tenant
+					if err := elem.Decode(d); err != nil {
+						return err
+					}
+					s.Tenants = append(s.Tenants, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"tenants\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode Tenants")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00000001,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfTenants) {
+					name = jsonFieldsNameOfTenants[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *Tenants) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *Tenants) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
--- a/pkg/api/meshapi/oas_operations_gen.go
+++ b/pkg/api/meshapi/oas_operations_gen.go
@@ -6,9 +6,10 @@
 type OperationName = string
 
 const (
-	FetchDirectoryOperation OperationName = "FetchDirectory"
-	AskSealedOperation      OperationName = "AskSealed"
-	BeatReceivedOperation   OperationName = "BeatReceived"
-	HostWrittenOperation    OperationName = "HostWritten"
-	LeadWrittenOperation    OperationName = "LeadWritten"
+	FetchDirectoryOperation  OperationName = "FetchDirectory"
+	AskSealedOperation       OperationName = "AskSealed"
+	BeatReceivedOperation    OperationName = "BeatReceived"
+	HostWrittenOperation     OperationName = "HostWritten"
+	LeadWrittenOperation     OperationName = "LeadWritten"
+	TenantsReceivedOperation OperationName = "TenantsReceived"
 )
--- a/pkg/api/meshapi/oas_schemas_gen.go
+++ b/pkg/api/meshapi/oas_schemas_gen.go
@@ -416,8 +416,12 @@
 	Version  uint64 `json:"version"`
 	Revision uint64 `json:"revision"`
 	// Milliseconds that a transaction may stay idle.
-	Idle      int64      `json:"idle"`
-	Kinds     []Kind     `json:"kinds"`
+	Idle  int64  `json:"idle"`
+	Kinds []Kind `json:"kinds"`
+	// True when callers need API keys; absent when the sender knows nothing of tenants.
+	Keyed OptBool `json:"keyed"`
+	// Encrypted Tenants, with the configuration that has them.
+	Secrets   []byte     `json:"secrets"`
 	Databases []Database `json:"databases"`
 	Instances []Instance `json:"instances"`
 	// Revision of the hosts and promotions.
@@ -451,6 +455,16 @@
 	return s.Kinds
 }
 
+// GetKeyed returns the value of Keyed.
+func (s *Directory) GetKeyed() OptBool {
+	return s.Keyed
+}
+
+// GetSecrets returns the value of Secrets.
+func (s *Directory) GetSecrets() []byte {
+	return s.Secrets
+}
+
 // GetDatabases returns the value of Databases.
 func (s *Directory) GetDatabases() []Database {
 	return s.Databases
@@ -501,6 +515,16 @@
 	s.Kinds = val
 }
 
+// SetKeyed sets the value of Keyed.
+func (s *Directory) SetKeyed(val OptBool) {
+	s.Keyed = val
+}
+
+// SetSecrets sets the value of Secrets.
+func (s *Directory) SetSecrets(val []byte) {
+	s.Secrets = val
+}
+
 // SetDatabases sets the value of Databases.
 func (s *Directory) SetDatabases(val []Database) {
 	s.Databases = val
@@ -763,6 +787,8 @@
 	// Target duration of a whole operation in milliseconds.
 	Goal int64 `json:"goal"`
 	Rank int   `json:"rank"`
+	// Callers need no API key.
+	Public OptBool `json:"public"`
 }
 
 // GetName returns the value of Name.
@@ -800,6 +826,11 @@
 	return s.Rank
 }
 
+// GetPublic returns the value of Public.
+func (s *Kind) GetPublic() OptBool {
+	return s.Public
+}
+
 // SetName sets the value of Name.
 func (s *Kind) SetName(val string) {
 	s.Name = val
@@ -835,6 +866,11 @@
 	s.Rank = val
 }
 
+// SetPublic sets the value of Public.
+func (s *Kind) SetPublic(val OptBool) {
+	s.Public = val
+}
+
 type KindReads string
 
 const (
@@ -1072,6 +1108,52 @@
 	return d
 }
 
+// NewOptFloat64 returns new OptFloat64 with value set to v.
+func NewOptFloat64(v float64) OptFloat64 {
+	return OptFloat64{
+		Value: v,
+		Set:   true,
+	}
+}
+
+// OptFloat64 is optional float64.
+type OptFloat64 struct {
+	Value float64
+	Set   bool
+}
+
+// IsSet returns true if OptFloat64 was set.
+func (o OptFloat64) IsSet() bool { return o.Set }
+
+// Reset unsets value.
+func (o *OptFloat64) Reset() {
+	var v float64
+	o.Value = v
+	o.Set = false
+}
+
+// SetTo sets value to v.
+func (o *OptFloat64) SetTo(v float64) {
+	o.Set = true
+	o.Value = v
+}
+
+// Get returns value and boolean that denotes whether value was set.
+func (o OptFloat64) Get() (v float64, ok bool) {
+	if !o.Set {
+		return v, false
+	}
+	return o.Value, true
+}
+
+// Or returns value if set, or given parameter if does not.
+func (o OptFloat64) Or(d float64) float64 {
+	if v, ok := o.Get(); ok {
+		return v
+	}
+	return d
+}
+
 // NewOptInt64 returns new OptInt64 with value set to v.
 func NewOptInt64(v int64) OptInt64 {
 	return OptInt64{
@@ -1525,3 +1607,83 @@
 		return errors.Errorf("invalid value: %q", data)
 	}
 }
+
+// Ref: #/components/schemas/Tenant
+type Tenant struct {
+	Name string `json:"name"`
+	// SHA-256 digests of the tenant's API keys.
+	Keys    [][]byte `json:"keys"`
+	Limited OptBool  `json:"limited"`
+	// Operations a second.
+	Rate OptFloat64 `json:"rate"`
+	// Operations at once.
+	Burst OptFloat64 `json:"burst"`
+}
+
+// GetName returns the value of Name.
+func (s *Tenant) GetName() string {
+	return s.Name
+}
+
+// GetKeys returns the value of Keys.
+func (s *Tenant) GetKeys() [][]byte {
+	return s.Keys
+}
+
+// GetLimited returns the value of Limited.
+func (s *Tenant) GetLimited() OptBool {
+	return s.Limited
+}
+
+// GetRate returns the value of Rate.
+func (s *Tenant) GetRate() OptFloat64 {
+	return s.Rate
+}
+
+// GetBurst returns the value of Burst.
+func (s *Tenant) GetBurst() OptFloat64 {
+	return s.Burst
+}
+
+// SetName sets the value of Name.
+func (s *Tenant) SetName(val string) {
+	s.Name = val
+}
+
+// SetKeys sets the value of Keys.
+func (s *Tenant) SetKeys(val [][]byte) {
+	s.Keys = val
+}
+
+// SetLimited sets the value of Limited.
+func (s *Tenant) SetLimited(val OptBool) {
+	s.Limited = val
+}
+
+// SetRate sets the value of Rate.
+func (s *Tenant) SetRate(val OptFloat64) {
+	s.Rate = val
+}
+
+// SetBurst sets the value of Burst.
+func (s *Tenant) SetBurst(val OptFloat64) {
+	s.Burst = val
+}
+
+// Ref: #/components/schemas/Tenants
+type Tenants struct {
+	Tenants []Tenant `json:"tenants"`
+}
+
+// GetTenants returns the value of Tenants.
+func (s *Tenants) GetTenants() []Tenant {
+	return s.Tenants
+}
+
+// SetTenants sets the value of Tenants.
+func (s *Tenants) SetTenants(val []Tenant) {
+	s.Tenants = val
+}
+
+// TenantsReceivedOK is response for TenantsReceived operation.
+type TenantsReceivedOK struct{}
--- a/pkg/api/meshapi/oas_validators_gen.go
+++ b/pkg/api/meshapi/oas_validators_gen.go
@@ -213,3 +213,91 @@
 		return errors.Errorf("invalid value: %v", s)
 	}
 }
+
+func (s *Tenant) Validate() error {
+	if s == nil {
+		return validate.ErrNilPointer
+	}
+
+	var failures []validate.FieldError
+	if err := func() error {
+		if value, ok := s.Rate.Get(); ok {
+			if err := func() error {
+				if err := (validate.Float{}).Validate(float64(value)); err != nil {
+					return errors.Wrap(err, "float")
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "rate",
+			Error: err,
+		})
+	}
+	if err := func() error {
+		if value, ok := s.Burst.Get(); ok {
+			if err := func() error {
+				if err := (validate.Float{}).Validate(float64(value)); err != nil {
+					return errors.Wrap(err, "float")
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "burst",
+			Error: err,
+		})
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+	return nil
+}
+
+func (s *Tenants) Validate() error {
+	if s == nil {
+		return validate.ErrNilPointer
+	}
+
+	var failures []validate.FieldError
+	if err := func() error {
+		if s.Tenants == nil {
+			return errors.New("nil is invalid value")
+		}
+		var failures []validate.FieldError
+		for i, elem := range s.Tenants {
+			if err := func() error {
+				if err := elem.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				failures = append(failures, validate.FieldError{
+					Name:  fmt.Sprintf("[%d]", i),
+					Error: err,
+				})
+			}
+		}
+		if len(failures) > 0 {
+			return &validate.Error{Fields: failures}
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "tenants",
+			Error: err,
+		})
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+	return nil
+}
