--- a/internal/controller/event.go
+++ b/internal/controller/event.go
@@ -53,7 +53,8 @@
 	Address     model.Address
 	DataCentre  model.DataCentreID
 	Incarnation model.Incarnation
-	Lone        bool // it may renew its lease from the store
+	Lone        bool          // it may renew its lease from the store
+	Relay       model.Address // where it takes requests that other hosts pass on; empty for none
 }
 
 // Promotion is the store's row of the newest promotion in a database.
--- a/internal/controller/homes.go
+++ b/internal/controller/homes.go
@@ -17,26 +17,80 @@
 // nearer. The other hosts open a connection when they need one, and take turns.
 type homes struct {
 	directory  *directory.Directory
-	membership int // of the hosts from which the rest was worked out
-	byInstance map[model.InstanceID]map[model.HostID]bool
+	membership int                                        // of the hosts from which the rest was worked out
+	byInstance map[model.InstanceID]map[model.HostID]bool // to which the instance is the nearest
+	kept       map[model.InstanceID]map[model.HostID]bool
+	holders    map[model.InstanceID]*Holders
+}
+
+// holderCount is the number of hosts that keep connections to a crowded instance where the others pass requests on to them: few, so
+// that each has a part of the slots worth queueing for, and enough that the loss of one leaves the others with little more.
+const holderCount = 4
+
+// holdersOf returns the home hosts of a crowded instance to which this host passes requests on, or nil if there is none. Each host
+// prefers others of them, which spreads the work.
+func (c *Controller) holdersOf(id model.InstanceID, homes map[model.HostID]bool) *Holders {
+	if known, found := c.homes.holders[id]; found {
+		return known
+	}
+	var hosts []*host
+	for home := range homes {
+		if known, found := c.hosts[home]; found && known.Relay != "" {
+			hosts = append(hosts, known)
+		}
+	}
+	slices.SortFunc(hosts, func(a, b *host) int { return cmp.Compare(c.preference(id, a.ID), c.preference(id, b.ID)) })
+	var holders *Holders
+	if len(hosts) > 0 {
+		holders = &Holders{}
+		for _, known := range hosts {
+			holders.Addresses = append(holders.Addresses, known.Relay)
+		}
+	}
+	c.homes.holders[id] = holders
+	return holders
+}
+
+// preference orders the holders of an instance differently on each host.
+func (c *Controller) preference(id model.InstanceID, holder model.HostID) uint64 {
+	return xxhash.Sum64String(string(c.Self.ID) + "/" + string(id) + "/" + string(holder))
 }
 
 // homesOf returns the home hosts of an instance, at most three quarters of the limit.
 func (c *Controller) homesOf(id model.InstanceID, limit model.Connections) map[model.HostID]bool {
 	d := c.directory.Directory()
 	if c.homes.directory != d || c.homes.membership != c.membership {
-		c.homes = homes{directory: d, membership: c.membership, byInstance: c.assignHomes(d)}
+		c.homes = homes{directory: d, membership: c.membership, byInstance: c.assignHomes(d), holders: make(map[model.InstanceID]*Holders), kept: make(map[model.InstanceID]map[model.HostID]bool)}
 	}
+	if kept, found := c.homes.kept[id]; found {
+		return kept
+	}
+	kept := c.keepHomes(id, limit)
+	c.homes.kept[id] = kept
+	return kept
+}
+
+// keepHomes returns the home hosts of an instance among those to which it is the nearest one.
+func (c *Controller) keepHomes(id model.InstanceID, limit model.Connections) map[model.HostID]bool {
 	all := c.homes.byInstance[id]
 	most := int(limit - limit/turnsDivisor)
+	if c.Self.Relay != "" {
+		most = holderCount
+	}
 	if len(all) <= most {
 		return all
 	}
+	centre := c.directory.Directory().Instances[id].DataCentre
 	ids := make([]model.HostID, 0, len(all))
 	for host := range all {
 		ids = append(ids, host)
 	}
-	slices.SortFunc(ids, func(a, b model.HostID) int { return cmp.Compare(affinity(id, a), affinity(id, b)) })
+	slices.SortFunc(ids, func(a, b model.HostID) int {
+		if near := c.centreOf(a) == centre; c.Self.Relay != "" && near != (c.centreOf(b) == centre) {
+			return map[bool]int{true: -1, false: 1}[near] // the way through such a host is no longer than the direct one
+		}
+		return cmp.Compare(affinity(id, a), affinity(id, b))
+	})
 	kept := make(map[model.HostID]bool, most)
 	for _, host := range ids[:most] {
 		kept[host] = true
@@ -65,11 +119,21 @@
 	}
 	assign(c.Self)
 	for _, known := range c.hosts {
-		assign(known.Host)
+		if c.Self.Relay == "" || (known.Relay != "" && !known.dead && !known.heartbeat.Leaving) {
+			assign(known.Host)
+		}
 	}
 	return assigned
 }
 
+// centreOf returns the data centre of a host.
+func (c *Controller) centreOf(id model.HostID) model.DataCentreID {
+	if id == c.Self.ID {
+		return c.Self.DataCentre
+	}
+	return c.hosts[id].DataCentre
+}
+
 // nearest returns the instance in the host's data centre or else in its region; among several it spreads the hosts.
 func (c *Controller) nearest(host Host, instances []directory.Instance) (id model.InstanceID, found bool) {
 	best, lowest := 0, uint64(0)
--- a/internal/controller/host.go
+++ b/internal/controller/host.go
@@ -57,7 +57,7 @@
 		return
 	}
 	if row.Incarnation >= known.Incarnation {
-		if row.DataCentre != known.DataCentre {
+		if row.DataCentre != known.DataCentre || row.Relay != known.Relay {
 			c.membership++
 		}
 		known.Host = row
@@ -92,6 +92,7 @@
 	}
 	if known.dead {
 		known.dead = false
+		c.membership++
 		event.DependencyRegained(c.Logger, "host "+string(heartbeat.Host), model.Millis(now.Sub(known.lastHeard)))
 	}
 	known.Address, known.Incarnation = e.From, heartbeat.Incarnation
@@ -102,6 +103,9 @@
 		c.lease.Restarted(heartbeat.Host)
 		c.urgent = true // it needs confirmations
 	}
+	if heartbeat.Leaving != known.heartbeat.Leaving {
+		c.membership++
+	}
 	known.heartbeat = heartbeat
 	known.lastHeard = now
 	if heartbeat.Follows {
@@ -149,6 +153,7 @@
 	for id, known := range c.hosts {
 		if !known.dead && now.Sub(known.lastHeard) > timeout {
 			known.dead = true
+			c.membership++
 			event.DependencyLost(c.Logger, "host "+string(id), errNoHeartbeat)
 			for _, monitor := range c.monitors {
 				monitor.Prune(c.liveSet(now))
--- a/internal/controller/shares.go
+++ b/internal/controller/shares.go
@@ -75,7 +75,7 @@
 func (c *Controller) crowdedShare(now time.Time, id model.InstanceID, slots model.Slots, limit model.Connections, hosts int) Share {
 	homes := c.homesOf(id, limit)
 	if !homes[c.Self.ID] {
-		return Share{Slots: max(statementsPerSlot*slots/model.Slots(hosts), 1), Connections: 1, Scarce: true}
+		return Share{Slots: max(statementsPerSlot*slots/model.Slots(hosts), 1), Connections: 1, Scarce: true, Holders: c.holdersOf(id, homes)}
 	}
 	own := claim{host: c.Self.ID, load: max(c.loads[id], minLoad)}
 	others := make([]claim, 0, len(homes))
--- a/internal/controller/view.go
+++ b/internal/controller/view.go
@@ -45,5 +45,11 @@
 type Share struct {
 	Slots       model.Slots
 	Connections model.Connections
-	Scarce      bool // there are more hosts than connections, so idle connections have to be closed
+	Scarce      bool     // there are more hosts than connections, so idle connections have to be closed
+	Holders     *Holders // that keep connections, where this host doesn't; nil for none
+}
+
+// Holders are the hosts that keep connections to an instance and take requests for it; it is immutable.
+type Holders struct {
+	Addresses []model.Address // the first one is to be preferred
 }
--- a/internal/front/autocommit.go
+++ b/internal/front/autocommit.go
@@ -28,6 +28,12 @@
 		if refusal != nil {
 			return s.caller.SendRefusal(e.recordRefusal(refusal), statement.Idle)
 		}
+		if address, found := e.holder(t); found {
+			if done, err := e.relayAutocommit(ctx, t, address); done {
+				return err
+			}
+			continue
+		}
 		permit, err := e.acquire(ctx, t)
 		if err != nil {
 			refusal := asRefusal(err)
@@ -92,7 +98,7 @@
 		if e.access == model.Write {
 			s.state.RecordCommit(trip.response.Point)
 		}
-		e.recordServed()
+		e.recordServed(t.provesPrimary || e.access == model.Write)
 		err = s.caller.SendResponse(&trip.response, statement.Idle)
 		t.backend.scheduler.FinishStatement(permit, trip.drain(), true)
 		return true, err
@@ -110,8 +116,9 @@
 	return e.handleRefusal(ctx, t, &trip.response)
 }
 
-// recordServed counts and logs a successful statement.
-func (e *execution) recordServed() {
+// recordServed counts and logs a successful statement; led says whether it proved that its instance was the primary.
+func (e *execution) recordServed(led bool) {
+	e.session.servedBy, e.session.servedByPrimary = e.instanceID(), led
 	took := time.Since(e.arrived)
 	e.session.host.counters.observeLatency(e.policy.ID, took)
 	event.RequestServed(e.session.host.Logger, e.request.ID, e.policy.ID, e.instanceID(), 0, model.Millis(took))
--- a/internal/front/backend.go
+++ b/internal/front/backend.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"redwingspread/internal/admit"
 	"redwingspread/internal/clock"
 	"redwingspread/internal/controller"
 	"redwingspread/internal/directory"
@@ -73,14 +74,15 @@
 
 	mutex           sync.Mutex
 	health          failover.Health
-	proof           scout.Proof   // newest position that it proved to this host as the primary
-	outstanding     int           // number of statements sent and not done yet
-	lastResponse    time.Time     // time of the latest response
-	overdueSince    time.Time     // start of the current wait: the latest response, or the first statement sent after it
-	reached         model.Point   // newest log point in a response
-	behindUntil     model.Instant // end of the pause of reads that need a newer point
-	behindPause     time.Duration // length of that pause; doubles up to maxBehindPause until the instance has caught up
-	lag             placement.Lag // replication lag, as responses show it
+	proof           scout.Proof         // newest position that it proved to this host as the primary
+	outstanding     int                 // number of statements sent and not done yet
+	lastResponse    time.Time           // time of the latest response
+	overdueSince    time.Time           // start of the current wait: the latest response, or the first statement sent after it
+	reached         model.Point         // newest log point in a response
+	behindUntil     model.Instant       // end of the pause of reads that need a newer point
+	behindPause     time.Duration       // length of that pause; doubles up to maxBehindPause until the instance has caught up
+	lag             placement.Lag       // replication lag, as responses show it
+	remoteTimes     *admit.ServiceTimes // of requests passed on to hosts that keep connections to it
 	leaving         bool
 	lastFullRefusal time.Time // time of the latest connection refused because the limit was reached
 }
@@ -90,7 +92,7 @@
 
 // newBackend returns a backend of a replica set, whose scheduler runs until close.
 func newBackend(ctx context.Context, rs *replicaSet, entry directory.Instance, rtt time.Duration, dial dialFunc) *backend {
-	b := &backend{instance: entry, replicaSet: rs, rtt: rtt, dial: dial, scheduler: scheduler.New[*pooledConn](), done: make(chan error, 1)}
+	b := &backend{instance: entry, replicaSet: rs, rtt: rtt, dial: dial, scheduler: scheduler.New[*pooledConn](), remoteTimes: admit.NewServiceTimes(), done: make(chan error, 1)}
 	b.health.Instance = entry.ID
 	b.scheduler.Floors = [model.RankCount]model.Percent{topRankFloor, lowerRankFloor, lowerRankFloor}
 	b.scheduler.MinConnections = minConnections
@@ -191,11 +193,12 @@
 }
 
 // noteRemoteProof records that the instance proved to another host that it is the primary. It says nothing about whether this
-// host reaches the instance.
+// host reaches the instance. The proof counts from the moment for which it is dated, since a scout repeats the newest one that it has.
 func (b *backend) noteRemoteProof(now time.Time, proof scout.Proof) {
+	provedAt := now.Add(-clock.Boot().Sub(proof.SentAt))
 	b.mutex.Lock()
-	if b.health.SilentSince.IsZero() {
-		b.health.LastProof = now
+	if b.health.SilentSince.IsZero() && provedAt.After(b.health.LastProof) {
+		b.health.LastProof = provedAt
 		b.health.Term = max(b.health.Term, proof.Point.Term)
 	}
 	b.mutex.Unlock()
@@ -328,14 +331,20 @@
 	return counts.Open == 0 && b.health.SilentSince.IsZero() && (counts.Opening > 0 || now.Sub(b.lastFullRefusal) < fullProbeDelay)
 }
 
-// candidate returns the inputs for choosing among instances.
-func (b *backend) candidate(now time.Time, kind model.KindID, tenant model.TenantID, primary model.InstanceID) placement.Candidate {
-	expected := b.scheduler.ExpectedLatency(now, kind)
-	if b.scheduler.OpensConnection(tenant) {
-		expected += 2*b.rtt + setupTime + b.scheduler.BlockedFor()
+// candidate returns the inputs for choosing among instances; passedOn says that other hosts keep the connections to it.
+func (b *backend) candidate(now time.Time, kind model.KindID, tenant model.TenantID, primary model.InstanceID, passedOn bool) placement.Candidate {
+	var expected time.Duration
+	if !passedOn {
+		expected = b.scheduler.ExpectedLatency(now, kind)
+		if b.scheduler.OpensConnection(tenant) {
+			expected += 2*b.rtt + setupTime + b.scheduler.BlockedFor()
+		}
 	}
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
+	if passedOn {
+		expected = b.remoteTimes.Expected(now, kind)
+	}
 	return placement.Candidate{
 		Primary:     b.instance.ID == primary,
 		Avoid:       b.leaving || !b.health.SilentSince.IsZero() || b.stalled(now),
--- a/internal/front/counters.go
+++ b/internal/front/counters.go
@@ -26,6 +26,7 @@
 	Retries      expvar.Int // attempts after the first
 	Promotions   expvar.Int // ordered by this host
 	Sessions     expvar.Int // open now
+	Relayed      expvar.Int // requests passed on to hosts that keep connections
 	SetupRefused expvar.Int // commands that prepare a connection for a session and that an instance refused
 	DroppedLines func() uint64
 
@@ -80,6 +81,7 @@
 	line("retries %s", c.Retries.String())
 	line("promotions %s", c.Promotions.String())
 	line("sessions %s", c.Sessions.String())
+	line("relayed %s", c.Relayed.String())
 	line("setup_refused %s", c.SetupRefused.String())
 	line("lines_dropped %d", c.DroppedLines())
 	c.refusals.Do(func(kv expvar.KeyValue) { line("refusals{code=%q} %s", kv.Key, kv.Value.String()) })
--- a/internal/front/execution.go
+++ b/internal/front/execution.go
@@ -40,8 +40,10 @@
 	startBy           time.Time // for sending the statement to an instance
 	attempts          int
 	excluded          map[model.InstanceID]bool
-	backend           *backend // of the latest attempt
-	mayHaveRun        bool     // an attempt may have run the statement
+	elsewhere         bool // other hosts keep connections to some instance of the database, and pass this request on
+	unreached         map[model.Address]bool // holders that did not take the request
+	backend           *backend               // of the latest attempt
+	mayHaveRun        bool                   // an attempt may have run the statement
 }
 
 // newExecution returns the execution of a request under the policy of its kind of work.
@@ -56,10 +58,24 @@
 		arrived:  now,
 		deadline: now.Add(policy.Timeout),
 	}
+	if s.relayed {
+		e.deadline = earlier(e.deadline, s.responseLimit)
+	}
 	e.startBy = latestStart(now, policy.Goal, e.deadline)
+	if s.relayed {
+		e.startBy = earlier(e.startBy, s.startLimit)
+	}
 	return e
 }
 
+// earlier returns the earlier one of two times.
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // instanceID returns the instance of the latest attempt, or an empty id.
 func (e *execution) instanceID() model.InstanceID {
 	if e.backend == nil {
@@ -97,6 +113,9 @@
 			}
 			return found, nil
 		}
+		if e.session.relayed && e.elsewhere {
+			return target{}, model.Refuse(model.CodeBehind, "no instance to which this host keeps connections would do")
+		}
 		if e.session.host.outOfTouch() {
 			return target{}, withRetryAfter(model.Refuse(model.CodeUnavailable, "the host is out of touch with the other hosts and the store"), outOfTouchRetry)
 		}
@@ -180,9 +199,14 @@
 	now := time.Now()
 	backends := rs.list()
 	candidates := buffer[:0]
+	shares := e.session.host.view().Shares
 	for _, b := range backends[:min(len(backends), maxCandidates)] {
-		c := b.candidate(now, e.policy.ID, e.session.tenant, primary)
+		passedOn := shares[b.instance.ID].Holders != nil
+		c := b.candidate(now, e.policy.ID, e.session.tenant, primary, passedOn && !e.session.relayed)
 		c.Tried = e.excluded[b.instance.ID] || (c.Primary && !b.admitsPrimary())
+		if e.session.relayed && passedOn {
+			c.Tried, e.elsewhere = true, true
+		}
 		candidates = append(candidates, c)
 	}
 	if e.needsPrimary() {
--- a/internal/front/host.go
+++ b/internal/front/host.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"net/netip"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -21,6 +22,7 @@
 	"redwingspread/internal/mesh"
 	"redwingspread/internal/model"
 	"redwingspread/internal/placement"
+	"redwingspread/internal/relay"
 	"redwingspread/internal/session"
 	"redwingspread/internal/settings"
 )
@@ -43,6 +45,7 @@
 
 	regions            map[model.DataCentreID]model.RegionID
 	mesh               *mesh.Node
+	relays             *relay.Client
 	self               controller.Host
 	counters           *counters
 	stage              atomic.Int32
@@ -61,8 +64,11 @@
 	openSessions map[*callerSession]struct{}
 }
 
-// fencingOff is the setting for a platform that doesn't stop a primary when it promotes another instance.
-const fencingOff = "off"
+// Values of settings.
+const (
+	settingOn  = "on"
+	fencingOff = "off" // for a platform that doesn't stop a primary when it promotes another instance
+)
 
 // Stages of a host's life.
 const (
@@ -79,6 +85,7 @@
 		backends:     make(map[model.InstanceID]*backend),
 		openSessions: make(map[*callerSession]struct{}),
 		rowsRead:     make(chan struct{}),
+		relays:       relay.NewClient(),
 	}
 }
 
@@ -115,11 +122,16 @@
 	if h.regions, err = settings.ParseRegions(h.Settings.DataCentres); err != nil {
 		return err
 	}
+	relayAddress, err := h.relayAddress()
+	if err != nil {
+		return err
+	}
 	h.self = controller.Host{
 		ID:          h.Settings.Host,
 		Address:     h.Settings.MeshAddress,
 		DataCentre:  h.Settings.DataCentre,
 		Incarnation: model.Incarnation(time.Now().UnixNano()),
+		Relay:       relayAddress,
 	}
 	c := controller.New()
 	c.Self = h.self
@@ -137,6 +149,8 @@
 	h.mesh.Address = h.self.Address
 	h.mesh.Regions = h.regions
 	h.mesh.Logger = h.Logger
+	h.relays.Host = h.self.ID
+	h.relays.Key = h.mesh.Key
 	h.mesh.Directory = func() *directory.Directory { return h.view().Directory }
 	if !h.unfenced() {
 		h.mesh.Membership = func() *controller.Membership { return h.view().Membership }
@@ -180,6 +194,7 @@
 	accepted := make(chan error, 1)
 	start(h.Loop.Run)
 	start(h.mesh.Run)
+	start(h.newRelayServer().Run)
 	start(h.followAll)
 	start(h.reconcile)
 	start(h.serveReadiness)
@@ -196,6 +211,7 @@
 		err = errors.Join(err, listener.Close(), <-accepted)
 	}
 	cancel()
+	h.relays.Close()
 	for ; running > 0; running-- {
 		if componentErr := <-ended; componentErr != nil && !errors.Is(componentErr, context.Canceled) {
 			err = errors.Join(err, componentErr)
@@ -387,7 +403,7 @@
 	s := &callerSession{
 		host:   h,
 		caller: caller,
-		id:     model.SessionID(strconv.FormatInt(h.sessionsOpened.Add(1), 36)),
+		id:     h.newSessionID(),
 		state:  session.NewSession(),
 	}
 	h.counters.Sessions.Add(1)
@@ -406,6 +422,34 @@
 	done <- errors.Join(err, caller.Close())
 }
 
+// newSessionID returns the ID of a new session.
+func (h *Host) newSessionID() model.SessionID {
+	return model.SessionID(strconv.FormatInt(h.sessionsOpened.Add(1), 36))
+}
+
+// relayAddress returns the address at which the host takes requests that other hosts pass on, or an empty one for none.
+func (h *Host) relayAddress() (model.Address, error) {
+	if h.Settings.Relay != settingOn {
+		return "", nil
+	}
+	address, err := netip.ParseAddrPort(string(h.Settings.MeshAddress))
+	if err != nil {
+		return "", err
+	}
+	return model.Address(netip.AddrPortFrom(address.Addr(), address.Port()+1).String()), nil
+}
+
+// newRelayServer returns the server of the sessions that other hosts pass on.
+func (h *Host) newRelayServer() *relay.Server {
+	server := relay.NewServer()
+	server.Host = h.self.ID
+	server.Address = h.self.Relay
+	server.Key = h.mesh.Key
+	server.Serve = h.serveRelayed
+	server.Logger = h.Logger
+	return server
+}
+
 // addSession registers an open session.
 func (h *Host) addSession(s *callerSession) {
 	h.mutex.Lock()
--- /dev/null
+++ b/internal/front/relay.go
@@ -0,0 +1,385 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"time"
+
+	"redwingspread/internal/boundary"
+	"redwingspread/internal/clock"
+	"redwingspread/internal/event"
+	"redwingspread/internal/model"
+	"redwingspread/internal/relay"
+	"redwingspread/internal/scout"
+	"redwingspread/internal/session"
+	"redwingspread/internal/statement"
+)
+
+// relayTextLimit is the size in bytes of a statement above which it is sent to the instance directly, so that it doesn't hold up the
+// other sessions of the stream.
+const relayTextLimit = 64 << 10
+
+// remoteSession is a session, or a part of one, that another host serves.
+type remoteSession struct {
+	client   *relay.Client
+	address  model.Address
+	id       relay.SessionID
+	instance model.InstanceID // that responded last
+	opened   bool             // the first call has been sent
+	values   map[string]string
+	begunAt  time.Time
+}
+
+// holder returns the address of a host that keeps connections to the target, if this host doesn't and has to share them with more
+// hosts than there are connections.
+func (e *execution) holder(t target) (address model.Address, found bool) {
+	h := e.session.host
+	if e.session.relayed || len(e.request.Text) > relayTextLimit {
+		return "", false
+	}
+	holders := h.view().Shares[t.backend.instance.ID].Holders
+	if holders == nil {
+		return "", false
+	}
+	for _, address := range holders.Addresses {
+		if !e.unreached[address] && h.relays.Reachable(address) {
+			return address, true
+		}
+	}
+	return "", false
+}
+
+// noteRemote records that the instance responded to another host, which had been asked the given time before.
+func (b *backend) noteRemote(now time.Time, kind model.KindID, took time.Duration, point model.Point) {
+	b.mutex.Lock()
+	b.remoteTimes.Observe(now, kind, took)
+	b.mutex.Unlock()
+	if point != (model.Point{}) {
+		b.notePoint(clock.Boot(), point)
+	}
+}
+
+// newRemote returns a session at the host at the address.
+func (s *callerSession) newRemote(address model.Address) *remoteSession {
+	return &remoteSession{client: s.host.relays, address: address, id: s.host.relays.NewSession(), begunAt: time.Now()}
+}
+
+// call passes a request on and waits for its reply.
+func (r *remoteSession) call(ctx context.Context, e *execution, limit time.Time, last bool) (reply relay.Reply, err error) {
+	now := time.Now()
+	state := e.session.state
+	call := relay.Call{Session: r.id, Request: e.request, StartIn: e.startBy.Sub(now), Left: e.deadline.Sub(now), Last: last}
+	if e.request.Verb == statement.Execute {
+		call.Prepared = state.Prepared[e.request.Name]
+	}
+	if !r.opened || !maps.Equal(r.values, state.Values) {
+		call.Values = maps.Clone(state.Values)
+	}
+	if !r.opened {
+		call.Opening = &relay.Opening{
+			Kind: e.session.kind, Tenant: e.session.tenant, LastCommit: state.LastCommit,
+			Transaction: state.Transaction == statement.Open, ReadOnly: state.ReadOnly,
+		}
+	}
+	callCtx, cancel := context.WithDeadline(ctx, limit)
+	defer cancel()
+	sent := clock.Boot()
+	e.session.host.counters.Relayed.Add(1)
+	reply, err = r.client.Call(callCtx, r.address, &call)
+	if err != nil {
+		return reply, err
+	}
+	r.opened = true
+	if call.Values != nil {
+		r.values = call.Values
+	}
+	r.instance = reply.Instance
+	if b := e.session.host.backend(reply.Instance); b != nil {
+		b.noteRemote(time.Now(), e.policy.ID, time.Since(now), reply.Response.Point)
+	} else if reply.Refusal != nil {
+		e.backend.noteRemote(time.Now(), e.policy.ID, time.Since(now)+reply.Refusal.RetryAfter, model.Point{})
+	}
+	if reply.Led && reply.Response.Point != (model.Point{}) {
+		e.session.host.observeProofs([]scout.Proof{{
+			Database: e.policy.Database, Instance: reply.Instance, Point: reply.Response.Point, SentAt: sent,
+		}})
+	}
+	return reply, nil
+}
+
+// end ends the session, whose open transaction is rolled back.
+func (r *remoteSession) end() {
+	if r.opened {
+		r.client.End(r.address, r.id)
+	}
+}
+
+// relayAutocommit passes a statement outside transactions on; it responds to the caller if that settles the request, and reports
+// whether it did.
+func (e *execution) relayAutocommit(ctx context.Context, t target, address model.Address) (done bool, err error) {
+	s := e.session
+	e.backend = t.backend
+	reply, err := s.newRemote(address).call(ctx, e, e.responseDeadline(time.Now()), true)
+	switch {
+	case errors.Is(err, relay.ErrNotSent):
+		return e.retryRelay(ctx, address, "the holder of the connections can't be reached")
+	case err != nil && e.access == model.Write:
+		refusal := model.OutcomeUnknown("the holder of the connections did not answer: %v", err)
+		return true, s.caller.SendRefusal(e.recordRefusal(refusal), statement.Idle)
+	case err != nil:
+		e.mayHaveRun = true
+		e.startBy = e.deadline // the statement had been sent; the rest of its time is for another attempt
+		return e.retryRelay(ctx, address, "the holder of the connections did not answer")
+	case reply.Refusal != nil && reply.Refusal.Code == model.CodeStopping:
+		return e.retryRelay(ctx, address, reply.Refusal.Message)
+	case reply.Refusal != nil && reply.Refusal.Code == model.CodeBehind && e.mayTryOther(t):
+		t.backend.noteBehind(clock.Boot())
+		return e.retryRelay(ctx, "", reply.Refusal.Message)
+	case reply.Refusal != nil && reply.Refusal.NotRun && !t.primary && e.mayTryOther(t):
+		return e.retryRelay(ctx, address, reply.Refusal.Message)
+	case reply.Refusal != nil:
+		return true, s.caller.SendRefusal(e.recordRefusal(reply.Refusal), statement.Idle)
+	case !reply.Response.Succeeded():
+		return true, e.relayRefusal(&reply.Response)
+	}
+	if e.access == model.Write {
+		s.state.RecordCommit(reply.Response.Point)
+	}
+	e.recordServed(false)
+	return true, s.caller.SendResponse(&reply.Response, statement.Idle)
+}
+
+// mayTryOther leaves the target out of further attempts and reports whether another instance is left.
+func (e *execution) mayTryOther(t target) bool {
+	e.exclude(t.backend)
+	return e.hasCandidate()
+}
+
+// retryRelay leaves a holder out of further attempts and reports that the request isn't settled, unless its time is over.
+func (e *execution) retryRelay(ctx context.Context, address model.Address, reason string) (done bool, err error) {
+	e.avoidHolder(address)
+	if e.prepareRetry(ctx, reason, 0) {
+		return false, nil
+	}
+	return true, e.session.caller.SendRefusal(e.recordRefusal(model.Refuse(model.CodeUnavailable, "%s", reason)), statement.Idle)
+}
+
+// avoidHolder leaves a holder out of further attempts.
+func (e *execution) avoidHolder(address model.Address) {
+	if e.unreached == nil {
+		e.unreached = make(map[model.Address]bool)
+	}
+	e.unreached[address] = true
+}
+
+// openRemote decides whether the transaction that begins with this statement runs at another host, which then becomes the session's.
+func (e *execution) openRemote(ctx context.Context) *model.Refusal {
+	e.startsTransaction = true
+	e.readWrite = !e.session.state.ReadOnly
+	t, refusal := e.chooseTarget(ctx)
+	if refusal != nil {
+		return refusal
+	}
+	if address, found := e.holder(t); found {
+		e.backend = t.backend
+		e.session.remote = e.session.newRemote(address)
+	}
+	return nil
+}
+
+// runRemote passes a statement of the session's transaction on and responds to the caller. It reports false if the transaction has
+// not begun there and can begin elsewhere.
+func (s *callerSession) runRemote(ctx context.Context, e *execution) (done bool, err error) {
+	remote := s.remote
+	first := !remote.opened
+	reply, err := remote.call(ctx, e, e.deadline, false)
+	stopping := err == nil && reply.Refusal != nil && reply.Refusal.Code == model.CodeStopping
+	if first && (errors.Is(err, relay.ErrNotSent) || stopping) {
+		s.remote = nil
+		e.avoidHolder(remote.address)
+		if e.prepareRetry(ctx, "the holder of the connections can't be reached", 0) {
+			return false, nil
+		}
+	}
+	if err != nil {
+		s.endRemote()
+		s.state.FailTransaction()
+		refusal := model.Refuse(model.CodeTransactionEnded, "the holder of the transaction did not answer: %v", err)
+		return true, s.caller.SendRefusal(e.recordRefusal(refusal), s.state.Transaction)
+	}
+	s.state.Wrote = s.state.Wrote || e.access == model.Write
+	if reply.Refusal != nil {
+		s.endRemote()
+		s.state.FailTransaction()
+		return true, s.caller.SendRefusal(e.recordRefusal(reply.Refusal), s.state.Transaction)
+	}
+	if reply.Response.State != statement.Open {
+		s.endRemote()
+		s.state.FailTransaction()
+	}
+	if !reply.Response.Succeeded() {
+		return true, e.relayRefusal(&reply.Response)
+	}
+	e.recordServed(false)
+	return true, s.caller.SendResponse(&reply.Response, s.state.Transaction)
+}
+
+// commitRemote commits the session's transaction at the host that serves it and responds to the caller.
+func (s *callerSession) commitRemote(ctx context.Context, e *execution) error {
+	remote, wrote := s.remote, s.state.Wrote
+	s.remote = nil
+	reply, err := remote.call(ctx, e, e.deadline, true)
+	s.state.EndTransaction()
+	switch {
+	case err != nil:
+		remote.end()
+		refusal := model.Refuse(model.CodeTransactionEnded, "the holder of the transaction did not answer the commit: %v", err)
+		if wrote && !errors.Is(err, relay.ErrNotSent) {
+			refusal = model.OutcomeUnknown("the holder of the transaction did not answer the commit: %v", err)
+		}
+		return s.caller.SendRefusal(e.recordRefusal(refusal), statement.Idle)
+	case reply.Refusal != nil:
+		return s.caller.SendRefusal(e.recordRefusal(reply.Refusal), statement.Idle)
+	case !reply.Response.Succeeded():
+		return e.relayRefusal(&reply.Response)
+	}
+	if wrote {
+		s.state.RecordCommit(reply.Response.Point)
+	}
+	e.recordServed(false)
+	return s.caller.SendResponse(&reply.Response, statement.Idle)
+}
+
+// endRemote ends the session's part at another host.
+func (s *callerSession) endRemote() {
+	if s.remote != nil {
+		s.remote.end()
+		s.remote = nil
+	}
+}
+
+// serveRelayed serves a session that another host passes on.
+func (h *Host) serveRelayed(ctx context.Context, passed relay.Session) {
+	caller := &relayedCaller{session: passed, interrupts: make(chan struct{}, 1)}
+	s := &callerSession{host: h, caller: caller, id: h.newSessionID(), state: session.NewSession(), relayed: true, tenant: passed.Opening.Tenant}
+	caller.owner = s
+	h.addSession(s)
+	err := boundary.Run(func() error { return s.serve(ctx) })
+	if errors.Is(err, boundary.ErrPanic) {
+		event.PanicCaught(h.Logger, "relayed session", err)
+	}
+	h.removeSession(s)
+	caller.refuseRest()
+}
+
+// relayedCaller is the caller of a session that another host passes on.
+type relayedCaller struct {
+	session    relay.Session
+	owner      *callerSession
+	interrupts chan struct{}
+	unanswered bool // the newest call has no reply yet
+	last       bool // the session ends with the reply to it
+}
+
+// ReadStart returns what the session is for. The host that passes it on has checked the key.
+func (c *relayedCaller) ReadStart() (Start, error) {
+	opening, state := c.session.Opening, c.owner.state
+	if opening.Transaction {
+		state.Transaction = statement.Open
+		state.ReadOnly = opening.ReadOnly
+	}
+	state.LastCommit = opening.LastCommit
+	return Start{Kind: opening.Kind}, nil
+}
+
+// AcceptSession does nothing: the caller has been told.
+func (c *relayedCaller) AcceptSession() error { return nil }
+
+// ReadRequest waits for a call until the limit; a zero limit waits forever.
+func (c *relayedCaller) ReadRequest(limit time.Time) (request statement.Request, err error) {
+	if c.last {
+		return request, ErrClosed
+	}
+	var timeout <-chan time.Time
+	if !limit.IsZero() {
+		timer := time.NewTimer(time.Until(limit))
+		defer timer.Stop()
+		timeout = timer.C
+	}
+	select {
+	case call, open := <-c.session.Calls:
+		if !open {
+			return request, ErrClosed
+		}
+		c.unanswered, c.last = true, call.Last
+		c.apply(&call)
+		return call.Request, nil
+	case <-c.interrupts:
+	case <-timeout:
+	}
+	return request, ErrNoRequest
+}
+
+// apply brings the session's values and the prepared statement of the call to this host.
+func (c *relayedCaller) apply(call *relay.Call) {
+	if call.Values != nil {
+		c.owner.state.Values = call.Values
+	}
+	if call.Request.Verb == statement.Execute {
+		c.owner.state.Prepared = map[string]statement.Prepared{call.Request.Name: call.Prepared}
+	}
+	now := time.Now()
+	c.owner.startLimit, c.owner.responseLimit = now.Add(call.StartIn), now.Add(call.Left)
+}
+
+// SendResponse sends the reply to the newest call.
+func (c *relayedCaller) SendResponse(response *statement.Response, state statement.State) error {
+	reply := &relay.Reply{Response: *response}
+	reply.Response.State = state
+	reply.Instance, reply.Led = c.owner.servedBy, response.Succeeded() && c.owner.servedByPrimary
+	return c.send(reply)
+}
+
+// SendRefusal sends a refusal of the newest call.
+func (c *relayedCaller) SendRefusal(refusal *model.Refusal, state statement.State) error {
+	return c.send(&relay.Reply{Refusal: refusal, Response: statement.Response{State: state}})
+}
+
+// RejectSession refuses the first call.
+func (c *relayedCaller) RejectSession(refusal *model.Refusal) error {
+	c.last = true
+	<-c.session.Calls
+	return c.send(&relay.Reply{Refusal: refusal})
+}
+
+// send sends a reply.
+func (c *relayedCaller) send(reply *relay.Reply) error {
+	c.unanswered = false
+	return c.session.Reply(reply)
+}
+
+// refuseRest replies to the calls that the session has not answered: one that was read has an unknown outcome, others have not run.
+func (c *relayedCaller) refuseRest() {
+	if c.unanswered {
+		_ = c.SendRefusal(model.OutcomeUnknown("the session ended"), statement.Idle) // fails only when the stream has ended
+	}
+	select {
+	case _, open := <-c.session.Calls:
+		if open {
+			_ = c.SendRefusal(model.Refuse(model.CodeStopping, "the host stops"), statement.Idle) // as above
+		}
+	default:
+	}
+}
+
+// Interrupt makes a pending ReadRequest return ErrNoRequest.
+func (c *relayedCaller) Interrupt() {
+	select {
+	case c.interrupts <- struct{}{}:
+	default:
+	}
+}
+
+// Close does nothing: the stream belongs to all sessions of the other host.
+func (c *relayedCaller) Close() error { return nil }
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -22,9 +22,16 @@
 	key          model.KeyDigest
 	tenant       model.TenantID // of the key, as of the newest operation; empty where keys are not needed
 	state        *session.Session
-	tx           *transaction // nil while no instance holds a transaction of the session
-	policy       model.Kind   // in force for the open transaction
-	waitingSince time.Time    // start of the wait for the next request
+	tx           *transaction   // nil while no instance holds a transaction of the session
+	remote       *remoteSession // nil while no other host serves a transaction of the session
+	policy       model.Kind     // in force for the open transaction
+	waitingSince time.Time      // start of the wait for the next request
+
+	relayed         bool             // another host passes the session on
+	startLimit      time.Time        // by which the other host wants the request to be sent to an instance
+	responseLimit   time.Time        // and by which it wants the response
+	servedBy        model.InstanceID // of the newest response
+	servedByPrimary bool             // the instance proved with it that it was the primary
 }
 
 // serve serves the session until it ends.
@@ -40,7 +47,7 @@
 	s.kind, s.key = start.Kind, start.Key
 	refusal := s.host.awaitConfiguration(ctx)
 	if refusal == nil {
-		_, refusal = s.authorize()
+		s.policy, refusal = s.authorize() // a session that another host passes on may be in a transaction
 	}
 	if refusal != nil {
 		s.host.counters.countRefusal(refusal.Code)
@@ -105,6 +112,9 @@
 	if !found {
 		return kind, model.Refuse(model.CodeUnknownDatabase, "no kind of work has this name")
 	}
+	if s.relayed {
+		return kind, nil // the host that passes the session on has checked the key
+	}
 	tenant, allowed := d.Authorize(kind, s.key)
 	if !allowed {
 		return kind, model.Refuse(model.CodeUnauthorized, "no tenant has this API key")
@@ -119,7 +129,7 @@
 // outdated reports whether the host must not rely on the API keys that it knows, since it has had no word of the configuration for too
 // long.
 func (h *Host) outdated() bool {
-	return h.Settings.RevokeStrict == "on" && clock.Boot().Sub(model.Instant(h.configurationHeard.Load())) > h.Settings.RevokeLimit
+	return h.Settings.RevokeStrict == settingOn && clock.Boot().Sub(model.Instant(h.configurationHeard.Load())) > h.Settings.RevokeLimit
 }
 
 // noteConfigurationHeard records that the configuration that the host knows was in force at a moment that is not before the given one.
@@ -156,14 +166,14 @@
 	}
 	limit := time.Time{}
 	idle := s.host.view().Directory.TransactionIdleLimit
-	if s.tx != nil && idle > 0 {
+	if s.inTransaction() && idle > 0 {
 		limit = s.waitingSince.Add(idle)
 	}
 	request, err := s.caller.ReadRequest(limit)
 	if !errors.Is(err, ErrNoRequest) {
 		return request, err
 	}
-	if s.tx != nil && (s.host.terminating() || (!limit.IsZero() && !time.Now().Before(limit))) {
+	if s.inTransaction() && (s.host.terminating() || (!limit.IsZero() && !time.Now().Before(limit))) {
 		reason := "idle for too long"
 		if s.host.terminating() {
 			reason = "the host is stopping"
@@ -184,7 +194,7 @@
 		if time.Now().Before(limit) {
 			continue // an interrupt, while the request may be arriving
 		}
-		if s.tx != nil {
+		if s.inTransaction() {
 			s.abortTransaction("the host is stopping")
 		}
 		return request, err
@@ -196,11 +206,17 @@
 	return s.host.draining() && s.state.Transaction != statement.Open || s.host.terminating()
 }
 
+// inTransaction reports whether an instance holds a transaction of the session, here or through another host.
+func (s *callerSession) inTransaction() bool { return s.tx != nil || s.remote != nil }
+
 // abortTransaction rolls back the open transaction on the instance; the caller is told at its next request.
 func (s *callerSession) abortTransaction(reason string) {
-	event.TransactionEnded(s.host.Logger, s.kind, s.tx.backend.instance.ID, model.Millis(time.Since(s.tx.begunAt)), reason)
-	s.tx.rollback()
-	s.tx = nil
+	if s.remote != nil {
+		event.TransactionEnded(s.host.Logger, s.kind, s.remote.instance, model.Millis(time.Since(s.remote.begunAt)), reason)
+	} else {
+		event.TransactionEnded(s.host.Logger, s.kind, s.tx.backend.instance.ID, model.Millis(time.Since(s.tx.begunAt)), reason)
+	}
+	s.cleanUp()
 	s.state.FailTransaction()
 }
 
@@ -210,6 +226,7 @@
 		s.tx.rollback()
 		s.tx = nil
 	}
+	s.endRemote()
 }
 
 // handle processes one request; an error ends the session.
@@ -266,6 +283,7 @@
 	if tx != nil {
 		tx.rollback()
 	}
+	s.endRemote()
 	return err
 }
 
--- a/internal/front/transaction.go
+++ b/internal/front/transaction.go
@@ -42,6 +42,18 @@
 		return s.refuse(request, model.Refuse(model.CodeNotPrimary, "the transaction only reads"))
 	}
 	for {
+		if !s.inTransaction() {
+			if refusal := e.openRemote(ctx); refusal != nil {
+				s.state.FailTransaction()
+				return s.caller.SendRefusal(e.recordRefusal(refusal), s.state.Transaction)
+			}
+		}
+		if s.remote != nil {
+			if done, err := s.runRemote(ctx, e); done {
+				return err
+			}
+			continue
+		}
 		first := s.tx == nil
 		if refusal := e.resumeTransaction(ctx); refusal != nil {
 			s.state.FailTransaction()
@@ -101,7 +113,7 @@
 // respondInTransaction relays the instance's response to a statement of the transaction.
 func (s *callerSession) respondInTransaction(e *execution, response *statement.Response) error {
 	if response.Succeeded() {
-		e.recordServed()
+		e.recordServed(s.tx.readWrite)
 		return s.caller.SendResponse(response, s.state.Transaction)
 	}
 	if response.State != statement.Open {
@@ -276,6 +288,9 @@
 		e.access = model.Write
 	}
 	s.host.counters.Requests.Add(1)
+	if s.remote != nil {
+		return s.commitRemote(ctx, e)
+	}
 	if refusal := e.resumeTransaction(ctx); refusal != nil {
 		s.state.EndTransaction()
 		return s.caller.SendRefusal(e.recordRefusal(refusal), statement.Idle)
@@ -301,7 +316,7 @@
 	if wrote {
 		s.state.RecordCommit(trip.response.Point)
 	}
-	e.recordServed()
+	e.recordServed(tx.readWrite)
 	err := s.caller.SendResponse(&trip.response, statement.Idle)
 	tx.backend.scheduler.FinishTransaction(tx.permit, trip.drain())
 	return err
--- a/internal/mesh/directory.go
+++ b/internal/mesh/directory.go
@@ -128,6 +128,7 @@
 			Address:     string(host.Address),
 			Centre:      string(host.DataCentre),
 			Incarnation: uint64(host.Incarnation),
+			Relay:       meshapi.OptString{Value: string(host.Relay), Set: host.Relay != ""},
 		})
 	}
 	for _, promotion := range membership.Promotions {
@@ -154,6 +155,7 @@
 			Address:     model.Address(host.Address),
 			DataCentre:  model.DataCentreID(host.Centre),
 			Incarnation: model.Incarnation(host.Incarnation),
+			Relay:       model.Address(host.Relay.Value),
 		})
 	}
 	for _, promotion := range message.Promotions {
--- a/internal/mesh/heartbeat.go
+++ b/internal/mesh/heartbeat.go
@@ -85,11 +85,11 @@
 			err = fmt.Errorf("mesh: decode heartbeat: %w", err)
 		}
 	}()
-	if len(datagram) < macSize {
+	if len(datagram) < MACSize {
 		return heartbeat, ErrInvalidMAC
 	}
-	body := datagram[macSize:]
-	if err := key.verifyMAC(purposeHeartbeat, body, datagram[:macSize]); err != nil {
+	body := datagram[MACSize:]
+	if err := key.verifyMAC(purposeHeartbeat, body, datagram[:MACSize]); err != nil {
 		return heartbeat, err
 	}
 	if body, err = unpack(body); err != nil {
--- a/internal/mesh/key.go
+++ b/internal/mesh/key.go
@@ -6,14 +6,15 @@
 	"crypto/hmac"
 	"crypto/rand"
 	"crypto/sha256"
+	"encoding/binary"
 	"errors"
 )
 
 const (
 	// KeySize is the length of a key in bytes.
 	KeySize = 32
-	// macSize is the length of a MAC in bytes: half of the digest, too long to be guessed during a host's life.
-	macSize = 16
+	// MACSize is the length of a MAC in bytes: half of the digest, too long to be guessed during a host's life.
+	MACSize = 16
 )
 
 // Key is the key shared by all hosts.
@@ -34,7 +35,7 @@
 	mac.Write([]byte(purpose))
 	mac.Write([]byte{0})
 	mac.Write(body)
-	return mac.Sum(nil)[:macSize]
+	return mac.Sum(nil)[:MACSize]
 }
 
 // verifyMAC returns ErrInvalidMAC unless the MAC belongs to the message.
@@ -45,11 +46,35 @@
 	return nil
 }
 
+// Derive returns a key for another purpose.
+func (k *Key) Derive(purpose string) (derived Key) {
+	mac := hmac.New(sha256.New, k[:])
+	mac.Write([]byte("derive "))
+	mac.Write([]byte(purpose))
+	mac.Sum(derived[:0])
+	return derived
+}
+
+// MAC returns the MAC of a numbered message.
+func (k *Key) MAC(number uint64, body []byte) []byte {
+	mac := hmac.New(sha256.New, k[:])
+	mac.Write(binary.BigEndian.AppendUint64(nil, number))
+	mac.Write(body)
+	return mac.Sum(nil)[:MACSize]
+}
+
+// VerifyMAC returns ErrInvalidMAC unless the MAC belongs to the numbered message.
+func (k *Key) VerifyMAC(number uint64, body, mac []byte) error {
+	if !hmac.Equal(k.MAC(number, body), mac) {
+		return ErrInvalidMAC
+	}
+	return nil
+}
+
 // cipherFor returns the cipher for one purpose, under a key of its own.
 func (k *Key) cipherFor(purpose string) (cipher.AEAD, error) {
-	derived := hmac.New(sha256.New, k[:])
-	derived.Write([]byte("encrypt " + purpose))
-	block, err := aes.NewCipher(derived.Sum(nil))
+	derived := k.Derive("encrypt " + purpose)
+	block, err := aes.NewCipher(derived[:])
 	if err != nil {
 		return nil, err
 	}
--- a/internal/mesh/node.go
+++ b/internal/mesh/node.go
@@ -67,6 +67,9 @@
 // SetKey sets the hosts' shared key; without one nothing is sent and no message is accepted.
 func (n *Node) SetKey(key Key) { n.key.Store(&key) }
 
+// Key returns the hosts' shared key, or nil while it is not set.
+func (n *Node) Key() *Key { return n.key.Load() }
+
 // HasKey reports whether the key is set.
 func (n *Node) HasKey() bool { return n.key.Load() != nil }
 
--- a/internal/mesh/node_test.go
+++ b/internal/mesh/node_test.go
@@ -113,7 +113,7 @@
 				if err != nil {
 					t.Fatal(err)
 				}
-				if got := datagram[macSize] == packMark; got != test.packed || len(datagram) > test.most {
+				if got := datagram[MACSize] == packMark; got != test.packed || len(datagram) > test.most {
 					t.Errorf("got %d bytes, packed %v, want at most %d, packed %v", len(datagram), got, test.most, test.packed)
 				}
 				if got, err := DecodeHeartbeat(&key, now, datagram); err != nil || !reflect.DeepEqual(got, test.heartbeat) {
@@ -380,8 +380,8 @@
 	if err != nil {
 		f.Fatal(err)
 	}
-	f.Add(datagram[macSize:])
-	packed, err := new(packer).pack(datagram[macSize:])
+	f.Add(datagram[MACSize:])
+	packed, err := new(packer).pack(datagram[MACSize:])
 	if err != nil {
 		f.Fatal(err)
 	}
--- /dev/null
+++ b/internal/relay/client.go
@@ -0,0 +1,278 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"redwingspread/internal/mesh"
+	"redwingspread/internal/model"
+)
+
+const (
+	dialTimeout    = 300 * time.Millisecond // several round trips between regions
+	retreatTime    = time.Second            // for which a host that could not be reached is not tried again
+	idleTimeout    = 20 * time.Second       // after which a stream without calls is closed
+	keepAliveTime  = 2 * time.Second        // between two TCP keep-alive probes
+	keepAliveCount = 2                      // unanswered probes after which a stream is dropped
+)
+
+// Errors of a call without a reply.
+var (
+	// ErrNotSent is returned when the call has not been sent, so that nothing of it has run.
+	ErrNotSent = errors.New("relay: the host can't be reached")
+	// ErrLost is returned when the call was sent and the stream ended, or the time was over, before a reply.
+	ErrLost = errors.New("relay: no reply")
+)
+
+// Client passes calls on to other hosts, over one stream to each.
+type Client struct {
+	// Host is this host.
+	Host model.HostID
+	// Key returns the hosts' shared key, or nil while it is not known.
+	Key func() *mesh.Key
+
+	sessions atomic.Uint64
+	mutex    sync.Mutex
+	peers    map[model.Address]*peer
+	closed   bool
+	open     sync.WaitGroup // goroutines that read from streams
+}
+
+// peer is another host to which calls are passed on.
+type peer struct {
+	mutex      sync.Mutex // held while a stream is opened
+	current    atomic.Pointer[clientStream]
+	retreatEnd atomic.Int64 // time until which the host is not tried again, in nanoseconds since the Unix epoch
+}
+
+// clientStream is the calling end of a stream.
+type clientStream struct {
+	*stream
+	mutex   sync.Mutex
+	waiting map[SessionID]chan Reply // calls without a reply by session; nil once the stream has ended
+}
+
+// NewClient returns a client without streams; its exported fields have to be set before use.
+func NewClient() *Client {
+	return &Client{Key: func() *mesh.Key { return nil }, peers: make(map[model.Address]*peer)}
+}
+
+// NewSession returns the number of a new session.
+func (c *Client) NewSession() SessionID { return SessionID(c.sessions.Add(1)) }
+
+// Reachable reports whether the host at the address may be called: it was reached lately, or has not been tried lately.
+func (c *Client) Reachable(address model.Address) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	p, found := c.peers[address]
+	return !c.closed && (!found || time.Now().UnixNano() >= p.retreatEnd.Load())
+}
+
+// Call passes a call on and waits for its reply until the context ends. Its error is or wraps ErrNotSent or ErrLost.
+func (c *Client) Call(ctx context.Context, address model.Address, call *Call) (reply Reply, err error) {
+	body, err := encodeCall(call)
+	if err != nil {
+		return reply, errors.Join(ErrNotSent, err)
+	}
+	s, err := c.streamTo(ctx, address)
+	if err != nil {
+		return reply, errors.Join(ErrNotSent, err)
+	}
+	replies := make(chan Reply, 1)
+	if !s.expect(call.Session, replies) {
+		return reply, ErrNotSent
+	}
+	defer s.forget(call.Session)
+	sent := time.Now()
+	if err := s.write(body); err != nil {
+		_ = s.conn.Close() // ends the goroutine that reads
+		if errors.Is(err, errTooLarge) {
+			return reply, errors.Join(ErrNotSent, err)
+		}
+		return reply, errors.Join(ErrLost, err)
+	}
+	select {
+	case reply, open := <-replies:
+		if !open {
+			return reply, ErrLost
+		}
+		return reply, nil
+	case <-ctx.Done():
+		if s.heard.Load() < sent.UnixNano() {
+			c.retreat(address)
+			_ = s.conn.Close() // nothing has arrived since the call was sent; the connection may have gone silent
+		}
+		return reply, errors.Join(ErrLost, ctx.Err())
+	}
+}
+
+// End ends a session at the host that serves it, without waiting.
+func (c *Client) End(address model.Address, session SessionID) {
+	c.mutex.Lock()
+	p := c.peers[address]
+	c.mutex.Unlock()
+	if p == nil {
+		return
+	}
+	s := p.current.Load()
+	if s == nil {
+		return // the other host ends the sessions of a stream with it
+	}
+	body, err := encodeCall(&Call{Session: session, End: true})
+	if err == nil {
+		err = s.write(body)
+	}
+	if err != nil {
+		_ = s.conn.Close()
+	}
+}
+
+// streamTo returns the stream to a host, which it opens if there is none.
+func (c *Client) streamTo(ctx context.Context, address model.Address) (_ *clientStream, err error) {
+	c.mutex.Lock()
+	p, found := c.peers[address]
+	if !found {
+		p = &peer{}
+		c.peers[address] = p
+	}
+	c.mutex.Unlock()
+	if s := p.current.Load(); s != nil {
+		return s, nil
+	}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if s := p.current.Load(); s != nil {
+		return s, nil
+	}
+	if time.Now().UnixNano() < p.retreatEnd.Load() {
+		return nil, errRetreat
+	}
+	s, err := c.openStream(ctx, address)
+	if err != nil {
+		c.retreat(address)
+		return nil, fmt.Errorf("relay: open stream to %s: %w", address, err)
+	}
+	if !c.startReading(p, s) {
+		return nil, errors.Join(net.ErrClosed, s.conn.Close())
+	}
+	return s, nil
+}
+
+// errRetreat is returned for a host that could not be reached a moment ago.
+var errRetreat = errors.New("the host could not be reached a moment ago")
+
+// retreat keeps calls from a host for a while.
+func (c *Client) retreat(address model.Address) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if p, found := c.peers[address]; found {
+		p.retreatEnd.Store(time.Now().Add(retreatTime).UnixNano())
+	}
+}
+
+// openStream opens a stream to a host.
+func (c *Client) openStream(ctx context.Context, address model.Address) (_ *clientStream, err error) {
+	key := c.Key()
+	if key == nil {
+		return nil, mesh.ErrInvalidMAC
+	}
+	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	dialer := net.Dialer{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveTime, Interval: keepAliveTime, Count: keepAliveCount}}
+	conn, err := dialer.DialContext(dialCtx, "tcp4", string(address))
+	if err != nil {
+		return nil, err
+	}
+	s := &clientStream{stream: newStream(conn), waiting: make(map[SessionID]chan Reply)}
+	if err := s.greet(key, c.Host); err != nil {
+		return nil, errors.Join(err, conn.Close())
+	}
+	return s, nil
+}
+
+// startReading makes the stream the current one to the host and starts its goroutine; it returns false after Close.
+func (c *Client) startReading(p *peer, s *clientStream) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.closed {
+		return false
+	}
+	p.current.Store(s)
+	c.open.Add(1)
+	go func() {
+		defer c.open.Done()
+		s.receive()
+		p.current.CompareAndSwap(s, nil)
+		s.fail()
+	}()
+	return true
+}
+
+// Close closes all streams and waits for their goroutines.
+func (c *Client) Close() {
+	c.mutex.Lock()
+	c.closed = true
+	for _, p := range c.peers {
+		if s := p.current.Load(); s != nil {
+			_ = s.conn.Close()
+		}
+	}
+	c.mutex.Unlock()
+	c.open.Wait()
+}
+
+// receive passes replies on until the stream ends or has been idle for too long.
+func (s *clientStream) receive() {
+	defer func() { _ = s.conn.Close() }()
+	for {
+		if err := s.conn.SetReadDeadline(time.Now().Add(idleTimeout)); err != nil {
+			return
+		}
+		body, err := s.read()
+		if err != nil {
+			return // also when idle: the next call opens another stream
+		}
+		reply, err := decodeReply(body)
+		if err != nil {
+			return
+		}
+		if replies := s.forget(reply.Session); replies != nil {
+			replies <- reply
+		}
+	}
+}
+
+// expect registers a call; it returns false if the stream has ended.
+func (s *clientStream) expect(session SessionID, replies chan Reply) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.waiting == nil {
+		return false
+	}
+	s.waiting[session] = replies
+	return true
+}
+
+// forget removes a call and returns its channel, or nil if there is none.
+func (s *clientStream) forget(session SessionID) chan Reply {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	replies := s.waiting[session]
+	delete(s.waiting, session)
+	return replies
+}
+
+// fail ends the calls that have no reply.
+func (s *clientStream) fail() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for _, replies := range s.waiting {
+		close(replies)
+	}
+	s.waiting = nil
+}
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -101,6 +101,7 @@
 	ReadyAddress   model.Address      // Address of the readiness check for new sessions.
 	MeshAddress    model.Address      // Address for traffic between hosts, TCP and UDP.
 	MetricsAddress string             // Address of the metrics; empty for none.
+	Relay          string             // Whether hosts pass requests on to those that keep connections, where an instance takes fewer connections than there are hosts. The host listens for them at the port after that of mesh-address.
 	StoreAddress   model.Address      // Address of the platform's store.
 	OrderAddress   model.Address      // Address of the platform service that promotes instances.
 	StopLimit      time.Duration      // Time from the signal to stop until the process is killed.
@@ -124,6 +125,7 @@
 		textFlag("ready-address", "REDWINGSPREAD_READY_ADDRESS", "", "Address of the readiness check for new sessions."),
 		textFlag("mesh-address", "REDWINGSPREAD_MESH_ADDRESS", "", "Address for traffic between hosts, TCP and UDP."),
 		textFlag("metrics-address", "REDWINGSPREAD_METRICS_ADDRESS", "", "Address of the metrics; empty for none."),
+		textFlag("relay", "REDWINGSPREAD_RELAY", "off", "Whether hosts pass requests on to those that keep connections, where an instance takes fewer connections than there are hosts. The host listens for them at the port after that of mesh-address."),
 		textFlag("store-address", "REDWINGSPREAD_STORE_ADDRESS", "", "Address of the platform's store."),
 		textFlag("order-address", "REDWINGSPREAD_ORDER_ADDRESS", "", "Address of the platform service that promotes instances."),
 		textFlag("stop-limit", "REDWINGSPREAD_STOP_LIMIT", "6s", "Time from the signal to stop until the process is killed."),
@@ -148,6 +150,7 @@
 	loaded.ReadyAddress = r.address(rule{flag: "ready-address", env: "REDWINGSPREAD_READY_ADDRESS", allowed: "an IP address and a port", required: true})
 	loaded.MeshAddress = r.address(rule{flag: "mesh-address", env: "REDWINGSPREAD_MESH_ADDRESS", allowed: "an IP address and a port", required: true})
 	loaded.MetricsAddress = r.string(rule{flag: "metrics-address", env: "REDWINGSPREAD_METRICS_ADDRESS", allowed: "a string, or empty", required: false})
+	loaded.Relay = r.enum(rule{flag: "relay", env: "REDWINGSPREAD_RELAY", allowed: "one of on, off", required: false, options: []string{"on", "off"}})
 	loaded.StoreAddress = r.address(rule{flag: "store-address", env: "REDWINGSPREAD_STORE_ADDRESS", allowed: "an IP address and a port", required: true})
 	loaded.OrderAddress = r.address(rule{flag: "order-address", env: "REDWINGSPREAD_ORDER_ADDRESS", allowed: "an IP address and a port", required: true})
 	loaded.StopLimit = r.duration(rule{flag: "stop-limit", env: "REDWINGSPREAD_STOP_LIMIT", allowed: "a duration such as 250ms or 10s from 1s to 10m", required: false, min: "1s", max: "10m"})
--- a/pkg/api/meshapi/oas_json_gen.go
+++ b/pkg/api/meshapi/oas_json_gen.go
@@ -884,6 +884,363 @@
 	return s.Decode(d)
 }
 
+// Encode implements json.Marshaler.
+func (s *Call) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *Call) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("session")
+		e.UInt64(s.Session)
+	}
+	{
+		if s.Open.Set {
+			e.FieldStart("open")
+			s.Open.Encode(e)
+		}
+	}
+	{
+		if s.ID.Set {
+			e.FieldStart("id")
+			s.ID.Encode(e)
+		}
+	}
+	{
+		if s.Verb.Set {
+			e.FieldStart("verb")
+			s.Verb.Encode(e)
+		}
+	}
+	{
+		if s.Text.Set {
+			e.FieldStart("text")
+			s.Text.Encode(e)
+		}
+	}
+	{
+		if s.Name.Set {
+			e.FieldStart("name")
+			s.Name.Encode(e)
+		}
+	}
+	{
+		if s.Access.Set {
+			e.FieldStart("access")
+			s.Access.Encode(e)
+		}
+	}
+	{
+		if s.Shape.Set {
+			e.FieldStart("shape")
+			s.Shape.Encode(e)
+		}
+	}
+	{
+		if s.Values.Set {
+			e.FieldStart("values")
+			s.Values.Encode(e)
+		}
+	}
+	{
+		if s.Start.Set {
+			e.FieldStart("start")
+			s.Start.Encode(e)
+		}
+	}
+	{
+		if s.Left.Set {
+			e.FieldStart("left")
+			s.Left.Encode(e)
+		}
+	}
+	{
+		if s.Last.Set {
+			e.FieldStart("last")
+			s.Last.Encode(e)
+		}
+	}
+	{
+		if s.End.Set {
+			e.FieldStart("end")
+			s.End.Encode(e)
+		}
+	}
+}
+
+var jsonFieldsNameOfCall = [13]string{
+	0:  "session",
+	1:  "open",
+	2:  "id",
+	3:  "verb",
+	4:  "text",
+	5:  "name",
+	6:  "access",
+	7:  "shape",
+	8:  "values",
+	9:  "start",
+	10: "left",
+	11: "last",
+	12: "end",
+}
+
+// Decode decodes Call from json.
+func (s *Call) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode Call to nil")
+	}
+	var requiredBitSet [2]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "session":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.UInt64()
+				s.Session = uint64(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"session\"")
+			}
+		case "open":
+			if err := func() error {
+				s.Open.Reset()
+				if err := s.Open.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"open\"")
+			}
+		case "id":
+			if err := func() error {
+				s.ID.Reset()
+				if err := s.ID.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"id\"")
+			}
+		case "verb":
+			if err := func() error {
+				s.Verb.Reset()
+				if err := s.Verb.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"verb\"")
+			}
+		case "text":
+			if err := func() error {
+				s.Text.Reset()
+				if err := s.Text.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"text\"")
+			}
+		case "name":
+			if err := func() error {
+				s.Name.Reset()
+				if err := s.Name.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"name\"")
+			}
+		case "access":
+			if err := func() error {
+				s.Access.Reset()
+				if err := s.Access.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"access\"")
+			}
+		case "shape":
+			if err := func() error {
+				s.Shape.Reset()
+				if err := s.Shape.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"shape\"")
+			}
+		case "values":
+			if err := func() error {
+				s.Values.Reset()
+				if err := s.Values.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"values\"")
+			}
+		case "start":
+			if err := func() error {
+				s.Start.Reset()
+				if err := s.Start.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"start\"")
+			}
+		case "left":
+			if err := func() error {
+				s.Left.Reset()
+				if err := s.Left.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"left\"")
+			}
+		case "last":
+			if err := func() error {
+				s.Last.Reset()
+				if err := s.Last.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"last\"")
+			}
+		case "end":
+			if err := func() error {
+				s.End.Reset()
+				if err := s.End.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"end\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode Call")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [2]uint8{
+		0b00000001,
+		0b00000000,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfCall) {
+					name = jsonFieldsNameOfCall[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *Call) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *Call) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
+// Encode implements json.Marshaler.
+func (s CallValues) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields implements json.Marshaler.
+func (s CallValues) encodeFields(e *jx.Encoder) {
+	for k, elem := range s {
+		e.FieldStart(k)
+
+		e.Str(elem)
+	}
+}
+
+// Decode decodes CallValues from json.
+func (s *CallValues) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode CallValues to nil")
+	}
+	m := s.init()
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		var elem string
+		if err := func() error {
+			v, err := d.Str()
+			elem = string(v)
+			if err != nil {
+				return err
+			}
+			return nil
+		}(); err != nil {
+			return errors.Wrapf(err, "decode field %q", k)
+		}
+		m[string(k)] = elem
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode CallValues")
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s CallValues) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *CallValues) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode implements json.Marshaler.
 func (s *Database) Encode(e *jx.Encoder) {
 	e.ObjStart()
@@ -1352,6 +1709,119 @@
 	return s.Decode(d)
 }
 
+// Encode implements json.Marshaler.
+func (s *Hello) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *Hello) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("host")
+		e.Str(s.Host)
+	}
+	{
+		e.FieldStart("nonce")
+		e.Str(s.Nonce)
+	}
+}
+
+var jsonFieldsNameOfHello = [2]string{
+	0: "host",
+	1: "nonce",
+}
+
+// Decode decodes Hello from json.
+func (s *Hello) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode Hello to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "host":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Str()
+				s.Host = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"host\"")
+			}
+		case "nonce":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				v, err := d.Str()
+				s.Nonce = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"nonce\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode Hello")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00000011,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfHello) {
+					name = jsonFieldsNameOfHello[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *Hello) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *Hello) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode implements json.Marshaler.
 func (s *Host) Encode(e *jx.Encoder) {
 	e.ObjStart()
@@ -1373,6 +1843,12 @@
 		e.FieldStart("incarnation")
 		e.UInt64(s.Incarnation)
 	}
+	{
+		if s.Relay.Set {
+			e.FieldStart("relay")
+			s.Relay.Encode(e)
+		}
+	}
 	{
 		if s.Lone.Set {
 			e.FieldStart("lone")
@@ -1381,11 +1857,12 @@
 	}
 }
 
-var jsonFieldsNameOfHost = [4]string{
+var jsonFieldsNameOfHost = [5]string{
 	0: "address",
 	1: "centre",
 	2: "incarnation",
-	3: "lone",
+	3: "relay",
+	4: "lone",
 }
 
 // Decode decodes Host from json.
@@ -1431,7 +1908,17 @@
 				}
 				return nil
 			}(); err != nil {
-				return errors.Wrap(err, "decode field \"incarnation\"")
+				return errors.Wrap(err, "decode field \"incarnation\"")
+			}
+		case "relay":
+			if err := func() error {
+				s.Relay.Reset()
+				if err := s.Relay.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"relay\"")
 			}
 		case "lone":
 			if err := func() error {
@@ -2189,6 +2676,187 @@
 	return s.Decode(d)
 }
 
+// Encode implements json.Marshaler.
+func (s *Opening) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *Opening) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("kind")
+		e.Str(s.Kind)
+	}
+	{
+		if s.Tenant.Set {
+			e.FieldStart("tenant")
+			s.Tenant.Encode(e)
+		}
+	}
+	{
+		if s.Transaction.Set {
+			e.FieldStart("transaction")
+			s.Transaction.Encode(e)
+		}
+	}
+	{
+		if s.Reads.Set {
+			e.FieldStart("reads")
+			s.Reads.Encode(e)
+		}
+	}
+	{
+		if s.Term.Set {
+			e.FieldStart("term")
+			s.Term.Encode(e)
+		}
+	}
+	{
+		if s.Position.Set {
+			e.FieldStart("position")
+			s.Position.Encode(e)
+		}
+	}
+}
+
+var jsonFieldsNameOfOpening = [6]string{
+	0: "kind",
+	1: "tenant",
+	2: "transaction",
+	3: "reads",
+	4: "term",
+	5: "position",
+}
+
+// Decode decodes Opening from json.
+func (s *Opening) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode Opening to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "kind":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Str()
+				s.Kind = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"kind\"")
+			}
+		case "tenant":
+			if err := func() error {
+				s.Tenant.Reset()
+				if err := s.Tenant.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"tenant\"")
+			}
+		case "transaction":
+			if err := func() error {
+				s.Transaction.Reset()
+				if err := s.Transaction.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"transaction\"")
+			}
+		case "reads":
+			if err := func() error {
+				s.Reads.Reset()
+				if err := s.Reads.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"reads\"")
+			}
+		case "term":
+			if err := func() error {
+				s.Term.Reset()
+				if err := s.Term.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"term\"")
+			}
+		case "position":
+			if err := func() error {
+				s.Position.Reset()
+				if err := s.Position.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"position\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode Opening")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00000001,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfOpening) {
+					name = jsonFieldsNameOfOpening[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *Opening) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *Opening) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode encodes BeatLoads as json.
 func (o OptBeatLoads) Encode(e *jx.Encoder) {
 	if !o.Set {
@@ -2292,6 +2960,40 @@
 	return s.Decode(d)
 }
 
+// Encode encodes CallValues as json.
+func (o OptCallValues) Encode(e *jx.Encoder) {
+	if !o.Set {
+		return
+	}
+	o.Value.Encode(e)
+}
+
+// Decode decodes CallValues from json.
+func (o *OptCallValues) Decode(d *jx.Decoder) error {
+	if o == nil {
+		return errors.New("invalid: unable to decode OptCallValues to nil")
+	}
+	o.Set = true
+	o.Value = make(CallValues)
+	if err := o.Value.Decode(d); err != nil {
+		return err
+	}
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s OptCallValues) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *OptCallValues) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode encodes float64 as json.
 func (o OptFloat64) Encode(e *jx.Encoder) {
 	if !o.Set {
@@ -2300,64 +3002,167 @@
 	e.Float64(float64(o.Value))
 }
 
-// Decode decodes float64 from json.
-func (o *OptFloat64) Decode(d *jx.Decoder) error {
+// Decode decodes float64 from json.
+func (o *OptFloat64) Decode(d *jx.Decoder) error {
+	if o == nil {
+		return errors.New("invalid: unable to decode OptFloat64 to nil")
+	}
+	o.Set = true
+	v, err := d.Float64()
+	if err != nil {
+		return err
+	}
+	o.Value = float64(v)
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s OptFloat64) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *OptFloat64) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
+// Encode encodes int as json.
+func (o OptInt) Encode(e *jx.Encoder) {
+	if !o.Set {
+		return
+	}
+	e.Int(int(o.Value))
+}
+
+// Decode decodes int from json.
+func (o *OptInt) Decode(d *jx.Decoder) error {
+	if o == nil {
+		return errors.New("invalid: unable to decode OptInt to nil")
+	}
+	o.Set = true
+	v, err := d.Int()
+	if err != nil {
+		return err
+	}
+	o.Value = int(v)
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s OptInt) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *OptInt) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
+// Encode encodes int64 as json.
+func (o OptInt64) Encode(e *jx.Encoder) {
+	if !o.Set {
+		return
+	}
+	e.Int64(int64(o.Value))
+}
+
+// Decode decodes int64 from json.
+func (o *OptInt64) Decode(d *jx.Decoder) error {
+	if o == nil {
+		return errors.New("invalid: unable to decode OptInt64 to nil")
+	}
+	o.Set = true
+	v, err := d.Int64()
+	if err != nil {
+		return err
+	}
+	o.Value = int64(v)
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s OptInt64) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *OptInt64) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
+// Encode encodes Opening as json.
+func (o OptOpening) Encode(e *jx.Encoder) {
+	if !o.Set {
+		return
+	}
+	o.Value.Encode(e)
+}
+
+// Decode decodes Opening from json.
+func (o *OptOpening) Decode(d *jx.Decoder) error {
 	if o == nil {
-		return errors.New("invalid: unable to decode OptFloat64 to nil")
+		return errors.New("invalid: unable to decode OptOpening to nil")
 	}
 	o.Set = true
-	v, err := d.Float64()
-	if err != nil {
+	if err := o.Value.Decode(d); err != nil {
 		return err
 	}
-	o.Value = float64(v)
 	return nil
 }
 
 // MarshalJSON implements stdjson.Marshaler.
-func (s OptFloat64) MarshalJSON() ([]byte, error) {
+func (s OptOpening) MarshalJSON() ([]byte, error) {
 	e := jx.Encoder{}
 	s.Encode(&e)
 	return e.Bytes(), nil
 }
 
 // UnmarshalJSON implements stdjson.Unmarshaler.
-func (s *OptFloat64) UnmarshalJSON(data []byte) error {
+func (s *OptOpening) UnmarshalJSON(data []byte) error {
 	d := jx.DecodeBytes(data)
 	return s.Decode(d)
 }
 
-// Encode encodes int64 as json.
-func (o OptInt64) Encode(e *jx.Encoder) {
+// Encode encodes string as json.
+func (o OptString) Encode(e *jx.Encoder) {
 	if !o.Set {
 		return
 	}
-	e.Int64(int64(o.Value))
+	e.Str(string(o.Value))
 }
 
-// Decode decodes int64 from json.
-func (o *OptInt64) Decode(d *jx.Decoder) error {
+// Decode decodes string from json.
+func (o *OptString) Decode(d *jx.Decoder) error {
 	if o == nil {
-		return errors.New("invalid: unable to decode OptInt64 to nil")
+		return errors.New("invalid: unable to decode OptString to nil")
 	}
 	o.Set = true
-	v, err := d.Int64()
+	v, err := d.Str()
 	if err != nil {
 		return err
 	}
-	o.Value = int64(v)
+	o.Value = string(v)
 	return nil
 }
 
 // MarshalJSON implements stdjson.Marshaler.
-func (s OptInt64) MarshalJSON() ([]byte, error) {
+func (s OptString) MarshalJSON() ([]byte, error) {
 	e := jx.Encoder{}
 	s.Encode(&e)
 	return e.Bytes(), nil
 }
 
 // UnmarshalJSON implements stdjson.Unmarshaler.
-func (s *OptInt64) UnmarshalJSON(data []byte) error {
+func (s *OptString) UnmarshalJSON(data []byte) error {
 	d := jx.DecodeBytes(data)
 	return s.Decode(d)
 }
@@ -2457,13 +3262,20 @@
 		e.FieldStart("incarnation")
 		e.UInt64(s.Incarnation)
 	}
+	{
+		if s.Relay.Set {
+			e.FieldStart("relay")
+			s.Relay.Encode(e)
+		}
+	}
 }
 
-var jsonFieldsNameOfPeer = [4]string{
+var jsonFieldsNameOfPeer = [5]string{
 	0: "name",
 	1: "address",
 	2: "centre",
 	3: "incarnation",
+	4: "relay",
 }
 
 // Decode decodes Peer from json.
@@ -2523,6 +3335,16 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"incarnation\"")
 			}
+		case "relay":
+			if err := func() error {
+				s.Relay.Reset()
+				if err := s.Relay.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"relay\"")
+			}
 		default:
 			return d.Skip()
 		}
@@ -2924,6 +3746,337 @@
 	return s.Decode(d)
 }
 
+// Encode implements json.Marshaler.
+func (s *Reply) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *Reply) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("session")
+		e.UInt64(s.Session)
+	}
+	{
+		if s.Instance.Set {
+			e.FieldStart("instance")
+			s.Instance.Encode(e)
+		}
+	}
+	{
+		if s.Rows != nil {
+			e.FieldStart("rows")
+			e.ArrStart()
+			for _, elem := range s.Rows {
+				e.Str(elem)
+			}
+			e.ArrEnd()
+		}
+	}
+	{
+		if s.Signature.Set {
+			e.FieldStart("signature")
+			s.Signature.Encode(e)
+		}
+	}
+	{
+		if s.Code.Set {
+			e.FieldStart("code")
+			s.Code.Encode(e)
+		}
+	}
+	{
+		if s.Word.Set {
+			e.FieldStart("word")
+			s.Word.Encode(e)
+		}
+	}
+	{
+		if s.Text.Set {
+			e.FieldStart("text")
+			s.Text.Encode(e)
+		}
+	}
+	{
+		if s.State.Set {
+			e.FieldStart("state")
+			s.State.Encode(e)
+		}
+	}
+	{
+		if s.Term.Set {
+			e.FieldStart("term")
+			s.Term.Encode(e)
+		}
+	}
+	{
+		if s.Position.Set {
+			e.FieldStart("position")
+			s.Position.Encode(e)
+		}
+	}
+	{
+		if s.Led.Set {
+			e.FieldStart("led")
+			s.Led.Encode(e)
+		}
+	}
+	{
+		if s.Refused.Set {
+			e.FieldStart("refused")
+			s.Refused.Encode(e)
+		}
+	}
+	{
+		if s.Unrun.Set {
+			e.FieldStart("unrun")
+			s.Unrun.Encode(e)
+		}
+	}
+	{
+		if s.Retry.Set {
+			e.FieldStart("retry")
+			s.Retry.Encode(e)
+		}
+	}
+}
+
+var jsonFieldsNameOfReply = [14]string{
+	0:  "session",
+	1:  "instance",
+	2:  "rows",
+	3:  "signature",
+	4:  "code",
+	5:  "word",
+	6:  "text",
+	7:  "state",
+	8:  "term",
+	9:  "position",
+	10: "led",
+	11: "refused",
+	12: "unrun",
+	13: "retry",
+}
+
+// Decode decodes Reply from json.
+func (s *Reply) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode Reply to nil")
+	}
+	var requiredBitSet [2]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "session":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.UInt64()
+				s.Session = uint64(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"session\"")
+			}
+		case "instance":
+			if err := func() error {
+				s.Instance.Reset()
+				if err := s.Instance.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"instance\"")
+			}
+		case "rows":
+			if err := func() error {
+				s.Rows = make([]string, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem string
+					v, err := d.Str()
+					elem = string(v)
+					if err != nil {
+						return err
+					}
+					s.Rows = append(s.Rows, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"rows\"")
+			}
+		case "signature":
+			if err := func() error {
+				s.Signature.Reset()
+				if err := s.Signature.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"signature\"")
+			}
+		case "code":
+			if err := func() error {
+				s.Code.Reset()
+				if err := s.Code.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"code\"")
+			}
+		case "word":
+			if err := func() error {
+				s.Word.Reset()
+				if err := s.Word.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"word\"")
+			}
+		case "text":
+			if err := func() error {
+				s.Text.Reset()
+				if err := s.Text.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"text\"")
+			}
+		case "state":
+			if err := func() error {
+				s.State.Reset()
+				if err := s.State.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"state\"")
+			}
+		case "term":
+			if err := func() error {
+				s.Term.Reset()
+				if err := s.Term.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"term\"")
+			}
+		case "position":
+			if err := func() error {
+				s.Position.Reset()
+				if err := s.Position.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"position\"")
+			}
+		case "led":
+			if err := func() error {
+				s.Led.Reset()
+				if err := s.Led.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"led\"")
+			}
+		case "refused":
+			if err := func() error {
+				s.Refused.Reset()
+				if err := s.Refused.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"refused\"")
+			}
+		case "unrun":
+			if err := func() error {
+				s.Unrun.Reset()
+				if err := s.Unrun.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"unrun\"")
+			}
+		case "retry":
+			if err := func() error {
+				s.Retry.Reset()
+				if err := s.Retry.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"retry\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode Reply")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [2]uint8{
+		0b00000001,
+		0b00000000,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfReply) {
+					name = jsonFieldsNameOfReply[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *Reply) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *Reply) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode implements json.Marshaler.
 func (s *Sealed) Encode(e *jx.Encoder) {
 	e.ObjStart()
--- a/pkg/api/meshapi/oas_operations_gen.go
+++ b/pkg/api/meshapi/oas_operations_gen.go
@@ -11,5 +11,7 @@
 	BeatReceivedOperation    OperationName = "BeatReceived"
 	HostWrittenOperation     OperationName = "HostWritten"
 	LeadWrittenOperation     OperationName = "LeadWritten"
+	RelayCalledOperation     OperationName = "RelayCalled"
+	RelayOpenedOperation     OperationName = "RelayOpened"
 	TenantsReceivedOperation OperationName = "TenantsReceived"
 )
--- a/pkg/api/meshapi/oas_schemas_gen.go
+++ b/pkg/api/meshapi/oas_schemas_gen.go
@@ -373,6 +373,174 @@
 	return m
 }
 
+// Ref: #/components/schemas/Call
+type Call struct {
+	// Number of the session on the stream.
+	Session uint64     `json:"session"`
+	Open    OptOpening `json:"open"`
+	// Id that the caller gave the request.
+	ID   OptString `json:"id"`
+	Verb OptInt    `json:"verb"`
+	Text OptString `json:"text"`
+	Name OptString `json:"name"`
+	// Access of the prepared statement that is executed.
+	Access OptString `json:"access"`
+	// Text of the prepared statement that is executed.
+	Shape OptString `json:"shape"`
+	// All values of the session; absent when unchanged since its last call.
+	Values OptCallValues `json:"values"`
+	// Milliseconds within which the request must be sent to an instance.
+	Start OptInt64 `json:"start"`
+	// Milliseconds within which it must be answered.
+	Left OptInt64 `json:"left"`
+	// The session ends with the response.
+	Last OptBool `json:"last"`
+	// The session ends at once; the call has no request.
+	End OptBool `json:"end"`
+}
+
+// GetSession returns the value of Session.
+func (s *Call) GetSession() uint64 {
+	return s.Session
+}
+
+// GetOpen returns the value of Open.
+func (s *Call) GetOpen() OptOpening {
+	return s.Open
+}
+
+// GetID returns the value of ID.
+func (s *Call) GetID() OptString {
+	return s.ID
+}
+
+// GetVerb returns the value of Verb.
+func (s *Call) GetVerb() OptInt {
+	return s.Verb
+}
+
+// GetText returns the value of Text.
+func (s *Call) GetText() OptString {
+	return s.Text
+}
+
+// GetName returns the value of Name.
+func (s *Call) GetName() OptString {
+	return s.Name
+}
+
+// GetAccess returns the value of Access.
+func (s *Call) GetAccess() OptString {
+	return s.Access
+}
+
+// GetShape returns the value of Shape.
+func (s *Call) GetShape() OptString {
+	return s.Shape
+}
+
+// GetValues returns the value of Values.
+func (s *Call) GetValues() OptCallValues {
+	return s.Values
+}
+
+// GetStart returns the value of Start.
+func (s *Call) GetStart() OptInt64 {
+	return s.Start
+}
+
+// GetLeft returns the value of Left.
+func (s *Call) GetLeft() OptInt64 {
+	return s.Left
+}
+
+// GetLast returns the value of Last.
+func (s *Call) GetLast() OptBool {
+	return s.Last
+}
+
+// GetEnd returns the value of End.
+func (s *Call) GetEnd() OptBool {
+	return s.End
+}
+
+// SetSession sets the value of Session.
+func (s *Call) SetSession(val uint64) {
+	s.Session = val
+}
+
+// SetOpen sets the value of Open.
+func (s *Call) SetOpen(val OptOpening) {
+	s.Open = val
+}
+
+// SetID sets the value of ID.
+func (s *Call) SetID(val OptString) {
+	s.ID = val
+}
+
+// SetVerb sets the value of Verb.
+func (s *Call) SetVerb(val OptInt) {
+	s.Verb = val
+}
+
+// SetText sets the value of Text.
+func (s *Call) SetText(val OptString) {
+	s.Text = val
+}
+
+// SetName sets the value of Name.
+func (s *Call) SetName(val OptString) {
+	s.Name = val
+}
+
+// SetAccess sets the value of Access.
+func (s *Call) SetAccess(val OptString) {
+	s.Access = val
+}
+
+// SetShape sets the value of Shape.
+func (s *Call) SetShape(val OptString) {
+	s.Shape = val
+}
+
+// SetValues sets the value of Values.
+func (s *Call) SetValues(val OptCallValues) {
+	s.Values = val
+}
+
+// SetStart sets the value of Start.
+func (s *Call) SetStart(val OptInt64) {
+	s.Start = val
+}
+
+// SetLeft sets the value of Left.
+func (s *Call) SetLeft(val OptInt64) {
+	s.Left = val
+}
+
+// SetLast sets the value of Last.
+func (s *Call) SetLast(val OptBool) {
+	s.Last = val
+}
+
+// SetEnd sets the value of End.
+func (s *Call) SetEnd(val OptBool) {
+	s.End = val
+}
+
+// All values of the session; absent when unchanged since its last call.
+type CallValues map[string]string
+
+func (s *CallValues) init() CallValues {
+	m := *s
+	if m == nil {
+		m = map[string]string{}
+		*s = m
+	}
+	return m
+}
+
 // Ref: #/components/schemas/Database
 type Database struct {
 	Name        string  `json:"name"`
@@ -567,11 +735,39 @@
 
 func (*FetchDirectoryDef) fetchDirectoryRes() {}
 
+// Ref: #/components/schemas/Hello
+type Hello struct {
+	Host  string `json:"host"`
+	Nonce string `json:"nonce"`
+}
+
+// GetHost returns the value of Host.
+func (s *Hello) GetHost() string {
+	return s.Host
+}
+
+// GetNonce returns the value of Nonce.
+func (s *Hello) GetNonce() string {
+	return s.Nonce
+}
+
+// SetHost sets the value of Host.
+func (s *Hello) SetHost(val string) {
+	s.Host = val
+}
+
+// SetNonce sets the value of Nonce.
+func (s *Hello) SetNonce(val string) {
+	s.Nonce = val
+}
+
 // Ref: #/components/schemas/Host
 type Host struct {
 	Address     string `json:"address"`
 	Centre      string `json:"centre"`
 	Incarnation uint64 `json:"incarnation"`
+	// Address at which the host takes requests that other hosts pass on; absent for none.
+	Relay OptString `json:"relay"`
 	// True when the host has heard only a minority of the hosts since its start and then renews its lease
 	// from the store.
 	Lone OptBool `json:"lone"`
@@ -592,6 +788,11 @@
 	return s.Incarnation
 }
 
+// GetRelay returns the value of Relay.
+func (s *Host) GetRelay() OptString {
+	return s.Relay
+}
+
 // GetLone returns the value of Lone.
 func (s *Host) GetLone() OptBool {
 	return s.Lone
@@ -612,6 +813,11 @@
 	s.Incarnation = val
 }
 
+// SetRelay sets the value of Relay.
+func (s *Host) SetRelay(val OptString) {
+	s.Relay = val
+}
+
 // SetLone sets the value of Lone.
 func (s *Host) SetLone(val OptBool) {
 	s.Lone = val
@@ -970,6 +1176,79 @@
 // LeadWrittenOK is response for LeadWritten operation.
 type LeadWrittenOK struct{}
 
+// Ref: #/components/schemas/Opening
+type Opening struct {
+	Kind   string    `json:"kind"`
+	Tenant OptString `json:"tenant"`
+	// The session has begun a transaction.
+	Transaction OptBool `json:"transaction"`
+	// The transaction only reads.
+	Reads OptBool   `json:"reads"`
+	Term  OptUint64 `json:"term"`
+	// With term, the newest commit of the session.
+	Position OptUint64 `json:"position"`
+}
+
+// GetKind returns the value of Kind.
+func (s *Opening) GetKind() string {
+	return s.Kind
+}
+
+// GetTenant returns the value of Tenant.
+func (s *Opening) GetTenant() OptString {
+	return s.Tenant
+}
+
+// GetTransaction returns the value of Transaction.
+func (s *Opening) GetTransaction() OptBool {
+	return s.Transaction
+}
+
+// GetReads returns the value of Reads.
+func (s *Opening) GetReads() OptBool {
+	return s.Reads
+}
+
+// GetTerm returns the value of Term.
+func (s *Opening) GetTerm() OptUint64 {
+	return s.Term
+}
+
+// GetPosition returns the value of Position.
+func (s *Opening) GetPosition() OptUint64 {
+	return s.Position
+}
+
+// SetKind sets the value of Kind.
+func (s *Opening) SetKind(val string) {
+	s.Kind = val
+}
+
+// SetTenant sets the value of Tenant.
+func (s *Opening) SetTenant(val OptString) {
+	s.Tenant = val
+}
+
+// SetTransaction sets the value of Transaction.
+func (s *Opening) SetTransaction(val OptBool) {
+	s.Transaction = val
+}
+
+// SetReads sets the value of Reads.
+func (s *Opening) SetReads(val OptBool) {
+	s.Reads = val
+}
+
+// SetTerm sets the value of Term.
+func (s *Opening) SetTerm(val OptUint64) {
+	s.Term = val
+}
+
+// SetPosition sets the value of Position.
+func (s *Opening) SetPosition(val OptUint64) {
+	s.Position = val
+}
+
 // NewOptBeatLoads returns new OptBeatLoads with value set to v.
 func NewOptBeatLoads(v BeatLoads) OptBeatLoads {
 	return OptBeatLoads{
@@ -1108,6 +1387,52 @@
 	return d
 }
 
+// NewOptCallValues returns new OptCallValues with value set to v.
+func NewOptCallValues(v CallValues) OptCallValues {
+	return OptCallValues{
+		Value: v,
+		Set:   true,
+	}
+}
+
+// OptCallValues is optional CallValues.
+type OptCallValues struct {
+	Value CallValues
+	Set   bool
+}
+
+// IsSet returns true if OptCallValues was set.
+func (o OptCallValues) IsSet() bool { return o.Set }
+
+// Reset unsets value.
+func (o *OptCallValues) Reset() {
+	var v CallValues
+	o.Value = v
+	o.Set = false
+}
+
+// SetTo sets value to v.
+func (o *OptCallValues) SetTo(v CallValues) {
+	o.Set = true
+	o.Value = v
+}
+
+// Get returns value and boolean that denotes whether value was set.
+func (o OptCallValues) Get() (v CallValues, ok bool) {
+	if !o.Set {
+		return v, false
+	}
+	return o.Value, true
+}
+
+// Or returns value if set, or given parameter if does not.
+func (o OptCallValues) Or(d CallValues) CallValues {
+	if v, ok := o.Get(); ok {
+		return v
+	}
+	return d
+}
+
 // NewOptFloat64 returns new OptFloat64 with value set to v.
 func NewOptFloat64(v float64) OptFloat64 {
 	return OptFloat64{
@@ -1154,6 +1479,52 @@
 	return d
 }
 
+// NewOptInt returns new OptInt with value set to v.
+func NewOptInt(v int) OptInt {
+	return OptInt{
+		Value: v,
+		Set:   true,
+	}
+}
+
+// OptInt is optional int.
+type OptInt struct {
+	Value int
+	Set   bool
+}
+
+// IsSet returns true if OptInt was set.
+func (o OptInt) IsSet() bool { return o.Set }
+
+// Reset unsets value.
+func (o *OptInt) Reset() {
+	var v int
+	o.Value = v
+	o.Set = false
+}
+
+// SetTo sets value to v.
+func (o *OptInt) SetTo(v int) {
+	o.Set = true
+	o.Value = v
+}
+
+// Get returns value and boolean that denotes whether value was set.
+func (o OptInt) Get() (v int, ok bool) {
+	if !o.Set {
+		return v, false
+	}
+	return o.Value, true
+}
+
+// Or returns value if set, or given parameter if does not.
+func (o OptInt) Or(d int) int {
+	if v, ok := o.Get(); ok {
+		return v
+	}
+	return d
+}
+
 // NewOptInt64 returns new OptInt64 with value set to v.
 func NewOptInt64(v int64) OptInt64 {
 	return OptInt64{
@@ -1200,6 +1571,98 @@
 	return d
 }
 
+// NewOptOpening returns new OptOpening with value set to v.
+func NewOptOpening(v Opening) OptOpening {
+	return OptOpening{
+		Value: v,
+		Set:   true,
+	}
+}
+
+// OptOpening is optional Opening.
+type OptOpening struct {
+	Value Opening
+	Set   bool
+}
+
+// IsSet returns true if OptOpening was set.
+func (o OptOpening) IsSet() bool { return o.Set }
+
+// Reset unsets value.
+func (o *OptOpening) Reset() {
+	var v Opening
+	o.Value = v
+	o.Set = false
+}
+
+// SetTo sets value to v.
+func (o *OptOpening) SetTo(v Opening) {
+	o.Set = true
+	o.Value = v
+}
+
+// Get returns value and boolean that denotes whether value was set.
+func (o OptOpening) Get() (v Opening, ok bool) {
+	if !o.Set {
+		return v, false
+	}
+	return o.Value, true
+}
+
+// Or returns value if set, or given parameter if does not.
+func (o OptOpening) Or(d Opening) Opening {
+	if v, ok := o.Get(); ok {
+		return v
+	}
+	return d
+}
+
+// NewOptString returns new OptString with value set to v.
+func NewOptString(v string) OptString {
+	return OptString{
+		Value: v,
+		Set:   true,
+	}
+}
+
+// OptString is optional string.
+type OptString struct {
+	Value string
+	Set   bool
+}
+
+// IsSet returns true if OptString was set.
+func (o OptString) IsSet() bool { return o.Set }
+
+// Reset unsets value.
+func (o *OptString) Reset() {
+	var v string
+	o.Value = v
+	o.Set = false
+}
+
+// SetTo sets value to v.
+func (o *OptString) SetTo(v string) {
+	o.Set = true
+	o.Value = v
+}
+
+// Get returns value and boolean that denotes whether value was set.
+func (o OptString) Get() (v string, ok bool) {
+	if !o.Set {
+		return v, false
+	}
+	return o.Value, true
+}
+
+// Or returns value if set, or given parameter if does not.
+func (o OptString) Or(d string) string {
+	if v, ok := o.Get(); ok {
+		return v
+	}
+	return d
+}
+
 // NewOptUint returns new OptUint with value set to v.
 func NewOptUint(v uint) OptUint {
 	return OptUint{
@@ -1294,10 +1757,11 @@
 
 // Ref: #/components/schemas/Peer
 type Peer struct {
-	Name        string `json:"name"`
-	Address     string `json:"address"`
-	Centre      string `json:"centre"`
-	Incarnation uint64 `json:"incarnation"`
+	Name        string    `json:"name"`
+	Address     string    `json:"address"`
+	Centre      string    `json:"centre"`
+	Incarnation uint64    `json:"incarnation"`
+	Relay       OptString `json:"relay"`
 }
 
 // GetName returns the value of Name.
@@ -1320,6 +1784,11 @@
 	return s.Incarnation
 }
 
+// GetRelay returns the value of Relay.
+func (s *Peer) GetRelay() OptString {
+	return s.Relay
+}
+
 // SetName sets the value of Name.
 func (s *Peer) SetName(val string) {
 	s.Name = val
@@ -1340,6 +1809,11 @@
 	s.Incarnation = val
 }
 
+// SetRelay sets the value of Relay.
+func (s *Peer) SetRelay(val OptString) {
+	s.Relay = val
+}
+
 // Ref: #/components/schemas/Promotion
 type Promotion struct {
 	Database string `json:"database"`
@@ -1471,6 +1945,173 @@
 	s.Asked = val
 }
 
+// RelayOpenedOK is response for RelayOpened operation.
+type RelayOpenedOK struct{}
+
+// Ref: #/components/schemas/Reply
+type Reply struct {
+	Session uint64 `json:"session"`
+	// Instance that responded.
+	Instance  OptString `json:"instance"`
+	Rows      []string  `json:"rows"`
+	Signature OptString `json:"signature"`
+	Code      OptString `json:"code"`
+	// The code as the instance sent it.
+	Word     OptString `json:"word"`
+	Text     OptString `json:"text"`
+	State    OptInt    `json:"state"`
+	Term     OptUint64 `json:"term"`
+	Position OptUint64 `json:"position"`
+	// The instance was the primary when it responded.
+	Led OptBool `json:"led"`
+	// The other host refused the request, with code and text.
+	Refused OptBool `json:"refused"`
+	// A refused request had no effect.
+	Unrun OptBool `json:"unrun"`
+	// Milliseconds after which to retry a refused request.
+	Retry OptInt64 `json:"retry"`
+}
+
+// GetSession returns the value of Session.
+func (s *Reply) GetSession() uint64 {
+	return s.Session
+}
+
+// GetInstance returns the value of Instance.
+func (s *Reply) GetInstance() OptString {
+	return s.Instance
+}
+
+// GetRows returns the value of Rows.
+func (s *Reply) GetRows() []string {
+	return s.Rows
+}
+
+// GetSignature returns the value of Signature.
+func (s *Reply) GetSignature() OptString {
+	return s.Signature
+}
+
+// GetCode returns the value of Code.
+func (s *Reply) GetCode() OptString {
+	return s.Code
+}
+
+// GetWord returns the value of Word.
+func (s *Reply) GetWord() OptString {
+	return s.Word
+}
+
+// GetText returns the value of Text.
+func (s *Reply) GetText() OptString {
+	return s.Text
+}
+
+// GetState returns the value of State.
+func (s *Reply) GetState() OptInt {
+	return s.State
+}
+
+// GetTerm returns the value of Term.
+func (s *Reply) GetTerm() OptUint64 {
+	return s.Term
+}
+
+// GetPosition returns the value of Position.
+func (s *Reply) GetPosition() OptUint64 {
+	return s.Position
+}
+
+// GetLed returns the value of Led.
+func (s *Reply) GetLed() OptBool {
+	return s.Led
+}
+
+// GetRefused returns the value of Refused.
+func (s *Reply) GetRefused() OptBool {
+	return s.Refused
+}
+
+// GetUnrun returns the value of Unrun.
+func (s *Reply) GetUnrun() OptBool {
+	return s.Unrun
+}
+
+// GetRetry returns the value of Retry.
+func (s *Reply) GetRetry() OptInt64 {
+	return s.Retry
+}
+
+// SetSession sets the value of Session.
+func (s *Reply) SetSession(val uint64) {
+	s.Session = val
+}
+
+// SetInstance sets the value of Instance.
+func (s *Reply) SetInstance(val OptString) {
+	s.Instance = val
+}
+
+// SetRows sets the value of Rows.
+func (s *Reply) SetRows(val []string) {
+	s.Rows = val
+}
+
+// SetSignature sets the value of Signature.
+func (s *Reply) SetSignature(val OptString) {
+	s.Signature = val
+}
+
+// SetCode sets the value of Code.
+func (s *Reply) SetCode(val OptString) {
+	s.Code = val
+}
+
+// SetWord sets the value of Word.
+func (s *Reply) SetWord(val OptString) {
+	s.Word = val
+}
+
+// SetText sets the value of Text.
+func (s *Reply) SetText(val OptString) {
+	s.Text = val
+}
+
+// SetState sets the value of State.
+func (s *Reply) SetState(val OptInt) {
+	s.State = val
+}
+
+// SetTerm sets the value of Term.
+func (s *Reply) SetTerm(val OptUint64) {
+	s.Term = val
+}
+
+// SetPosition sets the value of Position.
+func (s *Reply) SetPosition(val OptUint64) {
+	s.Position = val
+}
+
+// SetLed sets the value of Led.
+func (s *Reply) SetLed(val OptBool) {
+	s.Led = val
+}
+
+// SetRefused sets the value of Refused.
+func (s *Reply) SetRefused(val OptBool) {
+	s.Refused = val
+}
+
+// SetUnrun sets the value of Unrun.
+func (s *Reply) SetUnrun(val OptBool) {
+	s.Unrun = val
+}
+
+// SetRetry sets the value of Retry.
+func (s *Reply) SetRetry(val OptInt64) {
+	s.Retry = val
+}
+
 // Ref: #/components/schemas/Sealed
 type Sealed struct {
 	Body []byte `json:"body"`
