mesh: questions and answers about tenants' tokens

Hosts ask keepers for tokens of a tenant, so that these messages need a form on the wire.

The schema has a message for each. They are sent as datagrams on the socket of the heartbeats, sealed with MAC purposes of their own, and are tried only after the heartbeat's MAC didn't match. Bodies from 512 bytes on are packed. Heartbeats are unchanged. Hosts of the previous release refuse the new datagrams as they refuse any datagram with an unknown MAC.

--- a/internal/mesh/key.go
+++ b/internal/mesh/key.go
@@ -85,4 +85,6 @@
 	purposeRequest   = "ask"
 	purposeResponse  = "answer"
 	purposeTenants   = "tenants"
+	purposeQuestion  = "question"
+	purposeTokens    = "tokens"
 )
--- a/internal/mesh/node.go
+++ b/internal/mesh/node.go
@@ -13,6 +13,7 @@
 
 	"github.com/apex/log"
 
+	"redwingspread/internal/allowance"
 	"redwingspread/internal/boundary"
 	"redwingspread/internal/controller"
 	"redwingspread/internal/directory"
@@ -22,7 +23,7 @@
 )
 
 const (
-	maxMessageSize = 64 << 10 // bytes of a heartbeat or an HTTP body
+	maxMessageSize = 64 << 10 // bytes of a datagram or an HTTP body
 	fetchTimeout   = time.Second
 	closeTimeout   = 200 * time.Millisecond
 )
@@ -37,6 +38,10 @@
 	Regions map[model.DataCentreID]model.RegionID
 	// OnHeartbeat is called with each heartbeat and the address it came from; it must not block.
 	OnHeartbeat func(heartbeat controller.Heartbeat, from model.Address)
+	// OnQuestion is called with each question for tokens and the address it came from; it must not block. Nil drops questions.
+	OnQuestion func(question allowance.Question, from model.Address)
+	// OnAnswer is called with each answer to a question; it must not block. Nil drops answers.
+	OnAnswer func(answer allowance.Answer)
 	// Directory returns what this host knows of instances and configuration.
 	Directory func() *directory.Directory
 	// Membership returns what this host knows of the hosts' rows, or nil where each host reads them itself.
@@ -116,7 +121,7 @@
 	return errors.Join(err, ctx.Err())
 }
 
-// receive passes heartbeats to OnHeartbeat until the socket is closed, then sends its error on done.
+// receive passes heartbeats, questions and answers on until the socket is closed, then sends its error on done.
 func (n *Node) receive(ctx context.Context, socket *net.UDPConn, done chan<- error) {
 	buffer := make([]byte, maxMessageSize)
 	for {
@@ -138,6 +143,9 @@
 			if err == nil {
 				n.OnHeartbeat(heartbeat, model.Address(from.String()))
 			}
+			if errors.Is(err, ErrInvalidMAC) { // heartbeats are most frequent, so that the other types are tried after them
+				return n.receiveTokens(key, buffer[:size], model.Address(from.String()))
+			}
 			return err
 		})
 		if err != nil {
--- a/internal/mesh/node_test.go
+++ b/internal/mesh/node_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"reflect"
 	"testing"
@@ -12,6 +13,7 @@
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/memory"
 
+	"redwingspread/internal/allowance"
 	"redwingspread/internal/controller"
 	"redwingspread/internal/directory"
 	"redwingspread/internal/failover"
@@ -173,8 +175,8 @@
 	}
 }
 
-// startNode returns a node that serves a directory until the test ends.
-func startNode(t *testing.T, key *Key, d *directory.Directory) *Node {
+// startNode returns a node that serves a directory until the test ends; the options set its fields.
+func startNode(t *testing.T, key *Key, d *directory.Directory, options ...func(*Node)) *Node {
 	t.Helper()
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
@@ -190,6 +192,9 @@
 	n.Logger = &log.Logger{Handler: memory.New(), Level: log.InfoLevel}
 	n.Directory = func() *directory.Directory { return d }
 	n.OnHeartbeat = func(controller.Heartbeat, model.Address) {}
+	for _, set := range options {
+		set(n)
+	}
 	if key != nil {
 		n.SetKey(*key)
 	}
@@ -396,3 +401,110 @@
 		}
 	})
 }
+
+// fullQuestion returns a question with a number of parts, and its answer.
+func fullQuestion(parts int) (allowance.Question, allowance.Answer) {
+	q := allowance.Question{From: "h1", Incarnation: 17, Sequence: 21}
+	a := allowance.Answer{From: "h2", Sequence: 21}
+	for i := range parts {
+		tenant := model.TenantID(fmt.Sprint("tenant-", i))
+		q.Parts = append(q.Parts, allowance.Ask{Tenant: tenant, Rank: model.RankTwo, Count: 4 + i, Waiting: i})
+		a.Parts = append(a.Parts, allowance.Grant{Tenant: tenant, Rank: model.RankTwo, Granted: i, Next: time.Duration(i) * time.Millisecond})
+	}
+	return q, a
+}
+
+// TestTokens guards against questions and answers that change on their way, and against hosts that need the new handlers.
+func TestTokens(t *testing.T) {
+	key, other := NewKey(), NewKey()
+	tests := map[string]struct {
+		parts    int
+		key      *Key
+		handlers bool
+		arrives  bool
+	}{
+		"plain":            {parts: 1, key: &key, handlers: true, arrives: true},
+		"packed":           {parts: 14, key: &key, handlers: true, arrives: true},
+		"without handlers": {parts: 1, key: &key},
+		"another key":      {parts: 1, key: &other, handlers: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			questions, answers := make(chan allowance.Question, 100), make(chan allowance.Answer, 100)
+			heartbeats := make(chan controller.Heartbeat, 100)
+			receiver, sender := startNode(t, &key, nil, func(n *Node) {
+				n.OnHeartbeat = func(h controller.Heartbeat, _ model.Address) { heartbeats <- h }
+				if test.handlers {
+					n.OnQuestion = func(q allowance.Question, _ model.Address) { questions <- q }
+					n.OnAnswer = func(a allowance.Answer) { answers <- a }
+				}
+			}), startNode(t, test.key, nil)
+			mark := startNode(t, &key, nil) // its heartbeats arrive after the messages
+			question, answer := fullQuestion(test.parts)
+			for range 100 { // until the sockets are open
+				err := errors.Join(
+					sender.SendQuestion(receiver.Address, question),
+					sender.SendAnswer(receiver.Address, answer),
+					mark.SendHeartbeat([]controller.Receiver{{Address: receiver.Address}}, fullHeartbeat()),
+				)
+				if err != nil {
+					t.Fatal(err)
+				}
+				time.Sleep(5 * time.Millisecond)
+				if len(heartbeats) > 3 && (!test.arrives || len(questions) > 0 && len(answers) > 0) {
+					break
+				}
+			}
+			if len(heartbeats) == 0 || (len(questions) > 0) != test.arrives || (len(answers) > 0) != test.arrives {
+				t.Fatalf("got %d heartbeats, %d questions and %d answers, want the last two: %v", len(heartbeats), len(questions), len(answers), test.arrives)
+			}
+			if !test.arrives {
+				return
+			}
+			if got := <-questions; !reflect.DeepEqual(got, question) {
+				t.Errorf("got %+v, want %+v", got, question)
+			}
+			if got := <-answers; !reflect.DeepEqual(got, answer) {
+				t.Errorf("got %+v, want %+v", got, answer)
+			}
+		})
+	}
+}
+
+// FuzzDecodeQuestion reads questions of other hosts: whatever they hold, no number is negative and each rank is known.
+func FuzzDecodeQuestion(f *testing.F) {
+	question, _ := fullQuestion(2)
+	body, err := encodeQuestion(question).MarshalJSON()
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(body)
+	f.Add([]byte(`{"host":"","incarnation":1,"sequence":18446744073709551615,"asks":[{"tenant":"","rank":258,"count":-4,"waiting":-1}]}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		q, err := decodeQuestion(body)
+		for _, got := range q.Parts {
+			if err != nil || !got.Rank.Valid() || got.Count < 0 || got.Waiting < 0 {
+				t.Errorf("got %+v, %v, want numbers in their ranges", got, err)
+			}
+		}
+	})
+}
+
+// FuzzDecodeAnswer reads answers of other hosts: whatever they hold, no number is negative and each rank is known.
+func FuzzDecodeAnswer(f *testing.F) {
+	_, answer := fullQuestion(2)
+	body, err := encodeAnswer(answer).MarshalJSON()
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(body)
+	f.Add([]byte(`{"host":"","sequence":1,"grants":[{"tenant":"","rank":-1,"granted":-4,"next":9223372036854775807}]}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		a, err := decodeAnswer(body)
+		for _, got := range a.Parts {
+			if err != nil || !got.Rank.Valid() || got.Granted < 0 || got.Next < 0 || got.Next > maxNext {
+				t.Errorf("got %+v, %v, want numbers in their ranges", got, err)
+			}
+		}
+	})
+}
--- a/pkg/api/meshapi/oas_json_gen.go
+++ b/pkg/api/meshapi/oas_json_gen.go
@@ -11,6 +11,146 @@
 	"github.com/ogen-go/ogen/validate"
 )
 
+// Encode implements json.Marshaler.
+func (s *Answer) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *Answer) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("host")
+		e.Str(s.Host)
+	}
+	{
+		e.FieldStart("sequence")
+		e.UInt64(s.Sequence)
+	}
+	{
+		e.FieldStart("grants")
+		e.ArrStart()
+		for _, elem := range s.Grants {
+			elem.Encode(e)
+		}
+		e.ArrEnd()
+	}
+}
+
+var jsonFieldsNameOfAnswer = [3]string{
+	0: "host",
+	1: "sequence",
+	2: "grants",
+}
+
+// Decode decodes Answer from json.
+func (s *Answer) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode Answer to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "host":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Str()
+				s.Host = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"host\"")
+			}
+		case "sequence":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				v, err := d.UInt64()
+				s.Sequence = uint64(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"sequence\"")
+			}
+		case "grants":
+			requiredBitSet[0] |= 1 << 2
+			if err := func() error {
+				s.Grants = make([]Grant, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem Grant
+					if err := elem.Decode(d); err != nil {
+						return err
+					}
+					s.Grants = append(s.Grants, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"grants\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode Answer")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00000111,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfAnswer) {
+					name = jsonFieldsNameOfAnswer[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *Answer) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *Answer) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode implements json.Marshaler.
 func (s *Ask) Encode(e *jx.Encoder) {
 	e.ObjStart()
@@ -1352,6 +1492,153 @@
 	return s.Decode(d)
 }
 
+// Encode implements json.Marshaler.
+func (s *Grant) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *Grant) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("tenant")
+		e.Str(s.Tenant)
+	}
+	{
+		e.FieldStart("rank")
+		e.Int(s.Rank)
+	}
+	{
+		e.FieldStart("granted")
+		e.Int(s.Granted)
+	}
+	{
+		if s.Next.Set {
+			e.FieldStart("next")
+			s.Next.Encode(e)
+		}
+	}
+}
+
+var jsonFieldsNameOfGrant = [4]string{
+	0: "tenant",
+	1: "rank",
+	2: "granted",
+	3: "next",
+}
+
+// Decode decodes Grant from json.
+func (s *Grant) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode Grant to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "tenant":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Str()
+				s.Tenant = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"tenant\"")
+			}
+		case "rank":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				v, err := d.Int()
+				s.Rank = int(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"rank\"")
+			}
+		case "granted":
+			requiredBitSet[0] |= 1 << 2
+			if err := func() error {
+				v, err := d.Int()
+				s.Granted = int(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"granted\"")
+			}
+		case "next":
+			if err := func() error {
+				s.Next.Reset()
+				if err := s.Next.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"next\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode Grant")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00000111,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfGrant) {
+					name = jsonFieldsNameOfGrant[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *Grant) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *Grant) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode implements json.Marshaler.
 func (s *Host) Encode(e *jx.Encoder) {
 	e.ObjStart()
@@ -2327,6 +2614,41 @@
 	return s.Decode(d)
 }
 
+// Encode encodes int as json.
+func (o OptInt) Encode(e *jx.Encoder) {
+	if !o.Set {
+		return
+	}
+	e.Int(int(o.Value))
+}
+
+// Decode decodes int from json.
+func (o *OptInt) Decode(d *jx.Decoder) error {
+	if o == nil {
+		return errors.New("invalid: unable to decode OptInt to nil")
+	}
+	o.Set = true
+	v, err := d.Int()
+	if err != nil {
+		return err
+	}
+	o.Value = int(v)
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s OptInt) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *OptInt) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode encodes int64 as json.
 func (o OptInt64) Encode(e *jx.Encoder) {
 	if !o.Set {
@@ -2924,6 +3246,163 @@
 	return s.Decode(d)
 }
 
+// Encode implements json.Marshaler.
+func (s *Question) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *Question) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("host")
+		e.Str(s.Host)
+	}
+	{
+		e.FieldStart("incarnation")
+		e.UInt64(s.Incarnation)
+	}
+	{
+		e.FieldStart("sequence")
+		e.UInt64(s.Sequence)
+	}
+	{
+		e.FieldStart("asks")
+		e.ArrStart()
+		for _, elem := range s.Asks {
+			elem.Encode(e)
+		}
+		e.ArrEnd()
+	}
+}
+
+var jsonFieldsNameOfQuestion = [4]string{
+	0: "host",
+	1: "incarnation",
+	2: "sequence",
+	3: "asks",
+}
+
+// Decode decodes Question from json.
+func (s *Question) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode Question to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "host":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Str()
+				s.Host = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"host\"")
+			}
+		case "incarnation":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				v, err := d.UInt64()
+				s.Incarnation = uint64(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"incarnation\"")
+			}
+		case "sequence":
+			requiredBitSet[0] |= 1 << 2
+			if err := func() error {
+				v, err := d.UInt64()
+				s.Sequence = uint64(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"sequence\"")
+			}
+		case "asks":
+			requiredBitSet[0] |= 1 << 3
+			if err := func() error {
+				s.Asks = make([]Tokens, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem Tokens
+					if err := elem.Decode(d); err != nil {
+						return err
+					}
+					s.Asks = append(s.Asks, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"asks\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode Question")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00001111,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfQuestion) {
+					name = jsonFieldsNameOfQuestion[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *Question) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *Question) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode implements json.Marshaler.
 func (s *Sealed) Encode(e *jx.Encoder) {
 	e.ObjStart()
@@ -3523,3 +4002,150 @@
 	d := jx.DecodeBytes(data)
 	return s.Decode(d)
 }
+
+// Encode implements json.Marshaler.
+func (s *Tokens) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *Tokens) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("tenant")
+		e.Str(s.Tenant)
+	}
+	{
+		e.FieldStart("rank")
+		e.Int(s.Rank)
+	}
+	{
+		e.FieldStart("count")
+		e.Int(s.Count)
+	}
+	{
+		if s.Waiting.Set {
+			e.FieldStart("waiting")
+			s.Waiting.Encode(e)
+		}
+	}
+}
+
+var jsonFieldsNameOfTokens = [4]string{
+	0: "tenant",
+	1: "rank",
+	2: "count",
+	3: "waiting",
+}
+
+// Decode decodes Tokens from json.
+func (s *Tokens) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode Tokens to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "tenant":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Str()
+				s.Tenant = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"tenant\"")
+			}
+		case "rank":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				v, err := d.Int()
+				s.Rank = int(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"rank\"")
+			}
+		case "count":
+			requiredBitSet[0] |= 1 << 2
+			if err := func() error {
+				v, err := d.Int()
+				s.Count = int(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"count\"")
+			}
+		case "waiting":
+			if err := func() error {
+				s.Waiting.Reset()
+				if err := s.Waiting.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"waiting\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode Tokens")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00000111,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfTokens) {
+					name = jsonFieldsNameOfTokens[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *Tokens) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *Tokens) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
--- a/pkg/api/meshapi/oas_operations_gen.go
+++ b/pkg/api/meshapi/oas_operations_gen.go
@@ -6,10 +6,12 @@
 type OperationName = string
 
 const (
-	FetchDirectoryOperation  OperationName = "FetchDirectory"
-	AskSealedOperation       OperationName = "AskSealed"
-	BeatReceivedOperation    OperationName = "BeatReceived"
-	HostWrittenOperation     OperationName = "HostWritten"
-	LeadWrittenOperation     OperationName = "LeadWritten"
-	TenantsReceivedOperation OperationName = "TenantsReceived"
+	FetchDirectoryOperation   OperationName = "FetchDirectory"
+	AnswerReceivedOperation   OperationName = "AnswerReceived"
+	AskSealedOperation        OperationName = "AskSealed"
+	BeatReceivedOperation     OperationName = "BeatReceived"
+	HostWrittenOperation      OperationName = "HostWritten"
+	LeadWrittenOperation      OperationName = "LeadWritten"
+	QuestionReceivedOperation OperationName = "QuestionReceived"
+	TenantsReceivedOperation  OperationName = "TenantsReceived"
 )
--- a/pkg/api/meshapi/oas_schemas_gen.go
+++ b/pkg/api/meshapi/oas_schemas_gen.go
@@ -6,6 +6,47 @@
 	"github.com/go-faster/errors"
 )
 
+// Ref: #/components/schemas/Answer
+type Answer struct {
+	Host string `json:"host"`
+	// Sequence of the question.
+	Sequence uint64  `json:"sequence"`
+	Grants   []Grant `json:"grants"`
+}
+
+// GetHost returns the value of Host.
+func (s *Answer) GetHost() string {
+	return s.Host
+}
+
+// GetSequence returns the value of Sequence.
+func (s *Answer) GetSequence() uint64 {
+	return s.Sequence
+}
+
+// GetGrants returns the value of Grants.
+func (s *Answer) GetGrants() []Grant {
+	return s.Grants
+}
+
+// SetHost sets the value of Host.
+func (s *Answer) SetHost(val string) {
+	s.Host = val
+}
+
+// SetSequence sets the value of Sequence.
+func (s *Answer) SetSequence(val uint64) {
+	s.Sequence = val
+}
+
+// SetGrants sets the value of Grants.
+func (s *Answer) SetGrants(val []Grant) {
+	s.Grants = val
+}
+
+// AnswerReceivedOK is response for AnswerReceived operation.
+type AnswerReceivedOK struct{}
+
 // Ref: #/components/schemas/Ask
 type Ask struct {
 	Host  string `json:"host"`
@@ -567,6 +608,55 @@
 
 func (*FetchDirectoryDef) fetchDirectoryRes() {}
 
+// Ref: #/components/schemas/Grant
+type Grant struct {
+	Tenant  string `json:"tenant"`
+	Rank    int    `json:"rank"`
+	Granted int    `json:"granted"`
+	// Milliseconds until a further operation of the rank gets a token; absent if that is unknown.
+	Next OptInt64 `json:"next"`
+}
+
+// GetTenant returns the value of Tenant.
+func (s *Grant) GetTenant() string {
+	return s.Tenant
+}
+
+// GetRank returns the value of Rank.
+func (s *Grant) GetRank() int {
+	return s.Rank
+}
+
+// GetGranted returns the value of Granted.
+func (s *Grant) GetGranted() int {
+	return s.Granted
+}
+
+// GetNext returns the value of Next.
+func (s *Grant) GetNext() OptInt64 {
+	return s.Next
+}
+
+// SetTenant sets the value of Tenant.
+func (s *Grant) SetTenant(val string) {
+	s.Tenant = val
+}
+
+// SetRank sets the value of Rank.
+func (s *Grant) SetRank(val int) {
+	s.Rank = val
+}
+
+// SetGranted sets the value of Granted.
+func (s *Grant) SetGranted(val int) {
+	s.Granted = val
+}
+
+// SetNext sets the value of Next.
+func (s *Grant) SetNext(val OptInt64) {
+	s.Next = val
+}
+
 // Ref: #/components/schemas/Host
 type Host struct {
 	Address     string `json:"address"`
@@ -1154,6 +1244,52 @@
 	return d
 }
 
+// NewOptInt returns new OptInt with value set to v.
+func NewOptInt(v int) OptInt {
+	return OptInt{
+		Value: v,
+		Set:   true,
+	}
+}
+
+// OptInt is optional int.
+type OptInt struct {
+	Value int
+	Set   bool
+}
+
+// IsSet returns true if OptInt was set.
+func (o OptInt) IsSet() bool { return o.Set }
+
+// Reset unsets value.
+func (o *OptInt) Reset() {
+	var v int
+	o.Value = v
+	o.Set = false
+}
+
+// SetTo sets value to v.
+func (o *OptInt) SetTo(v int) {
+	o.Set = true
+	o.Value = v
+}
+
+// Get returns value and boolean that denotes whether value was set.
+func (o OptInt) Get() (v int, ok bool) {
+	if !o.Set {
+		return v, false
+	}
+	return o.Value, true
+}
+
+// Or returns value if set, or given parameter if does not.
+func (o OptInt) Or(d int) int {
+	if v, ok := o.Get(); ok {
+		return v
+	}
+	return d
+}
+
 // NewOptInt64 returns new OptInt64 with value set to v.
 func NewOptInt64(v int64) OptInt64 {
 	return OptInt64{
@@ -1471,6 +1607,58 @@
 	s.Asked = val
 }
 
+// A request for tokens of tenants' allowances.
+// Ref: #/components/schemas/Question
+type Question struct {
+	Host        string   `json:"host"`
+	Incarnation uint64   `json:"incarnation"`
+	Sequence    uint64   `json:"sequence"`
+	Asks        []Tokens `json:"asks"`
+}
+
+// GetHost returns the value of Host.
+func (s *Question) GetHost() string {
+	return s.Host
+}
+
+// GetIncarnation returns the value of Incarnation.
+func (s *Question) GetIncarnation() uint64 {
+	return s.Incarnation
+}
+
+// GetSequence returns the value of Sequence.
+func (s *Question) GetSequence() uint64 {
+	return s.Sequence
+}
+
+// GetAsks returns the value of Asks.
+func (s *Question) GetAsks() []Tokens {
+	return s.Asks
+}
+
+// SetHost sets the value of Host.
+func (s *Question) SetHost(val string) {
+	s.Host = val
+}
+
+// SetIncarnation sets the value of Incarnation.
+func (s *Question) SetIncarnation(val uint64) {
+	s.Incarnation = val
+}
+
+// SetSequence sets the value of Sequence.
+func (s *Question) SetSequence(val uint64) {
+	s.Sequence = val
+}
+
+// SetAsks sets the value of Asks.
+func (s *Question) SetAsks(val []Tokens) {
+	s.Asks = val
+}
+
+// QuestionReceivedOK is response for QuestionReceived operation.
+type QuestionReceivedOK struct{}
+
 // Ref: #/components/schemas/Sealed
 type Sealed struct {
 	Body []byte `json:"body"`
@@ -1687,3 +1875,52 @@
 
 // TenantsReceivedOK is response for TenantsReceived operation.
 type TenantsReceivedOK struct{}
+
+// Ref: #/components/schemas/Tokens
+type Tokens struct {
+	Tenant string `json:"tenant"`
+	Rank   int    `json:"rank"`
+	Count  int    `json:"count"`
+	// Operations of the rank that wait at the host.
+	Waiting OptInt `json:"waiting"`
+}
+
+// GetTenant returns the value of Tenant.
+func (s *Tokens) GetTenant() string {
+	return s.Tenant
+}
+
+// GetRank returns the value of Rank.
+func (s *Tokens) GetRank() int {
+	return s.Rank
+}
+
+// GetCount returns the value of Count.
+func (s *Tokens) GetCount() int {
+	return s.Count
+}
+
+// GetWaiting returns the value of Waiting.
+func (s *Tokens) GetWaiting() OptInt {
+	return s.Waiting
+}
+
+// SetTenant sets the value of Tenant.
+func (s *Tokens) SetTenant(val string) {
+	s.Tenant = val
+}
+
+// SetRank sets the value of Rank.
+func (s *Tokens) SetRank(val int) {
+	s.Rank = val
+}
+
+// SetCount sets the value of Count.
+func (s *Tokens) SetCount(val int) {
+	s.Count = val
+}
+
+// SetWaiting sets the value of Waiting.
+func (s *Tokens) SetWaiting(val OptInt) {
+	s.Waiting = val
+}
--- a/pkg/api/meshapi/oas_validators_gen.go
+++ b/pkg/api/meshapi/oas_validators_gen.go
@@ -9,6 +9,29 @@
 	"github.com/ogen-go/ogen/validate"
 )
 
+func (s *Answer) Validate() error {
+	if s == nil {
+		return validate.ErrNilPointer
+	}
+
+	var failures []validate.FieldError
+	if err := func() error {
+		if s.Grants == nil {
+			return errors.New("nil is invalid value")
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "grants",
+			Error: err,
+		})
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+	return nil
+}
+
 func (s *Beat) Validate() error {
 	if s == nil {
 		return validate.ErrNilPointer
@@ -178,6 +201,29 @@
 	}
 }
 
+func (s *Question) Validate() error {
+	if s == nil {
+		return validate.ErrNilPointer
+	}
+
+	var failures []validate.FieldError
+	if err := func() error {
+		if s.Asks == nil {
+			return errors.New("nil is invalid value")
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "asks",
+			Error: err,
+		})
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+	return nil
+}
+
 func (s *Sight) Validate() error {
 	if s == nil {
 		return validate.ErrNilPointer
