--- a/internal/mesh/key.go
+++ b/internal/mesh/key.go
@@ -110,4 +110,6 @@
 	purposeRequest   = "ask"
 	purposeResponse  = "answer"
 	purposeTenants   = "tenants"
+	purposeQuestion  = "question"
+	purposeTokens    = "tokens"
 )
--- a/pkg/api/meshapi/oas_operations_gen.go
+++ b/pkg/api/meshapi/oas_operations_gen.go
@@ -6,12 +6,14 @@
 type OperationName = string
 
 const (
-	FetchDirectoryOperation  OperationName = "FetchDirectory"
-	AskSealedOperation       OperationName = "AskSealed"
-	BeatReceivedOperation    OperationName = "BeatReceived"
-	HostWrittenOperation     OperationName = "HostWritten"
-	LeadWrittenOperation     OperationName = "LeadWritten"
-	RelayCalledOperation     OperationName = "RelayCalled"
-	RelayOpenedOperation     OperationName = "RelayOpened"
-	TenantsReceivedOperation OperationName = "TenantsReceived"
+	FetchDirectoryOperation   OperationName = "FetchDirectory"
+	AnswerReceivedOperation   OperationName = "AnswerReceived"
+	AskSealedOperation        OperationName = "AskSealed"
+	BeatReceivedOperation     OperationName = "BeatReceived"
+	HostWrittenOperation      OperationName = "HostWritten"
+	LeadWrittenOperation      OperationName = "LeadWritten"
+	QuestionReceivedOperation OperationName = "QuestionReceived"
+	RelayCalledOperation      OperationName = "RelayCalled"
+	RelayOpenedOperation      OperationName = "RelayOpened"
+	TenantsReceivedOperation  OperationName = "TenantsReceived"
 )
