--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -90,6 +90,9 @@
 	followerHeard time.Time      // when a host was heard last that reaches the store
 	fetchFailed   time.Time      // when a fetch from another host failed last
 	lastFetch     time.Time
+	fleet         *Fleet
+	fleetIDs      []model.HostID // live hosts of fleet
+	fleetChanges  int            // membership of fleet
 	snapshot      *View
 }
 
@@ -160,6 +163,7 @@
 		c.finishLeaseRead(now, e)
 	case Stop:
 		c.stopping = true
+		c.membership++
 		c.urgent = true
 	case ActionDone:
 		return nil
@@ -367,19 +371,38 @@
 		SettledBy:  c.settledBy(),
 		Following:  c.following(now, live),
 		Membership: c.updateKnown(),
+		Fleet:      c.updateFleet(live),
 	}
 	for database, monitor := range c.monitors {
 		next.Primaries[database] = c.primaryView(database, monitor)
 	}
 	old := c.snapshot
 	if old.Directory == next.Directory && old.LiveHosts == next.LiveHosts && old.Ready == next.Ready && old.Lease == next.Lease &&
-		old.SettledBy == next.SettledBy && old.Following == next.Following && old.Membership == next.Membership &&
+		old.SettledBy == next.SettledBy && old.Following == next.Following && old.Membership == next.Membership && old.Fleet == next.Fleet &&
 		maps.Equal(old.Primaries, next.Primaries) && maps.Equal(old.Shares, next.Shares) {
 		return
 	}
 	c.snapshot = next
 }
 
+// updateFleet replaces the fleet when the hosts that this one hears have changed.
+func (c *Controller) updateFleet(live []model.HostID) *Fleet {
+	if !c.hostsRead || (c.fleet != nil && c.fleetChanges == c.membership && slices.Equal(c.fleetIDs, live)) {
+		return c.fleet
+	}
+	c.fleet = &Fleet{Known: len(c.hosts) + 1}
+	c.fleetIDs, c.fleetChanges = slices.Clone(live), c.membership
+	for _, id := range live {
+		switch known, found := c.hosts[id]; {
+		case found:
+			c.fleet.Live = append(c.fleet.Live, known.Host)
+		case id == c.Self.ID && !c.stopping:
+			c.fleet.Live = append(c.fleet.Live, c.Self)
+		}
+	}
+	return c.fleet
+}
+
 // primaryView returns the state of a primary for the view.
 func (c *Controller) primaryView(database model.DatabaseID, monitor *failover.Monitor) Primary {
 	observation := monitor.Observation()
--- a/internal/controller/view.go
+++ b/internal/controller/view.go
@@ -22,6 +22,13 @@
 	SettledBy  model.Instant
 	Following  Following   // how this host learns what changes in the store
 	Membership *Membership // that other hosts can fetch
+	Fleet      *Fleet      // the hosts that this one hears; nil until the hosts' rows have been read
+}
+
+// Fleet is the hosts that a host hears, itself included unless it stops; it is immutable.
+type Fleet struct {
+	Live  []Host
+	Known int // number of all hosts that have a row or are heard
 }
 
 // outOfTouchWait is the time without a lease after which a host is out of touch; two heartbeats.
--- /dev/null
+++ b/internal/front/allowances.go
@@ -0,0 +1,236 @@
+package front
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"redwingspread/internal/allowance"
+	"redwingspread/internal/clock"
+	"redwingspread/internal/controller"
+	"redwingspread/internal/directory"
+	"redwingspread/internal/event"
+	"redwingspread/internal/model"
+)
+
+const (
+	// fleetRefreshInterval is the time between two updates of the hosts that this one hears.
+	fleetRefreshInterval = 250 * time.Millisecond
+	// suspensionTime is the time without such an update after which the host has been suspended, or starved of processor time, so that
+	// others may have taken its part in the allowances.
+	suspensionTime = time.Second
+	// leastAllowanceWait keeps the goroutine that asks for tokens from running all the time.
+	leastAllowanceWait = time.Millisecond
+)
+
+// tokenResult is the decision on an operation that has waited for a token.
+type tokenResult struct {
+	spent      bool
+	retryAfter time.Duration
+}
+
+// tokenWaiter is an operation that waits for a token of its tenant's allowance.
+type tokenWaiter = allowance.Waiter[chan tokenResult]
+
+// allowances spends tokens of the tenants' allowances, and asks other hosts for them.
+type allowances struct {
+	host *Host
+
+	mutex     sync.Mutex
+	book      *allowance.Book[chan tokenResult]
+	directory *directory.Directory // whose limits the book has
+	fleet     *controller.Fleet    // that the book has
+	addresses map[model.HostID]model.Address
+	refreshed model.Instant // when the fleet was set last
+	wake      chan struct{} // buffered; wakes run when something may be due earlier
+}
+
+// newAllowances returns the allowances of a host whose settings and mesh are set.
+func newAllowances(h *Host) *allowances {
+	self := allowance.Host{ID: h.self.ID, DataCentre: h.self.DataCentre, Region: h.regions[h.self.DataCentre]}
+	a := &allowances{host: h, book: allowance.New[chan tokenResult](self, h.self.Incarnation), wake: make(chan struct{}, 1)}
+	a.book.Tolerance = allowance.Tolerance{
+		Window: h.Settings.AllowanceWindow,
+		Excess: h.Settings.AllowanceExcess,
+		Slack:  model.Operations(h.Settings.AllowanceSlack),
+	}
+	h.mesh.OnQuestion = a.answer
+	h.mesh.OnAnswer = a.accept
+	return a
+}
+
+// spend takes a token for an operation of the tenant, waiting for it until the limit; it returns a refusal if there is none in time.
+func (a *allowances) spend(ctx context.Context, tenant model.TenantID, rank model.Rank, limit time.Time) *model.Refusal {
+	waiter := &tokenWaiter{}
+	a.mutex.Lock()
+	now := clock.Boot()
+	a.refresh(now)
+	verdict, retryAfter := a.book.Spend(now, tenant, rank, now.Add(time.Until(limit)), waiter)
+	if verdict != allowance.Waiting {
+		a.mutex.Unlock()
+		if verdict == allowance.Refused {
+			return overAllowance(tenant, retryAfter)
+		}
+		return nil
+	}
+	waiter.Value = make(chan tokenResult, 1)
+	a.sendDue(now)
+	a.wakeRun()
+	timer := time.NewTimer(time.Until(limit))
+	defer timer.Stop()
+	select {
+	case result := <-waiter.Value:
+		return result.refusal(tenant)
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	a.mutex.Lock()
+	a.book.Cancel(waiter)
+	a.mutex.Unlock()
+	select {
+	case result := <-waiter.Value: // decided before it was cancelled
+		return result.refusal(tenant)
+	default:
+		return overAllowance(tenant, 0)
+	}
+}
+
+// refusal returns the refusal of an operation that got no token, or nil.
+func (r tokenResult) refusal(tenant model.TenantID) *model.Refusal {
+	if r.spent {
+		return nil
+	}
+	return overAllowance(tenant, r.retryAfter)
+}
+
+// overAllowance returns the refusal of an operation beyond its tenant's allowance.
+func overAllowance(tenant model.TenantID, retryAfter time.Duration) *model.Refusal {
+	return withRetryAfter(model.Refuse(model.CodeAllowance, "tenant %s has used up its allowance", tenant), retryAfter)
+}
+
+// refresh brings the book up to date with the host's view; the caller holds the mutex.
+func (a *allowances) refresh(now model.Instant) {
+	view := a.host.view()
+	if view.Directory != a.directory {
+		a.directory = view.Directory
+		a.book.SetLimits(now, limitsOf(view.Directory))
+	}
+	if view.Fleet == nil || (view.Fleet == a.fleet && now.Sub(a.refreshed) < fleetRefreshInterval) {
+		return
+	}
+	if a.refreshed != 0 && now.Sub(a.refreshed) > suspensionTime {
+		a.book.SetHosts(now, nil, view.Fleet.Known)
+	}
+	if view.Fleet != a.fleet {
+		a.fleet = view.Fleet
+		a.addresses = make(map[model.HostID]model.Address, len(view.Fleet.Live))
+		for _, host := range view.Fleet.Live {
+			a.addresses[host.ID] = host.Address
+		}
+	}
+	a.refreshed = now
+	a.book.SetHosts(now, a.hosts(), view.Fleet.Known)
+}
+
+// hosts returns the hosts of the fleet.
+func (a *allowances) hosts() []allowance.Host {
+	hosts := make([]allowance.Host, 0, len(a.fleet.Live))
+	for _, host := range a.fleet.Live {
+		hosts = append(hosts, allowance.Host{ID: host.ID, DataCentre: host.DataCentre, Region: a.host.regions[host.DataCentre]})
+	}
+	return hosts
+}
+
+// limitsOf returns the limits of the tenants that have one.
+func limitsOf(d *directory.Directory) map[model.TenantID]allowance.Limit {
+	limits := make(map[model.TenantID]allowance.Limit, len(d.Tenants))
+	for id, tenant := range d.Tenants {
+		if tenant.Limited {
+			limits[id] = allowance.Limit{Rate: tenant.Rate, Burst: tenant.Burst}
+		}
+	}
+	return limits
+}
+
+// sendDue sends the questions that are due and passes decisions on; the caller holds the mutex, which is released.
+func (a *allowances) sendDue(now model.Instant) {
+	questions, decisions := a.book.Due(now)
+	addresses := a.addresses
+	a.mutex.Unlock()
+	decide(decisions)
+	for _, question := range questions {
+		if err := a.host.mesh.SendQuestion(addresses[question.To], question.Question); err != nil {
+			event.DependencyLost(a.host.Logger, "datagrams", err)
+		}
+	}
+}
+
+// wakeRun makes run look again for what is due next.
+func (a *allowances) wakeRun() {
+	select {
+	case a.wake <- struct{}{}:
+	default:
+	}
+}
+
+// decide passes decisions on to the operations that wait.
+func decide(decisions []allowance.Decision[chan tokenResult]) {
+	for _, decision := range decisions {
+		decision.Waiter.Value <- tokenResult{spent: decision.Spent, retryAfter: decision.RetryAfter}
+	}
+}
+
+// answer answers another host's question for tokens.
+func (a *allowances) answer(question allowance.Question, from model.Address) {
+	a.mutex.Lock()
+	now := clock.Boot()
+	a.refresh(now)
+	answer := a.book.Answer(now, question)
+	a.mutex.Unlock()
+	if err := a.host.mesh.SendAnswer(from, answer); err != nil {
+		event.DependencyLost(a.host.Logger, "datagrams", err)
+	}
+}
+
+// accept takes the tokens in an answer.
+func (a *allowances) accept(answer allowance.Answer) {
+	a.mutex.Lock()
+	now := clock.Boot()
+	decide(a.book.Accept(now, answer))
+	a.sendDue(now)
+	a.wakeRun()
+}
+
+// run sends questions when they are due until the context ends, then sends its result on done.
+func (a *allowances) run(ctx context.Context, done chan<- error) {
+	timer := time.NewTimer(fleetRefreshInterval)
+	defer timer.Stop()
+	for ctx.Err() == nil {
+		changed := a.host.Loop.Changed()
+		if a.host.view().Directory.Keyed {
+			timer.Reset(a.sendNext())
+		}
+		select {
+		case <-timer.C:
+		case <-a.wake:
+		case <-changed:
+		case <-ctx.Done():
+		}
+	}
+	done <- ctx.Err()
+}
+
+// sendNext sends the questions that are due and returns the time until more may be.
+func (a *allowances) sendNext() time.Duration {
+	a.mutex.Lock()
+	now := clock.Boot()
+	a.refresh(now)
+	a.sendDue(now)
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	next, due := a.book.Next()
+	if !due {
+		return fleetRefreshInterval
+	}
+	return min(max(next.Sub(now), leastAllowanceWait), fleetRefreshInterval)
+}
--- a/internal/front/autocommit.go
+++ b/internal/front/autocommit.go
@@ -23,6 +23,9 @@
 	}
 	e := s.newExecution(request, policy)
 	s.host.counters.Requests.Add(1)
+	if refusal := e.spendAllowance(ctx); refusal != nil {
+		return s.caller.SendRefusal(e.recordRefusal(refusal), statement.Idle)
+	}
 	for {
 		t, refusal := e.chooseTarget(ctx)
 		if refusal != nil {
--- a/internal/front/execution.go
+++ b/internal/front/execution.go
@@ -40,7 +40,7 @@
 	startBy           time.Time // for sending the statement to an instance
 	attempts          int
 	excluded          map[model.InstanceID]bool
-	elsewhere         bool // other hosts keep connections to some instance of the database, and pass this request on
+	elsewhere         bool                   // other hosts keep connections to some instance of the database, and pass this request on
 	unreached         map[model.Address]bool // holders that did not take the request
 	backend           *backend               // of the latest attempt
 	mayHaveRun        bool                   // an attempt may have run the statement
@@ -84,6 +84,18 @@
 	return e.backend.instance.ID
 }
 
+// spendAllowance takes a token of the tenant's allowance for the operation, unless it has one; the host that passes a session on has
+// taken it. It returns a refusal if there is none by the time by which the operation has to be sent.
+func (e *execution) spendAllowance(ctx context.Context) *model.Refusal {
+	s := e.session
+	inTransaction := s.state.Transaction == statement.Open
+	if s.tenant == "" || s.relayed || (inTransaction && s.charged) {
+		return nil
+	}
+	s.charged = inTransaction
+	return s.host.allowances.spend(ctx, s.tenant, e.policy.Rank, e.startBy)
+}
+
 // needsPrimary reports whether only the primary can run the statement.
 func (e *execution) needsPrimary() bool {
 	return e.access == model.Write || e.readWrite || e.policy.Consistency == model.ReadLatest
--- a/internal/front/host.go
+++ b/internal/front/host.go
@@ -46,6 +46,7 @@
 	regions            map[model.DataCentreID]model.RegionID
 	mesh               *mesh.Node
 	relays             *relay.Client
+	allowances         *allowances
 	self               controller.Host
 	counters           *counters
 	stage              atomic.Int32
@@ -155,6 +156,7 @@
 	if !h.unfenced() {
 		h.mesh.Membership = func() *controller.Membership { return h.view().Membership }
 	}
+	h.allowances = newAllowances(h)
 	h.mesh.OnHeartbeat = func(heartbeat controller.Heartbeat, from model.Address) {
 		if heartbeat.Follows && heartbeat.Version <= h.view().Directory.Version {
 			h.noteConfigurationHeard(clock.Boot())
@@ -197,6 +199,7 @@
 	start(h.newRelayServer().Run)
 	start(h.followAll)
 	start(h.reconcile)
+	start(h.allowances.run)
 	start(h.serveReadiness)
 	start(h.serveMetrics)
 	go h.acceptSessions(runCtx, listener, accepted)
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -20,6 +20,7 @@
 	id           model.SessionID
 	kind         model.KindID
 	key          model.KeyDigest
+	charged      bool           // the open transaction has a token of the tenant's allowance
 	tenant       model.TenantID // of the key, as of the newest operation; empty where keys are not needed
 	state        *session.Session
 	tx           *transaction   // nil while no instance holds a transaction of the session
@@ -256,7 +257,7 @@
 			s.state.EndTransaction()
 			return s.refuse(request, refusal)
 		}
-		s.policy = policy
+		s.policy, s.charged = policy, false
 	}
 	return s.caller.SendResponse(&statement.Response{}, s.state.Transaction)
 }
--- a/internal/front/transaction.go
+++ b/internal/front/transaction.go
@@ -43,7 +43,11 @@
 	}
 	for {
 		if !s.inTransaction() {
-			if refusal := e.openRemote(ctx); refusal != nil {
+			refusal := e.spendAllowance(ctx)
+			if refusal == nil {
+				refusal = e.openRemote(ctx)
+			}
+			if refusal != nil {
 				s.state.FailTransaction()
 				return s.caller.SendRefusal(e.recordRefusal(refusal), s.state.Transaction)
 			}
@@ -291,7 +295,11 @@
 	if s.remote != nil {
 		return s.commitRemote(ctx, e)
 	}
-	if refusal := e.resumeTransaction(ctx); refusal != nil {
+	refusal := e.spendAllowance(ctx) // of a transaction without statements
+	if refusal == nil {
+		refusal = e.resumeTransaction(ctx)
+	}
+	if refusal != nil {
 		s.state.EndTransaction()
 		return s.caller.SendRefusal(e.recordRefusal(refusal), statement.Idle)
 	}
--- a/internal/settings/reader.go
+++ b/internal/settings/reader.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"math"
 	"net/netip"
 	"slices"
 	"strconv"
@@ -86,7 +87,7 @@
 }
 
 // within reports whether a value is within the rule's limits, if any.
-func within[T int | time.Duration](value T, rule rule, parser func(string) (T, error)) bool {
+func within[T int | float64 | time.Duration](value T, rule rule, parser func(string) (T, error)) bool {
 	if low, err := parser(rule.min); rule.min != "" && (err != nil || value < low) {
 		return false
 	}
@@ -122,6 +123,22 @@
 	})
 }
 
+func (r *reader) number(rule rule) float64 {
+	return parse(r, rule, func(text string) (float64, bool) {
+		value, err := parseNumber(text)
+		return value, err == nil && within(value, rule, parseNumber)
+	})
+}
+
+// parseNumber parses a finite number.
+func parseNumber(text string) (float64, error) {
+	value, err := strconv.ParseFloat(text, 64)
+	if err == nil && (math.IsNaN(value) || math.IsInf(value, 0)) {
+		err = strconv.ErrRange
+	}
+	return value, err
+}
+
 func (r *reader) list(rule rule) []string {
 	return parse(r, rule, func(text string) ([]string, bool) {
 		return strings.Split(text, ","), true
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -94,25 +94,28 @@
 
 // Front holds the settings of one host that serves sessions on the users' platform.
 type Front struct {
-	Host           model.HostID       // Name of this host.
-	DataCentre     model.DataCentreID // Data centre of this host.
-	DataCentres    []string           // Regions of the data centres as centre=region, separated by commas.
-	SessionAddress model.Address      // Address on which callers open sessions.
-	ReadyAddress   model.Address      // Address of the readiness check for new sessions.
-	MeshAddress    model.Address      // Address for traffic between hosts, TCP and UDP.
-	MetricsAddress string             // Address of the metrics; empty for none.
-	Relay          string             // Whether hosts pass requests on to those that keep connections, where an instance takes fewer connections than there are hosts. The host listens for them at the port after that of mesh-address.
-	StoreAddress   model.Address      // Address of the platform's store.
-	OrderAddress   model.Address      // Address of the platform service that promotes instances.
-	StopLimit      time.Duration      // Time from the signal to stop until the process is killed.
-	LeaveLimit     time.Duration      // Time within which a leaving instance stops getting work.
-	ApplyLimit     time.Duration      // Time within which a change of the configuration must be in force.
-	Fencing        string             // Whether the platform stops a primary when it promotes another instance; off makes the hosts wait for each other before a promotion.
-	Memory         model.Mebibytes    // Memory limit of the process in MiB.
-	SessionLimit   int                // Maximum number of open sessions.
-	RevokeLimit    time.Duration      // Time within which a withdrawn API key must stop working.
-	RevokeStrict   string             // Whether a host that has had no word of the configuration for revoke-limit refuses work that needs an API key.
-	LogLevel       string             // Lowest level of events that are logged.
+	Host            model.HostID       // Name of this host.
+	DataCentre      model.DataCentreID // Data centre of this host.
+	DataCentres     []string           // Regions of the data centres as centre=region, separated by commas.
+	SessionAddress  model.Address      // Address on which callers open sessions.
+	ReadyAddress    model.Address      // Address of the readiness check for new sessions.
+	MeshAddress     model.Address      // Address for traffic between hosts, TCP and UDP.
+	MetricsAddress  string             // Address of the metrics; empty for none.
+	Relay           string             // Whether hosts pass requests on to those that keep connections, where an instance takes fewer connections than there are hosts. The host listens for them at the port after that of mesh-address.
+	StoreAddress    model.Address      // Address of the platform's store.
+	OrderAddress    model.Address      // Address of the platform service that promotes instances.
+	StopLimit       time.Duration      // Time from the signal to stop until the process is killed.
+	LeaveLimit      time.Duration      // Time within which a leaving instance stops getting work.
+	ApplyLimit      time.Duration      // Time within which a change of the configuration must be in force.
+	Fencing         string             // Whether the platform stops a primary when it promotes another instance; off makes the hosts wait for each other before a promotion.
+	Memory          model.Mebibytes    // Memory limit of the process in MiB.
+	SessionLimit    int                // Maximum number of open sessions.
+	RevokeLimit     time.Duration      // Time within which a withdrawn API key must stop working.
+	AllowanceWindow time.Duration      // Time over which the operations of a tenant are counted against its limit.
+	AllowanceExcess float64            // Part of the operations allowed in a window by which a tenant may exceed them while hosts differ in what they know.
+	AllowanceSlack  int                // Operations by which a tenant may exceed its limit in a window beside allowance-excess.
+	RevokeStrict    string             // Whether a host that has had no word of the configuration for revoke-limit refuses work that needs an API key.
+	LogLevel        string             // Lowest level of events that are logged.
 }
 
 // FrontFlags returns the command-line flags of Front.
@@ -135,6 +138,9 @@
 		textFlag("memory", "REDWINGSPREAD_MEMORY", "256", "Memory limit of the process in MiB."),
 		textFlag("session-limit", "REDWINGSPREAD_SESSION_LIMIT", "4096", "Maximum number of open sessions."),
 		textFlag("revoke-limit", "REDWINGSPREAD_REVOKE_LIMIT", "5s", "Time within which a withdrawn API key must stop working."),
+		textFlag("allowance-window", "REDWINGSPREAD_ALLOWANCE_WINDOW", "5s", "Time over which the operations of a tenant are counted against its limit."),
+		textFlag("allowance-excess", "REDWINGSPREAD_ALLOWANCE_EXCESS", "0.1", "Part of the operations allowed in a window by which a tenant may exceed them while hosts differ in what they know."),
+		textFlag("allowance-slack", "REDWINGSPREAD_ALLOWANCE_SLACK", "20", "Operations by which a tenant may exceed its limit in a window beside allowance-excess."),
 		textFlag("revoke-strict", "REDWINGSPREAD_REVOKE_STRICT", "off", "Whether a host that has had no word of the configuration for revoke-limit refuses work that needs an API key."),
 		textFlag("log-level", "REDWINGSPREAD_LOG_LEVEL", "info", "Lowest level of events that are logged."),
 	}
@@ -160,6 +166,9 @@
 	loaded.Memory = model.Mebibytes(r.int(rule{flag: "memory", env: "REDWINGSPREAD_MEMORY", allowed: "a whole number from 32 to 1048576", required: false, min: "32", max: "1048576"}))
 	loaded.SessionLimit = r.int(rule{flag: "session-limit", env: "REDWINGSPREAD_SESSION_LIMIT", allowed: "a whole number from 1 to 1000000", required: false, min: "1", max: "1000000"})
 	loaded.RevokeLimit = r.duration(rule{flag: "revoke-limit", env: "REDWINGSPREAD_REVOKE_LIMIT", allowed: "a duration such as 250ms or 10s from 1s to 10m", required: false, min: "1s", max: "10m"})
+	loaded.AllowanceWindow = r.duration(rule{flag: "allowance-window", env: "REDWINGSPREAD_ALLOWANCE_WINDOW", allowed: "a duration such as 250ms or 10s from 100ms to 10m", required: false, min: "100ms", max: "10m"})
+	loaded.AllowanceExcess = r.number(rule{flag: "allowance-excess", env: "REDWINGSPREAD_ALLOWANCE_EXCESS", allowed: "a number from 0 to 10", required: false, min: "0", max: "10"})
+	loaded.AllowanceSlack = r.int(rule{flag: "allowance-slack", env: "REDWINGSPREAD_ALLOWANCE_SLACK", allowed: "a whole number from 0 to 1000000", required: false, min: "0", max: "1000000"})
 	loaded.RevokeStrict = r.enum(rule{flag: "revoke-strict", env: "REDWINGSPREAD_REVOKE_STRICT", allowed: "one of on, off", required: false, options: []string{"on", "off"}})
 	loaded.LogLevel = r.enum(rule{flag: "log-level", env: "REDWINGSPREAD_LOG_LEVEL", allowed: "one of debug, info, warn, error", required: false, options: []string{"debug", "info", "warn", "error"}})
 	return loaded, r.err()
