allowance: a host keeps its own parts while other hosts are missing

Change: a part that a host keeps among all hosts with rows is certain; only parts taken over from missing hosts need votes.

--- a/internal/allowance/book.go
+++ b/internal/allowance/book.go
@@ -28,7 +28,8 @@
 	tenants     map[model.TenantID]*tenant[T]
 	configured  bool // limits have been set
 	live        []Host
-	known       int
+	all         []Host // with rows
+	known       int    // number of all
 	majorityAt  model.Instant // when this host heard more than half of the hosts last
 	majority    bool
 	active      []*tenant[T]  // tenants whose operations wait
@@ -73,27 +74,26 @@
 // drop removes a tenant; operations that wait are decided by the next Due.
 func (b *Book[T]) drop(t *tenant[T]) {
 	t.limited = false
-	t.keep(0, 0, false)
+	t.keep(0, 0, 0, 0)
 	delete(b.tenants, t.id)
 }
 
-// SetHosts sets the hosts that this one hears, itself included, and the number of all hosts that have rows. The host grants tokens
-// only while the calls show more than half of the hosts, so SetHosts has to be called at least once a second.
-func (b *Book[T]) SetHosts(now model.Instant, live []Host, known int) {
+// SetHosts sets the hosts that this one hears and all hosts that have rows, both with this one. The host grants tokens only while the
+// calls show more than half of the hosts, so SetHosts has to be called at least once a second.
+func (b *Book[T]) SetHosts(now model.Instant, live, all []Host) {
 	resumes := !b.grants(now)
 	if resumes { // others may have granted its parts meanwhile
 		for _, t := range b.tenants {
-			t.keep(0, now, false)
+			t.keep(0, 0, now, now)
 		}
 	}
-	b.majority = 2*len(live) > known
+	b.majority = 2*len(live) > len(all)
 	if b.majority {
 		b.majorityAt = now
 	}
-	live = slices.Clone(live)
-	slices.SortFunc(live, func(x, y Host) int { return compareIDs(x.ID, y.ID) })
-	changed := known != b.known || !slices.Equal(live, b.live)
-	b.live, b.known = live, known
+	live, all = sortedByID(live), sortedByID(all)
+	changed := !slices.Equal(all, b.all) || !slices.Equal(live, b.live)
+	b.live, b.all, b.known = live, all, len(all)
 	if !changed && !(resumes && b.majority) {
 		return
 	}
@@ -112,19 +112,18 @@
 // place determines the keepers of a tenant's parts.
 func (b *Book[T]) place(now model.Instant, t *tenant[T]) {
 	t.order = hashOrder(t.id, b.live)
-	count, from := 0, now
+	count, from := 0, now.Add(handover)
 	if b.majority {
 		count = t.shareOf(b.self.ID)
 	}
-	missing := len(b.live) < b.known && !t.covered
-	if missing {
-		from = now.Add(handover)
-	} else {
-		for i := range t.own { // no other host keeps the part, or the tolerance covers it
-			t.own[i].at, t.own[i].provisional = min(t.own[i].at, now), false
-		}
+	certain := count // parts that no other host keeps, or that the tolerance covers twice
+	if len(b.live) < b.known && !t.covered {
+		certain = min(count, t.shareIn(hashOrder(t.id, b.all), b.self.ID))
+	}
+	for i := range t.own[:min(certain, len(t.own))] {
+		t.own[i].at, t.own[i].provisional = min(t.own[i].at, now), false
 	}
-	t.keep(count, from, missing)
+	t.keep(certain, count, now, from)
 	var keepers []*keeper
 	for _, host := range b.preferred(t.id, t.order[:min(len(t.order), t.parts)]) {
 		k := t.keeperOf(host.ID)
--- a/internal/allowance/book_test.go
+++ b/internal/allowance/book_test.go
@@ -21,9 +21,9 @@
 func bookOf(self Host, hosts []Host, limit Limit) *Book[int] {
 	b := New[int](self, 7)
 	b.Tolerance = tolerance
-	b.SetHosts(0, hosts, len(hosts))
+	b.SetHosts(0, hosts, hosts)
 	b.SetLimits(0, map[model.TenantID]Limit{tenantID: limit})
-	b.SetHosts(model.Instant(second), hosts, len(hosts))
+	b.SetHosts(model.Instant(second), hosts, hosts)
 	return b
 }
 
@@ -85,14 +85,14 @@
 		ask     Ask
 		want    int
 	}{
-		"heard just now":           {func(b *Book[int]) { b.SetHosts(late, hosts, 1) }, Ask{Tenant: tenantID, Rank: 1, Count: 1}, 1},
+		"heard just now":           {func(b *Book[int]) { b.SetHosts(late, hosts, hosts) }, Ask{Tenant: tenantID, Rank: 1, Count: 1}, 1},
 		"suspended":                {func(*Book[int]) {}, Ask{Tenant: tenantID, Rank: 1, Count: 1}, 0},
-		"just resumed":             {func(b *Book[int]) { b.SetHosts(late, hosts, 1) }, Ask{Tenant: tenantID, Rank: 1, Count: 50}, 8},
-		"a minority":               {func(b *Book[int]) { b.SetHosts(late, hosts, 2) }, Ask{Tenant: tenantID, Rank: 1, Count: 1}, 0},
-		"leaving":                  {func(b *Book[int]) { b.SetHosts(late, hostsNamed(2)[1:], 1) }, Ask{Tenant: tenantID, Rank: 1, Count: 1}, 0},
-		"a negative count":         {func(b *Book[int]) { b.SetHosts(late, hosts, 1) }, Ask{Tenant: tenantID, Rank: 1, Count: -5}, 0},
-		"an unknown rank":          {func(b *Book[int]) { b.SetHosts(late, hosts, 1) }, Ask{Tenant: tenantID, Rank: 0, Count: 1}, 0},
-		"an unlimited tenant":      {func(b *Book[int]) { b.SetHosts(late, hosts, 1) }, Ask{Tenant: "other", Rank: 1, Count: 5}, 5},
+		"just resumed":             {func(b *Book[int]) { b.SetHosts(late, hosts, hosts) }, Ask{Tenant: tenantID, Rank: 1, Count: 50}, 8},
+		"a minority":               {func(b *Book[int]) { b.SetHosts(late, hosts, hostsNamed(2)) }, Ask{Tenant: tenantID, Rank: 1, Count: 1}, 0},
+		"leaving":                  {func(b *Book[int]) { b.SetHosts(late, hostsNamed(2)[1:], hostsNamed(2)[1:]) }, Ask{Tenant: tenantID, Rank: 1, Count: 1}, 0},
+		"a negative count":         {func(b *Book[int]) { b.SetHosts(late, hosts, hosts) }, Ask{Tenant: tenantID, Rank: 1, Count: -5}, 0},
+		"an unknown rank":          {func(b *Book[int]) { b.SetHosts(late, hosts, hosts) }, Ask{Tenant: tenantID, Rank: 0, Count: 1}, 0},
+		"an unlimited tenant":      {func(b *Book[int]) { b.SetHosts(late, hosts, hosts) }, Ask{Tenant: "other", Rank: 1, Count: 5}, 5},
 		"the limit is lowered":     {func(b *Book[int]) { keepHearing(b, 0, late); lower(b, late) }, Ask{Tenant: tenantID, Rank: 1, Count: 500}, 4},
 		"the burst is left":        {func(b *Book[int]) { keepHearing(b, 0, late) }, Ask{Tenant: tenantID, Rank: 1, Count: 500}, 104},
 		"a reserve for the urgent": {func(b *Book[int]) { keepHearing(b, 0, late) }, Ask{Tenant: tenantID, Rank: 3, Count: 500}, 88},
@@ -112,9 +112,9 @@
 // keepHearing calls SetHosts often enough between two times.
 func keepHearing(b *Book[int], at, until model.Instant) {
 	for ; at < until; at = at.Add(second) {
-		b.SetHosts(at, hostsNamed(1), 1)
+		b.SetHosts(at, hostsNamed(1), hostsNamed(1))
 	}
-	b.SetHosts(until, hostsNamed(1), 1)
+	b.SetHosts(until, hostsNamed(1), hostsNamed(1))
 }
 
 // lower lowers the limit.
@@ -146,7 +146,7 @@
 			hosts, now := hostsNamed(2), model.Instant(second)
 			b := bookOf(hosts[0], hosts, Limit{1, 4})
 			b.tenants[tenantID].own = nil // all parts are kept by the other host
-			b.SetHosts(now, append(hosts, Host{ID: "h2"}), 3)
+			b.SetHosts(now, append(hosts, Host{ID: "h2"}), append(hostsNamed(2), Host{ID: "h2"}))
 			b.tenants[tenantID].own, b.tenants[tenantID].keepers = nil, []*keeper{{host: "h1"}}
 			ranks := []model.Rank{2, 2, 2}
 			for _, rank := range ranks {
@@ -190,7 +190,7 @@
 			t.Fatalf("got %v after %v, want the time to go on", at, now)
 		}
 		now = at
-		b.SetHosts(now, hosts, 1)
+		b.SetHosts(now, hosts, hosts)
 		_, decisions := b.Due(now)
 		for _, d := range decisions {
 			got = append(got, d.Waiter.Value)
@@ -199,7 +199,7 @@
 	if want := fmt.Sprint([]int{1, 2, 4, 0}); fmt.Sprint(got) != want {
 		t.Errorf("got %v, want %v", got, want)
 	}
-	b.SetHosts(now, hosts, 5) // a minority, so that all operations wait
+	b.SetHosts(now, hosts, hostsNamed(5)) // a minority, so that all operations wait
 	for range maxWaiting {
 		b.Spend(now, tenantID, 2, now.Add(second), &Waiter[int]{})
 	}
--- a/internal/allowance/model_test.go
+++ b/internal/allowance/model_test.go
@@ -148,15 +148,23 @@
 			live = append(live, other.host)
 		}
 	}
-	known := len(w.nodes)
-	if w.mutant == noMajority {
-		known = len(live)
+	all := live
+	if w.mutant != noMajority {
+		all = w.hosts()
 	}
 	before := len(n.own())
-	n.book.SetHosts(n.clock(w), live, known)
+	n.book.SetHosts(n.clock(w), live, all)
 	w.mutateParts(n, live, before)
 }
 
+// hosts returns all hosts.
+func (w *world) hosts() (hosts []Host) {
+	for _, n := range w.nodes {
+		hosts = append(hosts, n.host)
+	}
+	return hosts
+}
+
 // own returns the parts that a host keeps.
 func (n *node) own() []bucket { return n.book.tenants[tenantID].own }
 
@@ -181,7 +189,7 @@
 			count = t.parts
 		}
 		t.own = t.own[:min(before, len(t.own))]
-		t.keep(count, now.Add(handover), false)
+		t.keep(count, count, now.Add(handover), 0)
 		t.keepers = slices.DeleteFunc(t.keepers, func(k *keeper) bool { return k.host != hashOrder(tenantID, live)[0].ID })
 	}
 }
--- a/internal/allowance/place.go
+++ b/internal/allowance/place.go
@@ -52,12 +52,20 @@
 }
 
 // shareOf returns how many parts a host keeps.
-func (t *tenant[T]) shareOf(host model.HostID) int {
-	index := slices.IndexFunc(t.order, func(h Host) bool { return h.ID == host })
+func (t *tenant[T]) shareOf(host model.HostID) int { return t.shareIn(t.order, host) }
+
+// shareIn returns how many parts a host keeps among hosts in the tenant's order.
+func (t *tenant[T]) shareIn(order []Host, host model.HostID) int {
+	index := slices.IndexFunc(order, func(h Host) bool { return h.ID == host })
 	if index < 0 || t.limit.none() {
 		return 0
 	}
-	return (t.parts - index + len(t.order) - 1) / len(t.order)
+	return (t.parts - index + len(order) - 1) / len(order)
+}
+
+// sortedByID returns the hosts in the order of their ids.
+func sortedByID(hosts []Host) []Host {
+	return slices.SortedFunc(slices.Values(hosts), func(x, y Host) int { return compareIDs(x.ID, y.ID) })
 }
 
 // preferred returns the other hosts among the keepers, nearest first. The order of equally near ones differs between hosts.
--- a/internal/allowance/tenant.go
+++ b/internal/allowance/tenant.go
@@ -159,13 +159,18 @@
 	}
 }
 
-// keep sets the number of parts that this host keeps; a new one begins with one token and is granted from the given time on.
-func (t *tenant[T]) keep(count int, from model.Instant, provisional bool) {
+// keep sets the number of parts that this host keeps. A new one begins with one token. The first ones are certain and granted from now
+// on; the others are provisional, as hosts are missing that may keep them, and granted from the given time on.
+func (t *tenant[T]) keep(certain, count int, now, from model.Instant) {
 	if count < len(t.own) {
 		t.own = t.own[:count]
 	}
 	for len(t.own) < count {
-		t.own = append(t.own, bucket{tokens: 1, at: from, provisional: provisional})
+		if len(t.own) < certain {
+			t.own = append(t.own, bucket{tokens: 1, at: now})
+		} else {
+			t.own = append(t.own, bucket{tokens: 1, at: from, provisional: true})
+		}
 	}
 	if count == 0 {
 		t.backlog, t.votes = nil, nil
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -390,7 +390,10 @@
 	if !c.hostsRead || (c.fleet != nil && c.fleetChanges == c.membership && slices.Equal(c.fleetIDs, live)) {
 		return c.fleet
 	}
-	c.fleet = &Fleet{Known: len(c.hosts) + 1}
+	c.fleet = &Fleet{All: []Host{c.Self}}
+	for _, known := range c.hosts {
+		c.fleet.All = append(c.fleet.All, known.Host)
+	}
 	c.fleetIDs, c.fleetChanges = slices.Clone(live), c.membership
 	for _, id := range live {
 		switch known, found := c.hosts[id]; {
--- a/internal/controller/view.go
+++ b/internal/controller/view.go
@@ -27,8 +27,8 @@
 
 // Fleet is the hosts that a host hears, itself included unless it stops; it is immutable.
 type Fleet struct {
-	Live  []Host
-	Known int // number of all hosts that have a row or are heard
+	Live []Host
+	All  []Host // with a row, or heard
 }
 
 // outOfTouchWait is the time without a lease after which a host is out of touch; two heartbeats.
--- a/internal/front/allowances.go
+++ b/internal/front/allowances.go
@@ -119,7 +119,7 @@
 		return
 	}
 	if a.refreshed != 0 && now.Sub(a.refreshed) > suspensionTime {
-		a.book.SetHosts(now, nil, view.Fleet.Known)
+		a.book.SetHosts(now, nil, a.hosts(view.Fleet.All))
 	}
 	if view.Fleet != a.fleet {
 		a.fleet = view.Fleet
@@ -129,13 +129,13 @@
 		}
 	}
 	a.refreshed = now
-	a.book.SetHosts(now, a.hosts(), view.Fleet.Known)
+	a.book.SetHosts(now, a.hosts(view.Fleet.Live), a.hosts(view.Fleet.All))
 }
 
-// hosts returns the hosts of the fleet.
-func (a *allowances) hosts() []allowance.Host {
-	hosts := make([]allowance.Host, 0, len(a.fleet.Live))
-	for _, host := range a.fleet.Live {
+// hosts returns hosts as the book has them.
+func (a *allowances) hosts(fleet []controller.Host) []allowance.Host {
+	hosts := make([]allowance.Host, 0, len(fleet))
+	for _, host := range fleet {
 		hosts = append(hosts, allowance.Host{ID: host.ID, DataCentre: host.DataCentre, Region: a.host.regions[host.DataCentre]})
 	}
 	return hosts
