pool: connections that close or return late don't get lost

Cause: a connection that was closed while the pool was at its limit, and a backoff of the pool's own, ended without a call of OnIdle, so that work of tenants waited until its deadline although a connection could be had. A connection that was returned or opened after the end of Run stayed open, as did one of a backend that had left. A cancelled reservation made its idle connection the most recently used one. Change: OnIdle after each closing and backoff; after Run, connections are closed as they are returned, and reservations fail; the evicted connection goes back to the front.

--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -26,7 +26,8 @@
 	Limit model.Connections
 	// MaxOpening is the greatest number of connections being opened at once, to avoid a stampede.
 	MaxOpening int
-	// OnIdle is called, without the lock held, when a newly opened connection becomes idle.
+	// OnIdle is called, without the lock held, when a connection may be had: a newly opened one becomes idle, one is closed, or a
+	// backoff ends.
 	OnIdle func()
 	// OnBlocked is called, without the lock held, after a failure for which MinBackoff asks for a backoff.
 	OnBlocked func()
@@ -46,6 +47,7 @@
 	fullUntil  time.Time         // end of the latest backoff for which MinBackoff asked
 	backoffDue time.Duration     // backoff after a reserved opening that Run has to wait for; zero for none
 	failures   int               // failed attempts to open since the start
+	stopped    bool              // Run has closed the idle connections; those returned later are closed at once
 	wake       chan struct{}     // wakes Run
 }
 
@@ -94,18 +96,47 @@
 
 // Put returns a taken connection that has no outstanding response.
 func (p *Pool[C]) Put(conn C) {
+	if !p.keepIdle(conn) {
+		p.closeLate(conn)
+	}
+}
+
+// keepIdle adds an idle connection; it returns false after the end of Run.
+func (p *Pool[C]) keepIdle(conn C) bool {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	if p.stopped {
+		return false
+	}
 	p.idle = append(p.idle, conn)
 	p.trimToLimit()
+	return true
 }
 
 // Discard schedules a taken connection for closing.
 func (p *Pool[C]) Discard(conn C) {
+	if !p.scheduleClosing(conn) {
+		p.closeLate(conn)
+	}
+}
+
+// scheduleClosing makes Run close a connection; it returns false after the end of Run.
+func (p *Pool[C]) scheduleClosing(conn C) bool {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	if p.stopped {
+		return false
+	}
 	p.closing = append(p.closing, conn)
 	p.wakeRun()
+	return true
+}
+
+// closeLate closes a connection that was in use at the end of Run.
+func (p *Pool[C]) closeLate(conn C) {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	p.closeCounted(ctx, conn)
 }
 
 // Clear schedules all idle connections for closing, for when the instance no longer knows them.
@@ -181,7 +212,7 @@
 // Run opens and closes connections until the context is cancelled, then closes all idle ones and sends the context's error on
 // done.
 //
-// All taken connections have to be returned before the context is cancelled.
+// Connections in use are closed when they are returned.
 func (p *Pool[C]) Run(ctx context.Context, done chan<- error) {
 	finished := make(chan struct{})
 	running := 0
@@ -220,7 +251,10 @@
 	waiting := 0
 	if backoff > 0 {
 		waiting++
-		go p.endBackoff(ctx, backoff, finished)
+		go func() {
+			p.waitBackoff(ctx, backoff)
+			finished <- struct{}{}
+		}()
 	}
 	return opening + waiting + p.startClosing(ctx, finished, closing)
 }
@@ -244,12 +278,13 @@
 	return p.open+p.opening < min(p.target, p.Limit)
 }
 
-// drain removes and returns all connections to be closed at the end of Run.
+// drain removes and returns all connections to be closed at the end of Run, from which on none becomes idle.
 func (p *Pool[C]) drain() []C {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	conns := append(p.closing, p.idle...)
 	p.closing, p.idle = nil, nil
+	p.stopped = true
 	return conns
 }
 
@@ -268,21 +303,11 @@
 		p.waitBackoff(ctx, wait)
 		return
 	}
-	p.addIdle(conn)
+	p.addTaken()
+	p.Put(conn)
 	p.OnIdle()
 }
 
-// addIdle adds a newly opened connection as idle and ends the backoff.
-func (p *Pool[C]) addIdle(conn C) {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	p.opening--
-	p.open++
-	p.backoff = 0
-	p.idle = append(p.idle, conn)
-	p.trimToLimit()
-}
-
 // recordFailure counts a failure to open and returns the backoff to wait for; zero when another goroutine is already waiting.
 func (p *Pool[C]) recordFailure(least time.Duration) time.Duration {
 	p.mutex.Lock()
@@ -313,7 +338,7 @@
 	return max(p.fullUntil.Sub(p.Now()), 0)
 }
 
-// waitBackoff waits for the backoff and then wakes Run.
+// waitBackoff waits for the backoff and then wakes Run and reports that connections may be opened again.
 func (p *Pool[C]) waitBackoff(ctx context.Context, wait time.Duration) {
 	if wait == 0 {
 		return
@@ -324,6 +349,12 @@
 	case <-ctx.Done():
 	case <-timer.C:
 	}
+	p.endBackoff()
+	p.OnIdle()
+}
+
+// endBackoff ends the backoff and wakes Run.
+func (p *Pool[C]) endBackoff() {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.backingOff = false
@@ -335,7 +366,13 @@
 	defer func() { finished <- struct{}{} }()
 	closeCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), closeTimeout)
 	defer cancel()
-	_ = p.Close(closeCtx, conn) // the instance drops connections that it doesn't hear from
+	p.closeCounted(closeCtx, conn)
+	p.OnIdle()
+}
+
+// closeCounted closes a connection, which counts until then.
+func (p *Pool[C]) closeCounted(ctx context.Context, conn C) {
+	_ = p.Close(ctx, conn) // the instance drops connections that it doesn't hear from
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.open--
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -17,7 +17,8 @@
 type fakeInstance struct {
 	mutex      sync.Mutex
 	limit      int
-	down       bool // refuses every connection
+	down       bool  // refuses every connection
+	failure    error // of a refused connection; nil for one that means that the instance is full
 	open       int
 	otherHosts int // connections held by other hosts
 	maxOpen    int
@@ -30,9 +31,10 @@
 type fakeConn struct {
 	instance *fakeInstance
 	id       int
+	tenant   model.TenantID
 }
 
-func (i *fakeInstance) Open(ctx context.Context, _ model.TenantID) (*fakeConn, error) {
+func (i *fakeInstance) Open(ctx context.Context, tenant model.TenantID) (*fakeConn, error) {
 	i.startAttempt()
 	timer := time.NewTimer(openTime)
 	defer timer.Stop()
@@ -43,12 +45,15 @@
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
 	i.opening--
+	if i.failure != nil {
+		return nil, i.failure
+	}
 	if i.down || i.open+i.otherHosts >= i.limit {
 		return nil, model.Refuse(model.CodeConnectionsFull, "%d open", i.open)
 	}
 	i.open++
 	i.maxOpen = max(i.maxOpen, i.open)
-	return &fakeConn{instance: i, id: i.attempts}, nil
+	return &fakeConn{instance: i, id: i.attempts, tenant: tenant}, nil
 }
 
 // startAttempt counts an attempt to open a connection.
--- a/internal/pool/reserve.go
+++ b/internal/pool/reserve.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"slices"
 	"time"
 
 	"redwingspread/internal/model"
@@ -17,7 +19,7 @@
 func (p *Pool[C]) CanServe() bool {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	return len(p.idle) > 0 || p.hasRoom()
+	return !p.stopped && (len(p.idle) > 0 || p.hasRoom())
 }
 
 // hasRoom reports whether one more connection may be opened now.
@@ -69,7 +71,7 @@
 }
 
 // OpenReserved opens a reserved connection of the tenant and returns it as taken. The connection that it replaces is closed first,
-// so that the instance doesn't count both.
+// so that the instance doesn't count both. After the end of Run it fails.
 //
 // After a failure for which MinBackoff asks for a backoff, CanServe grants new connections only in place of idle ones until the backoff
 // has ended; OnIdle is called then.
@@ -80,10 +82,14 @@
 	openCtx, cancel := context.WithTimeout(ctx, openTimeout)
 	defer cancel()
 	conn, err = p.Open(openCtx, tenant)
-	if err == nil {
-		p.addTaken()
+	if err == nil && p.addTaken() {
 		return conn, nil
 	}
+	if err == nil {
+		var none C
+		p.closeLate(conn)
+		return none, errStopped
+	}
 	if least := p.MinBackoff(err); least > 0 {
 		p.backOff(least)
 		p.OnBlocked()
@@ -96,25 +102,41 @@
 	return conn, err
 }
 
-// CancelReservation gives up a reservation; the connection that it would have replaced is idle again.
+// errStopped is the error of a connection that was opened during the end of Run.
+var errStopped = errors.New("pool: no more connections are opened")
+
+// CancelReservation gives up a reservation; the connection that it would have replaced is idle again, as the least recently used one.
 func (p *Pool[C]) CancelReservation(reservation Reservation[C]) {
+	if !p.unreserve(reservation) {
+		p.closeLate(reservation.evicted)
+	}
+}
+
+// unreserve is CancelReservation; it returns false if the connection has to be closed, after the end of Run.
+func (p *Pool[C]) unreserve(reservation Reservation[C]) bool {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.opening--
-	if reservation.evicts {
-		p.open++
-		p.idle = append(p.idle, reservation.evicted)
-		p.trimToLimit()
+	if !reservation.evicts {
+		return true
+	}
+	p.open++
+	if p.stopped {
+		return false
 	}
+	p.idle = slices.Insert(p.idle, 0, reservation.evicted)
+	p.trimToLimit()
+	return true
 }
 
-// addTaken counts a newly opened connection that is in use.
-func (p *Pool[C]) addTaken() {
+// addTaken counts a newly opened connection as in use and ends the backoff; it returns false after the end of Run.
+func (p *Pool[C]) addTaken() bool {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.opening--
 	p.open++
 	p.backoff = 0
+	return !p.stopped
 }
 
 // backOff makes Run wait for the backoff after a failure.
@@ -127,10 +149,3 @@
 		p.wakeRun()
 	}
 }
-
-// endBackoff waits for the backoff and then reports that connections may be opened again.
-func (p *Pool[C]) endBackoff(ctx context.Context, wait time.Duration, finished chan<- struct{}) {
-	defer func() { finished <- struct{}{} }()
-	p.waitBackoff(ctx, wait)
-	p.OnIdle()
-}
