pool: the test of tenants reads the pool under its lock

Cause: TestTenants read fields that Run changes. Change: it waits for the other goroutines and takes the lock.

--- a/internal/pool/reserve_test.go
+++ b/internal/pool/reserve_test.go
@@ -165,10 +165,13 @@
 				if got := !p.CanServe(); got != test.blocked {
 					t.Errorf("got blocked %v, want %v", got, test.blocked)
 				}
+				synctest.Wait()
 				var idle []model.TenantID
+				p.mutex.Lock()
 				for _, conn := range p.idle {
 					idle = append(idle, conn.tenant)
 				}
+				p.mutex.Unlock()
 				if !slices.Equal(idle, test.idle) {
 					t.Errorf("got idle connections of %v, want %v", idle, test.idle)
 				}
@@ -176,6 +179,7 @@
 					t.Errorf("got %d attempts to open, want %d", got, test.attempts)
 				}
 				time.Sleep(time.Second)
+				synctest.Wait()
 				if got := p.ready > 0; got != test.ready {
 					t.Errorf("got %d calls of OnIdle, want some: %v", p.ready, test.ready)
 				}
