scheduler: work gets a connection of its tenant around a change of the configuration

Cause: work that was admitted while the scheduler didn't know yet that connections belong to tenants, or after the tenants were taken out of the configuration, ran on whichever connection was idle, under another tenant's name. Work whose deadline passed while its connection was opened was refused as unavailable, without the time after which to try again. Change: startNext compares the tenants and falls back to the tenant's own connection; a deadline during the opening is refused like one while waiting.

--- a/internal/scheduler/permit.go
+++ b/internal/scheduler/permit.go
@@ -81,12 +81,12 @@
 			return nil
 		}
 		s.cancelOpening(permit)
-		if model.CodeOf(err) != model.CodeConnectionsFull {
-			return model.Refuse(model.CodeUnavailable, "no connection could be opened: %v", err)
-		}
 		if !s.Now().Before(permit.ticket.Deadline) {
 			return s.refuseBlocked()
 		}
+		if model.CodeOf(err) != model.CodeConnectionsFull {
+			return model.Refuse(model.CodeUnavailable, "no connection could be opened: %v", err)
+		}
 	}
 }
 
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -203,6 +203,11 @@
 		s.refuse(ticket, model.CodeDeadline)
 		return true
 	}
+	if ticket.Value.tenant != s.Pool.Tenant(conn) { // around a change of the configuration
+		s.Pool.Put(conn)
+		s.startOnOwn(ticket.Value)
+		return true
+	}
 	ticket.Value.Conn = conn
 	s.start(ticket.Value)
 	return true
@@ -222,12 +227,16 @@
 		s.refuse(ticket, model.CodeDeadline)
 		return true
 	}
-	permit := ticket.Value
+	s.startOnOwn(ticket.Value)
+	return true
+}
+
+// startOnOwn gives a permit its slot, with an idle connection of its tenant or the right to open one.
+func (s *Scheduler[C]) startOnOwn(permit *Permit[C]) {
 	found := false
 	permit.Conn, found, permit.reservation = s.Pool.TakeFor(permit.tenant)
 	permit.opens = !found
 	s.start(permit)
-	return true
 }
 
 // start gives a permit its slot.
