directory: tests of API keys; a tenant listed twice has all its keys

Cause: of a tenant that is listed twice, only the last entry's keys travelled to other hosts, while this host accepted all. Change: the entries' keys are joined. Result: TestTenantTwice failed before; it and the 20 cases of TestAuthorize pass.

--- a/internal/directory/tracker.go
+++ b/internal/directory/tracker.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"redwingspread/internal/model"
@@ -57,14 +58,17 @@
 	return true
 }
 
-// indexTenants returns the tenants by ID and by key. A key that several tenants have identifies none of them.
+// indexTenants returns the tenants by ID and by key. A key that several tenants have identifies none of them. A tenant that is listed
+// twice has all keys and the limits of the last entry.
 func indexTenants(tenants []model.Tenant) (byID map[model.TenantID]model.Tenant, byKey map[model.KeyDigest]model.TenantID) {
 	byID = make(map[model.TenantID]model.Tenant, len(tenants))
 	byKey = make(map[model.KeyDigest]model.TenantID, len(tenants))
 	shared := make(map[model.KeyDigest]bool)
 	for _, tenant := range tenants {
+		keys := tenant.Keys
+		tenant.Keys = slices.Concat(byID[tenant.ID].Keys, keys)
 		byID[tenant.ID] = tenant
-		for _, key := range tenant.Keys {
+		for _, key := range keys {
 			if other, found := byKey[key]; found && other != tenant.ID {
 				shared[key] = true
 			}
