--- a/internal/event/events_gen.go
+++ b/internal/event/events_gen.go
@@ -604,7 +604,7 @@
 	}).Info("the replicas were compared to choose the next primary")
 }
 
-// TenantRefused logs event 6027: a tenant in the configuration has an error and is left out.
+// TenantRefused logs event 6027: an entry or a key of a tenant in the configuration has an error and is left out.
 func TenantRefused(logger log.Interface, version model.Version, entry int, tenant model.TenantID, error error) {
 	logger.WithFields(log.Fields{
 		"event":   NumberTenantRefused,
@@ -612,5 +612,5 @@
 		"entry":   entry,
 		"tenant":  tenant,
 		"error":   errorText(error),
-	}).Warn("a tenant in the configuration has an error and is left out")
+	}).Warn("an entry or a key of a tenant in the configuration has an error and is left out")
 }
