front: tests of tenants end to end; public work on a host that is out of touch

Cause: with revoke-strict, a host without word of the configuration refused public work too, which needs no key; and an older word that arrived last made a host outdated.

--- a/internal/front/fleet_test.go
+++ b/internal/front/fleet_test.go
@@ -5,10 +5,13 @@
 	"errors"
 	"fmt"
 	"net"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/apex/log"
+	jsonlog "github.com/apex/log/handlers/json"
 
 	"redwingspread/internal/failover"
 	"redwingspread/internal/front"
@@ -31,6 +34,29 @@
 	fencing     string        // setting of the hosts
 	interrupted chan struct{} // see fragileCaller
 	silent      chan int      // gets the index of the first host that finds a primary silent
+	strict      string        // setting of the hosts started from now on: whether keys need recent word of the configuration
+	revokeLimit time.Duration // setting of these hosts
+	logged      record        // the hosts' log lines
+}
+
+// record collects text from several goroutines.
+type record struct {
+	mutex sync.Mutex
+	text  strings.Builder
+}
+
+// Write adds text.
+func (r *record) Write(text []byte) (int, error) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.text.Write(text)
+}
+
+// String returns the text so far.
+func (r *record) String() string {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.text.String()
 }
 
 // testHost is one host of the fleet.
@@ -105,12 +131,15 @@
 		ApplyLimit:     3 * time.Second,
 		SessionLimit:   64,
 		Fencing:        f.fencing,
+		RevokeStrict:   f.strict,
+		RevokeLimit:    f.revokeLimit,
 	}
 	client, err := platform.New(model.Address(store), model.Address(f.cloud.OrderAddress))
 	if err != nil {
 		f.t.Fatal(err)
 	}
 	index := len(f.hosts)
+	lines := jsonlog.New(&f.logged)
 	logger := &log.Logger{Level: log.InfoLevel, Handler: log.HandlerFunc(func(entry *log.Entry) error {
 		if entry.Fields["state"] == string(failover.Silent) {
 			select {
@@ -118,7 +147,7 @@
 			default:
 			}
 		}
-		return nil
+		return lines.HandleLog(entry)
 	})}
 	client.Logger, host.Logger = logger, logger
 	host.Platform = fragilePlatform{client, f.interrupted}
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -109,7 +109,7 @@
 	if !allowed {
 		return kind, model.Refuse(model.CodeUnauthorized, "no tenant has this API key")
 	}
-	if d.Keyed && s.host.outdated() {
+	if d.Keyed && !kind.Public && s.host.outdated() {
 		return kind, model.Refuse(model.CodeUnavailable, "the host has had no word of the API keys in force for too long")
 	}
 	s.tenant = tenant
@@ -123,7 +123,14 @@
 }
 
 // noteConfigurationHeard records that the configuration that the host knows was in force at a moment that is not before the given one.
-func (h *Host) noteConfigurationHeard(at model.Instant) { h.configurationHeard.Store(int64(at)) }
+func (h *Host) noteConfigurationHeard(at model.Instant) {
+	for {
+		known := h.configurationHeard.Load()
+		if known >= int64(at) || h.configurationHeard.CompareAndSwap(known, int64(at)) {
+			return
+		}
+	}
+}
 
 // reject tells a caller why the session is not opened.
 func (s *callerSession) reject(err error) error {
