--- a/internal/pool/reserve.go
+++ b/internal/pool/reserve.go
@@ -88,7 +88,7 @@
 	if err == nil {
 		var none C
 		p.closeLate(conn)
-		return none, errStopped
+		return none, ErrStopped
 	}
 	if least := p.MinBackoff(err); least > 0 {
 		p.backOff(least)
@@ -102,8 +102,8 @@
 	return conn, err
 }
 
-// errStopped is the error of a connection that was opened during the end of Run.
-var errStopped = errors.New("pool: no more connections are opened")
+// ErrStopped is the error of a connection that was opened during the end of Run.
+var ErrStopped = errors.New("pool: no more connections are opened")
 
 // CancelReservation gives up a reservation; the connection that it would have replaced is idle again, as the least recently used one.
 func (p *Pool[C]) CancelReservation(reservation Reservation[C]) {
--- a/internal/scheduler/permit.go
+++ b/internal/scheduler/permit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"redwingspread/internal/admit"
@@ -81,6 +82,9 @@
 			return nil
 		}
 		s.cancelOpening(permit)
+		if errors.Is(err, pool.ErrStopped) {
+			return model.Refuse(model.CodeStopping, "the connection was opened too late")
+		}
 		if !s.Now().Before(permit.ticket.Deadline) {
 			return s.refuseBlocked()
 		}
--- a/internal/scheduler/tenant_test.go
+++ b/internal/scheduler/tenant_test.go
@@ -152,7 +152,7 @@
 			connections: 2, at: 5 * ms, change: func(s *Scheduler[*tenantConn], _ *tenantInstance) { s.SetLimits(2, 1, false) },
 			jobs: []tenantJob{of("a", 0), of("b", 0), of("c", 10*ms), of("a", 80*ms)},
 		},
-		"end during the opening": {connections: 1, stopAt: 5 * ms, jobs: []tenantJob{of("a", 0, refused(model.CodeUnavailable)), of("b", 2*ms, refused(model.CodeStopping))}},
+		"end during the opening": {connections: 1, stopAt: 5 * ms, jobs: []tenantJob{of("a", 0, refused(model.CodeStopping)), of("b", 2*ms, refused(model.CodeStopping))}},
 		"end during the work":    {connections: 2, stopAt: 15 * ms, jobs: []tenantJob{of("a", 0), of("b", 0, pausing), of("c", 20*ms, refused(model.CodeStopping))}},
 		"work of tenants before the scheduler hears of them": {
 			connections: 1, shared: true, at: 60 * ms, change: func(s *Scheduler[*tenantConn], _ *tenantInstance) { s.SetPerTenant(true) },
