scheduler: connections of tenants stay open while they are used

Cause: Load closed idle connections beyond the peak of work at once, so that tenants who took turns closed each other's connections within the host's part. Change: connections of tenants are closed once unused for the demand window.

--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -38,7 +38,7 @@
 
 	mutex      sync.Mutex
 	target     model.Connections // number of connections to keep open
-	idle       []C               // most recently used or opened last
+	idle       []idleConn[C]     // most recently used or opened last
 	open       model.Connections // number of idle, taken and closing connections
 	opening    model.Connections // number of connections being opened
 	closing    []C               // waiting to be closed
@@ -51,6 +51,12 @@
 	wake       chan struct{}     // wakes Run
 }
 
+// idleConn is an idle connection.
+type idleConn[C any] struct {
+	conn  C
+	since time.Time
+}
+
 // Counts holds the number of connections by state.
 type Counts struct {
 	Open     model.Connections // idle, taken and closing connections
@@ -89,8 +95,8 @@
 		return conn, false
 	}
 	last := len(p.idle) - 1
-	conn, p.idle[last] = p.idle[last], conn
-	p.idle = p.idle[:last]
+	conn = p.idle[last].conn
+	p.removeIdle(last)
 	return conn, true
 }
 
@@ -108,7 +114,7 @@
 	if p.stopped {
 		return false
 	}
-	p.idle = append(p.idle, conn)
+	p.idle = append(p.idle, idleConn[C]{conn, p.Now()})
 	p.trimToLimit()
 	return true
 }
@@ -143,9 +149,9 @@
 func (p *Pool[C]) Clear() {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	p.closing = append(p.closing, p.idle...)
-	p.idle = nil
-	p.wakeRun()
+	for len(p.idle) > 0 {
+		p.closeLeastRecent()
+	}
 }
 
 // SetTarget sets the number of connections to keep open.
@@ -189,18 +195,32 @@
 	p.trimTo(keep)
 }
 
+// TrimUnused closes the connections that have been idle since before the given time.
+func (p *Pool[C]) TrimUnused(before time.Time) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for len(p.idle) > 0 && p.idle[0].since.Before(before) {
+		p.closeLeastRecent()
+	}
+}
+
 // trimToLimit schedules idle connections above the limit for closing.
 func (p *Pool[C]) trimToLimit() { p.trimTo(p.Limit) }
 
 // trimTo schedules idle connections for closing, least recently used first, until the given number is left.
 func (p *Pool[C]) trimTo(keep model.Connections) {
 	for p.open-model.Connections(len(p.closing)) > keep && len(p.idle) > 0 {
-		p.closing = append(p.closing, p.idle[0])
-		p.idle = append(p.idle[:0], p.idle[1:]...)
-		p.wakeRun()
+		p.closeLeastRecent()
 	}
 }
 
+// closeLeastRecent schedules the least recently used idle connection for closing.
+func (p *Pool[C]) closeLeastRecent() {
+	p.closing = append(p.closing, p.idle[0].conn)
+	p.removeIdle(0)
+	p.wakeRun()
+}
+
 // wakeRun wakes Run without blocking.
 func (p *Pool[C]) wakeRun() {
 	select {
@@ -282,8 +302,11 @@
 func (p *Pool[C]) drain() []C {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	conns := append(p.closing, p.idle...)
-	p.closing, p.idle = nil, nil
+	for len(p.idle) > 0 {
+		p.closeLeastRecent()
+	}
+	conns := p.closing
+	p.closing = nil
 	p.stopped = true
 	return conns
 }
--- a/internal/pool/reserve.go
+++ b/internal/pool/reserve.go
@@ -11,7 +11,7 @@
 
 // Reservation is the right to open one connection, in place of an idle one where the limit is reached.
 type Reservation[C any] struct {
-	evicted C
+	evicted idleConn[C]
 	evicts  bool
 }
 
@@ -35,7 +35,7 @@
 // idleOf returns the index of the most recently used idle connection of the tenant, or -1.
 func (p *Pool[C]) idleOf(tenant model.TenantID) int {
 	for i := len(p.idle) - 1; i >= 0; i-- {
-		if p.Tenant(p.idle[i]) == tenant {
+		if p.Tenant(p.idle[i].conn) == tenant {
 			return i
 		}
 	}
@@ -48,7 +48,7 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	if i := p.idleOf(tenant); i >= 0 {
-		conn = p.idle[i]
+		conn = p.idle[i].conn
 		p.removeIdle(i)
 		return conn, true, reservation
 	}
@@ -63,11 +63,7 @@
 
 // removeIdle removes an idle connection.
 func (p *Pool[C]) removeIdle(i int) {
-	var none C
-	last := len(p.idle) - 1
-	copy(p.idle[i:], p.idle[i+1:])
-	p.idle[last] = none
-	p.idle = p.idle[:last]
+	p.idle = slices.Delete(p.idle, i, i+1)
 }
 
 // OpenReserved opens a reserved connection of the tenant and returns it as taken. The connection that it replaces is closed first,
@@ -77,7 +73,7 @@
 // has ended; OnIdle is called then.
 func (p *Pool[C]) OpenReserved(ctx context.Context, tenant model.TenantID, reservation Reservation[C]) (conn C, err error) {
 	if reservation.evicts {
-		_ = p.Close(ctx, reservation.evicted) // the instance drops connections that it doesn't hear from
+		_ = p.Close(ctx, reservation.evicted.conn) // the instance drops connections that it doesn't hear from
 	}
 	openCtx, cancel := context.WithTimeout(ctx, openTimeout)
 	defer cancel()
@@ -108,7 +104,7 @@
 // CancelReservation gives up a reservation; the connection that it would have replaced is idle again, as the least recently used one.
 func (p *Pool[C]) CancelReservation(reservation Reservation[C]) {
 	if !p.unreserve(reservation) {
-		p.closeLate(reservation.evicted)
+		p.closeLate(reservation.evicted.conn)
 	}
 }
 
--- a/internal/pool/reserve_test.go
+++ b/internal/pool/reserve_test.go
@@ -71,6 +71,14 @@
 		"least recently used one makes way":      {limit: 2, steps: func(p *tenantPool) { p.run("a", "b", "a", "c") }, idle: []model.TenantID{"a", "c"}, attempts: 3},
 		"none is free at the limit":              {limit: 1, steps: func(p *tenantPool) { p.use("a") }, attempts: 1, blocked: true},
 		"a reservation counts towards the limit": {limit: 1, steps: func(p *tenantPool) { p.TakeFor("a") }, blocked: true},
+		"those unused for long are closed": {limit: 3, steps: func(p *tenantPool) {
+			p.open("a", "b", "c")
+			time.Sleep(time.Second)
+			p.run("a")
+			p.TrimUnused(time.Now().Add(-time.Second))
+			p.run("b")
+			p.TrimUnused(time.Now().Add(-time.Millisecond))
+		}, idle: []model.TenantID{"a", "b"}, attempts: 3, ready: true},
 		"a cancelled reservation frees its place": {limit: 1, steps: func(p *tenantPool) {
 			_, _, reservation := p.TakeFor("a")
 			p.CancelReservation(reservation)
@@ -168,8 +176,8 @@
 				synctest.Wait()
 				var idle []model.TenantID
 				p.mutex.Lock()
-				for _, conn := range p.idle {
-					idle = append(idle, conn.tenant)
+				for _, idling := range p.idle {
+					idle = append(idle, idling.conn.tenant)
 				}
 				p.mutex.Unlock()
 				if !slices.Equal(idle, test.idle) {
--- a/internal/scheduler/demand.go
+++ b/internal/scheduler/demand.go
@@ -16,14 +16,24 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.applySettings()
-	s.Pool.Trim(max(s.peakDemand(), s.minConnections()))
 	now := s.Now()
+	s.trim(now)
 	elapsed := min(now.Sub(s.loadUpdated), loadWindow)
 	s.loadUpdated = now
 	s.meanLoad += (float64(s.demandedConnections()) - s.meanLoad) * float64(elapsed) / float64(loadWindow)
 	return model.Load(s.meanLoad*float64(model.TenthsOfConnection) + 0.5)
 }
 
+// trim closes idle connections beyond the demand. Those of tenants stay while they are used from time to time: each tenant needs its own,
+// even if few work at once.
+func (s *Scheduler[C]) trim(now time.Time) {
+	if s.perTenant {
+		s.Pool.TrimUnused(now.Add(-s.demandWindow()))
+		return
+	}
+	s.Pool.Trim(max(s.peakDemand(), s.minConnections()))
+}
+
 // demandedConnections returns the number of connections in use plus all waiting work.
 func (s *Scheduler[C]) demandedConnections() model.Connections {
 	return s.connectionsInUse + model.Connections(s.queue.Len()+s.pinsWaiting())
--- a/internal/scheduler/tenant_test.go
+++ b/internal/scheduler/tenant_test.go
@@ -124,12 +124,15 @@
 		at          time.Duration // time of the change
 		change      func(s *Scheduler[*tenantConn], i *tenantInstance)
 		stopAt      time.Duration // time of the end of Run; zero for after all work
+		loads       bool          // Load is called at intervals
 		jobs        []tenantJob
 		opened      int // number of connections opened; zero for any
 	}{
 		"a tenant's idle connection is used again":      {connections: 2, jobs: []tenantJob{of("a", 0), of("a", 50*ms, within(ms)), of("a", 90*ms, within(ms))}, opened: 1},
 		"another tenant's is not used":                  {connections: 2, jobs: []tenantJob{of("a", 0), of("b", 50*ms), of("a", 90*ms, within(ms)), of("", 130*ms)}, opened: 3},
 		"one is replaced at the limit":                  {connections: 1, jobs: []tenantJob{of("a", 0), of("b", 50*ms, within(13*ms)), of("a", 90*ms)}, opened: 3},
+		"those of tenants in turn are kept":             {connections: 3, loads: true, jobs: []tenantJob{of("a", 0), of("b", 40*ms), of("c", 80*ms), of("a", 1200*ms, within(ms)), of("b", 1240*ms, within(ms)), of("c", 1280*ms, within(ms))}, opened: 3},
+		"one that no work uses is closed":               {connections: 3, loads: true, jobs: []tenantJob{of("a", 0), of("b", 40*ms), of("a", 2500*ms, within(ms)), of("b", 3500*ms)}, opened: 3},
 		"work waits at the limit":                       {connections: 1, jobs: []tenantJob{of("a", 0), of("b", 5*ms, within(30*ms)), of("a", 6*ms, within(60*ms))}},
 		"work waits for the end of a broken connection": {connections: 1, jobs: []tenantJob{of("a", 0, breaking), of("b", 5*ms, within(30*ms))}, opened: 2},
 		"instance full until a place is free": {
@@ -197,6 +200,14 @@
 				if test.change != nil {
 					group.Go(func() { time.Sleep(test.at); test.change(s, instance) })
 				}
+				if test.loads {
+					group.Go(func() {
+						for range 50 {
+							time.Sleep(100 * ms)
+							s.Load()
+						}
+					})
+				}
 				if test.stopAt > 0 {
 					group.Go(func() { time.Sleep(test.stopAt); stop() })
 				}
