--- a/internal/front/tenants_test.go
+++ b/internal/front/tenants_test.go
@@ -17,10 +17,10 @@
 const keyMark = "s3cr3t"
 
 var (
-	acme  = standin.Tenant{Name: "acme", ApiKeys: []string{keyMark + "-a1", keyMark + "-a2"}, RatePerS: 100000, Burst: 100000}
-	bolt  = standin.Tenant{Name: "bolt", ApiKeys: []string{keyMark + "-b1"}, RatePerS: 100000, Burst: 100000}
-	acme1 = standin.Tenant{Name: "acme", ApiKeys: []string{keyMark + "-a1"}, RatePerS: 100000, Burst: 100000}
-	acme2 = standin.Tenant{Name: "acme", ApiKeys: []string{keyMark + "-a2"}, RatePerS: 100000, Burst: 100000}
+	acme  = standin.Tenant{Name: "acme", APIKeys: []string{keyMark + "-a1", keyMark + "-a2"}, RatePerS: 100000, Burst: 100000}
+	bolt  = standin.Tenant{Name: "bolt", APIKeys: []string{keyMark + "-b1"}, RatePerS: 100000, Burst: 100000}
+	acme1 = standin.Tenant{Name: "acme", APIKeys: []string{keyMark + "-a1"}, RatePerS: 100000, Burst: 100000}
+	acme2 = standin.Tenant{Name: "acme", APIKeys: []string{keyMark + "-a2"}, RatePerS: 100000, Burst: 100000}
 )
 
 // keyedRoutes are the kinds of work of the tests with tenants; "view" is public.
@@ -102,8 +102,8 @@
 // TestTenantStart guards against sessions without a key in force, with another tenant's name, and refusals of those that have one.
 func TestTenantStart(t *testing.T) {
 	f := newFleet(t, 1)
-	shared := standin.Tenant{Name: "coil", ApiKeys: []string{keyMark + "-b1", keyMark + "-c1"}}
-	f.configureTenants(5, f.hosts, acme, bolt, shared, standin.Tenant{Name: "dune", ApiKeys: []string{keyMark + "-d1"}, RatePerS: -1})
+	shared := standin.Tenant{Name: "coil", APIKeys: []string{keyMark + "-b1", keyMark + "-c1"}}
+	f.configureTenants(5, f.hosts, acme, bolt, shared, standin.Tenant{Name: "dune", APIKeys: []string{keyMark + "-d1"}, RatePerS: -1})
 	tests := map[string]struct {
 		kind, key, code string
 		tenant          string // under which its statements run
@@ -143,16 +143,16 @@
 	f.startHost(proxy.start(t))
 	f.eventually("the second host answers", func() bool { return f.canRead(f.hosts[1], "desk") })
 	f.configureTenants(5, f.hosts, acme1, bolt)
-	if got := startCode(f.hosts[0], "desk", acme2.ApiKeys[0]); got != "NOAUTH" {
+	if got := startCode(f.hosts[0], "desk", acme2.APIKeys[0]); got != "NOAUTH" {
 		t.Errorf("got %q for a key that is not in force yet, want NOAUTH", got)
 	}
 	f.configureTenants(7, f.hosts, acme, bolt)
 	proxy.cut()
 	var open, idle, other []*standin.Session
 	for i, host := range f.hosts {
-		open = append(open, f.openKeyed(host, "desk", fmt.Sprintf("open%d", i), acme.ApiKeys[0], "acme"))
-		idle = append(idle, f.openKeyed(host, "desk", fmt.Sprintf("idle%d", i), acme.ApiKeys[0], "acme"))
-		other = append(other, f.openKeyed(host, "desk", fmt.Sprintf("other%d", i), acme.ApiKeys[1], "acme"))
+		open = append(open, f.openKeyed(host, "desk", fmt.Sprintf("open%d", i), acme.APIKeys[0], "acme"))
+		idle = append(idle, f.openKeyed(host, "desk", fmt.Sprintf("idle%d", i), acme.APIKeys[0], "acme"))
+		other = append(other, f.openKeyed(host, "desk", fmt.Sprintf("other%d", i), acme.APIKeys[1], "acme"))
 		f.run(open[i], "BEGIN", fmt.Sprintf("WRITE open%d 1", i))
 		f.run(idle[i], "READ a")
 	}
@@ -162,7 +162,7 @@
 		f.expect(open[i], "", fmt.Sprintf("READ open%d", i), "COMMIT")
 		f.expect(open[i], "NOAUTH", "READ a", "BEGIN")
 		f.expect(other[i], "", "READ a", "BEGIN", "READ a", "COMMIT")
-		if got := startCode(f.hosts[i], "desk", acme.ApiKeys[0]); got != "NOAUTH" {
+		if got := startCode(f.hosts[i], "desk", acme.APIKeys[0]); got != "NOAUTH" {
 			t.Errorf("got %q for a withdrawn key, want NOAUTH", got)
 		}
 	}
@@ -179,8 +179,8 @@
 	f := newFleet(t, 1)
 	f.cloud.SetMaxConns(1)
 	f.configureTenants(5, f.hosts, acme, bolt)
-	a := f.openKeyed(f.hosts[0], "desk", "a", acme.ApiKeys[0], "acme")
-	b := f.openKeyed(f.hosts[0], "desk", "b", bolt.ApiKeys[0], "bolt")
+	a := f.openKeyed(f.hosts[0], "desk", "a", acme.APIKeys[0], "acme")
+	b := f.openKeyed(f.hosts[0], "desk", "b", bolt.APIKeys[0], "bolt")
 	f.run(a, "SET session a", "PREPARE p WRITE q")
 	f.run(b, "SET session b", "PREPARE p READ q")
 	for i := range 10 {
@@ -207,17 +207,17 @@
 			host := f.startHost(proxy.start(t))
 			f.eventually("the host answers", func() bool { return f.canRead(host, "desk") })
 			f.configureTenants(5, f.hosts, acme)
-			s := f.openKeyed(host, "batch", "s", acme.ApiKeys[0], "acme")
+			s := f.openKeyed(host, "batch", "s", acme.APIKeys[0], "acme")
 			f.run(s, "READ a")
 			time.Sleep(f.revokeLimit) // the store answers polls without a change meanwhile
 			f.run(s, "READ a")
 			proxy.cut()
 			time.Sleep(f.revokeLimit)
 			f.expect(s, test.code, "READ a", "BEGIN READ")
-			if got := startCode(host, "batch", acme.ApiKeys[0]); got != test.code {
+			if got := startCode(host, "batch", acme.APIKeys[0]); got != test.code {
 				t.Errorf("got %q at the start, want %q", got, test.code)
 			}
-			if got := startCode(host, "view", acme.ApiKeys[0]); got != "" {
+			if got := startCode(host, "view", acme.APIKeys[0]); got != "" {
 				t.Errorf("got %q for a public route, want none", got)
 			}
 		})
@@ -230,11 +230,11 @@
 	var received record
 	f.database.SetOnLine(func(line string) { _, _ = received.Write([]byte(line)) })
 	long := keyMark + strings.Repeat("x", 5000)
-	f.configureTenants(5, f.hosts, acme, bolt, standin.Tenant{Name: "odd", ApiKeys: []string{long, keyMark + " 1"}}, standin.Tenant{Name: "coil", ApiKeys: bolt.ApiKeys})
+	f.configureTenants(5, f.hosts, acme, bolt, standin.Tenant{Name: "odd", APIKeys: []string{long, keyMark + " 1"}}, standin.Tenant{Name: "coil", APIKeys: bolt.APIKeys})
 	for i, host := range f.hosts {
-		s := f.openKeyed(host, "desk", fmt.Sprintf("s%d", i), acme.ApiKeys[0], "acme")
+		s := f.openKeyed(host, "desk", fmt.Sprintf("s%d", i), acme.APIKeys[0], "acme")
 		f.run(s, "READ a", "BEGIN", "WRITE a 1", "COMMIT")
-		for _, key := range []string{bolt.ApiKeys[0], keyMark + "-unknown", long} {
+		for _, key := range []string{bolt.APIKeys[0], keyMark + "-unknown", long} {
 			if got := startCode(host, "desk", key); got != "NOAUTH" {
 				t.Errorf("got %q, want NOAUTH", got)
 			}
