scheduler: work that needs the primary waits while it can't be reached

Cause: where connections belong to tenants, one failed attempt to open one refused the work. Change: work that no other instance can do pauses, without a slot, and tries again until its deadline; reads go to another instance as before.

--- a/internal/front/execution.go
+++ b/internal/front/execution.go
@@ -238,6 +238,7 @@
 		Deadline:       e.startBy.Add(t.backend.scheduler.ExpectedLatency(time.Now(), e.policy.ID)),
 		KeepConnection: e.startsTransaction,
 		Tenant:         e.session.tenant,
+		OnlyHere:       e.needsPrimary(),
 	})
 }
 
--- a/internal/front/tenants_test.go
+++ b/internal/front/tenants_test.go
@@ -266,3 +266,19 @@
 		t.Error("got no connection in the name of the tenant, want one")
 	}
 }
+
+// TestTenantWaitsForPrimary guards against writes that are refused at once while the primary can't be reached for a moment.
+func TestTenantWaitsForPrimary(t *testing.T) {
+	f := newFleet(t, 1)
+	f.configureTenants(5, f.hosts, acme)
+	s := f.openKeyed(f.hosts[0], "desk", "s", acme.APIKeys[0], "acme")
+	f.run(s, "WRITE a 1")
+	for _, requests := range [][]string{{"WRITE a 2"}, {"BEGIN", "WRITE a 3", "COMMIT"}} {
+		f.crash("seats-0")
+		timer := time.AfterFunc(120*time.Millisecond, func() { f.revive("seats-0") })
+		f.expect(s, "", requests...)
+		timer.Stop()
+		f.revive("seats-0")
+	}
+	f.checkViolations()
+}
--- a/internal/scheduler/permit.go
+++ b/internal/scheduler/permit.go
@@ -6,8 +6,10 @@
 	"time"
 
 	"redwingspread/internal/admit"
+	"redwingspread/internal/clock"
 	"redwingspread/internal/model"
 	"redwingspread/internal/pool"
+	"redwingspread/internal/retry"
 )
 
 // Request describes one piece of work that asks for a permit.
@@ -16,6 +18,7 @@
 	Deadline       time.Time      // time by which the work must be answered; must be set
 	KeepConnection bool           // whether to pin the connection for a transaction
 	Tenant         model.TenantID // that the connection has to belong to, where connections belong to tenants
+	OnlyHere       bool           // no other instance would do, so that the work waits while this one can't be reached
 }
 
 // Permit is the right of a piece of work to use a connection and a slot.
@@ -58,15 +61,17 @@
 			return refusal
 		}
 	}
-	if refusal := s.waitForConnection(ctx, permit); refusal != nil {
+	if refusal := s.waitForConnection(ctx, permit, request.OnlyHere); refusal != nil {
 		s.unpin(request.KeepConnection)
 		return refusal
 	}
 	return nil
 }
 
-// waitForConnection waits for a slot and a connection. Where the instance takes no more connections, it waits again.
-func (s *Scheduler[C]) waitForConnection(ctx context.Context, permit *Permit[C]) *model.Refusal {
+// waitForConnection waits for a slot and a connection. Where the instance takes no more connections, it waits again, as it does after
+// a pause where the instance can't be reached and no other would do.
+func (s *Scheduler[C]) waitForConnection(ctx context.Context, permit *Permit[C], onlyHere bool) *model.Refusal {
+	var backoff *retry.Backoff
 	for {
 		if refusal := s.enqueue(permit); refusal != nil {
 			return refusal
@@ -82,18 +87,33 @@
 			return nil
 		}
 		s.cancelOpening(permit)
-		if errors.Is(err, pool.ErrStopped) {
-			return model.Refuse(model.CodeStopping, "the connection was opened too late")
+		if model.CodeOf(err) == model.CodeConnectionsFull && s.Now().Before(permit.ticket.Deadline) {
+			continue
 		}
-		if !s.Now().Before(permit.ticket.Deadline) {
-			return s.refuseBlocked()
+		refusal := s.refuseOpening(permit, err)
+		if !onlyHere || refusal.Code != model.CodeUnavailable {
+			return refusal
+		}
+		if backoff == nil {
+			backoff = retry.NewBackoff()
 		}
-		if model.CodeOf(err) != model.CodeConnectionsFull {
-			return model.Refuse(model.CodeUnavailable, "no connection could be opened: %v", err)
+		if clock.Pause(ctx, min(backoff.Next(0), permit.ticket.Deadline.Sub(s.Now()))) != nil {
+			return refusal
 		}
 	}
 }
 
+// refuseOpening returns the refusal of work whose connection could not be opened.
+func (s *Scheduler[C]) refuseOpening(permit *Permit[C], err error) *model.Refusal {
+	if errors.Is(err, pool.ErrStopped) {
+		return model.Refuse(model.CodeStopping, "the connection was opened too late")
+	}
+	if !s.Now().Before(permit.ticket.Deadline) {
+		return s.refuseBlocked()
+	}
+	return model.Refuse(model.CodeUnavailable, "no connection could be opened: %v", err)
+}
+
 // open opens the connection of a permit that has its slot.
 func (s *Scheduler[C]) open(ctx context.Context, permit *Permit[C]) error {
 	openCtx, cancel := context.WithTimeout(ctx, permit.ticket.Deadline.Sub(s.Now()))
--- a/internal/scheduler/tenant_test.go
+++ b/internal/scheduler/tenant_test.go
@@ -52,12 +52,20 @@
 	i.places = places
 }
 
+// restore makes the instance take connections again.
+func (i *tenantInstance) restore() {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	i.places, i.failure = 9, nil
+}
+
 // tenantJob is one piece of work of a tenant, and the code of its refusal; empty if it is served.
 type tenantJob struct {
 	job
 	tenant    model.TenantID
 	cancelled time.Duration // time from its arrival until its context is cancelled; zero for never
 	breaks    bool          // its connection can't be used again
+	onlyHere  bool          // no other instance would do
 	refused   model.Code
 	within    time.Duration // greatest wait; zero for any
 }
@@ -72,7 +80,7 @@
 		time.AfterFunc(j.cancelled, cancel)
 	}
 	permit, err := s.Acquire(ctx, Request{
-		Class: admit.Class{Rank: model.RankOne, Kind: "desk"}, Tenant: j.tenant, Deadline: arrived.Add(j.timeout), KeepConnection: j.pause > 0,
+		Class: admit.Class{Rank: model.RankOne, Kind: "desk"}, Tenant: j.tenant, Deadline: arrived.Add(j.timeout), KeepConnection: j.pause > 0, OnlyHere: j.onlyHere,
 	})
 	if got := model.CodeOf(err); got != j.refused {
 		t.Errorf("tenant %s at %v: got %v, want code %q", j.tenant, j.arrival, err, j.refused)
@@ -114,6 +122,7 @@
 	within := func(d time.Duration) func(*tenantJob) { return func(j *tenantJob) { j.within = d } }
 	pausing := func(j *tenantJob) { j.pause = 100 * ms }
 	breaking := func(j *tenantJob) { j.breaks = true }
+	onlyHere := func(j *tenantJob) { j.onlyHere = true }
 	cancelled := func(j *tenantJob) { j.cancelled = 5 * ms }
 	tests := map[string]struct {
 		connections model.Connections
@@ -136,7 +145,7 @@
 		"work waits at the limit":                       {connections: 1, jobs: []tenantJob{of("a", 0), of("b", 5*ms, within(30*ms)), of("a", 6*ms, within(60*ms))}},
 		"work waits for the end of a broken connection": {connections: 1, jobs: []tenantJob{of("a", 0, breaking), of("b", 5*ms, within(30*ms))}, opened: 2},
 		"instance full until a place is free": {
-			connections: 2, full: true, at: 120 * ms, change: func(_ *Scheduler[*tenantConn], i *tenantInstance) { i.setPlaces(9) },
+			connections: 2, full: true, at: 120 * ms, change: func(_ *Scheduler[*tenantConn], i *tenantInstance) { i.restore() },
 			jobs: []tenantJob{of("a", 0), of("b", 30*ms), of("a", 200*ms)},
 		},
 		"instance full for too long": {connections: 2, full: true, jobs: []tenantJob{of("a", 0, refused(model.CodeDeadline)), of("b", 0, timeout(60*ms), refused(model.CodeDeadline), within(60*ms))}},
@@ -144,7 +153,18 @@
 			connections: 2, at: 20 * ms, change: func(_ *Scheduler[*tenantConn], i *tenantInstance) { i.setPlaces(1) },
 			jobs: []tenantJob{of("a", 0, pausing), of("b", 30*ms, within(130*ms)), of("a", 40*ms)},
 		},
-		"instance can't be reached":    {connections: 2, failure: errors.New("refused"), jobs: []tenantJob{of("a", 0, refused(model.CodeUnavailable)), of("b", 40*ms, refused(model.CodeUnavailable), within(13*ms))}},
+		"instance can't be reached": {connections: 2, failure: errors.New("refused"), jobs: []tenantJob{of("a", 0, refused(model.CodeUnavailable)), of("b", 40*ms, refused(model.CodeUnavailable), within(13*ms))}},
+		"instance can't be reached for a while, and no other would do": {
+			connections: 1, failure: errors.New("refused"), at: 120 * ms, change: func(_ *Scheduler[*tenantConn], i *tenantInstance) { i.restore() },
+			jobs: []tenantJob{of("a", 0, onlyHere), of("b", 0, onlyHere, pausing), of("a", 0, refused(model.CodeUnavailable), within(60*ms))},
+		},
+		"instance can't be reached for too long, and no other would do": {
+			connections: 1, failure: errors.New("refused"), stopAt: 500 * ms,
+			jobs: []tenantJob{of("a", 0, onlyHere, refused(model.CodeDeadline)), of("b", 300*ms, onlyHere, refused(model.CodeStopping))},
+		},
+		"cancelled while the instance can't be reached": {
+			connections: 1, failure: errors.New("refused"), jobs: []tenantJob{of("a", 0, onlyHere, cancelled, refused(model.CodeUnavailable), within(13*ms))},
+		},
 		"deadline during the opening":  {connections: 1, connectTime: 200 * ms, jobs: []tenantJob{of("a", 0, timeout(100*ms), refused(model.CodeDeadline), within(100*ms)), of("b", 10*ms)}},
 		"cancelled during the opening": {connections: 1, jobs: []tenantJob{of("a", 0, cancelled, refused(model.CodeUnavailable)), of("b", 2*ms, within(16*ms))}},
 		"cancelled while waiting":      {connections: 1, jobs: []tenantJob{of("a", 0), of("b", 2*ms, cancelled, refused(model.CodeDeadline)), of("a", 3*ms, within(15*ms))}, opened: 1},
