pool: the backoff of work that waits for a full instance doesn't grow

Cause: the design has 50 to 100 ms; after several refusals the wait grew to 125 to 250 ms. Change: the backoff of reserved openings stays at the least that MinBackoff asks for; that of openings ahead of demand grows as before.

--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -319,7 +319,7 @@
 	conn, err := p.Open(openCtx, "")
 	if err != nil {
 		least := p.MinBackoff(err)
-		wait := p.recordFailure(least)
+		wait := p.recordFailure(least, maxBackoff)
 		if least > 0 {
 			p.OnBlocked()
 		}
@@ -331,8 +331,9 @@
 	p.OnIdle()
 }
 
-// recordFailure counts a failure to open and returns the backoff to wait for; zero when another goroutine is already waiting.
-func (p *Pool[C]) recordFailure(least time.Duration) time.Duration {
+// recordFailure counts a failure to open and returns the backoff to wait for, which grows up to the longest; zero when another goroutine
+// is already waiting.
+func (p *Pool[C]) recordFailure(least, longest time.Duration) time.Duration {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.opening--
@@ -341,7 +342,7 @@
 		return 0
 	}
 	p.backingOff = true
-	p.backoff = max(min(max(2*p.backoff, minBackoff), maxBackoff), least)
+	p.backoff = max(min(max(2*p.backoff, minBackoff), longest), least)
 	wait := p.backoff/2 + time.Duration(p.Jitter()*float64(p.backoff/2))
 	p.fullUntil = time.Time{}
 	if least > 0 {
--- a/internal/pool/reserve.go
+++ b/internal/pool/reserve.go
@@ -135,9 +135,9 @@
 	return !p.stopped
 }
 
-// backOff makes Run wait for the backoff after a failure.
+// backOff makes Run wait for the backoff after a failure. It doesn't grow, since work with a deadline waits for it.
 func (p *Pool[C]) backOff(least time.Duration) {
-	wait := p.recordFailure(least)
+	wait := p.recordFailure(least, least)
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	if wait > 0 {
--- a/internal/pool/reserve_test.go
+++ b/internal/pool/reserve_test.go
@@ -117,6 +117,13 @@
 			p.instance.update(func() { p.instance.otherHosts = 14 })
 			p.run("c", "d")
 		}, idle: []model.TenantID{"d"}, attempts: 4, ready: true},
+		"a full instance is tried again each 75 ms": {limit: 2, steps: func(p *tenantPool) {
+			p.instance.update(func() { p.instance.otherHosts = 15 })
+			for range 100 {
+				p.run("a")
+				time.Sleep(5 * time.Millisecond)
+			}
+		}, attempts: 7, ready: true, blocked: true},
 		"work is told of the end of the backoff": {limit: 2, steps: func(p *tenantPool) {
 			p.instance.update(func() { p.instance.otherHosts = 15 })
 			p.run("a")
@@ -165,6 +172,7 @@
 				}
 				p.OnIdle = func() { p.instance.update(func() { p.ready++ }) }
 				p.Limit = test.limit
+				p.Jitter = func() float64 { return 0.5 }
 				var ctx context.Context
 				ctx, p.stop = context.WithCancel(t.Context())
 				done := make(chan error, 1)
