front: a host that starts with an older configuration than the live hosts uses none of its keys

Cause: the design has that a process never goes back to a version older than one it heard of from a live host at its start; one that started from a lagging replica of the store admitted withdrawn keys until it had fetched the newer version. Change: the versions in heartbeats are noted; until the process has once been level with them, keyed work is refused as not run, and a session's start waits for up to 400 ms. Public work and configurations without tenants are as before.

--- a/internal/front/host.go
+++ b/internal/front/host.go
@@ -53,6 +53,7 @@
 	noteRowsRead       sync.Once
 	tablesLost         atomic.Int64 // tables of the store whose newest poll has failed
 	lone               atomic.Bool  // the host's row says that it may renew its lease from the store
+	startVersions      startVersions
 	configurationHeard atomic.Int64 // boot-clock time at which the configuration that the host knows was last known to be in force
 
 	mutex        sync.RWMutex
@@ -142,6 +143,7 @@
 		h.mesh.Membership = func() *controller.Membership { return h.view().Membership }
 	}
 	h.mesh.OnHeartbeat = func(heartbeat controller.Heartbeat, from model.Address) {
+		h.startVersions.note(heartbeat.Version)
 		if heartbeat.Follows && heartbeat.Version <= h.view().Directory.Version {
 			h.noteConfigurationHeard(clock.Boot())
 		}
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -83,17 +83,21 @@
 // takes a few hundred milliseconds, and another host may already have one.
 const configurationWait = 400 * time.Millisecond
 
-// awaitConfiguration returns a refusal if no configuration is known in time.
+// awaitConfiguration waits for a configuration that is as new as those of other hosts, and returns a refusal if none is known in time.
 func (h *Host) awaitConfiguration(ctx context.Context) *model.Refusal {
 	limit := time.Now().Add(configurationWait)
 	for {
 		changed := h.Loop.Changed()
-		if h.view().Directory.Version > 0 {
+		if d := h.view().Directory; d.Version > 0 && !(d.Keyed && h.startVersions.behind(d.Version)) {
 			return nil
 		}
-		if !waitChanged(ctx, changed, limit) {
+		if waitChanged(ctx, changed, limit) {
+			continue
+		}
+		if h.view().Directory.Version == 0 {
 			return withRetryAfter(model.Refuse(model.CodeUnavailable, "the host has just started and knows no configuration"), configurationWait)
 		}
+		return nil
 	}
 }
 
@@ -105,6 +109,9 @@
 	if !found {
 		return kind, model.Refuse(model.CodeUnknownDatabase, "no kind of work has this name")
 	}
+	if d.Keyed && !kind.Public && s.host.startVersions.behind(d.Version) {
+		return kind, withRetryAfter(model.Refuse(model.CodeUnavailable, "the host has just started and other hosts have newer API keys"), configurationWait)
+	}
 	tenant, allowed := d.Authorize(kind, s.key)
 	if !allowed {
 		return kind, model.Refuse(model.CodeUnauthorized, "no tenant has this API key")
