explain: the cause of a refused API key

Cause: the sentence named an instance, which has no part in it. Change: like an unknown kind of work, a refused key is traced to an outdated configuration or to the newest one. Result: two new cases of TestExplain failed before, pass after.

--- a/internal/explain/explanation.go
+++ b/internal/explain/explanation.go
@@ -140,7 +140,9 @@
 	}
 	switch last.Code {
 	case model.CodeUnknownDatabase:
-		return unknownKind(last, logs)
+		return oldConfiguration(last, logs, "has no kind of work with this name")
+	case model.CodeUnauthorized:
+		return oldConfiguration(last, logs, "has no tenant with this API key")
 	case model.CodeUnavailable, model.CodeNotPrimary:
 		if last.Event == event.NumberSessionRefused {
 			return fmt.Sprintf("%s refused the session: %s", last.Source, last.Reason)
@@ -207,8 +209,9 @@
 	return fmt.Sprintf("%s had no capacity in time at %s: %s", last.Instance, last.Source, last.Reason)
 }
 
-// unknownKind returns the cause of an unknown kind of work: an outdated configuration on the host, or no such kind in the newest one.
-func unknownKind(last Line, logs []Line) string {
+// oldConfiguration returns the cause of a refusal that follows from the configuration: an outdated one on the host, or what the newest one
+// lacks.
+func oldConfiguration(last Line, logs []Line, lack string) string {
 	known, newest := Line{}, Line{}
 	for _, line := range logs {
 		if line.Event != event.NumberDirectoryInForce || line.Time.After(last.Time) {
@@ -224,7 +227,7 @@
 	if newest.Version > known.Version {
 		return fmt.Sprintf("%s had version %d of the configuration while %s had version %d", last.Source, known.Version, newest.Source, newest.Version)
 	}
-	return fmt.Sprintf("version %d of the configuration has no kind of work with this name, and no host had a newer one", known.Version)
+	return fmt.Sprintf("version %d of the configuration %s, and no host had a newer one", known.Version, lack)
 }
 
 // newestWith returns the last of the lines that has one of the events.
--- a/internal/explain/explanation_test.go
+++ b/internal/explain/explanation_test.go
@@ -87,6 +87,14 @@
 			logs:  map[string]string{"h1": newDirectory + refused + `"code":"unknown_database"}`, "h2": oldDirectory},
 			cause: "version 5 of the configuration has no kind of work with this name", lines: 1, related: 1,
 		},
+		"a withdrawn key": {
+			logs:  map[string]string{"h1": oldDirectory + refused + `"code":"unauthorized","reason":"no tenant has this API key"}`, "h2": newDirectory},
+			cause: "h1 had version 3 of the configuration while h2 had version 5", lines: 1,
+		},
+		"an unknown key": {
+			logs:  map[string]string{"h1": newDirectory + refused + `"code":"unauthorized","reason":"no tenant has this API key"}`, "h2": newDirectory},
+			cause: "version 5 of the configuration has no tenant with this API key", lines: 1, related: 1,
+		},
 		"a transaction that ended": {
 			logs: map[string]string{"h1": refused + `"code":"transaction_ended","reason":"EOF"}`}, cause: "its transaction ended at i-1", lines: 1,
 		},
