--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -91,17 +91,21 @@
 // takes a few hundred milliseconds, and another host may already have one.
 const configurationWait = 400 * time.Millisecond
 
-// awaitConfiguration returns a refusal if no configuration is known in time.
+// awaitConfiguration waits for a configuration that is as new as those of other hosts, and returns a refusal if none is known in time.
 func (h *Host) awaitConfiguration(ctx context.Context) *model.Refusal {
 	limit := time.Now().Add(configurationWait)
 	for {
 		changed := h.Loop.Changed()
-		if h.view().Directory.Version > 0 {
+		if d := h.view().Directory; d.Version > 0 && !(d.Keyed && h.startVersions.behind(d.Version)) {
 			return nil
 		}
-		if !waitChanged(ctx, changed, limit) {
+		if waitChanged(ctx, changed, limit) {
+			continue
+		}
+		if h.view().Directory.Version == 0 {
 			return withRetryAfter(model.Refuse(model.CodeUnavailable, "the host has just started and knows no configuration"), configurationWait)
 		}
+		return nil
 	}
 }
 
@@ -116,11 +120,14 @@
 	if s.relayed {
 		return kind, nil // the host that passes the session on has checked the key
 	}
+	if d.Keyed && !kind.Public && s.host.startVersions.behind(d.Version) {
+		return kind, withRetryAfter(model.Refuse(model.CodeUnavailable, "the host has just started and other hosts have newer API keys"), configurationWait)
+	}
 	tenant, allowed := d.Authorize(kind, s.key)
 	if !allowed {
 		return kind, model.Refuse(model.CodeUnauthorized, "no tenant has this API key")
 	}
-	if d.Keyed && s.host.outdated() {
+	if d.Keyed && !kind.Public && s.host.outdated() {
 		return kind, model.Refuse(model.CodeUnavailable, "the host has had no word of the API keys in force for too long")
 	}
 	s.tenant = tenant
@@ -134,7 +141,14 @@
 }
 
 // noteConfigurationHeard records that the configuration that the host knows was in force at a moment that is not before the given one.
-func (h *Host) noteConfigurationHeard(at model.Instant) { h.configurationHeard.Store(int64(at)) }
+func (h *Host) noteConfigurationHeard(at model.Instant) {
+	for {
+		known := h.configurationHeard.Load()
+		if known >= int64(at) || h.configurationHeard.CompareAndSwap(known, int64(at)) {
+			return
+		}
+	}
+}
 
 // reject tells a caller why the session is not opened.
 func (s *callerSession) reject(err error) error {
--- a/internal/pool/reserve.go
+++ b/internal/pool/reserve.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"slices"
 	"time"
 
 	"redwingspread/internal/model"
@@ -9,7 +11,7 @@
 
 // Reservation is the right to open one connection, in place of an idle one where the limit is reached.
 type Reservation[C any] struct {
-	evicted C
+	evicted idleConn[C]
 	evicts  bool
 }
 
@@ -17,7 +19,7 @@
 func (p *Pool[C]) CanServe() bool {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	return len(p.idle) > 0 || p.hasRoom()
+	return !p.stopped && (len(p.idle) > 0 || p.hasRoom())
 }
 
 // hasRoom reports whether one more connection may be opened now.
@@ -33,7 +35,7 @@
 // idleOf returns the index of the most recently used idle connection of the tenant, or -1.
 func (p *Pool[C]) idleOf(tenant model.TenantID) int {
 	for i := len(p.idle) - 1; i >= 0; i-- {
-		if p.Tenant(p.idle[i]) == tenant {
+		if p.Tenant(p.idle[i].conn) == tenant {
 			return i
 		}
 	}
@@ -46,7 +48,7 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	if i := p.idleOf(tenant); i >= 0 {
-		conn = p.idle[i]
+		conn = p.idle[i].conn
 		p.removeIdle(i)
 		return conn, true, reservation
 	}
@@ -61,29 +63,29 @@
 
 // removeIdle removes an idle connection.
 func (p *Pool[C]) removeIdle(i int) {
-	var none C
-	last := len(p.idle) - 1
-	copy(p.idle[i:], p.idle[i+1:])
-	p.idle[last] = none
-	p.idle = p.idle[:last]
+	p.idle = slices.Delete(p.idle, i, i+1)
 }
 
 // OpenReserved opens a reserved connection of the tenant and returns it as taken. The connection that it replaces is closed first,
-// so that the instance doesn't count both.
+// so that the instance doesn't count both. After the end of Run it fails.
 //
 // After a failure for which MinBackoff asks for a backoff, CanServe grants new connections only in place of idle ones until the backoff
 // has ended; OnIdle is called then.
 func (p *Pool[C]) OpenReserved(ctx context.Context, tenant model.TenantID, reservation Reservation[C]) (conn C, err error) {
 	if reservation.evicts {
-		_ = p.Close(ctx, reservation.evicted) // the instance drops connections that it doesn't hear from
+		_ = p.Close(ctx, reservation.evicted.conn) // the instance drops connections that it doesn't hear from
 	}
 	openCtx, cancel := context.WithTimeout(ctx, openTimeout)
 	defer cancel()
 	conn, err = p.Open(openCtx, tenant)
-	if err == nil {
-		p.addTaken()
+	if err == nil && p.addTaken() {
 		return conn, nil
 	}
+	if err == nil {
+		var none C
+		p.closeLate(conn)
+		return none, ErrStopped
+	}
 	if least := p.MinBackoff(err); least > 0 {
 		p.backOff(least)
 		p.OnBlocked()
@@ -96,30 +98,46 @@
 	return conn, err
 }
 
-// CancelReservation gives up a reservation; the connection that it would have replaced is idle again.
+// ErrStopped is the error of a connection that was opened during the end of Run.
+var ErrStopped = errors.New("pool: no more connections are opened")
+
+// CancelReservation gives up a reservation; the connection that it would have replaced is idle again, as the least recently used one.
 func (p *Pool[C]) CancelReservation(reservation Reservation[C]) {
+	if !p.unreserve(reservation) {
+		p.closeLate(reservation.evicted.conn)
+	}
+}
+
+// unreserve is CancelReservation; it returns false if the connection has to be closed, after the end of Run.
+func (p *Pool[C]) unreserve(reservation Reservation[C]) bool {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.opening--
-	if reservation.evicts {
-		p.open++
-		p.idle = append(p.idle, reservation.evicted)
-		p.trimToLimit()
+	if !reservation.evicts {
+		return true
+	}
+	p.open++
+	if p.stopped {
+		return false
 	}
+	p.idle = slices.Insert(p.idle, 0, reservation.evicted)
+	p.trimToLimit()
+	return true
 }
 
-// addTaken counts a newly opened connection that is in use.
-func (p *Pool[C]) addTaken() {
+// addTaken counts a newly opened connection as in use and ends the backoff; it returns false after the end of Run.
+func (p *Pool[C]) addTaken() bool {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.opening--
 	p.open++
 	p.backoff = 0
+	return !p.stopped
 }
 
-// backOff makes Run wait for the backoff after a failure.
+// backOff makes Run wait for the backoff after a failure. It doesn't grow, since work with a deadline waits for it.
 func (p *Pool[C]) backOff(least time.Duration) {
-	wait := p.recordFailure(least)
+	wait := p.recordFailure(least, least)
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	if wait > 0 {
@@ -127,10 +145,3 @@
 		p.wakeRun()
 	}
 }
-
-// endBackoff waits for the backoff and then reports that connections may be opened again.
-func (p *Pool[C]) endBackoff(ctx context.Context, wait time.Duration, finished chan<- struct{}) {
-	defer func() { finished <- struct{}{} }()
-	p.waitBackoff(ctx, wait)
-	p.OnIdle()
-}
