--- a/internal/allowance/book.go
+++ b/internal/allowance/book.go
@@ -28,8 +28,8 @@
 	tenants     map[model.TenantID]*tenant[T]
 	configured  bool // limits have been set
 	live        []Host
-	all         []Host // with rows
-	known       int    // number of all
+	all         []Host        // with rows
+	known       int           // number of all
 	majorityAt  model.Instant // when this host heard more than half of the hosts last
 	majority    bool
 	active      []*tenant[T]  // tenants whose operations wait
