placement: a cost for reads that leave the data centre

Cause: a read went to the instance with the least expected time, so that half of the reads crossed data centres for gains of a millisecond. Change: with the settings centre-cost and region-cost a read leaves only when none at home can serve it, or for a gain that the caller notices, and then within a share of its database's reads that moves in bounded steps with hysteresis, the most urgent ranks first. With both at 0s, the default, the decision is as before. Statements are counted by where they went and why (placed), turns of the share are event 6030.

--- a/internal/event/events_gen.go
+++ b/internal/event/events_gen.go
@@ -65,6 +65,7 @@
 	NumberSetupRefused             Number = 6025
 	NumberReplicasCompared         Number = 6026
 	NumberTenantRefused            Number = 6027
+	NumberLeavingChanged           Number = 6030
 )
 
 // Keeps the import of package model when no event uses it.
@@ -614,3 +615,13 @@
 		"error":   errorText(error),
 	}).Warn("a tenant in the configuration has an error and is left out")
 }
+
+// LeavingChanged logs event 6030: the share of a database's reads that may leave the data centre began, changed direction or ended.
+func LeavingChanged(logger log.Interface, database model.DatabaseID, change string, share model.Percent) {
+	logger.WithFields(log.Fields{
+		"event":    NumberLeavingChanged,
+		"database": database,
+		"change":   change,
+		"share":    share,
+	}).Info("the share of a database's reads that may leave the data centre began, changed direction or ended")
+}
--- a/internal/front/autocommit.go
+++ b/internal/front/autocommit.go
@@ -59,7 +59,7 @@
 	if rs == nil {
 		return false
 	}
-	_, found := e.pickTarget(rs, e.session.host.primary(e.policy.Database).Instance)
+	_, found := e.pickTarget(rs, e.session.host.primary(e.policy.Database).Instance, nil)
 	return found
 }
 
--- a/internal/front/backend.go
+++ b/internal/front/backend.go
@@ -55,6 +55,7 @@
 	mutex    sync.Mutex
 	history  freshness.PointHistory
 	backends []*backend
+	leaving  leaving
 }
 
 // backend is one instance as seen by traffic.
@@ -63,6 +64,7 @@
 	replicaSet *replicaSet
 	scheduler  *scheduler.Scheduler[*pooledConn]
 	rtt        time.Duration
+	edge       placement.Edge
 	dial       dialFunc
 
 	cancel context.CancelFunc
@@ -339,6 +341,7 @@
 	return placement.Candidate{
 		Primary:     b.instance.ID == primary,
 		Avoid:       b.leaving || !b.health.SilentSince.IsZero() || b.stalled(now),
+		Edge:        b.edge,
 		Expected:    expected,
 		RoundTrip:   b.rtt,
 		Reached:     b.reached,
--- a/internal/front/counters.go
+++ b/internal/front/counters.go
@@ -12,6 +12,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"redwingspread/internal/model"
+	"redwingspread/internal/placement"
 )
 
 const (
@@ -29,6 +30,7 @@
 	SetupRefused expvar.Int // commands that prepare a connection for a session and that an instance refused
 	DroppedLines func() uint64
 
+	placed    placements
 	refusals  expvar.Map // by code
 	mutex     sync.Mutex
 	answered  map[string]time.Time // when the store last answered a call for a table
@@ -83,6 +85,9 @@
 	line("setup_refused %s", c.SetupRefused.String())
 	line("lines_dropped %d", c.DroppedLines())
 	c.refusals.Do(func(kv expvar.KeyValue) { line("refusals{code=%q} %s", kv.Key, kv.Value.String()) })
+	c.placed.each(func(edge placement.Edge, reason placement.Reason, count int64) {
+		line("placed{where=%q,reason=%q} %d", edge, reason, count)
+	})
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	for _, table := range slices.Sorted(maps.Keys(c.answered)) {
--- a/internal/front/execution.go
+++ b/internal/front/execution.go
@@ -79,6 +79,7 @@
 	minPoint      model.Point // that the instance's log must contain; zero for any
 	provesPrimary bool        // the instance must prove that it is the primary
 	primary       bool        // the instance is believed to be the primary
+	choice        placement.Choice
 }
 
 // chooseTarget returns the target of the next attempt, waiting for a primary while that may help; a refusal tells why there is none.
@@ -90,8 +91,9 @@
 			return target{}, model.Refuse(model.CodeUnavailable, "no instance of the database is known")
 		}
 		primary := e.session.host.primary(e.policy.Database)
-		found, ok := e.pickTarget(rs, primary.Instance)
+		found, ok := e.pickTarget(rs, primary.Instance, &rs.leaving)
 		if ok {
+			e.session.host.logLeaving(e.policy.Database, found.choice, &rs.leaving)
 			if waited {
 				e.renewStart(time.Now())
 			}
@@ -174,35 +176,54 @@
 	return false
 }
 
-// pickTarget chooses among the backends of the replica set.
-func (e *execution) pickTarget(rs *replicaSet, primary model.InstanceID) (target, bool) {
+// pickTarget chooses among the backends of the replica set. With nil for the limit of what leaves the data centre nothing is counted.
+func (e *execution) pickTarget(rs *replicaSet, primary model.InstanceID, limit *leaving) (target, bool) {
 	var buffer [maxCandidates]placement.Candidate
-	now := time.Now()
 	backends := rs.list()
-	candidates := buffer[:0]
+	read := e.requirement(rs)
+	return e.place(backends, e.survey(buffer[:0], backends, primary), &read, limit)
+}
+
+// requirement returns what a read needs of an instance; work for the primary needs nothing else.
+func (e *execution) requirement(rs *replicaSet) placement.Read {
+	if e.needsPrimary() {
+		return placement.Read{}
+	}
+	return placement.Read{Requirement: rs.readRequirement(e.policy, e.session.state.LastCommit), Rank: e.policy.Rank, Goal: e.policy.Goal}
+}
+
+// survey appends the candidates among the backends.
+func (e *execution) survey(candidates []placement.Candidate, backends []*backend, primary model.InstanceID) []placement.Candidate {
+	now := time.Now()
 	for _, b := range backends[:min(len(backends), maxCandidates)] {
 		c := b.candidate(now, e.policy.ID, e.session.tenant, primary)
 		c.Tried = e.excluded[b.instance.ID] || (c.Primary && !b.admitsPrimary())
 		candidates = append(candidates, c)
 	}
+	return candidates
+}
+
+// place chooses among the candidates.
+func (e *execution) place(backends []*backend, candidates []placement.Candidate, read *placement.Read, limit *leaving) (target, bool) {
 	if e.needsPrimary() {
 		i := placement.ChoosePrimary(candidates)
 		if i == placement.None || (candidates[i].Avoid && e.session.host.primary(e.policy.Database).State == failover.Silent) {
 			return target{}, false
 		}
-		return target{backend: backends[i], provesPrimary: e.access == model.Read || e.readWrite, primary: true}, true
+		return target{backend: backends[i], provesPrimary: e.access == model.Read || e.readWrite, primary: true, choice: placement.ChoseOnly(candidates, i)}, true
 	}
-	want := rs.readRequirement(e.policy, e.session.state.LastCommit)
-	i := placement.ChooseForRead(candidates, want)
-	if i == placement.None {
-		if i = placement.ChoosePrimary(candidates); i == placement.None {
+	choice := limit.choose(candidates, read, e.session.host.edgeCosts())
+	if choice.Index == placement.None {
+		i := placement.ChoosePrimary(candidates)
+		if i == placement.None {
 			return target{}, false
 		}
+		choice = placement.ChoseOnly(candidates, i)
 	}
-	if candidates[i].Primary {
-		return target{backend: backends[i], provesPrimary: true, primary: true}, true
+	if candidates[choice.Index].Primary {
+		return target{backend: backends[choice.Index], provesPrimary: true, primary: true, choice: choice}, true
 	}
-	return target{backend: backends[i], minPoint: want.MinPoint}, true
+	return target{backend: backends[choice.Index], minPoint: read.MinPoint, choice: choice}, true
 }
 
 // list returns the backends.
@@ -233,12 +254,16 @@
 // acquire waits for a connection and a slot on the target.
 func (e *execution) acquire(ctx context.Context, t target) (*scheduler.Permit[*pooledConn], error) {
 	e.backend = t.backend
-	return t.backend.scheduler.Acquire(ctx, scheduler.Request{
+	permit, err := t.backend.scheduler.Acquire(ctx, scheduler.Request{
 		Class:          admit.Class{Rank: e.policy.Rank, Kind: e.policy.ID, Session: e.session.id},
 		Deadline:       e.startBy.Add(t.backend.scheduler.ExpectedLatency(time.Now(), e.policy.ID)),
 		KeepConnection: e.startsTransaction,
 		Tenant:         e.session.tenant,
 	})
+	if err == nil {
+		e.session.host.counters.placed.count(t.choice)
+	}
+	return permit, err
 }
 
 // prepareRetry counts a failed attempt; if another one is in time, it logs the reason, pauses and returns true.
--- a/internal/front/host.go
+++ b/internal/front/host.go
@@ -312,8 +312,9 @@
 		rs = &replicaSet{}
 		h.replicaSets[entry.Database] = rs
 	}
-	rtt := placement.RoundTrip(entry.DataCentre == h.Settings.DataCentre, h.regions[entry.DataCentre] == h.regions[h.Settings.DataCentre])
-	b := newBackend(ctx, rs, entry, rtt, h.Platform.Dial)
+	edge := h.edgeTo(entry.DataCentre)
+	b := newBackend(ctx, rs, entry, placement.RoundTrip(edge), h.Platform.Dial)
+	b.edge = edge
 	b.unfenced = h.unfenced()
 	h.backends[entry.ID] = b
 	rs.mutex.Lock()
--- a/internal/front/metrics_test.go
+++ b/internal/front/metrics_test.go
@@ -26,6 +26,7 @@
 	if _, err := dial(f.hosts[0], "nothing"); err == nil {
 		t.Error("got a session for an unknown kind of work, want a refusal to count")
 	}
+	f.run(f.openSession(f.hosts[0], "desk"), "WRITE w1 x1")
 	response, err := http.Get("http://" + f.hosts[0].metrics)
 	if err != nil {
 		t.Fatal(err)
@@ -34,6 +35,9 @@
 	if closeErr := response.Body.Close(); err != nil || closeErr != nil {
 		t.Fatal(err, closeErr)
 	}
+	if !regexp.MustCompile(`(?m)^placed{where="[a-z]+",reason="only"} [1-9]`).Match(text) {
+		t.Errorf("got %s, want the write counted as placed", text)
+	}
 	page, err := os.ReadFile("../../docs/METRICS.md")
 	if err != nil {
 		t.Fatal(err)
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -17,15 +17,9 @@
 // newest data, as only it can serve them.
 const primaryReadWeight = 2
 
-// RoundTrip returns the expected round-trip time between two data centres.
-func RoundTrip(sameCentre, sameRegion bool) time.Duration {
-	switch {
-	case sameCentre:
-		return sameCentreRoundTrip
-	case sameRegion:
-		return sameRegionRoundTrip
-	}
-	return crossRegionRoundTrip
+// RoundTrip returns the expected round-trip time over an edge.
+func RoundTrip(edge Edge) time.Duration {
+	return [EdgeCount]time.Duration{sameCentreRoundTrip, sameRegionRoundTrip, crossRegionRoundTrip}[edge]
 }
 
 // Candidate is the state of one instance as a host knows it.
@@ -33,6 +27,7 @@
 	Primary     bool          // believed to be the primary
 	Avoid       bool          // is leaving or doesn't respond
 	Tried       bool          // has already refused or failed this statement
+	Edge        Edge          // between the host and it
 	Expected    time.Duration // time to a response, including queueing
 	RoundTrip   time.Duration // expected or measured round-trip time
 	Reached     model.Point   // newest point that its log is known to hold
@@ -90,7 +85,7 @@
 	best, lowest := None, time.Duration(0)
 	for i := range candidates {
 		c := &candidates[i]
-		if c.Tried || c.Avoid || (!c.Primary && !freshEnough(c, required)) {
+		if RuledOut(c, required) != Qualifies {
 			continue
 		}
 		if cost := cost(c); best == None || cost < lowest {
@@ -100,6 +95,33 @@
 	return best
 }
 
+// Exclusion is what rules a candidate out for a read.
+type Exclusion uint8
+
+// The exclusions.
+const (
+	Qualifies Exclusion = iota
+	WasTried
+	IsAvoided
+	IsBehind
+)
+
+// String returns the exclusion's name, which is empty for none.
+func (e Exclusion) String() string { return [...]string{"", "tried", "avoided", "behind"}[e] }
+
+// RuledOut returns what rules the candidate out for a read.
+func RuledOut(c *Candidate, required Requirement) Exclusion {
+	switch {
+	case c.Tried:
+		return WasTried
+	case c.Avoid:
+		return IsAvoided
+	case c.Primary || freshEnough(c, required):
+		return Qualifies
+	}
+	return IsBehind
+}
+
 // ChoosePrimary returns the index of the primary unless it was tried, or None.
 func ChoosePrimary(candidates []Candidate) int {
 	for i := range candidates {
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -111,6 +111,8 @@
 	SessionLimit   int                // Maximum number of open sessions.
 	RevokeLimit    time.Duration      // Time within which a withdrawn API key must stop working.
 	RevokeStrict   string             // Whether a host that has had no word of the configuration for revoke-limit refuses work that needs an API key.
+	CentreCost     time.Duration      // Time that a read must gain to be sent to another data centre of the region; with region-cost at 0s, too, reads go where the least time is expected.
+	RegionCost     time.Duration      // Time that a read must gain to be sent to another region.
 	LogLevel       string             // Lowest level of events that are logged.
 }
 
@@ -134,6 +136,8 @@
 		textFlag("session-limit", "REDWINGSPREAD_SESSION_LIMIT", "4096", "Maximum number of open sessions."),
 		textFlag("revoke-limit", "REDWINGSPREAD_REVOKE_LIMIT", "5s", "Time within which a withdrawn API key must stop working."),
 		textFlag("revoke-strict", "REDWINGSPREAD_REVOKE_STRICT", "off", "Whether a host that has had no word of the configuration for revoke-limit refuses work that needs an API key."),
+		textFlag("centre-cost", "REDWINGSPREAD_CENTRE_COST", "0s", "Time that a read must gain to be sent to another data centre of the region; with region-cost at 0s, too, reads go where the least time is expected."),
+		textFlag("region-cost", "REDWINGSPREAD_REGION_COST", "0s", "Time that a read must gain to be sent to another region."),
 		textFlag("log-level", "REDWINGSPREAD_LOG_LEVEL", "info", "Lowest level of events that are logged."),
 	}
 }
@@ -158,6 +162,8 @@
 	loaded.SessionLimit = r.int(rule{flag: "session-limit", env: "REDWINGSPREAD_SESSION_LIMIT", allowed: "a whole number from 1 to 1000000", required: false, min: "1", max: "1000000"})
 	loaded.RevokeLimit = r.duration(rule{flag: "revoke-limit", env: "REDWINGSPREAD_REVOKE_LIMIT", allowed: "a duration such as 250ms or 10s from 1s to 10m", required: false, min: "1s", max: "10m"})
 	loaded.RevokeStrict = r.enum(rule{flag: "revoke-strict", env: "REDWINGSPREAD_REVOKE_STRICT", allowed: "one of on, off", required: false, options: []string{"on", "off"}})
+	loaded.CentreCost = r.duration(rule{flag: "centre-cost", env: "REDWINGSPREAD_CENTRE_COST", allowed: "a duration such as 250ms or 10s from 0s to 10s", required: false, min: "0s", max: "10s"})
+	loaded.RegionCost = r.duration(rule{flag: "region-cost", env: "REDWINGSPREAD_REGION_COST", allowed: "a duration such as 250ms or 10s from 0s to 10s", required: false, min: "0s", max: "10s"})
 	loaded.LogLevel = r.enum(rule{flag: "log-level", env: "REDWINGSPREAD_LOG_LEVEL", allowed: "one of debug, info, warn, error", required: false, options: []string{"debug", "info", "warn", "error"}})
 	return loaded, r.err()
 }
