where: ask a running host where a statement would go

Cause: the reasons of a placement could be had from counters only. Change: GET /v1/where at the metrics address (schema/front.yaml) and the command `redwingspread where` return the choice, its reason and each candidate with what ruled it out. The answer comes from the host's own decision on a copy of the share that may leave, so that a question changes nothing.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -71,6 +71,7 @@
 		newConfig(),
 		newExplain(),
 		newStatus(),
+		newWhere(),
 		newKeys(),
 	}
 }
--- a/internal/front/monitor.go
+++ b/internal/front/monitor.go
@@ -44,7 +44,7 @@
 		done <- ctx.Err()
 		return
 	}
-	done <- serveHTTP(ctx, model.Address(h.Settings.MetricsAddress), http.HandlerFunc(h.handleMetrics))
+	done <- serveHTTP(ctx, model.Address(h.Settings.MetricsAddress), h.withPlacement(http.HandlerFunc(h.handleMetrics)))
 }
 
 // handleMetrics responds with the counters and the state of the instances.
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -142,6 +142,21 @@
 	return serviceTime + time.Duration(ahead)*s.queue.ServiceTimes.Mean(now)/time.Duration(max(limit, 1))
 }
 
+// Room is how much of an instance the host uses and may use.
+type Room struct {
+	Waiting int
+	Running model.Slots
+	Limit   model.Slots // statements that may be in flight
+}
+
+// Room returns the queue and the statements in flight.
+func (s *Scheduler[C]) Room() Room {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.applySettings()
+	return Room{Waiting: s.queue.Len(), Running: s.running, Limit: s.inFlightLimit()}
+}
+
 // OpensConnection reports whether work of the tenant that arrives now has to wait for a connection to be opened, since none is kept.
 func (s *Scheduler[C]) OpensConnection(tenant model.TenantID) bool {
 	s.mutex.Lock()
--- a/pkg/api/doc.go
+++ b/pkg/api/doc.go
@@ -8,3 +8,4 @@
 //go:generate go tool ogen --config ../../schema/ogen.yaml --target peerapi --package peerapi --clean ../../schema/peer.yaml
 //go:generate go tool ogen --config ../../schema/ogen.yaml --target standinapi --package standinapi --clean ../../schema/standin.yaml
 //go:generate go tool ogen --config ../../schema/ogen.yaml --target meshapi --package meshapi --clean ../../schema/mesh.yaml
+//go:generate go tool ogen --config ../../schema/ogen.yaml --target frontapi --package frontapi --clean ../../schema/front.yaml
