--- a/internal/front/backend.go
+++ b/internal/front/backend.go
@@ -56,6 +56,7 @@
 	mutex    sync.Mutex
 	history  freshness.PointHistory
 	backends []*backend
+	leaving  leaving
 }
 
 // backend is one instance as seen by traffic.
@@ -64,6 +65,7 @@
 	replicaSet *replicaSet
 	scheduler  *scheduler.Scheduler[*pooledConn]
 	rtt        time.Duration
+	edge       placement.Edge
 	dial       dialFunc
 
 	cancel context.CancelFunc
@@ -348,6 +350,7 @@
 	return placement.Candidate{
 		Primary:     b.instance.ID == primary,
 		Avoid:       b.leaving || !b.health.SilentSince.IsZero() || b.stalled(now),
+		Edge:        b.edge,
 		Expected:    expected,
 		RoundTrip:   b.rtt,
 		Reached:     b.reached,
--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -120,6 +120,7 @@
 func (e *execution) relayAutocommit(ctx context.Context, t target, address model.Address) (done bool, err error) {
 	s := e.session
 	e.backend = t.backend
+	s.host.counters.placed.count(t.choice)
 	reply, err := s.newRemote(address).call(ctx, e, e.responseDeadline(time.Now()), true)
 	switch {
 	case errors.Is(err, relay.ErrNotSent):
@@ -183,6 +184,7 @@
 	}
 	if address, found := e.holder(t); found {
 		e.backend = t.backend
+		e.session.host.counters.placed.count(t.choice)
 		e.session.remote = e.session.newRemote(address)
 	}
 	return nil
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -115,6 +115,8 @@
 	AllowanceExcess float64            // Part of the operations allowed in a window by which a tenant may exceed them while hosts differ in what they know.
 	AllowanceSlack  int                // Operations by which a tenant may exceed its limit in a window beside allowance-excess.
 	RevokeStrict    string             // Whether a host that has had no word of the configuration for revoke-limit refuses work that needs an API key.
+	CentreCost      time.Duration      // Time that a read must gain to be sent to another data centre of the region; with region-cost at 0s, too, reads go where the least time is expected.
+	RegionCost      time.Duration      // Time that a read must gain to be sent to another region.
 	LogLevel        string             // Lowest level of events that are logged.
 }
 
@@ -142,6 +144,8 @@
 		textFlag("allowance-excess", "REDWINGSPREAD_ALLOWANCE_EXCESS", "0.1", "Part of the operations allowed in a window by which a tenant may exceed them while hosts differ in what they know."),
 		textFlag("allowance-slack", "REDWINGSPREAD_ALLOWANCE_SLACK", "20", "Operations by which a tenant may exceed its limit in a window beside allowance-excess."),
 		textFlag("revoke-strict", "REDWINGSPREAD_REVOKE_STRICT", "off", "Whether a host that has had no word of the configuration for revoke-limit refuses work that needs an API key."),
+		textFlag("centre-cost", "REDWINGSPREAD_CENTRE_COST", "0s", "Time that a read must gain to be sent to another data centre of the region; with region-cost at 0s, too, reads go where the least time is expected."),
+		textFlag("region-cost", "REDWINGSPREAD_REGION_COST", "0s", "Time that a read must gain to be sent to another region."),
 		textFlag("log-level", "REDWINGSPREAD_LOG_LEVEL", "info", "Lowest level of events that are logged."),
 	}
 }
@@ -170,6 +174,8 @@
 	loaded.AllowanceExcess = r.number(rule{flag: "allowance-excess", env: "REDWINGSPREAD_ALLOWANCE_EXCESS", allowed: "a number from 0 to 10", required: false, min: "0", max: "10"})
 	loaded.AllowanceSlack = r.int(rule{flag: "allowance-slack", env: "REDWINGSPREAD_ALLOWANCE_SLACK", allowed: "a whole number from 0 to 1000000", required: false, min: "0", max: "1000000"})
 	loaded.RevokeStrict = r.enum(rule{flag: "revoke-strict", env: "REDWINGSPREAD_REVOKE_STRICT", allowed: "one of on, off", required: false, options: []string{"on", "off"}})
+	loaded.CentreCost = r.duration(rule{flag: "centre-cost", env: "REDWINGSPREAD_CENTRE_COST", allowed: "a duration such as 250ms or 10s from 0s to 10s", required: false, min: "0s", max: "10s"})
+	loaded.RegionCost = r.duration(rule{flag: "region-cost", env: "REDWINGSPREAD_REGION_COST", allowed: "a duration such as 250ms or 10s from 0s to 10s", required: false, min: "0s", max: "10s"})
 	loaded.LogLevel = r.enum(rule{flag: "log-level", env: "REDWINGSPREAD_LOG_LEVEL", allowed: "one of debug, info, warn, error", required: false, options: []string{"debug", "info", "warn", "error"}})
 	return loaded, r.err()
 }
