--- a/internal/front/host.go
+++ b/internal/front/host.go
@@ -44,6 +44,7 @@
 	Loop *control.Loop[controller.Event, controller.Action, *controller.View]
 
 	regions            map[model.DataCentreID]model.RegionID
+	sharedRegion       bool // some region has several data centres
 	mesh               *mesh.Node
 	relays             *relay.Client
 	allowances         *allowances
@@ -124,6 +125,7 @@
 	if h.regions, err = settings.ParseRegions(h.Settings.DataCentres); err != nil {
 		return err
 	}
+	h.sharedRegion = hasSharedRegion(h.regions)
 	relayAddress, err := h.relayAddress()
 	if err != nil {
 		return err
--- a/internal/front/leaving.go
+++ b/internal/front/leaving.go
@@ -21,11 +21,27 @@
 	return placement.EdgeTo(centre == own, h.regions[centre] == h.regions[own])
 }
 
-// edgeCosts returns the costs of crossings.
+// edgeCosts returns the costs of crossings. They count only where some region has several data centres: with one for each region, the
+// instances of the others are the only ones to share the load with.
 func (h *Host) edgeCosts() placement.Costs {
+	if !h.sharedRegion {
+		return placement.Costs{}
+	}
 	return placement.Costs{Centre: h.Settings.CentreCost, Region: h.Settings.RegionCost}
 }
 
+// hasSharedRegion reports whether some region has several data centres.
+func hasSharedRegion(regions map[model.DataCentreID]model.RegionID) bool {
+	seen := make(map[model.RegionID]bool, len(regions))
+	for _, region := range regions {
+		if seen[region] {
+			return true
+		}
+		seen[region] = true
+	}
+	return false
+}
+
 // logLeaving logs a choice that has turned the share of a database's reads that may leave.
 func (h *Host) logLeaving(database model.DatabaseID, choice placement.Choice, limit *leaving) {
 	if choice.Spill != placement.ChangeNone {
--- a/internal/front/leaving_internal_test.go
+++ b/internal/front/leaving_internal_test.go
@@ -18,7 +18,7 @@
 	lines := memory.New()
 	h := New()
 	h.Logger = &log.Logger{Level: log.InfoLevel, Handler: lines}
-	h.Settings.CentreCost = time.Millisecond
+	h.Settings.CentreCost, h.sharedRegion = time.Millisecond, true
 	candidates := []placement.Candidate{{Expected: 300 * time.Millisecond}, {Expected: time.Millisecond, Edge: placement.EdgeCentre}}
 	var limit leaving
 	for i := range 1200 {
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -115,8 +115,8 @@
 	AllowanceExcess float64            // Part of the operations allowed in a window by which a tenant may exceed them while hosts differ in what they know.
 	AllowanceSlack  int                // Operations by which a tenant may exceed its limit in a window beside allowance-excess.
 	RevokeStrict    string             // Whether a host that has had no word of the configuration for revoke-limit refuses work that needs an API key.
-	CentreCost      time.Duration      // Time that a read must gain to be sent to another data centre of the region; with region-cost at 0s, too, reads go where the least time is expected.
-	RegionCost      time.Duration      // Time that a read must gain to be sent to another region.
+	CentreCost      time.Duration      // Time that a read must gain to be sent to another data centre of the region. Counts where some region has several data centres; with region-cost at 0s, too, reads go where the least time is expected.
+	RegionCost      time.Duration      // Time that a read must gain to be sent to another region. Counts where some region has several data centres.
 	LogLevel        string             // Lowest level of events that are logged.
 }
 
@@ -144,8 +144,8 @@
 		textFlag("allowance-excess", "REDWINGSPREAD_ALLOWANCE_EXCESS", "0.1", "Part of the operations allowed in a window by which a tenant may exceed them while hosts differ in what they know."),
 		textFlag("allowance-slack", "REDWINGSPREAD_ALLOWANCE_SLACK", "20", "Operations by which a tenant may exceed its limit in a window beside allowance-excess."),
 		textFlag("revoke-strict", "REDWINGSPREAD_REVOKE_STRICT", "off", "Whether a host that has had no word of the configuration for revoke-limit refuses work that needs an API key."),
-		textFlag("centre-cost", "REDWINGSPREAD_CENTRE_COST", "0s", "Time that a read must gain to be sent to another data centre of the region; with region-cost at 0s, too, reads go where the least time is expected."),
-		textFlag("region-cost", "REDWINGSPREAD_REGION_COST", "0s", "Time that a read must gain to be sent to another region."),
+		textFlag("centre-cost", "REDWINGSPREAD_CENTRE_COST", "0s", "Time that a read must gain to be sent to another data centre of the region. Counts where some region has several data centres; with region-cost at 0s, too, reads go where the least time is expected."),
+		textFlag("region-cost", "REDWINGSPREAD_REGION_COST", "0s", "Time that a read must gain to be sent to another region. Counts where some region has several data centres."),
 		textFlag("log-level", "REDWINGSPREAD_LOG_LEVEL", "info", "Lowest level of events that are logged."),
 	}
 }
