relay: a holder with an older configuration does not serve a passed-on session

Change: the opening of a session has the calling host's version; a holder with an older one refuses, which is not run, and the calling host tries another one or opens a connection.

--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -78,7 +78,7 @@
 	}
 	if !r.opened {
 		call.Opening = &relay.Opening{
-			Kind: e.session.kind, Tenant: e.session.tenant, LastCommit: state.LastCommit,
+			Kind: e.session.kind, Version: e.version, Tenant: e.session.tenant, LastCommit: state.LastCommit,
 			Transaction: state.Transaction == statement.Open, ReadOnly: state.ReadOnly,
 		}
 	}
@@ -264,7 +264,7 @@
 // serveRelayed serves a session that another host passes on.
 func (h *Host) serveRelayed(ctx context.Context, passed relay.Session) {
 	caller := &relayedCaller{session: passed, interrupts: make(chan struct{}, 1)}
-	s := &callerSession{host: h, caller: caller, id: h.newSessionID(), state: session.NewSession(), relayed: true, tenant: passed.Opening.Tenant}
+	s := &callerSession{host: h, caller: caller, id: h.newSessionID(), state: session.NewSession(), relayed: true, leastVersion: passed.Opening.Version, tenant: passed.Opening.Tenant}
 	caller.owner = s
 	h.addSession(s)
 	err := boundary.Run(func() error { return s.serve(ctx) })
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -29,6 +29,7 @@
 	waitingSince time.Time      // start of the wait for the next request
 
 	relayed         bool             // another host passes the session on
+	leastVersion    model.Version    // of the configuration that serves a session that another host passes on
 	startLimit      time.Time        // by which the other host wants the request to be sent to an instance
 	responseLimit   time.Time        // and by which it wants the response
 	servedBy        model.InstanceID // of the newest response
@@ -113,6 +114,9 @@
 // key are not in force any more.
 func (s *callerSession) authorize() (kind model.Kind, refusal *model.Refusal) {
 	d := s.host.view().Directory
+	if d.Version < s.leastVersion {
+		return kind, model.Refuse(model.CodeStopping, "the host that keeps the connections has an older configuration")
+	}
 	kind, found := d.Kinds[s.kind]
 	if !found {
 		return kind, model.Refuse(model.CodeUnknownDatabase, "no kind of work has this name")
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -14,6 +14,7 @@
 // Opening is the state with which a session begins at the host that serves it.
 type Opening struct {
 	Kind        model.KindID
+	Version     model.Version  // of the calling host's configuration
 	Tenant      model.TenantID // as the calling host has authorized it
 	Transaction bool           // the session has begun a transaction
 	ReadOnly    bool           // the transaction only reads
@@ -48,6 +49,7 @@
 	if call.Opening != nil {
 		message.Open = meshapi.NewOptOpening(meshapi.Opening{
 			Kind:        string(call.Opening.Kind),
+			Version:     optionalUint64(uint64(call.Opening.Version)),
 			Tenant:      optionalString(string(call.Opening.Tenant)),
 			Transaction: optionalBool(call.Opening.Transaction),
 			Reads:       optionalBool(call.Opening.ReadOnly),
@@ -98,6 +100,7 @@
 		opening := message.Open.Value
 		call.Opening = &Opening{
 			Kind:        model.KindID(opening.Kind),
+			Version:     model.Version(opening.Version.Value),
 			Tenant:      model.TenantID(opening.Tenant.Value),
 			Transaction: opening.Transaction.Value,
 			ReadOnly:    opening.Reads.Value,
--- a/pkg/api/meshapi/oas_json_gen.go
+++ b/pkg/api/meshapi/oas_json_gen.go
@@ -2976,6 +2976,12 @@
 		e.FieldStart("kind")
 		e.Str(s.Kind)
 	}
+	{
+		if s.Version.Set {
+			e.FieldStart("version")
+			s.Version.Encode(e)
+		}
+	}
 	{
 		if s.Tenant.Set {
 			e.FieldStart("tenant")
@@ -3008,13 +3014,14 @@
 	}
 }
 
-var jsonFieldsNameOfOpening = [6]string{
+var jsonFieldsNameOfOpening = [7]string{
 	0: "kind",
-	1: "tenant",
-	2: "transaction",
-	3: "reads",
-	4: "term",
-	5: "position",
+	1: "version",
+	2: "tenant",
+	3: "transaction",
+	4: "reads",
+	5: "term",
+	6: "position",
 }
 
 // Decode decodes Opening from json.
@@ -3038,6 +3045,16 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"kind\"")
 			}
+		case "version":
+			if err := func() error {
+				s.Version.Reset()
+				if err := s.Version.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"version\"")
+			}
 		case "tenant":
 			if err := func() error {
 				s.Tenant.Reset()
--- a/pkg/api/meshapi/oas_schemas_gen.go
+++ b/pkg/api/meshapi/oas_schemas_gen.go
@@ -1268,8 +1268,10 @@
 
 // Ref: #/components/schemas/Opening
 type Opening struct {
-	Kind   string    `json:"kind"`
-	Tenant OptString `json:"tenant"`
+	Kind string `json:"kind"`
+	// Version of the configuration that the calling host has; an older one must not serve the session.
+	Version OptUint64 `json:"version"`
+	Tenant  OptString `json:"tenant"`
 	// The session has begun a transaction.
 	Transaction OptBool `json:"transaction"`
 	// The transaction only reads.
@@ -1284,6 +1286,11 @@
 	return s.Kind
 }
 
+// GetVersion returns the value of Version.
+func (s *Opening) GetVersion() OptUint64 {
+	return s.Version
+}
+
 // GetTenant returns the value of Tenant.
 func (s *Opening) GetTenant() OptString {
 	return s.Tenant
@@ -1314,6 +1321,11 @@
 	s.Kind = val
 }
 
+// SetVersion sets the value of Version.
+func (s *Opening) SetVersion(val OptUint64) {
+	s.Version = val
+}
+
 // SetTenant sets the value of Tenant.
 func (s *Opening) SetTenant(val OptString) {
 	s.Tenant = val
