--- a/internal/limit/limit_test.go
+++ b/internal/limit/limit_test.go
@@ -139,6 +139,51 @@
 	(<-accepted).Close()
 }
 
+// TestRotatingListener guards against clients that hold all connections of a listener and keep others out.
+func TestRotatingListener(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	listener := NewRotatingListener(inner)
+	listener.Limit = 2
+	defer listener.Close()
+	accepted := make(chan net.Conn, 5)
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			accepted <- conn
+		}
+	}()
+	var dialled, conns []net.Conn
+	for range 3 {
+		dialled, conns = append(dialled, dial(t, inner)), append(conns, <-accepted)
+	}
+	if _, err := conns[0].Read(make([]byte, 1)); err == nil {
+		t.Error("got the oldest connection open, want it closed in favour of the third")
+	}
+	if err := conns[0].Close(); err == nil {
+		t.Error("got no error from closing a replaced connection, want one")
+	}
+	if got, want := listener.open.Len(), 2; got != want {
+		t.Errorf("got %d connections counted, want %d", got, want)
+	}
+	if err := conns[2].Close(); err != nil {
+		t.Error(err)
+	}
+	dial(t, inner)
+	<-accepted
+	if _, err := dialled[1].Write([]byte("x")); err != nil {
+		t.Error(err)
+	}
+	if _, err := conns[1].Read(make([]byte, 1)); err != nil {
+		t.Errorf("got %v on the second connection, want it open since the third was closed", err)
+	}
+}
+
 // dial opens a connection to the listener.
 func dial(t *testing.T, listener net.Listener) net.Conn {
 	t.Helper()
--- a/internal/model/units.go
+++ b/internal/model/units.go
@@ -47,6 +47,12 @@
 // Mebibytes is an amount of memory in MiB.
 type Mebibytes int
 
+// Bytes is an amount of memory in bytes.
+type Bytes int64
+
+// Bytes returns the amount in bytes.
+func (m Mebibytes) Bytes() Bytes { return Bytes(m) << 20 }
+
 // Token is the platform's fencing token, which orders the promotions of a database.
 type Token uint64
 
