front: bounds for the memory, descriptors and connections that clients take

Cause: 14 crowds of platform/abuse broke a bound or left an ordinary request without an answer. Change: - callers' messages, answers and the state of sessions and of pooled connections count in a budget, a fifth of the setting memory; messages up to 16 KiB are within the reserve of their session. Who gets none is told BUSY and, after a message or an answer, closed. Texts of values and prepared statements no longer keep the whole message in memory; large buffers are released; long answers are written in pieces, and their connection and slot are returned first.

--- a/internal/cli/front.go
+++ b/internal/cli/front.go
@@ -56,6 +56,8 @@
 	if client.Regions, err = settings.ParseRegions(loaded.DataCentres); err != nil {
 		return err
 	}
+	host.Memory = front.NewBudget(loaded, logger)
+	client.Memory = host.Memory
 	host.Platform = client
 	background, stopBackground := context.WithCancel(context.WithoutCancel(ctx))
 	logFlushed, reloadEnded, done := make(chan error, 1), make(chan error, 1), make(chan error, 1)
--- a/internal/event/events_gen.go
+++ b/internal/event/events_gen.go
@@ -65,6 +65,9 @@
 	NumberSetupRefused             Number = 6025
 	NumberReplicasCompared         Number = 6026
 	NumberTenantRefused            Number = 6027
+	NumberMemoryRefused            Number = 6040
+	NumberSessionEvicted           Number = 6041
+	NumberSessionsFull             Number = 6042
 )
 
 // Keeps the import of package model when no event uses it.
@@ -614,3 +617,31 @@
 		"error":   errorText(error),
 	}).Warn("a tenant in the configuration has an error and is left out")
 }
+
+// MemoryRefused logs event 6040: a client was refused memory.
+func MemoryRefused(logger log.Interface, use string, used model.Bytes, limit model.Bytes) {
+	logger.WithFields(log.Fields{
+		"event": NumberMemoryRefused,
+		"use":   use,
+		"used":  used,
+		"limit": limit,
+	}).Warn("a client was refused memory")
+}
+
+// SessionEvicted logs event 6041: a session without START, or in the middle of a message, was closed in favour of a new one.
+func SessionEvicted(logger log.Interface, session model.SessionID, open int, stalled model.Milliseconds) {
+	logger.WithFields(log.Fields{
+		"event":   NumberSessionEvicted,
+		"session": session,
+		"open":    open,
+		"stalled": stalled,
+	}).Warn("a session without START, or in the middle of a message, was closed in favour of a new one")
+}
+
+// SessionsFull logs event 6042: a session was refused because the host has as many as it may.
+func SessionsFull(logger log.Interface, open int) {
+	logger.WithFields(log.Fields{
+		"event": NumberSessionsFull,
+		"open":  open,
+	}).Warn("a session was refused because the host has as many as it may")
+}
--- a/internal/front/autocommit.go
+++ b/internal/front/autocommit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"redwingspread/internal/event"
@@ -93,6 +94,9 @@
 			s.state.RecordCommit(trip.response.Point)
 		}
 		e.recordServed()
+		if trip.response.Room != nil {
+			return true, e.sendLarge(t, permit, &trip)
+		}
 		err = s.caller.SendResponse(&trip.response, statement.Idle)
 		t.backend.scheduler.FinishStatement(permit, trip.drain(), true)
 		return true, err
@@ -120,10 +124,14 @@
 // handleBrokenConn handles a connection that failed or timed out while the statement was in progress.
 func (e *execution) handleBrokenConn(ctx context.Context, t target, trip roundTrip) (done bool, err error) {
 	t.backend.noteError(trip.startedAt, trip.err)
+	trip.response.Release()
 	s := e.session
 	if e.access == model.Write && trip.sent {
 		refusal := model.OutcomeUnknown("the connection ended before the answer: %v", trip.err)
-		return true, s.caller.SendRefusal(e.recordRefusal(refusal), statement.Idle)
+		return true, endIfNoRoom(trip.err, s.caller.SendRefusal(e.recordRefusal(refusal), statement.Idle))
+	}
+	if errors.Is(trip.err, ErrNoRoom) {
+		return true, endIfNoRoom(trip.err, s.caller.SendRefusal(e.recordRefusal(refuseNoRoom()), statement.Idle))
 	}
 	e.mayHaveRun = e.mayHaveRun || trip.sent
 	e.exclude(t.backend)
--- a/internal/front/backend.go
+++ b/internal/front/backend.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"redwingspread/internal/budget"
 	"redwingspread/internal/clock"
 	"redwingspread/internal/controller"
 	"redwingspread/internal/directory"
@@ -42,7 +43,8 @@
 	tenant          model.TenantID // to which the instance counts it; empty for none
 	connectionState *session.ConnectionState
 	txBegun         bool
-	txVersion       model.Version // configuration version when txBegun was set
+	txVersion       model.Version  // configuration version when txBegun was set
+	room            budget.Account // of the memory of connectionState
 }
 
 // setBegun records whether a transaction was begun in advance.
@@ -52,6 +54,8 @@
 
 // replicaSet is one database as seen by traffic.
 type replicaSet struct {
+	memory *budget.Budget // for the state of connections; nil for none
+
 	mutex    sync.Mutex
 	history  freshness.PointHistory
 	backends []*backend
@@ -124,7 +128,7 @@
 	conn, err := b.dial(callCtx, b.instance, tenant)
 	if err == nil {
 		b.noteResponse(time.Now())
-		return &pooledConn{InstanceConn: conn, tenant: tenant, connectionState: session.NewConnectionState()}, nil
+		return newPooledConn(conn, tenant, b.replicaSet.memory), nil
 	}
 	var refusal *model.Refusal
 	switch {
--- a/internal/front/counters.go
+++ b/internal/front/counters.go
@@ -26,6 +26,8 @@
 	Retries      expvar.Int // attempts after the first
 	Promotions   expvar.Int // ordered by this host
 	Sessions     expvar.Int // open now
+	Evicted      expvar.Int // sessions closed in favour of new ones
+	OverLimit    expvar.Int // sessions refused because the host had as many as it may
 	SetupRefused expvar.Int // commands that prepare a connection for a session and that an instance refused
 	DroppedLines func() uint64
 
@@ -80,6 +82,8 @@
 	line("retries %s", c.Retries.String())
 	line("promotions %s", c.Promotions.String())
 	line("sessions %s", c.Sessions.String())
+	line("sessions_evicted %s", c.Evicted.String())
+	line("sessions_over_limit %s", c.OverLimit.String())
 	line("setup_refused %s", c.SetupRefused.String())
 	line("lines_dropped %d", c.DroppedLines())
 	c.refusals.Do(func(kv expvar.KeyValue) { line("refusals{code=%q} %s", kv.Key, kv.Value.String()) })
--- a/internal/front/host.go
+++ b/internal/front/host.go
@@ -13,6 +13,7 @@
 	"github.com/apex/log"
 
 	"redwingspread/internal/boundary"
+	"redwingspread/internal/budget"
 	"redwingspread/internal/clock"
 	"redwingspread/internal/control"
 	"redwingspread/internal/controller"
@@ -40,6 +41,8 @@
 	Logger log.Interface
 	// Loop owns the control state.
 	Loop *control.Loop[controller.Event, controller.Action, *controller.View]
+	// Memory is the budget for callers' messages, answers and the state of sessions; nil for none.
+	Memory *budget.Budget
 
 	regions            map[model.DataCentreID]model.RegionID
 	mesh               *mesh.Node
@@ -53,6 +56,7 @@
 	noteRowsRead       sync.Once
 	tablesLost         atomic.Int64 // tables of the store whose newest poll has failed
 	lone               atomic.Bool  // the host's row says that it may renew its lease from the store
+	refusedSeen        atomic.Int64 // refusals of memory for messages at the last tick
 	configurationHeard atomic.Int64 // boot-clock time at which the configuration that the host knows was last known to be in force
 
 	mutex        sync.RWMutex
@@ -131,12 +135,16 @@
 	h.Loop.Do = h.execute
 	h.Loop.Failed = func(err error) { event.PanicCaught(h.Logger, "control", err) }
 	h.Loop.TickInterval = controlInterval
-	h.Loop.TickEvent = func() controller.Event { return h.newTick() }
+	h.Loop.TickEvent = func() controller.Event {
+		h.shedStalled()
+		return h.newTick()
+	}
 	h.mesh = mesh.New()
 	h.mesh.Host = h.self.ID
 	h.mesh.Address = h.self.Address
 	h.mesh.Regions = h.regions
 	h.mesh.Logger = h.Logger
+	h.mesh.ConnectionLimit = h.listenerLimit()
 	h.mesh.Directory = func() *directory.Directory { return h.view().Directory }
 	if !h.unfenced() {
 		h.mesh.Membership = func() *controller.Membership { return h.view().Membership }
@@ -173,7 +181,7 @@
 		running++
 		go component(runCtx, ended)
 	}
-	listener, err := net.Listen("tcp4", string(h.Settings.SessionAddress))
+	listener, err := listenSessions(ctx, h.Settings.SessionAddress)
 	if err != nil {
 		return fmt.Errorf("front: %w", err)
 	}
@@ -309,7 +317,7 @@
 func (h *Host) addBackend(ctx context.Context, entry directory.Instance) *backend {
 	rs, found := h.replicaSets[entry.Database]
 	if !found {
-		rs = &replicaSet{}
+		rs = &replicaSet{memory: h.Memory}
 		h.replicaSets[entry.Database] = rs
 	}
 	rtt := placement.RoundTrip(entry.DataCentre == h.Settings.DataCentre, h.regions[entry.DataCentre] == h.regions[h.Settings.DataCentre])
@@ -342,12 +350,13 @@
 	open := 0
 	conns := make(chan net.Conn)
 	failed := make(chan error, 1)
+	door := doorkeeper{host: h, limit: h.sessionLimit()}
 	go acceptConns(ctx, listener, conns, failed)
 	for conns != nil || open > 0 {
 		select {
 		case conn := <-conns:
 			open++
-			go h.serveSession(ctx, conn, open > h.Settings.SessionLimit, ended)
+			go h.serveSession(ctx, conn, !door.admit(open), ended)
 		case <-failed:
 			conns, failed = nil, nil
 		case <-ended:
@@ -390,10 +399,12 @@
 		id:     model.SessionID(strconv.FormatInt(h.sessionsOpened.Add(1), 36)),
 		state:  session.NewSession(),
 	}
+	s.state.Room.Init(h.Memory, budget.State, stateReserve)
 	h.counters.Sessions.Add(1)
 	h.addSession(s)
 	var err error
 	if overLimit {
+		h.noteOverLimit()
 		err = caller.RejectSession(model.Refuse(model.CodeConnectionsFull, "the host has as many sessions as it may"))
 	} else {
 		err = boundary.Run(func() error { return s.serve(ctx) })
@@ -402,6 +413,7 @@
 		}
 	}
 	h.removeSession(s)
+	s.state.Room.Close()
 	h.counters.Sessions.Add(-1)
 	done <- errors.Join(err, caller.Close())
 }
--- a/internal/front/interfaces.go
+++ b/internal/front/interfaces.go
@@ -20,6 +20,8 @@
 	ErrNoRequest = errors.New("no request came in time")
 	// ErrClosed is returned by Caller.ReadRequest when the caller has ended the session.
 	ErrClosed = errors.New("the caller has ended the session")
+	// ErrNoRoom is returned by InstanceConn.Receive for a response for which there is no memory; the connection is not usable any more.
+	ErrNoRoom = errors.New("there is no memory for the answer")
 )
 
 // Start is a caller's message that opens a session.
@@ -28,7 +30,7 @@
 	Key  model.KeyDigest // digest of the API key
 }
 
-// Caller is the protocol side of one caller's session; only Interrupt and Close are safe for concurrent use.
+// Caller is the protocol side of one caller's session; only Interrupt, StalledSince and Close are safe for concurrent use.
 type Caller interface {
 	// ReadStart returns what the session is for; an error is either a *model.Refusal or ends the session.
 	ReadStart() (Start, error)
@@ -44,6 +46,9 @@
 	RejectSession(refusal *model.Refusal) error
 	// Interrupt makes a pending ReadStart or ReadRequest return ErrNoRequest, also when a message has just arrived.
 	Interrupt()
+	// StalledSince returns since when the caller owes the rest of a message, or its START; stalled is false if it owes nothing. It is
+	// safe for concurrent use.
+	StalledSince() (since time.Time, stalled bool)
 	// Close closes the connection.
 	Close() error
 }
--- a/internal/front/monitor.go
+++ b/internal/front/monitor.go
@@ -1,23 +1,32 @@
 package front
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"time"
 
 	"redwingspread/internal/event"
+	"redwingspread/internal/limit"
 	"redwingspread/internal/model"
 )
 
-// readHeaderTimeout limits the headers of a readiness check or metrics request.
-const readHeaderTimeout = 2 * time.Second
+// Limits of a readiness check or metrics request and of its connection.
+const (
+	readHeaderTimeout = 2 * time.Second
+	readBodyTimeout   = 2 * time.Second // with the headers; these requests have no body
+	answerTimeout     = 5 * time.Second
+	idleTimeout       = 30 * time.Second // between two requests on a connection
+	maxHeaderBytes    = 8 << 10
+)
 
 // serveReadiness answers readiness checks until the context ends, then sends its result on done.
 func (h *Host) serveReadiness(ctx context.Context, done chan<- error) {
-	done <- serveHTTP(ctx, h.Settings.ReadyAddress, http.HandlerFunc(h.handleReadiness))
+	done <- serveHTTP(ctx, h.Settings.ReadyAddress, h.listenerLimit(), http.HandlerFunc(h.handleReadiness))
 }
 
 // handleReadiness responds to a readiness check, and logs changes.
@@ -44,32 +53,48 @@
 		done <- ctx.Err()
 		return
 	}
-	done <- serveHTTP(ctx, model.Address(h.Settings.MetricsAddress), http.HandlerFunc(h.handleMetrics))
+	done <- serveHTTP(ctx, model.Address(h.Settings.MetricsAddress), h.listenerLimit(), http.HandlerFunc(h.handleMetrics))
 }
 
 // handleMetrics responds with the counters and the state of the instances.
+//
+// The text is complete before any of it is sent: a client that does not read must not keep the locks of the host.
 func (h *Host) handleMetrics(response http.ResponseWriter, _ *http.Request) {
+	var text bytes.Buffer
+	if err := h.writeMetrics(&text); err != nil {
+		response.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	_, _ = response.Write(text.Bytes()) // the client may have disconnected
+}
+
+// writeMetrics writes the counters and the state of the instances.
+func (h *Host) writeMetrics(out io.Writer) error {
 	view := h.view()
-	_, err := fmt.Fprintf(response, "configuration_version %d\nhosts_live %d\n", view.Directory.Version, view.LiveHosts)
+	_, err := fmt.Fprintf(out, "configuration_version %d\nhosts_live %d\n", view.Directory.Version, view.LiveHosts)
 	if err == nil {
-		err = h.counters.writeText(response)
+		err = h.counters.writeText(out)
+	}
+	if err == nil {
+		err = h.writeMemory(out)
 	}
 	if err != nil {
-		return // the client has disconnected
+		return err
 	}
 	h.mutex.RLock()
 	defer h.mutex.RUnlock()
 	for id, b := range h.backends {
 		counts := b.scheduler.Pool.Counts()
-		if _, err := fmt.Fprintf(response, "connections_open{instance=%q} %d\nconnections_refused{instance=%q} %d\nload_tenths{instance=%q} %d\n",
+		if _, err := fmt.Fprintf(out, "connections_open{instance=%q} %d\nconnections_refused{instance=%q} %d\nload_tenths{instance=%q} %d\n",
 			id, counts.Open, id, counts.Failures, id, b.scheduler.Load()); err != nil {
-			return
+			return err
 		}
 	}
+	return nil
 }
 
-// serveHTTP serves HTTP on an address until the context ends.
-func serveHTTP(ctx context.Context, address model.Address, handler http.Handler) (err error) {
+// serveHTTP serves HTTP on an address, on a limited number of connections, until the context ends.
+func serveHTTP(ctx context.Context, address model.Address, connections int, handler http.Handler) (err error) {
 	defer func() {
 		if err != nil && ctx.Err() == nil {
 			err = fmt.Errorf("front: %w", err)
@@ -79,9 +104,14 @@
 	if err != nil {
 		return err
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
+	rotating := limit.NewRotatingListener(listener)
+	rotating.Limit = connections
+	server := &http.Server{
+		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readBodyTimeout, WriteTimeout: answerTimeout,
+		IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
 	served := make(chan error, 1)
-	go func() { served <- server.Serve(listener) }()
+	go func() { served <- server.Serve(rotating) }()
 	select {
 	case err := <-served:
 		return err
--- a/internal/front/roundtrip.go
+++ b/internal/front/roundtrip.go
@@ -23,7 +23,7 @@
 
 // noteError records a failed statement, unless it says nothing about the instance.
 func (b *backend) noteError(sent time.Time, err error) {
-	if !errors.Is(err, errReplaced) && !errors.Is(err, errLeaseEnded) && !isSetupRefusal(err) {
+	if !errors.Is(err, errReplaced) && !errors.Is(err, errLeaseEnded) && !errors.Is(err, ErrNoRoom) && !isSetupRefusal(err) {
 		b.noteFailure(sent)
 	}
 }
@@ -132,6 +132,7 @@
 		return response, refused, err
 	}
 	if refused != nil && response.Succeeded() {
+		response.Release()
 		return response, refused, refused
 	}
 	c.noteDenied(&response)
@@ -146,6 +147,7 @@
 		if receiveErr != nil {
 			return receiveErr
 		}
+		response.Release()
 		if command.Verb != statement.Rollback {
 			c.connectionState.Acknowledge(command.Statement, response.Succeeded())
 		}
@@ -216,6 +218,7 @@
 		if err != nil {
 			return false
 		}
+		response.Release()
 		state = response.State
 		if r.beginsNext && left == 1 {
 			r.conn.setBegun(r.version, response.Succeeded())
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"redwingspread/internal/clock"
@@ -24,6 +25,7 @@
 	state        *session.Session
 	tx           *transaction // nil while no instance holds a transaction of the session
 	policy       model.Kind   // in force for the open transaction
+	evicted      atomic.Bool  // its connection was closed in favour of a new one
 	waitingSince time.Time    // start of the wait for the next request
 }
 
--- a/internal/front/transaction.go
+++ b/internal/front/transaction.go
@@ -123,7 +123,7 @@
 	s.discardTransaction(e, err)
 	s.state.FailTransaction()
 	refusal := model.Refuse(model.CodeTransactionEnded, "the connection of the transaction ended: %v", err)
-	return s.caller.SendRefusal(e.recordRefusal(refusal), s.state.Transaction)
+	return endIfNoRoom(err, s.caller.SendRefusal(e.recordRefusal(refusal), s.state.Transaction))
 }
 
 // discardTransaction closes the connection of the open transaction.
@@ -258,6 +258,7 @@
 			err = tx.backend.leavePrimary(conn, err)
 		}
 		if err != nil {
+			response.Release()
 			return response, err
 		}
 		tx.backend.observe(sent, &response, tx.readWrite)
--- a/internal/mesh/node.go
+++ b/internal/mesh/node.go
@@ -17,6 +17,7 @@
 	"redwingspread/internal/controller"
 	"redwingspread/internal/directory"
 	"redwingspread/internal/event"
+	"redwingspread/internal/limit"
 	"redwingspread/internal/model"
 	"redwingspread/pkg/api/meshapi"
 )
@@ -25,6 +26,10 @@
 	maxMessageSize = 64 << 10 // bytes of a heartbeat or an HTTP body
 	fetchTimeout   = time.Second
 	closeTimeout   = 200 * time.Millisecond
+	answerTimeout  = 2 * time.Second // for the directory to be read by the other host, which waits for fetchTimeout
+	maxHeaderBytes = 8 << 10
+
+	defaultConnectionLimit = 64 // more than other hosts have open at once, since each fetch closes its connection
 )
 
 // Node is one host's end of the communication between hosts.
@@ -43,6 +48,8 @@
 	Membership func() *controller.Membership
 	// Logger receives events.
 	Logger log.Interface
+	// ConnectionLimit is the greatest number of open connections of other hosts.
+	ConnectionLimit int
 	// Now returns the current time.
 	Now func() time.Time
 
@@ -55,8 +62,9 @@
 // New returns a node; set its exported fields before Run.
 func New() *Node {
 	return &Node{
-		Now:        time.Now,
-		Membership: func() *controller.Membership { return nil },
+		Now:             time.Now,
+		ConnectionLimit: defaultConnectionLimit,
+		Membership:      func() *controller.Membership { return nil },
 		client: &http.Client{
 			Timeout:   fetchTimeout,
 			Transport: &http.Transport{DisableKeepAlives: true}, // fetches are rare, and a kept connection may have gone silent
@@ -99,10 +107,15 @@
 	if err != nil {
 		return errors.Join(err, socket.Close(), listener.Close())
 	}
-	server := &http.Server{Handler: http.MaxBytesHandler(handler, maxMessageSize), ReadTimeout: fetchTimeout}
+	rotating := limit.NewRotatingListener(listener)
+	rotating.Limit = n.ConnectionLimit
+	server := &http.Server{
+		Handler: http.MaxBytesHandler(handler, maxMessageSize), ReadTimeout: fetchTimeout, WriteTimeout: answerTimeout,
+		IdleTimeout: fetchTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
 	served := make(chan error, 1)
 	received := make(chan error, 1)
-	go func() { served <- server.Serve(listener) }()
+	go func() { served <- server.Serve(rotating) }()
 	go n.receive(ctx, socket, received)
 	<-ctx.Done()
 	shutdownCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), closeTimeout)
--- a/internal/session/connection.go
+++ b/internal/session/connection.go
@@ -5,6 +5,8 @@
 	"slices"
 	"strconv"
 
+	"redwingspread/internal/budget"
+	"redwingspread/internal/model"
 	"redwingspread/internal/statement"
 )
 
@@ -23,6 +25,8 @@
 	namesIssued int                           // number of names issued so far; a name is never reused
 	unanswered  int                           // commands that Sync returned and that have not been answered
 	uncertain   bool                          // the connection may hold something else
+	room        *budget.Account               // of the memory that values and prepared statements take; nil for no limit
+	size        model.Bytes                   // of values and prepared statements
 }
 
 // NewConnectionState returns the state of a newly opened connection.
@@ -30,6 +34,29 @@
 	return &ConnectionState{values: make(map[string]string), prepared: make(map[statement.Prepared]string)}
 }
 
+// SetRoom sets the account of the memory that the state takes, which outlives the session that it comes from.
+func (c *ConnectionState) SetRoom(room *budget.Account) { c.room = room }
+
+// reserve takes memory for another entry. Without memory the entry is not tracked, so that the next Sync begins with a reset.
+func (c *ConnectionState) reserve(size model.Bytes) bool {
+	if c.room != nil && c.room.Resize(c.size+size) != nil {
+		c.uncertain = true
+		return false
+	}
+	c.size += size
+	return true
+}
+
+// clear removes all entries.
+func (c *ConnectionState) clear() {
+	clear(c.values)
+	clear(c.prepared)
+	c.size = 0
+	if c.room != nil {
+		_ = c.room.Resize(0) // a smaller size is not refused
+	}
+}
+
 // Sync appends the commands that give the connection exactly the session's variables and, for an Execute, its prepared
 // statement. It also returns the statement, for an Execute with the name under which the connection has it prepared.
 func (c *ConnectionState) Sync(session *Session, s statement.Statement, commands []statement.Command) ([]statement.Command, statement.Statement) {
@@ -68,14 +95,26 @@
 	}
 	switch s.Verb {
 	case statement.Reset:
-		clear(c.values)
-		clear(c.prepared)
+		c.clear()
 		c.uncertain = false
 	case statement.Set:
-		c.values[s.Name] = s.Value
+		if c.reserve(entrySize(s.Name, s.Value) - c.heldSize(s.Name)) {
+			c.values[s.Name] = s.Value
+		}
 	case statement.Prepare:
-		c.prepared[s.Prepared] = s.Name
+		if c.reserve(entrySize(s.Name, s.Prepared.Text)) {
+			c.prepared[s.Prepared] = s.Name
+		}
+	}
+}
+
+// heldSize returns the memory of a variable, or zero if the connection does not have it.
+func (c *ConnectionState) heldSize(name string) model.Bytes {
+	value, found := c.values[name]
+	if !found {
+		return 0
 	}
+	return entrySize(name, value)
 }
 
 // Distrust makes the next Sync begin with a reset, as when the instance denies having a statement that it had acknowledged.
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -1,6 +1,9 @@
 package session
 
 import (
+	"strings"
+
+	"redwingspread/internal/budget"
 	"redwingspread/internal/model"
 	"redwingspread/internal/statement"
 )
@@ -10,6 +13,8 @@
 	maxValues    = 256      // session variables
 	maxPrepared  = 1024     // prepared statements
 	maxTextBytes = 16 << 10 // bytes of a name together with its value or statement text
+
+	entryOverhead = 96 // bytes of a value or a prepared statement beside its texts
 )
 
 // Action is how the host handles a request.
@@ -33,6 +38,9 @@
 	LastCommit  model.Point                   // newest log position of an acknowledged commit of the session
 	Values      map[string]string             // session variables by name
 	Prepared    map[string]statement.Prepared // prepared statements by name
+	Room        budget.Account                // of the memory that values and prepared statements take
+
+	size model.Bytes // of values and prepared statements
 }
 
 // NewSession returns the state of a new session.
@@ -60,8 +68,7 @@
 	case statement.Prepare:
 		return s.prepareStatement(stmt)
 	case statement.Forget:
-		delete(s.Prepared, stmt.Name)
-		return AnswerLocally, nil
+		return s.forgetStatement(stmt)
 	case statement.Execute:
 		if _, known := s.Prepared[stmt.Name]; !known {
 			return RefuseRequest, model.Refuse(model.CodeNoStatement, "no prepared statement has this name")
@@ -103,7 +110,15 @@
 	if len(stmt.Name)+len(stmt.Value) > maxTextBytes {
 		return RefuseRequest, model.Refuse(model.CodeTooLarge, "a value holds at most %d bytes", maxTextBytes)
 	}
-	s.Values[stmt.Name] = stmt.Value
+	size := s.size + entrySize(stmt.Name, stmt.Value)
+	if held, known := s.Values[stmt.Name]; known {
+		size -= entrySize(stmt.Name, held)
+	}
+	if refusal := s.Room.Resize(size); refusal != nil {
+		return RefuseRequest, refusal
+	}
+	s.size = size
+	s.Values[strings.Clone(stmt.Name)] = strings.Clone(stmt.Value) // the statement's texts keep the whole message in memory
 	return AnswerLocally, nil
 }
 
@@ -115,10 +130,33 @@
 	if len(stmt.Name)+len(stmt.Prepared.Text) > maxTextBytes {
 		return RefuseRequest, model.Refuse(model.CodeTooLarge, "a prepared statement holds at most %d bytes", maxTextBytes)
 	}
-	s.Prepared[stmt.Name] = stmt.Prepared
+	size := s.size + entrySize(stmt.Name, stmt.Prepared.Text)
+	if held, known := s.Prepared[stmt.Name]; known {
+		size -= entrySize(stmt.Name, held.Text)
+	}
+	if refusal := s.Room.Resize(size); refusal != nil {
+		return RefuseRequest, refusal
+	}
+	s.size = size
+	s.Prepared[strings.Clone(stmt.Name)] = statement.Prepared{Access: stmt.Prepared.Access, Text: strings.Clone(stmt.Prepared.Text)}
 	return AnswerLocally, nil
 }
 
+// forgetStatement removes a prepared statement and gives its memory back.
+func (s *Session) forgetStatement(stmt statement.Statement) (Action, *model.Refusal) {
+	if held, known := s.Prepared[stmt.Name]; known {
+		delete(s.Prepared, stmt.Name)
+		s.size -= entrySize(stmt.Name, held.Text)
+		_ = s.Room.Resize(s.size) // a smaller size is not refused
+	}
+	return AnswerLocally, nil
+}
+
+// entrySize returns the memory of a value or a prepared statement.
+func entrySize(name, text string) model.Bytes {
+	return model.Bytes(len(name) + len(text) + entryOverhead)
+}
+
 // Access returns whether a statement reads or writes.
 func (s *Session) Access(stmt statement.Statement) model.Access {
 	if stmt.Verb == statement.Execute {
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -109,6 +109,7 @@
 	Fencing        string             // Whether the platform stops a primary when it promotes another instance; off makes the hosts wait for each other before a promotion.
 	Memory         model.Mebibytes    // Memory limit of the process in MiB.
 	SessionLimit   int                // Maximum number of open sessions.
+	Descriptors    int                // Number of files and sockets that the process may have open; the sessions are limited to what is left after a part for instances, hosts, the store and files. 0 for no limit but session-limit.
 	RevokeLimit    time.Duration      // Time within which a withdrawn API key must stop working.
 	RevokeStrict   string             // Whether a host that has had no word of the configuration for revoke-limit refuses work that needs an API key.
 	LogLevel       string             // Lowest level of events that are logged.
@@ -132,6 +133,7 @@
 		textFlag("fencing", "REDWINGSPREAD_FENCING", "on", "Whether the platform stops a primary when it promotes another instance; off makes the hosts wait for each other before a promotion."),
 		textFlag("memory", "REDWINGSPREAD_MEMORY", "256", "Memory limit of the process in MiB."),
 		textFlag("session-limit", "REDWINGSPREAD_SESSION_LIMIT", "4096", "Maximum number of open sessions."),
+		textFlag("descriptors", "REDWINGSPREAD_DESCRIPTORS", "0", "Number of files and sockets that the process may have open; the sessions are limited to what is left after a part for instances, hosts, the store and files. 0 for no limit but session-limit."),
 		textFlag("revoke-limit", "REDWINGSPREAD_REVOKE_LIMIT", "5s", "Time within which a withdrawn API key must stop working."),
 		textFlag("revoke-strict", "REDWINGSPREAD_REVOKE_STRICT", "off", "Whether a host that has had no word of the configuration for revoke-limit refuses work that needs an API key."),
 		textFlag("log-level", "REDWINGSPREAD_LOG_LEVEL", "info", "Lowest level of events that are logged."),
@@ -156,6 +158,7 @@
 	loaded.Fencing = r.enum(rule{flag: "fencing", env: "REDWINGSPREAD_FENCING", allowed: "one of on, off", required: false, options: []string{"on", "off"}})
 	loaded.Memory = model.Mebibytes(r.int(rule{flag: "memory", env: "REDWINGSPREAD_MEMORY", allowed: "a whole number from 32 to 1048576", required: false, min: "32", max: "1048576"}))
 	loaded.SessionLimit = r.int(rule{flag: "session-limit", env: "REDWINGSPREAD_SESSION_LIMIT", allowed: "a whole number from 1 to 1000000", required: false, min: "1", max: "1000000"})
+	loaded.Descriptors = r.int(rule{flag: "descriptors", env: "REDWINGSPREAD_DESCRIPTORS", allowed: "a whole number from 0 to 1000000000", required: false, min: "0", max: "1000000000"})
 	loaded.RevokeLimit = r.duration(rule{flag: "revoke-limit", env: "REDWINGSPREAD_REVOKE_LIMIT", allowed: "a duration such as 250ms or 10s from 1s to 10m", required: false, min: "1s", max: "10m"})
 	loaded.RevokeStrict = r.enum(rule{flag: "revoke-strict", env: "REDWINGSPREAD_REVOKE_STRICT", allowed: "one of on, off", required: false, options: []string{"on", "off"}})
 	loaded.LogLevel = r.enum(rule{flag: "log-level", env: "REDWINGSPREAD_LOG_LEVEL", allowed: "one of debug, info, warn, error", required: false, options: []string{"debug", "info", "warn", "error"}})
--- a/internal/statement/statement.go
+++ b/internal/statement/statement.go
@@ -1,6 +1,9 @@
 package statement
 
-import "redwingspread/internal/model"
+import (
+	"redwingspread/internal/budget"
+	"redwingspread/internal/model"
+)
 
 // Verb is the type of a statement.
 type Verb uint8
@@ -71,6 +74,24 @@
 	WireCode  string     // the code as received, for relaying to the caller
 	State     State
 	Point     model.Point // reached by the instance's log; zero if not reported
+
+	Room *budget.Account // of the memory that the rows take; nil if they are small
+}
+
+// Size returns the bytes of the rows.
+func (r *Response) Size() (size int) {
+	for _, row := range r.Rows {
+		size += len(row)
+	}
+	return size
+}
+
+// Release drops the rows and gives their memory back, once the response has been sent to the caller or is not needed.
+func (r *Response) Release() {
+	r.Rows = nil
+	if r.Room != nil {
+		r.Room.Close()
+	}
 }
 
 // Succeeded reports whether the statement succeeded.
