--- a/internal/sink/sink.go
+++ b/internal/sink/sink.go
@@ -5,6 +5,8 @@
 	"context"
 	"encoding/json"
 	"io"
+	"reflect"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,6 +21,7 @@
 	queueLimit     = 2048        // lines waiting to be written; bounds the memory in use while the output blocks, and logging does not wait
 	eventRate      = 25          // lines a second of one event, so that a flood of one event does not displace the others
 	eventBurst     = 60          // lines of one event in a burst
+	fieldLimit     = 1 << 10     // bytes of a text in a field
 	reportInterval = time.Second // between two reports of dropped lines
 )
 
@@ -92,7 +95,7 @@
 func (s *Sink) encode(entry *log.Entry) ([]byte, error) {
 	fields := make(map[string]any, len(entry.Fields)+3)
 	for name, value := range entry.Fields {
-		fields[name] = value
+		fields[name] = shorten(value)
 	}
 	fields["time"] = s.Now().UTC().Format(time.RFC3339Nano)
 	fields["level"] = entry.Level.String()
@@ -101,6 +104,15 @@
 	return append(line, '\n'), err
 }
 
+// shorten returns a value of a field, cut off if it is a long text; callers choose some of the texts.
+func shorten(value any) any {
+	text := reflect.ValueOf(value)
+	if text.Kind() != reflect.String || text.Len() <= fieldLimit {
+		return value
+	}
+	return strings.ToValidUTF8(text.String()[:fieldLimit], "") + "…"
+}
+
 // Run writes lines until the context ends, then those still in the queue, and sends the first write error or nil on done.
 func (s *Sink) Run(ctx context.Context, done chan<- error) {
 	out := bufio.NewWriter(s.Out)
--- a/internal/sink/sink_test.go
+++ b/internal/sink/sink_test.go
@@ -5,12 +5,14 @@
 	"context"
 	"encoding/json"
 	"io"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/apex/log"
 
 	"redwingspread/internal/event"
+	"redwingspread/internal/model"
 )
 
 // blockedWriter is a writer that blocks until released is closed.
@@ -130,3 +132,41 @@
 		})
 	}
 }
+
+// TestLongTextsAreCutOff guards against lines that hold names of any length that callers send, and wait in the queue.
+func TestLongTextsAreCutOff(t *testing.T) {
+	long := strings.Repeat("x", 2*fieldLimit)
+	tests := map[string]struct {
+		id   string
+		want string
+	}{
+		"short":                   {id: "h1", want: "h1"},
+		"at the limit":            {id: long[:fieldLimit], want: long[:fieldLimit]},
+		"over the limit":          {id: long, want: long[:fieldLimit] + "…"},
+		"cut within a character":  {id: long[:fieldLimit-1] + "é" + long, want: long[:fieldLimit-1] + "…"},
+		"kept characters outside": {id: "é" + long, want: "é" + long[:fieldLimit-2] + "…"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var out bytes.Buffer
+			_, logger, stop := startSink(t, &out)
+			event.Stopping(logger, test.id)
+			event.SessionRefused(logger, model.KindID(test.id), model.CodeInvalid, 0, "")
+			if err := stop(); err != nil {
+				t.Fatal(err)
+			}
+			for _, field := range []string{"id", "kind"} {
+				line, rest, _ := strings.Cut(out.String(), "\n")
+				out.Reset()
+				out.WriteString(rest)
+				var got map[string]any
+				if err := json.Unmarshal([]byte(line), &got); err != nil {
+					t.Fatal(err)
+				}
+				if got[field] != test.want {
+					t.Errorf("got %s %.20q…, want %.20q…", field, got[field], test.want)
+				}
+			}
+		})
+	}
+}
