--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,8 +20,15 @@
 	idleTimeout    = 20 * time.Second       // after which a stream without calls is closed
 	keepAliveTime  = 2 * time.Second        // between two TCP keep-alive probes
 	keepAliveCount = 2                      // unanswered probes after which a stream is dropped
+	probeLimit     = 500 * time.Millisecond // for the reply to a probe of a stream, after which it is dropped
 )
 
+// keepAlive finds streams whose other host is gone, at both ends: a holder would keep the transactions of one that is.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: keepAliveTime, Interval: keepAliveTime, Count: keepAliveCount}
+
+// probeSession is the number of no session; a call of it is refused at once, which proves that the stream works.
+const probeSession SessionID = 0
+
 // Errors of a call without a reply.
 var (
 	// ErrNotSent is returned when the call has not been sent, so that nothing of it has run.
@@ -55,6 +63,8 @@
 	*stream
 	mutex   sync.Mutex
 	waiting map[SessionID]chan Reply // calls without a reply by session; nil once the stream has ended
+	open    map[SessionID]struct{}   // sessions that the other host serves between calls
+	probing atomic.Bool              // a probe has no reply yet
 }
 
 // NewClient returns a client without streams; its exported fields have to be set before use.
@@ -89,13 +99,12 @@
 	}
 	defer s.forget(call.Session)
 	sent := time.Now()
-	if err := s.write(body); err != nil {
-		_ = s.conn.Close() // ends the goroutine that reads
-		if errors.Is(err, errTooLarge) {
-			return reply, errors.Join(ErrNotSent, err)
-		}
+	if err := s.write(body); errors.Is(err, errTooLarge) {
+		return reply, errors.Join(ErrNotSent, err)
+	} else if err != nil {
 		return reply, errors.Join(ErrLost, err)
 	}
+	s.note(call)
 	select {
 	case reply, open := <-replies:
 		if !open {
@@ -104,13 +113,33 @@
 		return reply, nil
 	case <-ctx.Done():
 		if s.heard.Load() < sent.UnixNano() {
-			c.retreat(address)
-			_ = s.conn.Close() // nothing has arrived since the call was sent; the connection may have gone silent
+			c.probe(address, s)
 		}
 		return reply, errors.Join(ErrLost, ctx.Err())
 	}
 }
 
+// probe drops a stream that doesn't respond. A call without a reply alone doesn't tell, as it may take long, and other sessions of the
+// stream would be lost with it.
+func (c *Client) probe(address model.Address, s *clientStream) {
+	if s.probing.Swap(true) {
+		return
+	}
+	asked := time.Now().UnixNano()
+	body, err := encodeCall(&Call{Session: probeSession})
+	if err != nil || s.write(body) != nil {
+		c.retreat(address)
+		return
+	}
+	time.AfterFunc(probeLimit, func() {
+		s.probing.Store(false)
+		if s.heard.Load() < asked {
+			c.retreat(address)
+			_ = s.conn.Close() // ends the goroutine that reads
+		}
+	})
+}
+
 // End ends a session at the host that serves it, without waiting.
 func (c *Client) End(address model.Address, session SessionID) {
 	c.mutex.Lock()
@@ -123,13 +152,11 @@
 	if s == nil {
 		return // the other host ends the sessions of a stream with it
 	}
-	body, err := encodeCall(&Call{Session: session, End: true})
-	if err == nil {
-		err = s.write(body)
-	}
-	if err != nil {
-		_ = s.conn.Close()
+	call := &Call{Session: session, End: true}
+	if body, err := encodeCall(call); err == nil {
+		_ = s.write(body) // fails when the stream has ended, and the session with it
 	}
+	s.note(call)
 }
 
 // streamTo returns the stream to a host, which it opens if there is none.
@@ -183,13 +210,14 @@
 	}
 	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	dialer := net.Dialer{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveTime, Interval: keepAliveTime, Count: keepAliveCount}}
+	dialer := net.Dialer{KeepAliveConfig: keepAlive}
 	conn, err := dialer.DialContext(dialCtx, "tcp4", string(address))
 	if err != nil {
 		return nil, err
 	}
-	s := &clientStream{stream: newStream(conn), waiting: make(map[SessionID]chan Reply)}
-	if err := s.greet(key, c.Host); err != nil {
+	s := &clientStream{stream: newStream(conn), waiting: make(map[SessionID]chan Reply), open: make(map[SessionID]struct{})}
+	limit, _ := dialCtx.Deadline()
+	if err := s.greet(key, c.Host, limit); err != nil {
 		return nil, errors.Join(err, conn.Close())
 	}
 	return s, nil
@@ -230,12 +258,12 @@
 func (s *clientStream) receive() {
 	defer func() { _ = s.conn.Close() }()
 	for {
-		if err := s.conn.SetReadDeadline(time.Now().Add(idleTimeout)); err != nil {
-			return
+		if err := s.await(idleTimeout); err != nil {
+			return // also when idle: the next call opens another stream
 		}
 		body, err := s.read()
 		if err != nil {
-			return // also when idle: the next call opens another stream
+			return
 		}
 		reply, err := decodeReply(body)
 		if err != nil {
@@ -247,6 +275,41 @@
 	}
 }
 
+// await waits for the first byte of the next reply; it returns an error if the stream ends, or is idle for the given time.
+func (s *clientStream) await(idle time.Duration) error {
+	for {
+		if err := s.conn.SetReadDeadline(time.Now().Add(idle)); err != nil {
+			return err
+		}
+		_, err := s.reader.Peek(1)
+		if errors.Is(err, os.ErrDeadlineExceeded) && s.inUse() {
+			continue
+		}
+		if err != nil {
+			return err
+		}
+		return s.conn.SetReadDeadline(time.Time{})
+	}
+}
+
+// inUse reports whether any session is open on the stream or waits for a reply.
+func (s *clientStream) inUse() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return len(s.waiting)+len(s.open) > 0
+}
+
+// note records whether the session of a call goes on after it.
+func (s *clientStream) note(call *Call) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if call.Last || call.End {
+		delete(s.open, call.Session)
+		return
+	}
+	s.open[call.Session] = struct{}{}
+}
+
 // expect registers a call; it returns false if the stream has ended.
 func (s *clientStream) expect(session SessionID, replies chan Reply) bool {
 	s.mutex.Lock()
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -64,7 +64,8 @@
 		<-ctx.Done()
 		return ctx.Err()
 	}
-	listener, err := net.Listen("tcp4", string(s.Address))
+	config := net.ListenConfig{KeepAliveConfig: keepAlive}
+	listener, err := config.Listen(ctx, "tcp4", string(s.Address))
 	if err != nil {
 		return err
 	}
@@ -150,6 +151,7 @@
 		case call := <-received:
 			t.dispatch(ctx, call)
 		case id := <-t.ended:
+			t.refuseRest(id)
 			delete(t.sessions, id)
 		case err = <-readEnded:
 			received = nil
@@ -221,6 +223,17 @@
 	t.ended <- id
 }
 
+// refuseRest refuses the call that reached a session at its end.
+func (t *serverStream) refuseRest(id SessionID) {
+	select {
+	case call, open := <-t.sessions[id]:
+		if open {
+			t.refuse(call, "the session has ended here")
+		}
+	default:
+	}
+}
+
 // replier returns the function that sends the replies of a session.
 func (t *serverStream) replier(id SessionID) func(reply *Reply) error {
 	return func(reply *Reply) error {
@@ -229,13 +242,19 @@
 		if err != nil {
 			return err
 		}
+		err = t.write(body)
+		if !errors.Is(err, errTooLarge) {
+			return err
+		}
+		body, err = encodeReply(&Reply{Session: id, Refusal: model.OutcomeUnknown("the response is too large to be passed on")})
+		if err != nil {
+			return err
+		}
 		return t.write(body)
 	}
 }
 
 // refuse replies that a call has not run.
 func (t *serverStream) refuse(call Call, reason string) {
-	if err := t.replier(call.Session)(&Reply{Refusal: model.Refuse(model.CodeStopping, "%s", reason)}); err != nil {
-		_ = t.conn.Close() // ends the stream
-	}
+	_ = t.replier(call.Session)(&Reply{Refusal: model.Refuse(model.CodeStopping, "%s", reason)}) // fails when the stream has ended
 }
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -59,25 +59,29 @@
 	return &stream{conn: conn, limit: helloLimit, reader: bufio.NewReaderSize(conn, readBufferSize)}
 }
 
-// greet sends the first message of the calling side and reads that of the serving side.
-func (s *stream) greet(key *mesh.Key, self model.HostID) (err error) {
+// greet sends the first message of the calling side, reads that of the serving side until the limit, and proves that it knows the keys
+// of the stream.
+func (s *stream) greet(key *mesh.Key, self model.HostID, limit time.Time) (err error) {
 	s.sealKey, s.openKey = *key, *key
 	own := rand.Text()
 	if err := s.sendHello(self, own); err != nil {
 		return err
 	}
-	other, err := s.receiveHello()
+	other, err := s.receiveHello(limit)
 	if err != nil {
 		return err
 	}
 	s.agree(key, purposeCalls, purposeReplies, own+other)
-	return nil
+	s.limit = messageLimit
+	return s.sendHello(self, other)
 }
 
-// accept reads the first message of the calling side and sends that of the serving side.
+// accept reads the first message of the calling side and sends that of the serving side. The stream is open once the calling side has
+// sent a message under its keys, since the first one may have been recorded earlier.
 func (s *stream) accept(key *mesh.Key, self model.HostID) (err error) {
 	s.sealKey, s.openKey = *key, *key
-	other, err := s.receiveHello()
+	limit := time.Now().Add(helloTimeout)
+	other, err := s.receiveHello(limit)
 	if err != nil {
 		return err
 	}
@@ -86,6 +90,10 @@
 		return err
 	}
 	s.agree(key, purposeReplies, purposeCalls, other+own)
+	if _, err := s.receiveHello(limit); err != nil {
+		return err
+	}
+	s.limit = messageLimit
 	return nil
 }
 
@@ -93,7 +101,6 @@
 func (s *stream) agree(key *mesh.Key, sends, receives, nonces string) {
 	s.sealKey, s.openKey = key.Derive(sends+" "+nonces), key.Derive(receives+" "+nonces)
 	s.sent, s.received = 0, 0
-	s.limit = messageLimit
 }
 
 // sendHello sends the first message.
@@ -106,9 +113,9 @@
 	return s.write(body)
 }
 
-// receiveHello reads the first message and returns the nonce in it.
-func (s *stream) receiveHello() (nonce string, err error) {
-	if err := s.conn.SetReadDeadline(time.Now().Add(helloTimeout)); err != nil {
+// receiveHello reads a first message until the limit and returns the nonce in it.
+func (s *stream) receiveHello(limit time.Time) (nonce string, err error) {
+	if err := s.conn.SetReadDeadline(limit); err != nil {
 		return "", err
 	}
 	body, err := s.read()
@@ -123,7 +130,8 @@
 	return hello.Nonce, s.conn.SetReadDeadline(time.Time{})
 }
 
-// write sends one message.
+// write sends one message. It closes the connection if that fails, since a part may have been sent; a message that is too large
+// leaves it as it was.
 func (s *stream) write(body []byte) error {
 	if len(body) > messageLimit {
 		return errTooLarge
@@ -141,6 +149,9 @@
 	if cap(s.out) > keptBufferLimit {
 		s.out = nil
 	}
+	if err != nil {
+		_ = s.conn.Close() // ends the goroutine that reads
+	}
 	return err
 }
 
