front: a refusal by a holder within a transaction no longer panics; holders that refuse are avoided; no session stays open at a holder

Cause: TestWhatIsToldOfPassedOnRequests, a table of what a holder may do with a request, showed on the code as it stood: a refusal by the holder of a later statement or of a commit (a transaction that was idle for too long, a holder that stops) was a nil dereference, which ended the caller's session without an answer; a transaction whose first statement got no reply, or found the holder stopping, stayed open at the holder with its connection; a write, or the first statement of a transaction, whose holder believed in another primary was refused as "behind" and the primary was left out of reads for a while; a read whose outcome only the holder didn't know was told as unknown. Change: the target stays with the session that is passed on; a session counts as open at the holder as soon as a call was sent; such holders are avoided and the request is tried elsewhere; reads are then tried directly; what ends a transaction before its commit is "aborted".

--- a/internal/front/execution.go
+++ b/internal/front/execution.go
@@ -42,6 +42,7 @@
 	excluded          map[model.InstanceID]bool
 	elsewhere         bool                   // other hosts keep connections to some instance of the database, and pass this request on
 	unreached         map[model.Address]bool // holders that did not take the request
+	direct            bool                   // no further attempt is passed on
 	backend           *backend               // of the latest attempt
 	mayHaveRun        bool                   // an attempt may have run the statement
 }
--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -25,6 +25,7 @@
 	client   *relay.Client
 	address  model.Address
 	id       relay.SessionID
+	backend  *backend         // for which the holder was chosen
 	instance model.InstanceID // that responded last
 	opened   bool             // the first call has been sent
 	values   map[string]string
@@ -35,7 +36,7 @@
 // hosts than there are connections.
 func (e *execution) holder(t target) (address model.Address, found bool) {
 	h := e.session.host
-	if e.session.relayed || len(e.request.Text) > relayTextLimit {
+	if e.session.relayed || e.direct || len(e.request.Text) > relayTextLimit {
 		return "", false
 	}
 	holders := h.view().Shares[t.backend.instance.ID].Holders
@@ -60,14 +61,15 @@
 	}
 }
 
-// newRemote returns a session at the host at the address.
-func (s *callerSession) newRemote(address model.Address) *remoteSession {
-	return &remoteSession{client: s.host.relays, address: address, id: s.host.relays.NewSession(), begunAt: time.Now()}
+// newRemote returns a session at the host at the address, which keeps connections to the target.
+func (s *callerSession) newRemote(t target, address model.Address) *remoteSession {
+	return &remoteSession{client: s.host.relays, address: address, backend: t.backend, id: s.host.relays.NewSession(), begunAt: time.Now()}
 }
 
 // call passes a request on and waits for its reply.
 func (r *remoteSession) call(ctx context.Context, e *execution, limit time.Time, last bool) (reply relay.Reply, err error) {
 	now := time.Now()
+	e.backend = r.backend
 	state := e.session.state
 	call := relay.Call{Session: r.id, Request: e.request, StartIn: e.startBy.Sub(now), Left: e.deadline.Sub(now), Last: last}
 	if e.request.Verb == statement.Execute {
@@ -87,10 +89,10 @@
 	sent := clock.Boot()
 	e.session.host.counters.Relayed.Add(1)
 	reply, err = r.client.Call(callCtx, r.address, &call)
+	r.opened = r.opened || !errors.Is(err, relay.ErrNotSent) // the holder may serve the session, also when no reply comes
 	if err != nil {
 		return reply, err
 	}
-	r.opened = true
 	if call.Values != nil {
 		r.values = call.Values
 	}
@@ -98,7 +100,7 @@
 	if b := e.session.host.backend(reply.Instance); b != nil {
 		b.noteRemote(time.Now(), e.policy.ID, time.Since(now), reply.Response.Point)
 	} else if reply.Refusal != nil {
-		e.backend.noteRemote(time.Now(), e.policy.ID, time.Since(now)+reply.Refusal.RetryAfter, model.Point{})
+		r.backend.noteRemote(time.Now(), e.policy.ID, time.Since(now)+reply.Refusal.RetryAfter, model.Point{})
 	}
 	if reply.Led && reply.Response.Point != (model.Point{}) {
 		e.session.host.observeProofs([]scout.Proof{{
@@ -119,8 +121,7 @@
 // whether it did.
 func (e *execution) relayAutocommit(ctx context.Context, t target, address model.Address) (done bool, err error) {
 	s := e.session
-	e.backend = t.backend
-	reply, err := s.newRemote(address).call(ctx, e, e.responseDeadline(time.Now()), true)
+	reply, err := s.newRemote(t, address).call(ctx, e, e.responseDeadline(time.Now()), true)
 	switch {
 	case errors.Is(err, relay.ErrNotSent):
 		return e.retryRelay(ctx, address, "the holder of the connections can't be reached")
@@ -131,7 +132,11 @@
 		e.mayHaveRun = true
 		e.startBy = e.deadline // the statement had been sent; the rest of its time is for another attempt
 		return e.retryRelay(ctx, address, "the holder of the connections did not answer")
-	case reply.Refusal != nil && reply.Refusal.Code == model.CodeStopping:
+	case reply.Refusal != nil && !reply.Refusal.NotRun && e.access == model.Read:
+		e.mayHaveRun, e.direct = true, true // such as a response that is too large to be passed on
+		e.startBy = e.deadline
+		return e.retryRelay(ctx, address, reply.Refusal.Message)
+	case mustAvoid(reply.Refusal, t):
 		return e.retryRelay(ctx, address, reply.Refusal.Message)
 	case reply.Refusal != nil && reply.Refusal.Code == model.CodeBehind && e.mayTryOther(t):
 		t.backend.noteBehind(clock.Boot())
@@ -150,6 +155,15 @@
 	return true, s.caller.SendResponse(&reply.Response, statement.Idle)
 }
 
+// mustAvoid reports whether a refusal says that nothing has run and that the holder can't serve the target: it stops, or believes in
+// another primary.
+func mustAvoid(refusal *model.Refusal, t target) bool {
+	if refusal == nil || !refusal.NotRun {
+		return false
+	}
+	return refusal.Code == model.CodeStopping || (refusal.Code == model.CodeBehind && t.primary)
+}
+
 // mayTryOther leaves the target out of further attempts and reports whether another instance is left.
 func (e *execution) mayTryOther(t target) bool {
 	e.exclude(t.backend)
@@ -182,8 +196,7 @@
 		return refusal
 	}
 	if address, found := e.holder(t); found {
-		e.backend = t.backend
-		e.session.remote = e.session.newRemote(address)
+		e.session.remote = e.session.newRemote(t, address)
 	}
 	return nil
 }
@@ -194,11 +207,10 @@
 	remote := s.remote
 	first := !remote.opened
 	reply, err := remote.call(ctx, e, e.deadline, false)
-	stopping := err == nil && reply.Refusal != nil && reply.Refusal.Code == model.CodeStopping
-	if first && (errors.Is(err, relay.ErrNotSent) || stopping) {
-		s.remote = nil
+	if first && (errors.Is(err, relay.ErrNotSent) || (err == nil && mustAvoid(reply.Refusal, target{primary: true}))) {
+		s.endRemote()
 		e.avoidHolder(remote.address)
-		if e.prepareRetry(ctx, "the holder of the connections can't be reached", 0) {
+		if e.prepareRetry(ctx, "the holder of the connections can't be reached or doesn't serve the instance", 0) {
 			return false, nil
 		}
 	}
@@ -212,7 +224,7 @@
 	if reply.Refusal != nil {
 		s.endRemote()
 		s.state.FailTransaction()
-		return true, s.caller.SendRefusal(e.recordRefusal(reply.Refusal), s.state.Transaction)
+		return true, s.caller.SendRefusal(e.recordRefusal(abortedBy(reply.Refusal, first)), s.state.Transaction)
 	}
 	if reply.Response.State != statement.Open {
 		s.endRemote()
@@ -225,6 +237,15 @@
 	return true, s.caller.SendResponse(&reply.Response, s.state.Transaction)
 }
 
+// abortedBy returns what the caller is told of a refusal by the holder that ends the transaction: nothing of it is kept, whatever
+// became of the statement; and what ends the holder's session is not the caller's to wait for, unless the transaction had not begun.
+func abortedBy(refusal *model.Refusal, first bool) *model.Refusal {
+	if refusal.NotRun && (first || refusal.Code != model.CodeStopping) {
+		return refusal
+	}
+	return model.Refuse(model.CodeTransactionEnded, "the holder of the transaction ended it: %s", refusal.Message)
+}
+
 // commitRemote commits the session's transaction at the host that serves it and responds to the caller.
 func (s *callerSession) commitRemote(ctx context.Context, e *execution) error {
 	remote, wrote := s.remote, s.state.Wrote
@@ -232,15 +253,20 @@
 	reply, err := remote.call(ctx, e, e.deadline, true)
 	s.state.EndTransaction()
 	switch {
-	case err != nil:
+	case errors.Is(err, relay.ErrNotSent):
 		remote.end()
+		refusal := model.Refuse(model.CodeTransactionEnded, "the holder of the transaction can't be reached: %v", err)
+		return s.caller.SendRefusal(e.recordRefusal(refusal), statement.Idle)
+	case err != nil: // the session ends with the commit, which may be in progress
 		refusal := model.Refuse(model.CodeTransactionEnded, "the holder of the transaction did not answer the commit: %v", err)
-		if wrote && !errors.Is(err, relay.ErrNotSent) {
+		if wrote {
 			refusal = model.OutcomeUnknown("the holder of the transaction did not answer the commit: %v", err)
 		}
 		return s.caller.SendRefusal(e.recordRefusal(refusal), statement.Idle)
-	case reply.Refusal != nil:
+	case reply.Refusal != nil && !reply.Refusal.NotRun && wrote:
 		return s.caller.SendRefusal(e.recordRefusal(reply.Refusal), statement.Idle)
+	case reply.Refusal != nil:
+		return s.caller.SendRefusal(e.recordRefusal(abortedBy(reply.Refusal, false)), statement.Idle)
 	case !reply.Response.Succeeded():
 		return e.relayRefusal(&reply.Response)
 	}
--- /dev/null
+++ b/internal/front/relay_internal_test.go
@@ -0,0 +1,220 @@
+package front
+
+import (
+	"context"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"redwingspread/internal/control"
+	"redwingspread/internal/controller"
+	"redwingspread/internal/directory"
+	"redwingspread/internal/failover"
+	"redwingspread/internal/mesh"
+	"redwingspread/internal/model"
+	"redwingspread/internal/relay"
+	"redwingspread/internal/session"
+	"redwingspread/internal/statement"
+)
+
+// fixedView is a control machine whose view doesn't change.
+type fixedView struct{ view *controller.View }
+
+// Handle does nothing.
+func (fixedView) Handle(time.Time, controller.Event) []controller.Action { return nil }
+
+// Snapshot returns the view.
+func (m fixedView) Snapshot() *controller.View { return m.view }
+
+// recordingCaller keeps what it is told last.
+type recordingCaller struct {
+	Caller
+	code    model.Code
+	notRun  bool
+	refused bool // by the host
+}
+
+// SendResponse keeps the code of a response.
+func (c *recordingCaller) SendResponse(response *statement.Response, _ statement.State) error {
+	c.code, c.notRun, c.refused = response.Code, false, false
+	return nil
+}
+
+// SendRefusal keeps a refusal.
+func (c *recordingCaller) SendRefusal(refusal *model.Refusal, _ statement.State) error {
+	c.code, c.notRun, c.refused = refusal.Code, refusal.NotRun, true
+	return nil
+}
+
+// scriptedHolder is a holder that does with each call what the call's text or else its verb says.
+type scriptedHolder struct {
+	mutex sync.Mutex
+	calls map[string]int // by text
+	open  int            // sessions
+}
+
+// relayKey is the shared key of the hosts of these tests.
+var relayKey mesh.Key
+
+// start starts the holder on a loopback address; lose ends its streams.
+func (s *scriptedHolder) start(t *testing.T, commit string) (address model.Address) {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address = model.Address(listener.Addr().String())
+	if err := listener.Close(); err != nil {
+		t.Fatal(err)
+	}
+	ctx, lose := context.WithCancel(context.Background())
+	server := relay.NewServer()
+	server.Address, server.Logger = address, quietLogger()
+	server.Key = func() *mesh.Key { return &relayKey }
+	server.Serve = func(_ context.Context, passed relay.Session) {
+		s.count("", 1)
+		defer s.count("", -1)
+		for call := range passed.Calls {
+			text := call.Request.Text
+			if call.Request.Verb == statement.Commit {
+				text = "commit" + commit
+			}
+			s.count(text, 1)
+			switch strings.TrimPrefix(text, "commit") {
+			case "silent":
+			case "lost":
+				lose()
+			case "unknown":
+				_ = passed.Reply(&relay.Reply{Refusal: model.OutcomeUnknown("lost")})
+			case "behind":
+				_ = passed.Reply(&relay.Reply{Refusal: model.Refuse(model.CodeBehind, "behind")})
+			case "stopping":
+				_ = passed.Reply(&relay.Reply{Refusal: model.Refuse(model.CodeStopping, "stopping")})
+			default:
+				_ = passed.Reply(&relay.Reply{Response: statement.Response{State: statement.Open, Point: model.Point{Term: 1, Position: 7}}})
+			}
+			if call.Last {
+				return
+			}
+		}
+	}
+	done := make(chan error, 1)
+	go server.Run(ctx, done)
+	t.Cleanup(func() {
+		lose()
+		<-done
+	})
+	for {
+		if conn, err := net.Dial("tcp4", string(address)); err == nil {
+			_ = conn.Close()
+			return address
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// count adds to the calls of a text, or to the open sessions.
+func (s *scriptedHolder) count(text string, change int) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if text == "" {
+		s.open += change
+		return
+	}
+	s.calls[text] += change
+}
+
+// TestWhatIsToldOfPassedOnRequests guards against a request that is told as not run or aborted although it may have run, that is sent
+// twice, whose promise tells less than is known, or whose session stays open at the holder. Without the holder, no instance is reached.
+func TestWhatIsToldOfPassedOnRequests(t *testing.T) {
+	write := func(text string) statement.Statement { return statement.Statement{Verb: statement.Write, Text: text} }
+	read := func(text string) statement.Statement { return statement.Statement{Verb: statement.Read, Text: text} }
+	begin, commit := statement.Statement{Verb: statement.Begin}, statement.Statement{Verb: statement.Commit}
+	const unknown, aborted = model.CodeOutcomeUnknown, model.CodeTransactionEnded
+	tests := map[string]struct {
+		statements []statement.Statement
+		commit     string // what the holder does with a commit
+		want       model.Code
+		unsent     bool // the refusal is one of this host, as not run, with any code but the wanted one
+	}{
+		"write":                                {statements: []statement.Statement{write("a")}},
+		"write, silent":                        {statements: []statement.Statement{write("silent")}, want: unknown},
+		"write, stream lost":                   {statements: []statement.Statement{write("lost")}, want: unknown},
+		"write, unknown at the holder":         {statements: []statement.Statement{write("unknown")}, want: unknown},
+		"write, holder stops":                  {statements: []statement.Statement{write("stopping")}, want: "stopping", unsent: true},
+		"write, holder knows no primary":       {statements: []statement.Statement{write("behind")}, want: "behind", unsent: true},
+		"read, silent":                         {statements: []statement.Statement{read("silent")}, want: aborted},
+		"read, unknown at the holder":          {statements: []statement.Statement{read("unknown")}, want: aborted},
+		"transaction":                          {statements: []statement.Statement{begin, write("a"), read("b"), commit}},
+		"first statement silent":               {statements: []statement.Statement{begin, write("silent")}, want: aborted},
+		"first statement, holder stops":        {statements: []statement.Statement{begin, write("stopping")}, want: "stopping", unsent: true},
+		"first statement, knows no primary":    {statements: []statement.Statement{begin, write("behind")}, want: "behind", unsent: true},
+		"statement, stream lost":               {statements: []statement.Statement{begin, write("a"), write("lost")}, want: aborted},
+		"statement unknown at the holder":      {statements: []statement.Statement{begin, write("a"), write("unknown")}, want: aborted},
+		"session ended before a statement":     {statements: []statement.Statement{begin, write("a"), write("stopping")}, want: aborted},
+		"commit, silent":                       {statements: []statement.Statement{begin, write("a"), commit}, commit: "silent", want: unknown},
+		"commit, stream lost":                  {statements: []statement.Statement{begin, write("a"), commit}, commit: "lost", want: unknown},
+		"commit unknown at the holder":         {statements: []statement.Statement{begin, write("a"), commit}, commit: "unknown", want: unknown},
+		"commit without writes, lost":          {statements: []statement.Statement{begin, read("a"), commit}, commit: "lost", want: aborted},
+		"session ended before the commit":      {statements: []statement.Statement{begin, write("a"), commit}, commit: "stopping", want: aborted},
+		"rolled back by the caller":            {statements: []statement.Statement{begin, write("a"), {Verb: statement.Rollback}}},
+		"commit after a lost stream":           {statements: []statement.Statement{begin, write("a"), write("lost"), commit}, want: aborted},
+		"stream lost, then an unsent commit":   {statements: []statement.Statement{begin, write("a"), read("lost"), commit}, want: aborted},
+		"commit without writes, none at fault": {statements: []statement.Statement{begin, read("a"), commit}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			holder := &scriptedHolder{calls: make(map[string]int)}
+			address := holder.start(t, test.commit)
+			kind := model.Kind{ID: "desk", Database: "seats", Rank: model.RankOne, Goal: 400 * time.Millisecond, Timeout: 400 * time.Millisecond}
+			h := New()
+			h.Loop = control.New(fixedView{&controller.View{
+				Directory: &directory.Directory{Version: 1, Kinds: map[model.KindID]model.Kind{"desk": kind}},
+				Primaries: map[model.DatabaseID]controller.Primary{"seats": {Instance: "i1", State: failover.Leading}},
+				Shares:    map[model.InstanceID]controller.Share{"i1": {Slots: 1, Connections: 1, Holders: &controller.Holders{Addresses: []model.Address{address}}}},
+			}})
+			h.Platform, h.Logger = hangingPlatform{}, quietLogger()
+			h.relays.Key = func() *mesh.Key { return &relayKey }
+			defer h.relays.Close()
+			b := h.addBackend(t.Context(), directory.Instance{Instance: model.Instance{ID: "i1", Database: "seats"}})
+			defer b.close()
+			caller := &recordingCaller{}
+			s := &callerSession{host: h, caller: caller, kind: "desk", state: session.NewSession()}
+			for _, stmt := range test.statements {
+				if err := s.handle(t.Context(), statement.Request{ID: "r", Statement: stmt}); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if test.unsent {
+				if !caller.refused || !caller.notRun || caller.code == test.want {
+					t.Errorf("got %q, not run %v, want a refusal of this host as not run", caller.code, caller.notRun)
+				}
+			} else if caller.code != test.want {
+				t.Errorf("got %q, want %q", caller.code, test.want)
+			}
+			if b.behindUntil != 0 {
+				t.Error("got the primary left out of reads as behind, want it kept")
+			}
+			for limit := time.Now().Add(5 * time.Second); ; time.Sleep(time.Millisecond) {
+				holder.mutex.Lock()
+				open := holder.open
+				holder.mutex.Unlock()
+				if open == 0 {
+					break
+				}
+				if time.Now().After(limit) {
+					t.Fatalf("got %d sessions left open at the holder, want none", open)
+				}
+			}
+			holder.mutex.Lock()
+			defer holder.mutex.Unlock()
+			for text, got := range holder.calls {
+				if got != 1 {
+					t.Errorf("got %d calls of %q, want 1", got, text)
+				}
+			}
+		})
+	}
+}
