--- a/internal/front/fleet_test.go
+++ b/internal/front/fleet_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"net/netip"
 	"strings"
 	"sync"
 	"testing"
@@ -34,6 +35,8 @@
 	fencing     string        // setting of the hosts
 	interrupted chan struct{} // see fragileCaller
 	silent      chan int      // gets the index of the first host that finds a primary silent
+	relay       string        // setting of the hosts started from now on: whether they pass requests on
+	stopLimit   time.Duration // setting of the hosts started from now on, if it is longer than usual
 	strict      string        // setting of the hosts started from now on: whether keys need recent word of the configuration
 	revokeLimit time.Duration // setting of these hosts
 	logged      record        // the hosts' log lines
@@ -117,20 +120,21 @@
 func (f *fleet) startHost(store string) *testHost {
 	f.t.Helper()
 	host := front.New()
-	addresses := freeAddresses(f.t, 4)
+	addresses := freeAddresses(f.t, 3)
 	host.Settings = settings.Front{
 		Host:           model.HostID(fmt.Sprintf("h%d", len(f.hosts)+1)),
 		DataCentre:     "east",
 		DataCentres:    []string{"east=coast"},
 		SessionAddress: addresses[0],
 		ReadyAddress:   addresses[1],
-		MeshAddress:    addresses[2],
-		MetricsAddress: string(addresses[3]),
-		StopLimit:      4 * time.Second,
+		MeshAddress:    pairAddress(f.t),
+		MetricsAddress: string(addresses[2]),
+		StopLimit:      max(f.stopLimit, 4*time.Second),
 		LeaveLimit:     7 * time.Second,
 		ApplyLimit:     3 * time.Second,
 		SessionLimit:   64,
 		Fencing:        f.fencing,
+		Relay:          f.relay,
 		RevokeStrict:   f.strict,
 		RevokeLimit:    f.revokeLimit,
 	}
@@ -152,7 +156,7 @@
 	client.Logger, host.Logger = logger, logger
 	host.Platform = fragilePlatform{client, f.interrupted}
 	ctx, stop := context.WithCancel(context.Background())
-	h := &testHost{address: string(addresses[0]), metrics: string(addresses[3]), stop: stop, done: make(chan error, 1)}
+	h := &testHost{address: string(addresses[0]), metrics: string(addresses[2]), stop: stop, done: make(chan error, 1)}
 	f.hosts = append(f.hosts, h)
 	go host.Run(ctx, h.done)
 	return h
@@ -211,6 +215,21 @@
 	return addresses
 }
 
+// pairAddress returns an unused address whose next port is unused as well.
+func pairAddress(t *testing.T) model.Address {
+	t.Helper()
+	for {
+		pair := freeAddresses(t, 2)
+		first, err := netip.ParseAddrPort(string(pair[0]))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if pair[1] == model.Address(netip.AddrPortFrom(first.Addr(), first.Port()+1).String()) {
+			return pair[0]
+		}
+	}
+}
+
 // eventually waits for a condition, and fails the test if it does not hold within waitLimit.
 func (f *fleet) eventually(what string, condition func() bool) {
 	f.t.Helper()
--- a/internal/front/stop.go
+++ b/internal/front/stop.go
@@ -48,9 +48,12 @@
 		}
 		select {
 		case <-accepted:
-			return
+			accepted = nil // own sessions have ended; others may be open that other hosts pass on
 		default:
 		}
+		if accepted == nil && h.sessionCount() == 0 {
+			return
+		}
 	}
 	h.mutex.RLock()
 	defer h.mutex.RUnlock()
@@ -65,10 +68,14 @@
 	if h.stage.Swap(stage) == stage {
 		return
 	}
+	event.StopStage(h.Logger, stageNames[stage], h.sessionCount(), model.Millis(after))
+}
+
+// sessionCount returns the number of open sessions, those that other hosts pass on included.
+func (h *Host) sessionCount() int {
 	h.mutex.RLock()
-	sessions := len(h.openSessions)
-	h.mutex.RUnlock()
-	event.StopStage(h.Logger, stageNames[stage], sessions, model.Millis(after))
+	defer h.mutex.RUnlock()
+	return len(h.openSessions)
 }
 
 // closeListener closes the listener.
