--- a/internal/front/relay_test.go
+++ b/internal/front/relay_test.go
@@ -14,7 +14,7 @@
 // The sizes of the fleets with crowded instances: more hosts than half of the connections.
 const (
 	crowdedHosts       = 10
-	crowdedConnections = 12
+	crowdedConnections = 6
 )
 
 // newCrowdedFleet starts a fleet whose instances take too few connections for all hosts, and waits until some host passes its writes on.
@@ -245,7 +245,7 @@
 				return
 			}
 			defer s.Close()
-			for n := range 60 {
+			for n := range 200 {
 				if got, err := s.Query(fmt.Sprintf("WRITE k%d %d", i, n)); err != nil || got.Code != "" && got.Code != "BUSY" {
 					t.Errorf("got %+v, %v, want success or BUSY", got, err)
 				}
