--- a/internal/front/execution.go
+++ b/internal/front/execution.go
@@ -42,6 +42,7 @@
 	excluded          map[model.InstanceID]bool
 	elsewhere         bool                   // other hosts keep connections to some instance of the database, and pass this request on
 	unreached         map[model.Address]bool // holders that did not take the request
+	direct            bool                   // no further attempt is passed on
 	backend           *backend               // of the latest attempt
 	mayHaveRun        bool                   // an attempt may have run the statement
 }
@@ -127,7 +128,7 @@
 			}
 			return found, nil
 		}
-		if e.session.relayed && e.elsewhere {
+		if e.session.relayed && (e.elsewhere || primary.State == failover.Silent) {
 			return target{}, model.Refuse(model.CodeBehind, "no instance to which this host keeps connections would do")
 		}
 		if e.session.host.outOfTouch() {
