front: a commit without writes that was passed on is no proof that its instance leads

Cause: the reply of a holder to the commit of a transaction on the primary said that the instance led, also when nothing was written. Such a commit succeeds at an instance that no longer leads. The calling host took its position for the newest one, so that later reads could be staler than allowed, and a lost primary could look alive. The host's own path takes no such commit for a proof. Change: only a commit with writes is a proof. Result: TestProofsInReplies, case "reads": got proofs [true true], want [true false] before; passes now, also with -race.

--- a/internal/front/relay_internal_test.go
+++ b/internal/front/relay_internal_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -218,3 +219,87 @@
 		})
 	}
 }
+
+// agreeingPlatform is a platform whose instances do what they are asked.
+type agreeingPlatform struct{ Platform }
+
+// Dial opens a connection.
+func (agreeingPlatform) Dial(context.Context, directory.Instance, model.TenantID) (InstanceConn, error) {
+	return &agreeingConn{}, nil
+}
+
+// agreeingConn is a connection to such an instance.
+type agreeingConn struct {
+	InstanceConn
+	pending []statement.State // of the session after each command without a response
+}
+
+// Send takes commands.
+func (c *agreeingConn) Send(commands []statement.Command) error {
+	for _, command := range commands {
+		state := statement.Open
+		if command.Verb == statement.Commit || command.Verb == statement.Rollback {
+			state = statement.Idle
+		}
+		c.pending = append(c.pending, state)
+	}
+	return nil
+}
+
+// Receive returns the next response.
+func (c *agreeingConn) Receive(time.Time) (statement.Response, error) {
+	state := c.pending[0]
+	c.pending = c.pending[1:]
+	return statement.Response{State: state, Point: model.Point{Term: 1, Position: 5}}, nil
+}
+
+// Alive reports that the connection is open.
+func (*agreeingConn) Alive() bool { return true }
+
+// Close does nothing.
+func (*agreeingConn) Close() error { return nil }
+
+// TestProofsInReplies guards against a reply that is taken for a proof that its instance leads, which lets reads be staler than allowed:
+// a commit without writes succeeds at an instance that doesn't lead any more.
+func TestProofsInReplies(t *testing.T) {
+	tests := map[string]struct {
+		verb statement.Verb
+		want []bool // for the statement and for the commit
+	}{
+		"reads":  {verb: statement.Read, want: []bool{true, false}},
+		"writes": {verb: statement.Write, want: []bool{true, true}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			kind := model.Kind{ID: "desk", Database: "seats", Rank: model.RankOne, Goal: 5 * time.Second, Timeout: 5 * time.Second}
+			h := New()
+			h.Loop = control.New(fixedView{&controller.View{
+				Directory: &directory.Directory{Version: 1, Kinds: map[model.KindID]model.Kind{"desk": kind}},
+				Primaries: map[model.DatabaseID]controller.Primary{"seats": {Instance: "i1", State: failover.Leading}},
+			}})
+			h.Platform, h.Logger = agreeingPlatform{}, quietLogger()
+			b := h.addBackend(t.Context(), directory.Instance{Instance: model.Instance{ID: "i1", Database: "seats"}})
+			defer b.close()
+			b.scheduler.SetLimits(2, 2, false)
+			var got []bool
+			caller := &relayedCaller{session: relay.Session{Reply: func(reply *relay.Reply) error {
+				if reply.Refusal != nil {
+					t.Errorf("got refusal %v, want a response", reply.Refusal)
+				}
+				got = append(got, reply.Led)
+				return nil
+			}}}
+			limit := time.Now().Add(5 * time.Second)
+			s := &callerSession{host: h, caller: caller, kind: "desk", policy: kind, state: session.NewSession(), relayed: true, startLimit: limit, responseLimit: limit}
+			caller.owner, s.state.Transaction = s, statement.Open
+			for _, verb := range []statement.Verb{test.verb, statement.Commit} {
+				if err := s.handle(t.Context(), statement.Request{ID: "r", Statement: statement.Statement{Verb: verb}}); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if !slices.Equal(got, test.want) {
+				t.Errorf("got proofs %v, want %v", got, test.want)
+			}
+		})
+	}
+}
--- a/internal/front/transaction.go
+++ b/internal/front/transaction.go
@@ -324,7 +324,7 @@
 	if wrote {
 		s.state.RecordCommit(trip.response.Point)
 	}
-	e.recordServed(tx.readWrite)
+	e.recordServed(wrote) // a commit without writes succeeds at an instance that no longer leads
 	err := s.caller.SendResponse(&trip.response, statement.Idle)
 	tx.backend.scheduler.FinishTransaction(tx.permit, trip.drain())
 	return err
