relay: a test of the limits of sessions and of connections without a greeting

Cause: the limits had no test. Change: the table reaches each limit, and wants a call beyond it told as not run, and one after the release answered.

--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -380,3 +380,54 @@
 		})
 	}
 }
+
+// TestLimits guards against sessions and connections without bound, and against limits that stay reached after what reached them ended.
+func TestLimits(t *testing.T) {
+	tests := map[string]func(t *testing.T, client *Client, address model.Address) (release func()){
+		"sessions": func(t *testing.T, client *Client, address model.Address) func() {
+			var last *Call
+			for range sessionLimit {
+				last = newCall(client, "a")
+				if reply, err := client.Call(context.Background(), address, last); err != nil || reply.Refusal != nil {
+					t.Fatalf("got %+v, %v within the limit, want a response", reply, err)
+				}
+			}
+			return func() { client.End(address, last.Session) }
+		},
+		"connections without a greeting": func(t *testing.T, _ *Client, address model.Address) func() {
+			var conns []net.Conn
+			for range streamLimit {
+				conn, err := net.Dial("tcp4", string(address))
+				if err != nil {
+					t.Fatal(err)
+				}
+				conns = append(conns, conn)
+			}
+			return func() {
+				for _, conn := range conns {
+					_ = conn.Close()
+				}
+			}
+		},
+	}
+	for name, reach := range tests {
+		t.Run(name, func(t *testing.T) {
+			address, stop := startServer(t, answer)
+			defer stop()
+			client := startClient(t, testKey(1))
+			succeeds := func() bool {
+				reply, err := client.Call(context.Background(), address, newCall(client, "a"))
+				if err != nil && !errors.Is(err, ErrNotSent) || reply.Refusal != nil && !reply.Refusal.NotRun {
+					t.Fatalf("got %+v, %v, want a response or to be told that nothing has run", reply, err)
+				}
+				return err == nil && reply.Refusal == nil
+			}
+			release := reach(t, client, address)
+			if succeeds() {
+				t.Error("got a response beyond the limit, want none")
+			}
+			release()
+			waitFor(t, "a call is answered again", succeeds)
+		})
+	}
+}
