relay, mesh: messages that are passed on and questions for tokens are packed

Change: bodies from 192 bytes (relay) and 128 bytes (questions and answers) on are packed with the packer that heartbeats use.

--- a/internal/front/host.go
+++ b/internal/front/host.go
@@ -162,6 +162,7 @@
 	h.mesh.Logger = h.Logger
 	h.relays.Host = h.self.ID
 	h.relays.Key = h.mesh.Key
+	h.relays.Packer = h.mesh.Packer()
 	h.mesh.ConnectionLimit = h.listenerLimit()
 	h.mesh.Directory = func() *directory.Directory { return h.view().Directory }
 	if !h.unfenced() {
@@ -465,6 +466,7 @@
 	server.Host = h.self.ID
 	server.Address = h.self.Relay
 	server.Key = h.mesh.Key
+	server.Packer = h.mesh.Packer()
 	server.Serve = h.serveRelayed
 	server.Logger = h.Logger
 	return server
--- a/internal/mesh/heartbeat.go
+++ b/internal/mesh/heartbeat.go
@@ -92,7 +92,7 @@
 	if err := key.verifyMAC(purposeHeartbeat, body, datagram[:MACSize]); err != nil {
 		return heartbeat, err
 	}
-	if body, err = unpack(body); err != nil {
+	if body, err = Unpack(body); err != nil {
 		return heartbeat, err
 	}
 	var message meshapi.Beat
--- a/internal/mesh/node.go
+++ b/internal/mesh/node.go
@@ -61,7 +61,7 @@
 	key    atomic.Pointer[Key]
 	socket atomic.Pointer[net.UDPConn]
 	client *http.Client
-	packer packer
+	packer Packer
 }
 
 // New returns a node; set its exported fields before Run.
@@ -83,6 +83,9 @@
 // Key returns the hosts' shared key, or nil while it is not set.
 func (n *Node) Key() *Key { return n.key.Load() }
 
+// Packer returns the node's packer, which takes so much memory that others use it too.
+func (n *Node) Packer() *Packer { return &n.packer }
+
 // HasKey reports whether the key is set.
 func (n *Node) HasKey() bool { return n.key.Load() != nil }
 
@@ -208,7 +211,7 @@
 	}
 	body, err := encodeBeat(n.Now(), heartbeat)
 	if err == nil && receiver.Packing >= packing {
-		body, err = n.packer.pack(body)
+		body, err = n.packer.Pack(body)
 	}
 	if err != nil {
 		return nil, err
--- a/internal/mesh/node_test.go
+++ b/internal/mesh/node_test.go
@@ -129,7 +129,7 @@
 // TestUnpackRefuses checks that a packed message can't take more memory than a plain one, and that a broken one is refused.
 func TestUnpackRefuses(t *testing.T) {
 	pack := func(body []byte) []byte {
-		packed, err := new(packer).pack(body)
+		packed, err := new(Packer).Pack(body)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -147,7 +147,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			if message, err := unpack(test.body); (err == nil) != test.want {
+			if message, err := Unpack(test.body); (err == nil) != test.want {
 				t.Errorf("got %d bytes, %v, want them: %v", len(message), err, test.want)
 			}
 		})
@@ -386,7 +386,7 @@
 		f.Fatal(err)
 	}
 	f.Add(datagram[MACSize:])
-	packed, err := new(packer).pack(datagram[MACSize:])
+	packed, err := new(Packer).Pack(datagram[MACSize:])
 	if err != nil {
 		f.Fatal(err)
 	}
--- a/internal/mesh/pack.go
+++ b/internal/mesh/pack.go
@@ -27,15 +27,15 @@
 // errTooLarge is the error of a message that unpacks to more than maxMessageSize.
 var errTooLarge = errors.New("message too large")
 
-// packer compresses messages; it is safe for concurrent use.
-type packer struct {
+// Packer compresses messages; it is safe for concurrent use.
+type Packer struct {
 	mutex  sync.Mutex
 	buffer bytes.Buffer
 	writer *flate.Writer // nil until the first use, as it takes 0.8 MB
 }
 
-// pack returns the packed form of a message.
-func (p *packer) pack(body []byte) (packed []byte, err error) {
+// Pack returns the packed form of a message.
+func (p *Packer) Pack(body []byte) (packed []byte, err error) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.buffer.Reset()
@@ -59,8 +59,8 @@
 // unpackers holds readers of packed messages for reuse.
 var unpackers = sync.Pool{New: func() any { return flate.NewReaderDict(nil, []byte(packDictionary)) }}
 
-// unpack returns the message in a packed or plain body.
-func unpack(body []byte) (message []byte, err error) {
+// Unpack returns the message in a packed or plain body.
+func Unpack(body []byte) (message []byte, err error) {
 	if len(body) == 0 || body[0] != packMark {
 		return body, nil
 	}
--- a/internal/mesh/tokens.go
+++ b/internal/mesh/tokens.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	packFrom = 512       // bytes of a question or answer from which packing saves more than it costs
+	packFrom = 128       // bytes of a question or answer from which packing saves more than it costs
 	maxNext  = time.Hour // until the next token, as far as a message tells it
 )
 
@@ -52,7 +52,7 @@
 		return err
 	}
 	if len(body) >= packFrom {
-		if body, err = n.packer.pack(body); err != nil {
+		if body, err = n.packer.Pack(body); err != nil {
 			return err
 		}
 	}
@@ -108,7 +108,7 @@
 	if err := key.verifyMAC(purpose, body, datagram[:MACSize]); err != nil {
 		return nil, err
 	}
-	return unpack(body)
+	return Unpack(body)
 }
 
 // encodeQuestion returns the message of a question.
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -43,6 +43,8 @@
 	Host model.HostID
 	// Key returns the hosts' shared key, or nil while it is not known.
 	Key func() *mesh.Key
+	// Packer packs calls; nil for none.
+	Packer *mesh.Packer
 
 	sessions atomic.Uint64
 	mutex    sync.Mutex
@@ -242,6 +244,7 @@
 		return nil, err
 	}
 	s := &clientStream{stream: newStream(conn), waiting: make(map[SessionID]chan Reply), open: make(map[SessionID]struct{})}
+	s.packer = c.Packer
 	limit, _ := dialCtx.Deadline()
 	if err := s.greet(key, c.Host, limit); err != nil {
 		return nil, errors.Join(err, conn.Close())
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -39,6 +39,8 @@
 	Address model.Address
 	// Key returns the hosts' shared key, or nil while it is not known.
 	Key func() *mesh.Key
+	// Packer packs replies; nil for none.
+	Packer *mesh.Packer
 	// Serve serves one session; it has to return when Calls is closed.
 	Serve func(ctx context.Context, session Session)
 	// Logger receives events.
@@ -135,6 +137,7 @@
 		return mesh.ErrInvalidMAC
 	}
 	accepted := newStream(conn)
+	accepted.packer = s.Packer
 	if err := accepted.accept(key, s.Host); err != nil {
 		return err
 	}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -20,6 +20,8 @@
 const (
 	messageLimit    = 4 << 20          // bytes of one message
 	helloLimit      = 1 << 10          // bytes of the first message, whose sender is not authenticated yet
+	packFrom        = 192              // bytes of a message from which packing saves more than it costs
+	packMost        = 32 << 10         // bytes of a message up to which it is packed, below the limit of mesh.Unpack
 	keptBufferLimit = 64 << 10         // bytes of an output buffer that is kept for the next message
 	readBufferSize  = 4 << 10          // bytes; most messages fit
 	headerSize      = 4 + mesh.MACSize // length and MAC
@@ -43,7 +45,8 @@
 	conn   net.Conn
 	reader *bufio.Reader
 	peer   model.HostID
-	limit  uint32 // bytes of a message that is read
+	limit  uint32       // bytes of a message that is read
+	packer *mesh.Packer // of messages that are sent; nil for none
 
 	sealKey, openKey mesh.Key
 	received         uint64       // messages
@@ -136,6 +139,13 @@
 	if len(body) > messageLimit {
 		return errTooLarge
 	}
+	if s.packer != nil && len(body) >= packFrom && len(body) <= packMost {
+		packed, err := s.packer.Pack(body)
+		if err != nil {
+			return err
+		}
+		body = packed
+	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.sent++
@@ -174,5 +184,5 @@
 		return nil, fmt.Errorf("relay: message %d: %w", s.received, err)
 	}
 	s.heard.Store(time.Now().UnixNano())
-	return body, nil
+	return mesh.Unpack(body)
 }
