controller: where tenants have allowances, a minority deletes rows of silent hosts later

Cause: the parts of allowances follow the hosts' rows, and a side of a partition that deletes the rows of hosts which run on the other side grants their parts too (found by the review of package allowance). Change: a host that hears at most half of the hosts waits two minutes instead of one, only where the configuration has tenants. A partition of more than two minutes in which both sides serve a tenant beyond its limit stays open.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -25,6 +25,7 @@
 	FetchDelay        time.Duration // time that the store has to deliver a directory which another host already has, and between two fetches
 	RemoteFetchDelay  time.Duration // time after which a host that doesn't poll the store fetches from another data centre
 	RowRetention      time.Duration // silence after which a dead host's row is deleted
+	MinorityRetention time.Duration // the same by a host that hears only a minority, where tenants have allowances
 	PromotionTime     time.Duration // expected time from the order to the end of a promotion
 }
 
@@ -38,6 +39,7 @@
 		FetchDelay:        1200 * time.Millisecond, // usual time for a change to reach all hosts from the store
 		RemoteFetchDelay:  300 * time.Millisecond,  // heartbeats of hosts in the own data centre arrive meanwhile
 		RowRetention:      time.Minute,
+		MinorityRetention: 2 * time.Minute, // the hosts that it doesn't hear may run and grant tokens
 		PromotionTime:     time.Second,
 	}
 }
--- a/internal/controller/host.go
+++ b/internal/controller/host.go
@@ -327,12 +327,18 @@
 }
 
 // dueDeletion returns the deletion of the row of a host that is gone for good; only the first live host deletes rows.
+//
+// The tokens of tenants' allowances are divided by rows, so that a host that hears only a minority takes longer for that.
 func (c *Controller) dueDeletion(now time.Time, live []model.HostID) []Action {
 	if live[0] != c.Self.ID {
 		return nil
 	}
+	retention := c.Timing.RowRetention
+	if c.directory.Directory().Keyed && 2*len(live) <= len(c.hosts)+1 {
+		retention = c.Timing.MinorityRetention
+	}
 	for id, known := range c.hosts {
-		if known.dead && now.Sub(known.lastHeard) > c.Timing.RowRetention && now.Sub(c.started) > c.Timing.RowRetention {
+		if known.dead && now.Sub(known.lastHeard) > retention && now.Sub(c.started) > retention {
 			delete(c.hosts, id)
 			c.membership++
 			return []Action{DeleteHostRow{Host: id}}
