allowance: assign parts by the hosts' rows, without votes and takeover

Cause: a host granted tokens only while it heard more than half of the hosts. After a loss of power the hosts that came back first were a minority and refused nearly every operation, though the tenants were inside their limits.

Change: a part belongs to a host by the hash order over all hosts with rows, heard or not, and is granted whether or not others are heard. Votes, provisional parts and the handover time are removed. A host that has not heard a majority for 45 s grants nothing except for covered tenants and begins again with one token per part, since its row may have been deleted and made again. Parts that a host has from its start refill from the start. Covered tenants follow the heard hosts where a majority is heard. At least four parts. Times in refusals count the parts that can be reached. Parts refill faster by half of what the tolerance leaves after one part granted twice, the first token of each part and the validity of tokens. front no longer resets the book after a pause.

The reserve for urgent ranks stays.

--- a/internal/allowance/book.go
+++ b/internal/allowance/book.go
@@ -10,11 +10,9 @@
 
 const (
 	maxWaiting = 4096 // operations of a tenant that wait at a host
-	// majorityLife is how long a host grants tokens without a call of SetHosts with more than half of the hosts.
-	majorityLife = 2 * time.Second
-	// handover is how long a new keeper waits while its part may still be granted by the previous one: hosts take another one for
-	// dead 1.2 to 3.5 s after its last heartbeat.
-	handover = 2300 * time.Millisecond
+	// lapseTime is how long a host grants tokens without hearing more than half of the hosts. It is less than the minute of silence
+	// after which others delete the host's row and take its parts, by more than the 3.5 s for which a silent host may count as live.
+	lapseTime = 45 * time.Second
 )
 
 // Book is one host's view of the allowances of all tenants.
@@ -28,30 +26,34 @@
 	tenants     map[model.TenantID]*tenant[T]
 	configured  bool // limits have been set
 	live        []Host
-	all         []Host        // with rows
-	known       int           // number of all
-	majorityAt  model.Instant // when this host heard more than half of the hosts last
-	majority    bool
+	all         []Host // with rows
+	madeAt      model.Instant
+	placed      bool          // the parts that this host kept from its start are known
+	majority    bool          // this host hears more than half of the hosts
+	majorityAt  model.Instant // when it did last
+	lapse       time.Duration // lapseTime, except in tests
 	active      []*tenant[T]  // tenants whose operations wait
-	provisional []*tenant[T]  // tenants of which this host keeps provisional parts
-	votesAt     model.Instant // when votes are asked next
 	inFlight    []*question   // in the order of their sequences
 	lastDue     model.Instant
 }
 
-// New returns the book of a host; set its exported fields before use.
-func New[T any](self Host, incarnation model.Incarnation) *Book[T] {
+// New returns the book of a host that starts now; set its exported fields before use.
+func New[T any](self Host, incarnation model.Incarnation, now model.Instant) *Book[T] {
 	return &Book[T]{
 		self:        self,
 		incarnation: incarnation,
 		sequence:    model.Sequence(incarnation), // so that an answer to an earlier incarnation matches no question
 		tenants:     make(map[model.TenantID]*tenant[T]),
+		madeAt:      now,
+		majorityAt:  now,
+		lapse:       lapseTime,
 	}
 }
 
 // SetLimits sets the limits of all tenants; a tenant that isn't listed is not limited.
 func (b *Book[T]) SetLimits(now model.Instant, limits map[model.TenantID]Limit) {
 	b.configured = true
+	from := b.acquiredAt(now)
 	for id, t := range b.tenants {
 		if _, ok := limits[id]; !ok {
 			b.drop(t)
@@ -65,74 +67,93 @@
 		}
 		if limit := limits[id].bounded(); !t.limited || limit != t.limit {
 			t.setLimit(now, b.Tolerance, limit)
-			b.place(now, t)
+			b.place(t, from)
 		}
 	}
-	b.listProvisional()
+	b.recordPlaced()
 }
 
 // drop removes a tenant; operations that wait are decided by the next Due.
 func (b *Book[T]) drop(t *tenant[T]) {
 	t.limited = false
-	t.keep(0, 0, 0, 0)
+	t.keep(0, 0)
 	delete(b.tenants, t.id)
 }
 
-// SetHosts sets the hosts that this one hears and all hosts that have rows, both with this one. The host grants tokens only while the
-// calls show more than half of the hosts, so SetHosts has to be called at least once a second.
+// SetHosts sets the hosts that this one hears and all hosts that have rows. It has to be called at least once a second, since a host
+// that isn't told of more than half of the hosts for lapseTime grants no more tokens.
 func (b *Book[T]) SetHosts(now model.Instant, live, all []Host) {
-	resumes := !b.grants(now)
-	if resumes { // others may have granted its parts meanwhile
-		for _, t := range b.tenants {
-			t.keep(0, 0, now, now)
-		}
-	}
-	b.majority = 2*len(live) > len(all)
-	if b.majority {
+	lapsed, majority := b.lapsed(now), 2*len(live) > len(all)
+	live, all = sortedByID(live), sortedByID(all)
+	changed := majority != b.majority || !slices.Equal(live, b.live) || !slices.Equal(all, b.all)
+	b.live, b.all, b.majority = live, all, majority
+	if majority {
 		b.majorityAt = now
 	}
-	live, all = sortedByID(live), sortedByID(all)
-	changed := !slices.Equal(all, b.all) || !slices.Equal(live, b.live)
-	b.live, b.all, b.known = live, all, len(all)
-	if !changed && !(resumes && b.majority) {
+	resumes := lapsed && majority
+	if !changed && !resumes {
 		return
 	}
+	from := b.acquiredAt(now)
 	for _, t := range b.tenants {
-		b.place(now, t)
+		if resumes && !t.covered { // its row may have been deleted and made again, so that others granted its parts
+			t.keep(0, 0)
+		}
+		b.place(t, from)
 	}
-	b.votesAt = now
-	b.listProvisional()
+	b.recordPlaced()
 }
 
-// grants reports whether this host hears more than half of the hosts and may grant tokens.
-func (b *Book[T]) grants(now model.Instant) bool {
-	return b.majority && now.Sub(b.majorityAt) <= majorityLife
+// acquiredAt returns the time from which parts refill that this host acquires now. Nobody else granted those that it has from its start.
+func (b *Book[T]) acquiredAt(now model.Instant) model.Instant {
+	if b.placed {
+		return now
+	}
+	return b.madeAt
 }
 
-// place determines the keepers of a tenant's parts.
-func (b *Book[T]) place(now model.Instant, t *tenant[T]) {
-	t.order = hashOrder(t.id, b.live)
-	count, from := 0, now.Add(handover)
-	if b.majority {
-		count = t.shareOf(b.self.ID)
-	}
-	certain := count // parts that no other host keeps, or that the tolerance covers twice
-	if len(b.live) < b.known && !t.covered {
-		certain = min(count, t.shareIn(hashOrder(t.id, b.all), b.self.ID))
-	}
-	for i := range t.own[:min(certain, len(t.own))] {
-		t.own[i].at, t.own[i].provisional = min(t.own[i].at, now), false
-	}
-	t.keep(certain, count, now, from)
+// recordPlaced records whether the parts that this host has from its start are known.
+func (b *Book[T]) recordPlaced() { b.placed = b.placed || (len(b.tenants) > 0 && len(b.all) > 0) }
+
+// lapsed reports whether others may have deleted this host's row since it heard more than half of the hosts.
+func (b *Book[T]) lapsed(now model.Instant) bool { return now.Sub(b.majorityAt) > b.lapse }
+
+// grants reports whether this host may grant tokens of its parts of a tenant.
+func (b *Book[T]) grants(now model.Instant, t *tenant[T]) bool { return t.covered || !b.lapsed(now) }
+
+// hears reports whether this host hears another one.
+func (b *Book[T]) hears(id model.HostID) bool {
+	_, found := slices.BinarySearchFunc(b.live, id, func(h Host, id model.HostID) int { return compareIDs(h.ID, id) })
+	return found
+}
+
+// place determines the keepers of a tenant's parts; those that this host acquires refill from a time on.
+func (b *Book[T]) place(t *tenant[T], from model.Instant) {
+	order := hashOrder(t.id, b.candidates(t))
+	t.keep(t.shareIn(order, b.self.ID), from)
+	reached := len(t.own)
 	var keepers []*keeper
-	for _, host := range b.preferred(t.id, t.order[:min(len(t.order), t.parts)]) {
+	for _, host := range b.preferred(t.id, order[:min(len(order), t.parts)]) {
+		if !b.hears(host.ID) {
+			continue
+		}
+		reached += t.shareIn(order, host.ID)
 		k := t.keeperOf(host.ID)
 		if k == nil {
 			k = &keeper{host: host.ID}
 		}
 		keepers = append(keepers, k)
 	}
-	t.keepers = keepers
+	t.keepers, t.reached = keepers, t.size.rate*float64(reached)
+}
+
+// candidates returns the hosts among which a tenant's parts are distributed. They are all hosts with rows, heard or not, so that no two
+// hosts grant the same part. Where the tolerance covers all parts granted twice, the hosts that hear a majority pass over silent ones.
+func (b *Book[T]) candidates(t *tenant[T]) []Host {
+	if t.covered && b.majority {
+		return b.live
+	}
+	return b.all
 }
 
 // Spend spends a token for an operation. Without one, the operation waits until its deadline, or is refused if the tenant gets no
@@ -176,7 +197,7 @@
 
 // takeOwn spends a token of the parts that this host keeps.
 func (b *Book[T]) takeOwn(now model.Instant, t *tenant[T], rank model.Rank) bool {
-	return b.grants(now) && t.takeOwn(now, rank, 1) == 1
+	return b.grants(now, t) && t.takeOwn(now, rank, 1) == 1
 }
 
 // earliest returns when a further operation would get a token; known is false if some keeper may have one now.
@@ -184,7 +205,7 @@
 	if t.limit.none() {
 		return now.Add(maxNext), true
 	}
-	if b.grants(now) {
+	if b.grants(now, t) {
 		at, known = t.ownEarliest(now, rank)
 	}
 	for _, k := range t.keepers {
@@ -202,7 +223,7 @@
 	if !known {
 		return 0, false
 	}
-	return max(at, now.Add(seconds(float64(t.waiting(rank))/float64(t.limit.Rate)))), true
+	return max(at, now.Add(seconds(float64(t.waiting(rank))/t.reached))), true
 }
 
 // Cancel removes an operation that waits; it has no effect on one that is decided.
--- a/internal/allowance/bucket.go
+++ b/internal/allowance/bucket.go
@@ -27,21 +27,7 @@
 // bucket holds the tokens of one part.
 type bucket struct {
 	tokens float64
-	at     model.Instant // when tokens was computed; in the future while the part may still be granted by its previous keeper
-	// provisional is set for a part that was acquired while hosts were missing; it needs the votes of more than half of the hosts.
-	provisional    bool
-	confirmedUntil model.Instant
-}
-
-// usable reports whether the part may be granted as far as votes are concerned.
-func (b *bucket) usable(now model.Instant) bool { return !b.provisional || now < b.confirmedUntil }
-
-// confirm makes a provisional part usable. Other hosts may have granted it before, so that it begins with one token.
-func (b *bucket) confirm(now, until model.Instant) {
-	if !b.usable(now) {
-		b.tokens, b.at = 1, max(b.at, now)
-	}
-	b.confirmedUntil = until
+	at     model.Instant // when tokens was computed
 }
 
 // refill adds the tokens of the time that has passed.
@@ -55,9 +41,6 @@
 
 // take returns up to count whole tokens for a rank and removes them.
 func (b *bucket) take(now model.Instant, s size, rank model.Rank, count int) int {
-	if now < b.at || !b.usable(now) {
-		return 0
-	}
 	b.refill(now, s)
 	taken := min(int(max(b.tokens-s.reserve(rank)+rounding, 0)), count)
 	b.tokens -= float64(taken)
--- a/internal/allowance/keeper.go
+++ b/internal/allowance/keeper.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"slices"
 	"time"
 
 	"redwingspread/internal/model"
@@ -20,31 +19,29 @@
 	return answer
 }
 
-// grant grants tokens to a host. An Ask for no tokens is answered with the number of parts that the host keeps in this host's view.
+// grant grants tokens to a host. Hosts of an earlier release send Asks for no tokens, which are granted none.
 func (b *Book[T]) grant(now model.Instant, from model.HostID, ask Ask) Grant {
 	grant := Grant{Tenant: ask.Tenant, Rank: ask.Rank}
 	t := b.tenants[ask.Tenant]
-	if ask.Count == 0 && t != nil {
-		grant.Granted = t.shareOf(from)
-		return grant
-	}
-	if !b.configured || !b.grants(now) {
+	if ask.Count == 0 || !b.configured {
 		return grant
 	}
 	if t == nil { // the asking host has an older configuration
-		grant.Granted = ask.Count
+		if !b.lapsed(now) {
+			grant.Granted = ask.Count
+		}
 		return grant
 	}
 	if t.limit.none() {
 		grant.Next = maxNext
 		return grant
 	}
-	if len(t.own) == 0 {
+	if len(t.own) == 0 || !b.grants(now, t) {
 		return grant
 	}
 	grant.Granted = t.takeOwn(now, ask.Rank, ask.Count)
 	b.recordBacklog(now, t, from, ask.Rank, max(ask.Waiting-grant.Granted, 0))
-	if next, ok := t.ownNext(now, ask.Rank); ok && grant.Granted < ask.Count && next > now {
+	if next, ok := t.ownNext(ask.Rank); ok && grant.Granted < ask.Count && next > now {
 		earliest, _ := t.ownEarliest(now, ask.Rank)
 		grant.Next = min(earliest.Sub(now), maxNext)
 	}
@@ -53,7 +50,7 @@
 
 // recordBacklog records how many operations of a rank wait at a live host.
 func (b *Book[T]) recordBacklog(now model.Instant, t *tenant[T], from model.HostID, rank model.Rank, waiting int) {
-	if !slices.ContainsFunc(b.live, func(h Host) bool { return h.ID == from }) {
+	if !b.hears(from) {
 		return
 	}
 	if t.backlog == nil {
--- a/internal/allowance/limit.go
+++ b/internal/allowance/limit.go
@@ -21,6 +21,8 @@
 }
 
 const (
+	// minParts leaves three quarters of the allowance when one keeper is dead, more than the usual demand of 1/1.6 of the rate.
+	minParts = 4
 	maxParts = 10
 	maxRate  = 1e9
 	// validity is how long a token may be spent after the question for it was sent.
@@ -62,10 +64,21 @@
 func (t Tolerance) parts(l Limit) int {
 	count := float64(maxParts)
 	if beyond := t.beyond(l); beyond > 0 {
-		count = min(max(math.Ceil(t.total(l)/beyond), 2), maxParts)
+		count = min(max(math.Ceil(t.total(l)/beyond), minParts), maxParts)
 	}
 	return max(int(min(count, l.capacity())), 1)
 }
 
+// bonus returns operations a second that all parts together grant beyond the rate: half of what the rule allows beyond the limit, one part
+// granted twice (all parts, where that is covered), the first token of each part at a new keeper and the tokens granted before a window.
+func (t Tolerance) bonus(l Limit) float64 {
+	parts, twice := float64(t.parts(l)), t.total(l)
+	if !t.coversAll(l) {
+		twice /= parts
+	}
+	early := max(l.capacity()+float64(l.Rate)*validity.Seconds()-float64(l.Burst), 0)
+	return max(t.beyond(l)-twice-parts-early, 0) / 2 / t.Window.Seconds()
+}
+
 // coversAll reports whether all parts granted twice stay within the tolerance.
 func (t Tolerance) coversAll(l Limit) bool { return t.total(l) <= t.beyond(l) }
--- a/internal/allowance/message.go
+++ b/internal/allowance/message.go
@@ -25,7 +25,7 @@
 type Ask struct {
 	Tenant  model.TenantID
 	Rank    model.Rank
-	Count   int // tokens asked of this keeper; zero asks for a vote
+	Count   int // tokens asked of this keeper
 	Waiting int // operations of the rank that wait at the asking host
 }
 
@@ -40,7 +40,7 @@
 type Grant struct {
 	Tenant  model.TenantID
 	Rank    model.Rank
-	Granted int           // tokens; or the vote, the number of parts that the asking host keeps in the answering one's view
+	Granted int           // tokens
 	Next    time.Duration // until a further operation gets a token; zero if the keeper can't tell
 }
 
--- a/internal/allowance/place.go
+++ b/internal/allowance/place.go
@@ -51,9 +51,6 @@
 	return sortByWeight(hosts, func(h Host) uint64 { return weight(string(tenant), string(h.ID)) })
 }
 
-// shareOf returns how many parts a host keeps.
-func (t *tenant[T]) shareOf(host model.HostID) int { return t.shareIn(t.order, host) }
-
 // shareIn returns how many parts a host keeps among hosts in the tenant's order.
 func (t *tenant[T]) shareIn(order []Host, host model.HostID) int {
 	index := slices.IndexFunc(order, func(h Host) bool { return h.ID == host })
@@ -65,7 +62,9 @@
 
 // sortedByID returns the hosts in the order of their ids.
 func sortedByID(hosts []Host) []Host {
-	return slices.SortedFunc(slices.Values(hosts), func(x, y Host) int { return compareIDs(x.ID, y.ID) })
+	sorted := slices.Clone(hosts)
+	slices.SortFunc(sorted, func(x, y Host) int { return compareIDs(x.ID, y.ID) })
+	return sorted
 }
 
 // preferred returns the other hosts among the keepers, nearest first. The order of equally near ones differs between hosts.
--- a/internal/allowance/spender.go
+++ b/internal/allowance/spender.go
@@ -39,10 +39,6 @@
 		if t == nil {
 			continue
 		}
-		if ask.Count == 0 {
-			b.acceptVote(now, q, t, answer)
-			continue
-		}
 		i := slices.IndexFunc(answer.Parts, func(g Grant) bool { return g.Tenant == ask.Tenant && g.Rank == ask.Rank })
 		grant := Grant{}
 		if i >= 0 {
@@ -130,7 +126,7 @@
 	for _, to := range asks {
 		questions = b.compose(now, to, questions)
 	}
-	return b.askVotes(now, questions), decisions
+	return questions, decisions
 }
 
 // expireQuestions gives up questions without an answer.
@@ -272,7 +268,7 @@
 			sentAt:   now,
 		}
 		for _, ask := range q.Parts {
-			if k := b.tenants[ask.Tenant].keeperOf(o.to); k != nil && ask.Count > 0 {
+			if k := b.tenants[ask.Tenant].keeperOf(o.to); k != nil {
 				k.sequence = b.sequence
 			}
 		}
@@ -283,16 +279,13 @@
 	return questions
 }
 
-// Next returns when Due has to be called; due is false while no operation waits and no vote is needed.
+// Next returns when Due has to be called; due is false while no operation waits.
 func (b *Book[T]) Next() (at model.Instant, due bool) {
-	if len(b.provisional) > 0 {
-		at, due = b.votesAt, true
-	}
 	for _, t := range b.active {
 		if t.waiting(model.RankThree) == 0 {
 			continue
 		}
-		if next := t.nextDue(b.lastDue, b.grants(b.lastDue)); !due || next < at {
+		if next := t.nextDue(b.lastDue, b.grants(b.lastDue, t)); !due || next < at {
 			at, due = next, true
 		}
 	}
@@ -315,7 +308,7 @@
 	if !t.limited || t.limit.none() {
 		return 0
 	}
-	if next, ok := t.ownNext(now, t.mostUrgent()); ok && keeps {
+	if next, ok := t.ownNext(t.mostUrgent()); ok && keeps {
 		at = min(at, max(next, t.pausedUntil))
 	}
 	if !t.uncovered() {
--- a/internal/allowance/tenant.go
+++ b/internal/allowance/tenant.go
@@ -16,13 +16,12 @@
 	size    size
 	covered bool // the tolerance covers all parts granted twice
 
-	order       []Host                         // the live hosts in hash order
-	votes       map[model.HostID]vote          // on the provisional parts that this host keeps
 	own         []bucket                       // the parts that this host keeps
 	backlog     map[model.HostID]*hostsBacklog // operations that wait at other hosts
 	pausedUntil model.Instant                  // while others wait, this host's own operations get no token of its parts before
 
-	keepers  []*keeper // the other hosts that keep parts, in the order in which they are asked
+	keepers  []*keeper // the other hosts that keep parts and are heard, in the order in which they are asked
+	reached  float64   // tokens a second of the parts of the keepers and of this host
 	held     []batch
 	queues   [model.RankCount]queue[T]
 	asked    [model.RankCount]int // tokens in questions that are not answered yet
@@ -127,11 +126,8 @@
 }
 
 // ownNext returns when a part that this host keeps has a token for a rank.
-func (t *tenant[T]) ownNext(now model.Instant, rank model.Rank) (at model.Instant, ok bool) {
+func (t *tenant[T]) ownNext(rank model.Rank) (at model.Instant, ok bool) {
 	for i := range t.own {
-		if !t.own[i].usable(now) {
-			continue
-		}
 		if next := t.own[i].next(t.size, rank); !ok || next < at {
 			at, ok = next, true
 		}
@@ -141,8 +137,8 @@
 
 // ownEarliest returns when a further operation of a rank would get a token of this host's parts, after those that wait.
 func (t *tenant[T]) ownEarliest(now model.Instant, rank model.Rank) (at model.Instant, ok bool) {
-	at, ok = t.ownNext(now, rank)
-	return max(at, now.Add(seconds(float64(t.ahead(now, rank))/float64(t.limit.Rate)))), ok
+	at, ok = t.ownNext(rank)
+	return max(at, now.Add(seconds(float64(t.ahead(now, rank))/t.reached))), ok
 }
 
 // setLimit changes the limit; the parts that this host keeps hold no more tokens than before.
@@ -152,28 +148,22 @@
 	}
 	t.limit, t.limited = limit, true
 	t.parts = tolerance.parts(limit)
-	t.size = size{rate: float64(limit.Rate) / float64(t.parts), burst: max(limit.capacity()/float64(t.parts), 1)}
+	t.size = size{rate: (float64(limit.Rate) + tolerance.bonus(limit)) / float64(t.parts), burst: max(limit.capacity()/float64(t.parts), 1)}
 	t.covered = tolerance.coversAll(limit)
 	for i := range t.own {
 		t.own[i].tokens = min(t.own[i].tokens, t.size.burst)
 	}
 }
 
-// keep sets the number of parts that this host keeps. A new one begins with one token. The first ones are certain and granted from now
-// on; the others are provisional, as hosts are missing that may keep them, and granted from the given time on.
-func (t *tenant[T]) keep(certain, count int, now, from model.Instant) {
-	if count < len(t.own) {
-		t.own = t.own[:count]
-	}
+// keep sets the number of parts that this host keeps. A new one begins with one token at a time, since its previous keeper may have
+// granted the others.
+func (t *tenant[T]) keep(count int, from model.Instant) {
+	t.own = t.own[:min(count, len(t.own))]
 	for len(t.own) < count {
-		if len(t.own) < certain {
-			t.own = append(t.own, bucket{tokens: 1, at: now})
-		} else {
-			t.own = append(t.own, bucket{tokens: 1, at: from, provisional: true})
-		}
+		t.own = append(t.own, bucket{tokens: 1, at: from})
 	}
 	if count == 0 {
-		t.backlog, t.votes = nil, nil
+		t.backlog = nil
 	}
 }
 
--- a/internal/front/allowances.go
+++ b/internal/front/allowances.go
@@ -16,9 +16,6 @@
 const (
 	// fleetRefreshInterval is the time between two updates of the hosts that this one hears.
 	fleetRefreshInterval = 250 * time.Millisecond
-	// suspensionTime is the time without such an update after which the host has been suspended, or starved of processor time, so that
-	// others may have taken its part in the allowances.
-	suspensionTime = time.Second
 	// leastAllowanceWait keeps the goroutine that asks for tokens from running all the time.
 	leastAllowanceWait = time.Millisecond
 )
@@ -48,7 +45,8 @@
 // newAllowances returns the allowances of a host whose settings and mesh are set.
 func newAllowances(h *Host) *allowances {
 	self := allowance.Host{ID: h.self.ID, DataCentre: h.self.DataCentre, Region: h.regions[h.self.DataCentre]}
-	a := &allowances{host: h, book: allowance.New[chan tokenResult](self, h.self.Incarnation), wake: make(chan struct{}, 1)}
+	a := &allowances{host: h, wake: make(chan struct{}, 1)}
+	a.book = allowance.New[chan tokenResult](self, h.self.Incarnation, clock.Boot())
 	a.book.Tolerance = allowance.Tolerance{
 		Window: h.Settings.AllowanceWindow,
 		Excess: h.Settings.AllowanceExcess,
@@ -118,9 +116,6 @@
 	if view.Fleet == nil || (view.Fleet == a.fleet && now.Sub(a.refreshed) < fleetRefreshInterval) {
 		return
 	}
-	if a.refreshed != 0 && now.Sub(a.refreshed) > suspensionTime {
-		a.book.SetHosts(now, nil, a.hosts(view.Fleet.All))
-	}
 	if view.Fleet != a.fleet {
 		a.fleet = view.Fleet
 		a.addresses = make(map[model.HostID]model.Address, len(view.Fleet.Live))
