Usual names for the host of a part and for the admission of sessions

Cause: keeper and doorkeeper are no usual terms for the host that grants a part of an allowance and for what admits new sessions. Result: the tests of allowance and of session admission pass.

--- a/internal/allowance/book.go
+++ b/internal/allowance/book.go
@@ -127,24 +127,24 @@
 	return found
 }
 
-// place determines the keepers of a tenant's parts; those that this host acquires refill from a time on.
+// place determines the owners of a tenant's parts; those that this host acquires refill from a time on.
 func (b *Book[T]) place(t *tenant[T], from model.Instant) {
 	order := hashOrder(t.id, b.candidates(t))
 	t.keep(t.shareIn(order, b.self.ID), from)
 	reached := len(t.own)
-	var keepers []*keeper
+	var owners []*owner
 	for _, host := range b.preferred(t.id, order[:min(len(order), t.parts)]) {
 		if !b.hears(host.ID) {
 			continue
 		}
 		reached += t.shareIn(order, host.ID)
-		k := t.keeperOf(host.ID)
+		k := t.ownerOf(host.ID)
 		if k == nil {
-			k = &keeper{host: host.ID}
+			k = &owner{host: host.ID}
 		}
-		keepers = append(keepers, k)
+		owners = append(owners, k)
 	}
-	t.keepers, t.reached = keepers, t.size.rate*float64(reached)
+	t.owners, t.reached = owners, t.size.rate*float64(reached)
 }
 
 // candidates returns the hosts among which a tenant's parts are distributed. They are all hosts with rows, heard or not, so that no two
@@ -200,7 +200,7 @@
 	return b.grants(now, t) && t.takeOwn(now, rank, 1) == 1
 }
 
-// earliest returns when a further operation would get a token; known is false if some keeper may have one now.
+// earliest returns when a further operation would get a token; known is false if some owner may have one now.
 func (b *Book[T]) earliest(now model.Instant, t *tenant[T], rank model.Rank) (at model.Instant, known bool) {
 	if t.limit.none() {
 		return now.Add(maxNext), true
@@ -208,7 +208,7 @@
 	if b.grants(now, t) {
 		at, known = t.ownEarliest(now, rank)
 	}
-	for _, k := range t.keepers {
+	for _, k := range t.owners {
 		if now < k.silentUntil {
 			continue
 		}
--- a/internal/allowance/book_test.go
+++ b/internal/allowance/book_test.go
@@ -175,7 +175,7 @@
 			b := bookOf(hosts[0], hosts, Limit{1, 4})
 			b.tenants[tenantID].own = nil // all parts are kept by the other host
 			b.SetHosts(now, append(hosts, Host{ID: "h2"}), append(hostsNamed(2), Host{ID: "h2"}))
-			b.tenants[tenantID].own, b.tenants[tenantID].keepers = nil, []*keeper{{host: "h1"}}
+			b.tenants[tenantID].own, b.tenants[tenantID].owners = nil, []*owner{{host: "h1"}}
 			ranks := []model.Rank{2, 2, 2}
 			for _, rank := range ranks {
 				if verdict, _ := b.Spend(now, tenantID, rank, now.Add(5*second), &Waiter[int]{}); verdict != Waiting {
--- a/internal/allowance/limit.go
+++ b/internal/allowance/limit.go
@@ -21,7 +21,7 @@
 }
 
 const (
-	// minParts leaves three quarters of the allowance when one keeper is dead, more than the usual demand of 1/1.6 of the rate.
+	// minParts leaves three quarters of the allowance when one owner is dead, more than the usual demand of 1/1.6 of the rate.
 	minParts = 4
 	maxParts = 10
 	maxRate  = 1e9
@@ -70,7 +70,7 @@
 }
 
 // bonus returns operations a second that all parts together grant beyond the rate: half of what the rule allows beyond the limit, one part
-// granted twice (all parts, where that is covered), the first token of each part at a new keeper and the tokens granted before a window.
+// granted twice (all parts, where that is covered), the first token of each part at a new owner and the tokens granted before a window.
 func (t Tolerance) bonus(l Limit) float64 {
 	if t.Window <= 0 {
 		return 0
--- a/internal/allowance/message.go
+++ b/internal/allowance/message.go
@@ -25,7 +25,7 @@
 type Ask struct {
 	Tenant  model.TenantID
 	Rank    model.Rank
-	Count   int // tokens asked of this keeper
+	Count   int // tokens asked of this owner
 	Waiting int // operations of the rank that wait at the asking host
 }
 
@@ -41,7 +41,7 @@
 	Tenant  model.TenantID
 	Rank    model.Rank
 	Granted int           // tokens
-	Next    time.Duration // until a further operation gets a token; zero if the keeper can't tell
+	Next    time.Duration // until a further operation gets a token; zero if the owner can't tell
 }
 
 // Outgoing is a question and the host to send it to.
--- a/internal/allowance/place.go
+++ b/internal/allowance/place.go
@@ -67,9 +67,9 @@
 	return sorted
 }
 
-// preferred returns the other hosts among the keepers, nearest first. The order of equally near ones differs between hosts.
-func (b *Book[T]) preferred(tenant model.TenantID, keepers []Host) []Host {
-	others := slices.DeleteFunc(slices.Clone(keepers), func(h Host) bool { return h.ID == b.self.ID })
+// preferred returns the other hosts among the owners, nearest first. The order of equally near ones differs between hosts.
+func (b *Book[T]) preferred(tenant model.TenantID, owners []Host) []Host {
+	others := slices.DeleteFunc(slices.Clone(owners), func(h Host) bool { return h.ID == b.self.ID })
 	others = sortByWeight(others, func(h Host) uint64 { return weight(string(tenant), string(h.ID), string(b.self.ID)) })
 	slices.SortStableFunc(others, func(x, y Host) int { return cmp.Compare(b.distance(x), b.distance(y)) })
 	return others
--- a/internal/allowance/scenario_test.go
+++ b/internal/allowance/scenario_test.go
@@ -63,7 +63,7 @@
 	}
 }
 
-// split cuts the first keepers off from the other hosts, which notice that earlier than they do, and from the store.
+// split cuts the first owners off from the other hosts, which notice that earlier than they do, and from the store.
 func split(w *world) {
 	side := w.order[:(len(w.nodes)-1)/2]
 	divide(w, func(i int) int { return min(slices.Index(side, i), 0) + 1 })
@@ -89,7 +89,7 @@
 	}
 }
 
-// cutFirst returns an event that cuts the link between the first keeper and another host of the order.
+// cutFirst returns an event that cuts the link between the first owner and another host of the order.
 func cutFirst(other int) func(*world) {
 	return func(w *world) {
 		i, j := w.order[0], w.order[other]
@@ -113,7 +113,7 @@
 	}
 }
 
-// joinUnheard starts the first host of the order, which the one after it and the last keeper don't hear or read of.
+// joinUnheard starts the first host of the order, which the one after it and the last owner don't hear or read of.
 func joinUnheard(w *world) {
 	first := w.order[0]
 	for _, i := range []int{w.order[1], w.order[10]} {
@@ -160,8 +160,8 @@
 	}
 }
 
-// restartKeepers restarts the first keepers.
-var restartKeepers = stopFirst(10, 20*time.Millisecond, true)
+// restartOwners restarts the first owners.
+var restartOwners = stopFirst(10, 20*time.Millisecond, true)
 
 // scenarios are the courses of events in which the rule is checked.
 var scenarios = map[string]scenario{
@@ -172,9 +172,9 @@
 	"answers held up": {hosts: 13, limit: Limit{300, 300}, demand: steady(900), length: 14 * second, away: true,
 		delay: func(at time.Duration) time.Duration { return max(0, 8*second-at) }},
 	"callers leave": {hosts: 20, limit: Limit{300, 300}, demand: pulses(10*second, 2000), length: 16 * second, leave: 10 * second, away: true},
-	"a keeper cut off from the next": {hosts: 12, limit: Limit{1000, 1000}, demand: from(8*second, 3000), length: 18 * second,
+	"an owner cut off from the next": {hosts: 12, limit: Limit{1000, 1000}, demand: from(8*second, 3000), length: 18 * second,
 		events: events{second: cutFirst(10)}},
-	"two keepers cut off from each other": {hosts: 12, limit: Limit{1000, 1000}, demand: from(8*second, 3000), length: 18 * second,
+	"two owners cut off from each other": {hosts: 12, limit: Limit{1000, 1000}, demand: from(8*second, 3000), length: 18 * second,
 		events: events{second: cutFirst(1)}},
 	"two hosts of three cut off from each other": {hosts: 3, limit: Limit{1000, 1000}, demand: from(8*second, 3000), length: 18 * second,
 		events: events{second: cutFirst(1)}},
@@ -192,21 +192,21 @@
 		events: events{3 * second: splitRegions, 15 * second: heal}},
 	"hosts join": {hosts: 20, joins: 9, limit: Limit{1000, 1000}, demand: from(3*second, 2500), length: 10 * second,
 		events: events{4 * second: join}},
-	"a host joins unheard by a keeper": {hosts: 20, joins: 1, limit: Limit{1000, 1000}, demand: from(3*second, 4000), length: 10 * second,
+	"a host joins unheard by an owner": {hosts: 20, joins: 1, limit: Limit{1000, 1000}, demand: from(3*second, 4000), length: 10 * second,
 		events: events{second: joinUnheard}},
 	"most hosts are gone": {hosts: 22, limit: Limit{1000, 1000}, demand: from(3*second, 2500), length: 20 * second,
 		events: events{4 * second: restartMost(time.Hour)}},
 	"most hosts are gone for some time": {hosts: 22, limit: Limit{1000, 1000}, demand: from(3*second, 2500), length: 20 * second,
 		events: events{4 * second: restartMost(4 * second), 10 * second: restartMost(9 * second)}},
-	"keepers restart": {hosts: 12, limit: Limit{1000, 1000}, demand: from(3*second, 4000), length: 12 * second,
-		events: events{3500 * time.Millisecond: restartKeepers, 4500 * time.Millisecond: restartKeepers, 5500 * time.Millisecond: restartKeepers}},
+	"owners restart": {hosts: 12, limit: Limit{1000, 1000}, demand: from(3*second, 4000), length: 12 * second,
+		events: events{3500 * time.Millisecond: restartOwners, 4500 * time.Millisecond: restartOwners, 5500 * time.Millisecond: restartOwners}},
 	"power loss": {hosts: 12, limit: Limit{1000, 1000}, demand: from(3*second, 4000), length: 12 * second,
 		events: events{4 * second: stopFirst(12, 300*time.Millisecond, true), 6 * second: stopFirst(12, 300*time.Millisecond, true)}},
-	"keepers suspended": {hosts: 12, limit: Limit{1000, 1000}, demand: from(3*second, 4000), length: 18 * second,
+	"owners suspended": {hosts: 12, limit: Limit{1000, 1000}, demand: from(3*second, 4000), length: 18 * second,
 		events: events{3500 * time.Millisecond: stopFirst(5, 6*second, false)}},
-	"keepers suspended shortly": {hosts: 12, limit: Limit{1000, 1000}, demand: from(3*second, 2500), length: 12 * second,
+	"owners suspended shortly": {hosts: 12, limit: Limit{1000, 1000}, demand: from(3*second, 2500), length: 12 * second,
 		events: events{3500 * time.Millisecond: stopFirst(5, 3*second, false)}},
-	"keepers suspended for long": {hosts: 13, limit: Limit{200, 2000}, demand: from(13*second, 4000), length: 18 * second,
+	"owners suspended for long": {hosts: 13, limit: Limit{200, 2000}, demand: from(13*second, 4000), length: 18 * second,
 		events: events{3500 * time.Millisecond: stopFirst(5, 10*second, false)}},
 	"limit lowered": {hosts: 12, limit: Limit{1000, 1000}, demand: from(4*second, 4000), length: 16 * second,
 		events: events{3 * second: func(w *world) { w.setLimit(Limit{20, 20}) }}},
@@ -232,14 +232,14 @@
 // TestModelFindsMutants checks that the model finds the loss of each guard.
 func TestModelFindsMutants(t *testing.T) {
 	tests := map[mutant]string{
-		newPartsFull:      "keepers restart",
+		newPartsFull:      "owners restart",
 		noExpiry:          "callers leave",
 		countsDuplicates:  "datagrams doubled",
 		noLapse:           "three sides",
 		fullAfterLapse:    "partition beyond the retention",
 		keptByLive:        "partition",
 		allCovered:        "partition",
-		keptByOne:         "a host joins unheard by a keeper",
+		keptByOne:         "a host joins unheard by an owner",
 		validFromArrival:  "answers held up",
 		ignoresLowerLimit: "limit lowered",
 	}
@@ -276,28 +276,28 @@
 		events  events
 		clients func(*world, int) bool
 	}{
-		"keepers die":                 {hosts: 33, limit: Limit{320, 320}, demand: steady(200), least: 0.55, events: events{second: stopFirst(3, time.Hour, true)}},
-		"keepers die, over the limit": {hosts: 33, limit: Limit{320, 320}, demand: steady(2000), least: 0.65, refused: true, events: events{second: stopFirst(3, time.Hour, true)}},
-		"one of three hosts dies":     {hosts: 3, limit: Limit{320, 320}, demand: steady(200), least: 0.4, events: events{second: stopFirst(1, time.Hour, true)}},
+		"owners die":                 {hosts: 33, limit: Limit{320, 320}, demand: steady(200), least: 0.55, events: events{second: stopFirst(3, time.Hour, true)}},
+		"owners die, over the limit": {hosts: 33, limit: Limit{320, 320}, demand: steady(2000), least: 0.65, refused: true, events: events{second: stopFirst(3, time.Hour, true)}},
+		"one of three hosts dies":    {hosts: 3, limit: Limit{320, 320}, demand: steady(200), least: 0.4, events: events{second: stopFirst(1, time.Hour, true)}},
 		"a third is left": {hosts: 33, limit: Limit{320, 320}, demand: steady(200), least: 1 / 3.0, refused: true,
 			events: events{0: restartMost(time.Hour)}, clients: thirdOnly},
 		"a third is cut off": {hosts: 33, limit: Limit{320, 320}, demand: steady(200), least: 1 / 3.0, refused: true,
 			events: events{0: func(w *world) { divide(w, w.third) }}, clients: thirdOnly},
 		"a third is left, a covered tenant": {hosts: 33, limit: Limit{2, 2}, demand: steady(1.25), least: 1 / 3.0,
 			events: events{0: restartMost(time.Hour)}, clients: thirdOnly},
-		"the keepers of a covered tenant die": {hosts: 33, limit: Limit{2, 2}, demand: from(5*second, 1.25), least: 0.3, events: events{second: stopFirst(4, time.Hour, true)}},
-		"usual demand":                        {hosts: 33, limit: Limit{320, 320}, demand: steady(200), least: 0.55},
-		"bursts":                              {hosts: 12, limit: Limit{300, 300}, demand: bursts(300, 300), least: 0.5},
-		"a small tenant":                      {hosts: 33, limit: Limit{8, 8}, demand: steady(5), least: 0.55},
-		"a rate below one a second":           {hosts: 12, limit: Limit{0.5, 1}, demand: steady(0.3), least: 0.4},
-		"one host":                            {hosts: 1, limit: Limit{100, 100}, demand: steady(62), least: 0.55},
-		"over the limit":                      {hosts: 33, limit: Limit{300, 300}, demand: steady(2250), least: 0.95, refused: true},
-		"a small one over the limit":          {hosts: 12, limit: Limit{8, 8}, demand: steady(60), least: 0.95, refused: true},
-		"just over the limit":                 {hosts: 12, limit: Limit{300, 300}, demand: steady(330), least: 0.95, refused: true},
-		"at the limit":                        {hosts: 33, limit: Limit{300, 300}, demand: steady(300), least: 0.95},
-		"one host over the limit":             {hosts: 1, limit: Limit{100, 100}, demand: steady(750), least: 0.95, refused: true},
-		"two hosts over the limit":            {hosts: 2, limit: Limit{100, 100}, demand: steady(750), least: 0.95, refused: true},
-		"a rate of zero":                      {hosts: 12, limit: Limit{0, 10}, demand: steady(50), refused: true},
+		"the owners of a covered tenant die": {hosts: 33, limit: Limit{2, 2}, demand: from(5*second, 1.25), least: 0.3, events: events{second: stopFirst(4, time.Hour, true)}},
+		"usual demand":                       {hosts: 33, limit: Limit{320, 320}, demand: steady(200), least: 0.55},
+		"bursts":                             {hosts: 12, limit: Limit{300, 300}, demand: bursts(300, 300), least: 0.5},
+		"a small tenant":                     {hosts: 33, limit: Limit{8, 8}, demand: steady(5), least: 0.55},
+		"a rate below one a second":          {hosts: 12, limit: Limit{0.5, 1}, demand: steady(0.3), least: 0.4},
+		"one host":                           {hosts: 1, limit: Limit{100, 100}, demand: steady(62), least: 0.55},
+		"over the limit":                     {hosts: 33, limit: Limit{300, 300}, demand: steady(2250), least: 0.95, refused: true},
+		"a small one over the limit":         {hosts: 12, limit: Limit{8, 8}, demand: steady(60), least: 0.95, refused: true},
+		"just over the limit":                {hosts: 12, limit: Limit{300, 300}, demand: steady(330), least: 0.95, refused: true},
+		"at the limit":                       {hosts: 33, limit: Limit{300, 300}, demand: steady(300), least: 0.95},
+		"one host over the limit":            {hosts: 1, limit: Limit{100, 100}, demand: steady(750), least: 0.95, refused: true},
+		"two hosts over the limit":           {hosts: 2, limit: Limit{100, 100}, demand: steady(750), least: 0.95, refused: true},
+		"a rate of zero":                     {hosts: 12, limit: Limit{0, 10}, demand: steady(50), refused: true},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/internal/allowance/spender.go
+++ b/internal/allowance/spender.go
@@ -9,8 +9,8 @@
 
 const (
 	answerTimeout = 60 * time.Millisecond
-	silence       = time.Second            // a keeper that didn't answer is asked after the others
-	pollInterval  = 100 * time.Millisecond // between questions to a keeper without tokens
+	silence       = time.Second            // an owner that didn't answer is asked after the others
+	pollInterval  = 100 * time.Millisecond // between questions to an owner without tokens
 	minInterval   = time.Millisecond       // between calls of Due for the tokens of this host
 	stock         = 0.1                    // seconds of the usual demand that are asked in advance
 )
@@ -20,7 +20,7 @@
 	Question
 	to      model.HostID
 	sentAt  model.Instant
-	overdue bool // another keeper is asked
+	overdue bool // another owner is asked
 }
 
 // Accept counts the tokens of an answer and returns the operations that it decides. An answer counts once, for a question in flight.
@@ -65,7 +65,7 @@
 	if granted > 0 {
 		t.held = append(t.held, batch{tokens: granted, expires: q.sentAt.Add(validity)})
 	}
-	k := t.keeperOf(q.to)
+	k := t.ownerOf(q.to)
 	if k == nil {
 		return
 	}
@@ -142,7 +142,7 @@
 				continue
 			}
 			t.release(q, ask)
-			k := t.keeperOf(q.to)
+			k := t.ownerOf(q.to)
 			if k == nil || k.sequence != q.Sequence {
 				continue
 			}
@@ -179,7 +179,7 @@
 	return decisions
 }
 
-// outgoingAsks are the Asks for one keeper.
+// outgoingAsks are the Asks for one owner.
 type outgoingAsks struct {
 	to   model.HostID
 	asks []Ask
@@ -213,10 +213,10 @@
 	return false
 }
 
-// choose returns the keeper to ask now, or nil. Keepers that didn't answer are asked if there is no other one.
-func (t *tenant[T]) choose(now model.Instant) (silent *keeper) {
+// choose returns the owner to ask now, or nil. Owners that didn't answer are asked if there is no other one.
+func (t *tenant[T]) choose(now model.Instant) (silent *owner) {
 	answering := false
-	for _, k := range t.keepers {
+	for _, k := range t.owners {
 		if now >= k.silentUntil {
 			answering = true
 		}
@@ -236,8 +236,8 @@
 	return silent
 }
 
-// asksFor returns the Asks to a keeper, most urgent first. The last one asks in advance unless the keeper lacked tokens.
-func (t *tenant[T]) asksFor(now model.Instant, k *keeper) (asks []Ask) {
+// asksFor returns the Asks to an owner, most urgent first. The last one asks in advance unless the owner lacked tokens.
+func (t *tenant[T]) asksFor(now model.Instant, k *owner) (asks []Ask) {
 	for i := range t.queues {
 		if count := t.queues[i].length - t.asked[i]; count > 0 {
 			asks = append(asks, Ask{Tenant: t.id, Rank: model.Rank(i + 1), Count: count, Waiting: t.queues[i].length})
@@ -254,7 +254,7 @@
 	return asks
 }
 
-// compose appends the questions to a keeper, each small enough for a datagram.
+// compose appends the questions to an owner, each small enough for a datagram.
 func (b *Book[T]) compose(now model.Instant, o outgoingAsks, questions []Outgoing) []Outgoing {
 	for len(o.asks) > 0 {
 		count := 1
@@ -268,7 +268,7 @@
 			sentAt:   now,
 		}
 		for _, ask := range q.Parts {
-			if k := b.tenants[ask.Tenant].keeperOf(o.to); k != nil {
+			if k := b.tenants[ask.Tenant].ownerOf(o.to); k != nil {
 				k.sequence = b.sequence
 			}
 		}
@@ -314,7 +314,7 @@
 	if !t.uncovered() {
 		return at
 	}
-	for _, k := range t.keepers {
+	for _, k := range t.owners {
 		if k.sequence == 0 {
 			at = min(at, max(k.askAt, k.silentUntil))
 		}
--- a/internal/allowance/tenant.go
+++ b/internal/allowance/tenant.go
@@ -7,7 +7,7 @@
 	"redwingspread/internal/model"
 )
 
-// tenant is what a host knows of a tenant's allowance, as a keeper and as a spender.
+// tenant is what a host knows of a tenant's allowance, as an owner and as a spender.
 type tenant[T any] struct {
 	id      model.TenantID
 	limit   Limit
@@ -20,8 +20,8 @@
 	backlog     map[model.HostID]*hostsBacklog // operations that wait at other hosts
 	pausedUntil model.Instant                  // while others wait, this host's own operations get no token of its parts before
 
-	keepers  []*keeper // the other hosts that keep parts and are heard, in the order in which they are asked
-	reached  float64   // tokens a second of the parts of the keepers and of this host
+	owners   []*owner // the other hosts that keep parts and are heard, in the order in which they are asked
+	reached  float64  // tokens a second of the parts of the owners and of this host
 	held     []batch
 	queues   [model.RankCount]queue[T]
 	asked    [model.RankCount]int // tokens in questions that are not answered yet
@@ -36,8 +36,8 @@
 	at      model.Instant
 }
 
-// keeper is a host that keeps a part of a tenant.
-type keeper struct {
+// owner is a host that keeps a part of a tenant.
+type owner struct {
 	host        model.HostID
 	sequence    model.Sequence // of the question in flight; zero for none
 	askAt       model.Instant
@@ -79,7 +79,7 @@
 	return count
 }
 
-// ahead returns the number of operations that wait for tokens of this keeper with a rank or a more urgent one, in the whole fleet.
+// ahead returns the number of operations that wait for tokens of this owner with a rank or a more urgent one, in the whole fleet.
 func (t *tenant[T]) ahead(now model.Instant, rank model.Rank) int {
 	count := t.waiting(rank)
 	for _, host := range t.backlog {
@@ -93,7 +93,7 @@
 	return count
 }
 
-// contended reports whether operations wait at other hosts for tokens of this keeper.
+// contended reports whether operations wait at other hosts for tokens of this owner.
 func (t *tenant[T]) contended(now model.Instant) bool {
 	return len(t.own) > 0 && t.ahead(now, model.RankThree) > t.waiting(model.RankThree)
 }
@@ -155,7 +155,7 @@
 	}
 }
 
-// keep sets the number of parts that this host keeps. A new one begins with one token at a time, since its previous keeper may have
+// keep sets the number of parts that this host keeps. A new one begins with one token at a time, since its previous owner may have
 // granted the others.
 func (t *tenant[T]) keep(count int, from model.Instant) {
 	t.own = t.own[:min(count, len(t.own))]
@@ -167,9 +167,9 @@
 	}
 }
 
-// keeperOf returns what is known of a keeper, or nil.
-func (t *tenant[T]) keeperOf(host model.HostID) *keeper {
-	for _, k := range t.keepers {
+// ownerOf returns what is known of an owner, or nil.
+func (t *tenant[T]) ownerOf(host model.HostID) *owner {
+	for _, k := range t.owners {
 		if k.host == host {
 			return k
 		}
--- a/internal/front/host.go
+++ b/internal/front/host.go
@@ -375,13 +375,13 @@
 	open := 0
 	conns := make(chan net.Conn)
 	failed := make(chan error, 1)
-	door := doorkeeper{host: h, limit: h.sessionLimit()}
+	admission := sessionAdmission{host: h, limit: h.sessionLimit()}
 	go acceptConns(ctx, listener, conns, failed)
 	for conns != nil || open > 0 {
 		select {
 		case conn := <-conns:
 			open++
-			go h.serveSession(ctx, conn, !door.admit(open), ended)
+			go h.serveSession(ctx, conn, !admission.admit(open), ended)
 		case <-failed:
 			conns, failed = nil, nil
 		case <-ended:
--- a/internal/front/shed.go
+++ b/internal/front/shed.go
@@ -105,26 +105,26 @@
 	return c.InstanceConn.Close()
 }
 
-// doorkeeper admits new connections; only the goroutine that accepts them uses it.
-type doorkeeper struct {
+// sessionAdmission admits new connections; only the goroutine that accepts them uses it.
+type sessionAdmission struct {
 	host      *Host
 	limit     int       // sessions
 	fullUntil time.Time // no session may give way until then
 }
 
 // admit reports whether a new connection gets a session, given how many are open with it. At the limit another one gives way, if one may.
-func (d *doorkeeper) admit(open int) bool {
-	if open <= d.limit {
+func (a *sessionAdmission) admit(open int) bool {
+	if open <= a.limit {
 		return true
 	}
 	now := time.Now()
-	if now.Before(d.fullUntil) {
+	if now.Before(a.fullUntil) {
 		return false
 	}
-	if d.host.makeRoom(0) {
+	if a.host.makeRoom(0) {
 		return true
 	}
-	d.fullUntil = now.Add(fullInterval)
+	a.fullUntil = now.Add(fullInterval)
 	return false
 }
 
--- a/internal/front/shed_internal_test.go
+++ b/internal/front/shed_internal_test.go
@@ -77,9 +77,9 @@
 	}
 }
 
-// TestDoorkeeper guards against connections that are refused below the limit, and against a search through all sessions for each
+// TestSessionAdmission guards against connections that are refused below the limit, and against a search through all sessions for each
 // connection of a flood.
-func TestDoorkeeper(t *testing.T) {
+func TestSessionAdmission(t *testing.T) {
 	tests := map[string]struct {
 		stalled []time.Duration
 		open    []int
@@ -93,13 +93,13 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			h, _ := newShedHost(test.stalled)
-			door := doorkeeper{host: h, limit: 2}
+			admission := sessionAdmission{host: h, limit: 2}
 			for i, open := range test.open {
-				if got := door.admit(open); got != test.want[i] {
+				if got := admission.admit(open); got != test.want[i] {
 					t.Errorf("got %v for connection %d, want %v", got, i, test.want[i])
 				}
 			}
-			if got, want := door.fullUntil.IsZero(), !slices.Contains(test.want, false); got != want {
+			if got, want := admission.fullUntil.IsZero(), !slices.Contains(test.want, false); got != want {
 				t.Errorf("got no pause in the search %v, want %v", got, want)
 			}
 		})
