scheduler, controller: scouts keep a connection to the primaries that they probe

Change: the share of an instance says that the host probes it, and the scheduler then keeps one connection open. A host that has just started keeps none. TestProbing fails before.

--- a/internal/controller/shares.go
+++ b/internal/controller/shares.go
@@ -51,7 +51,9 @@
 			continue
 		}
 		if hosts := len(sharers) + 1; hosts > int(limit) || hosts > most && len(c.homesOf(id, limit)) > 0 {
-			shares[id] = c.crowdedShare(now, id, instance.Slots, limit, hosts)
+			share := c.crowdedShare(now, id, instance.Slots, limit, hosts)
+			share.Probes = c.keepsProbe(now, instance.Database, id)
+			shares[id] = share
 			continue
 		}
 		own := claim{host: c.Self.ID, load: max(c.loads[id], minLoad)}
--- a/internal/controller/view.go
+++ b/internal/controller/view.go
@@ -54,6 +54,7 @@
 	Connections model.Connections
 	Scarce      bool     // there are more hosts than connections, so idle connections have to be closed
 	Holders     *Holders // that keep connections, where this host doesn't; nil for none
+	Probes      bool     // this host probes the instance for others, so that it keeps one connection to it
 }
 
 // Holders are the hosts that keep connections to an instance and take requests for it; it is immutable.
--- a/internal/front/host.go
+++ b/internal/front/host.go
@@ -321,6 +321,7 @@
 		}
 		if share, found := view.Shares[id]; found {
 			b.scheduler.SetLimits(share.Slots, share.Connections, share.Scarce)
+			b.scheduler.SetProbing(share.Probes)
 		}
 	}
 	h.mutex.Unlock()
--- a/internal/scheduler/demand.go
+++ b/internal/scheduler/demand.go
@@ -57,9 +57,13 @@
 	return max(s.demandPeak, s.previousDemandPeak)
 }
 
-// minConnections returns the number of connections to keep open without work, which is none while connections are scarce.
+// minConnections returns the number of connections to keep open without work, which is none while connections are scarce, but for
+// probes.
 func (s *Scheduler[C]) minConnections() model.Connections {
-	if s.scarce || s.perTenant {
+	switch {
+	case s.probing:
+		return min(s.MinConnections, probeConnections)
+	case s.scarce || s.perTenant:
 		return 0
 	}
 	return s.MinConnections
@@ -67,12 +71,15 @@
 
 // demandWindow returns the length of a demand window; a peak is remembered for one to two windows.
 func (s *Scheduler[C]) demandWindow() time.Duration {
-	if s.scarce {
+	if s.scarce && !s.probing {
 		return scarceDemandWindow
 	}
 	return defaultDemandWindow
 }
 
+// probeConnections is the number of connections kept open for probes.
+const probeConnections = 1
+
 const (
 	// scarceDemandWindow is used while connections are scarce. It is long enough that the statements of one operation follow
 	// each other on the same connection.
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -49,6 +49,7 @@
 	stopping           bool
 	scarce             bool          // whether the instance has fewer connections than there are hosts
 	perTenant          bool          // whether connections belong to tenants
+	probing            bool          // whether a connection is kept open for probes, also where they are scarce
 	blocked            chan struct{} // closed, and replaced, when the instance takes no further connection
 	permits            sync.Pool     // unused permits
 }
@@ -183,6 +184,19 @@
 	s.schedule()
 }
 
+// SetProbing sets whether one connection is kept open without work, also where connections are scarce or belong to tenants, since the
+// host probes the instance all the time.
+func (s *Scheduler[C]) SetProbing(probing bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if probing == s.probing {
+		return
+	}
+	s.applySettings()
+	s.probing = probing
+	s.updatePoolTarget()
+}
+
 // connectionReady starts waiting work; the pool calls it when a connection has become idle.
 func (s *Scheduler[C]) connectionReady() {
 	s.mutex.Lock()
@@ -282,7 +296,7 @@
 func (s *Scheduler[C]) updatePoolTarget() {
 	if s.perTenant {
 		s.peakDemand()
-		s.Pool.SetTarget(0) // work opens the connections of its tenant
+		s.Pool.SetTarget(s.minConnections()) // work opens the connections of its tenant
 		return
 	}
 	s.Pool.SetTarget(max(s.minConnections(), s.peakDemand()))
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -406,6 +406,31 @@
 	}
 }
 
+// TestProbing guards against a connection that is opened and closed for each of the probes that a host sends all the time where connections
+// are scarce or belong to tenants.
+func TestProbing(t *testing.T) {
+	tests := map[string]struct {
+		change func(s *Scheduler[int])
+		want   model.Connections
+	}{
+		"scarce":           {change: func(s *Scheduler[int]) { s.SetLimits(1, 1, true); s.SetProbing(true) }, want: 1},
+		"of tenants":       {change: func(s *Scheduler[int]) { s.SetPerTenant(true); s.SetProbing(true) }, want: 1},
+		"scarce, no probe": {change: func(s *Scheduler[int]) { s.SetLimits(1, 1, true) }},
+		"probes ended":     {change: func(s *Scheduler[int]) { s.SetLimits(1, 1, true); s.SetProbing(true); s.SetProbing(false) }},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newTestScheduler(t, 1, 1, test.change)
+				s.pollLoad(10 * time.Second)
+				if got := s.Pool.Counts().Open; got != test.want {
+					t.Errorf("got %d connections open, want %d", got, test.want)
+				}
+			})
+		})
+	}
+}
+
 // TestScarceConnectionsAreShared runs more hosts than the instance has connections. All work is served, since no host keeps
 // a connection without work.
 func TestScarceConnectionsAreShared(t *testing.T) {
