holder: each tenant has few hosts that keep its connections to an instance

Change: the four holders of an instance, known from crowded instances, serve deployments with tenants too. Requests of a tenant go to the holder that rendezvous hashing of instance and tenant names; a tenant with a large part of the rates has several.

--- a/internal/controller/holders_test.go
+++ b/internal/controller/holders_test.go
@@ -6,12 +6,22 @@
 	"testing"
 	"time"
 
+	"redwingspread/internal/directory"
+	"redwingspread/internal/holder"
 	"redwingspread/internal/model"
 )
 
 // relayAddress returns the address of a host in the tests of holders.
 func relayAddress(id model.HostID) model.Address { return model.Address(id) + ":1" }
 
+// holderAddresses returns the addresses of the holders, the preferred one first.
+func holderAddresses(holders *holder.Set) (addresses []model.Address) {
+	for _, host := range holders.Order(nil, "", 0) {
+		addresses = append(addresses, host.Address)
+	}
+	return addresses
+}
+
 // holdersView returns the shares of one host of a fleet with a database of three instances; change may change the hosts' rows.
 func holdersView(self, hosts int, connections model.Connections, change func(i int, row *Host), then func(now time.Time, c *Controller)) map[model.InstanceID]Share {
 	c := regionalController(time.Minute, self, hosts, connections, "east-a", "west-a", "south-a")
@@ -85,7 +95,7 @@
 						}
 						continue
 					}
-					got := slices.Clone(share.Holders.Addresses)
+					got := holderAddresses(share.Holders)
 					if first[id] == nil {
 						first[id] = make(map[model.Address]int)
 					}
@@ -128,20 +138,70 @@
 
 // TestHoldersAfterALoss guards against requests that are passed on to a dead host for as long as its row lasts.
 func TestHoldersAfterALoss(t *testing.T) {
-	var before, after *Holders
+	var before, after []model.Address
 	holdersView(59, 60, 46, func(int, *Host) {}, func(now time.Time, c *Controller) {
 		c.Handle(now, Tick{})
-		before = c.Snapshot().Shares["i0"].Holders
+		before = holderAddresses(c.Snapshot().Shares["i0"].Holders)
 		for i := range 59 {
 			id := model.HostID(fmt.Sprintf("h%03d", i))
-			if later := now.Add(time.Minute); relayAddress(id) != before.Addresses[0] {
+			if later := now.Add(time.Minute); relayAddress(id) != before[0] {
 				c.Handle(later, HeartbeatReceived{Heartbeat: Heartbeat{Host: id, Incarnation: 2}})
 			}
 		}
 		c.Handle(now.Add(time.Minute), Tick{})
-		after = c.Snapshot().Shares["i0"].Holders
+		after = holderAddresses(c.Snapshot().Shares["i0"].Holders)
 	})
-	if slices.Contains(after.Addresses, before.Addresses[0]) || len(after.Addresses) != holderCount {
-		t.Errorf("got holders %v after the loss of %s, want %d others", after.Addresses, before.Addresses[0], holderCount)
+	if slices.Contains(after, before[0]) || len(after) != holderCount {
+		t.Errorf("got holders %v after the loss of %s, want %d others", after, before[0], holderCount)
+	}
+}
+
+// TestHoldersByTenant guards against connections of tenants that are opened for a single statement, since each host has fewer of them than
+// there are tenants, and against a change of deployments with few tenants or without the relay.
+func TestHoldersByTenant(t *testing.T) {
+	keep := func(int, *Host) {}
+	tests := map[string]struct {
+		hosts, tenants int
+		change         func(i int, row *Host)
+		want           int // holders of each instance; 0 for none
+	}{
+		"more tenants than connections": {hosts: 32, tenants: 83, change: keep, want: holderCount},
+		"few tenants":                   {hosts: 8, tenants: 3, change: keep},
+		"few hosts":                     {hosts: 4, tenants: 83, change: keep},
+		"no tenants":                    {hosts: 32, change: keep},
+		"relay off":                     {hosts: 32, tenants: 83, change: func(_ int, row *Host) { row.Relay = "" }},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			configuration := directory.Configuration{Version: 4, Keyed: test.tenants > 0, Databases: []model.Database{{ID: "seats", Connections: 79}}}
+			for i := range test.tenants {
+				configuration.Tenants = append(configuration.Tenants, model.Tenant{ID: model.TenantID(fmt.Sprintf("t%d", i))})
+			}
+			serving := make(map[model.InstanceID]int) // hosts that take requests themselves
+			for self := range test.hosts {
+				shares := holdersView(self, test.hosts, 79, test.change, func(now time.Time, c *Controller) {
+					c.Handle(now, DirectoryUpdate{Source: "store", Configuration: &configuration})
+				})
+				for id, share := range shares {
+					if got, want := share.Holders != nil, test.want > 0; got != want {
+						t.Fatalf("got holders of %s at host %d: %t, want %t", id, self, got, want)
+					}
+					if test.want == 0 {
+						continue
+					}
+					if got := len(holderAddresses(share.Holders)); got != test.want {
+						t.Errorf("got %d holders of %s, want %d", got, id, test.want)
+					}
+					if share.Holders.Includes(model.HostID(fmt.Sprintf("h%03d", self))) {
+						serving[id]++
+					}
+				}
+			}
+			for id, got := range serving {
+				if got != test.want {
+					t.Errorf("got %d hosts that take requests for %s, want %d", got, id, test.want)
+				}
+			}
+		})
 	}
 }
--- a/internal/controller/homes.go
+++ b/internal/controller/homes.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"redwingspread/internal/directory"
+	"redwingspread/internal/holder"
 	"redwingspread/internal/model"
 )
 
@@ -20,47 +21,39 @@
 	membership int                                        // of the hosts from which the rest was worked out
 	byInstance map[model.InstanceID]map[model.HostID]bool // to which the instance is the nearest
 	kept       map[model.InstanceID]map[model.HostID]bool
-	holders    map[model.InstanceID]*Holders
+	holders    map[model.InstanceID]*holder.Set
 }
 
 // holderCount is the number of hosts that keep connections to a crowded instance where the others pass requests on to them: few, so
 // that each has a part of the slots worth queueing for, and enough that the loss of one leaves the others with little more.
 const holderCount = 4
 
-// holdersOf returns the home hosts of a crowded instance to which this host passes requests on, or nil if there is none. Each host
-// prefers others of them, which spreads the work.
-func (c *Controller) holdersOf(id model.InstanceID, homes map[model.HostID]bool) *Holders {
+// holdersOf returns the home hosts of a crowded instance that take requests for it, or nil if there is none but this host.
+func (c *Controller) holdersOf(id model.InstanceID, homes map[model.HostID]bool) *holder.Set {
 	if known, found := c.homes.holders[id]; found {
 		return known
 	}
-	var hosts []*host
+	var hosts []holder.Host
 	for home := range homes {
-		if known, found := c.hosts[home]; found && known.Relay != "" {
-			hosts = append(hosts, known)
+		if home == c.Self.ID {
+			hosts = append(hosts, holder.Host{ID: home})
+		} else if known, found := c.hosts[home]; found && known.Relay != "" {
+			hosts = append(hosts, holder.Host{ID: home, Address: known.Relay})
 		}
 	}
-	slices.SortFunc(hosts, func(a, b *host) int { return cmp.Compare(c.preference(id, a.ID), c.preference(id, b.ID)) })
-	var holders *Holders
-	if len(hosts) > 0 {
-		holders = &Holders{}
-		for _, known := range hosts {
-			holders.Addresses = append(holders.Addresses, known.Relay)
-		}
+	var holders *holder.Set
+	if len(hosts) > 1 || (len(hosts) == 1 && !homes[c.Self.ID]) {
+		holders = holder.New(id, c.Self.ID, hosts)
 	}
 	c.homes.holders[id] = holders
 	return holders
 }
 
-// preference orders the holders of an instance differently on each host.
-func (c *Controller) preference(id model.InstanceID, holder model.HostID) uint64 {
-	return xxhash.Sum64String(string(c.Self.ID) + "/" + string(id) + "/" + string(holder))
-}
-
 // homesOf returns the home hosts of an instance, at most three quarters of the limit.
 func (c *Controller) homesOf(id model.InstanceID, limit model.Connections) map[model.HostID]bool {
 	d := c.directory.Directory()
 	if c.homes.directory != d || c.homes.membership != c.membership {
-		c.homes = homes{directory: d, membership: c.membership, byInstance: c.assignHomes(d), holders: make(map[model.InstanceID]*Holders), kept: make(map[model.InstanceID]map[model.HostID]bool)}
+		c.homes = homes{directory: d, membership: c.membership, byInstance: c.assignHomes(d), holders: make(map[model.InstanceID]*holder.Set), kept: make(map[model.InstanceID]map[model.HostID]bool)}
 	}
 	if kept, found := c.homes.kept[id]; found {
 		return kept
--- a/internal/controller/shares.go
+++ b/internal/controller/shares.go
@@ -4,6 +4,7 @@
 	"errors"
 	"time"
 
+	"redwingspread/internal/directory"
 	"redwingspread/internal/failover"
 	"redwingspread/internal/model"
 )
@@ -45,12 +46,13 @@
 		}
 		most := int(limit / crowdedDivisor)
 		limit -= max(limit/spareDivisor, 1)
-		c.crowded = c.crowded || len(sharers)+1 > int(limit)
+		byTenant := c.holdsByTenant(d, len(sharers)+1, limit)
+		c.crowded = c.crowded || len(sharers)+1 > int(limit) || byTenant
 		if !c.hostsRead {
 			shares[id] = assumedShare(limit, instance.Slots)
 			continue
 		}
-		if hosts := len(sharers) + 1; hosts > int(limit) || hosts > most && len(c.homesOf(id, limit)) > 0 {
+		if hosts := len(sharers) + 1; hosts > int(limit) || (hosts > most || byTenant) && len(c.homesOf(id, limit)) > 0 {
 			share := c.crowdedShare(now, id, instance.Slots, limit, hosts)
 			share.Probes = c.keepsProbe(now, instance.Database, id)
 			shares[id] = share
@@ -70,6 +72,12 @@
 	return shares
 }
 
+// holdsByTenant reports whether few hosts keep the connections of each tenant to an instance, since a host's part of them is less than one
+// for each tenant.
+func (c *Controller) holdsByTenant(d *directory.Directory, hosts int, limit model.Connections) bool {
+	return d.Keyed && c.Self.Relay != "" && hosts > holderCount && len(d.Tenants)*hosts > int(limit)
+}
+
 // crowdedShare returns this host's share of an instance that has too few connections for all hosts to keep one: its home hosts keep
 // connections, the others open one when they need it.
 //
@@ -88,6 +96,9 @@
 	}
 	share := shareOf(id, limit-limit/turnsDivisor, slots, own, others)
 	share.Scarce = now.Sub(c.started) < c.Timing.Linger
+	if c.directory.Directory().Keyed {
+		share.Holders = c.holdersOf(id, homes)
+	}
 	return share
 }
 
--- a/internal/controller/view.go
+++ b/internal/controller/view.go
@@ -5,6 +5,7 @@
 
 	"redwingspread/internal/directory"
 	"redwingspread/internal/failover"
+	"redwingspread/internal/holder"
 	"redwingspread/internal/lease"
 	"redwingspread/internal/model"
 )
@@ -52,12 +53,7 @@
 type Share struct {
 	Slots       model.Slots
 	Connections model.Connections
-	Scarce      bool     // there are more hosts than connections, so idle connections have to be closed
-	Holders     *Holders // that keep connections, where this host doesn't; nil for none
-	Probes      bool     // this host probes the instance for others, so that it keeps one connection to it
-}
-
-// Holders are the hosts that keep connections to an instance and take requests for it; it is immutable.
-type Holders struct {
-	Addresses []model.Address // the first one is to be preferred
+	Scarce      bool        // there are more hosts than connections, so idle connections have to be closed
+	Holders     *holder.Set // hosts that keep connections and take requests for it; nil where each host uses its own
+	Probes      bool        // this host probes the instance for others, so that it keeps one connection to it
 }
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -16,6 +16,7 @@
 	Keyed                bool // callers need an API key, and connections to instances belong to tenants
 	Tenants              map[model.TenantID]model.Tenant
 	Keys                 map[model.KeyDigest]model.TenantID // of the API keys in force
+	Portions             map[model.TenantID]float64         // of the work of all tenants, expected by their rates
 	Instances            map[model.InstanceID]Instance
 	Missing              map[model.InstanceID]bool // instances that are still in use though their entries have disappeared
 }
--- a/internal/directory/tracker.go
+++ b/internal/directory/tracker.go
@@ -54,6 +54,7 @@
 	}
 	next.Keyed = configuration.Keyed
 	next.Tenants, next.Keys = indexTenants(configuration.Tenants)
+	next.Portions = portionsOf(next.Tenants)
 	t.current = &next
 	return true
 }
@@ -81,6 +82,33 @@
 	return byID, byKey
 }
 
+// portionsOf returns the part of all work that is expected of each tenant: that of its rate. One without a rate counts as the mean.
+func portionsOf(tenants map[model.TenantID]model.Tenant) map[model.TenantID]float64 {
+	sum, limited := 0.0, 0
+	for _, tenant := range tenants {
+		if tenant.Limited {
+			sum += float64(tenant.Rate)
+			limited++
+		}
+	}
+	mean := 1.0
+	if limited > 0 && sum > 0 {
+		mean = sum / float64(limited)
+	}
+	sum += mean * float64(len(tenants)-limited)
+	portions := make(map[model.TenantID]float64, len(tenants))
+	for id, tenant := range tenants {
+		rate := mean
+		if tenant.Limited {
+			rate = float64(tenant.Rate)
+		}
+		if sum > 0 {
+			portions[id] = rate / sum
+		}
+	}
+	return portions
+}
+
 // Replace applies a full list of entries as of a revision and reports whether anything changed; instances that aren't listed
 // stay in use for the grace period only.
 func (t *Tracker) Replace(now time.Time, revision model.Revision, entries []Entry) bool {
--- a/internal/front/execution.go
+++ b/internal/front/execution.go
@@ -227,12 +227,13 @@
 // survey appends the candidates among the backends.
 func (e *execution) survey(candidates []placement.Candidate, backends []*backend, primary model.InstanceID) []placement.Candidate {
 	now := time.Now()
-	shares := e.session.host.view().Shares
+	shares, portion := e.session.host.view().Shares, e.session.host.portionOf(e.session.tenant)
 	for _, b := range backends[:min(len(backends), maxCandidates)] {
-		passedOn := shares[b.instance.ID].Holders != nil
-		c := b.candidate(now, e.policy.ID, e.session.tenant, primary, passedOn && !e.session.relayed)
+		holders := shares[b.instance.ID].Holders
+		passedOn := holders != nil && !e.session.relayed && !holders.TakesItself(e.session.tenant, portion)
+		c := b.candidate(now, e.policy.ID, e.session.tenant, primary, passedOn)
 		c.Tried = e.excluded[b.instance.ID] || (c.Primary && !b.admitsPrimary())
-		if e.session.relayed && passedOn {
+		if e.session.relayed && holders != nil && !holders.Includes(e.session.host.self.ID) {
 			c.Tried, e.elsewhere = true, true
 		}
 		candidates = append(candidates, c)
--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -9,6 +9,7 @@
 	"redwingspread/internal/boundary"
 	"redwingspread/internal/clock"
 	"redwingspread/internal/event"
+	"redwingspread/internal/holder"
 	"redwingspread/internal/model"
 	"redwingspread/internal/relay"
 	"redwingspread/internal/scout"
@@ -43,22 +44,28 @@
 	if holders == nil {
 		return "", false
 	}
+	var buffer [holder.MaxHosts]holder.Host
 	reachable := model.Address("")
-	for _, candidate := range holders.Addresses {
+	for _, candidate := range holders.Order(buffer[:0], e.session.tenant, h.portionOf(e.session.tenant)) {
 		switch {
-		case e.unreached[candidate] || !h.relays.Reachable(candidate):
-		case h.relays.Connected(candidate):
+		case candidate.ID == h.self.ID:
+			return reachable, reachable != ""
+		case e.unreached[candidate.Address] || !h.relays.Reachable(candidate.Address):
+		case h.relays.Connected(candidate.Address):
 			if reachable != "" {
 				h.relays.Connect(reachable) // preferred once it is connected; no request waits for that
 			}
-			return candidate, true
+			return candidate.Address, true
 		case reachable == "":
-			reachable = candidate
+			reachable = candidate.Address
 		}
 	}
 	return reachable, reachable != ""
 }
 
+// portionOf returns the part of all work that is expected of a tenant.
+func (h *Host) portionOf(tenant model.TenantID) float64 { return h.view().Directory.Portions[tenant] }
+
 // noteRemote records that the instance responded to another host, which had been asked the given time before.
 func (b *backend) noteRemote(now time.Time, kind model.KindID, took time.Duration, point model.Point) {
 	b.mutex.Lock()
--- a/internal/front/relay_internal_test.go
+++ b/internal/front/relay_internal_test.go
@@ -13,6 +13,7 @@
 	"redwingspread/internal/controller"
 	"redwingspread/internal/directory"
 	"redwingspread/internal/failover"
+	"redwingspread/internal/holder"
 	"redwingspread/internal/mesh"
 	"redwingspread/internal/model"
 	"redwingspread/internal/relay"
@@ -167,14 +168,14 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			holder := &scriptedHolder{calls: make(map[string]int)}
-			address := holder.start(t, test.commit)
+			scripted := &scriptedHolder{calls: make(map[string]int)}
+			address := scripted.start(t, test.commit)
 			kind := model.Kind{ID: "desk", Database: "seats", Rank: model.RankOne, Goal: 400 * time.Millisecond, Timeout: 400 * time.Millisecond}
 			h := New()
 			h.Loop = control.New(fixedView{&controller.View{
 				Directory: &directory.Directory{Version: 1, Kinds: map[model.KindID]model.Kind{"desk": kind}},
 				Primaries: map[model.DatabaseID]controller.Primary{"seats": {Instance: "i1", State: failover.Leading}},
-				Shares:    map[model.InstanceID]controller.Share{"i1": {Slots: 1, Connections: 1, Holders: &controller.Holders{Addresses: []model.Address{address}}}},
+				Shares:    map[model.InstanceID]controller.Share{"i1": {Slots: 1, Connections: 1, Holders: holder.New("i1", "h1", []holder.Host{{ID: "h2", Address: address}})}},
 			}})
 			h.Platform, h.Logger = hangingPlatform{}, quietLogger()
 			h.relays.Key = func() *mesh.Key { return &relayKey }
@@ -199,9 +200,9 @@
 				t.Error("got the primary left out of reads as behind, want it kept")
 			}
 			for limit := time.Now().Add(5 * time.Second); ; time.Sleep(time.Millisecond) {
-				holder.mutex.Lock()
-				open := holder.open
-				holder.mutex.Unlock()
+				scripted.mutex.Lock()
+				open := scripted.open
+				scripted.mutex.Unlock()
 				if open == 0 {
 					break
 				}
@@ -209,9 +210,9 @@
 					t.Fatalf("got %d sessions left open at the holder, want none", open)
 				}
 			}
-			holder.mutex.Lock()
-			defer holder.mutex.Unlock()
-			for text, got := range holder.calls {
+			scripted.mutex.Lock()
+			defer scripted.mutex.Unlock()
+			for text, got := range scripted.calls {
 				if got != 1 {
 					t.Errorf("got %d calls of %q, want 1", got, text)
 				}
