front, failover: a statement waits for a primary while it changes

A statement that waits for a primary was refused as "no primary is known" at the time at which the primary was expected back, two seconds after its loss, although starved hosts promote later (2.1 to 2.6 s) and the statement had seconds left. A write that could not get a connection while the loss was undecided was refused after a quarter of its goal.

The control state now publishes whether a primary is changing: its loss is undecided, no instance leads, or a promotion is under way, for at most 10 s. A statement then waits until its deadline less the expected answer, and is refused at once if less is left. Without such a sign it is refused as before. After the wait it has at least 300 ms to be sent, since the connections to an instance that was lost are opened again after up to 250 ms.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -376,7 +376,7 @@
 		Fleet:      c.updateFleet(live),
 	}
 	for database, monitor := range c.monitors {
-		next.Primaries[database] = c.primaryView(database, monitor)
+		next.Primaries[database] = c.primaryView(now, live, database, monitor)
 	}
 	old := c.snapshot
 	if old.Directory == next.Directory && old.LiveHosts == next.LiveHosts && old.Ready == next.Ready && old.Lease == next.Lease &&
@@ -409,7 +409,9 @@
 }
 
 // primaryView returns the state of a primary for the view.
-func (c *Controller) primaryView(database model.DatabaseID, monitor *failover.Monitor) Primary {
+//
+// A host that hears none of the others can't tell whether they change a primary, and expects no change.
+func (c *Controller) primaryView(now time.Time, live []model.HostID, database model.DatabaseID, monitor *failover.Monitor) Primary {
 	observation := monitor.Observation()
 	primary := Primary{Instance: observation.Instance, State: observation.State}
 	if observation.State == failover.Silent {
@@ -418,6 +420,8 @@
 	if back := monitor.PromotedAt().Add(c.Timing.PromotionTime); observation.State != failover.Leading && !monitor.PromotedAt().IsZero() && back.After(primary.ExpectedBack) {
 		primary.ExpectedBack = back
 	}
+	inTouch := len(live) > 1 || len(c.hosts) == 0
+	primary.Changing = c.changing[database] || (inTouch && monitor.Changing(now, c.health))
 	if c.lease != nil {
 		primary.Assigned = c.lease.Assigned(database)
 		primary.Cleared = c.lease.Cleared(c.boot, database)
--- a/internal/controller/view.go
+++ b/internal/controller/view.go
@@ -44,6 +44,7 @@
 	Instance     model.InstanceID
 	State        failover.State
 	ExpectedBack time.Time        // when a primary is expected to be available again; zero when there is nothing to wait for
+	Changing     bool             // it is being replaced, or its loss is undecided
 	Assigned     lease.Assignment // the only instance that may be used as the primary, unless its token is zero
 	Cleared      model.Token      // the promotion that this host may order now, since no host uses another primary
 }
--- a/internal/failover/monitor.go
+++ b/internal/failover/monitor.go
@@ -49,6 +49,7 @@
 	ProbeInterval     time.Duration // time between two probes of an idle primary
 	FastProbeInterval time.Duration // time between two probes of a primary in doubt
 	ReturnGrace       time.Duration // time that a lost primary has to return before a replica far behind is promoted
+	ChangeTimeout     time.Duration // time after which a loss that no change has ended counts as lasting
 }
 
 // DefaultTiming returns the timing used in production.
@@ -63,6 +64,7 @@
 		ProbeInterval:     900 * time.Millisecond,  // keeps the primary's last known position within the ages that reads accept
 		FastProbeInterval: 150 * time.Millisecond,  // a few round trips between regions
 		ReturnGrace:       2 * time.Second,         // duration of an instance restart
+		ChangeTimeout:     10 * time.Second,        // two attempts at a change, the cooldown between them included
 	}
 }
 
@@ -250,6 +252,23 @@
 	return false
 }
 
+// Changing reports whether the primary is likely to be replaced or confirmed soon: its loss is undecided, no instance leads, or a
+// promotion is under way. A primary that stays lost for longer than ChangeTimeout counts as lost for good.
+func (m *Monitor) Changing(now time.Time, health map[model.InstanceID]Health) bool {
+	h := health[m.primary]
+	switch {
+	case m.state != Leading && !m.promotedAt.IsZero() && now.Sub(m.promotedAt) < max(m.Timing.ChangeTimeout, m.Timing.Cooldown+m.ReleaseTime):
+		return true
+	case m.state == Silent:
+		return now.Sub(m.stateSince) < m.Timing.ChangeTimeout
+	case m.primary != "" && !h.SilentSince.IsZero() && h.SilentSince.After(h.LastProof):
+		return true // becomes Silent or is answered within the timeout
+	case !m.leaderlessSince.IsZero():
+		return now.Sub(m.leaderlessSince) < m.Timing.ChangeTimeout
+	}
+	return m.primary != "" && m.state != Leading && m.SuspectedByPeer(now)
+}
+
 // Decision is what to do about the primary.
 type Decision uint8
 
--- a/internal/failover/monitor_test.go
+++ b/internal/failover/monitor_test.go
@@ -128,6 +128,61 @@
 	}
 }
 
+// TestChanging guards against statements that give up on a primary that is still being replaced, and against statements that wait
+// for one that is lost for good.
+func TestChanging(t *testing.T) {
+	silent := func(ms int) Health {
+		return Health{Instance: "a", Term: 1, LastProof: after(0), SilentSince: after(ms)}
+	}
+	refused := func(id model.InstanceID, ms int) Health {
+		return Health{Instance: id, Term: 1, LastProof: after(0), LastRefusal: after(ms)}
+	}
+	tests := map[string]struct {
+		health     func(ms int) []Health // at each time
+		promotedAt int                   // time of a promotion of b, in ms after start; zero for none
+		suspected  bool                  // another host finds it silent
+		until      int
+		want       bool
+	}{
+		"works":                        {health: func(ms int) []Health { return []Health{leading("a", 1, after(ms))} }, until: 2000},
+		"works, silent to another":     {health: func(ms int) []Health { return []Health{leading("a", 1, after(ms))} }, suspected: true, until: 2000},
+		"answers are overdue":          {health: func(ms int) []Health { return []Health{{Instance: "a", LastProof: after(ms - 100), Overdue: true}} }, until: 2000},
+		"just fallen silent":           {health: func(int) []Health { return []Health{silent(1900)} }, until: 2000, want: true},
+		"silent":                       {health: func(int) []Health { return []Health{silent(1000)} }, until: 4000, want: true},
+		"silent for good":              {health: func(int) []Health { return []Health{silent(1000)} }, until: 12000},
+		"unproven, silent to another":  {health: func(int) []Health { return nil }, suspected: true, until: 2000, want: true},
+		"unproven":                     {health: func(int) []Health { return nil }, until: 2000},
+		"no instance leads":            {health: func(ms int) []Health { return []Health{refused("a", ms), refused("b", ms), refused("c", ms)} }, until: 3000, want: true},
+		"none has led for long":        {health: func(ms int) []Health { return []Health{refused("a", ms), refused("b", ms), refused("c", ms)} }, until: 15000},
+		"another is promoted":          {health: func(int) []Health { return []Health{silent(1000)} }, promotedAt: 3000, until: 4000, want: true},
+		"another is promoted, leads":   {health: func(ms int) []Health { return []Health{silent(1000), leading("b", 2, after(ms))} }, promotedAt: 3000, until: 4000},
+		"another never came to lead":   {health: func(ms int) []Health { return []Health{silent(1000), refused("b", ms)} }, promotedAt: 3000, until: 15000},
+		"the store names no other one": {health: func(ms int) []Health { return []Health{leading("a", 1, after(ms))} }, promotedAt: 3000, until: 15000},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			monitor := New(DefaultTiming())
+			health := make(map[model.InstanceID]Health)
+			for ms := 1000; ms <= test.until; ms += 50 {
+				clear(health)
+				for _, h := range test.health(ms) {
+					health[h.Instance] = h
+				}
+				if test.promotedAt > 0 && ms >= test.promotedAt {
+					monitor.RecordPromotion(after(ms), Promotion{Instance: "b", Token: 2})
+				}
+				if test.suspected {
+					monitor.SetPeer("h2", Observation{Instance: "a", State: Silent, ReceivedAt: after(ms)})
+				}
+				monitor.UpdatePrimary(after(ms), threeMembers, health)
+			}
+			if got := monitor.Changing(after(test.until), health); got != test.want {
+				t.Errorf("got %v (%+v), want %v", got, monitor.Observation(), test.want)
+			}
+		})
+	}
+}
+
 // TestNoInstanceLeads covers a demotion without a promotion, as when the acting host is killed in between: every instance
 // denies being primary, and another host has to fail over.
 func TestNoInstanceLeads(t *testing.T) {
--- a/internal/front/autocommit.go
+++ b/internal/front/autocommit.go
@@ -55,12 +55,12 @@
 }
 
 // mayTryAnother reports whether work that a scheduler refused may be tried again: on another instance if any would do, and in any case
-// if the instance is gone, which stops its scheduler; another instance is then found, or a primary waited for.
+// if the instance is gone, which stops its scheduler, or its primary is changing; another instance is then found, or a primary waited for.
 func (e *execution) mayTryAnother(refusal *model.Refusal, anyInstance bool) bool {
 	if refusal.Code == model.CodeStopping {
 		return !e.session.host.terminating()
 	}
-	return anyInstance && e.hasCandidate()
+	return (anyInstance && e.hasCandidate()) || e.awaitsPrimary()
 }
 
 // hasCandidate reports whether any instance has not been excluded.
--- a/internal/front/execution.go
+++ b/internal/front/execution.go
@@ -23,6 +23,7 @@
 	minRetryPause      = 5 * time.Millisecond   // before an attempt after a refusal for lack of a slot; doubles with each attempt
 	maxRetryPause      = 40 * time.Millisecond  // upper bound of the doubling
 	startShare         = 0.25                   // share of the goal within which a statement must be sent to an instance; otherwise it is refused
+	minResumeTime      = 300 * time.Millisecond // lower bound after a wait for a primary: the longest backoff of its connections, 250 ms, and the opening of one
 	minStartTime       = 60 * time.Millisecond  // lower bound of the time that startShare gives
 )
 
@@ -134,39 +135,30 @@
 		if e.session.host.outOfTouch() {
 			return target{}, withRetryAfter(model.Refuse(model.CodeUnavailable, "the host is out of touch with the other hosts and the store"), outOfTouchRetry)
 		}
-		if len(e.excluded) > 0 && primary.Instance != "" && primary.State == failover.Leading {
+		if len(e.excluded) > 0 && primary.Instance != "" && primary.State == failover.Leading && !primary.Changing {
 			return target{}, model.Refuse(model.CodeUnavailable, "each instance that would do has refused or failed")
 		}
-		until := waitLimit(e.startBy, e.deadline, primary.ExpectedBack, e.session.host.settledAt())
-		if primary.ExpectedBack.After(e.deadline) {
-			return target{}, withRetryAfter(model.Refuse(model.CodeUnavailable, "the primary is lost and is not back in time"), time.Until(primary.ExpectedBack))
+		wait := e.primaryWait(rs, &primary)
+		until := wait.until()
+		if wait.tooLate() {
+			return target{}, withRetryAfter(model.Refuse(model.CodeUnavailable, "the primary is lost and is not back in time"), wait.retryAfter())
 		}
 		if !waitChanged(ctx, changed, until) {
-			return target{}, withRetryAfter(model.Refuse(model.CodeUnavailable, "no primary is known"), time.Until(primary.ExpectedBack))
+			return target{}, withRetryAfter(model.Refuse(model.CodeUnavailable, "no primary is known"), e.primaryWait(rs, &primary).retryAfter())
+		}
+		if !e.needsPrimary() || e.session.host.primary(e.policy.Database) != primary {
+			clear(e.excluded) // otherwise the attempt would be used up at an instance that has just failed
 		}
-		clear(e.excluded)
-	}
-}
-
-// waitLimit returns until when a statement waits for a primary: until it has to be sent; until a lost primary is expected back, if
-// that is before the deadline; or until a host that has just started has got to know the primaries.
-func waitLimit(startBy, deadline, expectedBack, settled time.Time) time.Time {
-	until := startBy
-	if expectedBack.Before(deadline) && expectedBack.After(until) {
-		until = expectedBack
-	}
-	if settled.After(deadline) {
-		settled = deadline
-	}
-	if settled.After(until) {
-		until = settled
 	}
-	return until
 }
 
 // renewStart gives a statement that has waited for a primary the time in which it would be sent had it arrived now.
 func (e *execution) renewStart(now time.Time) {
 	e.startBy = latestStart(now, e.policy.Goal, e.deadline)
+	if least := earlier(now.Add(minResumeTime), e.deadline); e.startBy.Before(least) {
+		e.startBy = least
+	}
+	clear(e.unreached) // the holders may know the primary by now
 }
 
 // latestStart returns the time by which a statement that arrives now has to be sent to an instance.
@@ -308,7 +300,7 @@
 func (e *execution) prepareRetry(ctx context.Context, reason string, pause time.Duration) bool {
 	e.attempts++
 	e.session.host.counters.Retries.Add(1)
-	if e.attempts >= maxAttempts || !time.Now().Add(pause).Before(e.startBy) {
+	if e.attempts >= maxAttempts || !(time.Now().Add(pause).Before(e.startBy) || e.awaitsPrimary()) {
 		return false
 	}
 	event.RequestRetried(e.session.host.Logger, e.request.ID, e.policy.ID, e.instanceID(), model.Millis(time.Since(e.arrived)), reason)
--- a/internal/front/follow_internal_test.go
+++ b/internal/front/follow_internal_test.go
@@ -218,30 +218,6 @@
 	}
 }
 
-// TestWaitLimit checks until when a statement waits for a primary.
-func TestWaitLimit(t *testing.T) {
-	now := time.Unix(1000, 0)
-	at := func(after time.Duration) time.Time { return now.Add(after) }
-	startBy, deadline := at(100*time.Millisecond), at(2*time.Second)
-	tests := map[string]struct{ expectedBack, settled, want time.Time }{
-		"nothing to wait for":                {want: startBy},
-		"back before the deadline":           {expectedBack: at(time.Second), want: at(time.Second)},
-		"back after the deadline":            {expectedBack: at(3 * time.Second), want: startBy},
-		"back soon":                          {expectedBack: at(10 * time.Millisecond), want: startBy},
-		"the host has just started":          {settled: at(900 * time.Millisecond), want: at(900 * time.Millisecond)},
-		"it settles after the deadline":      {settled: at(3 * time.Second), want: deadline},
-		"started long ago":                   {settled: at(-time.Hour), want: startBy},
-		"just started, and the primary lost": {settled: at(500 * time.Millisecond), expectedBack: at(time.Second), want: at(time.Second)},
-	}
-	for name, test := range tests {
-		t.Run(name, func(t *testing.T) {
-			if got := waitLimit(startBy, deadline, test.expectedBack, test.settled); !got.Equal(test.want) {
-				t.Errorf("got %v, want %v", got.Sub(now), test.want.Sub(now))
-			}
-		})
-	}
-}
-
 // quietLogger returns a logger that writes nothing.
 func quietLogger() log.Interface {
 	return &log.Logger{Handler: discard.New(), Level: log.ErrorLevel}
