failover: only hosts that observe a silent primary themselves have a vote

A primary that was unreachable from 65 % of the hosts was judged after 5.2 s (59 hosts): votes were compared with all live hosts, although only holders and a few others observe a primary since requests are relayed. Hosts also repeated proofs of others as if they had reached the primary, and votes of hosts that had recovered counted until they were overwritten.

Health keeps proofs that another host passed on apart (RemoteProof). They tell statements where to go and are no vote. Where an instance is crowded, the hosts that keep connections to it and those with an observation of their own count: more than half must find it silent, at least three or all where there are fewer, never only one. Where all live hosts observe it, the majority of the live hosts decides as before. A vote counts only while its host is live without repeating it, and a host that recovers says so for as long. Event 6007 has the number of observers.

The lease rules are unchanged: a host that hears no majority still replaces a silent primary of a platform without fencing only when its entry is gone, and the lease model lets any host begin a change at any time, whatever the votes.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -266,6 +266,7 @@
 	for _, database := range slices.Sorted(maps.Keys(byDatabase)) {
 		members := byDatabase[database]
 		monitor := c.monitorOf(database)
+		monitor.VoteMaxAge = c.hostTimeout()
 		if changed, reason := monitor.UpdatePrimary(now, members, c.health); changed {
 			observation := monitor.Observation()
 			event.PrimaryBelieved(c.Logger, database, observation.Instance, observation.Term, string(observation.State), reason)
@@ -299,12 +300,16 @@
 		return nil
 	}
 	monitor.ReleaseTime = c.releaseTime()
+	monitor.Observers = nil
+	if monitor.Reports(now) {
+		monitor.Observers = c.observersOf(now, database, monitor.Observation().Instance)
+	}
 	verdict, count, reason := monitor.Decide(now, c.Self.ID, live, len(c.hosts)+1, members)
 	if verdict == failover.Keep {
 		return nil
 	}
 	observation := monitor.Observation()
-	event.PrimaryJudged(c.Logger, database, observation.Instance, count.Silent, count.Leading, count.Live, reason)
+	event.PrimaryJudged(c.Logger, database, observation.Instance, count.Silent, count.Leading, count.Observing, count.Live, reason)
 	c.changing[database] = true
 	d := c.directory.Directory()
 	change := ChangePrimary{
@@ -318,7 +323,7 @@
 		Release:   c.releaseTime(),
 	}
 	responds := verdict == failover.Failover && c.respondsAsReplica(observation.Instance)
-	change.Demoted = responds && c.health[observation.Instance].LastProof.After(monitor.PromotedAt())
+	change.Demoted = responds && c.health[observation.Instance].Proved().After(monitor.PromotedAt())
 	for _, member := range members {
 		if member.Instance != observation.Instance || responds {
 			change.Replicas = append(change.Replicas, d.Instances[member.Instance])
@@ -331,7 +336,7 @@
 // one whose promotion got no answer may still be promoted by that order, so the instance stays a candidate.
 func (c *Controller) respondsAsReplica(primary model.InstanceID) bool {
 	health := c.health[primary]
-	return health.SilentSince.IsZero() && health.LastRefusal.After(health.LastProof)
+	return health.SilentSince.IsZero() && health.LastRefusal.After(health.Proved())
 }
 
 // finishChange processes the result of a ChangePrimary.
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -289,11 +289,18 @@
 		hosts   int
 		health  func(f *fleet, since time.Time, host model.HostID) failover.Health
 		isolate []model.HostID // hosts whose heartbeats are lost
+		direct  model.HostID   // hosts before this one reach the primary while it works, the others know proofs of these; empty for all
 		want    bool           // a change is ordered, by one host, before the stagger lets the next one act
 	}{
 		"healthy":                               {hosts: 4, health: func(f *fleet, _ time.Time, _ model.HostID) failover.Health { return healthy(f) }},
 		"silent to all hosts":                   {hosts: 4, health: func(f *fleet, s time.Time, _ model.HostID) failover.Health { return lost(f, s) }, want: true},
 		"silent to all hosts of a larger fleet": {hosts: 29, health: func(f *fleet, s time.Time, _ model.HostID) failover.Health { return lost(f, s) }, want: true},
+		"silent to those that observe it, others repeat proofs": {hosts: 20, direct: "h14", health: func(f *fleet, s time.Time, h model.HostID) failover.Health {
+			if h < "h14" {
+				return lost(f, s)
+			}
+			return failover.Health{Term: 1, RemoteProof: f.now}
+		}, want: true},
 		"silent to one host": {hosts: 4, health: func(f *fleet, s time.Time, h model.HostID) failover.Health {
 			if h == "h00" {
 				return lost(f, s)
@@ -316,8 +323,11 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			f := newFleet(test.hosts, 16)
-			f.health = func(_ model.HostID, i model.InstanceID) failover.Health {
-				if i == "i0" {
+			f.health = func(h model.HostID, i model.InstanceID) failover.Health {
+				switch {
+				case i == "i0" && test.direct != "" && h >= test.direct:
+					return failover.Health{Term: 1, RemoteProof: f.now}
+				case i == "i0":
 					return healthy(f)
 				}
 				return failover.Health{}
--- a/internal/controller/host.go
+++ b/internal/controller/host.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"redwingspread/internal/event"
-	"redwingspread/internal/failover"
 	"redwingspread/internal/model"
 )
 
@@ -241,8 +240,8 @@
 		Primaries:   make(map[model.DatabaseID]observation),
 	}
 	for database, monitor := range c.monitors {
-		if observed := monitor.Observation(); observed.State == failover.Silent || (observed.Instance != "" && monitor.SuspectedByPeer(now)) {
-			heartbeat.Primaries[database] = observed
+		if monitor.Reports(now) {
+			heartbeat.Primaries[database] = monitor.OwnObservation()
 		}
 	}
 	if len(c.hosts) <= heartbeatFanout && now.Sub(c.lastLoads) < loadInterval {
--- a/internal/controller/shares.go
+++ b/internal/controller/shares.go
@@ -39,18 +39,16 @@
 	sharers := c.sharers(now)
 	c.crowded = false
 	for id, instance := range d.Instances {
-		limit := d.Databases[instance.Database].Connections
+		limit, most := sharedConnections(d.Databases[instance.Database].Connections)
 		if limit == 0 {
 			continue
 		}
-		most := int(limit / crowdedDivisor)
-		limit -= max(limit/spareDivisor, 1)
 		c.crowded = c.crowded || len(sharers)+1 > int(limit)
 		if !c.hostsRead {
 			shares[id] = assumedShare(limit, instance.Slots)
 			continue
 		}
-		if hosts := len(sharers) + 1; hosts > int(limit) || hosts > most && len(c.homesOf(id, limit)) > 0 {
+		if hosts := len(sharers) + 1; c.crowds(id, hosts, limit, most) {
 			shares[id] = c.crowdedShare(now, id, instance.Slots, limit, hosts)
 			continue
 		}
@@ -68,6 +66,33 @@
 	return shares
 }
 
+// sharedConnections returns the connections to an instance that hosts share, and the number of hosts beyond which it is crowded if
+// some hosts are near it.
+func sharedConnections(connections model.Connections) (limit model.Connections, most int) {
+	if connections == 0 {
+		return 0, 0
+	}
+	return connections - max(connections/spareDivisor, 1), int(connections / crowdedDivisor)
+}
+
+// crowds reports whether the hosts are too many for each of them to keep a connection to an instance.
+func (c *Controller) crowds(id model.InstanceID, hosts int, limit model.Connections, most int) bool {
+	return hosts > int(limit) || hosts > most && len(c.homesOf(id, limit)) > 0
+}
+
+// observersOf returns the hosts that keep connections to an instance of the database, or nil where each host does.
+func (c *Controller) observersOf(now time.Time, database model.DatabaseID, id model.InstanceID) map[model.HostID]bool {
+	d := c.directory.Directory()
+	limit, most := sharedConnections(d.Databases[database].Connections)
+	if limit == 0 || !c.hostsRead || !c.crowds(id, len(c.sharers(now))+1, limit, most) {
+		return nil
+	}
+	if homes := c.homesOf(id, limit); homes != nil {
+		return homes
+	}
+	return map[model.HostID]bool{}
+}
+
 // crowdedShare returns this host's share of an instance that has too few connections for all hosts to keep one: its home hosts keep
 // connections, the others open one when they need it.
 //
--- a/internal/event/events_gen.go
+++ b/internal/event/events_gen.go
@@ -396,15 +396,16 @@
 }
 
 // PrimaryJudged logs event 6007: a primary is to be replaced.
-func PrimaryJudged(logger log.Interface, database model.DatabaseID, instance model.InstanceID, silent int, leads int, live int, reason string) {
-	logger.WithFields(log.Fields{
-		"event":    NumberPrimaryJudged,
-		"database": database,
-		"instance": instance,
-		"silent":   silent,
-		"leads":    leads,
-		"live":     live,
-		"reason":   reason,
+func PrimaryJudged(logger log.Interface, database model.DatabaseID, instance model.InstanceID, silent int, leads int, observers int, live int, reason string) {
+	logger.WithFields(log.Fields{
+		"event":     NumberPrimaryJudged,
+		"database":  database,
+		"instance":  instance,
+		"silent":    silent,
+		"leads":     leads,
+		"observers": observers,
+		"live":      live,
+		"reason":    reason,
 	}).Warn("a primary is to be replaced")
 }
 
--- a/internal/failover/monitor.go
+++ b/internal/failover/monitor.go
@@ -32,12 +32,21 @@
 type Health struct {
 	Instance    model.InstanceID
 	Term        model.Term // term of the newest proof
-	LastProof   time.Time  // time of the newest proof that the instance is the primary
+	LastProof   time.Time  // time of the newest proof to this host that the instance is the primary
+	RemoteProof time.Time  // time of the newest such proof to another host, which passed it on
 	LastRefusal time.Time  // time of the newest refusal because it is not the primary
 	SilentSince time.Time  // time of the first failure since the last answer; zero while it answers
 	Overdue     bool       // whether an answer is overdue
 }
 
+// Proved returns the time of the newest proof that the instance is the primary, to this or to another host.
+func (h Health) Proved() time.Time {
+	if h.RemoteProof.After(h.LastProof) {
+		return h.RemoteProof
+	}
+	return h.LastProof
+}
+
 // Timing holds the timeouts and intervals of a monitor.
 type Timing struct {
 	SilenceTimeout    time.Duration // time without an answer after which a primary is silent
@@ -83,11 +92,18 @@
 	Unfenced bool
 	// ReleaseTime is how long an unfenced primary may still be used after the decision to replace it.
 	ReleaseTime time.Duration
+	// Observers are the hosts that keep connections to the primary and so observe it all the time; nil where all hosts do.
+	Observers map[model.HostID]bool
+	// VoteMaxAge is the age up to which another host's observation counts without being repeated; zero for any age.
+	VoteMaxAge time.Duration
 
 	primary          model.InstanceID               // empty while no primary is known
 	term             model.Term                     // newest term in which a primary was proven
 	state            State                          // state of the primary as observed by this host
-	stateSince       time.Time                      // Observation.Since of this host
+	stateSince       time.Time                      // time of the last proof (Leading) or of the first failure (Silent)
+	ownState         State                          // what this host observes itself, where that differs from state; empty otherwise
+	ownSince         time.Time                      // time of the last own proof (Leading) or of the first failure (Silent)
+	lastSilent       time.Time                      // time at which this host last observed a primary as silent
 	promotion        Promotion                      // newest known promotion
 	peers            map[model.HostID]Observation   // newest observation of each other host
 	primaryChangedAt time.Time                      // time of the last change of primary
@@ -106,11 +122,31 @@
 	}
 }
 
-// Observation returns this host's own observation.
+// Observation returns what this host knows of the primary, from its own observation and from what other hosts passed on.
 func (m *Monitor) Observation() Observation {
 	return Observation{Instance: m.primary, Term: m.term, State: m.state, Since: m.stateSince}
 }
 
+// OwnObservation returns what this host observes of the primary itself. A proof that another host passed on is that host's
+// observation, not one of this host.
+func (m *Monitor) OwnObservation() Observation {
+	own := m.Observation()
+	if m.ownState != "" {
+		own.State, own.Since = m.ownState, m.ownSince
+	}
+	return own
+}
+
+// Reports reports whether this host tells others what it observes: the primary is silent to it or to another host, or was so
+// within the time for which others count that.
+func (m *Monitor) Reports(now time.Time) bool {
+	if m.primary == "" {
+		return false
+	}
+	recently := !m.lastSilent.IsZero() && now.Sub(m.lastSilent) <= m.VoteMaxAge
+	return m.OwnObservation().State == Silent || m.SuspectedByPeer(now) || recently
+}
+
 // PromotedAt returns the time at which the newest promotion became known.
 func (m *Monitor) PromotedAt() time.Time { return m.promotedAt }
 
@@ -148,15 +184,17 @@
 	switch {
 	case m.primary == "":
 		m.state = Unknown
-	case !h.SilentSince.IsZero() && h.SilentSince.After(h.LastProof):
+	case !h.SilentSince.IsZero() && h.SilentSince.After(h.Proved()):
 		if now.Sub(h.SilentSince) >= m.Timing.SilenceTimeout {
 			m.state, m.stateSince = Silent, h.SilentSince
 		}
-	case h.LastProof.After(h.LastRefusal) && now.Sub(h.LastProof) < m.Timing.ProbeInterval+m.Timing.ProofMaxAge:
-		m.state, m.stateSince = Leading, h.LastProof
+	case h.Proved().After(h.LastRefusal) && now.Sub(h.Proved()) < m.Timing.ProbeInterval+m.Timing.ProofMaxAge:
+		m.state, m.stateSince = Leading, h.Proved()
 		m.term = max(m.term, h.Term)
-	case h.LastRefusal.After(h.LastProof):
+	case h.LastRefusal.After(h.Proved()):
 		m.state, m.stateSince = Unknown, h.LastRefusal
+	case m.silentToSelf(now, h):
+		m.state, m.stateSince = Silent, h.SilentSince // a proof that another host passed on is too old to count against it
 	}
 	if m.primary != previous {
 		m.primaryChangedAt = now
@@ -164,9 +202,33 @@
 			m.state, m.stateSince = Unknown, now
 		}
 	}
+	m.updateOwn(now, h)
 	return m.primary != previous || m.state != previousState, reason
 }
 
+// silentToSelf reports whether the instance has not answered this host for the timeout, whatever it has proved to others.
+func (m *Monitor) silentToSelf(now time.Time, h Health) bool {
+	return !h.SilentSince.IsZero() && h.SilentSince.After(h.LastProof) && now.Sub(h.SilentSince) >= m.Timing.SilenceTimeout
+}
+
+// updateOwn updates what this host observes itself, given the health of the primary.
+func (m *Monitor) updateOwn(now time.Time, h Health) {
+	m.ownState = ""
+	if m.state == Leading && h.RemoteProof.After(h.LastProof) {
+		switch {
+		case m.silentToSelf(now, h):
+			m.ownState, m.ownSince = Silent, h.SilentSince
+		case h.LastProof.After(h.LastRefusal):
+			m.ownState, m.ownSince = Leading, h.LastProof
+		default:
+			m.ownState, m.ownSince = Unknown, m.stateSince
+		}
+	}
+	if m.OwnObservation().State == Silent {
+		m.lastSilent = now
+	}
+}
+
 // updateLeaderless records since when every instance has denied being primary, as after a demotion without a promotion.
 func (m *Monitor) updateLeaderless(now time.Time, members []Member, health map[model.InstanceID]Health) {
 	for _, member := range members {
@@ -174,7 +236,7 @@
 			continue // it is not used, whatever it says
 		}
 		h := health[member.Instance]
-		if !h.LastRefusal.After(h.LastProof) || now.Sub(h.LastRefusal) > m.Timing.SilenceTimeout || !h.SilentSince.IsZero() {
+		if !h.LastRefusal.After(h.Proved()) || now.Sub(h.LastRefusal) > m.Timing.SilenceTimeout || !h.SilentSince.IsZero() {
 			m.leaderlessSince = time.Time{}
 			return
 		}
@@ -194,10 +256,10 @@
 	promoted := false
 	for _, member := range members {
 		h := health[member.Instance]
-		if h.LastProof.After(h.LastRefusal) && cmp.Or(cmp.Compare(h.Term, best.Term), h.LastProof.Compare(best.LastProof)) > 0 {
+		if h.Proved().After(h.LastRefusal) && cmp.Or(cmp.Compare(h.Term, best.Term), h.Proved().Compare(best.Proved())) > 0 {
 			proven, best = member.Instance, h
 		}
-		if member.ClaimsPrimary && !h.LastRefusal.After(h.LastProof) {
+		if member.ClaimsPrimary && !h.LastRefusal.After(h.Proved()) {
 			claimed = member.Instance
 		}
 		if member.Instance == m.promotion.Instance && !h.LastRefusal.After(m.promotedAt) {
@@ -211,7 +273,7 @@
 	case promoted && m.promotion.Instance != m.primary:
 		m.primary = m.promotion.Instance
 		return "promotion"
-	case claimed != "" && (m.primary == "" || !contains(members, m.primary) || health[m.primary].LastRefusal.After(health[m.primary].LastProof)):
+	case claimed != "" && (m.primary == "" || !contains(members, m.primary) || health[m.primary].LastRefusal.After(health[m.primary].Proved())):
 		m.primary = claimed
 		return "entry"
 	case !contains(members, m.primary):
@@ -261,7 +323,7 @@
 		return true
 	case m.state == Silent:
 		return now.Sub(m.stateSince) < m.Timing.ChangeTimeout
-	case m.primary != "" && !h.SilentSince.IsZero() && h.SilentSince.After(h.LastProof):
+	case m.primary != "" && !h.SilentSince.IsZero() && h.SilentSince.After(h.Proved()):
 		return true // becomes Silent or is answered within the timeout
 	case !m.leaderlessSince.IsZero():
 		return now.Sub(m.leaderlessSince) < m.Timing.ChangeTimeout
@@ -279,36 +341,69 @@
 	Switchover                 // the primary works, but is leaving or unreachable from most hosts; demote it first
 )
 
-// HostCounts counts the live hosts, and those that observe the primary as silent or as leading.
+// HostCounts counts the live hosts, those of them that observe the primary themselves, and what these observe.
 type HostCounts struct {
-	Silent, Leading, Live int
+	Silent, Leading, Observing, Live int
 }
 
-// Decide decides whether this host changes the primary now; hosts are the live ones, including this one, and known is the
-// number of all hosts.
-func (m *Monitor) Decide(now time.Time, self model.HostID, hosts []model.HostID, known int, members []Member) (Decision, HostCounts, string) {
-	var counts HostCounts
-	var silent, leading []model.HostID
-	newestProof := time.Time{}
+// leastAgreeing is the number of hosts that have to find a primary silent where some live hosts don't observe it themselves, or all
+// that observe it where there are fewer: the others may be right not to doubt it.
+const leastAgreeing = 3
+
+// votes are the live hosts that observe the primary themselves, by what they observe.
+type votes struct {
+	hosts       []model.HostID // live
+	silent      []model.HostID
+	leading     []model.HostID
+	observing   int       // those that are silent or leading to it, and those that keep connections to it
+	newestProof time.Time // to any of these hosts
+}
+
+// mostSilent reports whether enough of the observing hosts find the primary silent. Where all live hosts observe it, these are more
+// than half; otherwise also at least leastAgreeing, and never fewer than two.
+func (v *votes) mostSilent() bool {
+	if 2*len(v.silent) <= v.observing {
+		return false
+	}
+	return v.observing == len(v.hosts) || len(v.silent) >= max(min(leastAgreeing, v.observing), 2)
+}
+
+// count returns what the live hosts observe of the primary.
+func (m *Monitor) count(now time.Time, self model.HostID, hosts []model.HostID) votes {
+	v := votes{hosts: hosts}
 	for _, host := range hosts {
 		observation, known := m.peers[host]
 		if host == self {
-			observation, known = m.Observation(), true
+			observation, known = m.OwnObservation(), true
+			observation.ReceivedAt = now
+		} else if m.VoteMaxAge > 0 && now.Sub(observation.ReceivedAt) > m.VoteMaxAge {
+			known = false
 		}
-		if !known || observation.Instance != m.primary {
-			continue
-		}
-		switch observation.State {
-		case Silent:
-			silent = append(silent, host)
-		case Leading:
-			leading = append(leading, host)
-			if observation.Since.After(newestProof) {
-				newestProof = observation.Since
+		observing := m.Observers == nil || m.Observers[host]
+		switch {
+		case !known || observation.Instance != m.primary:
+		case observation.State == Silent:
+			v.silent = append(v.silent, host)
+			observing = true
+		case observation.State == Leading:
+			v.leading = append(v.leading, host)
+			observing = observing || observation.ReceivedAt.Sub(observation.Since) <= m.Timing.ProbeInterval+m.Timing.ProofMaxAge
+			if observation.Since.After(v.newestProof) {
+				v.newestProof = observation.Since
 			}
 		}
+		if observing {
+			v.observing++
+		}
 	}
-	counts = HostCounts{Silent: len(silent), Leading: len(leading), Live: len(hosts)}
+	return v
+}
+
+// Decide decides whether this host changes the primary now; hosts are the live ones, including this one, and known is the
+// number of all hosts.
+func (m *Monitor) Decide(now time.Time, self model.HostID, hosts []model.HostID, known int, members []Member) (Decision, HostCounts, string) {
+	v := m.count(now, self, hosts)
+	counts := HostCounts{Silent: len(v.silent), Leading: len(v.leading), Observing: v.observing, Live: len(hosts)}
 	if now.Sub(m.promotedAt) < m.Timing.Cooldown+m.ReleaseTime {
 		return Keep, counts, ""
 	}
@@ -319,10 +414,10 @@
 	if m.primary == "" || now.Sub(m.primaryChangedAt) < m.Timing.SilenceTimeout {
 		return Keep, counts, ""
 	}
-	if decision, reason := m.decideFailover(now, self, hosts, silent, leading, newestProof); decision != Keep && mayFailOver {
+	if decision, reason := m.decideFailover(now, self, &v); decision != Keep && mayFailOver {
 		return decision, counts, reason
 	}
-	decision, reason := m.decideSwitchover(now, self, hosts, silent, leading, members)
+	decision, reason := m.decideSwitchover(now, self, &v, members)
 	return decision, counts, reason
 }
 
@@ -337,51 +432,60 @@
 	return true
 }
 
-// decideFailover decides whether a primary that this host and most others observe as silent is lost.
-func (m *Monitor) decideFailover(now time.Time, self model.HostID, hosts, silent, leading []model.HostID, newestProof time.Time) (Decision, string) {
-	if m.state != Silent || 2*len(silent) <= len(hosts) {
+// decideFailover decides whether a primary that this host and most others that observe it find silent is lost.
+func (m *Monitor) decideFailover(now time.Time, self model.HostID, v *votes) (Decision, string) {
+	if m.state != Silent || !v.mostSilent() {
 		return Keep, ""
 	}
-	if len(leading) > 0 && now.Sub(newestProof) < m.Timing.SilenceTimeout+m.Timing.ProofMaxAge {
+	if len(v.leading) > 0 && now.Sub(v.newestProof) < m.Timing.SilenceTimeout+m.Timing.ProofMaxAge {
 		return Keep, ""
 	}
 	silence := now.Sub(m.stateSince)
-	if len(hosts) == 1 {
+	if len(v.hosts) == 1 {
 		if silence >= m.Timing.IsolatedTimeout {
 			return Failover, "silent, and no other host is heard"
 		}
 		return Keep, ""
 	}
-	if silence >= m.Timing.SilenceTimeout+m.staggerDelay(self, silent) {
+	if silence >= m.Timing.SilenceTimeout+m.staggerDelay(self, v.silent) {
 		return Failover, "silent to most hosts"
 	}
 	return Keep, ""
 }
 
 // decideSwitchover decides whether a working primary has to move, since it is leaving or reachable from few hosts.
-func (m *Monitor) decideSwitchover(now time.Time, self model.HostID, hosts, silent, leading []model.HostID, members []Member) (Decision, string) {
+func (m *Monitor) decideSwitchover(now time.Time, self model.HostID, v *votes, members []Member) (Decision, string) {
 	if m.state != Leading {
 		return Keep, ""
 	}
 	leaving := slices.ContainsFunc(members, func(member Member) bool { return member.Instance == m.primary && member.Leaving })
-	if leaving && now.Sub(m.primaryChangedAt) >= m.staggerDelay(self, leading) {
+	if leaving && now.Sub(m.primaryChangedAt) >= m.staggerDelay(self, withHost(v.leading, self)) {
 		return Switchover, "leaving"
 	}
-	if 2*len(silent) <= len(hosts) {
+	own := m.OwnObservation()
+	if own.State != Leading || !v.mostSilent() {
 		return Keep, ""
 	}
 	first := now
-	for _, host := range silent {
+	for _, host := range v.silent {
 		if since := m.peers[host].Since; since.Before(first) {
 			first = since
 		}
 	}
-	if now.Sub(first) >= m.Timing.PartialTimeout+m.staggerDelay(self, leading) && now.Sub(m.stateSince) < m.Timing.ProofMaxAge {
+	if now.Sub(first) >= m.Timing.PartialTimeout+m.staggerDelay(self, v.leading) && now.Sub(own.Since) < m.Timing.ProofMaxAge {
 		return Switchover, "silent to most hosts, but not to this one"
 	}
 	return Keep, ""
 }
 
+// withHost returns the hosts with the given one among them.
+func withHost(hosts []model.HostID, host model.HostID) []model.HostID {
+	if slices.Contains(hosts, host) {
+		return hosts
+	}
+	return append(slices.Clone(hosts), host)
+}
+
 // staggerDelay returns how long this host leaves the action to the hosts before it in id order.
 func (m *Monitor) staggerDelay(self model.HostID, acting []model.HostID) time.Duration {
 	acting = slices.Sorted(slices.Values(acting))
--- a/internal/front/backend.go
+++ b/internal/front/backend.go
@@ -203,8 +203,8 @@
 func (b *backend) noteRemoteProof(now time.Time, proof scout.Proof) {
 	provedAt := now.Add(-clock.Boot().Sub(proof.SentAt))
 	b.mutex.Lock()
-	if b.health.SilentSince.IsZero() && provedAt.After(b.health.LastProof) {
-		b.health.LastProof = provedAt
+	if b.health.SilentSince.IsZero() && provedAt.After(b.health.Proved()) {
+		b.health.RemoteProof = provedAt
 		b.health.Term = max(b.health.Term, proof.Point.Term)
 	}
 	b.mutex.Unlock()
@@ -224,7 +224,7 @@
 func (b *backend) isPrimary() bool {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	return b.health.LastProof.After(b.health.LastRefusal) && b.health.SilentSince.IsZero()
+	return b.health.Proved().After(b.health.LastRefusal) && b.health.SilentSince.IsZero()
 }
 
 // notePoint records the log point in a response and derives the replication lag from it.
--- a/internal/front/proof_internal_test.go
+++ b/internal/front/proof_internal_test.go
@@ -44,3 +44,38 @@
 		})
 	}
 }
+
+// TestRemoteProofIsNoObservation guards against a host that repeats another host's proof as if it reached the primary itself.
+func TestRemoteProofIsNoObservation(t *testing.T) {
+	tests := map[string]struct {
+		own    bool // the primary has proved itself to this host
+		remote bool // and to another host, later
+		want   failover.State
+	}{
+		"own proof":               {own: true, want: failover.Leading},
+		"remote proof":            {remote: true, want: failover.Unknown},
+		"own proof, then another": {own: true, remote: true, want: failover.Leading},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			now, point := time.Now(), model.Point{Term: 3, Position: 9}
+			b := &backend{replicaSet: &replicaSet{}}
+			b.instance.ID = "i1"
+			if test.own {
+				b.notePrimary(clock.Boot(), point)
+			}
+			if test.remote {
+				now = now.Add(500 * time.Millisecond)
+				b.noteRemoteProof(now, scout.Proof{Instance: "i1", Point: point, SentAt: clock.Boot()})
+			}
+			monitor := failover.New(failover.DefaultTiming())
+			monitor.UpdatePrimary(now, []failover.Member{{Instance: "i1", ClaimsPrimary: true}}, map[model.InstanceID]failover.Health{"i1": b.health})
+			if got := monitor.OwnObservation().State; got != test.want {
+				t.Errorf("got own observation %s, want %s", got, test.want)
+			}
+			if got := monitor.Observation().State; got != failover.Leading {
+				t.Errorf("got state %s, want %s for the statements", got, failover.Leading)
+			}
+		})
+	}
+}
