relay, placement: replies tell how far replicas are behind

Cause: about 90 of 1,290 operations per second were relayed to a replica whose holder rejected them as behind. The calling host estimated the lag from the first position seen at or past the replica's, and it sees one about every 300 ms, so that a lag of 150 ms looked like one of 0 to 150 ms; the estimate expired after 500 ms, while a host reads from a replica about once per second; a commit past all seen positions counted as old; and a quick rejection made the replica look fast.

The lag is interpolated between positions (PointHistory.PassedAt), a rejected read raises it, and up to 250 ms of it count for 10 s. A commit past all seen positions is new. The pause after a rejection holds for the lacked point and newer ones only.

--- a/internal/freshness/history.go
+++ b/internal/freshness/history.go
@@ -82,6 +82,29 @@
 	return h.samples[i].sentAt, true
 }
 
+// PassedAt estimates when the primary went past the point, and reports whether it is known to have done so. Between two samples
+// the estimate assumes a steady rate of commits: many hosts see a position only every few hundred milliseconds.
+func (h *PointHistory) PassedAt(point model.Point) (model.Instant, bool) {
+	i := sort.Search(len(h.samples), func(i int) bool { return h.samples[i].point.Compare(point) > 0 })
+	if i == len(h.samples) {
+		return 0, false
+	}
+	if i == 0 {
+		return h.samples[0].sentAt, true
+	}
+	before, after := h.samples[i-1], h.samples[i]
+	part := float64(point.Position-before.point.Position) / float64(after.point.Position-before.point.Position)
+	return before.sentAt.Add(time.Duration(part * float64(after.sentAt.Sub(before.sentAt)))), true
+}
+
+// Newest returns when the statement of the newest position was sent, and whether there is one.
+func (h *PointHistory) Newest() (model.Instant, bool) {
+	if len(h.samples) == 0 {
+		return 0, false
+	}
+	return h.samples[len(h.samples)-1].sentAt, true
+}
+
 // LagOf returns by how much time a replica at the point is behind the newest sample.
 func (h *PointHistory) LagOf(point model.Point) time.Duration {
 	i := sort.Search(len(h.samples), func(i int) bool { return h.samples[i].point.Compare(point) > 0 })
--- a/internal/freshness/history_test.go
+++ b/internal/freshness/history_test.go
@@ -82,3 +82,38 @@
 		t.Errorf("got a lag of %v, want %v", got, want)
 	}
 }
+
+// TestPassedAt guards against a lag that looks far smaller than it is, since a host sees only some of the primary's positions.
+func TestPassedAt(t *testing.T) {
+	var history PointHistory
+	if _, known := history.Newest(); known {
+		t.Error("got a newest position of an empty history, want none")
+	}
+	history.Observe(millis(100), point(2, 10))
+	history.Observe(millis(400), point(2, 40))
+	history.Observe(millis(700), point(2, 40))
+	history.Observe(millis(800), point(2, 50))
+	tests := map[string]struct {
+		point model.Point
+		want  model.Instant
+		known bool
+	}{
+		"before all positions":     {point(2, 5), millis(100), true},
+		"of an older term":         {point(1, 99), millis(100), true},
+		"at a position":            {point(2, 10), millis(100), true},
+		"between two positions":    {point(2, 20), millis(200), true},
+		"while there were no more": {point(2, 40), millis(700), true},
+		"at the newest position":   {point: point(2, 50)},
+		"past the newest position": {point: point(2, 60)},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			if got, known := history.PassedAt(test.point); got != test.want || known != test.known {
+				t.Errorf("got %v, %v, want %v, %v", got, known, test.want, test.known)
+			}
+		})
+	}
+	if got, known := history.Newest(); !known || got != millis(800) {
+		t.Errorf("got newest %v, %v, want %v", got, known, millis(800))
+	}
+}
--- a/internal/front/autocommit.go
+++ b/internal/front/autocommit.go
@@ -157,7 +157,7 @@
 	pause := time.Duration(0)
 	switch response.Code {
 	case model.CodeBehind, model.CodeNotPrimary:
-		e.handleWrongInstance(t.backend, response.Code)
+		e.handleWrongInstance(t, response.Code)
 	case model.CodeOverloaded, model.CodeSlotsFull:
 		if e.access == model.Read && !e.needsPrimary() {
 			e.exclude(t.backend)
--- a/internal/front/backend.go
+++ b/internal/front/backend.go
@@ -16,6 +16,7 @@
 	"redwingspread/internal/lease"
 	"redwingspread/internal/model"
 	"redwingspread/internal/placement"
+	"redwingspread/internal/relay"
 	"redwingspread/internal/scheduler"
 	"redwingspread/internal/scout"
 	"redwingspread/internal/session"
@@ -85,8 +86,9 @@
 	lastResponse    time.Time           // time of the latest response
 	overdueSince    time.Time           // start of the current wait: the latest response, or the first statement sent after it
 	reached         model.Point         // newest log point in a response
-	behindUntil     model.Instant       // end of the pause of reads that need a newer point
+	behindUntil     model.Instant       // end of the pause of reads that need the lacked or a newer point
 	behindPause     time.Duration       // length of that pause; doubles up to maxBehindPause until the instance has caught up
+	lacked          model.Point         // oldest point that the instance was found to lack in that pause
 	lag             placement.Lag       // replication lag, as responses show it
 	remoteTimes     *admit.ServiceTimes // of requests passed on to hosts that keep connections to it
 	leaving         bool
@@ -230,26 +232,68 @@
 // notePoint records the log point in a response and derives the replication lag from it.
 func (b *backend) notePoint(now model.Instant, point model.Point) {
 	b.replicaSet.mutex.Lock()
-	reachedAt, known := b.replicaSet.history.ReachedAt(point)
+	passedAt, passed := b.replicaSet.history.PassedAt(point)
+	newest, known := b.replicaSet.history.Newest()
 	b.replicaSet.mutex.Unlock()
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
+	b.noteReached(point)
+	switch {
+	case passed:
+		b.lag.Observe(now, now.Sub(passedAt))
+	case known: // the instance holds the newest position that was confirmed then
+		b.lag.Bound(now, now.Sub(newest))
+	}
+}
+
+// noteReached records a point that the instance's log holds; the caller holds the lock.
+func (b *backend) noteReached(point model.Point) {
 	if point.Compare(b.reached) > 0 {
 		b.reached = point
 	}
-	if known {
-		b.lag.Observe(now, now.Sub(reachedAt))
-	}
 }
 
-// noteBehind records that the instance lacks a point, and pauses such reads with exponential backoff.
-func (b *backend) noteBehind(now model.Instant) {
+// noteBehind records that the instance lacks a point, and pauses reads that need it or a newer one with exponential backoff.
+func (b *backend) noteBehind(now model.Instant, lacked model.Point) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
+	if now >= b.behindUntil || lacked.Compare(b.lacked) < 0 {
+		b.lacked = lacked
+	}
 	b.behindPause = min(max(2*b.behindPause, minBehindPause), maxBehindPause)
 	b.behindUntil = now.Add(b.behindPause)
 }
 
+// noteLacking records that the instance itself said that it lacks a point: its lag is at least the age of that point.
+func (b *backend) noteLacking(now model.Instant, lacked model.Point) {
+	b.noteBehind(now, lacked)
+	b.replicaSet.mutex.Lock()
+	reachedAt, known := b.replicaSet.history.ReachedAt(lacked)
+	b.replicaSet.mutex.Unlock()
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if known {
+		b.lag.Raise(now, now.Sub(reachedAt))
+	}
+}
+
+// noteFreshness records what a host that keeps connections to the instance knows of its log.
+func (b *backend) noteFreshness(now model.Instant, replica relay.Replica) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.noteReached(replica.Reached)
+	if replica.Lag > 0 {
+		b.lag.Adopt(now, replica.Lag)
+	}
+}
+
+// freshness returns what this host knows of the instance's log.
+func (b *backend) freshness(now model.Instant) relay.Replica {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return relay.Replica{Instance: b.instance.ID, Reached: b.reached, Lag: b.lag.At(now)}
+}
+
 // noteCaughtUp records that the instance had the requested point.
 func (b *backend) noteCaughtUp() {
 	b.mutex.Lock()
@@ -359,6 +403,7 @@
 		RoundTrip:   b.rtt,
 		Reached:     b.reached,
 		BehindUntil: b.behindUntil,
+		Lacked:      b.lacked,
 		Lag:         b.lag.At(clock.Boot()),
 	}
 }
@@ -375,6 +420,9 @@
 	if want.PointKnown && kind.Consistency == model.ReadYourWrites {
 		want.MinPoint = rs.history.WithCommit(want.MinPoint, commit)
 	}
+	if want.PointKnown {
+		want.WrittenAt = want.Now // past all confirmed positions, as a commit of this moment is
+	}
 	if at, known := rs.history.ReachedAt(want.MinPoint); known {
 		want.WrittenAt = at
 	}
--- a/internal/front/execution.go
+++ b/internal/front/execution.go
@@ -279,13 +279,13 @@
 }
 
 // handleWrongInstance records that an instance is behind or not the primary, and excludes it.
-func (e *execution) handleWrongInstance(b *backend, code model.Code) {
+func (e *execution) handleWrongInstance(t target, code model.Code) {
 	if code == model.CodeBehind {
-		b.noteBehind(clock.Boot())
+		t.backend.noteLacking(clock.Boot(), t.minPoint)
 	} else {
 		e.session.host.tickNow()
 	}
-	e.exclude(b)
+	e.exclude(t.backend)
 }
 
 // acquire waits for a connection and a slot on the target.
--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -107,9 +107,10 @@
 	r.instance = reply.Instance
 	if b := e.session.host.backend(reply.Instance); b != nil {
 		b.noteRemote(time.Now(), e.policy.ID, time.Since(now), reply.Response.Point)
-	} else if reply.Refusal != nil {
-		r.backend.noteRemote(time.Now(), e.policy.ID, time.Since(now)+reply.Refusal.RetryAfter, model.Point{})
+	} else if reply.Refusal != nil && reply.Refusal.Code != model.CodeBehind {
+		r.backend.noteRemote(time.Now(), e.policy.ID, time.Since(now)+reply.Refusal.RetryAfter, model.Point{}) // the quick refusal of one that is behind tells nothing of its load
 	}
+	e.noteReplicas(reply.Replicas)
 	if reply.Led && reply.Response.Point != (model.Point{}) {
 		e.session.host.observeProofs([]scout.Proof{{
 			Database: e.policy.Database, Instance: reply.Instance, Point: reply.Response.Point, SentAt: sent,
@@ -118,6 +119,35 @@
 	return reply, nil
 }
 
+// noteReplicas records what a holder says of the replicas to which it keeps connections, for the placement of later reads.
+func (e *execution) noteReplicas(replicas []relay.Replica) {
+	now := clock.Boot()
+	for _, replica := range replicas {
+		if b := e.session.host.backend(replica.Instance); b != nil && b.instance.Database == e.policy.Database {
+			b.noteFreshness(now, replica)
+		}
+	}
+}
+
+// heldReplicas returns what the host knows of the replicas of the session's database to which it keeps connections.
+func (s *callerSession) heldReplicas() (replicas []relay.Replica) {
+	view, now := s.host.view(), clock.Boot()
+	database := view.Directory.Kinds[s.kind].Database
+	rs := s.host.replicaSet(database)
+	if rs == nil {
+		return nil
+	}
+	for _, b := range rs.list() {
+		if id := b.instance.ID; id == view.Primaries[database].Instance || view.Shares[id].Holders != nil {
+			continue
+		}
+		if replica := b.freshness(now); replica.Reached != (model.Point{}) || replica.Lag > 0 {
+			replicas = append(replicas, replica)
+		}
+	}
+	return replicas
+}
+
 // end ends the session, whose open transaction is rolled back.
 func (r *remoteSession) end() {
 	if r.opened {
@@ -148,7 +178,7 @@
 	case mustAvoid(reply.Refusal, t):
 		return e.retryRelay(ctx, address, reply.Refusal.Message)
 	case reply.Refusal != nil && reply.Refusal.Code == model.CodeBehind && e.mayTryOther(t):
-		t.backend.noteBehind(clock.Boot())
+		t.backend.noteBehind(clock.Boot(), t.minPoint)
 		return e.retryRelay(ctx, "", reply.Refusal.Message)
 	case reply.Refusal != nil && reply.Refusal.NotRun && !t.primary && e.mayTryOther(t):
 		return e.retryRelay(ctx, address, reply.Refusal.Message)
@@ -393,6 +423,7 @@
 // send sends a reply.
 func (c *relayedCaller) send(reply *relay.Reply) error {
 	c.unanswered = false
+	reply.Replicas = c.owner.heldReplicas()
 	return c.session.Reply(reply)
 }
 
--- a/internal/front/relay_internal_test.go
+++ b/internal/front/relay_internal_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"redwingspread/internal/clock"
 	"redwingspread/internal/control"
 	"redwingspread/internal/controller"
 	"redwingspread/internal/directory"
@@ -16,6 +17,7 @@
 	"redwingspread/internal/mesh"
 	"redwingspread/internal/model"
 	"redwingspread/internal/relay"
+	"redwingspread/internal/scout"
 	"redwingspread/internal/session"
 	"redwingspread/internal/statement"
 )
@@ -303,3 +305,64 @@
 		})
 	}
 }
+
+// TestFreshnessInReplies guards against a holder that keeps to itself that its replica is behind, so that the calling host sends it the
+// next such read as well, and against one that tells of instances to which it keeps no connections.
+func TestFreshnessInReplies(t *testing.T) {
+	newHost := func(t *testing.T, shares map[model.InstanceID]controller.Share) *Host {
+		h := New()
+		h.Loop = control.New(fixedView{&controller.View{
+			Directory: &directory.Directory{Version: 1, Kinds: map[model.KindID]model.Kind{"desk": {ID: "desk", Database: "seats"}}},
+			Primaries: map[model.DatabaseID]controller.Primary{"seats": {Instance: "i1", State: failover.Leading}},
+			Shares:    shares,
+		}})
+		h.Platform, h.Logger = hangingPlatform{}, quietLogger()
+		for _, id := range []model.InstanceID{"i1", "i2", "i3"} {
+			b := h.addBackend(t.Context(), directory.Instance{Instance: model.Instance{ID: id, Database: "seats"}})
+			t.Cleanup(b.close)
+		}
+		return h
+	}
+	reached := model.Point{Term: 1, Position: 5}
+	tests := map[string]struct {
+		known bool // the holder knows something of its replica
+		want  []relay.Replica
+		index int // of the instance to which the calling host sends its next read of a fresh commit
+	}{
+		"holder knows the lag":    {known: true, want: []relay.Replica{{Instance: "i2", Reached: reached, Lag: 150 * time.Millisecond}}, index: 0},
+		"holder has just started": {index: 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			holder := newHost(t, map[model.InstanceID]controller.Share{"i1": {Holders: &controller.Holders{}}, "i3": {Holders: &controller.Holders{}}})
+			if test.known {
+				for _, id := range []model.InstanceID{"i1", "i2", "i3"} {
+					holder.backend(id).noteFreshness(clock.Boot(), relay.Replica{Reached: reached, Lag: 150 * time.Millisecond})
+				}
+			}
+			var got []relay.Replica
+			caller := &relayedCaller{session: relay.Session{Reply: func(reply *relay.Reply) error {
+				got = reply.Replicas
+				return nil
+			}}}
+			caller.owner = &callerSession{host: holder, kind: "desk"}
+			if err := caller.SendRefusal(model.Refuse(model.CodeBehind, "behind"), statement.Idle); err != nil {
+				t.Fatal(err)
+			}
+			if !slices.Equal(got, test.want) {
+				t.Errorf("got %+v, want %+v", got, test.want)
+			}
+			h := newHost(t, nil)
+			e := &execution{session: &callerSession{host: h, state: session.NewSession()}, access: model.Read,
+				policy: model.Kind{ID: "desk", Database: "seats", Consistency: model.ReadYourWrites, MaxAge: model.Age(time.Minute)}}
+			h.observeProofs([]scout.Proof{{Database: "seats", Instance: "i1", Point: model.Point{Term: 1, Position: 1}, SentAt: clock.Boot()}})
+			e.session.state.RecordCommit(model.Point{Term: 1, Position: 9})
+			e.noteReplicas(got)
+			e.exclude(h.backend("i3"))
+			found, ok := e.pickTarget(h.replicaSet("seats"), "i1", nil)
+			if want := h.replicaSet("seats").list()[test.index]; !ok || found.backend != want {
+				t.Errorf("got %+v, want %s", found, want.instance.ID)
+			}
+		})
+	}
+}
--- a/internal/front/transaction.go
+++ b/internal/front/transaction.go
@@ -245,7 +245,7 @@
 	pause := time.Duration(0)
 	switch response.Code {
 	case model.CodeBehind, model.CodeNotPrimary:
-		e.handleWrongInstance(t.backend, response.Code)
+		e.handleWrongInstance(t, response.Code)
 	default:
 		pause = e.retryPause()
 	}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -31,42 +31,71 @@
 	Expected    time.Duration // time to a response, including queueing
 	RoundTrip   time.Duration // expected or measured round-trip time
 	Reached     model.Point   // newest point that its log is known to hold
-	BehindUntil model.Instant // time until which it isn't asked for points past Reached, as it recently lacked one
+	BehindUntil model.Instant // time until which it isn't asked for Lacked or later points
+	Lacked      model.Point   // point that it recently did not hold
 	Lag         time.Duration // estimated replication lag
 }
 
 // lagSmoothingDivisor is the divisor for the part of the difference by which the estimated lag rises with a greater sample.
 const lagSmoothingDivisor = 4
 
-// lagLifetime is how long an estimated lag keeps reads away without new samples; after that a read tries whether the replica
-// has caught up.
-const lagLifetime = 500 * time.Millisecond
+const (
+	// lagLifetime is how long an estimated lag counts in full without new samples; after that a read tries whether the replica has
+	// caught up.
+	lagLifetime = 500 * time.Millisecond
+	// usualLag is the upper bound of the estimated lag after lagLifetime. Replicas are 8 to 150 ms behind in calm operation.
+	usualLag = 250 * time.Millisecond
+	// usualLagLifetime is how long such an estimate counts. A host of a large fleet reads from a replica about once per second, so
+	// that with lagLifetime alone it would know the usual lag only half of the time.
+	usualLagLifetime = 10 * time.Second
+)
 
 // Lag estimates a replica's replication lag from its responses.
 //
-// The estimate falls at once and rises slowly. It expires without samples, since a lagging replica gets no reads that could
-// show that it has caught up.
+// The estimate falls at once and rises slowly. Without samples it falls to the usual lag and later expires, since a lagging replica
+// gets no reads that could show that it has caught up.
 type Lag struct {
 	age        time.Duration
 	observedAt model.Instant
+	known      bool // there was a sample
 }
 
 // Observe adds a sample: the age of the replica's data at a response.
 func (l *Lag) Observe(now model.Instant, age time.Duration) {
-	if age < l.age {
+	if !l.known || age < l.age {
 		l.age = age
 	} else {
 		l.age += (age - l.age) / lagSmoothingDivisor
 	}
-	l.observedAt = now
+	l.observedAt, l.known = now, true
+}
+
+// Bound adds an upper bound of the lag, known from a response.
+func (l *Lag) Bound(now model.Instant, bound time.Duration) {
+	if l.known {
+		l.age, l.observedAt = min(l.age, bound), now
+	}
+}
+
+// Raise adds a lower bound of the lag, known from a refused read.
+func (l *Lag) Raise(now model.Instant, bound time.Duration) {
+	l.age, l.observedAt, l.known = max(l.At(now), bound), now, true
+}
+
+// Adopt replaces the estimate by that of another host, which gets more of the replica's responses.
+func (l *Lag) Adopt(now model.Instant, age time.Duration) {
+	l.age, l.observedAt, l.known = age, now, true
 }
 
 // At returns the estimated lag, or zero when the last sample has expired.
 func (l *Lag) At(now model.Instant) time.Duration {
-	if now.Sub(l.observedAt) > lagLifetime {
-		return 0
+	switch since := now.Sub(l.observedAt); {
+	case since <= lagLifetime:
+		return l.age
+	case since <= usualLagLifetime:
+		return min(l.age, usualLag)
 	}
-	return l.age
+	return 0
 }
 
 // Requirement is the freshness that a read requires of an instance.
@@ -88,7 +117,7 @@
 		if RuledOut(c, required) != Qualifies {
 			continue
 		}
-		if cost := cost(c); best == None || cost < lowest {
+		if cost := Answer(c, required); best == None || cost < lowest {
 			best, lowest = i, cost
 		}
 	}
@@ -149,7 +178,7 @@
 	if c.Reached.Compare(required.MinPoint) >= 0 {
 		return true
 	}
-	if required.Now < c.BehindUntil {
+	if required.Now < c.BehindUntil && required.MinPoint.Compare(c.Lacked) >= 0 {
 		return false
 	}
 	return required.WrittenAt == 0 || required.Now.Sub(required.WrittenAt) >= c.Lag
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -41,6 +41,14 @@
 	Response statement.Response
 	Led      bool           // the instance was the primary when it responded
 	Refusal  *model.Refusal // nil when an instance responded
+	Replicas []Replica      // of the database, to which the host keeps connections; empty from an older release
+}
+
+// Replica is what a host knows of the freshness of a replica.
+type Replica struct {
+	Instance model.InstanceID
+	Reached  model.Point   // newest point that its log is known to hold
+	Lag      time.Duration // estimated replication lag, in whole milliseconds; zero when it is not known
 }
 
 // encodeCall returns the message of a call.
@@ -113,6 +121,14 @@
 // encodeReply returns the message of a reply.
 func encodeReply(reply *Reply) ([]byte, error) {
 	message := meshapi.Reply{Session: uint64(reply.Session)}
+	for _, replica := range reply.Replicas {
+		message.Replicas = append(message.Replicas, meshapi.Replica{
+			Instance: string(replica.Instance),
+			Term:     optionalUint64(uint64(replica.Reached.Term)),
+			Position: optionalUint64(uint64(replica.Reached.Position)),
+			Lag:      optionalMilliseconds(replica.Lag),
+		})
+	}
 	if refusal := reply.Refusal; refusal != nil {
 		message.Refused = meshapi.NewOptBool(true)
 		message.Code = meshapi.NewOptString(string(refusal.Code))
@@ -162,6 +178,13 @@
 	for _, row := range message.Rows {
 		reply.Response.Rows = append(reply.Response.Rows, []byte(row))
 	}
+	for _, replica := range message.Replicas {
+		reply.Replicas = append(reply.Replicas, Replica{
+			Instance: model.InstanceID(replica.Instance),
+			Reached:  model.Point{Term: model.Term(replica.Term.Value), Position: model.Position(replica.Position.Value)},
+			Lag:      max(model.Milliseconds(replica.Lag.Value).Duration(), 0),
+		})
+	}
 	if message.Refused.Value {
 		reply.Refusal = &model.Refusal{
 			Code:       model.Code(message.Code.Value),
@@ -185,3 +208,8 @@
 func optionalUint64(number uint64) meshapi.OptUint64 {
 	return meshapi.OptUint64{Value: number, Set: number != 0}
 }
+
+// optionalMilliseconds returns a field that is absent when the duration is less than a millisecond.
+func optionalMilliseconds(d time.Duration) meshapi.OptInt64 {
+	return meshapi.OptInt64{Value: d.Milliseconds(), Set: d >= time.Millisecond}
+}
--- a/internal/relay/message_test.go
+++ b/internal/relay/message_test.go
@@ -49,6 +49,8 @@
 	"failure of an instance": {Session: 7, Instance: "i1", Response: statement.Response{Code: model.CodeFailed, WireCode: "FAILED", Text: "no such key"}},
 	"refusal": {Session: 7, Refusal: &model.Refusal{Code: model.CodeOverloaded, NotRun: true, Message: "full", RetryAfter: 30 * time.Millisecond},
 		Response: statement.Response{State: statement.Failed}},
+	"refusal as behind": {Session: 7, Refusal: &model.Refusal{Code: model.CodeBehind, NotRun: true},
+		Replicas: []Replica{{Instance: "i2", Reached: model.Point{Term: 2, Position: 1 << 61}, Lag: 150 * time.Millisecond}, {Instance: "i3"}}},
 	"unknown outcome":       {Session: 7, Refusal: model.OutcomeUnknown("lost")},
 	"rows outside of UTF-8": {Session: 7, Response: statement.Response{Rows: [][]byte{{0xff, 0, 'a', 0xc3}}, Signature: []byte{0x80}, Text: "\xfe"}},
 }
@@ -75,6 +77,35 @@
 	}
 }
 
+// TestRepliesOfOtherReleases guards against a reply that hosts of the previous or the next release can't read.
+func TestRepliesOfOtherReleases(t *testing.T) {
+	point := model.Point{Term: 2, Position: 9}
+	tests := map[string]struct {
+		body string
+		want Reply
+	}{
+		"previous, without replicas": {
+			`{"session":7,"instance":"i1","state":0,"term":2,"position":9}`,
+			Reply{Session: 7, Instance: "i1", Response: statement.Response{Point: point}},
+		},
+		"next, with more fields": {
+			`{"session":7,"state":0,"later":{"a":[1]},"replicas":[{"instance":"i2","term":2,"position":9,"lag":150,"later":"x"}]}`,
+			Reply{Session: 7, Replicas: []Replica{{Instance: "i2", Reached: point, Lag: 150 * time.Millisecond}}},
+		},
+		"next, with a lag below zero": {
+			`{"session":7,"replicas":[{"instance":"i2","lag":-5}]}`,
+			Reply{Session: 7, Replicas: []Replica{{Instance: "i2"}}},
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			if got, err := decodeReply([]byte(test.body)); err != nil || !reflect.DeepEqual(got, test.want) {
+				t.Errorf("got %+v, %v, want %+v", got, err, test.want)
+			}
+		})
+	}
+}
+
 // FuzzDecodeCall guards against a message of another host that makes this one panic or that changes when it is passed on.
 func FuzzDecodeCall(f *testing.F) {
 	for _, call := range calls {
--- a/pkg/api/meshapi/oas_json_gen.go
+++ b/pkg/api/meshapi/oas_json_gen.go
@@ -4207,6 +4207,153 @@
 	return s.Decode(d)
 }
 
+// Encode implements json.Marshaler.
+func (s *Replica) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *Replica) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("instance")
+		e.Str(s.Instance)
+	}
+	{
+		if s.Term.Set {
+			e.FieldStart("term")
+			s.Term.Encode(e)
+		}
+	}
+	{
+		if s.Position.Set {
+			e.FieldStart("position")
+			s.Position.Encode(e)
+		}
+	}
+	{
+		if s.Lag.Set {
+			e.FieldStart("lag")
+			s.Lag.Encode(e)
+		}
+	}
+}
+
+var jsonFieldsNameOfReplica = [4]string{
+	0: "instance",
+	1: "term",
+	2: "position",
+	3: "lag",
+}
+
+// Decode decodes Replica from json.
+func (s *Replica) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode Replica to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "instance":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Str()
+				s.Instance = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"instance\"")
+			}
+		case "term":
+			if err := func() error {
+				s.Term.Reset()
+				if err := s.Term.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"term\"")
+			}
+		case "position":
+			if err := func() error {
+				s.Position.Reset()
+				if err := s.Position.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"position\"")
+			}
+		case "lag":
+			if err := func() error {
+				s.Lag.Reset()
+				if err := s.Lag.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"lag\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode Replica")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00000001,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfReplica) {
+					name = jsonFieldsNameOfReplica[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *Replica) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *Replica) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode implements json.Marshaler.
 func (s *Reply) Encode(e *jx.Encoder) {
 	e.ObjStart()
@@ -4302,9 +4449,19 @@
 			s.Retry.Encode(e)
 		}
 	}
+	{
+		if s.Replicas != nil {
+			e.FieldStart("replicas")
+			e.ArrStart()
+			for _, elem := range s.Replicas {
+				elem.Encode(e)
+			}
+			e.ArrEnd()
+		}
+	}
 }
 
-var jsonFieldsNameOfReply = [14]string{
+var jsonFieldsNameOfReply = [15]string{
 	0:  "session",
 	1:  "instance",
 	2:  "rows",
@@ -4319,6 +4476,7 @@
 	11: "refused",
 	12: "unrun",
 	13: "retry",
+	14: "replicas",
 }
 
 // Decode decodes Reply from json.
@@ -4481,6 +4639,23 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"retry\"")
 			}
+		case "replicas":
+			if err := func() error {
+				s.Replicas = make([]Replica, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem Replica
+					if err := elem.Decode(d); err != nil {
+						return err
+					}
+					s.Replicas = append(s.Replicas, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"replicas\"")
+			}
 		default:
 			return d.Skip()
 		}
--- a/pkg/api/meshapi/oas_schemas_gen.go
+++ b/pkg/api/meshapi/oas_schemas_gen.go
@@ -2102,6 +2102,56 @@
 // RelayOpenedOK is response for RelayOpened operation.
 type RelayOpenedOK struct{}
 
+// Ref: #/components/schemas/Replica
+type Replica struct {
+	Instance string    `json:"instance"`
+	Term     OptUint64 `json:"term"`
+	// With term, the newest point that the replica is known to hold.
+	Position OptUint64 `json:"position"`
+	// Estimated replication lag in milliseconds; absent when it is not known.
+	Lag OptInt64 `json:"lag"`
+}
+
+// GetInstance returns the value of Instance.
+func (s *Replica) GetInstance() string {
+	return s.Instance
+}
+
+// GetTerm returns the value of Term.
+func (s *Replica) GetTerm() OptUint64 {
+	return s.Term
+}
+
+// GetPosition returns the value of Position.
+func (s *Replica) GetPosition() OptUint64 {
+	return s.Position
+}
+
+// GetLag returns the value of Lag.
+func (s *Replica) GetLag() OptInt64 {
+	return s.Lag
+}
+
+// SetInstance sets the value of Instance.
+func (s *Replica) SetInstance(val string) {
+	s.Instance = val
+}
+
+// SetTerm sets the value of Term.
+func (s *Replica) SetTerm(val OptUint64) {
+	s.Term = val
+}
+
+// SetPosition sets the value of Position.
+func (s *Replica) SetPosition(val OptUint64) {
+	s.Position = val
+}
+
+// SetLag sets the value of Lag.
+func (s *Replica) SetLag(val OptInt64) {
+	s.Lag = val
+}
+
 // Ref: #/components/schemas/Reply
 type Reply struct {
 	Session uint64 `json:"session"`
@@ -2124,6 +2174,8 @@
 	Unrun OptBool `json:"unrun"`
 	// Milliseconds after which to retry a refused request.
 	Retry OptInt64 `json:"retry"`
+	// Replicas of the database to which the other host keeps connections.
+	Replicas []Replica `json:"replicas"`
 }
 
 // GetSession returns the value of Session.
@@ -2196,6 +2248,11 @@
 	return s.Retry
 }
 
+// GetReplicas returns the value of Replicas.
+func (s *Reply) GetReplicas() []Replica {
+	return s.Replicas
+}
+
 // SetSession sets the value of Session.
 func (s *Reply) SetSession(val uint64) {
 	s.Session = val
@@ -2266,6 +2323,11 @@
 	s.Retry = val
 }
 
+// SetReplicas sets the value of Replicas.
+func (s *Reply) SetReplicas(val []Replica) {
+	s.Replicas = val
+}
+
 // Ref: #/components/schemas/Sealed
 type Sealed struct {
 	Body []byte `json:"body"`
