relay, placement: a request goes to the less busy of two holders

Cause: a host picked the holder of an instance by its preference order alone, so that calls queued at one holder while another one had free slots. Client.Connect also ignored hosts that had never been called, so that a preferred holder was never connected.

Change: ChooseHolder (placement) takes, of the first two connected holders, the one with fewer calls in flight or, with as many, the lower smoothed response time; differences under a fifth keep the preference. The second stream is opened in the background, only while the first has other calls. Client.State replaces Reachable and Connected, and Connect opens streams to any host.

--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -10,6 +10,7 @@
 	"redwingspread/internal/clock"
 	"redwingspread/internal/event"
 	"redwingspread/internal/model"
+	"redwingspread/internal/placement"
 	"redwingspread/internal/relay"
 	"redwingspread/internal/scout"
 	"redwingspread/internal/session"
@@ -20,6 +21,9 @@
 // other sessions of the stream.
 const relayTextLimit = 64 << 10
 
+// maxHolders is the number of holders of an instance that are considered; at most four keep connections where hosts pass requests on.
+const maxHolders = 8
+
 // remoteSession is a session, or a part of one, that another host serves.
 type remoteSession struct {
 	client   *relay.Client
@@ -43,20 +47,21 @@
 	if holders == nil {
 		return "", false
 	}
-	reachable := model.Address("")
-	for _, candidate := range holders.Addresses {
-		switch {
-		case e.unreached[candidate] || !h.relays.Reachable(candidate):
-		case h.relays.Connected(candidate):
-			if reachable != "" {
-				h.relays.Connect(reachable) // preferred once it is connected; no request waits for that
-			}
-			return candidate, true
-		case reachable == "":
-			reachable = candidate
-		}
+	var buffer [maxHolders]placement.Holder
+	states, now := buffer[:0], time.Now()
+	for _, candidate := range holders.Addresses[:min(len(holders.Addresses), maxHolders)] {
+		state := placement.Holder(h.relays.State(now, candidate))
+		state.Reachable = state.Reachable && !e.unreached[candidate]
+		states = append(states, state)
+	}
+	index, connect := placement.ChooseHolder(states)
+	if connect != placement.None {
+		h.relays.Connect(holders.Addresses[connect]) // no request waits for that
+	}
+	if index == placement.None {
+		return "", false
 	}
-	return reachable, reachable != ""
+	return holders.Addresses[index], true
 }
 
 // noteRemote records that the instance responded to another host, which had been asked the given time before.
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -21,6 +21,9 @@
 	keepAliveTime  = 2 * time.Second        // between two TCP keep-alive probes
 	keepAliveCount = 2                      // unanswered probes after which a stream is dropped
 	probeLimit     = 500 * time.Millisecond // for the reply to a probe of a stream, after which it is dropped
+
+	responseDivisor  = 8               // a response time moves the smoothed one by its distance divided by this
+	responseLifetime = 5 * time.Second // after which a smoothed response time is unknown, so that a host that was slow is called again
 )
 
 // keepAlive finds streams whose other host is gone, at both ends: a holder would keep the transactions of one that is.
@@ -58,9 +61,40 @@
 	mutex      sync.Mutex // held while a stream is opened
 	current    atomic.Pointer[clientStream]
 	connecting atomic.Bool  // a stream is being opened in the background
+	inFlight   atomic.Int64 // calls without a reply
+	responses  responseTime
 	retreatEnd atomic.Int64 // time until which the host is not tried again, in nanoseconds since the Unix epoch
 }
 
+// responseTime is the smoothed time to a reply. It is safe for concurrent use.
+type responseTime struct {
+	mutex      sync.Mutex
+	mean       time.Duration
+	observedAt time.Time
+}
+
+// observe adds the time that a call took.
+func (r *responseTime) observe(now time.Time, took time.Duration) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if now.Sub(r.observedAt) > responseLifetime {
+		r.mean = took
+	} else {
+		r.mean += (took - r.mean) / responseDivisor
+	}
+	r.observedAt = now
+}
+
+// at returns the smoothed time, or zero when it is not known.
+func (r *responseTime) at(now time.Time) time.Duration {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if now.Sub(r.observedAt) > responseLifetime {
+		return 0
+	}
+	return r.mean
+}
+
 // clientStream is the calling end of a stream.
 type clientStream struct {
 	*stream
@@ -78,20 +112,29 @@
 // NewSession returns the number of a new session.
 func (c *Client) NewSession() SessionID { return SessionID(c.sessions.Add(1)) }
 
-// Reachable reports whether the host at the address may be called: it was reached lately, or has not been tried lately.
-func (c *Client) Reachable(address model.Address) bool {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	p, found := c.peers[address]
-	return !c.closed && (!found || time.Now().UnixNano() >= p.retreatEnd.Load())
+// State is what a client knows of another host.
+type State struct {
+	Reachable bool          // it was reached lately, or has not been tried lately
+	Connected bool          // there is a stream to it
+	InFlight  int           // calls without a reply
+	Response  time.Duration // smoothed time to a reply of an instance; zero when unknown
 }
 
-// Connected reports whether there is a stream to the host at the address.
-func (c *Client) Connected(address model.Address) bool {
+// State returns what the client knows of the host at the address.
+func (c *Client) State(now time.Time, address model.Address) State {
 	c.mutex.Lock()
-	defer c.mutex.Unlock()
 	p, found := c.peers[address]
-	return found && p.current.Load() != nil
+	closed := c.closed
+	c.mutex.Unlock()
+	if closed || !found {
+		return State{Reachable: !closed}
+	}
+	return State{
+		Reachable: now.UnixNano() >= p.retreatEnd.Load(),
+		Connected: p.current.Load() != nil,
+		InFlight:  int(p.inFlight.Load()),
+		Response:  p.responses.at(now),
+	}
 }
 
 // Connect opens a stream to a host in the background, unless there is one, one is being opened, or the host could not be reached a moment
@@ -99,8 +142,8 @@
 func (c *Client) Connect(address model.Address) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	p, found := c.peers[address]
-	if c.closed || !found || p.current.Load() != nil || time.Now().UnixNano() < p.retreatEnd.Load() || p.connecting.Swap(true) {
+	p := c.peer(address)
+	if c.closed || p.current.Load() != nil || time.Now().UnixNano() < p.retreatEnd.Load() || p.connecting.Swap(true) {
 		return
 	}
 	c.open.Add(1)
@@ -117,6 +160,11 @@
 	if err != nil {
 		return reply, errors.Join(ErrNotSent, err)
 	}
+	c.mutex.Lock()
+	p := c.peer(address)
+	c.mutex.Unlock()
+	p.inFlight.Add(1)
+	defer p.inFlight.Add(-1)
 	s, err := c.streamTo(ctx, address)
 	if err != nil {
 		return reply, errors.Join(ErrNotSent, err)
@@ -138,8 +186,12 @@
 		if !open {
 			return reply, ErrLost
 		}
+		if reply.Refusal == nil {
+			p.responses.observe(time.Now(), time.Since(sent))
+		}
 		return reply, nil
 	case <-ctx.Done():
+		p.responses.observe(time.Now(), time.Since(sent)) // at least
 		if s.heard.Load() < sent.UnixNano() {
 			c.probe(address, s)
 		}
@@ -190,11 +242,7 @@
 // streamTo returns the stream to a host, which it opens if there is none.
 func (c *Client) streamTo(ctx context.Context, address model.Address) (_ *clientStream, err error) {
 	c.mutex.Lock()
-	p, found := c.peers[address]
-	if !found {
-		p = &peer{}
-		c.peers[address] = p
-	}
+	p := c.peer(address)
 	c.mutex.Unlock()
 	if s := p.current.Load(); s != nil {
 		return s, nil
@@ -218,6 +266,16 @@
 	return s, nil
 }
 
+// peer returns the state of the host at the address; the caller holds the lock.
+func (c *Client) peer(address model.Address) *peer {
+	p, found := c.peers[address]
+	if !found {
+		p = &peer{}
+		c.peers[address] = p
+	}
+	return p
+}
+
 // errRetreat is returned for a host that could not be reached a moment ago.
 var errRetreat = errors.New("the host could not be reached a moment ago")
 
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -431,3 +431,43 @@
 		})
 	}
 }
+
+// TestState guards against a choice of holder that is made from calls that have ended, from a time that is long past, or without the
+// stream that was opened for it.
+func TestState(t *testing.T) {
+	address, stop := startServer(t, answer)
+	defer stop()
+	client := startClient(t, testKey(1))
+	if got, want := client.State(time.Now(), address), (State{Reachable: true}); got != want {
+		t.Errorf("got %+v of a host that has not been called, want %+v", got, want)
+	}
+	client.Connect(address)
+	waitFor(t, "the stream is open", func() bool { return client.State(time.Now(), address).Connected })
+	ctx, cancel := context.WithTimeout(t.Context(), testLimit)
+	defer cancel()
+	silentCtx, end := context.WithCancel(ctx)
+	done := make(chan error, 1)
+	go func() {
+		_, err := client.Call(silentCtx, address, newCall(client, "silent"))
+		done <- err
+	}()
+	waitFor(t, "the call is counted", func() bool { return client.State(time.Now(), address).InFlight == 1 })
+	if got := client.State(time.Now(), address).Response; got != 0 {
+		t.Errorf("got a response time of %v before any reply, want none", got)
+	}
+	end()
+	if err := <-done; !errors.Is(err, ErrLost) {
+		t.Errorf("got %v, want %v", err, ErrLost)
+	}
+	if _, err := client.Call(ctx, address, newCall(client, "a")); err != nil {
+		t.Fatal(err)
+	}
+	now := time.Now()
+	got := client.State(now, address)
+	if got.InFlight != 0 || got.Response <= 0 || !got.Connected || !got.Reachable {
+		t.Errorf("got %+v, want a response time and no call in flight", got)
+	}
+	if got := client.State(now.Add(2*responseLifetime), address).Response; got != 0 {
+		t.Errorf("got a response time of %v long after the last reply, want none", got)
+	}
+}
