outlier, placement: instances that fail more than the others get fewer reads

Cause: nothing counted failures per instance, so that an instance that fails 40 % of its statements while its health check passes kept its share of the reads.

Nothing uses it yet.

--- a/internal/layout/layout_test.go
+++ b/internal/layout/layout_test.go
@@ -16,7 +16,7 @@
 
 // decisionPackages are the packages that make decisions; they do not depend on I/O or clocks.
 var decisionPackages = []string{
-	"admit", "allowance", "budget", "config", "directory", "failover", "fleet", "freshness", "history", "member", "model", "placement", "rollout",
+	"admit", "allowance", "budget", "config", "directory", "failover", "fleet", "freshness", "history", "member", "model", "outlier", "placement", "rollout",
 	"route", "session", "statement", "view",
 }
 
--- a/internal/placement/edge.go
+++ b/internal/placement/edge.go
@@ -50,10 +50,11 @@
 	ReasonLate                 // the response is expected after the goal at home and within it elsewhere
 	ReasonShare                // the gain is a noticeable share of the goal
 	ReasonSooner               // the response is expected sooner, and crossing costs nothing
+	ReasonProbe                // the instance is ejected, and the read shows whether it has recovered
 	ReasonCount  = iota        // number of reasons
 )
 
 // String returns the reason's name in metrics.
 func (r Reason) String() string {
-	return [ReasonCount]string{"stays", "held", "only", "behind", "late", "share", "sooner"}[r]
+	return [ReasonCount]string{"stays", "held", "only", "behind", "late", "share", "sooner", "probe"}[r]
 }
--- a/internal/placement/leave.go
+++ b/internal/placement/leave.go
@@ -94,9 +94,18 @@
 	return home, away
 }
 
-// Answer returns the expected time to a response, doubled on the primary, and with the chance that a replica is behind.
+// Answer returns the expected time to a response, doubled on the primary, and with the chances that a replica is behind and that the
+// instance fails the statement.
 func Answer(c *Candidate, required Requirement) time.Duration {
-	return cost(c) + behindCost(c, required)
+	return cost(c) + behindCost(c, required) + failureCost(c)
+}
+
+// failureCost returns the expected time lost because the instance fails the statement, which then needs a further attempt.
+func failureCost(c *Candidate) time.Duration {
+	if c.Failure == 0 {
+		return 0
+	}
+	return time.Duration(float64(c.Failure) * float64(c.RoundTrip+cost(c)))
 }
 
 // gainReason returns why a read leaves, or ReasonStays. A goal met only elsewhere justifies any crossing.
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"redwingspread/internal/model"
+	"redwingspread/internal/outlier"
 )
 
 // Expected round-trip times, used until an instance's own responses have been measured.
@@ -24,6 +25,7 @@
 
 // Candidate is the state of one instance as a host knows it.
 type Candidate struct {
+	Instance    model.InstanceID
 	Primary     bool          // believed to be the primary
 	Avoid       bool          // is leaving or doesn't respond
 	Tried       bool          // has already refused or failed this statement
@@ -34,6 +36,9 @@
 	BehindUntil model.Instant // time until which it isn't asked for Lacked or later points
 	Lacked      model.Point   // point that it recently did not hold
 	Lag         time.Duration // estimated replication lag
+	Ejected     bool          // fails more than the others, and doesn't get this read
+
+	Failure outlier.Probability // chance that it fails the statement; zero without outlier detection
 }
 
 // lagSmoothingDivisor is the divisor for the part of the difference by which the estimated lag rises with a greater sample.
@@ -133,10 +138,13 @@
 	WasTried
 	IsAvoided
 	IsBehind
+	IsEjected
 )
 
 // String returns the exclusion's name, which is empty for none.
-func (e Exclusion) String() string { return [...]string{"", "tried", "avoided", "behind"}[e] }
+func (e Exclusion) String() string {
+	return [...]string{"", "tried", "avoided", "behind", "ejected"}[e]
+}
 
 // RuledOut returns what rules the candidate out for a read.
 func RuledOut(c *Candidate, required Requirement) Exclusion {
@@ -145,10 +153,12 @@
 		return WasTried
 	case c.Avoid:
 		return IsAvoided
-	case c.Primary || freshEnough(c, required):
-		return Qualifies
+	case !c.Primary && !freshEnough(c, required):
+		return IsBehind
+	case c.Ejected:
+		return IsEjected
 	}
-	return IsBehind
+	return Qualifies
 }
 
 // ChoosePrimary returns the index of the primary unless it was tried, or None.
