--- a/internal/controller/holders_test.go
+++ b/internal/controller/holders_test.go
@@ -16,7 +16,8 @@
 
 // holderAddresses returns the addresses of the holders, the preferred one first.
 func holderAddresses(holders *holder.Set) (addresses []model.Address) {
-	for _, host := range holders.Order(nil, "", 0) {
+	hosts, _ := holders.Order(nil, "", 0)
+	for _, host := range hosts {
 		addresses = append(addresses, host.Address)
 	}
 	return addresses
--- a/internal/controller/view.go
+++ b/internal/controller/view.go
@@ -58,3 +58,8 @@
 	Holders     *holder.Set // hosts that keep connections and take requests for it; nil where each host uses its own
 	Probes      bool        // this host probes the instance for others, so that it keeps one connection to it
 }
+
+// KeepsConnections reports whether the host, whose share it is, keeps connections to the instance.
+func (s Share) KeepsConnections(self model.HostID) bool {
+	return s.Holders == nil || s.Holders.Includes(self)
+}
--- a/internal/front/execution.go
+++ b/internal/front/execution.go
@@ -224,11 +224,11 @@
 	now := time.Now()
 	shares, portion := e.session.host.view().Shares, e.session.host.portionOf(e.session.tenant)
 	for _, b := range backends[:min(len(backends), maxCandidates)] {
-		holders := shares[b.instance.ID].Holders
-		passedOn := holders != nil && !e.session.relayed && !holders.TakesItself(e.session.tenant, portion)
+		share := shares[b.instance.ID]
+		passedOn := share.Holders != nil && !e.session.relayed && !share.Holders.TakesItself(e.session.tenant, portion)
 		c := b.candidate(now, e.policy.ID, e.session.tenant, primary, passedOn)
 		c.Tried = e.excluded[b.instance.ID] || (c.Primary && !b.admitsPrimary())
-		if e.session.relayed && holders != nil && !holders.Includes(e.session.host.self.ID) {
+		if e.session.relayed && !share.KeepsConnections(e.session.host.self.ID) {
 			c.Tried, e.elsewhere = true, true
 		}
 		candidates = append(candidates, c)
@@ -275,13 +275,13 @@
 }
 
 // handleWrongInstance records that an instance is behind or not the primary, and excludes it.
-func (e *execution) handleWrongInstance(b *backend, code model.Code) {
+func (e *execution) handleWrongInstance(t target, code model.Code) {
 	if code == model.CodeBehind {
-		b.noteBehind(clock.Boot())
+		t.backend.noteLacking(clock.Boot(), t.minPoint)
 	} else {
 		e.session.host.tickNow()
 	}
-	e.exclude(b)
+	e.exclude(t.backend)
 }
 
 // acquire waits for a connection and a slot on the target.
--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"maps"
+	"slices"
 	"time"
 
 	"redwingspread/internal/boundary"
@@ -11,6 +12,7 @@
 	"redwingspread/internal/event"
 	"redwingspread/internal/holder"
 	"redwingspread/internal/model"
+	"redwingspread/internal/placement"
 	"redwingspread/internal/relay"
 	"redwingspread/internal/scout"
 	"redwingspread/internal/session"
@@ -45,22 +47,36 @@
 		return "", false
 	}
 	var buffer [holder.MaxHosts]holder.Host
-	reachable := model.Address("")
-	for _, candidate := range holders.Order(buffer[:0], e.session.tenant, h.portionOf(e.session.tenant)) {
-		switch {
-		case candidate.ID == h.self.ID:
-			return reachable, reachable != ""
-		case e.unreached[candidate.Address] || !h.relays.Reachable(candidate.Address):
-		case h.relays.Connected(candidate.Address):
-			if reachable != "" {
-				h.relays.Connect(reachable) // preferred once it is connected; no request waits for that
-			}
-			return candidate.Address, true
-		case reachable == "":
-			reachable = candidate.Address
-		}
+	order, sharing := holders.Order(buffer[:0], e.session.tenant, h.portionOf(e.session.tenant))
+	if own := slices.IndexFunc(order, func(host holder.Host) bool { return host.ID == h.self.ID }); own >= 0 {
+		order = order[:own] // this host stands in before the others behind it
+		sharing = min(sharing, own)
+	}
+	address, found = e.reachableHolder(order[:sharing])
+	if !found {
+		address, found = e.reachableHolder(order[sharing:])
+	}
+	return address, found
+}
+
+// reachableHolder returns the address of the holder that takes the request, if one of them can be reached.
+func (e *execution) reachableHolder(holders []holder.Host) (address model.Address, found bool) {
+	relays, now := e.session.host.relays, time.Now()
+	var buffer [holder.MaxHosts]placement.Holder
+	states := buffer[:0]
+	for _, candidate := range holders {
+		state := placement.Holder(relays.State(now, candidate.Address))
+		state.Reachable = state.Reachable && !e.unreached[candidate.Address]
+		states = append(states, state)
+	}
+	index, connect := placement.ChooseHolder(states)
+	if connect != placement.None {
+		relays.Connect(holders[connect].Address) // no request waits for that
+	}
+	if index == placement.None {
+		return "", false
 	}
-	return reachable, reachable != ""
+	return holders[index].Address, true
 }
 
 // portionOf returns the part of all work that is expected of a tenant.
@@ -114,9 +130,10 @@
 	r.instance = reply.Instance
 	if b := e.session.host.backend(reply.Instance); b != nil {
 		b.noteRemote(time.Now(), e.policy.ID, time.Since(now), reply.Response.Point)
-	} else if reply.Refusal != nil {
-		r.backend.noteRemote(time.Now(), e.policy.ID, time.Since(now)+reply.Refusal.RetryAfter, model.Point{})
+	} else if reply.Refusal != nil && reply.Refusal.Code != model.CodeBehind {
+		r.backend.noteRemote(time.Now(), e.policy.ID, time.Since(now)+reply.Refusal.RetryAfter, model.Point{}) // the quick refusal of one that is behind tells nothing of its load
 	}
+	e.noteReplicas(reply.Replicas)
 	if reply.Led && reply.Response.Point != (model.Point{}) {
 		e.session.host.observeProofs([]scout.Proof{{
 			Database: e.policy.Database, Instance: reply.Instance, Point: reply.Response.Point, SentAt: sent,
@@ -125,6 +142,36 @@
 	return reply, nil
 }
 
+// noteReplicas records what a holder says of the replicas to which it keeps connections, for the placement of later reads.
+func (e *execution) noteReplicas(replicas []relay.Replica) {
+	now := clock.Boot()
+	for _, replica := range replicas {
+		if b := e.session.host.backend(replica.Instance); b != nil && b.instance.Database == e.policy.Database {
+			b.noteFreshness(now, replica)
+		}
+	}
+}
+
+// heldReplicas returns what the host knows of the replicas of the session's database to which it keeps connections.
+func (s *callerSession) heldReplicas() (replicas []relay.Replica) {
+	view, now := s.host.view(), clock.Boot()
+	database := view.Directory.Kinds[s.kind].Database
+	rs := s.host.replicaSet(database)
+	if rs == nil {
+		return nil
+	}
+	for _, b := range rs.list() {
+		id := b.instance.ID
+		if id == view.Primaries[database].Instance || !view.Shares[id].KeepsConnections(s.host.self.ID) {
+			continue
+		}
+		if replica := b.freshness(now); replica.Reached != (model.Point{}) || replica.Lag > 0 {
+			replicas = append(replicas, replica)
+		}
+	}
+	return replicas
+}
+
 // end ends the session, whose open transaction is rolled back.
 func (r *remoteSession) end() {
 	if r.opened {
@@ -156,7 +203,7 @@
 		e.extendStart(reply.Refusal)
 		return e.retryRelay(ctx, address, reply.Refusal.Message)
 	case reply.Refusal != nil && reply.Refusal.Code == model.CodeBehind && e.mayTryOther(t):
-		t.backend.noteBehind(clock.Boot())
+		t.backend.noteBehind(clock.Boot(), t.minPoint)
 		return e.retryRelay(ctx, "", reply.Refusal.Message)
 	case reply.Refusal != nil && reply.Refusal.NotRun && !t.primary && e.mayTryOther(t):
 		return e.retryRelay(ctx, address, reply.Refusal.Message)
@@ -402,6 +449,7 @@
 // send sends a reply.
 func (c *relayedCaller) send(reply *relay.Reply) error {
 	c.unanswered = false
+	reply.Replicas = c.owner.heldReplicas()
 	return c.session.Reply(reply)
 }
 
--- a/internal/holder/set.go
+++ b/internal/holder/set.go
@@ -1,6 +1,7 @@
 package holder
 
 import (
+	"cmp"
 	"math"
 	"slices"
 
@@ -44,20 +45,20 @@
 			preference: xxhash.Sum64String(string(self) + "/" + string(instance) + "/" + string(host.ID)),
 		})
 	}
-	slices.SortFunc(s.members, func(a, b member) int { return compare(a.preference, b.preference) })
+	slices.SortFunc(s.members, func(a, b member) int { return cmp.Compare(a.preference, b.preference) })
 	s.members = s.members[:min(len(s.members), MaxHosts)]
 	return s
 }
 
-// compare orders two numbers.
-func compare(a, b uint64) int {
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
 	switch {
-	case a < b:
+	case a == b:
+		return 0
+	case b:
 		return -1
-	case a > b:
-		return 1
 	}
-	return 0
+	return 1
 }
 
 // Includes reports whether the host is in the set.
@@ -66,39 +67,30 @@
 }
 
 // Order appends the hosts to the buffer, the one to take a request of the tenant first, and the others in the order in which they stand
-// in for it. The share is that of the tenant of all work.
+// in for it. The share is that of the tenant of all work; the first ones, as many as sharing says, share the tenant's requests.
 //
 // Connections belong to tenants, so that one host takes what all hosts have of a small tenant: a connection is then used by the next
 // request instead of being closed for another tenant's. Hosts agree on the order by rendezvous hashing. A large tenant has several hosts,
 // of which each host prefers itself, and else spreads the requests. Without a tenant each host has its own order.
-func (s *Set) Order(buffer []Host, tenant model.TenantID, share float64) []Host {
+func (s *Set) Order(buffer []Host, tenant model.TenantID, share float64) (order []Host, sharing int) {
 	var scores [MaxHosts]uint64
-	var order [MaxHosts]int
+	var ranked [MaxHosts]int
 	key := xxhash.Sum64String(string(tenant))
 	count := len(s.members)
 	for i := range count {
-		order[i], scores[i] = i, mix(s.members[i].seed^key)
-		for j := i; tenant != "" && j > 0 && scores[order[j]] < scores[order[j-1]]; j-- {
-			order[j], order[j-1] = order[j-1], order[j]
+		ranked[i], scores[i] = i, mix(s.members[i].seed^key)
+		for j := i; tenant != "" && j > 0 && scores[ranked[j]] < scores[ranked[j-1]]; j-- {
+			ranked[j], ranked[j-1] = ranked[j-1], ranked[j]
 		}
 	}
-	first := 0 // the position of the host that this one prefers of those that share the tenant
-	for i := range s.spread(tenant, share) {
-		if s.members[order[i]].ID == s.self {
-			first = i
-			break
-		}
-		if order[i] < order[first] { // members are in order of preference
-			first = i
-		}
-	}
-	buffer = append(buffer, s.members[order[first]].Host)
+	sharing = s.spread(tenant, share)
+	slices.SortFunc(ranked[:sharing], func(a, b int) int { // members are in order of preference
+		return cmp.Or(compareBool(s.members[b].ID == s.self, s.members[a].ID == s.self), cmp.Compare(a, b))
+	})
 	for i := range count {
-		if i != first {
-			buffer = append(buffer, s.members[order[i]].Host)
-		}
+		buffer = append(buffer, s.members[ranked[i]].Host)
 	}
-	return buffer
+	return buffer, sharing
 }
 
 // spread returns the number of hosts that share a tenant's requests.
@@ -121,6 +113,6 @@
 // TakesItself reports whether the host that uses the set takes a request of the tenant itself.
 func (s *Set) TakesItself(tenant model.TenantID, share float64) bool {
 	var buffer [MaxHosts]Host
-	order := s.Order(buffer[:0], tenant, share)
+	order, _ := s.Order(buffer[:0], tenant, share)
 	return len(order) > 0 && order[0].ID == s.self
 }
--- a/internal/holder/set_test.go
+++ b/internal/holder/set_test.go
@@ -39,7 +39,7 @@
 				takers := make(map[model.HostID]bool)
 				for self := range hosts {
 					set := setOf(self)
-					order := set.Order(nil, tenant, test.share)
+					order, sharing := set.Order(nil, tenant, test.share)
 					takers[order[0].ID] = true
 					if got, want := set.TakesItself(tenant, test.share), order[0].ID == set.self; got != want {
 						t.Errorf("got host %d to take the requests of %s: %t, want %t", self, tenant, got, want)
@@ -48,6 +48,9 @@
 					for _, host := range order {
 						ids[host.ID] = true
 					}
+					if sharing != test.want {
+						t.Errorf("got %d holders that share %s, want %d", sharing, tenant, test.want)
+					}
 					if len(order) != 4 || len(ids) != 4 {
 						t.Errorf("got order %v, want each of the four holders once", order)
 					}
@@ -77,9 +80,9 @@
 	rest := New("i1", "h9", []Host{{ID: "h0"}, {ID: "h1"}, {ID: "h3"}})
 	for i := range 80 {
 		tenant := model.TenantID(fmt.Sprintf("t%d", i))
-		want := all.Order(nil, tenant, 0)
+		want, _ := all.Order(nil, tenant, 0)
 		want = slices.DeleteFunc(want, func(host Host) bool { return host.ID == "h2" })
-		if got := rest.Order(nil, tenant, 0); got[0].ID != want[0].ID {
+		if got, _ := rest.Order(nil, tenant, 0); got[0].ID != want[0].ID {
 			t.Errorf("got %s for %s, want %s", got[0].ID, tenant, want[0].ID)
 		}
 	}
@@ -91,6 +94,6 @@
 	var buffer [MaxHosts]Host
 	b.ReportAllocs()
 	for b.Loop() {
-		_ = set.Order(buffer[:0], "t1", 0.1)
+		_, _ = set.Order(buffer[:0], "t1", 0.1)
 	}
 }
