admit: StartLimit decides until when a statement may wait at a host

The quarter of the goal was a constant of the front. It is the field GoalShare of a pure type now, beside the shares of the deadline and of the expected wait, and the service times kept for the statement's own work and for an attempt elsewhere. Local, relayed and retried statements use it. The defaults give the former limit: TestStartLimitDefaults compares both for 504 inputs. A deployment may set wait-goal-share and wait-deadline-share; the rest are constants and fields in internal/admit/start_limit.go.

go test -race ./internal/admit ./internal/scheduler ./internal/settings ./internal/cli and the parts StartBy, Gone, Relay and Wait of ./internal/front pass.

--- a/internal/cli/front.go
+++ b/internal/cli/front.go
@@ -47,6 +47,7 @@
 	host := front.New()
 	host.Settings = loaded
 	host.Logger = logger
+	host.StartLimit.GoalShare, host.StartLimit.DeadlineShare = loaded.WaitGoalShare, loaded.WaitDeadlineShare
 	host.SetDroppedLines(logSink.Dropped)
 	client, err := platform.New(loaded.StoreAddress, loaded.OrderAddress)
 	if err != nil {
--- a/internal/front/autocommit.go
+++ b/internal/front/autocommit.go
@@ -145,7 +145,7 @@
 	}
 	e.mayHaveRun = e.mayHaveRun || trip.sent
 	e.exclude(t.backend)
-	e.startBy = e.deadline // the statement had been sent; the rest of its time is for another attempt
+	e.allowRest()
 	if e.prepareRetry(ctx, trip.err.Error(), 0) {
 		return false, nil
 	}
--- a/internal/front/execution.go
+++ b/internal/front/execution.go
@@ -22,8 +22,6 @@
 	readAttemptTimeout = 400 * time.Millisecond // after which a read is tried on another instance
 	minRetryPause      = 5 * time.Millisecond   // before an attempt after a refusal for lack of a slot; doubles with each attempt
 	maxRetryPause      = 40 * time.Millisecond  // upper bound of the doubling
-	startShare         = 0.25                   // share of the goal within which a statement must be sent to an instance; otherwise it is refused
-	minStartTime       = 60 * time.Millisecond  // lower bound of the time that startShare gives
 )
 
 // execution is the processing of one statement.
@@ -36,8 +34,11 @@
 	startsTransaction bool // the statement begins a transaction
 	readWrite         bool // the transaction may write or needs the newest data
 	arrived           time.Time
-	deadline          time.Time // for the response
-	startBy           time.Time // for sending the statement to an instance
+	waitsFrom         time.Time     // from which the start limit counts
+	startLimit        time.Duration // set by the host that passes the statement on; zero for none
+	sent              bool          // an attempt was sent and failed; the rest of the time is for another one
+	deadline          time.Time     // for the response
+	startBy           time.Time     // for sending the statement to an instance
 	attempts          int
 	excluded          map[model.InstanceID]bool
 	elsewhere         bool                   // other hosts keep connections to some instance of the database, and pass this request on
@@ -62,9 +63,10 @@
 	if s.relayed {
 		e.deadline = earlier(e.deadline, s.responseLimit)
 	}
-	e.startBy = latestStart(now, policy.Goal, e.deadline)
+	e.renewStart(now)
 	if s.relayed {
-		e.startBy = earlier(e.startBy, s.startLimit)
+		e.startLimit = s.startLimit.Sub(now)
+		e.startBy = e.startByAt(now, 0, 0)
 	}
 	return e
 }
@@ -164,18 +166,31 @@
 	return until
 }
 
-// renewStart gives a statement that has waited for a primary the time in which it would be sent had it arrived now.
+// renewStart gives a statement the time in which it would be sent had it arrived now, as after its wait for a primary.
 func (e *execution) renewStart(now time.Time) {
-	e.startBy = latestStart(now, e.policy.Goal, e.deadline)
+	e.waitsFrom, e.startLimit = now, 0
+	e.startBy = e.startByAt(now, 0, 0)
 }
 
-// latestStart returns the time by which a statement that arrives now has to be sent to an instance.
-func latestStart(now time.Time, goal time.Duration, deadline time.Time) time.Time {
-	startBy := now.Add(max(time.Duration(float64(goal)*startShare), minStartTime))
-	if startBy.After(deadline) {
-		return deadline
-	}
-	return startBy
+// allowRest gives a statement the rest of its time for another attempt, after one that was sent and failed.
+func (e *execution) allowRest() {
+	e.sent = true
+	e.startBy = e.startByAt(time.Now(), 0, 0)
+}
+
+// startByAt returns the time by which the statement has to be sent to an instance with the service time and the expected wait; zero for
+// unknown ones.
+func (e *execution) startByAt(now time.Time, service, expected time.Duration) time.Time {
+	return e.waitsFrom.Add(e.session.host.StartLimit.Until(admit.Start{
+		Waited:    now.Sub(e.waitsFrom),
+		Goal:      e.policy.Goal,
+		Deadline:  e.deadline.Sub(e.waitsFrom),
+		Service:   service,
+		Expected:  expected,
+		Limit:     e.startLimit,
+		Elsewhere: !e.needsPrimary(),
+		Sent:      e.sent,
+	}))
 }
 
 // settledAt returns the time by which the host knows its primaries; it is in the past but for a host that has just started.
@@ -291,9 +306,11 @@
 // acquire waits for a connection and a slot on the target.
 func (e *execution) acquire(ctx context.Context, t target) (*scheduler.Permit[*pooledConn], error) {
 	e.backend = t.backend
+	now := time.Now()
+	wait, service := t.backend.scheduler.Expected(now, e.policy.ID)
 	permit, err := t.backend.scheduler.Acquire(ctx, scheduler.Request{
 		Class:          admit.Class{Rank: e.policy.Rank, Kind: e.policy.ID, Session: e.session.id},
-		Deadline:       e.startBy.Add(t.backend.scheduler.ExpectedLatency(time.Now(), e.policy.ID)),
+		Deadline:       e.startByAt(now, service, wait).Add(service),
 		KeepConnection: e.startsTransaction,
 		Tenant:         e.session.tenant,
 		OnlyHere:       e.needsPrimary(),
--- a/internal/front/host.go
+++ b/internal/front/host.go
@@ -13,6 +13,7 @@
 
 	"github.com/apex/log"
 
+	"redwingspread/internal/admit"
 	"redwingspread/internal/boundary"
 	"redwingspread/internal/budget"
 	"redwingspread/internal/clock"
@@ -45,6 +46,8 @@
 	Loop *control.Loop[controller.Event, controller.Action, *controller.View]
 	// Memory is the budget for callers' messages, answers and the state of sessions; nil for none.
 	Memory *budget.Budget
+	// StartLimit decides until when a statement may wait for an instance.
+	StartLimit admit.StartLimit
 
 	regions            map[model.DataCentreID]model.RegionID
 	sharedRegion       bool // some region has several data centres
@@ -93,6 +96,7 @@
 		openSessions: make(map[*callerSession]struct{}),
 		rowsRead:     make(chan struct{}),
 		relays:       relay.NewClient(),
+		StartLimit:   admit.NewStartLimit(),
 	}
 }
 
--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -69,6 +69,13 @@
 	}
 }
 
+// remoteService returns the expected time to an answer by way of another host.
+func (b *backend) remoteService(now time.Time, kind model.KindID) time.Duration {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.remoteTimes.Expected(now, kind)
+}
+
 // newRemote returns a session at the host at the address, which keeps connections to the target.
 func (s *callerSession) newRemote(t target, address model.Address) *remoteSession {
 	return &remoteSession{client: s.host.relays, address: address, backend: t.backend, id: s.host.relays.NewSession(), begunAt: time.Now()}
@@ -79,7 +86,7 @@
 	now := time.Now()
 	e.backend = r.backend
 	state := e.session.state
-	call := relay.Call{Session: r.id, Request: e.request, StartIn: e.startBy.Sub(now), Left: e.deadline.Sub(now), Last: last}
+	call := relay.Call{Session: r.id, Request: e.request, StartIn: e.startByAt(now, r.backend.remoteService(now, e.policy.ID), 0).Sub(now), Left: e.deadline.Sub(now), Last: last}
 	if e.request.Verb == statement.Execute {
 		call.Prepared = state.Prepared[e.request.Name]
 	}
@@ -139,11 +146,11 @@
 		return true, s.caller.SendRefusal(e.recordRefusal(refusal), statement.Idle)
 	case err != nil:
 		e.mayHaveRun = true
-		e.startBy = e.deadline // the statement had been sent; the rest of its time is for another attempt
+		e.allowRest()
 		return e.retryRelay(ctx, address, "the holder of the connections did not answer")
 	case reply.Refusal != nil && !reply.Refusal.NotRun && e.access == model.Read:
 		e.mayHaveRun, e.direct = true, true // such as a response that is too large to be passed on
-		e.startBy = e.deadline
+		e.allowRest()
 		return e.retryRelay(ctx, address, reply.Refusal.Message)
 	case mustAvoid(reply.Refusal, t):
 		return e.retryRelay(ctx, address, reply.Refusal.Message)
--- a/internal/front/transaction.go
+++ b/internal/front/transaction.go
@@ -106,7 +106,7 @@
 	if err != nil {
 		reason = err.Error()
 		tx.backend.noteError(e.arrived, err)
-		e.startBy = e.deadline // the statement had been sent; the rest of its time is for another attempt
+		e.allowRest()
 	}
 	tx.backend.scheduler.FinishTransaction(tx.permit, false)
 	e.exclude(tx.backend)
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -130,16 +130,22 @@
 
 // ExpectedLatency returns the expected time until a statement of the kind is answered, if it arrives now.
 func (s *Scheduler[C]) ExpectedLatency(now time.Time, kind model.KindID) time.Duration {
+	wait, service := s.Expected(now, kind)
+	return wait + service
+}
+
+// Expected returns the expected wait and service time of a statement of the kind, if it arrives now.
+func (s *Scheduler[C]) Expected(now time.Time, kind model.KindID) (wait, service time.Duration) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.applySettings()
-	serviceTime := s.queue.ServiceTimes.Expected(now, kind)
+	service = s.queue.ServiceTimes.Expected(now, kind)
 	limit := s.inFlightLimit()
 	ahead := s.queue.Len() + int(max(s.running-limit+1, 0))
 	if ahead == 0 {
-		return serviceTime
+		return 0, service
 	}
-	return serviceTime + time.Duration(ahead)*s.queue.ServiceTimes.Mean(now)/time.Duration(max(limit, 1))
+	return time.Duration(ahead) * s.queue.ServiceTimes.Mean(now) / time.Duration(max(limit, 1)), service
 }
 
 // Room is how much of an instance the host uses and may use.
