front: statements of callers that have gone give up their place

A statement that waited for a slot, a connection, a token, a primary or another host kept its place and was sent although its caller had closed the connection. The session's context ends the wait; a holder is told to end the session. Event 6050 and the metric callers_gone count them.

TCP announces a closed connection like one that is closed in one direction only, so that a reset counts as gone by default and a FIN only with half-close set to gone.

--- a/internal/cli/front.go
+++ b/internal/cli/front.go
@@ -31,6 +31,9 @@
 // runs more often near it.
 const memoryLimitPercent = 70
 
+// halfCloseGone is the value of the setting half-close for callers that are gone once they send no more.
+const halfCloseGone = "gone"
+
 // runFront runs the host until the process receives a signal to stop.
 func runFront(ctx context.Context, command *cli.Command) (err error) {
 	file, loaded, err := settings.LoadFrontWithFile(command)
@@ -54,6 +57,7 @@
 		return err
 	}
 	client.Logger = logger
+	client.HalfCloseEnds = loaded.HalfClose == halfCloseGone
 	if client.Regions, err = settings.ParseRegions(loaded.DataCentres); err != nil {
 		return err
 	}
--- a/internal/event/events_gen.go
+++ b/internal/event/events_gen.go
@@ -69,6 +69,7 @@
 	NumberMemoryRefused            Number = 6040
 	NumberSessionEvicted           Number = 6041
 	NumberSessionsFull             Number = 6042
+	NumberCallerGone               Number = 6050
 )
 
 // Keeps the import of package model when no event uses it.
@@ -656,3 +657,14 @@
 		"open":  open,
 	}).Warn("a session was refused because the host has as many as it may")
 }
+
+// CallerGone logs event 6050: a statement was given up because its caller had closed the connection.
+func CallerGone(logger log.Interface, request model.RequestID, kind model.KindID, instance model.InstanceID, waited model.Milliseconds) {
+	logger.WithFields(log.Fields{
+		"event":    NumberCallerGone,
+		"request":  request,
+		"kind":     kind,
+		"instance": instance,
+		"waited":   waited,
+	}).Debug("a statement was given up because its caller had closed the connection")
+}
--- a/internal/front/autocommit.go
+++ b/internal/front/autocommit.go
@@ -24,10 +24,13 @@
 	}
 	e := s.newExecution(request, policy)
 	s.host.counters.Requests.Add(1)
+	s.watch.begin(ctx)
+	defer s.watch.end()
 	if refusal := e.spendAllowance(ctx); refusal != nil {
 		return s.caller.SendRefusal(e.recordRefusal(refusal), statement.Idle)
 	}
 	for {
+		s.watch.begin(ctx)
 		t, refusal := e.chooseTarget(ctx)
 		if refusal != nil {
 			return s.caller.SendRefusal(e.recordRefusal(refusal), statement.Idle)
@@ -47,6 +50,7 @@
 			}
 			return s.caller.SendRefusal(e.recordRefusal(refusal), statement.Idle)
 		}
+		s.watch.end()
 		done, err := e.tryAutocommit(ctx, t, permit)
 		if done {
 			return err
--- a/internal/front/counters.go
+++ b/internal/front/counters.go
@@ -30,6 +30,7 @@
 	Relayed      expvar.Int // requests passed on to hosts that keep connections
 	Evicted      expvar.Int // sessions closed in favour of new ones
 	OverLimit    expvar.Int // sessions refused because the host had as many as it may
+	CallersGone  expvar.Int // statements given up because their callers had closed their connections
 	SetupRefused expvar.Int // commands that prepare a connection for a session and that an instance refused
 	DroppedLines func() uint64
 
@@ -88,6 +89,7 @@
 	line("relayed %s", c.Relayed.String())
 	line("sessions_evicted %s", c.Evicted.String())
 	line("sessions_over_limit %s", c.OverLimit.String())
+	line("callers_gone %s", c.CallersGone.String())
 	line("setup_refused %s", c.SetupRefused.String())
 	line("lines_dropped %d", c.DroppedLines())
 	c.refusals.Do(func(kv expvar.KeyValue) { line("refusals{code=%q} %s", kv.Key, kv.Value.String()) })
--- a/internal/front/execution.go
+++ b/internal/front/execution.go
@@ -315,17 +315,31 @@
 		Tenant:         e.session.tenant,
 		OnlyHere:       e.needsPrimary(),
 	})
-	if err == nil {
-		e.session.host.counters.placed.count(t.choice)
+	if err != nil {
+		return nil, err
+	}
+	if e.session.watch.gone.Load() {
+		e.release(t, permit)
+		return nil, model.Refuse(model.CodeDeadline, "the caller has closed its connection")
+	}
+	e.session.host.counters.placed.count(t.choice)
+	return permit, nil
+}
+
+// release returns a permit that was not used.
+func (e *execution) release(t target, permit *scheduler.Permit[*pooledConn]) {
+	if e.startsTransaction {
+		t.backend.scheduler.FinishTransaction(permit, true)
+	} else {
+		t.backend.scheduler.FinishStatement(permit, true, false)
 	}
-	return permit, err
 }
 
 // prepareRetry counts a failed attempt; if another one is in time, it logs the reason, pauses and returns true.
 func (e *execution) prepareRetry(ctx context.Context, reason string, pause time.Duration) bool {
 	e.attempts++
 	e.session.host.counters.Retries.Add(1)
-	if e.attempts >= maxAttempts || !time.Now().Add(pause).Before(e.startBy) {
+	if e.attempts >= maxAttempts || ctx.Err() != nil || !time.Now().Add(pause).Before(e.startBy) {
 		return false
 	}
 	event.RequestRetried(e.session.host.Logger, e.request.ID, e.policy.ID, e.instanceID(), model.Millis(time.Since(e.arrived)), reason)
@@ -340,6 +354,11 @@
 
 // recordRefusal counts and logs a refusal and returns it.
 func (e *execution) recordRefusal(refusal *model.Refusal) *model.Refusal {
+	if refusal.NotRun && e.session.watch.gone.Load() {
+		e.session.host.counters.CallersGone.Add(1)
+		event.CallerGone(e.session.host.Logger, e.request.ID, e.policy.ID, e.instanceID(), model.Millis(time.Since(e.arrived)))
+		return refusal
+	}
 	if e.mayHaveRun && refusal.NotRun {
 		// A read may have run; it has no effect, which is what this code promises.
 		refusal = &model.Refusal{Code: model.CodeTransactionEnded, NotRun: true, Message: refusal.Message, RetryAfter: refusal.RetryAfter}
--- a/internal/front/interfaces.go
+++ b/internal/front/interfaces.go
@@ -30,7 +30,8 @@
 	Key  model.KeyDigest // digest of the API key
 }
 
-// Caller is the protocol side of one caller's session; only Interrupt, StalledSince and Close are safe for concurrent use.
+// Caller is the protocol side of one caller's session; only Interrupt, StalledSince and Close are safe for concurrent use, and AwaitClose
+// beside the sending of responses.
 type Caller interface {
 	// ReadStart returns what the session is for; an error is either a *model.Refusal or ends the session.
 	ReadStart() (Start, error)
@@ -44,6 +45,9 @@
 	SendRefusal(refusal *model.Refusal, state statement.State) error
 	// RejectSession refuses to open the session.
 	RejectSession(refusal *model.Refusal) error
+	// AwaitClose waits until the caller has closed its connection and returns true, or false once the context ends. What the caller has
+	// sent ahead is left to ReadRequest. A caller that has only closed its sending side is present.
+	AwaitClose(ctx context.Context) (closed bool)
 	// Interrupt makes a pending ReadStart or ReadRequest return ErrNoRequest, also when a message has just arrived.
 	Interrupt()
 	// StalledSince returns since when the caller owes the rest of a message, or its START; stalled is false if it owes nothing. It is
--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -137,7 +137,11 @@
 func (e *execution) relayAutocommit(ctx context.Context, t target, address model.Address) (done bool, err error) {
 	s := e.session
 	s.host.counters.placed.count(t.choice)
-	reply, err := s.newRemote(t, address).call(ctx, e, e.responseDeadline(time.Now()), true)
+	remote := s.newRemote(t, address)
+	reply, err := remote.call(ctx, e, e.responseDeadline(time.Now()), true)
+	if err != nil {
+		remote.end() // the holder gives up its place if it still waits
+	}
 	switch {
 	case errors.Is(err, relay.ErrNotSent):
 		return e.retryRelay(ctx, address, "the holder of the connections can't be reached")
@@ -321,8 +325,9 @@
 	session    relay.Session
 	owner      *callerSession
 	interrupts chan struct{}
-	unanswered bool // the newest call has no reply yet
-	last       bool // the session ends with the reply to it
+	unanswered bool        // the newest call has no reply yet
+	last       bool        // the session ends with the reply to it
+	early      *relay.Call // received before the reply to the one before; nil for none
 }
 
 // ReadStart returns what the session is for. The host that passes it on has checked the key.
@@ -344,6 +349,10 @@
 	if c.last {
 		return request, ErrClosed
 	}
+	if call := c.early; call != nil {
+		c.early = nil
+		return c.accept(call), nil
+	}
 	var timeout <-chan time.Time
 	if !limit.IsZero() {
 		timer := time.NewTimer(time.Until(limit))
@@ -355,15 +364,34 @@
 		if !open {
 			return request, ErrClosed
 		}
-		c.unanswered, c.last = true, call.Last
-		c.apply(&call)
-		return call.Request, nil
+		return c.accept(&call), nil
 	case <-c.interrupts:
 	case <-timeout:
 	}
 	return request, ErrNoRequest
 }
 
+// accept makes a call the newest one and returns its request.
+func (c *relayedCaller) accept(call *relay.Call) statement.Request {
+	c.unanswered, c.last = true, call.Last
+	c.apply(call)
+	return call.Request
+}
+
+// AwaitClose waits until the other host ends the session, or its stream ends, and returns false if the context ends first.
+func (c *relayedCaller) AwaitClose(ctx context.Context) (closed bool) {
+	select {
+	case call, open := <-c.session.Calls:
+		if !open {
+			return true
+		}
+		c.early = &call
+		<-ctx.Done()
+	case <-ctx.Done():
+	}
+	return false
+}
+
 // apply brings the session's values and the prepared statement of the call to this host.
 func (c *relayedCaller) apply(call *relay.Call) {
 	if call.Values != nil {
@@ -408,13 +436,15 @@
 	if c.unanswered {
 		_ = c.SendRefusal(model.OutcomeUnknown("the session ended"), statement.Idle) // fails only when the stream has ended
 	}
+	early := c.early != nil
 	select {
 	case _, open := <-c.session.Calls:
-		if open {
-			_ = c.SendRefusal(model.Refuse(model.CodeStopping, "the host stops"), statement.Idle) // as above
-		}
+		early = early || open
 	default:
 	}
+	if early {
+		_ = c.SendRefusal(model.Refuse(model.CodeStopping, "the host stops"), statement.Idle) // as above
+	}
 }
 
 // Interrupt makes a pending ReadRequest return ErrNoRequest.
--- a/internal/front/relay_internal_test.go
+++ b/internal/front/relay_internal_test.go
@@ -49,6 +49,12 @@
 	return nil
 }
 
+// AwaitClose waits for the end of the context: the caller stays.
+func (c *recordingCaller) AwaitClose(ctx context.Context) bool {
+	<-ctx.Done()
+	return false
+}
+
 // scriptedHolder is a holder that does with each call what the call's text or else its verb says.
 type scriptedHolder struct {
 	mutex sync.Mutex
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -29,6 +29,7 @@
 	policy       model.Kind     // in force for the open transaction
 	evicted      atomic.Bool    // its connection was closed in favour of a new one
 	waitingSince time.Time      // start of the wait for the next request
+	watch        closeWatch     // of the caller's connection while a statement waits
 
 	relayed         bool             // another host passes the session on
 	leastVersion    model.Version    // of the configuration that serves a session that another host passes on
@@ -41,6 +42,9 @@
 // serve serves the session until it ends.
 func (s *callerSession) serve(ctx context.Context) error {
 	defer s.cleanUp()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	s.watch.caller, s.watch.cancel = s.caller, cancel
 	start, err := s.caller.ReadStart()
 	if errors.Is(err, ErrNoRequest) && s.host.draining() {
 		start, err = s.caller.ReadStart() // the interrupt came first; the message is likely to have arrived
--- a/internal/front/transaction.go
+++ b/internal/front/transaction.go
@@ -41,7 +41,9 @@
 		s.state.FailTransaction()
 		return s.refuse(request, model.Refuse(model.CodeNotPrimary, "the transaction only reads"))
 	}
+	defer s.watch.end()
 	for {
+		s.watch.begin(ctx)
 		if !s.inTransaction() {
 			refusal := e.spendAllowance(ctx)
 			if refusal == nil {
@@ -63,6 +65,7 @@
 			s.state.FailTransaction()
 			return s.caller.SendRefusal(e.recordRefusal(refusal), s.state.Transaction)
 		}
+		s.watch.end()
 		response, err := e.sendInTransaction(ctx)
 		if first && (err != nil || isStaleBegin(&response)) {
 			if e.restartTransaction(ctx, &response, err) {
@@ -296,10 +299,12 @@
 	if s.remote != nil {
 		return s.commitRemote(ctx, e)
 	}
+	s.watch.begin(ctx)
 	refusal := e.spendAllowance(ctx) // of a transaction without statements
 	if refusal == nil {
 		refusal = e.resumeTransaction(ctx)
 	}
+	s.watch.end()
 	if refusal != nil {
 		s.state.EndTransaction()
 		return s.caller.SendRefusal(e.recordRefusal(refusal), statement.Idle)
