front: retries after refusals for lack of room are within a budget

A host tried a statement that an instance had refused for lack of a slot again every 5 to 40 ms, as did all other hosts, which adds to the load of an instance without room. Each such attempt now draws on a budget of the database: a tenth of the successes, one a second, 20 saved (setting retry-budget). Without budget the statement waits for it as long as it may wait at all and is then refused as not run. Attempts on closed connections, at instances that are gone and at wrong primaries draw on nothing, nor do refusals by the host's own queue. Event 6051 and the metric retries_withheld tell of it.

go test -race -run 'Budget|LacksRoom|Allowed|Backoff' ./internal/front ./internal/retry passes.

--- a/internal/event/events_gen.go
+++ b/internal/event/events_gen.go
@@ -70,6 +70,7 @@
 	NumberSessionEvicted           Number = 6041
 	NumberSessionsFull             Number = 6042
 	NumberCallerGone               Number = 6050
+	NumberRetryWithheld            Number = 6051
 )
 
 // Keeps the import of package model when no event uses it.
@@ -668,3 +669,15 @@
 		"waited":   waited,
 	}).Debug("a statement was given up because its caller had closed the connection")
 }
+
+// RetryWithheld logs event 6051: a statement that was refused for lack of room waits, since the budget for retries is used up.
+func RetryWithheld(logger log.Interface, request model.RequestID, kind model.KindID, instance model.InstanceID, waited model.Milliseconds, code model.Code) {
+	logger.WithFields(log.Fields{
+		"event":    NumberRetryWithheld,
+		"request":  request,
+		"kind":     kind,
+		"instance": instance,
+		"waited":   waited,
+		"code":     code,
+	}).Debug("a statement that was refused for lack of room waits, since the budget for retries is used up")
+}
--- a/internal/front/autocommit.go
+++ b/internal/front/autocommit.go
@@ -129,6 +129,7 @@
 
 // recordServed counts and logs a successful statement; led says whether it proved that its instance was the primary.
 func (e *execution) recordServed(led bool) {
+	e.backend.replicaSet.retries.RecordSuccess()
 	e.session.servedBy, e.session.servedByPrimary = e.instanceID(), led
 	took := time.Since(e.arrived)
 	e.session.host.counters.observeLatency(e.policy.ID, took)
@@ -158,7 +159,6 @@
 
 // handleRefusal handles an instance's refusal of a statement.
 func (e *execution) handleRefusal(ctx context.Context, t target, response *statement.Response) (done bool, err error) {
-	pause := time.Duration(0)
 	switch response.Code {
 	case model.CodeBehind, model.CodeNotPrimary:
 		e.handleWrongInstance(t.backend, response.Code)
@@ -166,7 +166,6 @@
 		if e.access == model.Read && !e.needsPrimary() {
 			e.exclude(t.backend)
 		}
-		pause = e.retryPause()
 	case model.CodeNoStatement:
 	case model.CodeFailed:
 		e.mayHaveRun = true
@@ -177,7 +176,7 @@
 	default:
 		return true, e.relayRefusal(response)
 	}
-	if e.prepareRetry(ctx, string(response.Code), pause) {
+	if e.prepareRetryAfter(ctx, response.Code) {
 		return false, nil
 	}
 	if e.mayHaveRun {
--- a/internal/front/backend.go
+++ b/internal/front/backend.go
@@ -16,6 +16,7 @@
 	"redwingspread/internal/lease"
 	"redwingspread/internal/model"
 	"redwingspread/internal/placement"
+	"redwingspread/internal/retry"
 	"redwingspread/internal/scheduler"
 	"redwingspread/internal/scout"
 	"redwingspread/internal/session"
@@ -55,7 +56,8 @@
 
 // replicaSet is one database as seen by traffic.
 type replicaSet struct {
-	memory *budget.Budget // for the state of connections; nil for none
+	memory  *budget.Budget // for the state of connections; nil for none
+	retries *retry.Budget  // for attempts after refusals for lack of room
 
 	mutex    sync.Mutex
 	history  freshness.PointHistory
--- a/internal/front/counters.go
+++ b/internal/front/counters.go
@@ -30,6 +30,7 @@
 	Relayed      expvar.Int // requests passed on to hosts that keep connections
 	Evicted      expvar.Int // sessions closed in favour of new ones
 	OverLimit    expvar.Int // sessions refused because the host had as many as it may
+	Withheld     expvar.Int // retries that had to wait because the budget for them was used up
 	CallersGone  expvar.Int // statements given up because their callers had closed their connections
 	SetupRefused expvar.Int // commands that prepare a connection for a session and that an instance refused
 	DroppedLines func() uint64
@@ -89,6 +90,7 @@
 	line("relayed %s", c.Relayed.String())
 	line("sessions_evicted %s", c.Evicted.String())
 	line("sessions_over_limit %s", c.OverLimit.String())
+	line("retries_withheld %s", c.Withheld.String())
 	line("callers_gone %s", c.CallersGone.String())
 	line("setup_refused %s", c.SetupRefused.String())
 	line("lines_dropped %d", c.DroppedLines())
--- a/internal/front/execution.go
+++ b/internal/front/execution.go
@@ -12,6 +12,7 @@
 	"redwingspread/internal/failover"
 	"redwingspread/internal/model"
 	"redwingspread/internal/placement"
+	"redwingspread/internal/retry"
 	"redwingspread/internal/scheduler"
 	"redwingspread/internal/statement"
 )
@@ -346,6 +347,41 @@
 	return clock.Pause(ctx, pause) == nil
 }
 
+// prepareRetryAfter is prepareRetry after a refusal by an instance.
+func (e *execution) prepareRetryAfter(ctx context.Context, code model.Code) bool {
+	if retry.LacksRoom(code) {
+		return e.prepareRoomRetry(ctx, code)
+	}
+	return e.prepareRetry(ctx, string(code), 0)
+}
+
+// prepareRoomRetry is prepareRetry after a refusal for lack of room, with a pause, and within the budget of the database.
+func (e *execution) prepareRoomRetry(ctx context.Context, code model.Code) bool {
+	return e.takeRetry(ctx, code) && e.prepareRetry(ctx, string(code), e.retryPause())
+}
+
+// takeRetry takes a retry from the budget of the database, for which it waits while the statement may; it reports whether it got one.
+// After a wait any instance may be the best one again.
+func (e *execution) takeRetry(ctx context.Context, code model.Code) bool {
+	budget := e.backend.replicaSet.retries
+	if !retry.LacksRoom(code) || budget.Take() {
+		return true
+	}
+	e.session.host.counters.Withheld.Add(1)
+	event.RetryWithheld(e.session.host.Logger, e.request.ID, e.policy.ID, e.instanceID(), model.Millis(time.Since(e.arrived)), code)
+	e.session.watch.begin(ctx)
+	clear(e.excluded)
+	for {
+		pause := maxRetryPause/2 + rand.N(maxRetryPause/2)
+		if !time.Now().Add(pause).Before(e.startBy) || clock.Pause(ctx, pause) != nil {
+			return false
+		}
+		if budget.Take() {
+			return true
+		}
+	}
+}
+
 // retryPause returns the jittered exponential pause after a refusal for lack of a slot.
 func (e *execution) retryPause() time.Duration {
 	longest := min(minRetryPause<<min(e.attempts, 8), maxRetryPause)
--- a/internal/front/host.go
+++ b/internal/front/host.go
@@ -25,6 +25,7 @@
 	"redwingspread/internal/model"
 	"redwingspread/internal/placement"
 	"redwingspread/internal/relay"
+	"redwingspread/internal/retry"
 	"redwingspread/internal/session"
 	"redwingspread/internal/settings"
 )
@@ -48,6 +49,8 @@
 	Memory *budget.Budget
 	// StartLimit decides until when a statement may wait for an instance.
 	StartLimit admit.StartLimit
+	// RetryBudget is the number of retries after refusals for lack of room that a success at a database allows.
+	RetryBudget float64
 
 	regions            map[model.DataCentreID]model.RegionID
 	sharedRegion       bool // some region has several data centres
@@ -97,6 +100,7 @@
 		rowsRead:     make(chan struct{}),
 		relays:       relay.NewClient(),
 		StartLimit:   admit.NewStartLimit(),
+		RetryBudget:  retry.DefaultPerSuccess,
 	}
 }
 
@@ -345,7 +349,8 @@
 func (h *Host) addBackend(ctx context.Context, entry directory.Instance) *backend {
 	rs, found := h.replicaSets[entry.Database]
 	if !found {
-		rs = &replicaSet{memory: h.Memory}
+		rs = &replicaSet{memory: h.Memory, retries: retry.NewBudget()}
+		rs.retries.PerSuccess = h.RetryBudget
 		h.replicaSets[entry.Database] = rs
 	}
 	edge := h.edgeTo(entry.DataCentre)
--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -161,7 +161,7 @@
 	case reply.Refusal != nil && reply.Refusal.Code == model.CodeBehind && e.mayTryOther(t):
 		t.backend.noteBehind(clock.Boot())
 		return e.retryRelay(ctx, "", reply.Refusal.Message)
-	case reply.Refusal != nil && reply.Refusal.NotRun && !t.primary && e.mayTryOther(t):
+	case reply.Refusal != nil && reply.Refusal.NotRun && !t.primary && e.mayTryOther(t) && e.takeRetry(ctx, reply.Refusal.Code):
 		return e.retryRelay(ctx, address, reply.Refusal.Message)
 	case reply.Refusal != nil:
 		return true, s.caller.SendRefusal(e.recordRefusal(reply.Refusal), statement.Idle)
--- /dev/null
+++ b/internal/front/retry_internal_test.go
@@ -0,0 +1,124 @@
+package front
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"redwingspread/internal/control"
+	"redwingspread/internal/controller"
+	"redwingspread/internal/directory"
+	"redwingspread/internal/failover"
+	"redwingspread/internal/model"
+	"redwingspread/internal/session"
+	"redwingspread/internal/statement"
+)
+
+// busyPlatform is a platform whose instance refuses the first statements for lack of a slot, and whose first connections close.
+type busyPlatform struct {
+	Platform
+	refusals int // statements left to refuse
+	closed   int // connections left that are closed when they are to be used
+	sent     int // statements received
+}
+
+// Dial opens a connection.
+func (p *busyPlatform) Dial(context.Context, directory.Instance, model.TenantID) (InstanceConn, error) {
+	return &busyConn{platform: p}, nil
+}
+
+// busyConn is a connection to the instance of a busyPlatform.
+type busyConn struct {
+	InstanceConn
+	platform *busyPlatform
+	pending  []statement.Verb
+}
+
+// Send takes commands.
+func (c *busyConn) Send(commands []statement.Command) error {
+	for _, command := range commands {
+		c.pending = append(c.pending, command.Verb)
+	}
+	return nil
+}
+
+// Receive returns the next response.
+func (c *busyConn) Receive(time.Time) (statement.Response, error) {
+	verb := c.pending[0]
+	c.pending = c.pending[1:]
+	switch verb {
+	case statement.Begin:
+		return statement.Response{State: statement.Open, Point: model.Point{Term: 1, Position: 5}}, nil
+	case statement.Write:
+		c.platform.sent++
+		if c.platform.refusals > 0 {
+			c.platform.refusals--
+			return statement.Response{Code: model.CodeOverloaded, State: statement.Idle}, nil
+		}
+	}
+	return statement.Response{State: statement.Idle, Point: model.Point{Term: 1, Position: 5}}, nil
+}
+
+// Alive reports whether the connection is open.
+func (c *busyConn) Alive() bool {
+	c.platform.closed--
+	return c.platform.closed < 0
+}
+
+// Close does nothing.
+func (*busyConn) Close() error { return nil }
+
+// TestRetriesAreWithinTheBudget guards against retries that add to the load of an instance without room, against attempts that cost an
+// instance nothing and are withheld, and against refusals without a time to come back.
+func TestRetriesAreWithinTheBudget(t *testing.T) {
+	const always = 1000
+	tests := map[string]struct {
+		spent    bool // the budget is used up
+		refusals int
+		closed   int
+		goal     time.Duration // a statement may wait for a quarter of it
+		sent     int
+		withheld int64
+		refused  bool
+	}{
+		"within the budget":                    {refusals: 3, goal: 4 * time.Second, sent: 4},
+		"none left":                            {spent: true, refusals: always, goal: 2 * time.Second, sent: 1, withheld: 1, refused: true},
+		"none left, the next one in time":      {spent: true, refusals: 1, goal: 8 * time.Second, sent: 2, withheld: 1},
+		"none left, then another refusal":      {spent: true, refusals: always, goal: 9 * time.Second, sent: 3, withheld: 3, refused: true},
+		"a closed connection draws on nothing": {spent: true, closed: 2, goal: 2 * time.Second, sent: 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				kind := model.Kind{ID: "desk", Database: "seats", Rank: model.RankOne, Goal: test.goal, Timeout: time.Minute}
+				h := New()
+				h.Loop = control.New(fixedView{&controller.View{
+					Directory: &directory.Directory{Version: 1, Kinds: map[model.KindID]model.Kind{"desk": kind}},
+					Primaries: map[model.DatabaseID]controller.Primary{"seats": {Instance: "i1", State: failover.Leading}},
+				}})
+				instance := &busyPlatform{refusals: test.refusals, closed: test.closed}
+				h.Platform, h.Logger = instance, quietLogger()
+				b := h.addBackend(t.Context(), directory.Instance{Instance: model.Instance{ID: "i1", Database: "seats"}})
+				defer b.close()
+				b.scheduler.SetLimits(2, 2, false)
+				for test.spent && b.replicaSet.retries.Take() {
+				}
+				caller := &recordingCaller{}
+				s := &callerSession{host: h, caller: caller, kind: "desk", state: session.NewSession()}
+				if err := s.handle(t.Context(), statement.Request{ID: "r", Statement: statement.Statement{Verb: statement.Write, Text: "a"}}); err != nil {
+					t.Fatal(err)
+				}
+				if caller.refused != test.refused || (test.refused && !caller.notRun) {
+					t.Errorf("got refused: %v (%s), as not run: %v, want %v", caller.refused, caller.code, caller.notRun, test.refused)
+				}
+				if instance.sent != test.sent {
+					t.Errorf("got %d statements sent, want %d", instance.sent, test.sent)
+				}
+				if got := h.counters.Withheld.Value(); got != test.withheld {
+					t.Errorf("got %d retries withheld, want %d", got, test.withheld)
+				}
+			})
+		})
+	}
+}
--- a/internal/front/transaction.go
+++ b/internal/front/transaction.go
@@ -245,14 +245,14 @@
 
 // handleBeginRefusal handles an instance's refusal to begin a transaction.
 func (e *execution) handleBeginRefusal(ctx context.Context, t target, response *statement.Response) (refusal *model.Refusal, again bool) {
-	pause := time.Duration(0)
 	switch response.Code {
 	case model.CodeBehind, model.CodeNotPrimary:
 		e.handleWrongInstance(t.backend, response.Code)
+		again = e.prepareRetry(ctx, string(response.Code), 0)
 	default:
-		pause = e.retryPause()
+		again = e.prepareRoomRetry(ctx, response.Code)
 	}
-	if e.prepareRetry(ctx, string(response.Code), pause) {
+	if again {
 		return nil, true
 	}
 	return model.Refuse(response.Code, "the transaction did not begin: %s", response.Text), false
@@ -282,7 +282,7 @@
 		}
 		tx.backend.observe(sent, &response, tx.readWrite)
 		busy := response.Code == model.CodeOverloaded || response.Code == model.CodeSlotsFull
-		if !busy || response.State != statement.Open || !e.prepareRetry(ctx, string(response.Code), e.retryPause()) {
+		if !busy || response.State != statement.Open || !e.prepareRoomRetry(ctx, response.Code) {
 			return response, nil
 		}
 	}
--- a/internal/retry/allowed.go
+++ b/internal/retry/allowed.go
@@ -36,3 +36,13 @@
 	}
 	return false
 }
+
+// LacksRoom reports whether a refusal says that an instance, or a host that keeps connections to it, has no slot or connection free, so
+// that each further attempt adds to its load.
+func LacksRoom(code model.Code) bool {
+	switch code {
+	case model.CodeOverloaded, model.CodeSlotsFull, model.CodeConnectionsFull:
+		return true
+	}
+	return false
+}
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -7,7 +7,7 @@
 
 // Defaults of a budget.
 const (
-	defaultPerSuccess = 0.1 // retries earned by each success
+	DefaultPerSuccess = 0.1 // retries earned by each success
 	defaultPerSecond  = 1.0 // retries earned per second without any success
 	defaultBurst      = 20  // greatest number of retries saved up
 )
@@ -31,7 +31,7 @@
 // NewBudget returns a full budget; its exported fields have to be set before use.
 func NewBudget() *Budget {
 	return &Budget{
-		PerSuccess: defaultPerSuccess,
+		PerSuccess: DefaultPerSuccess,
 		PerSecond:  defaultPerSecond,
 		Burst:      defaultBurst,
 		Now:        time.Now,
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -44,6 +44,21 @@
 	}
 }
 
+// TestLacksRoom guards against attempts that cost an instance nothing and use up the budget, and against others that don't.
+func TestLacksRoom(t *testing.T) {
+	tests := map[model.Code]bool{
+		model.CodeOverloaded: true, model.CodeSlotsFull: true, model.CodeConnectionsFull: true,
+		model.CodeBehind: false, model.CodeNotPrimary: false, model.CodeStopping: false, model.CodeUnavailable: false, model.CodeDeadline: false,
+	}
+	for code, want := range tests {
+		t.Run(string(code), func(t *testing.T) {
+			if got := LacksRoom(code); got != want {
+				t.Errorf("got %v, want %v", got, want)
+			}
+		})
+	}
+}
+
 func TestBudget(t *testing.T) {
 	tests := map[string]struct {
 		successes int
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -115,6 +115,7 @@
 	AllowanceWindow   time.Duration      // Time over which the operations of a tenant are counted against its limit.
 	AllowanceExcess   float64            // Part of the operations allowed in a window by which a tenant may exceed them while hosts differ in what they know.
 	AllowanceSlack    int                // Operations by which a tenant may exceed its limit in a window beside allowance-excess.
+	RetryBudget       float64            // Retries after refusals for lack of a slot or connection that each success at a database allows a host, beside one a second; 20 are saved up.
 	HalfClose         string             // What a caller counts as that has closed its sending side while its statement waits. One that has closed its connection looks the same, so that with present only a reset connection ends the wait. gone is for deployments whose callers never read after that.
 	WaitGoalShare     float64            // Share of its goal that a statement may wait at a host for an instance.
 	WaitDeadlineShare float64            // Share of its deadline that a statement may wait at a host for an instance, if that is longer than wait-goal-share gives; above 0 where late answers are of use.
@@ -148,6 +149,7 @@
 		textFlag("allowance-window", "REDWINGSPREAD_ALLOWANCE_WINDOW", "5s", "Time over which the operations of a tenant are counted against its limit."),
 		textFlag("allowance-excess", "REDWINGSPREAD_ALLOWANCE_EXCESS", "0.1", "Part of the operations allowed in a window by which a tenant may exceed them while hosts differ in what they know."),
 		textFlag("allowance-slack", "REDWINGSPREAD_ALLOWANCE_SLACK", "20", "Operations by which a tenant may exceed its limit in a window beside allowance-excess."),
+		textFlag("retry-budget", "REDWINGSPREAD_RETRY_BUDGET", "0.1", "Retries after refusals for lack of a slot or connection that each success at a database allows a host, beside one a second; 20 are saved up."),
 		textFlag("half-close", "REDWINGSPREAD_HALF_CLOSE", "present", "What a caller counts as that has closed its sending side while its statement waits. One that has closed its connection looks the same, so that with present only a reset connection ends the wait. gone is for deployments whose callers never read after that."),
 		textFlag("wait-goal-share", "REDWINGSPREAD_WAIT_GOAL_SHARE", "0.25", "Share of its goal that a statement may wait at a host for an instance."),
 		textFlag("wait-deadline-share", "REDWINGSPREAD_WAIT_DEADLINE_SHARE", "0", "Share of its deadline that a statement may wait at a host for an instance, if that is longer than wait-goal-share gives; above 0 where late answers are of use."),
@@ -182,6 +184,7 @@
 	loaded.AllowanceWindow = r.duration(rule{flag: "allowance-window", env: "REDWINGSPREAD_ALLOWANCE_WINDOW", allowed: "a duration such as 250ms or 10s from 100ms to 10m", required: false, min: "100ms", max: "10m"})
 	loaded.AllowanceExcess = r.number(rule{flag: "allowance-excess", env: "REDWINGSPREAD_ALLOWANCE_EXCESS", allowed: "a number from 0 to 10", required: false, min: "0", max: "10"})
 	loaded.AllowanceSlack = r.int(rule{flag: "allowance-slack", env: "REDWINGSPREAD_ALLOWANCE_SLACK", allowed: "a whole number from 0 to 1000000", required: false, min: "0", max: "1000000"})
+	loaded.RetryBudget = r.number(rule{flag: "retry-budget", env: "REDWINGSPREAD_RETRY_BUDGET", allowed: "a number from 0 to 100", required: false, min: "0", max: "100"})
 	loaded.HalfClose = r.enum(rule{flag: "half-close", env: "REDWINGSPREAD_HALF_CLOSE", allowed: "one of present, gone", required: false, options: []string{"present", "gone"}})
 	loaded.WaitGoalShare = r.number(rule{flag: "wait-goal-share", env: "REDWINGSPREAD_WAIT_GOAL_SHARE", allowed: "a number from 0 to 1", required: false, min: "0", max: "1"})
 	loaded.WaitDeadlineShare = r.number(rule{flag: "wait-deadline-share", env: "REDWINGSPREAD_WAIT_DEADLINE_SHARE", allowed: "a number from 0 to 1", required: false, min: "0", max: "1"})
