front: refusals for lack of room tell when to come back, with a jitter

Callers that a full queue refused together were told the same delay, and those that an instance refused were told none. The delay is the time in which the queue drains and up to half of it more, 50 ms to 5 s, and a text says when it is past the deadline. The host that the caller is connected to adds the jitter, not the one that keeps the connections.

go test -race -run 'Budget|LacksRoom|Advise|After|Gone|StartBy' ./internal/front ./internal/retry passes, ./internal/scheduler too.

--- a/internal/front/autocommit.go
+++ b/internal/front/autocommit.go
@@ -182,7 +182,8 @@
 	if e.mayHaveRun {
 		return true, e.relayRefusal(response)
 	}
-	return true, e.session.caller.SendRefusal(e.recordRefusal(model.Refuse(response.Code, "the instance refused: %s", response.Text)), statement.Idle)
+	refusal := withRetryAfter(model.Refuse(response.Code, "the instance refused: %s", response.Text), t.backend.retryAfter(response.Code))
+	return true, e.session.caller.SendRefusal(e.recordRefusal(refusal), statement.Idle)
 }
 
 // relayRefusal forwards an instance's refusal to the caller unchanged.
--- a/internal/front/backend.go
+++ b/internal/front/backend.go
@@ -120,6 +120,14 @@
 	return b
 }
 
+// retryAfter returns after which time work that the instance refused with the code should come back; zero if it does not lack room.
+func (b *backend) retryAfter(code model.Code) time.Duration {
+	if !retry.LacksRoom(code) {
+		return 0
+	}
+	return b.scheduler.DrainTime()
+}
+
 // close stops the scheduler and waits for its end.
 func (b *backend) close() {
 	b.cancel()
--- a/internal/front/execution.go
+++ b/internal/front/execution.go
@@ -395,6 +395,7 @@
 		event.CallerGone(e.session.host.Logger, e.request.ID, e.policy.ID, e.instanceID(), model.Millis(time.Since(e.arrived)))
 		return refusal
 	}
+	refusal = e.advise(refusal, rand.Float64())
 	if e.mayHaveRun && refusal.NotRun {
 		// A read may have run; it has no effect, which is what this code promises.
 		refusal = &model.Refusal{Code: model.CodeTransactionEnded, NotRun: true, Message: refusal.Message, RetryAfter: refusal.RetryAfter}
@@ -410,6 +411,22 @@
 	return refusal
 }
 
+// advise returns the refusal with the time after which the caller should come back, if it was refused for lack of room. A host that
+// passes the session on tells its caller itself.
+func (e *execution) advise(refusal *model.Refusal, random float64) *model.Refusal {
+	if e.session.relayed {
+		return refusal
+	}
+	advised := *refusal
+	if retry.LacksRoom(refusal.Code) || refusal.Code == model.CodeDeadline {
+		advised.RetryAfter = retry.After(refusal.RetryAfter, random)
+	}
+	if advised.RetryAfter > 0 && time.Now().Add(advised.RetryAfter).After(e.deadline) {
+		advised.Message = "past the deadline: " + refusal.Message
+	}
+	return &advised
+}
+
 // responseDeadline returns the time limit for a response: a read gets less, so that it can be tried on another instance.
 func (e *execution) responseDeadline(now time.Time) time.Time {
 	if e.access == model.Read && !e.startsTransaction && now.Add(readAttemptTimeout).Before(e.deadline) {
--- a/internal/front/relay_internal_test.go
+++ b/internal/front/relay_internal_test.go
@@ -35,6 +35,8 @@
 	code    model.Code
 	notRun  bool
 	refused bool // by the host
+
+	retryAfter time.Duration // of a refusal by the host
 }
 
 // SendResponse keeps the code of a response.
@@ -45,7 +47,7 @@
 
 // SendRefusal keeps a refusal.
 func (c *recordingCaller) SendRefusal(refusal *model.Refusal, _ statement.State) error {
-	c.code, c.notRun, c.refused = refusal.Code, refusal.NotRun, true
+	c.code, c.notRun, c.refused, c.retryAfter = refusal.Code, refusal.NotRun, true, refusal.RetryAfter
 	return nil
 }
 
--- a/internal/front/retry_internal_test.go
+++ b/internal/front/retry_internal_test.go
@@ -112,6 +112,9 @@
 				if caller.refused != test.refused || (test.refused && !caller.notRun) {
 					t.Errorf("got refused: %v (%s), as not run: %v, want %v", caller.refused, caller.code, caller.notRun, test.refused)
 				}
+				if got := caller.retryAfter > 0; got != test.refused {
+					t.Errorf("got a time to come back: %v, want %v", got, test.refused)
+				}
 				if instance.sent != test.sent {
 					t.Errorf("got %d statements sent, want %d", instance.sent, test.sent)
 				}
@@ -122,3 +125,36 @@
 		})
 	}
 }
+
+// TestAdvise guards against callers that come back all at the same time, that are sent away past their deadline without being told, or
+// whose delay gets a jitter from two hosts.
+func TestAdvise(t *testing.T) {
+	tests := map[string]struct {
+		refusal model.Refusal
+		relayed bool
+		want    time.Duration
+		past    bool
+	}{
+		"no room":                   {refusal: model.Refusal{Code: model.CodeOverloaded, RetryAfter: time.Second}, want: 1500 * time.Millisecond},
+		"no room in time":           {refusal: model.Refusal{Code: model.CodeDeadline, RetryAfter: 100 * time.Millisecond}, want: 150 * time.Millisecond},
+		"no room, nothing known":    {refusal: model.Refusal{Code: model.CodeSlotsFull}, want: 75 * time.Millisecond},
+		"past the deadline":         {refusal: model.Refusal{Code: model.CodeOverloaded, RetryAfter: time.Minute}, want: 5 * time.Second, past: true},
+		"a lost primary":            {refusal: model.Refusal{Code: model.CodeUnavailable, RetryAfter: time.Second}, want: time.Second},
+		"a primary lost for long":   {refusal: model.Refusal{Code: model.CodeUnavailable, RetryAfter: time.Minute}, want: time.Minute, past: true},
+		"nothing to wait for":       {refusal: model.Refusal{Code: model.CodeInvalid}},
+		"passed on by another host": {refusal: model.Refusal{Code: model.CodeOverloaded, RetryAfter: time.Minute}, relayed: true, want: time.Minute},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			test.refusal.Message = "full"
+			e := &execution{session: &callerSession{relayed: test.relayed}, deadline: time.Now().Add(3 * time.Second)}
+			got := e.advise(&test.refusal, 1)
+			if (got.RetryAfter-test.want).Abs() > time.Microsecond || got.Code != test.refusal.Code {
+				t.Errorf("got %s after %v, want %v", got.Code, got.RetryAfter, test.want)
+			}
+			if past := got.Message != "full"; past != test.past {
+				t.Errorf("got %q, want the caller told that it is past the deadline: %v", got.Message, test.past)
+			}
+		})
+	}
+}
--- a/internal/front/transaction.go
+++ b/internal/front/transaction.go
@@ -255,7 +255,7 @@
 	if again {
 		return nil, true
 	}
-	return model.Refuse(response.Code, "the transaction did not begin: %s", response.Text), false
+	return withRetryAfter(model.Refuse(response.Code, "the transaction did not begin: %s", response.Text), t.backend.retryAfter(response.Code)), false
 }
 
 // sendInTransaction sends the statement on the transaction's connection, and repeats it if it did not run for lack of a slot.
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -59,6 +59,27 @@
 	}
 }
 
+// TestAfter guards against callers that come back at once, never, or all at the same time.
+func TestAfter(t *testing.T) {
+	tests := map[string]struct {
+		drain       time.Duration
+		least, most time.Duration
+	}{
+		"an empty queue": {least: minAfter, most: minAfter * 3 / 2},
+		"a queue":        {drain: time.Second, least: time.Second, most: 1500 * time.Millisecond},
+		"a long queue":   {drain: time.Hour, least: maxAfter * 2 / 3, most: maxAfter},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			for random, want := range map[float64]time.Duration{0: test.least, 0.5: (test.least + test.most) / 2, 1: test.most} {
+				if got := After(test.drain, random); (got-want).Abs() > time.Microsecond || got > maxAfter {
+					t.Errorf("got %v with %v, want %v", got, random, want)
+				}
+			}
+		})
+	}
+}
+
 func TestBudget(t *testing.T) {
 	tests := map[string]struct {
 		successes int
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -304,10 +304,23 @@
 	counts := s.Pool.Counts()
 	refusal := model.Refuse(code, "%d waiting, %d of %d running, %d of %d connections open, %d being opened, %d held by transactions",
 		s.queue.Len(), s.running, s.Slots, counts.Open, s.Connections, counts.Opening, s.pinned)
-	refusal.RetryAfter = max(s.queue.RetryAfter(s.Now(), s.Slots), s.BlockedFor())
+	refusal.RetryAfter = s.drainTime()
 	return refusal
 }
 
+// DrainTime returns the expected time in which the queue drains, and a connection can be opened if none can now.
+func (s *Scheduler[C]) DrainTime() time.Duration {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.applySettings()
+	return s.drainTime()
+}
+
+// drainTime is DrainTime for a caller that holds the lock.
+func (s *Scheduler[C]) drainTime() time.Duration {
+	return max(s.queue.RetryAfter(s.Now(), s.Slots), s.BlockedFor())
+}
+
 // refuseAll refuses all waiting work.
 func (s *Scheduler[C]) refuseAll(code model.Code) {
 	for i := range s.pinWaiters {
