--- a/internal/cli/front.go
+++ b/internal/cli/front.go
@@ -51,6 +51,7 @@
 	host.Settings = loaded
 	host.Logger = logger
 	host.StartLimit.GoalShare, host.StartLimit.DeadlineShare = loaded.WaitGoalShare, loaded.WaitDeadlineShare
+	host.StartLimit.ExpectedShare = loaded.WaitExpectedShare
 	host.RetryBudget = loaded.RetryBudget
 	host.SetDroppedLines(logSink.Dropped)
 	client, err := platform.New(loaded.StoreAddress, loaded.OrderAddress)
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -119,6 +119,7 @@
 	HalfClose         string             // What a caller counts as that has closed its sending side while its statement waits. One that has closed its connection looks the same, so that with present only a reset connection ends the wait. gone is for deployments whose callers never read after that.
 	WaitGoalShare     float64            // Share of its goal that a statement may wait at a host for an instance.
 	WaitDeadlineShare float64            // Share of its deadline that a statement may wait at a host for an instance, if that is longer than wait-goal-share gives; above 0 where late answers are of use.
+	WaitExpectedShare float64            // Share of the wait that is expected behind a queue by which a statement may wait longer than wait-goal-share and wait-deadline-share give; 0 turns work away sooner, so that what is served is served in time.
 	RevokeStrict      string             // Whether a host that has had no word of the configuration for revoke-limit refuses work that needs an API key.
 	CentreCost        time.Duration      // Time that a read must gain to be sent to another data centre of the region. Counts where some region has several data centres; with region-cost at 0s, too, reads go where the least time is expected.
 	RegionCost        time.Duration      // Time that a read must gain to be sent to another region. Counts where some region has several data centres.
@@ -153,6 +154,7 @@
 		textFlag("half-close", "REDWINGSPREAD_HALF_CLOSE", "present", "What a caller counts as that has closed its sending side while its statement waits. One that has closed its connection looks the same, so that with present only a reset connection ends the wait. gone is for deployments whose callers never read after that."),
 		textFlag("wait-goal-share", "REDWINGSPREAD_WAIT_GOAL_SHARE", "0.25", "Share of its goal that a statement may wait at a host for an instance."),
 		textFlag("wait-deadline-share", "REDWINGSPREAD_WAIT_DEADLINE_SHARE", "0", "Share of its deadline that a statement may wait at a host for an instance, if that is longer than wait-goal-share gives; above 0 where late answers are of use."),
+		textFlag("wait-expected-share", "REDWINGSPREAD_WAIT_EXPECTED_SHARE", "1", "Share of the wait that is expected behind a queue by which a statement may wait longer than wait-goal-share and wait-deadline-share give; 0 turns work away sooner, so that what is served is served in time."),
 		textFlag("revoke-strict", "REDWINGSPREAD_REVOKE_STRICT", "off", "Whether a host that has had no word of the configuration for revoke-limit refuses work that needs an API key."),
 		textFlag("centre-cost", "REDWINGSPREAD_CENTRE_COST", "0s", "Time that a read must gain to be sent to another data centre of the region. Counts where some region has several data centres; with region-cost at 0s, too, reads go where the least time is expected."),
 		textFlag("region-cost", "REDWINGSPREAD_REGION_COST", "0s", "Time that a read must gain to be sent to another region. Counts where some region has several data centres."),
@@ -188,6 +190,7 @@
 	loaded.HalfClose = r.enum(rule{flag: "half-close", env: "REDWINGSPREAD_HALF_CLOSE", allowed: "one of present, gone", required: false, options: []string{"present", "gone"}})
 	loaded.WaitGoalShare = r.number(rule{flag: "wait-goal-share", env: "REDWINGSPREAD_WAIT_GOAL_SHARE", allowed: "a number from 0 to 1", required: false, min: "0", max: "1"})
 	loaded.WaitDeadlineShare = r.number(rule{flag: "wait-deadline-share", env: "REDWINGSPREAD_WAIT_DEADLINE_SHARE", allowed: "a number from 0 to 1", required: false, min: "0", max: "1"})
+	loaded.WaitExpectedShare = r.number(rule{flag: "wait-expected-share", env: "REDWINGSPREAD_WAIT_EXPECTED_SHARE", allowed: "a number from 0 to 1", required: false, min: "0", max: "1"})
 	loaded.RevokeStrict = r.enum(rule{flag: "revoke-strict", env: "REDWINGSPREAD_REVOKE_STRICT", allowed: "one of on, off", required: false, options: []string{"on", "off"}})
 	loaded.CentreCost = r.duration(rule{flag: "centre-cost", env: "REDWINGSPREAD_CENTRE_COST", allowed: "a duration such as 250ms or 10s from 0s to 10s", required: false, min: "0s", max: "10s"})
 	loaded.RegionCost = r.duration(rule{flag: "region-cost", env: "REDWINGSPREAD_REGION_COST", allowed: "a duration such as 250ms or 10s from 0s to 10s", required: false, min: "0s", max: "10s"})
