--- a/internal/front/autocommit.go
+++ b/internal/front/autocommit.go
@@ -24,10 +24,13 @@
 	}
 	e := s.newExecution(request, policy)
 	s.host.counters.Requests.Add(1)
+	s.watch.begin(ctx)
+	defer s.watch.end()
 	if refusal := e.spendAllowance(ctx); refusal != nil {
 		return s.caller.SendRefusal(e.recordRefusal(refusal), statement.Idle)
 	}
 	for {
+		s.watch.begin(ctx)
 		t, refusal := e.chooseTarget(ctx)
 		if refusal != nil {
 			return s.caller.SendRefusal(e.recordRefusal(refusal), statement.Idle)
@@ -47,6 +50,7 @@
 			}
 			return s.caller.SendRefusal(e.recordRefusal(refusal), statement.Idle)
 		}
+		s.watch.end()
 		done, err := e.tryAutocommit(ctx, t, permit)
 		if done {
 			return err
@@ -125,6 +129,7 @@
 
 // recordServed counts and logs a successful statement; led says whether it proved that its instance was the primary.
 func (e *execution) recordServed(led bool) {
+	e.backend.replicaSet.retries.RecordSuccess()
 	e.session.servedBy, e.session.servedByPrimary = e.instanceID(), led
 	took := time.Since(e.arrived)
 	e.session.host.counters.observeLatency(e.policy.ID, took)
@@ -145,7 +150,7 @@
 	}
 	e.mayHaveRun = e.mayHaveRun || trip.sent
 	e.exclude(t.backend)
-	e.startBy = e.deadline // the statement had been sent; the rest of its time is for another attempt
+	e.allowRest()
 	if e.prepareRetry(ctx, trip.err.Error(), 0) {
 		return false, nil
 	}
@@ -154,7 +159,6 @@
 
 // handleRefusal handles an instance's refusal of a statement.
 func (e *execution) handleRefusal(ctx context.Context, t target, response *statement.Response) (done bool, err error) {
-	pause := time.Duration(0)
 	switch response.Code {
 	case model.CodeBehind, model.CodeNotPrimary:
 		e.handleWrongInstance(t, response.Code)
@@ -162,7 +166,6 @@
 		if e.access == model.Read && !e.needsPrimary() {
 			e.exclude(t.backend)
 		}
-		pause = e.retryPause()
 	case model.CodeNoStatement:
 	case model.CodeFailed:
 		e.mayHaveRun = true
@@ -173,13 +176,14 @@
 	default:
 		return true, e.relayRefusal(response)
 	}
-	if e.prepareRetry(ctx, string(response.Code), pause) {
+	if e.prepareRetryAfter(ctx, response.Code) {
 		return false, nil
 	}
 	if e.mayHaveRun {
 		return true, e.relayRefusal(response)
 	}
-	return true, e.session.caller.SendRefusal(e.recordRefusal(model.Refuse(response.Code, "the instance refused: %s", response.Text)), statement.Idle)
+	refusal := withRetryAfter(model.Refuse(response.Code, "the instance refused: %s", response.Text), t.backend.retryAfter(response.Code))
+	return true, e.session.caller.SendRefusal(e.recordRefusal(refusal), statement.Idle)
 }
 
 // relayRefusal forwards an instance's refusal to the caller unchanged.
--- a/internal/front/backend.go
+++ b/internal/front/backend.go
@@ -17,6 +17,7 @@
 	"redwingspread/internal/model"
 	"redwingspread/internal/placement"
 	"redwingspread/internal/relay"
+	"redwingspread/internal/retry"
 	"redwingspread/internal/scheduler"
 	"redwingspread/internal/scout"
 	"redwingspread/internal/session"
@@ -56,7 +57,8 @@
 
 // replicaSet is one database as seen by traffic.
 type replicaSet struct {
-	memory *budget.Budget // for the state of connections; nil for none
+	memory  *budget.Budget // for the state of connections; nil for none
+	retries *retry.Budget  // for attempts after refusals for lack of room
 
 	mutex    sync.Mutex
 	history  freshness.PointHistory
@@ -120,6 +122,14 @@
 	return b
 }
 
+// retryAfter returns after which time work that the instance refused with the code should come back; zero if it does not lack room.
+func (b *backend) retryAfter(code model.Code) time.Duration {
+	if !retry.LacksRoom(code) {
+		return 0
+	}
+	return b.scheduler.DrainTime()
+}
+
 // close stops the scheduler and waits for its end.
 func (b *backend) close() {
 	b.cancel()
--- a/internal/front/execution.go
+++ b/internal/front/execution.go
@@ -12,6 +12,7 @@
 	"redwingspread/internal/failover"
 	"redwingspread/internal/model"
 	"redwingspread/internal/placement"
+	"redwingspread/internal/retry"
 	"redwingspread/internal/scheduler"
 	"redwingspread/internal/statement"
 )
@@ -22,9 +23,7 @@
 	readAttemptTimeout = 400 * time.Millisecond // after which a read is tried on another instance
 	minRetryPause      = 5 * time.Millisecond   // before an attempt after a refusal for lack of a slot; doubles with each attempt
 	maxRetryPause      = 40 * time.Millisecond  // upper bound of the doubling
-	startShare         = 0.25                   // share of the goal within which a statement must be sent to an instance; otherwise it is refused
-	minResumeTime      = 300 * time.Millisecond // lower bound after a wait for a primary: the longest backoff of its connections, 250 ms, and the opening of one
-	minStartTime       = 60 * time.Millisecond  // lower bound of the time that startShare gives
+	minResumeTime      = 300 * time.Millisecond // lower bound of the start limit after a wait for a primary: the longest backoff of its connections, 250 ms, and the opening of one
 )
 
 // execution is the processing of one statement.
@@ -37,8 +36,12 @@
 	startsTransaction bool // the statement begins a transaction
 	readWrite         bool // the transaction may write or needs the newest data
 	arrived           time.Time
-	deadline          time.Time // for the response
-	startBy           time.Time // for sending the statement to an instance
+	waitsFrom         time.Time     // from which the start limit counts
+	startLimit        time.Duration // set by the host that passes the statement on; zero for none
+	leastStart        time.Duration // lower bound of the time that it may wait; zero for none of its own
+	sent              bool          // an attempt was sent and failed; the rest of the time is for another one
+	deadline          time.Time     // for the response
+	startBy           time.Time     // for sending the statement to an instance
 	attempts          int
 	excluded          map[model.InstanceID]bool
 	elsewhere         bool                   // other hosts keep connections to some instance of the database, and pass this request on
@@ -63,9 +66,10 @@
 	if s.relayed {
 		e.deadline = earlier(e.deadline, s.responseLimit)
 	}
-	e.startBy = latestStart(now, policy.Goal, e.deadline)
+	e.renewStart(now)
 	if s.relayed {
-		e.startBy = earlier(e.startBy, s.startLimit)
+		e.startLimit = s.startLimit.Sub(now)
+		e.startBy = e.startByAt(now, 0, 0)
 	}
 	return e
 }
@@ -128,7 +132,7 @@
 		if ok {
 			e.session.host.logLeaving(e.policy.Database, found.choice, &rs.leaving)
 			if waited {
-				e.renewStart(time.Now())
+				e.resume(time.Now())
 			}
 			return found, nil
 		}
@@ -155,22 +159,39 @@
 	}
 }
 
-// renewStart gives a statement that has waited for a primary the time in which it would be sent had it arrived now.
+// renewStart gives a statement the time in which it would be sent had it arrived now.
 func (e *execution) renewStart(now time.Time) {
-	e.startBy = latestStart(now, e.policy.Goal, e.deadline)
-	if least := earlier(now.Add(minResumeTime), e.deadline); e.startBy.Before(least) {
-		e.startBy = least
-	}
+	e.waitsFrom, e.startLimit = now, 0
+	e.startBy = e.startByAt(now, 0, 0)
+}
+
+// resume renews the time of a statement that has waited for a primary, with enough of it for a connection to be opened.
+func (e *execution) resume(now time.Time) {
+	e.leastStart = minResumeTime
+	e.renewStart(now)
 	clear(e.unreached) // the holders may know the primary by now
 }
 
-// latestStart returns the time by which a statement that arrives now has to be sent to an instance.
-func latestStart(now time.Time, goal time.Duration, deadline time.Time) time.Time {
-	startBy := now.Add(max(time.Duration(float64(goal)*startShare), minStartTime))
-	if startBy.After(deadline) {
-		return deadline
-	}
-	return startBy
+// allowRest gives a statement the rest of its time for another attempt, after one that was sent and failed.
+func (e *execution) allowRest() {
+	e.sent = true
+	e.startBy = e.startByAt(time.Now(), 0, 0)
+}
+
+// startByAt returns the time by which the statement has to be sent to an instance with the service time and the expected wait; zero for
+// unknown ones.
+func (e *execution) startByAt(now time.Time, service, expected time.Duration) time.Time {
+	return e.waitsFrom.Add(e.session.host.StartLimit.Until(admit.Start{
+		Waited:    now.Sub(e.waitsFrom),
+		Goal:      e.policy.Goal,
+		Deadline:  e.deadline.Sub(e.waitsFrom),
+		Service:   service,
+		Expected:  expected,
+		Limit:     e.startLimit,
+		Least:     e.leastStart,
+		Elsewhere: !e.needsPrimary(),
+		Sent:      e.sent,
+	}))
 }
 
 // settledAt returns the time by which the host knows its primaries; it is in the past but for a host that has just started.
@@ -297,30 +318,81 @@
 			}
 		}()
 	}
+	now := time.Now()
+	wait, service := t.backend.scheduler.Expected(now, e.policy.ID)
 	permit, err = t.backend.scheduler.Acquire(ctx, scheduler.Request{
 		Class:          admit.Class{Rank: e.policy.Rank, Kind: e.policy.ID, Session: e.session.id},
-		Deadline:       e.startBy.Add(t.backend.scheduler.ExpectedLatency(time.Now(), e.policy.ID)),
+		Deadline:       e.startByAt(now, service, wait).Add(service),
 		KeepConnection: e.startsTransaction,
 		Tenant:         e.session.tenant,
 		OnlyHere:       e.needsPrimary(),
 	})
-	if err == nil {
-		e.session.host.counters.placed.count(t.choice)
+	if err != nil {
+		return nil, err
+	}
+	if e.session.watch.gone.Load() {
+		e.release(t, permit)
+		return nil, model.Refuse(model.CodeDeadline, "the caller has closed its connection")
+	}
+	e.session.host.counters.placed.count(t.choice)
+	return permit, nil
+}
+
+// release returns a permit that was not used.
+func (e *execution) release(t target, permit *scheduler.Permit[*pooledConn]) {
+	if e.startsTransaction {
+		t.backend.scheduler.FinishTransaction(permit, true)
+	} else {
+		t.backend.scheduler.FinishStatement(permit, true, false)
 	}
-	return permit, err
 }
 
 // prepareRetry counts a failed attempt; if another one is in time, it logs the reason, pauses and returns true.
 func (e *execution) prepareRetry(ctx context.Context, reason string, pause time.Duration) bool {
 	e.attempts++
 	e.session.host.counters.Retries.Add(1)
-	if e.attempts >= maxAttempts || !(time.Now().Add(pause).Before(e.startBy) || e.awaitsPrimary()) {
+	if e.attempts >= maxAttempts || ctx.Err() != nil || !(time.Now().Add(pause).Before(e.startBy) || e.awaitsPrimary()) {
 		return false
 	}
 	event.RequestRetried(e.session.host.Logger, e.request.ID, e.policy.ID, e.instanceID(), model.Millis(time.Since(e.arrived)), reason)
 	return clock.Pause(ctx, pause) == nil
 }
 
+// prepareRetryAfter is prepareRetry after a refusal by an instance.
+func (e *execution) prepareRetryAfter(ctx context.Context, code model.Code) bool {
+	if retry.LacksRoom(code) {
+		return e.prepareRoomRetry(ctx, code)
+	}
+	return e.prepareRetry(ctx, string(code), 0)
+}
+
+// prepareRoomRetry is prepareRetry after a refusal for lack of room, with a pause, and within the budget of the database.
+func (e *execution) prepareRoomRetry(ctx context.Context, code model.Code) bool {
+	return e.takeRetry(ctx, code) && e.prepareRetry(ctx, string(code), e.retryPause())
+}
+
+// takeRetry takes a retry from the budget of the database, for which it waits while the statement may; it reports whether it got one.
+// After a wait any instance may be the best one again.
+func (e *execution) takeRetry(ctx context.Context, code model.Code) bool {
+	budget := e.backend.replicaSet.retries
+	if !retry.LacksRoom(code) || budget.Take() {
+		return true
+	}
+	e.session.host.counters.Withheld.Add(1)
+	event.RetryWithheld(e.session.host.Logger, e.request.ID, e.policy.ID, e.instanceID(), model.Millis(time.Since(e.arrived)), code)
+	e.session.watch.begin(ctx)
+	clear(e.excluded)
+	for {
+		pause := maxRetryPause/2 + rand.N(maxRetryPause/2)
+		if !time.Now().Add(pause).Before(e.startBy) || clock.Pause(ctx, pause) != nil {
+			return false
+		}
+		if budget.Take() {
+			return true
+		}
+	}
+}
+
 // retryPause returns the jittered exponential pause after a refusal for lack of a slot.
 func (e *execution) retryPause() time.Duration {
 	longest := min(minRetryPause<<min(e.attempts, 8), maxRetryPause)
@@ -329,6 +401,12 @@
 
 // recordRefusal counts and logs a refusal and returns it.
 func (e *execution) recordRefusal(refusal *model.Refusal) *model.Refusal {
+	if refusal.NotRun && e.session.watch.gone.Load() {
+		e.session.host.counters.CallersGone.Add(1)
+		event.CallerGone(e.session.host.Logger, e.request.ID, e.policy.ID, e.instanceID(), model.Millis(time.Since(e.arrived)))
+		return refusal
+	}
+	refusal = e.advise(refusal, rand.Float64())
 	if e.mayHaveRun && refusal.NotRun {
 		// A read may have run; it has no effect, which is what this code promises.
 		refusal = &model.Refusal{Code: model.CodeTransactionEnded, NotRun: true, Message: refusal.Message, RetryAfter: refusal.RetryAfter}
@@ -344,6 +422,22 @@
 	return refusal
 }
 
+// advise returns the refusal with the time after which the caller should come back, if it was refused for lack of room. A host that
+// passes the session on tells its caller itself.
+func (e *execution) advise(refusal *model.Refusal, random float64) *model.Refusal {
+	if e.session.relayed {
+		return refusal
+	}
+	advised := *refusal
+	if retry.LacksRoom(refusal.Code) || refusal.Code == model.CodeDeadline {
+		advised.RetryAfter = retry.After(refusal.RetryAfter, random)
+	}
+	if advised.RetryAfter > 0 && time.Now().Add(advised.RetryAfter).After(e.deadline) {
+		advised.Message = "past the deadline: " + refusal.Message
+	}
+	return &advised
+}
+
 // responseDeadline returns the time limit for a response: a read gets less, so that it can be tried on another instance.
 func (e *execution) responseDeadline(now time.Time) time.Time {
 	if e.access == model.Read && !e.startsTransaction && now.Add(readAttemptTimeout).Before(e.deadline) {
--- a/internal/front/host.go
+++ b/internal/front/host.go
@@ -13,6 +13,7 @@
 
 	"github.com/apex/log"
 
+	"redwingspread/internal/admit"
 	"redwingspread/internal/boundary"
 	"redwingspread/internal/budget"
 	"redwingspread/internal/clock"
@@ -24,6 +25,7 @@
 	"redwingspread/internal/model"
 	"redwingspread/internal/placement"
 	"redwingspread/internal/relay"
+	"redwingspread/internal/retry"
 	"redwingspread/internal/session"
 	"redwingspread/internal/settings"
 )
@@ -45,6 +47,10 @@
 	Loop *control.Loop[controller.Event, controller.Action, *controller.View]
 	// Memory is the budget for callers' messages, answers and the state of sessions; nil for none.
 	Memory *budget.Budget
+	// StartLimit decides until when a statement may wait for an instance.
+	StartLimit admit.StartLimit
+	// RetryBudget is the number of retries after refusals for lack of room that a success at a database allows.
+	RetryBudget float64
 
 	regions            map[model.DataCentreID]model.RegionID
 	sharedRegion       bool // some region has several data centres
@@ -94,6 +100,8 @@
 		openSessions: make(map[*callerSession]struct{}),
 		rowsRead:     make(chan struct{}),
 		relays:       relay.NewClient(),
+		StartLimit:   admit.NewStartLimit(),
+		RetryBudget:  retry.DefaultPerSuccess,
 	}
 }
 
@@ -343,7 +351,8 @@
 func (h *Host) addBackend(ctx context.Context, entry directory.Instance) *backend {
 	rs, found := h.replicaSets[entry.Database]
 	if !found {
-		rs = &replicaSet{memory: h.Memory}
+		rs = &replicaSet{memory: h.Memory, retries: retry.NewBudget()}
+		rs.retries.PerSuccess = h.RetryBudget
 		h.replicaSets[entry.Database] = rs
 	}
 	edge := h.edgeTo(entry.DataCentre)
--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -92,6 +92,13 @@
 	}
 }
 
+// remoteService returns the expected time to an answer by way of another host.
+func (b *backend) remoteService(now time.Time, kind model.KindID) time.Duration {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.remoteTimes.Expected(now, kind)
+}
+
 // newRemote returns a session at the host at the address, which keeps connections to the target.
 func (s *callerSession) newRemote(t target, address model.Address) *remoteSession {
 	return &remoteSession{client: s.host.relays, address: address, backend: t.backend, id: s.host.relays.NewSession(), begunAt: time.Now()}
@@ -102,7 +109,7 @@
 	now := time.Now()
 	e.backend = r.backend
 	state := e.session.state
-	call := relay.Call{Session: r.id, Request: e.request, StartIn: e.startBy.Sub(now), Left: e.deadline.Sub(now), Last: last}
+	call := relay.Call{Session: r.id, Request: e.request, StartIn: e.startByAt(now, r.backend.remoteService(now, e.policy.ID), 0).Sub(now), Left: e.deadline.Sub(now), Last: last}
 	if e.request.Verb == statement.Execute {
 		call.Prepared = state.Prepared[e.request.Name]
 	}
@@ -184,7 +191,11 @@
 func (e *execution) relayAutocommit(ctx context.Context, t target, address model.Address) (done bool, err error) {
 	s := e.session
 	s.host.counters.placed.count(t.choice)
-	reply, err := s.newRemote(t, address).call(ctx, e, e.responseDeadline(time.Now()), true)
+	remote := s.newRemote(t, address)
+	reply, err := remote.call(ctx, e, e.responseDeadline(time.Now()), true)
+	if err != nil {
+		remote.end() // the holder gives up its place if it still waits
+	}
 	switch {
 	case errors.Is(err, relay.ErrNotSent):
 		return e.retryRelay(ctx, address, "the holder of the connections can't be reached")
@@ -193,11 +204,11 @@
 		return true, s.caller.SendRefusal(e.recordRefusal(refusal), statement.Idle)
 	case err != nil:
 		e.mayHaveRun = true
-		e.startBy = e.deadline // the statement had been sent; the rest of its time is for another attempt
+		e.allowRest()
 		return e.retryRelay(ctx, address, "the holder of the connections did not answer")
 	case reply.Refusal != nil && !reply.Refusal.NotRun && e.access == model.Read:
 		e.mayHaveRun, e.direct = true, true // such as a response that is too large to be passed on
-		e.startBy = e.deadline
+		e.allowRest()
 		return e.retryRelay(ctx, address, reply.Refusal.Message)
 	case mustAvoid(reply.Refusal, t):
 		e.extendStart(reply.Refusal)
@@ -205,7 +216,7 @@
 	case reply.Refusal != nil && reply.Refusal.Code == model.CodeBehind && e.mayTryOther(t):
 		t.backend.noteBehind(clock.Boot(), t.minPoint)
 		return e.retryRelay(ctx, "", reply.Refusal.Message)
-	case reply.Refusal != nil && reply.Refusal.NotRun && !t.primary && e.mayTryOther(t):
+	case reply.Refusal != nil && reply.Refusal.NotRun && !t.primary && e.mayTryOther(t) && e.takeRetry(ctx, reply.Refusal.Code):
 		return e.retryRelay(ctx, address, reply.Refusal.Message)
 	case reply.Refusal != nil:
 		return true, s.caller.SendRefusal(e.recordRefusal(reply.Refusal), statement.Idle)
@@ -370,8 +381,9 @@
 	session    relay.Session
 	owner      *callerSession
 	interrupts chan struct{}
-	unanswered bool // the newest call has no reply yet
-	last       bool // the session ends with the reply to it
+	unanswered bool        // the newest call has no reply yet
+	last       bool        // the session ends with the reply to it
+	early      *relay.Call // received before the reply to the one before; nil for none
 }
 
 // ReadStart returns what the session is for. The host that passes it on has checked the key.
@@ -393,6 +405,10 @@
 	if c.last {
 		return request, ErrClosed
 	}
+	if call := c.early; call != nil {
+		c.early = nil
+		return c.accept(call), nil
+	}
 	var timeout <-chan time.Time
 	if !limit.IsZero() {
 		timer := time.NewTimer(time.Until(limit))
@@ -404,15 +420,34 @@
 		if !open {
 			return request, ErrClosed
 		}
-		c.unanswered, c.last = true, call.Last
-		c.apply(&call)
-		return call.Request, nil
+		return c.accept(&call), nil
 	case <-c.interrupts:
 	case <-timeout:
 	}
 	return request, ErrNoRequest
 }
 
+// accept makes a call the newest one and returns its request.
+func (c *relayedCaller) accept(call *relay.Call) statement.Request {
+	c.unanswered, c.last = true, call.Last
+	c.apply(call)
+	return call.Request
+}
+
+// AwaitClose waits until the other host ends the session, or its stream ends, and returns false if the context ends first.
+func (c *relayedCaller) AwaitClose(ctx context.Context) (closed bool) {
+	select {
+	case call, open := <-c.session.Calls:
+		if !open {
+			return true
+		}
+		c.early = &call
+		<-ctx.Done()
+	case <-ctx.Done():
+	}
+	return false
+}
+
 // apply brings the session's values and the prepared statement of the call to this host.
 func (c *relayedCaller) apply(call *relay.Call) {
 	if call.Values != nil {
@@ -458,13 +493,15 @@
 	if c.unanswered {
 		_ = c.SendRefusal(model.OutcomeUnknown("the session ended"), statement.Idle) // fails only when the stream has ended
 	}
+	early := c.early != nil
 	select {
 	case _, open := <-c.session.Calls:
-		if open {
-			_ = c.SendRefusal(model.Refuse(model.CodeStopping, "the host stops"), statement.Idle) // as above
-		}
+		early = early || open
 	default:
 	}
+	if early {
+		_ = c.SendRefusal(model.Refuse(model.CodeStopping, "the host stops"), statement.Idle) // as above
+	}
 }
 
 // Interrupt makes a pending ReadRequest return ErrNoRequest.
--- a/internal/front/relay_internal_test.go
+++ b/internal/front/relay_internal_test.go
@@ -38,6 +38,8 @@
 	code    model.Code
 	notRun  bool
 	refused bool // by the host
+
+	retryAfter time.Duration // of a refusal by the host
 }
 
 // SendResponse keeps the code of a response.
@@ -48,10 +50,16 @@
 
 // SendRefusal keeps a refusal.
 func (c *recordingCaller) SendRefusal(refusal *model.Refusal, _ statement.State) error {
-	c.code, c.notRun, c.refused = refusal.Code, refusal.NotRun, true
+	c.code, c.notRun, c.refused, c.retryAfter = refusal.Code, refusal.NotRun, true, refusal.RetryAfter
 	return nil
 }
 
+// AwaitClose waits for the end of the context: the caller stays.
+func (c *recordingCaller) AwaitClose(ctx context.Context) bool {
+	<-ctx.Done()
+	return false
+}
+
 // scriptedHolder is a holder that does with each call what the call's text or else its verb says.
 type scriptedHolder struct {
 	mutex sync.Mutex
--- a/internal/front/stop.go
+++ b/internal/front/stop.go
@@ -106,9 +106,7 @@
 	if refusal == nil || refusal.Code != model.CodeStopping {
 		return
 	}
-	if startBy := latestStart(time.Now(), e.policy.Goal, e.deadline); startBy.After(e.startBy) {
-		e.startBy = startBy
-	}
+	e.renewStart(time.Now())
 }
 
 // enterStage puts a stage of the shutdown in force and logs it once.
--- a/internal/front/transaction.go
+++ b/internal/front/transaction.go
@@ -41,7 +41,9 @@
 		s.state.FailTransaction()
 		return s.refuse(request, model.Refuse(model.CodeNotPrimary, "the transaction only reads"))
 	}
+	defer s.watch.end()
 	for {
+		s.watch.begin(ctx)
 		if !s.inTransaction() {
 			refusal := e.spendAllowance(ctx)
 			if refusal == nil {
@@ -63,6 +65,7 @@
 			s.state.FailTransaction()
 			return s.caller.SendRefusal(e.recordRefusal(refusal), s.state.Transaction)
 		}
+		s.watch.end()
 		response, err := e.sendInTransaction(ctx)
 		if first && (err != nil || isStaleBegin(&response)) {
 			if e.restartTransaction(ctx, &response, err) {
@@ -106,7 +109,7 @@
 	if err != nil {
 		reason = err.Error()
 		tx.backend.noteError(e.arrived, err)
-		e.startBy = e.deadline // the statement had been sent; the rest of its time is for another attempt
+		e.allowRest()
 	}
 	tx.backend.scheduler.FinishTransaction(tx.permit, false)
 	e.exclude(tx.backend)
@@ -242,17 +245,17 @@
 
 // handleBeginRefusal handles an instance's refusal to begin a transaction.
 func (e *execution) handleBeginRefusal(ctx context.Context, t target, response *statement.Response) (refusal *model.Refusal, again bool) {
-	pause := time.Duration(0)
 	switch response.Code {
 	case model.CodeBehind, model.CodeNotPrimary:
 		e.handleWrongInstance(t, response.Code)
+		again = e.prepareRetry(ctx, string(response.Code), 0)
 	default:
-		pause = e.retryPause()
+		again = e.prepareRoomRetry(ctx, response.Code)
 	}
-	if e.prepareRetry(ctx, string(response.Code), pause) {
+	if again {
 		return nil, true
 	}
-	return model.Refuse(response.Code, "the transaction did not begin: %s", response.Text), false
+	return withRetryAfter(model.Refuse(response.Code, "the transaction did not begin: %s", response.Text), t.backend.retryAfter(response.Code)), false
 }
 
 // sendInTransaction sends the statement on the transaction's connection, and repeats it if it did not run for lack of a slot.
@@ -279,7 +282,7 @@
 		}
 		tx.backend.observe(sent, &response, tx.readWrite)
 		busy := response.Code == model.CodeOverloaded || response.Code == model.CodeSlotsFull
-		if !busy || response.State != statement.Open || !e.prepareRetry(ctx, string(response.Code), e.retryPause()) {
+		if !busy || response.State != statement.Open || !e.prepareRoomRetry(ctx, response.Code) {
 			return response, nil
 		}
 	}
@@ -296,10 +299,12 @@
 	if s.remote != nil {
 		return s.commitRemote(ctx, e)
 	}
+	s.watch.begin(ctx)
 	refusal := e.spendAllowance(ctx) // of a transaction without statements
 	if refusal == nil {
 		refusal = e.resumeTransaction(ctx)
 	}
+	s.watch.end()
 	if refusal != nil {
 		s.state.EndTransaction()
 		return s.caller.SendRefusal(e.recordRefusal(refusal), statement.Idle)
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -131,16 +131,22 @@
 
 // ExpectedLatency returns the expected time until a statement of the kind is answered, if it arrives now.
 func (s *Scheduler[C]) ExpectedLatency(now time.Time, kind model.KindID) time.Duration {
+	wait, service := s.Expected(now, kind)
+	return wait + service
+}
+
+// Expected returns the expected wait and service time of a statement of the kind, if it arrives now.
+func (s *Scheduler[C]) Expected(now time.Time, kind model.KindID) (wait, service time.Duration) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.applySettings()
-	serviceTime := s.queue.ServiceTimes.Expected(now, kind)
+	service = s.queue.ServiceTimes.Expected(now, kind)
 	limit := s.inFlightLimit()
 	ahead := s.queue.Len() + int(max(s.running-limit+1, 0))
 	if ahead == 0 {
-		return serviceTime
+		return 0, service
 	}
-	return serviceTime + time.Duration(ahead)*s.queue.ServiceTimes.Mean(now)/time.Duration(max(limit, 1))
+	return time.Duration(ahead) * s.queue.ServiceTimes.Mean(now) / time.Duration(max(limit, 1)), service
 }
 
 // Room is how much of an instance the host uses and may use.
@@ -312,10 +318,23 @@
 	counts := s.Pool.Counts()
 	refusal := model.Refuse(code, "%d waiting, %d of %d running, %d of %d connections open, %d being opened, %d held by transactions",
 		s.queue.Len(), s.running, s.Slots, counts.Open, s.Connections, counts.Opening, s.pinned)
-	refusal.RetryAfter = max(s.queue.RetryAfter(s.Now(), s.Slots), s.BlockedFor())
+	refusal.RetryAfter = s.drainTime()
 	return refusal
 }
 
+// DrainTime returns the expected time in which the queue drains, and a connection can be opened if none can now.
+func (s *Scheduler[C]) DrainTime() time.Duration {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.applySettings()
+	return s.drainTime()
+}
+
+// drainTime is DrainTime for a caller that holds the lock.
+func (s *Scheduler[C]) drainTime() time.Duration {
+	return max(s.queue.RetryAfter(s.Now(), s.Slots), s.BlockedFor())
+}
+
 // refuseAll refuses all waiting work.
 func (s *Scheduler[C]) refuseAll(code model.Code) {
 	for i := range s.pinWaiters {
