admit: tenants take weighted turns within a rank and kind

Cause: within a kind, sessions took turns and the kind with the most sessions lost work when the queue was full, so that a tenant that sends 7.5 times its usual rate took the service of the others. Change: start-time fair queueing between the tenants of a kind by their allowed rates, and eviction from the tenant that exceeds its share by most. The weights come from the host's own configuration, also for relayed sessions, since the policy looks them up by tenant.

--- a/internal/admit/fair_share.go
+++ b/internal/admit/fair_share.go
@@ -17,7 +17,9 @@
 	StandingAfter time.Duration
 
 	ranks             [model.RankCount]rankQueue[T]
+	weights           *model.TenantWeights  // nil where no tenants are configured
 	freeSessionQueues list[sessionQueue[T]] // unused session queues
+	freeTenantQueues  list[tenantQueue[T]]  // unused tenant queues
 }
 
 // hundredPercent is a share of all capacity, in percent.
@@ -46,19 +48,36 @@
 	}
 }
 
+// SetWeights sets the weights by which tenants share each kind; nil means that no tenants are configured.
+func (f *FairShare[T]) SetWeights(weights *model.TenantWeights) {
+	if weights == f.weights {
+		return
+	}
+	f.weights = weights
+	for i := range f.ranks {
+		for _, k := range f.ranks[i].kinds {
+			k.setWeights(weights)
+		}
+	}
+}
+
 // Push adds a ticket to the queue of its kind.
 func (f *FairShare[T]) Push(now time.Time, ticket *Ticket[T]) {
 	r := &f.ranks[ticket.Class.Rank.Index()]
 	k := r.queueOf(ticket.Class.Kind)
 	ticket.kind = k
-	r.activate(k, ticket.Class.Floor, now)
+	t := f.tenantQueue(k, ticket.Class.Tenant)
+	r.activate(k, ticket.Class.Floor)
 	r.waiting++
-	k.tickets.pushBack(&ticket.ageLink)
+	k.addTicket(now, t, ticket)
+	if t := k.forgettable(); t != nil {
+		f.freeTenantQueues.pushBack(&t.idleLink)
+	}
 	if ticket.Class.InTransaction {
 		r.transactions.pushBack(&ticket.queueLink)
 		return
 	}
-	k.push(ticket, f.newSessionQueue, k.hasStandingQueue(now, f.StandingAfter))
+	k.push(ticket, f.newSessionQueue, t.hasStandingQueue(now, f.StandingAfter))
 }
 
 // Pop removes and returns the ticket to serve next, or returns nil; the caller charges it with Settle.
@@ -71,10 +90,12 @@
 	if ticket == nil {
 		k := r.nextKind()
 		r.virtualTime = k.virtualTime
-		ticket = k.next(k.hasStandingQueue(now, f.StandingAfter))
+		t := k.turns.top()
+		k.tenantTime = max(k.tenantTime, t.virtualTime)
+		ticket = t.next(t.hasStandingQueue(now, f.StandingAfter))
 	}
 	ticket.kind.observePop(now)
-	ticket.kind.moveToBack(ticket.session)
+	ticket.tenant.moveToBack(ticket.session)
 	f.Remove(now, ticket)
 	ticket.charged = 0
 	return ticket
@@ -84,14 +105,14 @@
 func (f *FairShare[T]) Remove(_ time.Time, ticket *Ticket[T]) {
 	r := &f.ranks[ticket.Class.Rank.Index()]
 	k := ticket.kind
-	k.tickets.remove(&ticket.ageLink)
+	k.removeTicket(ticket)
 	r.waiting--
 	if ticket.Class.InTransaction {
 		r.transactions.remove(&ticket.queueLink)
 	} else {
 		f.removeFromSessionQueue(k, ticket)
 	}
-	if k.tickets.length == 0 {
+	if k.waiting == 0 {
 		r.deactivate(k)
 	}
 }
@@ -106,10 +127,12 @@
 	r := &f.ranks[ticket.Class.Rank.Index()]
 	r.spendCredit(change, slotTime)
 	r.advanceVirtualTime(ticket.kind, change)
+	ticket.kind.charge(ticket.Class.Tenant, change)
 }
 
 // Victim returns a ticket of the least urgent rank that, counting the new ticket, exceeds its floor's share of the queue. It
-// returns the new ticket if no rank does, or if no waiting ticket outside a transaction is found in that rank.
+// returns the new ticket if no rank does, or if no waiting ticket outside a transaction is found in that rank. Where tenants are
+// configured, it returns a ticket of the tenant that most exceeds its share.
 func (f *FairShare[T]) Victim(newTicket *Ticket[T], limit int) *Ticket[T] {
 	for i := range f.ranks {
 		r := &f.ranks[len(f.ranks)-1-i]
@@ -118,22 +141,24 @@
 			waiting++
 		}
 		if waiting > int(r.floor)*limit/hundredPercent {
+			if f.weights != nil {
+				return r.tenantVictim(newTicket, f.weights.Of(newTicket.Class.Tenant))
+			}
 			return r.victim(newTicket)
 		}
 	}
 	return newTicket
 }
 
-// DeadlineVictim returns the oldest ticket of the same kind, if that ticket would miss its deadline because the kind has a
-// standing queue, which is served newest first; else nil.
+// DeadlineVictim returns the oldest ticket of the same kind and tenant, if that ticket would miss its deadline because the tenant has
+// a standing queue, which is served newest first; else nil.
 func (f *FairShare[T]) DeadlineVictim(now time.Time, ticket *Ticket[T]) *Ticket[T] {
-	k := ticket.kind
-	oldest := k.oldestOutsideTransaction()
-	if oldest == nil || !k.hasStandingQueue(now, f.StandingAfter) {
+	k, t := ticket.kind, ticket.tenant
+	oldest := t.oldestOutsideTransaction()
+	if oldest == nil || !t.hasStandingQueue(now, f.StandingAfter) {
 		return nil
 	}
-	ahead := time.Duration(k.tickets.length - 1)
-	if !oldest.Late(now, ahead*k.meanPopInterval) {
+	if !oldest.Late(now, k.expectedWait(t, t.tickets.length-1)) {
 		return nil
 	}
 	return oldest
@@ -162,6 +187,25 @@
 	return mostUrgent
 }
 
+// tenantQueue returns the tenant's queue of the kind.
+func (f *FairShare[T]) tenantQueue(k *kindQueue[T], id model.TenantID) *tenantQueue[T] {
+	if t, found := k.tenants[id]; found {
+		return t
+	}
+	t := f.freeTenantQueues.front()
+	if t == nil {
+		t = &tenantQueue[T]{}
+		t.idleLink.value = t
+	} else {
+		f.freeTenantQueues.remove(&t.idleLink)
+	}
+	t.id, t.weight = id, f.weights.Of(id)
+	t.virtualTime = k.earliestTime(t)
+	k.tenants[id] = t
+	k.idle.pushBack(&t.idleLink)
+	return t
+}
+
 // newSessionQueue returns an unused session queue.
 func (f *FairShare[T]) newSessionQueue() *sessionQueue[T] {
 	s := f.freeSessionQueues.front()
@@ -178,10 +222,11 @@
 func (f *FairShare[T]) removeFromSessionQueue(k *kindQueue[T], ticket *Ticket[T]) {
 	s := ticket.session
 	s.tickets.remove(&ticket.queueLink)
+	k.removed(ticket.tenant)
 	if s.tickets.length > 0 {
 		return
 	}
-	k.roundRobin.remove(&s.roundRobinLink)
-	delete(k.sessions, s.id)
+	ticket.tenant.roundRobin.remove(&s.roundRobinLink)
+	delete(k.sessions, s.key)
 	f.freeSessionQueues.pushBack(&s.roundRobinLink)
 }
--- a/internal/admit/fifo.go
+++ b/internal/admit/fifo.go
@@ -60,6 +60,9 @@
 // SetFloors does nothing, because FIFO guarantees no shares.
 func (f *FIFO[T]) SetFloors([model.RankCount]model.Percent) {}
 
+// SetWeights does nothing, because FIFO knows no tenants.
+func (f *FIFO[T]) SetWeights(*model.TenantWeights) {}
+
 // listOf returns the list that holds the ticket.
 func (f *FIFO[T]) listOf(ticket *Ticket[T]) *list[Ticket[T]] {
 	if ticket.Class.InTransaction {
--- a/internal/admit/policy.go
+++ b/internal/admit/policy.go
@@ -33,4 +33,6 @@
 	Waiting(rank model.Rank) int
 	// SetFloors sets the guaranteed share of capacity of each rank.
 	SetFloors(floors [model.RankCount]model.Percent)
+	// SetWeights sets the weights of the tenants; nil means that no tenants are configured.
+	SetWeights(weights *model.TenantWeights)
 }
--- a/internal/admit/queue_bench_test.go
+++ b/internal/admit/queue_bench_test.go
@@ -1,6 +1,7 @@
 package admit
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -46,3 +47,49 @@
 	}
 	return tickets
 }
+
+// BenchmarkTenants measures a decision where each of many tenants has work waiting: a turn, and an offer to a full queue.
+func BenchmarkTenants(b *testing.B) {
+	const limit = 256 // the queue of a scheduler
+	rates := make(map[model.TenantID]model.Rate)
+	for i := range limit {
+		rates[model.TenantID(fmt.Sprintf("tenant-%d", i))] = model.Rate(i + 1)
+	}
+	tests := map[string]struct {
+		tenants int
+		full    bool // each offer evicts a ticket, and none is served
+	}{
+		"turn, 82 tenants":      {tenants: 82},
+		"turn, 256 tenants":     {tenants: limit},
+		"eviction, 82 tenants":  {tenants: 82, full: true},
+		"eviction, 256 tenants": {tenants: limit, full: true},
+	}
+	for name, test := range tests {
+		b.Run(name, func(b *testing.B) {
+			policy := NewFairShare[int]()
+			policy.SetWeights(weightsOf(rates))
+			q := newQueue(policy, [model.RankCount]model.Percent{40, 20, 5}, limit)
+			tickets := make([]*Ticket[int], limit)
+			for i := range tickets {
+				tenant := model.TenantID(fmt.Sprintf("tenant-%d", i%test.tenants))
+				tickets[i] = &Ticket[int]{Class: Class{Rank: 1, Kind: "pay", Tenant: tenant, Session: model.SessionID(tenant)}}
+				q.Offer(startTime, tickets[i])
+			}
+			spare := &Ticket[int]{Class: Class{Rank: 1, Kind: "pay", Tenant: "tenant-0", Session: "spare"}}
+			now := startTime
+			b.ReportAllocs()
+			for b.Loop() {
+				now = now.Add(time.Millisecond)
+				if !test.full {
+					ticket, _ := q.Next(now, EligibleAny)
+					q.Finish(now, ticket, time.Millisecond)
+					q.Offer(now, ticket)
+					continue
+				}
+				if _, evicted, _ := q.Offer(now, spare); evicted != nil {
+					spare = evicted
+				}
+			}
+		})
+	}
+}
--- a/internal/admit/rank_queue.go
+++ b/internal/admit/rank_queue.go
@@ -44,32 +44,34 @@
 
 // queueOf returns the queue of the kind; once maxKinds have a queue, all further kinds share one.
 func (r *rankQueue[T]) queueOf(id model.KindID) *kindQueue[T] {
+	id = r.kindID(id)
 	k, found := r.kinds[id]
 	if found {
 		return k
 	}
-	if len(r.kinds) >= maxKinds {
-		id = ""
-		if k, found = r.kinds[id]; found {
-			return k
-		}
-	}
-	k = &kindQueue[T]{sessions: make(map[model.SessionID]*sessionQueue[T])}
+	k = newKindQueue[T]()
 	r.kinds[id] = k
 	return k
 }
 
+// kindID returns the kind in whose queue work of the given kind waits.
+func (r *rankQueue[T]) kindID(id model.KindID) model.KindID {
+	if _, found := r.kinds[id]; !found && len(r.kinds) >= maxKinds {
+		return ""
+	}
+	return id
+}
+
 // activate adds the kind to the active ones if its queue is empty, and updates its floor.
 //
 // Its virtual time starts no lower than the rank's, so that it can't save up unused service while idle.
-func (r *rankQueue[T]) activate(k *kindQueue[T], floor model.Percent, now time.Time) {
-	if k.tickets.length > 0 {
+func (r *rankQueue[T]) activate(k *kindQueue[T], floor model.Percent) {
+	if k.waiting > 0 {
 		r.activeFloors += floor - k.floor
 		k.floor = floor
 		return
 	}
 	k.floor = floor
-	k.nonEmptySince = now
 	k.lastPop = time.Time{}
 	k.virtualTime = max(k.virtualTime, r.virtualTime)
 	k.activeIndex = len(r.activeKinds)
@@ -91,7 +93,7 @@
 func (r *rankQueue[T]) nextKind() *kindQueue[T] {
 	var next *kindQueue[T]
 	for _, k := range r.activeKinds {
-		if k.roundRobin.length == 0 {
+		if len(k.turns.items) == 0 {
 			continue
 		}
 		if next == nil || k.virtualTime < next.virtualTime {
@@ -117,13 +119,65 @@
 	var longest *kindQueue[T]
 	highest := 0
 	for _, k := range r.activeKinds {
-		weighted := k.roundRobin.length * hundredPercent / int(max(k.floor, 1))
+		weighted := len(k.sessions) * hundredPercent / int(max(k.floor, 1))
 		if weighted > highest {
 			longest, highest = k, weighted
 		}
 	}
-	if longest == nil || longest.oldestOutsideTransaction() == nil {
+	if longest == nil {
 		return newTicket
 	}
-	return longest.oldestOutsideTransaction()
+	oldest := longest.turns.top().oldestOutsideTransaction()
+	for _, t := range longest.turns.items { // more than one while work waits that had a tenant before a change of the configuration
+		if other := t.oldestOutsideTransaction(); other.Arrived.Before(oldest.Arrived) {
+			oldest = other
+		}
+	}
+	return oldest
+}
+
+// tenantVictim returns the oldest ticket outside a transaction of the tenant that most exceeds its share of the waiting work of one
+// kind, or the new ticket, which counts as waiting. Shares are in proportion to the weights.
+//
+// The excess is a number of tickets. As a ratio it would be greatest for small tenants, whose share is often less than one ticket.
+func (r *rankQueue[T]) tenantVictim(newTicket *Ticket[T], newWeight model.Weight) *Ticket[T] {
+	own := r.waitingTenant(newTicket)
+	waiting, weights := 1, model.Weight(0)
+	for _, k := range r.activeKinds {
+		waiting += k.evictable
+		weights += k.activeWeight
+	}
+	if own == nil {
+		weights += newWeight
+	}
+	share := float64(waiting) / float64(weights) // of a tenant of weight one
+	ownExcess := 1 - share*float64(newWeight)
+	if own != nil {
+		ownExcess += float64(own.waiting)
+	}
+	most, highest := own, ownExcess
+	for _, k := range r.activeKinds {
+		for _, t := range k.turns.items {
+			if excess := float64(t.waiting) - share*float64(t.weight); excess > highest {
+				most, highest = t, excess
+			}
+		}
+	}
+	if most == nil {
+		return newTicket
+	}
+	return most.oldestOutsideTransaction()
+}
+
+// waitingTenant returns the queue of the ticket's tenant, if it has waiting work of the kind outside transactions, or nil.
+func (r *rankQueue[T]) waitingTenant(ticket *Ticket[T]) *tenantQueue[T] {
+	k := r.kinds[r.kindID(ticket.Class.Kind)]
+	if k == nil {
+		return nil
+	}
+	t := k.tenants[ticket.Class.Tenant]
+	if t == nil || t.waiting == 0 {
+		return nil
+	}
+	return t
 }
--- a/internal/admit/strict_priority.go
+++ b/internal/admit/strict_priority.go
@@ -60,6 +60,9 @@
 // SetFloors does nothing, because StrictPriority guarantees no shares.
 func (s *StrictPriority[T]) SetFloors([model.RankCount]model.Percent) {}
 
+// SetWeights does nothing, because StrictPriority knows no tenants.
+func (s *StrictPriority[T]) SetWeights(*model.TenantWeights) {}
+
 // queueOf returns the queue of the ticket's rank.
 func (s *StrictPriority[T]) queueOf(ticket *Ticket[T]) *FIFO[T] {
 	return &s.ranks[ticket.Class.Rank.Index()]
--- a/internal/admit/ticket.go
+++ b/internal/admit/ticket.go
@@ -11,9 +11,10 @@
 	Rank          model.Rank
 	Kind          model.KindID
 	Session       model.SessionID
-	Floor         model.Percent // guaranteed share of the kind within its rank
-	QueueLimit    int           // queue length from which this work displaces waiting work or is refused; zero for the limit of the queue
-	InTransaction bool          // whether the work belongs to a transaction that has begun
+	Tenant        model.TenantID // empty for none
+	Floor         model.Percent  // guaranteed share of the kind within its rank
+	QueueLimit    int            // queue length from which this work displaces waiting work or is refused; zero for the limit of the queue
+	InTransaction bool           // whether the work belongs to a transaction that has begun
 }
 
 // Ticket is the queue entry of one piece of work; a policy links it into its lists without allocating.
@@ -28,6 +29,7 @@
 	queueLink link[Ticket[T]] // position in the queue that the policy serves from
 	ageLink   link[Ticket[T]] // position among all tickets of its kind, oldest first
 	session   *sessionQueue[T]
+	tenant    *tenantQueue[T]
 	kind      *kindQueue[T]
 }
 
@@ -35,7 +37,7 @@
 func (t *Ticket[T]) Reset() {
 	t.queueLink = link[Ticket[T]]{value: t}
 	t.ageLink = link[Ticket[T]]{value: t}
-	t.session, t.kind = nil, nil
+	t.session, t.tenant, t.kind = nil, nil, nil
 }
 
 // Late reports whether work that starts now and takes the given time would miss the ticket's deadline.
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -15,6 +15,7 @@
 	Databases            map[model.DatabaseID]model.Database
 	Keyed                bool // callers need an API key, and connections to instances belong to tenants
 	Tenants              map[model.TenantID]model.Tenant
+	Weights              *model.TenantWeights               // nil where keys are not needed
 	Keys                 map[model.KeyDigest]model.TenantID // of the API keys in force
 	Instances            map[model.InstanceID]Instance
 	Missing              map[model.InstanceID]bool // instances that are still in use though their entries have disappeared
--- a/internal/directory/tenants_test.go
+++ b/internal/directory/tenants_test.go
@@ -78,3 +78,38 @@
 		t.Errorf("got %d keys of the tenant, want 2", got)
 	}
 }
+
+// TestWeightsFollowTheConfiguration guards against turns by the weights of an older configuration, and against turns of tenants where
+// none are configured.
+func TestWeightsFollowTheConfiguration(t *testing.T) {
+	configuration := func(version model.Version, rates ...model.Rate) Configuration {
+		c := Configuration{Version: version, Keyed: len(rates) > 0}
+		for i, rate := range rates {
+			c.Tenants = append(c.Tenants, model.Tenant{ID: model.TenantID(rune('a' + i)), Limited: true, Rate: rate})
+		}
+		return c
+	}
+	tests := map[string]struct {
+		configurations []Configuration
+		want           model.Weight // of tenant b; zero for no weights
+	}{
+		"no configuration":      {},
+		"without tenants":       {configurations: []Configuration{configuration(3)}},
+		"with tenants":          {configurations: []Configuration{configuration(3, 10, 20)}, want: 2},
+		"a newer version":       {configurations: []Configuration{configuration(3, 10, 20), configuration(4, 10, 50)}, want: 5},
+		"an older version":      {configurations: []Configuration{configuration(4, 10, 20), configuration(3, 10, 50)}, want: 2},
+		"tenants are taken out": {configurations: []Configuration{configuration(3, 10, 20), configuration(4)}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			tracker := NewTracker()
+			for _, c := range test.configurations {
+				tracker.SetConfiguration(c)
+			}
+			got := tracker.Directory().Weights
+			if (got != nil) != (test.want > 0) || (got != nil && got.Of("b") != test.want) {
+				t.Errorf("got weights %v, want %v for b", got, test.want)
+			}
+		})
+	}
+}
--- a/internal/directory/tracker.go
+++ b/internal/directory/tracker.go
@@ -54,6 +54,10 @@
 	}
 	next.Keyed = configuration.Keyed
 	next.Tenants, next.Keys = indexTenants(configuration.Tenants)
+	next.Weights = nil
+	if next.Keyed {
+		next.Weights = model.NewTenantWeights(next.Tenants)
+	}
 	t.current = &next
 	return true
 }
--- a/internal/front/host.go
+++ b/internal/front/host.go
@@ -316,6 +316,7 @@
 		b.leaving = entry.Leaving
 		b.mutex.Unlock()
 		b.scheduler.SetPerTenant(view.Directory.Keyed)
+		b.scheduler.SetWeights(view.Directory.Weights)
 		if b.unfenced && b.applyLease(view.Lease, view.Primaries[entry.Database].Assigned) && b.gate.Closed() != 0 {
 			released = true
 		}
--- a/internal/scheduler/permit.go
+++ b/internal/scheduler/permit.go
@@ -17,7 +17,7 @@
 	Class          admit.Class
 	Deadline       time.Time      // time by which the work must be answered; must be set
 	KeepConnection bool           // whether to pin the connection for a transaction
-	Tenant         model.TenantID // that the connection has to belong to, where connections belong to tenants
+	Tenant         model.TenantID // by whose weight the work takes turns, and that the connection has to belong to, where connections belong to tenants
 	OnlyHere       bool           // no other instance would do, so that the work waits while this one can't be reached
 }
 
@@ -160,6 +160,7 @@
 		permit.ticket.Value = permit
 	}
 	permit.ticket.Class = request.Class
+	permit.ticket.Class.Tenant = request.Tenant
 	permit.ticket.Deadline = request.Deadline
 	permit.tenant = request.Tenant
 	return permit
