front: a host that refuses all keyed work is not ready

Cause: with revoke-strict on, a host without word of the configuration refuses keyed work, but its readiness check said 200, so that the balancer kept sending it callers. Change: 503 while that lasts, if no kind of work is public; ready again with the next word. Result: go test -race -run TestTenantStrict -count 2 ./internal/front: ok (strict, strict without a public kind, not strict; the store is cut off and comes back).

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -52,6 +52,16 @@
 	return d.Version > 0 && len(d.Instances) > 0
 }
 
+// KeyedOnly reports whether no kind of work may be used without an API key in force.
+func (d *Directory) KeyedOnly() bool {
+	for _, kind := range d.Kinds {
+		if kind.Public {
+			return false
+		}
+	}
+	return d.Keyed
+}
+
 // Authorize returns the tenant of a caller that uses a kind of work with an API key, and whether the caller may use it. The tenant is
 // empty where keys are not needed, and for a public kind of work whose caller has no key in force.
 func (d *Directory) Authorize(kind model.Kind, key model.KeyDigest) (tenant model.TenantID, allowed bool) {
--- a/internal/directory/tenants_test.go
+++ b/internal/directory/tenants_test.go
@@ -69,6 +69,31 @@
 	}
 }
 
+// TestKeyedOnly guards against a host that counts as ready though it refuses everything, and one that does not though it could serve.
+func TestKeyedOnly(t *testing.T) {
+	tests := map[string]struct {
+		keyed bool
+		kinds []model.Kind
+		want  bool
+	}{
+		"without tenants":   {kinds: []model.Kind{{ID: "desk"}}},
+		"no public kind":    {keyed: true, kinds: []model.Kind{{ID: "desk"}, {ID: "batch"}}, want: true},
+		"one public kind":   {keyed: true, kinds: []model.Kind{{ID: "desk"}, {ID: "view", Public: true}}},
+		"no kind of any":    {keyed: true, want: true},
+		"all are public":    {keyed: true, kinds: []model.Kind{{ID: "view", Public: true}}},
+		"public, not keyed": {kinds: []model.Kind{{ID: "view", Public: true}}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			tracker := NewTracker()
+			tracker.SetConfiguration(Configuration{Version: 3, Keyed: test.keyed, Kinds: test.kinds})
+			if got := tracker.Directory().KeyedOnly(); got != test.want {
+				t.Errorf("got %v, want %v", got, test.want)
+			}
+		})
+	}
+}
+
 // TestTenantTwice guards against hosts that learn of fewer keys from another host than that one has in force: they hear of the tenants
 // by name.
 func TestTenantTwice(t *testing.T) {
--- a/internal/front/cuttable_test.go
+++ b/internal/front/cuttable_test.go
@@ -23,6 +23,22 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	p.accept(t, listener)
+	return listener.Addr().String()
+}
+
+// restore accepts connections again at the same address.
+func (p *cuttableProxy) restore(t *testing.T) {
+	t.Helper()
+	listener, err := net.Listen("tcp4", p.listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.accept(t, listener)
+}
+
+// accept forwards connections until the listener is closed.
+func (p *cuttableProxy) accept(t *testing.T, listener net.Listener) {
 	p.listener = listener
 	ended := make(chan struct{})
 	go func() {
@@ -39,7 +55,6 @@
 		p.cut()
 		<-ended
 	})
-	return listener.Addr().String()
 }
 
 // forward copies one connection in both directions.
--- a/internal/front/fleet_test.go
+++ b/internal/front/fleet_test.go
@@ -65,6 +65,7 @@
 // testHost is one host of the fleet.
 type testHost struct {
 	address string
+	ready   string // address of its readiness checks
 	metrics string // address of its metrics
 	stop    context.CancelFunc
 	done    chan error
@@ -160,7 +161,7 @@
 	client.Logger, host.Logger = logger, logger
 	host.Platform = fragilePlatform{client, f.interrupted}
 	ctx, stop := context.WithCancel(context.Background())
-	h := &testHost{address: string(addresses[0]), metrics: string(addresses[2]), stop: stop, done: make(chan error, 1)}
+	h := &testHost{address: string(addresses[0]), ready: string(addresses[1]), metrics: string(addresses[2]), stop: stop, done: make(chan error, 1)}
 	f.hosts = append(f.hosts, h)
 	go host.Run(ctx, h.done)
 	return h
--- a/internal/front/monitor.go
+++ b/internal/front/monitor.go
@@ -31,12 +31,8 @@
 
 // handleReadiness responds to a readiness check, and logs changes.
 func (h *Host) handleReadiness(response http.ResponseWriter, _ *http.Request) {
-	ready := h.view().Ready && !h.draining()
+	ready, reason := h.readiness()
 	if h.loggedReady.Swap(ready) != ready {
-		reason := "the directory is loaded"
-		if !ready {
-			reason = "the host is stopping or has no directory"
-		}
 		event.ReadyChanged(h.Logger, ready, reason)
 	}
 	if !ready {
@@ -46,6 +42,19 @@
 	response.WriteHeader(http.StatusOK)
 }
 
+// readiness reports whether the host serves new sessions, and why.
+func (h *Host) readiness() (ready bool, reason string) {
+	view := h.view()
+	switch {
+	case !view.Ready || h.draining():
+		return false, "the host is stopping or has no directory"
+	case view.Directory.KeyedOnly() && h.outdated():
+		return false, "the host has had no word of the API keys in force for too long, and no kind of work is public"
+	default:
+		return true, "the directory is loaded"
+	}
+}
+
 // serveMetrics serves the metrics as text until the context ends, then sends its result on done.
 func (h *Host) serveMetrics(ctx context.Context, done chan<- error) {
 	if h.Settings.MetricsAddress == "" {
--- a/internal/front/tenants_test.go
+++ b/internal/front/tenants_test.go
@@ -55,6 +55,19 @@
 	return string(text)
 }
 
+// isReady reports whether a host answers its readiness check with 200.
+func (f *fleet) isReady(host *testHost) bool {
+	f.t.Helper()
+	response, err := http.Get("http://" + host.ready)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	if err := response.Body.Close(); err != nil {
+		f.t.Fatal(err)
+	}
+	return response.StatusCode == http.StatusOK
+}
+
 // openKeyed opens a session of a tenant with a key until the test ends; the name tells its statements apart.
 func (f *fleet) openKeyed(host *testHost, kind, name, key, tenant string) *standin.Session {
 	f.t.Helper()
@@ -194,9 +207,12 @@
 func TestTenantStrict(t *testing.T) {
 	tests := map[string]struct {
 		strict, code string
+		keyedOnly    bool // no kind of work is public
+		unready      bool // the host isn't ready while it has no word
 	}{
-		"strict":     {strict: "on", code: "BUSY"},
-		"not strict": {strict: "off"},
+		"strict":                 {strict: "on", code: "BUSY"},
+		"strict, no public kind": {strict: "on", code: "BUSY", keyedOnly: true, unready: true},
+		"not strict":             {strict: "off", keyedOnly: true},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -207,19 +223,35 @@
 			host := f.startHost(proxy.start(t))
 			f.eventually("the host answers", func() bool { return f.canRead(host, "desk") })
 			f.configureTenants(5, f.hosts, acme)
+			if test.keyedOnly {
+				f.cloud.ConfigureTenants(7, []standin.Tenant{acme}, standin.SampleRoutes("seats")...)
+				f.eventually("the configuration is in force", func() bool {
+					return strings.Contains(f.metricsOf(host), "configuration_version 7\n")
+				})
+			}
 			s := f.openKeyed(host, "batch", "s", acme.APIKeys[0], "acme")
 			f.run(s, "READ a")
 			time.Sleep(f.revokeLimit) // the store answers polls without a change meanwhile
 			f.run(s, "READ a")
+			if !f.isReady(host) {
+				t.Error("got a host that is not ready while the store answers, want it ready")
+			}
 			proxy.cut()
 			time.Sleep(f.revokeLimit)
 			f.expect(s, test.code, "READ a", "BEGIN READ")
 			if got := startCode(host, "batch", acme.APIKeys[0]); got != test.code {
 				t.Errorf("got %q at the start, want %q", got, test.code)
 			}
-			if got := startCode(host, "view", acme.APIKeys[0]); got != "" {
+			if got := startCode(host, "view", acme.APIKeys[0]); !test.keyedOnly && got != "" {
 				t.Errorf("got %q for a public route, want none", got)
 			}
+			if got := f.isReady(host); got == test.unready {
+				t.Errorf("got ready %v without word of the configuration, want %v", got, !test.unready)
+			}
+			proxy.restore(t)
+			f.eventually("the host is ready and serves again", func() bool {
+				return f.isReady(host) && startCode(host, "batch", acme.APIKeys[0]) == ""
+			})
 		})
 	}
 }
