front, explain: the tenant and the allowance of a refusal; metrics by tenant

Cause: a tenant that says it is refused inside its limit could not be answered from logs and metrics: a refusal named neither the limit in force nor whether tokens came too late, and no metric was by tenant.

--- a/internal/explain/explanation.go
+++ b/internal/explain/explanation.go
@@ -150,6 +150,8 @@
 		return noInstance(explanation, last)
 	case model.CodeDeadline, model.CodeOverloaded, model.CodeSlotsFull:
 		return overloaded(explanation, last)
+	case model.CodeAllowance:
+		return overAllowance(last, logs)
 	case model.CodeTransactionEnded:
 		return fmt.Sprintf("its transaction ended at %s before a commit was sent: %s", last.Instance, last.Reason)
 	case model.CodeStopping:
@@ -212,7 +214,24 @@
 // oldConfiguration returns the cause of a refusal that follows from the configuration: an outdated one on the host, or what the newest one
 // lacks.
 func oldConfiguration(last Line, logs []Line, lack string) string {
-	known, newest := Line{}, Line{}
+	known, newest := versions(last, logs)
+	if newest.Version > known.Version {
+		return fmt.Sprintf("%s had version %d of the configuration while %s had version %d", last.Source, known.Version, newest.Source, newest.Version)
+	}
+	return fmt.Sprintf("version %d of the configuration %s, and no host had a newer one", known.Version, lack)
+}
+
+// overAllowance returns the cause of a refusal by a tenant's allowance; the reason names the tenant, its limit and the version with it.
+func overAllowance(last Line, logs []Line) string {
+	cause := fmt.Sprintf("%s refused it: %s", last.Source, last.Reason)
+	if known, newest := versions(last, logs); newest.Version > known.Version {
+		return fmt.Sprintf("%s, while %s had version %d, whose limit may be another", cause, newest.Source, newest.Version)
+	}
+	return cause
+}
+
+// versions returns the newest configuration that the host of a line, and any host, had in force at that time.
+func versions(last Line, logs []Line) (known, newest Line) {
 	for _, line := range logs {
 		if line.Event != event.NumberDirectoryInForce || line.Time.After(last.Time) {
 			continue
@@ -224,10 +243,7 @@
 			newest = line
 		}
 	}
-	if newest.Version > known.Version {
-		return fmt.Sprintf("%s had version %d of the configuration while %s had version %d", last.Source, known.Version, newest.Source, newest.Version)
-	}
-	return fmt.Sprintf("version %d of the configuration %s, and no host had a newer one", known.Version, lack)
+	return known, newest
 }
 
 // newestWith returns the last of the lines that has one of the events.
--- a/internal/explain/explanation_test.go
+++ b/internal/explain/explanation_test.go
@@ -54,6 +54,17 @@
 			logs:  map[string]string{"h1": refused + `"code":"deadline","reason":"7 waiting, 2 of 2 running"}`},
 			cause: "i-1 had no capacity in time at h1: 7 waiting, 2 of 2 running", lines: 1,
 		},
+		"beyond the tenant's allowance": {
+			logs:  map[string]string{"h1": newDirectory + refused + `"code":"allowance","reason":"tenant acme has used up its allowance: 100 a second and 160 at once in version 5"}`},
+			cause: "h1 refused it: tenant acme has used up its allowance: 100 a second and 160 at once in version 5", lines: 1, related: 1,
+		},
+		"beyond the allowance of an outdated configuration": {
+			logs: map[string]string{
+				"h1": oldDirectory + refused + `"code":"allowance","reason":"no token of the allowance of tenant acme came in time: 1 a second and 1 at once in version 3"}`,
+				"h2": newDirectory,
+			},
+			cause: "tenant acme came in time: 1 a second and 1 at once in version 3, while h2 had version 5", lines: 1,
+		},
 		"overload since replicas lag": {
 			logs: map[string]string{"h1": `{"event":6011,"time":"2026-05-16T12:00:09.9Z","request":"r","instance":"i-2","reason":"behind"}` + "\n" +
 				refused + `"code":"overloaded","reason":"full"}`},
--- a/internal/front/allowances.go
+++ b/internal/front/allowances.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -67,7 +68,7 @@
 	if verdict != allowance.Waiting {
 		a.mutex.Unlock()
 		if verdict == allowance.Refused {
-			return overAllowance(tenant, retryAfter)
+			return a.refusal(tenant, tokenResult{retryAfter: retryAfter})
 		}
 		return nil
 	}
@@ -78,7 +79,7 @@
 	defer timer.Stop()
 	select {
 	case result := <-waiter.Value:
-		return result.refusal(tenant)
+		return a.refusal(tenant, result)
 	case <-timer.C:
 	case <-ctx.Done():
 	}
@@ -87,23 +88,24 @@
 	a.mutex.Unlock()
 	select {
 	case result := <-waiter.Value: // decided before it was cancelled
-		return result.refusal(tenant)
+		return a.refusal(tenant, result)
 	default:
-		return overAllowance(tenant, 0)
+		return a.refusal(tenant, tokenResult{})
 	}
 }
 
-// refusal returns the refusal of an operation that got no token, or nil.
-func (r tokenResult) refusal(tenant model.TenantID) *model.Refusal {
-	if r.spent {
+// refusal returns the refusal of an operation that got no token, or nil. It names the limit that this host has in force, so that an
+// operator can compare it with the tenant's.
+func (a *allowances) refusal(tenant model.TenantID, result tokenResult) *model.Refusal {
+	if result.spent {
 		return nil
 	}
-	return overAllowance(tenant, r.retryAfter)
-}
-
-// overAllowance returns the refusal of an operation beyond its tenant's allowance.
-func overAllowance(tenant model.TenantID, retryAfter time.Duration) *model.Refusal {
-	return withRetryAfter(model.Refuse(model.CodeAllowance, "tenant %s has used up its allowance", tenant), retryAfter)
+	d := a.host.view().Directory
+	limit := fmt.Sprintf("%g a second and %g at once in version %d", float64(d.Tenants[tenant].Rate), float64(d.Tenants[tenant].Burst), d.Version)
+	if result.retryAfter == 0 {
+		return model.Refuse(model.CodeAllowance, "no token of the allowance of tenant %s came in time: %s", tenant, limit)
+	}
+	return withRetryAfter(model.Refuse(model.CodeAllowance, "tenant %s has used up its allowance: %s", tenant, limit), result.retryAfter)
 }
 
 // refresh brings the book up to date with the host's view; the caller holds the mutex.
--- a/internal/front/counters.go
+++ b/internal/front/counters.go
@@ -33,6 +33,7 @@
 	SetupRefused expvar.Int // commands that prepare a connection for a session and that an instance refused
 	DroppedLines func() uint64
 
+	tenants   tenantCounters
 	placed    placements
 	refusals  expvar.Map // by code
 	mutex     sync.Mutex
--- a/internal/front/execution.go
+++ b/internal/front/execution.go
@@ -94,7 +94,11 @@
 		return nil
 	}
 	s.charged = inTransaction
-	return s.host.allowances.spend(ctx, s.tenant, e.policy.Rank, e.startBy)
+	refusal := s.host.allowances.spend(ctx, s.tenant, e.policy.Rank, e.startBy)
+	if refusal == nil {
+		s.host.counters.tenants.countOperation(s.tenant)
+	}
+	return refusal
 }
 
 // needsPrimary reports whether only the primary can run the statement.
@@ -328,6 +332,9 @@
 		refusal = &model.Refusal{Code: model.CodeTransactionEnded, NotRun: true, Message: refusal.Message, RetryAfter: refusal.RetryAfter}
 	}
 	e.session.host.counters.countRefusal(refusal.Code)
+	if e.session.tenant != "" && !e.session.relayed {
+		e.session.host.counters.tenants.countRefusal(e.session.tenant, refusal.Code)
+	}
 	log := e.session.host.Logger
 	waited := model.Millis(time.Since(e.arrived))
 	if refusal.NotRun {
--- a/internal/front/metrics_test.go
+++ b/internal/front/metrics_test.go
@@ -1,6 +1,7 @@
 package front_test
 
 import (
+	"fmt"
 	"io"
 	"maps"
 	"net/http"
@@ -9,6 +10,8 @@
 	"slices"
 	"strings"
 	"testing"
+
+	"redwingspread/platform/standin"
 )
 
 // uniqueMatches returns the first submatch of each match, sorted and without duplicates.
@@ -27,6 +30,27 @@
 		t.Error("got a session for an unknown kind of work, want a refusal to count")
 	}
 	f.run(f.openSession(f.hosts[0], "desk"), "WRITE w1 x1")
+	idle := standin.Tenant{Name: "idle", APIKeys: []string{keyMark + "-i1"}, RatePerS: 0.001, Burst: 1}
+	f.configureTenants(5, f.hosts, acme, idle)
+	f.run(f.openKeyed(f.hosts[0], "desk", "w2", acme.APIKeys[0], "acme"), "READ w1")
+	refused := make(chan bool)
+	const atOnce = 20 // more than the few that the slack of the rule lets through within the time that they wait
+	for i := range atOnce {
+		s := f.openKeyed(f.hosts[0], "desk", fmt.Sprint("idle", i), idle.APIKeys[0], "idle")
+		go func() {
+			reply, err := s.Query("READ w1")
+			refused <- err == nil && reply.Code == "BUSY"
+		}()
+	}
+	count := 0
+	for range atOnce {
+		if <-refused {
+			count++
+		}
+	}
+	if count == 0 {
+		t.Errorf("got no refusal of %d operations beyond the allowance, want some", atOnce)
+	}
 	response, err := http.Get("http://" + f.hosts[0].metrics)
 	if err != nil {
 		t.Fatal(err)
@@ -38,6 +62,11 @@
 	if !regexp.MustCompile(`(?m)^placed{where="[a-z]+",reason="only"} [1-9]`).Match(text) {
 		t.Errorf("got %s, want the write counted as placed", text)
 	}
+	for _, line := range []string{`tenant_operations{tenant="acme"} 1`, fmt.Sprintf(`tenant_refused{tenant="idle",code="allowance"} %d`, count)} {
+		if !strings.Contains(string(text), line+"\n") {
+			t.Errorf("got %s, want the line %s", text, line)
+		}
+	}
 	page, err := os.ReadFile("../../docs/METRICS.md")
 	if err != nil {
 		t.Fatal(err)
--- a/internal/front/monitor.go
+++ b/internal/front/monitor.go
@@ -84,6 +84,9 @@
 	if err == nil {
 		err = h.counters.writeText(out)
 	}
+	if err == nil {
+		err = h.counters.tenants.writeText(out)
+	}
 	if err == nil {
 		err = h.writeMemory(out)
 	}
