measure: upper bound of what a deployment can serve, from its sizes

Cause: a share answered in time could not be judged without knowing what the slots, primaries and connections allow.

--- a/internal/cli/measure.go
+++ b/internal/cli/measure.go
@@ -33,6 +33,8 @@
 			&cli.StringFlag{Name: "user", Value: "both", Usage: "authority, library or both"},
 			&cli.StringFlag{Name: "only", Usage: "capacity: the slopes of docs/CAPACITY.md instead of the measurements of the users"},
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed of the random numbers and request ids"},
+			&cli.StringFlag{Name: "sizes", Usage: "file with the sizes of a deployment: print what it can serve at best, and measure nothing"},
+			&cli.StringFlag{Name: "output", Value: "text", Usage: "text or json, of the bounds of --sizes", Validator: validateOutput},
 			&cli.StringFlag{Name: "format", Value: "text", Usage: "text or json"},
 		},
 		Action: func(ctx context.Context, command *cli.Command) error {
@@ -43,6 +45,13 @@
 
 // runMeasure runs the measurements selected by the flags.
 func runMeasure(ctx context.Context, command *cli.Command, out io.Writer) error {
+	if path := command.String("sizes"); path != "" {
+		sizes, err := readSizes(path)
+		if err != nil {
+			return fmt.Errorf("measure: %w", err)
+		}
+		return printBounds(out, sizes, command.String("output"))
+	}
 	chosen, known := plansByUser[command.String("user")]
 	if !known {
 		return fmt.Errorf("unknown user %q: use authority, library or both", command.String("user"))
--- a/internal/layout/layout_test.go
+++ b/internal/layout/layout_test.go
@@ -17,7 +17,7 @@
 // decisionPackages are the packages that make decisions; they do not depend on I/O or clocks.
 var decisionPackages = []string{
 	"admit", "allowance", "budget", "config", "directory", "failover", "fleet", "freshness", "history", "member", "model", "placement", "rollout",
-	"route", "session", "statement", "view",
+	"route", "session", "statement", "upperbound", "view",
 }
 
 // forbiddenImports are the packages that decision packages must not depend on, together with the packages below them.
