--- a/internal/front/execution.go
+++ b/internal/front/execution.go
@@ -99,7 +99,11 @@
 		return nil
 	}
 	s.charged = inTransaction
-	return s.host.allowances.spend(ctx, s.tenant, e.policy.Rank, e.startBy)
+	refusal := s.host.allowances.spend(ctx, s.tenant, e.policy.Rank, e.startBy)
+	if refusal == nil {
+		s.host.counters.tenants.countOperation(s.tenant)
+	}
+	return refusal
 }
 
 // needsPrimary reports whether only the primary can run the statement.
@@ -243,10 +247,11 @@
 // survey appends the candidates among the backends.
 func (e *execution) survey(candidates []placement.Candidate, backends []*backend, primary model.InstanceID) []placement.Candidate {
 	now := time.Now()
-	shares, portion := e.session.host.view().Shares, e.session.host.portionOf(e.session.tenant)
+	view := e.session.host.view()
+	part := view.Directory.Weights.Part(e.session.tenant)
 	for _, b := range backends[:min(len(backends), maxCandidates)] {
-		share := shares[b.instance.ID]
-		passedOn := share.Holders != nil && !e.session.relayed && !share.Holders.TakesItself(e.session.tenant, portion)
+		share := view.Shares[b.instance.ID]
+		passedOn := share.Holders != nil && !e.session.relayed && !share.Holders.TakesItself(e.session.tenant, part)
 		c := b.candidate(now, e.policy.ID, e.session.tenant, primary, passedOn)
 		c.Tried = e.excluded[b.instance.ID] || (c.Primary && !b.admitsPrimary())
 		if e.session.relayed && !share.KeepsConnections(e.session.host.self.ID) {
@@ -412,6 +417,9 @@
 		refusal = &model.Refusal{Code: model.CodeTransactionEnded, NotRun: true, Message: refusal.Message, RetryAfter: refusal.RetryAfter}
 	}
 	e.session.host.counters.countRefusal(refusal.Code)
+	if e.session.tenant != "" && !e.session.relayed {
+		e.session.host.counters.tenants.countRefusal(e.session.tenant, refusal.Code)
+	}
 	log := e.session.host.Logger
 	waited := model.Millis(time.Since(e.arrived))
 	if refusal.NotRun {
--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -47,7 +47,7 @@
 		return "", false
 	}
 	var buffer [holder.MaxHosts]holder.Host
-	order, sharing := holders.Order(buffer[:0], e.session.tenant, h.portionOf(e.session.tenant))
+	order, sharing := holders.Order(buffer[:0], e.session.tenant, h.view().Directory.Weights.Part(e.session.tenant))
 	if own := slices.IndexFunc(order, func(host holder.Host) bool { return host.ID == h.self.ID }); own >= 0 {
 		order = order[:own] // this host stands in before the others behind it
 		sharing = min(sharing, own)
@@ -79,9 +79,6 @@
 	return holders[index].Address, true
 }
 
-// portionOf returns the part of all work that is expected of a tenant.
-func (h *Host) portionOf(tenant model.TenantID) float64 { return h.view().Directory.Portions[tenant] }
-
 // noteRemote records that the instance responded to another host, which had been asked the given time before.
 func (b *backend) noteRemote(now time.Time, kind model.KindID, took time.Duration, point model.Point) {
 	b.mutex.Lock()
--- a/internal/holder/set.go
+++ b/internal/holder/set.go
@@ -13,7 +13,7 @@
 // MaxHosts is the greatest number of hosts of a set.
 const MaxHosts = 8
 
-// overlap is how many times its share of the hosts a tenant gets, so that a large tenant doesn't fill the only host that it has.
+// overlap is how many times its part of the hosts a tenant gets, so that a large tenant doesn't fill the only host that it has.
 const overlap = 1.5
 
 // Host is a host that keeps connections to an instance.
@@ -67,12 +67,12 @@
 }
 
 // Order appends the hosts to the buffer, the one to take a request of the tenant first, and the others in the order in which they stand
-// in for it. The share is that of the tenant of all work; the first ones, as many as sharing says, share the tenant's requests.
+// in for it. The part is that of the tenant of all tenants' work; the first ones, as many as sharing says, share its requests.
 //
 // Connections belong to tenants, so that one host takes what all hosts have of a small tenant: a connection is then used by the next
 // request instead of being closed for another tenant's. Hosts agree on the order by rendezvous hashing. A large tenant has several hosts,
 // of which each host prefers itself, and else spreads the requests. Without a tenant each host has its own order.
-func (s *Set) Order(buffer []Host, tenant model.TenantID, share float64) (order []Host, sharing int) {
+func (s *Set) Order(buffer []Host, tenant model.TenantID, part float64) (order []Host, sharing int) {
 	var scores [MaxHosts]uint64
 	var ranked [MaxHosts]int
 	key := xxhash.Sum64String(string(tenant))
@@ -83,7 +83,7 @@
 			ranked[j], ranked[j-1] = ranked[j-1], ranked[j]
 		}
 	}
-	sharing = s.spread(tenant, share)
+	sharing = s.spread(tenant, part)
 	slices.SortFunc(ranked[:sharing], func(a, b int) int { // members are in order of preference
 		return cmp.Or(compareBool(s.members[b].ID == s.self, s.members[a].ID == s.self), cmp.Compare(a, b))
 	})
@@ -94,11 +94,11 @@
 }
 
 // spread returns the number of hosts that share a tenant's requests.
-func (s *Set) spread(tenant model.TenantID, share float64) int {
+func (s *Set) spread(tenant model.TenantID, part float64) int {
 	if tenant == "" {
 		return len(s.members)
 	}
-	return min(max(int(math.Ceil(share*overlap*float64(len(s.members)))), 1), len(s.members))
+	return min(max(int(math.Ceil(part*overlap*float64(len(s.members)))), 1), len(s.members))
 }
 
 // mix spreads the bits of a number (the finalizer of SplitMix64).
@@ -111,8 +111,8 @@
 }
 
 // TakesItself reports whether the host that uses the set takes a request of the tenant itself.
-func (s *Set) TakesItself(tenant model.TenantID, share float64) bool {
+func (s *Set) TakesItself(tenant model.TenantID, part float64) bool {
 	var buffer [MaxHosts]Host
-	order, _ := s.Order(buffer[:0], tenant, share)
+	order, _ := s.Order(buffer[:0], tenant, part)
 	return len(order) > 0 && order[0].ID == s.self
 }
