relay: sessions, messages and replies passed on between hosts count in the holder's limits

A crowd at two hosts made the holder of their connections hold 159,560 KiB of session values (bound 65,536), made the hosts that pass requests on hold 99,872 and 126,060 KiB of replies that nobody read, and 600 connections without a greeting took 461 descriptors (bound 256).

- limit.ShareLimiter: half of the session limit is for sessions that other hosts pass on; one host takes at most three quarters of it alone, and a quarter while another wants some.
They count towards the session limit.
- A message above 4 KiB takes memory of the budget before it is read; one without memory is verified and dropped as it arrives, so that the stream goes on.
Values of passed-on sessions and the copies of a response count too.
Replies count at the host that receives them, until the caller has read them.
- Connections that have not proved to be a host's are at most 32, the oldest of which gives way.
Before, 512 of them kept hosts out: TestLimits expected that, so that its case is replaced by TestStrangers, in which a host is served beside them.
- Messages that stop half-way end the stream after 10 s.
A long message is not copied any more to be sent.

--- a/internal/event/events_gen.go
+++ b/internal/event/events_gen.go
@@ -69,6 +69,7 @@
 	NumberMemoryRefused            Number = 6040
 	NumberSessionEvicted           Number = 6041
 	NumberSessionsFull             Number = 6042
+	NumberRelayedSessionRefused    Number = 6043
 )
 
 // Keeps the import of package model when no event uses it.
@@ -656,3 +657,12 @@
 		"open":  open,
 	}).Warn("a session was refused because the host has as many as it may")
 }
+
+// RelayedSessionRefused logs event 6043: a session that another host passes on was refused because this host has as many as it may.
+func RelayedSessionRefused(logger log.Interface, from model.HostID, open int) {
+	logger.WithFields(log.Fields{
+		"event": NumberRelayedSessionRefused,
+		"from":  from,
+		"open":  open,
+	}).Warn("a session that another host passes on was refused because this host has as many as it may")
+}
--- a/internal/front/counters.go
+++ b/internal/front/counters.go
@@ -23,15 +23,16 @@
 
 // counters holds the metrics of a host.
 type counters struct {
-	Requests     expvar.Int // statements that needed an instance
-	Retries      expvar.Int // attempts after the first
-	Promotions   expvar.Int // ordered by this host
-	Sessions     expvar.Int // open now
-	Relayed      expvar.Int // requests passed on to hosts that keep connections
-	Evicted      expvar.Int // sessions closed in favour of new ones
-	OverLimit    expvar.Int // sessions refused because the host had as many as it may
-	SetupRefused expvar.Int // commands that prepare a connection for a session and that an instance refused
-	DroppedLines func() uint64
+	Requests       expvar.Int // statements that needed an instance
+	Retries        expvar.Int // attempts after the first
+	Promotions     expvar.Int // ordered by this host
+	Sessions       expvar.Int // open now
+	Relayed        expvar.Int // requests passed on to hosts that keep connections
+	Evicted        expvar.Int // sessions closed in favour of new ones
+	OverLimit      expvar.Int // sessions refused because the host had as many as it may
+	RelayedRefused expvar.Int // sessions that other hosts passed on and that were refused because the host had as many as it may
+	SetupRefused   expvar.Int // commands that prepare a connection for a session and that an instance refused
+	DroppedLines   func() uint64
 
 	placed    placements
 	refusals  expvar.Map // by code
@@ -88,6 +89,7 @@
 	line("relayed %s", c.Relayed.String())
 	line("sessions_evicted %s", c.Evicted.String())
 	line("sessions_over_limit %s", c.OverLimit.String())
+	line("relayed_refused %s", c.RelayedRefused.String())
 	line("setup_refused %s", c.SetupRefused.String())
 	line("lines_dropped %d", c.DroppedLines())
 	c.refusals.Do(func(kv expvar.KeyValue) { line("refusals{code=%q} %s", kv.Key, kv.Value.String()) })
--- a/internal/front/host.go
+++ b/internal/front/host.go
@@ -20,6 +20,7 @@
 	"redwingspread/internal/controller"
 	"redwingspread/internal/directory"
 	"redwingspread/internal/event"
+	"redwingspread/internal/limit"
 	"redwingspread/internal/mesh"
 	"redwingspread/internal/model"
 	"redwingspread/internal/placement"
@@ -50,6 +51,7 @@
 	sharedRegion       bool // some region has several data centres
 	mesh               *mesh.Node
 	relays             *relay.Client
+	relayed            *limit.ShareLimiter[model.HostID] // sessions that other hosts pass on
 	allowances         *allowances
 	self               controller.Host
 	counters           *counters
@@ -93,6 +95,7 @@
 		openSessions: make(map[*callerSession]struct{}),
 		rowsRead:     make(chan struct{}),
 		relays:       relay.NewClient(),
+		relayed:      limit.NewShareLimiter[model.HostID](),
 	}
 }
 
@@ -163,6 +166,9 @@
 	h.relays.Host = h.self.ID
 	h.relays.Key = h.mesh.Key
 	h.relays.Packer = h.mesh.Packer()
+	h.relays.Memory = h.Memory
+	h.relayed.Limit = h.sessionLimit() / relayedDivisor
+	h.relayed.Now = clock.Boot
 	h.mesh.ConnectionLimit = h.listenerLimit()
 	h.mesh.Directory = func() *directory.Directory { return h.view().Directory }
 	if !h.unfenced() {
@@ -467,6 +473,9 @@
 	server.Address = h.self.Relay
 	server.Key = h.mesh.Key
 	server.Packer = h.mesh.Packer()
+	server.Memory = h.Memory
+	server.StreamLimit = h.keptDescriptors()
+	server.Admit, server.Leave = h.admitRelayed, h.relayed.Release
 	server.Serve = h.serveRelayed
 	server.Logger = h.Logger
 	return server
--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"redwingspread/internal/boundary"
+	"redwingspread/internal/budget"
 	"redwingspread/internal/clock"
 	"redwingspread/internal/event"
 	"redwingspread/internal/model"
@@ -300,6 +301,8 @@
 	caller := &relayedCaller{session: passed, interrupts: make(chan struct{}, 1)}
 	s := &callerSession{host: h, caller: caller, id: h.newSessionID(), state: session.NewSession(), relayed: true, leastVersion: passed.Opening.Version, tenant: passed.Opening.Tenant}
 	caller.owner = s
+	s.state.Room.Init(h.Memory, budget.State, stateReserve)
+	defer s.state.Room.Close()
 	h.addSession(s)
 	err := boundary.Run(func() error { return s.serve(ctx) })
 	if errors.Is(err, boundary.ErrPanic) {
@@ -314,8 +317,9 @@
 	session    relay.Session
 	owner      *callerSession
 	interrupts chan struct{}
-	unanswered bool // the newest call has no reply yet
-	last       bool // the session ends with the reply to it
+	access     model.Access // of the newest call
+	unanswered bool         // the newest call has no reply yet
+	last       bool         // the session ends with the reply to it
 }
 
 // ReadStart returns what the session is for. The host that passes it on has checked the key.
@@ -349,7 +353,10 @@
 			return request, ErrClosed
 		}
 		c.unanswered, c.last = true, call.Last
-		c.apply(&call)
+		if refusal := c.apply(&call); refusal != nil {
+			c.last = true
+			return request, refusal
+		}
 		return call.Request, nil
 	case <-c.interrupts:
 	case <-timeout:
@@ -357,21 +364,33 @@
 	return request, ErrNoRequest
 }
 
-// apply brings the session's values and the prepared statement of the call to this host.
-func (c *relayedCaller) apply(call *relay.Call) {
+// apply brings the session's values and the prepared statement of the call to this host, or refuses if there is no memory for them.
+func (c *relayedCaller) apply(call *relay.Call) *model.Refusal {
 	if call.Values != nil {
-		c.owner.state.Values = call.Values
+		if refusal := c.owner.state.SetValues(call.Values); refusal != nil {
+			return refusal
+		}
 	}
 	if call.Request.Verb == statement.Execute {
 		c.owner.state.Prepared = map[string]statement.Prepared{call.Request.Name: call.Prepared}
 	}
 	now := time.Now()
 	c.owner.startLimit, c.owner.responseLimit = now.Add(call.StartIn), now.Add(call.Left)
+	c.access = c.owner.state.Access(call.Request.Statement)
+	return nil
 }
 
 // SendResponse sends the reply to the newest call.
 func (c *relayedCaller) SendResponse(response *statement.Response, state statement.State) error {
 	defer response.Release()
+	if response.Room != nil && response.Room.Resize(model.Bytes(relay.ReplyCopies*response.Size())) != nil {
+		response.Release()
+		refusal := model.OutcomeUnknown("the host has no memory left for the response")
+		if c.access == model.Read {
+			refusal = refuseNoRoom()
+		}
+		return c.send(&relay.Reply{Refusal: refusal, Response: statement.Response{State: state}})
+	}
 	reply := &relay.Reply{Response: *response}
 	reply.Response.State = state
 	reply.Instance, reply.Led = c.owner.servedBy, response.Succeeded() && c.owner.servedByPrimary
--- a/internal/front/shed.go
+++ b/internal/front/shed.go
@@ -37,6 +37,9 @@
 	fullInterval     = 10 * time.Millisecond // between two searches for a session that may give way, where none was found
 )
 
+// relayedDivisor divides the session limit to give the number of sessions that other hosts may pass on.
+const relayedDivisor = 2
+
 // Descriptors that are kept for other things than sessions.
 const (
 	otherShare    = 2   // at most the descriptors divided by this
@@ -112,9 +115,9 @@
 	fullUntil time.Time // no session may give way until then
 }
 
-// admit reports whether a new connection gets a session, given how many are open with it. At the limit another one gives way, if one may.
+// admit reports whether a new connection gets a session, given how many of callers are open with it. At the limit another one gives way, if one may.
 func (a *sessionAdmission) admit(open int) bool {
-	if open <= a.limit {
+	if open+a.host.relayed.Taken() <= a.limit {
 		return true
 	}
 	now := time.Now()
@@ -128,6 +131,16 @@
 	return false
 }
 
+// admitRelayed reports whether another host may pass one more session on, which counts towards the session limit.
+func (h *Host) admitRelayed(from model.HostID) bool {
+	if int(h.counters.Sessions.Value())+h.relayed.Taken() < h.sessionLimit() && h.relayed.Acquire(from) {
+		return true
+	}
+	h.counters.RelayedRefused.Add(1)
+	event.RelayedSessionRefused(h.Logger, from, h.relayed.Taken())
+	return false
+}
+
 // makeRoom closes the connection of the session that has been in the middle of a message, or without START, longest, and for at least
 // the given time. It reports whether there was one.
 func (h *Host) makeRoom(atLeast time.Duration) bool {
--- a/internal/limit/limit_test.go
+++ b/internal/limit/limit_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"redwingspread/internal/model"
 )
@@ -108,6 +109,48 @@
 	}
 }
 
+// TestShareLimiter guards against a sharer that takes what others want, and against places that nobody can take.
+func TestShareLimiter(t *testing.T) {
+	const second = model.Instant(time.Second)
+	type step struct {
+		after model.Instant
+		key   string // takes places, or gives them back if count is negative
+		count int
+		want  int // places that it gets
+	}
+	tests := map[string][]step{
+		"alone":                   {{key: "a", count: 100, want: 30}},
+		"others want some":        {{key: "b", count: 1, want: 1}, {key: "a", count: 100, want: 10}},
+		"others come later":       {{key: "a", count: 100, want: 30}, {key: "b", count: 20, want: 10}, {key: "c", count: 1}},
+		"all places":              {{key: "a", count: 5, want: 5}, {key: "b", count: 99, want: 10}, {key: "c", count: 99, want: 10}, {key: "d", count: 99, want: 10}, {key: "e", count: 99, want: 5}},
+		"given back":              {{key: "a", count: 100, want: 30}, {key: "a", count: -30}, {key: "a", count: 30, want: 30}},
+		"the other has just left": {{key: "b", count: 1, want: 1}, {key: "b", count: -1}, {key: "a", count: 20, want: 10}},
+		"the other left long ago": {{key: "b", count: 1, want: 1}, {key: "b", count: -1}, {key: "a", after: second, count: 20, want: 20}},
+	}
+	for name, steps := range tests {
+		t.Run(name, func(t *testing.T) {
+			now := model.Instant(0)
+			limiter := NewShareLimiter[string]()
+			limiter.Limit, limiter.Now = 40, func() model.Instant { return now }
+			for n, step := range steps {
+				now += step.after
+				got := 0
+				for range step.count {
+					if limiter.Acquire(step.key) {
+						got++
+					}
+				}
+				for range -step.count {
+					limiter.Release(step.key)
+				}
+				if got != step.want {
+					t.Errorf("step %d: got %d places, want %d", n, got, step.want)
+				}
+			}
+		})
+	}
+}
+
 func TestListener(t *testing.T) {
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/internal/limit/rotating.go
+++ b/internal/limit/rotating.go
@@ -57,6 +57,13 @@
 	}
 }
 
+// Exempt makes a connection of a rotating listener no longer count towards its limit, nor give way to others.
+func Exempt(conn net.Conn) {
+	if rotating, ok := conn.(*rotatingConn); ok {
+		rotating.listener.remove(rotating)
+	}
+}
+
 // rotatingConn is a connection that counts towards the limit until it is closed or replaced.
 type rotatingConn struct {
 	net.Conn
--- a/internal/mesh/key.go
+++ b/internal/mesh/key.go
@@ -8,6 +8,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"errors"
+	"hash"
 )
 
 const (
@@ -57,12 +58,18 @@
 
 // MAC returns the MAC of a numbered message.
 func (k *Key) MAC(number uint64, body []byte) []byte {
-	mac := hmac.New(sha256.New, k[:])
-	mac.Write(binary.BigEndian.AppendUint64(nil, number))
+	mac := k.NewMAC(number)
 	mac.Write(body)
 	return mac.Sum(nil)[:MACSize]
 }
 
+// NewMAC returns a hash that computes the MAC of a numbered message whose body is written to it; the MAC is the first MACSize bytes.
+func (k *Key) NewMAC(number uint64) hash.Hash {
+	mac := hmac.New(sha256.New, k[:])
+	mac.Write(binary.BigEndian.AppendUint64(nil, number))
+	return mac
+}
+
 // VerifyMAC returns ErrInvalidMAC unless the MAC belongs to the numbered message.
 func (k *Key) VerifyMAC(number uint64, body, mac []byte) error {
 	if !hmac.Equal(k.MAC(number, body), mac) {
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"redwingspread/internal/budget"
 	"redwingspread/internal/mesh"
 	"redwingspread/internal/model"
 )
@@ -45,6 +46,8 @@
 	Key func() *mesh.Key
 	// Packer packs calls; nil for none.
 	Packer *mesh.Packer
+	// Memory is the budget for replies; nil for none.
+	Memory *budget.Budget
 
 	sessions atomic.Uint64
 	mutex    sync.Mutex
@@ -125,7 +128,7 @@
 	if !s.expect(call.Session, replies) {
 		return reply, ErrNotSent
 	}
-	defer s.forget(call.Session)
+	defer s.abandon(call.Session, replies)
 	sent := time.Now()
 	if err := s.write(body); errors.Is(err, errTooLarge) {
 		return reply, errors.Join(ErrNotSent, err)
@@ -244,7 +247,7 @@
 		return nil, err
 	}
 	s := &clientStream{stream: newStream(conn), waiting: make(map[SessionID]chan Reply), open: make(map[SessionID]struct{})}
-	s.packer = c.Packer
+	s.packer, s.memory, s.use = c.Packer, c.Memory, budget.Answers
 	limit, _ := dialCtx.Deadline()
 	if err := s.greet(key, c.Host, limit); err != nil {
 		return nil, errors.Join(err, conn.Close())
@@ -290,16 +293,24 @@
 		if err := s.await(idleTimeout); err != nil {
 			return // also when idle: the next call opens another stream
 		}
-		body, err := s.read()
+		m, err := s.read()
 		if err != nil {
 			return
 		}
-		reply, err := decodeReply(body)
-		if err != nil {
-			return
+		reply := Reply{Session: m.refused, Refusal: model.OutcomeUnknown("the host has no memory for the reply")}
+		if m.refused == 0 {
+			if reply, err = decodeReply(m.body); err != nil {
+				closeRoom(m.room)
+				return
+			}
+			m.shrink()
+			reply.Response.Room = m.room
+		}
+		if reply.Refusal != nil {
+			reply.Response.Release() // a refusal has no rows
 		}
-		if replies := s.forget(reply.Session); replies != nil {
-			replies <- reply
+		if !s.deliver(reply) {
+			reply.Response.Release()
 		}
 	}
 }
@@ -350,13 +361,28 @@
 	return true
 }
 
-// forget removes a call and returns its channel, or nil if there is none.
-func (s *clientStream) forget(session SessionID) chan Reply {
+// deliver hands a reply to the call that waits for it, and reports whether one does.
+func (s *clientStream) deliver(reply Reply) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	replies := s.waiting[reply.Session]
+	delete(s.waiting, reply.Session)
+	if replies != nil {
+		replies <- reply // has room for one
+	}
+	return replies != nil
+}
+
+// abandon removes a call, and releases a reply that came too late for it.
+func (s *clientStream) abandon(session SessionID, replies chan Reply) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	replies := s.waiting[session]
 	delete(s.waiting, session)
-	return replies
+	select {
+	case reply := <-replies:
+		reply.Response.Release()
+	default:
+	}
 }
 
 // fail ends the calls that have no reply.
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"redwingspread/internal/budget"
 	"redwingspread/internal/model"
 	"redwingspread/internal/statement"
 	"redwingspread/pkg/api/meshapi"
@@ -32,6 +33,8 @@
 	Left     time.Duration      // within which it must be answered
 	Last     bool               // the session ends with the response
 	End      bool               // the session ends at once; the call has no request and gets no reply
+
+	room *budget.Account // of the memory that the message takes; nil if it is small
 }
 
 // Reply is the response to a call: that of an instance, or a refusal by the host.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -13,6 +13,7 @@
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 
+	"redwingspread/internal/budget"
 	"redwingspread/internal/mesh"
 	"redwingspread/internal/model"
 	"redwingspread/internal/statement"
@@ -371,8 +372,8 @@
 				t.Errorf("got %v, want the stream kept %v", err, test.kept)
 			}
 			if test.kept {
-				if got, err := s.read(); err != nil || string(got) != "x" {
-					t.Errorf("got %q, %v, want the message after the wait", got, err)
+				if got, err := s.read(); err != nil || string(got.body) != "x" {
+					t.Errorf("got %q, %v, want the message after the wait", got.body, err)
 				}
 			}
 			_ = caller.conn.Close()
@@ -381,53 +382,96 @@
 	}
 }
 
-// TestLimits guards against sessions and connections without bound, and against limits that stay reached after what reached them ended.
-func TestLimits(t *testing.T) {
-	tests := map[string]func(t *testing.T, client *Client, address model.Address) (release func()){
-		"sessions": func(t *testing.T, client *Client, address model.Address) func() {
-			var last *Call
-			for range sessionLimit {
-				last = newCall(client, "a")
-				if reply, err := client.Call(context.Background(), address, last); err != nil || reply.Refusal != nil {
-					t.Fatalf("got %+v, %v within the limit, want a response", reply, err)
-				}
-			}
-			return func() { client.End(address, last.Session) }
-		},
-		"connections without a greeting": func(t *testing.T, _ *Client, address model.Address) func() {
-			var conns []net.Conn
-			for range streamLimit {
-				conn, err := net.Dial("tcp4", string(address))
+// TestSessionLimit guards against sessions without bound, and against a limit that stays reached after what reached it ended.
+func TestSessionLimit(t *testing.T) {
+	address, stop := startServer(t, answer)
+	defer stop()
+	client := startClient(t, testKey(1))
+	succeeds := func() bool {
+		reply, err := client.Call(context.Background(), address, newCall(client, "a"))
+		if err != nil && !errors.Is(err, ErrNotSent) || reply.Refusal != nil && !reply.Refusal.NotRun {
+			t.Fatalf("got %+v, %v, want a response or to be told that nothing has run", reply, err)
+		}
+		return err == nil && reply.Refusal == nil
+	}
+	var last *Call
+	for range sessionLimit {
+		last = newCall(client, "a")
+		if reply, err := client.Call(context.Background(), address, last); err != nil || reply.Refusal != nil {
+			t.Fatalf("got %+v, %v within the limit, want a response", reply, err)
+		}
+	}
+	if succeeds() {
+		t.Error("got a response beyond the limit, want none")
+	}
+	client.End(address, last.Session)
+	waitFor(t, "a call is answered again", succeeds)
+}
+
+// TestStrangers guards against connections without a greeting that keep hosts out, or stay open in numbers.
+func TestStrangers(t *testing.T) {
+	address, stop := startServer(t, answer)
+	defer stop()
+	var conns []net.Conn
+	for range 2 * pendingLimit {
+		conn, err := net.Dial("tcp4", string(address))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		conns = append(conns, conn)
+	}
+	client := startClient(t, testKey(1))
+	reply, err := client.Call(context.Background(), address, newCall(client, "a"))
+	if err != nil || reply.Refusal != nil {
+		t.Errorf("got %+v, %v beside connections without a greeting, want a response", reply, err)
+	}
+	if _, err := conns[0].Read(make([]byte, 1)); err == nil {
+		t.Error("got the oldest connection open, want it closed")
+	}
+}
+
+// TestNoMemory guards against calls and replies that are held without memory for them, and against a stream that ends for one of them.
+func TestNoMemory(t *testing.T) {
+	tests := map[string]struct {
+		text       string
+		ofReceiver model.Bytes // limit of the budget
+		refused    bool
+	}{
+		"small":               {text: "a", ofReceiver: 1},
+		"within the limit":    {text: strings.Repeat("x", 100<<10), ofReceiver: 1 << 20},
+		"beyond the limit":    {text: strings.Repeat("x", 500<<10), ofReceiver: 1 << 20, refused: true},
+		"beyond the reserve":  {text: strings.Repeat("x", 10<<10), ofReceiver: 1 << 10, refused: true},
+		"packed, no room for": {text: strings.Repeat("x", 30<<10), ofReceiver: 1 << 10, refused: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			caller, holder, _ := wire(t)
+			caller.packer = &mesh.Packer{}
+			holder.memory, holder.use = budget.New(), budget.Messages
+			holder.memory.Limit = test.ofReceiver
+			for session := SessionID(7); session <= 8; session++ {
+				body, err := encodeCall(&Call{Session: session, Request: statement.Request{Statement: statement.Statement{Text: test.text}}})
 				if err != nil {
 					t.Fatal(err)
 				}
-				conns = append(conns, conn)
-			}
-			return func() {
-				for _, conn := range conns {
-					_ = conn.Close()
+				written := make(chan error, 1)
+				go func() { written <- caller.write(body) }()
+				m, err := holder.read()
+				if err := errors.Join(err, <-written); err != nil {
+					t.Fatal(err)
 				}
-			}
-		},
-	}
-	for name, reach := range tests {
-		t.Run(name, func(t *testing.T) {
-			address, stop := startServer(t, answer)
-			defer stop()
-			client := startClient(t, testKey(1))
-			succeeds := func() bool {
-				reply, err := client.Call(context.Background(), address, newCall(client, "a"))
-				if err != nil && !errors.Is(err, ErrNotSent) || reply.Refusal != nil && !reply.Refusal.NotRun {
-					t.Fatalf("got %+v, %v, want a response or to be told that nothing has run", reply, err)
+				if got, want := m.refused, map[bool]SessionID{true: session}[test.refused]; got != want {
+					t.Errorf("got session %d refused, want %d", got, want)
+				}
+				if got := m.body != nil; got == test.refused {
+					t.Errorf("got the message kept %v, want %v", got, !test.refused)
 				}
-				return err == nil && reply.Refusal == nil
+				closeRoom(m.room)
 			}
-			release := reach(t, client, address)
-			if succeeds() {
-				t.Error("got a response beyond the limit, want none")
+			if got := holder.memory.Used(); got != 0 {
+				t.Errorf("got %d bytes in use in the end, want 0", got)
 			}
-			release()
-			waitFor(t, "a call is answered again", succeeds)
 		})
 	}
 }
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -5,17 +5,21 @@
 	"errors"
 	"fmt"
 	"net"
+	"sync"
 	"time"
 
 	"github.com/apex/log"
 
+	"redwingspread/internal/budget"
 	"redwingspread/internal/clock"
 	"redwingspread/internal/event"
+	"redwingspread/internal/limit"
 	"redwingspread/internal/mesh"
 	"redwingspread/internal/model"
 )
 
 const (
+	pendingLimit     = 32                    // connections whose host has not proved that it knows the key; the oldest gives way
 	streamLimit      = 512                   // streams of other hosts
 	sessionLimit     = 1024                  // sessions of one stream
 	acceptRetryDelay = 10 * time.Millisecond // after a failed accept
@@ -41,6 +45,14 @@
 	Key func() *mesh.Key
 	// Packer packs replies; nil for none.
 	Packer *mesh.Packer
+	// Memory is the budget for calls; nil for none.
+	Memory *budget.Budget
+	// StreamLimit is the greatest number of streams of other hosts.
+	StreamLimit int
+	// Admit reports whether a host may have one more session, which Leave ends.
+	Admit func(host model.HostID) bool
+	// Leave is called at the end of each session that was admitted.
+	Leave func(host model.HostID)
 	// Serve serves one session; it has to return when Calls is closed.
 	Serve func(ctx context.Context, session Session)
 	// Logger receives events.
@@ -48,7 +60,14 @@
 }
 
 // NewServer returns a server; its exported fields have to be set before Run.
-func NewServer() *Server { return &Server{Key: func() *mesh.Key { return nil }} }
+func NewServer() *Server {
+	return &Server{
+		Key:         func() *mesh.Key { return nil },
+		StreamLimit: streamLimit,
+		Admit:       func(model.HostID) bool { return true },
+		Leave:       func(model.HostID) {},
+	}
+}
 
 // Run serves streams until the context ends, then sends its result on done.
 func (s *Server) Run(ctx context.Context, done chan<- error) {
@@ -67,10 +86,12 @@
 		return ctx.Err()
 	}
 	config := net.ListenConfig{KeepAliveConfig: keepAlive}
-	listener, err := config.Listen(ctx, "tcp4", string(s.Address))
+	inner, err := config.Listen(ctx, "tcp4", string(s.Address))
 	if err != nil {
 		return err
 	}
+	listener := limit.NewRotatingListener(inner)
+	listener.Limit = pendingLimit
 	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
 	defer stop()
 	ended := make(chan error)
@@ -81,7 +102,7 @@
 	for accepted != nil || open > 0 {
 		select {
 		case conn := <-accepted:
-			if open >= streamLimit {
+			if open >= s.StreamLimit+pendingLimit {
 				_ = conn.Close() // nothing was read
 				continue
 			}
@@ -125,10 +146,44 @@
 type serverStream struct {
 	*stream
 	server   *Server
-	sessions map[SessionID]chan Call
+	sessions map[SessionID]*serverSession
 	ended    chan SessionID // receives each session at its end
 }
 
+// serverSession is a session as the goroutine that dispatches calls sees it.
+type serverSession struct {
+	calls chan Call // closed once the session has ended at the other host
+	over  bool      // calls is closed
+
+	mutex sync.Mutex
+	rooms []*budget.Account // of the calls without a reply, the oldest first
+}
+
+// begin records a call that was handed to the session.
+func (s *serverSession) begin(call Call) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.rooms = append(s.rooms, call.room)
+}
+
+// finish gives the memory of the oldest call without a reply back.
+func (s *serverSession) finish() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if len(s.rooms) > 0 {
+		closeRoom(s.rooms[0])
+		s.rooms = s.rooms[1:]
+	}
+}
+
+// close ends the session's calls.
+func (s *serverSession) close() {
+	if !s.over {
+		s.over = true
+		close(s.calls)
+	}
+}
+
 // serveStream serves the sessions of one stream until it ends.
 func (s *Server) serveStream(ctx context.Context, conn net.Conn) (err error) {
 	defer func() { err = errors.Join(err, conn.Close()) }()
@@ -137,15 +192,16 @@
 		return mesh.ErrInvalidMAC
 	}
 	accepted := newStream(conn)
-	accepted.packer = s.Packer
+	accepted.packer, accepted.memory, accepted.use = s.Packer, s.Memory, budget.Messages
 	if err := accepted.accept(key, s.Host); err != nil {
 		return err
 	}
+	limit.Exempt(conn)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
-	t := &serverStream{stream: accepted, server: s, sessions: make(map[SessionID]chan Call), ended: make(chan SessionID)}
+	t := &serverStream{stream: accepted, server: s, sessions: make(map[SessionID]*serverSession), ended: make(chan SessionID)}
 	received := make(chan Call)
 	readEnded := make(chan error, 1)
 	go t.receive(ctx, received, readEnded)
@@ -154,17 +210,16 @@
 		case call := <-received:
 			t.dispatch(ctx, call)
 		case id := <-t.ended:
-			t.refuseRest(id)
-			delete(t.sessions, id)
+			t.endSession(id)
 		case err = <-readEnded:
 			received = nil
 		}
 	}
-	for _, calls := range t.sessions {
-		close(calls)
+	for _, session := range t.sessions {
+		session.close()
 	}
 	for len(t.sessions) > 0 {
-		delete(t.sessions, <-t.ended)
+		t.endSession(<-t.ended)
 	}
 	return err
 }
@@ -172,19 +227,27 @@
 // receive passes calls on until the stream ends, then sends its error on done.
 func (t *serverStream) receive(ctx context.Context, received chan<- Call, done chan<- error) {
 	for {
-		body, err := t.read()
+		m, err := t.read()
 		if err != nil {
 			done <- err
 			return
 		}
-		call, err := decodeCall(body)
+		if m.refused != 0 {
+			t.refuse(Call{Session: m.refused}, "the host has no memory left for it")
+			continue
+		}
+		call, err := decodeCall(m.body)
+		m.shrink()
+		call.room = m.room
 		if err != nil {
+			closeRoom(call.room)
 			done <- err
 			return
 		}
 		select {
 		case received <- call:
 		case <-ctx.Done():
+			closeRoom(call.room)
 			done <- ctx.Err()
 			return
 		}
@@ -193,31 +256,31 @@
 
 // dispatch hands a call to its session, which begins with its first call.
 func (t *serverStream) dispatch(ctx context.Context, call Call) {
-	calls, found := t.sessions[call.Session]
+	session, found := t.sessions[call.Session]
 	switch {
-	case call.End && found:
-		delete(t.sessions, call.Session)
-		close(calls)
-		t.sessions[call.Session] = make(chan Call) // until its goroutine reports the end
-		return
 	case call.End:
+		closeRoom(call.room)
+		if found {
+			session.close()
+		}
 		return
-	case !found && call.Opening == nil:
+	case found && session.over, !found && call.Opening == nil:
 		t.refuse(call, "the session has ended here")
 		return
-	case !found && len(t.sessions) >= sessionLimit:
+	case !found && (len(t.sessions) >= sessionLimit || !t.server.Admit(t.peer)):
 		t.refuse(call, "the host has as many passed-on sessions as it may")
 		return
 	case !found:
-		calls = make(chan Call, 1)
-		t.sessions[call.Session] = calls
-		go t.serve(ctx, call.Session, Session{Opening: *call.Opening, Calls: calls, Reply: t.replier(call.Session)})
+		session = &serverSession{calls: make(chan Call, 1)}
+		t.sessions[call.Session] = session
+		go t.serve(ctx, call.Session, Session{Opening: *call.Opening, Calls: session.calls, Reply: t.sessionReplier(call.Session, session)})
 	}
-	select {
-	case calls <- call:
-	default:
+	if len(session.calls) == cap(session.calls) {
 		t.refuse(call, "the session has a call in progress")
+		return
 	}
+	session.begin(call)
+	session.calls <- call // has room, since only this goroutine sends
 }
 
 // serve serves one session and reports its end.
@@ -226,15 +289,30 @@
 	t.ended <- id
 }
 
-// refuseRest refuses the call that reached a session at its end.
-func (t *serverStream) refuseRest(id SessionID) {
+// endSession refuses the call that reached a session at its end, and removes the session.
+func (t *serverStream) endSession(id SessionID) {
+	session := t.sessions[id]
 	select {
-	case call, open := <-t.sessions[id]:
+	case call, open := <-session.calls:
 		if open {
 			t.refuse(call, "the session has ended here")
 		}
 	default:
 	}
+	for range session.rooms {
+		session.finish()
+	}
+	delete(t.sessions, id)
+	t.server.Leave(t.peer)
+}
+
+// sessionReplier returns the function that sends the replies of a session, and gives the memory of its calls back.
+func (t *serverStream) sessionReplier(id SessionID, session *serverSession) func(reply *Reply) error {
+	reply := t.replier(id)
+	return func(r *Reply) error {
+		defer session.finish()
+		return reply(r)
+	}
 }
 
 // replier returns the function that sends the replies of a session.
@@ -259,5 +337,6 @@
 
 // refuse replies that a call has not run.
 func (t *serverStream) refuse(call Call, reason string) {
+	closeRoom(call.room)
 	_ = t.replier(call.Session)(&Reply{Refusal: model.Refuse(model.CodeStopping, "%s", reason)}) // fails when the stream has ended
 }
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"bytes"
+	"crypto/hmac"
 	"crypto/rand"
 	"encoding/binary"
 	"errors"
@@ -12,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"redwingspread/internal/budget"
 	"redwingspread/internal/mesh"
 	"redwingspread/internal/model"
 	"redwingspread/pkg/api/meshapi"
@@ -19,16 +22,24 @@
 
 const (
 	messageLimit    = 4 << 20          // bytes of one message
+	messageCopies   = 3                // a message is held as received, as texts, and as what is made of these
+	uncountedSize   = 4 << 10          // bytes of a message up to which it takes no memory of the budget
+	reserveSize     = 16 << 10         // bytes of a message up to which it is within the reserve of its session
+	headSize        = 64               // bytes at the beginning of a message that hold its session
 	helloLimit      = 1 << 10          // bytes of the first message, whose sender is not authenticated yet
 	packFrom        = 192              // bytes of a message from which packing saves more than it costs
 	packMost        = 32 << 10         // bytes of a message up to which it is packed, below the limit of mesh.Unpack
-	keptBufferLimit = 64 << 10         // bytes of an output buffer that is kept for the next message
+	keptBufferLimit = 64 << 10         // bytes of a message up to which it is copied to the output buffer
 	readBufferSize  = 4 << 10          // bytes; most messages fit
 	headerSize      = 4 + mesh.MACSize // length and MAC
 	writeTimeout    = 2 * time.Second  // after which a host that doesn't read is given up
 	helloTimeout    = time.Second      // for the first message of a stream
+	bodyTimeout     = 10 * time.Second // for a message that has begun to arrive; 4 MiB take 3.4 s at 10 Mbit/s
 )
 
+// ReplyCopies is how often a response is held while it is passed on: its rows, their texts and the message.
+const ReplyCopies = 3
+
 // Purposes of the keys of a stream.
 const (
 	purposeHello   = "relay hello"
@@ -45,8 +56,10 @@
 	conn   net.Conn
 	reader *bufio.Reader
 	peer   model.HostID
-	limit  uint32       // bytes of a message that is read
-	packer *mesh.Packer // of messages that are sent; nil for none
+	limit  uint32         // bytes of a message that is read
+	packer *mesh.Packer   // of messages that are sent; nil for none
+	memory *budget.Budget // for messages that are read; nil for no limit
+	use    budget.Use     // of that memory
 
 	sealKey, openKey mesh.Key
 	received         uint64       // messages
@@ -121,12 +134,12 @@
 	if err := s.conn.SetReadDeadline(limit); err != nil {
 		return "", err
 	}
-	body, err := s.read()
+	m, err := s.read()
 	if err != nil {
 		return "", err
 	}
 	var hello meshapi.Hello
-	if err := hello.UnmarshalJSON(body); err != nil {
+	if err := hello.UnmarshalJSON(m.body); err != nil {
 		return "", err
 	}
 	s.peer = model.HostID(hello.Host)
@@ -151,38 +164,130 @@
 	s.sent++
 	s.out = binary.BigEndian.AppendUint32(s.out[:0], uint32(len(body)))
 	s.out = append(s.out, s.sealKey.MAC(s.sent, body)...)
-	s.out = append(s.out, body...)
 	if err := s.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return err
 	}
-	_, err := s.conn.Write(s.out)
-	if cap(s.out) > keptBufferLimit {
-		s.out = nil
-	}
+	err := s.send(body)
 	if err != nil {
 		_ = s.conn.Close() // ends the goroutine that reads
 	}
 	return err
 }
 
-// read returns the next message.
-func (s *stream) read() ([]byte, error) {
+// send writes the output, which holds a header, and the body, which is not copied if it is long.
+func (s *stream) send(body []byte) error {
+	if len(body) > keptBufferLimit {
+		parts := net.Buffers{s.out, body}
+		_, err := parts.WriteTo(s.conn)
+		return err
+	}
+	s.out = append(s.out, body...)
+	_, err := s.conn.Write(s.out)
+	return err
+}
+
+// message is a message that was read, or the session of one for which there was no memory.
+type message struct {
+	body    []byte
+	room    *budget.Account // of the memory that the message takes; nil if it is small
+	refused SessionID       // set if there was no memory
+}
+
+// read returns the next message. One for which there is no memory is verified as it arrives, and dropped.
+func (s *stream) read() (m message, err error) {
+	defer func() {
+		if err != nil {
+			closeRoom(m.room)
+		}
+	}()
 	var header [headerSize]byte
 	if _, err := io.ReadFull(s.reader, header[:]); err != nil {
-		return nil, err
+		return m, err
 	}
 	size := binary.BigEndian.Uint32(header[:])
 	if size > s.limit {
-		return nil, errTooLarge
+		return m, errTooLarge
 	}
-	body := make([]byte, size)
-	if _, err := io.ReadFull(s.reader, body); err != nil {
-		return nil, err
+	if size > readBufferSize {
+		if err := s.conn.SetReadDeadline(time.Now().Add(bodyTimeout)); err != nil {
+			return m, err
+		}
+		defer func() { err = errors.Join(err, s.conn.SetReadDeadline(time.Time{})) }()
 	}
 	s.received++
-	if err := s.openKey.VerifyMAC(s.received, body, header[4:]); err != nil {
-		return nil, fmt.Errorf("relay: message %d: %w", s.received, err)
+	if !s.reserve(&m, int(size)) {
+		return s.drop(int64(size), header[4:])
+	}
+	m.body = make([]byte, size)
+	if _, err := io.ReadFull(s.reader, m.body); err != nil {
+		return m, err
+	}
+	if err := s.openKey.VerifyMAC(s.received, m.body, header[4:]); err != nil {
+		return m, fmt.Errorf("relay: message %d: %w", s.received, err)
+	}
+	s.heard.Store(time.Now().UnixNano())
+	if m.body, err = mesh.Unpack(m.body); err != nil {
+		return m, err
+	}
+	if !s.reserve(&m, len(m.body)) {
+		closeRoom(m.room)
+		return refusedMessage(m.body)
+	}
+	return m, nil
+}
+
+// reserve takes memory for a message of the size, beside what it has, and reports whether there is any.
+func (s *stream) reserve(m *message, size int) bool {
+	if s.memory == nil || size <= uncountedSize {
+		return true
+	}
+	if m.room == nil {
+		use := s.use
+		if size <= reserveSize {
+			use = budget.Reserve
+		}
+		m.room = new(budget.Account)
+		m.room.Init(s.memory, use, 0)
+	}
+	return m.room.Resize(model.Bytes(messageCopies*size)) == nil
+}
+
+// shrink gives back what only decoding a message takes.
+func (m *message) shrink() {
+	if m.room != nil {
+		_ = m.room.Resize(model.Bytes(len(m.body))) // a smaller size is not refused
+	}
+}
+
+// drop reads a message without keeping it, and returns its session.
+func (s *stream) drop(size int64, mac []byte) (m message, err error) {
+	var head bytes.Buffer
+	hash := s.openKey.NewMAC(s.received)
+	body := io.LimitReader(s.reader, size)
+	if _, err := io.Copy(hash, io.TeeReader(io.LimitReader(body, headSize), &head)); err != nil {
+		return m, err
+	}
+	if _, err := io.Copy(hash, body); err != nil {
+		return m, err
+	}
+	if !hmac.Equal(hash.Sum(nil)[:mesh.MACSize], mac) {
+		return m, fmt.Errorf("relay: message %d: %w", s.received, mesh.ErrInvalidMAC)
 	}
 	s.heard.Store(time.Now().UnixNano())
-	return mesh.Unpack(body)
+	return refusedMessage(head.Bytes())
+}
+
+// refusedMessage returns a message without its body, whose first bytes are given. Each message begins with its session.
+func refusedMessage(head []byte) (m message, err error) {
+	if _, err := fmt.Fscanf(bytes.NewReader(head[:min(len(head), headSize)]), `{"session":%d`, &m.refused); err != nil {
+		return m, fmt.Errorf("relay: a message without a session: %w", err)
+	}
+	return m, nil
+}
+
+// closeRoom gives the memory of a message back; nil stands for none.
+func closeRoom(room *budget.Account) {
+	if room != nil {
+		room.Close()
+	}
 }
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -122,6 +122,19 @@
 	return AnswerLocally, nil
 }
 
+// SetValues replaces all values, or refuses if there is no memory for them.
+func (s *Session) SetValues(values map[string]string) *model.Refusal {
+	size := model.Bytes(0)
+	for name, value := range values {
+		size += entrySize(name, value)
+	}
+	if refusal := s.Room.Resize(size); refusal != nil {
+		return refusal
+	}
+	s.size, s.Values = size, values
+	return nil
+}
+
 // prepareStatement stores a prepared statement.
 func (s *Session) prepareStatement(stmt statement.Statement) (Action, *model.Refusal) {
 	if _, known := s.Prepared[stmt.Name]; !known && len(s.Prepared) >= maxPrepared {
