--- a/internal/admit/tenant_replay_test.go
+++ b/internal/admit/tenant_replay_test.go
@@ -13,7 +13,6 @@
 // The load of a replay. The sizes of tenants fall as their number to the power -1.2.
 const (
 	replayTenants  = 82
-	replaySlots    = 5
 	replayService  = 20 * time.Millisecond // mean slot time, between half and one and a half times that
 	replayCapacity = float64(replaySlots) * float64(time.Second) / float64(replayService)
 	replayUsual    = 0.7 * replayCapacity   // statements a second of all tenants
@@ -23,8 +22,8 @@
 	replaySessions = 10 // of each tenant, times the factor of the one that sends more
 )
 
-// replay is a load of one kind of work on the slots of one instance.
-type replay struct {
+// tenantReplay is a load of one kind of work on the slots of one instance.
+type tenantReplay struct {
 	factor  float64 // of the rate of the tenant that sends more
 	sender  int     // index of that tenant
 	tenants bool    // the policy knows the tenants
@@ -38,7 +37,7 @@
 
 // run plays the load in virtual time and returns the service of the tenant that sends more, of the others together, and of the least
 // served other tenant among those with at least a hundred statements.
-func (r replay) run() (sender, others served, worst float64) {
+func (r tenantReplay) run() (sender, others served, worst float64) {
 	sum := 0.0
 	for i := range replayTenants {
 		sum += math.Pow(float64(i+1), -1.2)
@@ -148,9 +147,9 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			for seed := range uint64(3) {
-				_, usual, _ := replay{factor: 1, sender: test.sender, tenants: true, seed: seed}.run()
-				_, without, worstWithout := replay{factor: 7.5, sender: test.sender, seed: seed}.run()
-				sender, with, worst := replay{factor: 7.5, sender: test.sender, tenants: true, seed: seed}.run()
+				_, usual, _ := tenantReplay{factor: 1, sender: test.sender, tenants: true, seed: seed}.run()
+				_, without, worstWithout := tenantReplay{factor: 7.5, sender: test.sender, seed: seed}.run()
+				sender, with, worst := tenantReplay{factor: 7.5, sender: test.sender, tenants: true, seed: seed}.run()
 				t.Logf("seed %d: others in time at the usual load %.3f; without tenants %.3f, worst %.3f; with tenants %.3f, worst %.3f; the sender %.3f",
 					seed, usual.share(), without.share(), worstWithout, with.share(), worst, sender.share())
 				if got, want := with.share(), usual.share()-0.01; got < want {
--- a/internal/event/events_gen.go
+++ b/internal/event/events_gen.go
@@ -71,6 +71,7 @@
 	NumberSessionsFull             Number = 6042
 	NumberCallerGone               Number = 6050
 	NumberRetryWithheld            Number = 6051
+	NumberRelayedSessionRefused    Number = 6043
 )
 
 // Keeps the import of package model when no event uses it.
@@ -682,3 +683,12 @@
 		"code":     code,
 	}).Debug("a statement that was refused for lack of room waits, since the budget for retries is used up")
 }
+
+// RelayedSessionRefused logs event 6043: a session that another host passes on was refused because this host has as many as it may.
+func RelayedSessionRefused(logger log.Interface, from model.HostID, open int) {
+	logger.WithFields(log.Fields{
+		"event": NumberRelayedSessionRefused,
+		"from":  from,
+		"open":  open,
+	}).Warn("a session that another host passes on was refused because this host has as many as it may")
+}
--- a/internal/front/host.go
+++ b/internal/front/host.go
@@ -21,6 +21,7 @@
 	"redwingspread/internal/controller"
 	"redwingspread/internal/directory"
 	"redwingspread/internal/event"
+	"redwingspread/internal/limit"
 	"redwingspread/internal/mesh"
 	"redwingspread/internal/model"
 	"redwingspread/internal/placement"
@@ -56,6 +57,7 @@
 	sharedRegion       bool // some region has several data centres
 	mesh               *mesh.Node
 	relays             *relay.Client
+	relayed            *limit.ShareLimiter[model.HostID] // sessions that other hosts pass on
 	allowances         *allowances
 	self               controller.Host
 	counters           *counters
@@ -102,6 +104,7 @@
 		relays:       relay.NewClient(),
 		StartLimit:   admit.NewStartLimit(),
 		RetryBudget:  retry.DefaultPerSuccess,
+		relayed:      limit.NewShareLimiter[model.HostID](),
 	}
 }
 
@@ -172,6 +175,9 @@
 	h.relays.Host = h.self.ID
 	h.relays.Key = h.mesh.Key
 	h.relays.Packer = h.mesh.Packer()
+	h.relays.Memory = h.Memory
+	h.relayed.Limit = h.sessionLimit() / relayedDivisor
+	h.relayed.Now = clock.Boot
 	h.mesh.ConnectionLimit = h.listenerLimit()
 	h.mesh.Directory = func() *directory.Directory { return h.view().Directory }
 	if !h.unfenced() {
@@ -479,6 +485,9 @@
 	server.Address = h.self.Relay
 	server.Key = h.mesh.Key
 	server.Packer = h.mesh.Packer()
+	server.Memory = h.Memory
+	server.StreamLimit = h.keptDescriptors()
+	server.Admit, server.Leave = h.admitRelayed, h.relayed.Release
 	server.Serve = h.serveRelayed
 	server.Logger = h.Logger
 	return server
--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"redwingspread/internal/boundary"
+	"redwingspread/internal/budget"
 	"redwingspread/internal/clock"
 	"redwingspread/internal/event"
 	"redwingspread/internal/holder"
@@ -364,6 +365,8 @@
 	caller := &relayedCaller{session: passed, interrupts: make(chan struct{}, 1)}
 	s := &callerSession{host: h, caller: caller, id: h.newSessionID(), state: session.NewSession(), relayed: true, leastVersion: passed.Opening.Version, tenant: passed.Opening.Tenant}
 	caller.owner = s
+	s.state.Room.Init(h.Memory, budget.State, stateReserve)
+	defer s.state.Room.Close()
 	h.addSession(s)
 	err := boundary.Run(func() error { return s.serve(ctx) })
 	if errors.Is(err, boundary.ErrPanic) {
@@ -378,9 +381,10 @@
 	session    relay.Session
 	owner      *callerSession
 	interrupts chan struct{}
-	unanswered bool        // the newest call has no reply yet
-	last       bool        // the session ends with the reply to it
-	early      *relay.Call // received before the reply to the one before; nil for none
+	access     model.Access // of the newest call
+	unanswered bool         // the newest call has no reply yet
+	last       bool         // the session ends with the reply to it
+	early      *relay.Call  // received before the reply to the one before; nil for none
 }
 
 // ReadStart returns what the session is for. The host that passes it on has checked the key.
@@ -404,7 +408,7 @@
 	}
 	if call := c.early; call != nil {
 		c.early = nil
-		return c.accept(call), nil
+		return c.accept(call)
 	}
 	var timeout <-chan time.Time
 	if !limit.IsZero() {
@@ -417,18 +421,21 @@
 		if !open {
 			return request, ErrClosed
 		}
-		return c.accept(&call), nil
+		return c.accept(&call)
 	case <-c.interrupts:
 	case <-timeout:
 	}
 	return request, ErrNoRequest
 }
 
-// accept makes a call the newest one and returns its request.
-func (c *relayedCaller) accept(call *relay.Call) statement.Request {
+// accept makes a call the newest one and returns its request, or a refusal if there is no memory for what it brings.
+func (c *relayedCaller) accept(call *relay.Call) (request statement.Request, err error) {
 	c.unanswered, c.last = true, call.Last
-	c.apply(call)
-	return call.Request
+	if refusal := c.apply(call); refusal != nil {
+		c.last = true
+		return request, refusal
+	}
+	return call.Request, nil
 }
 
 // AwaitClose waits until the other host ends the session, or its stream ends, and returns false if the context ends first.
@@ -445,21 +452,33 @@
 	return false
 }
 
-// apply brings the session's values and the prepared statement of the call to this host.
-func (c *relayedCaller) apply(call *relay.Call) {
+// apply brings the session's values and the prepared statement of the call to this host, or refuses if there is no memory for them.
+func (c *relayedCaller) apply(call *relay.Call) *model.Refusal {
 	if call.Values != nil {
-		c.owner.state.Values = call.Values
+		if refusal := c.owner.state.SetValues(call.Values); refusal != nil {
+			return refusal
+		}
 	}
 	if call.Request.Verb == statement.Execute {
 		c.owner.state.Prepared = map[string]statement.Prepared{call.Request.Name: call.Prepared}
 	}
 	now := time.Now()
 	c.owner.startLimit, c.owner.responseLimit = now.Add(call.StartIn), now.Add(call.Left)
+	c.access = c.owner.state.Access(call.Request.Statement)
+	return nil
 }
 
 // SendResponse sends the reply to the newest call.
 func (c *relayedCaller) SendResponse(response *statement.Response, state statement.State) error {
 	defer response.Release()
+	if response.Room != nil && response.Room.Resize(model.Bytes(relay.ReplyCopies*response.Size())) != nil {
+		response.Release()
+		refusal := model.OutcomeUnknown("the host has no memory left for the response")
+		if c.access == model.Read {
+			refusal = refuseNoRoom()
+		}
+		return c.send(&relay.Reply{Refusal: refusal, Response: statement.Response{State: state}})
+	}
 	reply := &relay.Reply{Response: *response}
 	reply.Response.State = state
 	reply.Instance, reply.Led = c.owner.servedBy, response.Succeeded() && c.owner.servedByPrimary
