--- a/internal/front/stop_internal_test.go
+++ b/internal/front/stop_internal_test.go
@@ -147,7 +147,8 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				begun := time.Now()
-				e := &execution{policy: model.Kind{Goal: goal}, deadline: begun.Add(timeout), startBy: begun.Add(goal / 4)}
+				e := &execution{session: &callerSession{host: New()}, policy: model.Kind{Goal: goal}, arrived: begun, deadline: begun.Add(timeout)}
+				e.renewStart(begun)
 				time.Sleep(test.waited)
 				e.extendStart(test.refusal)
 				if got := e.startBy.Sub(begun); got != test.want {
