--- a/internal/event/events_gen.go
+++ b/internal/event/events_gen.go
@@ -46,6 +46,7 @@
 	NumberPrimaryBelieved          Number = 6006
 	NumberPrimaryJudged            Number = 6007
 	NumberPromotionOrdered         Number = 6008
+	NumberFirstWriteServed         Number = 6049
 	NumberPromotionFailed          Number = 6009
 	NumberRequestRefused           Number = 6010
 	NumberRequestRetried           Number = 6011
@@ -421,6 +422,17 @@
 	}).Info("a promotion was ordered")
 }
 
+// FirstWriteServed logs event 6049: this host has had a write served by another primary than before.
+func FirstWriteServed(logger log.Interface, database model.DatabaseID, instance model.InstanceID, request model.RequestID, took model.Milliseconds) {
+	logger.WithFields(log.Fields{
+		"event":    NumberFirstWriteServed,
+		"database": database,
+		"instance": instance,
+		"request":  request,
+		"took":     took,
+	}).Info("this host has had a write served by another primary than before")
+}
+
 // PromotionFailed logs event 6009: a promotion failed.
 func PromotionFailed(logger log.Interface, database model.DatabaseID, instance model.InstanceID, token model.Token, error error) {
 	logger.WithFields(log.Fields{
--- a/internal/front/autocommit.go
+++ b/internal/front/autocommit.go
@@ -127,6 +127,9 @@
 func (e *execution) recordServed(led bool) {
 	e.session.servedBy, e.session.servedByPrimary = e.instanceID(), led
 	took := time.Since(e.arrived)
+	if e.access == model.Write && e.backend != nil && e.backend.replicaSet.servesWrites(e.backend.instance.ID) {
+		event.FirstWriteServed(e.session.host.Logger, e.policy.Database, e.instanceID(), e.request.ID, model.Millis(took))
+	}
 	e.session.host.counters.observeLatency(e.policy.ID, took)
 	event.RequestServed(e.session.host.Logger, e.request.ID, e.policy.ID, e.instanceID(), 0, model.Millis(took))
 }
--- a/internal/front/backend.go
+++ b/internal/front/backend.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"redwingspread/internal/admit"
@@ -55,7 +56,8 @@
 
 // replicaSet is one database as seen by traffic.
 type replicaSet struct {
-	memory *budget.Budget // for the state of connections; nil for none
+	memory *budget.Budget                   // for the state of connections; nil for none
+	writes atomic.Pointer[model.InstanceID] // instance that served the newest write of this host; nil for none
 
 	mutex    sync.Mutex
 	history  freshness.PointHistory
@@ -363,6 +365,15 @@
 	}
 }
 
+// servesWrites records that an instance has served a write and reports whether another one, or none, served the one before.
+func (rs *replicaSet) servesWrites(id model.InstanceID) bool {
+	if newest := rs.writes.Load(); newest != nil && *newest == id {
+		return false
+	}
+	previous := rs.writes.Swap(&id)
+	return previous == nil || *previous != id
+}
+
 // readRequirement returns the log point that a read of the kind needs, given the session's newest commit.
 func (rs *replicaSet) readRequirement(kind model.Kind, commit model.Point) placement.Requirement {
 	want := placement.Requirement{Now: clock.Boot()}
