failover: hosts that relay may object before a few observers replace a primary

Three hosts that keep connections could replace a primary half a second after it fell silent to them, before the other hosts had probed it. Unless more than half of the live hosts find it silent, as was needed before, it now has to be silent for 500 ms more; a host to which it proves itself meanwhile tells the others with an urgent heartbeat.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -272,6 +272,7 @@
 			event.PrimaryBelieved(c.Logger, database, observation.Instance, observation.Term, string(observation.State), reason)
 			c.urgent = true
 		}
+		c.urgent = c.urgent || monitor.Objects(now)
 		probes = append(probes, monitor.DueProbes(now, len(c.hosts), c.idleProbeInterval(), members, c.health)...)
 		if action := c.dueChange(now, live, database, monitor, members); action != nil {
 			actions = append(actions, action)
--- a/internal/failover/monitor.go
+++ b/internal/failover/monitor.go
@@ -52,6 +52,7 @@
 	SilenceTimeout    time.Duration // time without an answer after which a primary is silent
 	IsolatedTimeout   time.Duration // silence after which a host that sees no other live host fails over
 	PartialTimeout    time.Duration // silence towards a majority of the hosts after which a primary that still answers some is switched over
+	ObjectionTime     time.Duration // further silence after which fewer than half of the live hosts fail over, for the others to probe the primary and object
 	Stagger           time.Duration // delay between the hosts that may act, in order of their ids
 	Cooldown          time.Duration // minimum time between two changes of a primary, against flapping
 	ProofMaxAge       time.Duration // age up to which a proof counts, on top of the timeout or interval in question
@@ -67,6 +68,7 @@
 		SilenceTimeout:    500 * time.Millisecond,  // two successive probes
 		IsolatedTimeout:   3 * time.Second,         // such a host is more likely cut off itself than the primary lost
 		PartialTimeout:    1500 * time.Millisecond, // a switchover interrupts writes for about as long
+		ObjectionTime:     500 * time.Millisecond,  // a probe, its answer, and an urgent heartbeat in a fleet of 60 hosts
 		Stagger:           400 * time.Millisecond,  // duration of a complete failover without faults
 		Cooldown:          4 * time.Second,         // several times the write interruption of one change
 		ProofMaxAge:       300 * time.Millisecond,  // covers the time between two heartbeats
@@ -104,6 +106,8 @@
 	ownState         State                          // what this host observes itself, where that differs from state; empty otherwise
 	ownSince         time.Time                      // time of the last own proof (Leading) or of the first failure (Silent)
 	lastSilent       time.Time                      // time at which this host last observed a primary as silent
+	suspectedSince   time.Time                      // time since which other hosts find the primary silent; zero while none does
+	objected         bool                           // the primary has proved itself to this host since then
 	promotion        Promotion                      // newest known promotion
 	peers            map[model.HostID]Observation   // newest observation of each other host
 	primaryChangedAt time.Time                      // time of the last change of primary
@@ -331,6 +335,24 @@
 	return m.primary != "" && m.state != Leading && m.SuspectedByPeer(now)
 }
 
+// Objects reports, once for each time that other hosts begin to find the primary silent, that it has proved itself to this host
+// since: they have to hear of it before they replace it.
+func (m *Monitor) Objects(now time.Time) bool {
+	if !m.SuspectedByPeer(now) {
+		m.suspectedSince, m.objected = time.Time{}, false
+		return false
+	}
+	if m.suspectedSince.IsZero() {
+		m.suspectedSince = now
+	}
+	own := m.OwnObservation()
+	if m.objected || own.State != Leading || !own.Since.After(m.suspectedSince) {
+		return false
+	}
+	m.objected = true
+	return true
+}
+
 // Decision is what to do about the primary.
 type Decision uint8
 
@@ -447,7 +469,11 @@
 		}
 		return Keep, ""
 	}
-	if silence >= m.Timing.SilenceTimeout+m.staggerDelay(self, v.silent) {
+	timeout := m.Timing.SilenceTimeout
+	if 2*len(v.silent) <= len(v.hosts) {
+		timeout += m.Timing.ObjectionTime
+	}
+	if silence >= timeout+m.staggerDelay(self, v.silent) {
 		return Failover, "silent to most hosts"
 	}
 	return Keep, ""
--- a/internal/failover/partial_loss_test.go
+++ b/internal/failover/partial_loss_test.go
@@ -18,17 +18,21 @@
 	lost                    // it does not answer the host
 	repeated                // other hosts pass proofs on, and the host has no contact itself
 	lostTold                // it does not answer the host, while other hosts pass proofs on
+	probing                 // it answers the host from 1750 ms on, when others find it silent
 )
 
 // health returns what a host with the contact knows of the primary "a" at a time, which was lost at 1000 ms.
 func (c contact) health(ms int) Health {
 	proved := Health{Instance: "a", Term: 1, LastProof: after(ms)}
 	if ms < 1000 {
-		if c == none || c == repeated {
+		if c == none || c == repeated || c == probing {
 			return Health{Instance: "a", Term: 1, RemoteProof: after(ms)}
 		}
 		return proved
 	}
+	if c == probing && ms >= 1750 {
+		return proved
+	}
 	switch c {
 	case reached:
 		return proved
@@ -61,6 +65,12 @@
 		"remote proofs reach some of those that lost it": {
 			hosts: 59, holders: 4, contacts: map[contact]int{lost: 2, lostTold: 2}, until: 2500, want: Failover,
 		},
+		"the holders lost it, hosts that relay reach it when they probe it": {
+			hosts: 59, holders: 4, contacts: map[contact]int{lost: 4, probing: 20}, until: 5000, want: Keep,
+		},
+		"the holders lost it, few hosts reach it": {
+			hosts: 59, holders: 4, contacts: map[contact]int{lost: 20, probing: 5}, until: 5000, want: Switchover,
+		},
 		"one host's word, the holders reach it":       {hosts: 59, holders: 4, contacts: map[contact]int{reached: 4, lost: 1}, until: 5000, want: Keep},
 		"one host's word, it is the only holder":      {hosts: 59, holders: 1, contacts: map[contact]int{lost: 1}, until: 5000, want: Keep},
 		"one host's word, nobody else observes it":    {hosts: 59, holders: -1, contacts: map[contact]int{lost: 1}, until: 5000, want: Keep},
@@ -89,7 +99,7 @@
 				}
 				var ids []model.HostID
 				var contacts []contact
-				for _, c := range []contact{lost, lostTold, reached, repeated} {
+				for _, c := range []contact{lost, lostTold, reached, repeated, probing} {
 					for range test.contacts[c] {
 						contacts = append(contacts, c)
 					}
@@ -114,7 +124,8 @@
 						monitors[id].UpdatePrimary(after(ms), threeMembers, health)
 					}
 					for _, id := range ids {
-						if ms%votes != 0 || !monitors[id].Reports(after(ms)) {
+						urgent := monitors[id].Objects(after(ms))
+						if (ms%votes != 0 && !urgent) || !monitors[id].Reports(after(ms)) {
 							continue
 						}
 						for _, to := range ids {
