controller: a host that hears no other for a moment still expects a change of primary

TestWaitingStatementGoesOnAtTheNewPrimary failed in one of 20 runs pinned to two cores with four busy processes, in both cases: the process got no processor for two seconds, and at its first tick after that each host counted the others as dead, so that it published that no change was to be expected; the waiting statement was refused 2.1 s after the loss, in the moment in which another host judged the primary. A host now has to have heard none of the others for IsolatedTimeout (3 s).

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -74,6 +74,7 @@
 	lastLoads     time.Time // time of the last heartbeat that carried loads
 	started       time.Time
 	stopping      bool
+	aloneSince    time.Time    // time since which this host hears none of the others; zero while it hears one
 	hostsRead     bool         // all hosts' rows have been read once
 	urgent        bool         // the next heartbeat is sent early and to all hosts
 	lastReceiver  int          // index of the last receiver in the rotation over the sorted hosts
@@ -171,6 +172,7 @@
 		return nil
 	}
 	live := c.liveHosts(now)
+	c.updateAlone(now, live)
 	actions = append(actions, c.checkPrimaries(now, live)...)
 	actions = append(actions, c.dueFetches(now)...)
 	actions = append(actions, c.dueDeletion(now, live)...)
@@ -184,6 +186,16 @@
 	return actions
 }
 
+// updateAlone records since when this host hears none of the others.
+func (c *Controller) updateAlone(now time.Time, live []model.HostID) {
+	switch {
+	case len(live) > 1 || len(c.hosts) == 0:
+		c.aloneSince = time.Time{}
+	case c.aloneSince.IsZero():
+		c.aloneSince = now
+	}
+}
+
 // setHealth replaces the health and updates the loads of the instances.
 func (c *Controller) setHealth(tick Tick) {
 	clear(c.health)
@@ -382,7 +394,7 @@
 		Fleet:      c.updateFleet(live),
 	}
 	for database, monitor := range c.monitors {
-		next.Primaries[database] = c.primaryView(now, live, database, monitor)
+		next.Primaries[database] = c.primaryView(now, database, monitor)
 	}
 	old := c.snapshot
 	if old.Directory == next.Directory && old.LiveHosts == next.LiveHosts && old.Ready == next.Ready && old.Lease == next.Lease &&
@@ -416,8 +428,9 @@
 
 // primaryView returns the state of a primary for the view.
 //
-// A host that hears none of the others can't tell whether they change a primary, and expects no change.
-func (c *Controller) primaryView(now time.Time, live []model.HostID, database model.DatabaseID, monitor *failover.Monitor) Primary {
+// A host that has heard none of the others for the isolated timeout can't tell whether they change a primary, and expects no change.
+// After a pause of its own it hears none for a moment.
+func (c *Controller) primaryView(now time.Time, database model.DatabaseID, monitor *failover.Monitor) Primary {
 	observation := monitor.Observation()
 	primary := Primary{Instance: observation.Instance, State: observation.State}
 	if observation.State == failover.Silent {
@@ -426,7 +439,7 @@
 	if back := monitor.PromotedAt().Add(c.Timing.PromotionTime); observation.State != failover.Leading && !monitor.PromotedAt().IsZero() && back.After(primary.ExpectedBack) {
 		primary.ExpectedBack = back
 	}
-	inTouch := len(live) > 1 || len(c.hosts) == 0
+	inTouch := c.aloneSince.IsZero() || now.Sub(c.aloneSince) < c.Failover.IsolatedTimeout
 	primary.Changing = c.changing[database] || (inTouch && monitor.Changing(now, c.health))
 	if c.lease != nil {
 		primary.Assigned = c.lease.Assigned(database)
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -278,6 +278,57 @@
 	}
 }
 
+// TestChangingIsPublished guards against statements that give up on a lost primary since their host, after a pause of its own, hears
+// no other host for a moment, and against statements that wait at a host that is cut off.
+func TestChangingIsPublished(t *testing.T) {
+	tests := map[string]struct {
+		lost     bool          // the primary
+		isolated time.Duration // how long the host hears no other; zero for a host that does
+		want     bool
+	}{
+		"the primary works":             {},
+		"the primary is lost":           {lost: true, want: true},
+		"lost, and alone for a moment":  {lost: true, isolated: 2500 * time.Millisecond, want: true},
+		"lost, and alone for a while":   {lost: true, isolated: 6 * time.Second},
+		"works, and alone for a while":  {isolated: 6 * time.Second},
+		"works, and alone for a moment": {isolated: 2500 * time.Millisecond},
+		"lost, and the only host":       {lost: true, isolated: -1, want: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			hosts := 3
+			if test.isolated < 0 {
+				hosts = 1
+			}
+			f := newFleet(hosts, 16)
+			f.health = func(_ model.HostID, i model.InstanceID) failover.Health {
+				if i == "i0" {
+					return failover.Health{Term: 1, LastProof: f.now}
+				}
+				return failover.Health{}
+			}
+			f.run(2 * time.Second)
+			f.isolated["h00"] = test.isolated > 0
+			f.run(max(test.isolated-time.Second, 0))
+			since := f.now
+			if test.lost {
+				f.health = func(_ model.HostID, i model.InstanceID) failover.Health {
+					if i == "i0" {
+						return failover.Health{Term: 1, LastProof: since.Add(-tick), SilentSince: since}
+					}
+					return failover.Health{}
+				}
+			}
+			f.run(time.Second)
+			delete(f.controllers["h00"].changing, "seats") // a change that this host makes itself
+			f.controllers["h00"].publish(f.now, f.controllers["h00"].liveHosts(f.now))
+			if got := f.controllers["h00"].Snapshot().Primaries["seats"].Changing; got != test.want {
+				t.Errorf("got changing %v, want %v", got, test.want)
+			}
+		})
+	}
+}
+
 // TestPrimaryChangesOnce checks, for different views that hosts have of a primary, that exactly one host orders a change, or
 // none does.
 func TestPrimaryChangesOnce(t *testing.T) {
