front: outlier detection, with the setting outlier-detection

Cause: reads kept going to an instance that fails many of its statements while its health check passes; a holder that rejects a request because its instance failed it said only that none of its instances would do.

Change: a host with outlier-detection on (default off) counts what became of each statement at each instance, and places reads by that. A reply of package relay names the instance that failed the request (Reply.Failing); other releases skip the field or leave it out. Events 6050 and 6051, metrics instance_failures and instance_ejections, reason probe in the metric placed, and the failure probability and share of reads in `redwingspread where`. Only the first attempt at a lone read may be a probe, as a transaction would be lost with it.

--- a/internal/cli/where.go
+++ b/internal/cli/where.go
@@ -79,17 +79,25 @@
 		found.Database, micros(found.GoalUs), found.SharePercent, orDash(found.Instance), orDash(found.Reason)); err != nil {
 		return err
 	}
-	t := newTable(w, "INSTANCE", "DATA CENTRE", "EDGE", "PRIMARY", "RULED OUT", "ANSWER", "ROUND TRIP", "COST", "LAG", "WAITING", "RUNNING", "LIMIT", "FACTS AGE")
+	t := newTable(w, "INSTANCE", "DATA CENTRE", "EDGE", "PRIMARY", "RULED OUT", "ANSWER", "ROUND TRIP", "COST", "LAG", "WAITING", "RUNNING", "LIMIT", "FACTS AGE", "FAILURE", "READS")
 	for _, c := range found.Candidates {
 		age := "-"
 		if c.FactsAgeUs >= 0 {
 			age = micros(c.FactsAgeUs).String()
 		}
 		t.add(c.Instance, c.DataCentre, c.Edge, fmt.Sprint(c.Primary), orDash(c.RuledOut), micros(c.AnswerUs).String(), micros(c.RoundTripUs).String(),
-			micros(c.CostUs).String(), micros(c.LagUs).String(), fmt.Sprint(c.Waiting), fmt.Sprint(c.Running), fmt.Sprint(c.Limit), age)
+			micros(c.CostUs).String(), micros(c.LagUs).String(), fmt.Sprint(c.Waiting), fmt.Sprint(c.Running), fmt.Sprint(c.Limit), age, orDashPercent(c.FailurePercent), orDashPercent(c.ReadsPercent))
 	}
 	return t.print()
 }
 
+// orDashPercent returns a part in percent, or a dash when it is not known.
+func orDashPercent(part frontapi.OptInt) string {
+	if !part.Set {
+		return "-"
+	}
+	return fmt.Sprint(part.Value, "%")
+}
+
 // micros returns a number of microseconds as a duration.
 func micros(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
--- a/internal/event/events_gen.go
+++ b/internal/event/events_gen.go
@@ -69,6 +69,8 @@
 	NumberMemoryRefused            Number = 6040
 	NumberSessionEvicted           Number = 6041
 	NumberSessionsFull             Number = 6042
+	NumberInstanceEjected          Number = 6050
+	NumberInstanceReturned         Number = 6051
 )
 
 // Keeps the import of package model when no event uses it.
@@ -656,3 +658,28 @@
 		"open":  open,
 	}).Warn("a session was refused because the host has as many as it may")
 }
+
+// InstanceEjected logs event 6050: an instance fails far more than the others of its database and gets hardly any reads.
+func InstanceEjected(logger log.Interface, database model.DatabaseID, instance model.InstanceID, failure model.Percent, outcomes int, failures int, ejected model.Milliseconds) {
+	logger.WithFields(log.Fields{
+		"event":    NumberInstanceEjected,
+		"database": database,
+		"instance": instance,
+		"failure":  failure,
+		"outcomes": outcomes,
+		"failures": failures,
+		"ejected":  ejected,
+	}).Warn("an instance fails far more than the others of its database and gets hardly any reads")
+}
+
+// InstanceReturned logs event 6051: the ejection of an instance has ended, and it gets more and more reads.
+func InstanceReturned(logger log.Interface, database model.DatabaseID, instance model.InstanceID, failure model.Percent, outcomes int, failures int) {
+	logger.WithFields(log.Fields{
+		"event":    NumberInstanceReturned,
+		"database": database,
+		"instance": instance,
+		"failure":  failure,
+		"outcomes": outcomes,
+		"failures": failures,
+	}).Info("the ejection of an instance has ended, and it gets more and more reads")
+}
--- a/internal/front/autocommit.go
+++ b/internal/front/autocommit.go
@@ -133,7 +133,7 @@
 
 // handleBrokenConn handles a connection that failed or timed out while the statement was in progress.
 func (e *execution) handleBrokenConn(ctx context.Context, t target, trip roundTrip) (done bool, err error) {
-	t.backend.noteError(trip.startedAt, trip.err)
+	e.noteError(t.backend, trip.startedAt, trip.err)
 	trip.response.Release()
 	s := e.session
 	if e.access == model.Write && trip.sent {
--- a/internal/front/backend.go
+++ b/internal/front/backend.go
@@ -56,7 +56,8 @@
 
 // replicaSet is one database as seen by traffic.
 type replicaSet struct {
-	memory *budget.Budget // for the state of connections; nil for none
+	memory   *budget.Budget // for the state of connections; nil for none
+	outliers *outliers      // nil without outlier detection
 
 	mutex    sync.Mutex
 	history  freshness.PointHistory
@@ -396,6 +397,7 @@
 		expected = b.remoteTimes.Expected(now, kind)
 	}
 	return placement.Candidate{
+		Instance:    b.instance.ID,
 		Primary:     b.instance.ID == primary,
 		Avoid:       b.leaving || !b.health.SilentSince.IsZero() || b.stalled(now),
 		Edge:        b.edge,
--- a/internal/front/execution.go
+++ b/internal/front/execution.go
@@ -213,7 +213,13 @@
 	var buffer [maxCandidates]placement.Candidate
 	backends := rs.list()
 	read := e.requirement(rs)
-	return e.place(backends, e.survey(buffer[:0], backends, primary), &read, limit)
+	candidates := e.survey(buffer[:0], backends, primary)
+	if !e.needsPrimary() {
+		if probe := rs.outliers.restrict(candidates, read.Requirement, e.countedAs(limit)); probe != placement.None {
+			return readTarget(backends, candidates, &read, placement.Choice{Index: probe, Edge: candidates[probe].Edge, Reason: placement.ReasonProbe}), true
+		}
+	}
+	return e.place(backends, candidates, &read, limit)
 }
 
 // requirement returns what a read needs of an instance; work for the primary needs nothing else.
@@ -257,10 +263,15 @@
 		}
 		choice = placement.ChoseOnly(candidates, i)
 	}
+	return readTarget(backends, candidates, read, choice), true
+}
+
+// readTarget returns the target of a read.
+func readTarget(backends []*backend, candidates []placement.Candidate, read *placement.Read, choice placement.Choice) target {
 	if candidates[choice.Index].Primary {
-		return target{backend: backends[choice.Index], provesPrimary: true, primary: true, choice: choice}, true
+		return target{backend: backends[choice.Index], provesPrimary: true, primary: true, choice: choice}
 	}
-	return target{backend: backends[choice.Index], minPoint: read.MinPoint, choice: choice}, true
+	return target{backend: backends[choice.Index], minPoint: read.MinPoint, choice: choice}
 }
 
 // list returns the backends.
--- a/internal/front/host.go
+++ b/internal/front/host.go
@@ -153,6 +153,7 @@
 	h.Loop.TickInterval = controlInterval
 	h.Loop.TickEvent = func() controller.Event {
 		h.shedStalled()
+		h.logReturned()
 		return h.newTick()
 	}
 	h.mesh = mesh.New()
@@ -341,7 +342,7 @@
 func (h *Host) addBackend(ctx context.Context, entry directory.Instance) *backend {
 	rs, found := h.replicaSets[entry.Database]
 	if !found {
-		rs = &replicaSet{memory: h.Memory}
+		rs = &replicaSet{memory: h.Memory, outliers: h.newOutliers()}
 		h.replicaSets[entry.Database] = rs
 	}
 	edge := h.edgeTo(entry.DataCentre)
@@ -349,6 +350,7 @@
 	b.edge = edge
 	b.unfenced = h.unfenced()
 	h.backends[entry.ID] = b
+	rs.outliers.add(entry.ID, model.Incarnation(entry.Incarnation))
 	rs.mutex.Lock()
 	defer rs.mutex.Unlock()
 	rs.backends = append(append([]*backend(nil), rs.backends...), b)
@@ -358,6 +360,7 @@
 // removeBackend removes an instance, with the lock held; statements in progress on it finish by themselves.
 func (h *Host) removeBackend(b *backend) {
 	delete(h.backends, b.instance.ID)
+	b.replicaSet.outliers.remove(b.instance.ID)
 	b.replicaSet.mutex.Lock()
 	defer b.replicaSet.mutex.Unlock()
 	var rest []*backend
--- a/internal/front/monitor.go
+++ b/internal/front/monitor.go
@@ -84,9 +84,9 @@
 	h.mutex.RLock()
 	defer h.mutex.RUnlock()
 	for id, b := range h.backends {
-		counts := b.scheduler.Pool.Counts()
-		if _, err := fmt.Fprintf(out, "connections_open{instance=%q} %d\nconnections_refused{instance=%q} %d\nload_tenths{instance=%q} %d\n",
-			id, counts.Open, id, counts.Failures, id, b.scheduler.Load()); err != nil {
+		counts, totals := b.scheduler.Pool.Counts(), b.replicaSet.outliers.totals(id)
+		if _, err := fmt.Fprintf(out, "connections_open{instance=%q} %d\nconnections_refused{instance=%q} %d\nload_tenths{instance=%q} %d\ninstance_failures{instance=%q} %d\ninstance_ejections{instance=%q} %d\n",
+			id, counts.Open, id, counts.Failures, id, b.scheduler.Load(), id, totals.Failures, id, totals.Ejections); err != nil {
 			return err
 		}
 	}
--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -115,6 +115,7 @@
 	} else if reply.Refusal != nil && reply.Refusal.Code != model.CodeBehind {
 		r.backend.noteRemote(time.Now(), e.policy.ID, time.Since(now)+reply.Refusal.RetryAfter, model.Point{}) // the quick refusal of one that is behind tells nothing of its load
 	}
+	e.noteReply(&reply)
 	e.noteReplicas(reply.Replicas)
 	if reply.Led && reply.Response.Point != (model.Point{}) {
 		e.session.host.observeProofs([]scout.Proof{{
@@ -400,6 +401,7 @@
 	if call.Request.Verb == statement.Execute {
 		c.owner.state.Prepared = map[string]statement.Prepared{call.Request.Name: call.Prepared}
 	}
+	c.owner.failing = ""
 	now := time.Now()
 	c.owner.startLimit, c.owner.responseLimit = now.Add(call.StartIn), now.Add(call.Left)
 }
@@ -428,7 +430,7 @@
 // send sends a reply.
 func (c *relayedCaller) send(reply *relay.Reply) error {
 	c.unanswered = false
-	reply.Replicas = c.owner.heldReplicas()
+	reply.Failing, reply.Replicas = c.owner.failing, c.owner.heldReplicas()
 	return c.session.Reply(reply)
 }
 
--- a/internal/front/roundtrip.go
+++ b/internal/front/roundtrip.go
@@ -21,13 +21,6 @@
 	errLeaseEnded = errors.New("the answer came after this host had lost touch with the others, so that another instance may lead")
 )
 
-// noteError records a failed statement, unless it says nothing about the instance.
-func (b *backend) noteError(sent time.Time, err error) {
-	if !errors.Is(err, errReplaced) && !errors.Is(err, errLeaseEnded) && !errors.Is(err, ErrNoRoom) && !isSetupRefusal(err) {
-		b.noteFailure(sent)
-	}
-}
-
 // roundTrip is a statement sent together with its setup and follow-up commands, and its response.
 type roundTrip struct {
 	backend    *backend
@@ -68,6 +61,7 @@
 		return trip
 	}
 	t.backend.observe(trip.sentAt, &trip.response, t.provesPrimary || e.access == model.Write)
+	e.noteResponse(t.backend, &trip.response)
 	if trip.response.Succeeded() && t.minPoint != (model.Point{}) {
 		t.backend.noteCaughtUp()
 	}
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -35,6 +35,7 @@
 	startLimit      time.Time        // by which the other host wants the request to be sent to an instance
 	responseLimit   time.Time        // and by which it wants the response
 	servedBy        model.InstanceID // of the newest response
+	failing         model.InstanceID // that failed the request, or did not answer it; empty for none
 	servedByPrimary bool             // the instance proved with it that it was the primary
 }
 
--- a/internal/front/transaction.go
+++ b/internal/front/transaction.go
@@ -105,7 +105,7 @@
 	reason := string(response.Code)
 	if err != nil {
 		reason = err.Error()
-		tx.backend.noteError(e.arrived, err)
+		e.noteError(tx.backend, e.arrived, err)
 		e.startBy = e.deadline // the statement had been sent; the rest of its time is for another attempt
 	}
 	tx.backend.scheduler.FinishTransaction(tx.permit, false)
@@ -144,7 +144,7 @@
 
 // discardTransaction closes the connection of the open transaction.
 func (s *callerSession) discardTransaction(e *execution, err error) {
-	s.tx.backend.noteError(e.arrived, err)
+	e.noteError(s.tx.backend, e.arrived, err)
 	s.tx.backend.scheduler.FinishTransaction(s.tx.permit, false)
 	s.tx = nil
 }
@@ -197,7 +197,7 @@
 	t.backend.requestDone()
 	switch {
 	case err != nil:
-		t.backend.noteFailure(now)
+		e.noteError(t.backend, now, err)
 		t.backend.scheduler.FinishTransaction(permit, false)
 		e.exclude(t.backend)
 		if e.prepareRetry(ctx, err.Error(), 0) {
@@ -278,6 +278,7 @@
 			return response, err
 		}
 		tx.backend.observe(sent, &response, tx.readWrite)
+		e.noteResponse(tx.backend, &response)
 		busy := response.Code == model.CodeOverloaded || response.Code == model.CodeSlotsFull
 		if !busy || response.State != statement.Open || !e.prepareRetry(ctx, string(response.Code), e.retryPause()) {
 			return response, nil
--- a/internal/front/where.go
+++ b/internal/front/where.go
@@ -8,6 +8,7 @@
 
 	"redwingspread/internal/event"
 	"redwingspread/internal/model"
+	"redwingspread/internal/outlier"
 	"redwingspread/internal/placement"
 	"redwingspread/internal/session"
 	"redwingspread/pkg/api/frontapi"
@@ -73,6 +74,9 @@
 	h := e.session.host
 	backends, read, limit := rs.list(), e.requirement(rs), rs.leaving.copy()
 	candidates := e.survey(nil, backends, h.primary(e.policy.Database).Instance)
+	if !e.needsPrimary() {
+		rs.outliers.restrict(candidates, read.Requirement, outlier.Question)
+	}
 	found, ok := e.place(backends, candidates, &read, limit)
 	answer := &frontapi.Placement{
 		Host:         string(h.self.ID),
@@ -99,7 +103,7 @@
 	if e.needsPrimary() && !c.Primary {
 		ruledOut = placementRuledOut
 	}
-	return frontapi.Candidate{
+	candidate := frontapi.Candidate{
 		Instance:    string(b.instance.ID),
 		DataCentre:  string(b.instance.DataCentre),
 		Edge:        c.Edge.String(),
@@ -114,6 +118,11 @@
 		Limit:       int(room.Limit),
 		FactsAgeUs:  b.factsAge(now),
 	}
+	if health, known := b.replicaSet.outliers.health(b.instance.ID); known {
+		candidate.FailurePercent = frontapi.NewOptInt(int(percent(health.Probability)))
+		candidate.ReadsPercent = frontapi.NewOptInt(int(100 * health.Share))
+	}
+	return candidate
 }
 
 // factsAge returns the microseconds since the instance last responded, or -1 if it never did.
--- a/internal/outlier/group.go
+++ b/internal/outlier/group.go
@@ -195,25 +195,36 @@
 	Probe // the read goes to the ejected instance, to see whether it has recovered
 )
 
-// Admit decides on one read that the instance could serve, and counts it. Only some reads may be probes.
-func (g *Group[ID]) Admit(now model.Instant, id ID, mayProbe bool) Admission {
+// Read is how a read counts.
+type Read uint8
+
+// The reads.
+const (
+	Question Read = iota // asks only where a read would go, and doesn't count
+	Repeated             // must not be a probe
+	First                // may be a probe
+)
+
+// Admit decides on one read that the instance could serve, and counts it.
+func (g *Group[ID]) Admit(now model.Instant, id ID, read Read) Admission {
 	m, found := g.members[id]
 	if !found {
 		return Admitted
 	}
 	share := m.share(now)
-	if share == 0 {
-		m.skipped++
-		if m.skipped < probeInterval || !mayProbe {
-			return Denied
-		}
-		m.skipped = 0
-		return Probe
+	admission, skipped, credit := Denied, m.skipped, m.credit
+	switch {
+	case share == 0 && skipped+1 >= probeInterval && read == First:
+		admission, skipped = Probe, 0
+	case share == 0:
+		skipped++
+	case credit+share >= 1:
+		admission, credit = Admitted, credit+share-1
+	default:
+		credit += share
 	}
-	m.credit += share
-	if m.credit < 1 {
-		return Denied
+	if read != Question {
+		m.skipped, m.credit = skipped, credit
 	}
-	m.credit--
-	return Admitted
+	return admission
 }
--- a/internal/outlier/group_test.go
+++ b/internal/outlier/group_test.go
@@ -210,16 +210,18 @@
 // gets more or less than its share.
 func TestAdmit(t *testing.T) {
 	tests := map[string]struct {
-		after    time.Duration
-		mayProbe bool
-		want     map[Admission]int // of 60 reads
+		after time.Duration
+		read  Read
+		want  map[Admission]int // of 60 reads
 	}{
-		"ejected":               {mayProbe: true, want: map[Admission]int{Denied: 57, Probe: 3}},
-		"ejected, no probes":    {want: map[Admission]int{Denied: 60}},
-		"just returned":         {after: firstEjection, mayProbe: true, want: map[Admission]int{Denied: 40, Admitted: 20}},
-		"half of the way":       {after: firstEjection + rampStep, mayProbe: true, want: map[Admission]int{Denied: 30, Admitted: 30}},
-		"all of its reads":      {after: firstEjection + 4*rampStep, mayProbe: true, want: map[Admission]int{Admitted: 60}},
-		"long after its return": {after: time.Hour, mayProbe: true, want: map[Admission]int{Admitted: 60}},
+		"ejected":               {read: First, want: map[Admission]int{Denied: 57, Probe: 3}},
+		"ejected, no probes":    {read: Repeated, want: map[Admission]int{Denied: 60}},
+		"ejected, questions":    {read: Question, want: map[Admission]int{Denied: 60}},
+		"returned, questions":   {after: firstEjection, read: Question, want: map[Admission]int{Denied: 60}},
+		"just returned":         {after: firstEjection, read: First, want: map[Admission]int{Denied: 40, Admitted: 20}},
+		"half of the way":       {after: firstEjection + rampStep, read: First, want: map[Admission]int{Denied: 30, Admitted: 30}},
+		"all of its reads":      {after: firstEjection + 4*rampStep, read: First, want: map[Admission]int{Admitted: 60}},
+		"long after its return": {after: time.Hour, read: First, want: map[Admission]int{Admitted: 60}},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -227,7 +229,10 @@
 			play(g, start, []step{{"a", 20, 0, 0}, {"b", 0, 6, 0}})
 			got := make(map[Admission]int)
 			for range 60 {
-				got[g.Admit(start.Add(test.after), "b", test.mayProbe)]++
+				if test.read != Question {
+					g.Admit(start.Add(test.after), "c", Question) // changes nothing, also for one that is not known
+				}
+				got[g.Admit(start.Add(test.after), "b", test.read)]++
 			}
 			for admission, want := range test.want {
 				if diff := got[admission] - want; diff < -1 || diff > 1 {
--- a/internal/placement/eject.go
+++ b/internal/placement/eject.go
@@ -10,7 +10,7 @@
 //
 // At most half of the candidates that could serve the read are left out, and none if the others fail about as much. At most 64
 // candidates are considered.
-func Restrict(candidates []Candidate, required Requirement, group *outlier.Group[model.InstanceID], mayProbe bool) (probe int) {
+func Restrict(candidates []Candidate, required Requirement, group *outlier.Group[model.InstanceID], read outlier.Read) (probe int) {
 	serving, best, outliers := 0, outlier.Probability(1), false
 	for i := range candidates {
 		c := &candidates[i]
@@ -37,7 +37,10 @@
 			break
 		}
 		considered |= 1 << worst
-		admission := group.Admit(required.Now, candidates[worst].Instance, mayProbe && probe == None)
+		if probe != None && read == outlier.First {
+			read = outlier.Repeated // it can probe one instance only
+		}
+		admission := group.Admit(required.Now, candidates[worst].Instance, read)
 		candidates[worst].Ejected = admission != outlier.Admitted
 		if admission == outlier.Probe {
 			probe = worst
--- a/internal/placement/eject_test.go
+++ b/internal/placement/eject_test.go
@@ -66,7 +66,7 @@
 			required := Requirement{Now: now, MinPoint: point, PointKnown: true}
 			probe := None
 			if group != nil {
-				probe = Restrict(candidates, required, group, attempt == 0)
+				probe = Restrict(candidates, required, group, outlier.First-outlier.Read(attempt))
 			}
 			i := ChooseForRead(candidates, required)
 			if probe != None {
@@ -246,7 +246,7 @@
 					group.Observe(now, "i2", outlier.Failed)
 				}
 			}
-			probe := Restrict(test.candidates, Requirement{Now: now, MinPoint: point, PointKnown: true}, group, true)
+			probe := Restrict(test.candidates, Requirement{Now: now, MinPoint: point, PointKnown: true}, group, outlier.First)
 			var got []model.InstanceID
 			for i := range test.candidates {
 				if test.candidates[i].Ejected {
@@ -277,7 +277,7 @@
 		for i, id := range instanceIDs {
 			candidates[i] = Candidate{Instance: id, Primary: i == 0, Expected: ms(10), Reached: point}
 		}
-		Restrict(candidates[:], required, group, true)
+		Restrict(candidates[:], required, group, outlier.First)
 		ChooseForRead(candidates[:], required)
 	}
 }
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -39,9 +39,10 @@
 	Session  SessionID
 	Instance model.InstanceID // that responded
 	Response statement.Response
-	Led      bool           // the instance was the primary when it responded
-	Refusal  *model.Refusal // nil when an instance responded
-	Replicas []Replica      // of the database, to which the host keeps connections; empty from an older release
+	Led      bool             // the instance was the primary when it responded
+	Refusal  *model.Refusal   // nil when an instance responded
+	Failing  model.InstanceID // that failed the request, or did not answer it, in an attempt of the host; empty for none
+	Replicas []Replica        // of the database, to which the host keeps connections; empty from an older release
 }
 
 // Replica is what a host knows of the freshness of a replica.
@@ -120,7 +121,7 @@
 
 // encodeReply returns the message of a reply.
 func encodeReply(reply *Reply) ([]byte, error) {
-	message := meshapi.Reply{Session: uint64(reply.Session)}
+	message := meshapi.Reply{Session: uint64(reply.Session), Failing: optionalString(string(reply.Failing))}
 	for _, replica := range reply.Replicas {
 		message.Replicas = append(message.Replicas, meshapi.Replica{
 			Instance: string(replica.Instance),
@@ -164,6 +165,7 @@
 		Session:  SessionID(message.Session),
 		Instance: model.InstanceID(message.Instance.Value),
 		Led:      message.Led.Value,
+		Failing:  model.InstanceID(message.Failing.Value),
 		Response: statement.Response{
 			Code:     model.Code(message.Code.Value),
 			WireCode: message.Word.Value,
--- a/internal/relay/message_test.go
+++ b/internal/relay/message_test.go
@@ -51,8 +51,9 @@
 		Response: statement.Response{State: statement.Failed}},
 	"refusal as behind": {Session: 7, Refusal: &model.Refusal{Code: model.CodeBehind, NotRun: true},
 		Replicas: []Replica{{Instance: "i2", Reached: model.Point{Term: 2, Position: 1 << 61}, Lag: 150 * time.Millisecond}, {Instance: "i3"}}},
-	"unknown outcome":       {Session: 7, Refusal: model.OutcomeUnknown("lost")},
-	"rows outside of UTF-8": {Session: 7, Response: statement.Response{Rows: [][]byte{{0xff, 0, 'a', 0xc3}}, Signature: []byte{0x80}, Text: "\xfe"}},
+	"refusal after a failure": {Session: 7, Refusal: &model.Refusal{Code: model.CodeTransactionEnded, NotRun: true}, Failing: "i2"},
+	"unknown outcome":         {Session: 7, Refusal: model.OutcomeUnknown("lost")},
+	"rows outside of UTF-8":   {Session: 7, Response: statement.Response{Rows: [][]byte{{0xff, 0, 'a', 0xc3}}, Signature: []byte{0x80}, Text: "\xfe"}},
 }
 
 // TestRepliesRoundTrip guards against rows, codes or promises that reach the caller changed.
@@ -89,8 +90,8 @@
 			Reply{Session: 7, Instance: "i1", Response: statement.Response{Point: point}},
 		},
 		"next, with more fields": {
-			`{"session":7,"state":0,"later":{"a":[1]},"replicas":[{"instance":"i2","term":2,"position":9,"lag":150,"later":"x"}]}`,
-			Reply{Session: 7, Replicas: []Replica{{Instance: "i2", Reached: point, Lag: 150 * time.Millisecond}}},
+			`{"session":7,"state":0,"failing":"i2","later":{"a":[1]},"replicas":[{"instance":"i2","term":2,"position":9,"lag":150,"later":"x"}]}`,
+			Reply{Session: 7, Failing: "i2", Replicas: []Replica{{Instance: "i2", Reached: point, Lag: 150 * time.Millisecond}}},
 		},
 		"next, with a lag below zero": {
 			`{"session":7,"replicas":[{"instance":"i2","lag":-5}]}`,
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -94,31 +94,32 @@
 
 // Front holds the settings of one host that serves sessions on the users' platform.
 type Front struct {
-	Host            model.HostID       // Name of this host.
-	DataCentre      model.DataCentreID // Data centre of this host.
-	DataCentres     []string           // Regions of the data centres as centre=region, separated by commas.
-	SessionAddress  model.Address      // Address on which callers open sessions.
-	ReadyAddress    model.Address      // Address of the readiness check for new sessions.
-	MeshAddress     model.Address      // Address for traffic between hosts, TCP and UDP.
-	MetricsAddress  string             // Address of the metrics; empty for none.
-	Relay           string             // Whether hosts pass requests on to those that keep connections, where an instance takes fewer connections than there are hosts. The host listens for them at the port after that of mesh-address.
-	StoreAddress    model.Address      // Address of the platform's store.
-	OrderAddress    model.Address      // Address of the platform service that promotes instances.
-	StopLimit       time.Duration      // Time from the signal to stop until the process is killed.
-	LeaveLimit      time.Duration      // Time within which a leaving instance stops getting work.
-	ApplyLimit      time.Duration      // Time within which a change of the configuration must be in force.
-	Fencing         string             // Whether the platform stops a primary when it promotes another instance; off makes the hosts wait for each other before a promotion.
-	Memory          model.Mebibytes    // Memory limit of the process in MiB.
-	SessionLimit    int                // Maximum number of open sessions.
-	Descriptors     int                // Number of files and sockets that the process may have open; the sessions are limited to what is left after a part for instances, hosts, the store and files. 0 for no limit but session-limit.
-	RevokeLimit     time.Duration      // Time within which a withdrawn API key must stop working.
-	AllowanceWindow time.Duration      // Time over which the operations of a tenant are counted against its limit.
-	AllowanceExcess float64            // Part of the operations allowed in a window by which a tenant may exceed them while hosts differ in what they know.
-	AllowanceSlack  int                // Operations by which a tenant may exceed its limit in a window beside allowance-excess.
-	RevokeStrict    string             // Whether a host that has had no word of the configuration for revoke-limit refuses work that needs an API key.
-	CentreCost      time.Duration      // Time that a read must gain to be sent to another data centre of the region. Counts where some region has several data centres; with region-cost at 0s, too, reads go where the least time is expected.
-	RegionCost      time.Duration      // Time that a read must gain to be sent to another region. Counts where some region has several data centres.
-	LogLevel        string             // Lowest level of events that are logged.
+	Host             model.HostID       // Name of this host.
+	DataCentre       model.DataCentreID // Data centre of this host.
+	DataCentres      []string           // Regions of the data centres as centre=region, separated by commas.
+	SessionAddress   model.Address      // Address on which callers open sessions.
+	ReadyAddress     model.Address      // Address of the readiness check for new sessions.
+	MeshAddress      model.Address      // Address for traffic between hosts, TCP and UDP.
+	MetricsAddress   string             // Address of the metrics; empty for none.
+	Relay            string             // Whether hosts pass requests on to those that keep connections, where an instance takes fewer connections than there are hosts. The host listens for them at the port after that of mesh-address.
+	StoreAddress     model.Address      // Address of the platform's store.
+	OrderAddress     model.Address      // Address of the platform service that promotes instances.
+	StopLimit        time.Duration      // Time from the signal to stop until the process is killed.
+	LeaveLimit       time.Duration      // Time within which a leaving instance stops getting work.
+	ApplyLimit       time.Duration      // Time within which a change of the configuration must be in force.
+	Fencing          string             // Whether the platform stops a primary when it promotes another instance; off makes the hosts wait for each other before a promotion.
+	Memory           model.Mebibytes    // Memory limit of the process in MiB.
+	SessionLimit     int                // Maximum number of open sessions.
+	Descriptors      int                // Number of files and sockets that the process may have open; the sessions are limited to what is left after a part for instances, hosts, the store and files. 0 for no limit but session-limit.
+	RevokeLimit      time.Duration      // Time within which a withdrawn API key must stop working.
+	AllowanceWindow  time.Duration      // Time over which the operations of a tenant are counted against its limit.
+	AllowanceExcess  float64            // Part of the operations allowed in a window by which a tenant may exceed them while hosts differ in what they know.
+	AllowanceSlack   int                // Operations by which a tenant may exceed its limit in a window beside allowance-excess.
+	RevokeStrict     string             // Whether a host that has had no word of the configuration for revoke-limit refuses work that needs an API key.
+	OutlierDetection string             // Whether an instance that fails far more of its statements than the others of its database gets hardly any reads for some seconds.
+	CentreCost       time.Duration      // Time that a read must gain to be sent to another data centre of the region. Counts where some region has several data centres; with region-cost at 0s, too, reads go where the least time is expected.
+	RegionCost       time.Duration      // Time that a read must gain to be sent to another region. Counts where some region has several data centres.
+	LogLevel         string             // Lowest level of events that are logged.
 }
 
 // FrontFlags returns the command-line flags of Front.
@@ -146,6 +147,7 @@
 		textFlag("allowance-excess", "REDWINGSPREAD_ALLOWANCE_EXCESS", "0.1", "Part of the operations allowed in a window by which a tenant may exceed them while hosts differ in what they know."),
 		textFlag("allowance-slack", "REDWINGSPREAD_ALLOWANCE_SLACK", "20", "Operations by which a tenant may exceed its limit in a window beside allowance-excess."),
 		textFlag("revoke-strict", "REDWINGSPREAD_REVOKE_STRICT", "off", "Whether a host that has had no word of the configuration for revoke-limit refuses work that needs an API key."),
+		textFlag("outlier-detection", "REDWINGSPREAD_OUTLIER_DETECTION", "off", "Whether an instance that fails far more of its statements than the others of its database gets hardly any reads for some seconds."),
 		textFlag("centre-cost", "REDWINGSPREAD_CENTRE_COST", "0s", "Time that a read must gain to be sent to another data centre of the region. Counts where some region has several data centres; with region-cost at 0s, too, reads go where the least time is expected."),
 		textFlag("region-cost", "REDWINGSPREAD_REGION_COST", "0s", "Time that a read must gain to be sent to another region. Counts where some region has several data centres."),
 		textFlag("log-level", "REDWINGSPREAD_LOG_LEVEL", "info", "Lowest level of events that are logged."),
@@ -177,6 +179,7 @@
 	loaded.AllowanceExcess = r.number(rule{flag: "allowance-excess", env: "REDWINGSPREAD_ALLOWANCE_EXCESS", allowed: "a number from 0 to 10", required: false, min: "0", max: "10"})
 	loaded.AllowanceSlack = r.int(rule{flag: "allowance-slack", env: "REDWINGSPREAD_ALLOWANCE_SLACK", allowed: "a whole number from 0 to 1000000", required: false, min: "0", max: "1000000"})
 	loaded.RevokeStrict = r.enum(rule{flag: "revoke-strict", env: "REDWINGSPREAD_REVOKE_STRICT", allowed: "one of on, off", required: false, options: []string{"on", "off"}})
+	loaded.OutlierDetection = r.enum(rule{flag: "outlier-detection", env: "REDWINGSPREAD_OUTLIER_DETECTION", allowed: "one of on, off", required: false, options: []string{"on", "off"}})
 	loaded.CentreCost = r.duration(rule{flag: "centre-cost", env: "REDWINGSPREAD_CENTRE_COST", allowed: "a duration such as 250ms or 10s from 0s to 10s", required: false, min: "0s", max: "10s"})
 	loaded.RegionCost = r.duration(rule{flag: "region-cost", env: "REDWINGSPREAD_REGION_COST", allowed: "a duration such as 250ms or 10s from 0s to 10s", required: false, min: "0s", max: "10s"})
 	loaded.LogLevel = r.enum(rule{flag: "log-level", env: "REDWINGSPREAD_LOG_LEVEL", allowed: "one of debug, info, warn, error", required: false, options: []string{"debug", "info", "warn", "error"}})
--- a/pkg/api/frontapi/oas_json_gen.go
+++ b/pkg/api/frontapi/oas_json_gen.go
@@ -68,13 +68,25 @@
 		e.FieldStart("limit")
 		e.Int(s.Limit)
 	}
+	{
+		if s.FailurePercent.Set {
+			e.FieldStart("failurePercent")
+			s.FailurePercent.Encode(e)
+		}
+	}
+	{
+		if s.ReadsPercent.Set {
+			e.FieldStart("readsPercent")
+			s.ReadsPercent.Encode(e)
+		}
+	}
 	{
 		e.FieldStart("factsAgeUs")
 		e.Int64(s.FactsAgeUs)
 	}
 }
 
-var jsonFieldsNameOfCandidate = [13]string{
+var jsonFieldsNameOfCandidate = [15]string{
 	0:  "instance",
 	1:  "dataCentre",
 	2:  "edge",
@@ -87,7 +99,9 @@
 	9:  "waiting",
 	10: "running",
 	11: "limit",
-	12: "factsAgeUs",
+	12: "failurePercent",
+	13: "readsPercent",
+	14: "factsAgeUs",
 }
 
 // Decode decodes Candidate from json.
@@ -243,8 +257,28 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"limit\"")
 			}
+		case "failurePercent":
+			if err := func() error {
+				s.FailurePercent.Reset()
+				if err := s.FailurePercent.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"failurePercent\"")
+			}
+		case "readsPercent":
+			if err := func() error {
+				s.ReadsPercent.Reset()
+				if err := s.ReadsPercent.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"readsPercent\"")
+			}
 		case "factsAgeUs":
-			requiredBitSet[1] |= 1 << 4
+			requiredBitSet[1] |= 1 << 6
 			if err := func() error {
 				v, err := d.Int64()
 				s.FactsAgeUs = int64(v)
@@ -266,7 +300,7 @@
 	var failures []validate.FieldError
 	for i, mask := range [2]uint8{
 		0b11111111,
-		0b00011111,
+		0b01001111,
 	} {
 		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
 			// Mask only required fields and check equality to mask using XOR.
@@ -312,6 +346,41 @@
 	return s.Decode(d)
 }
 
+// Encode encodes int as json.
+func (o OptInt) Encode(e *jx.Encoder) {
+	if !o.Set {
+		return
+	}
+	e.Int(int(o.Value))
+}
+
+// Decode decodes int from json.
+func (o *OptInt) Decode(d *jx.Decoder) error {
+	if o == nil {
+		return errors.New("invalid: unable to decode OptInt to nil")
+	}
+	o.Set = true
+	v, err := d.Int()
+	if err != nil {
+		return err
+	}
+	o.Value = int(v)
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s OptInt) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *OptInt) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode implements json.Marshaler.
 func (s *Placement) Encode(e *jx.Encoder) {
 	e.ObjStart()
--- a/pkg/api/frontapi/oas_schemas_gen.go
+++ b/pkg/api/frontapi/oas_schemas_gen.go
@@ -17,7 +17,7 @@
 	// Home, centre or region.
 	Edge    string `json:"edge"`
 	Primary bool   `json:"primary"`
-	// Empty, tried, avoided, behind or replica.
+	// Empty, tried, avoided, behind, ejected or replica.
 	RuledOut string `json:"ruledOut"`
 	// Expected time to an answer, doubled on the primary.
 	AnswerUs    int64 `json:"answerUs"`
@@ -31,6 +31,10 @@
 	Running int `json:"running"`
 	// Statements that this host may have in flight.
 	Limit int `json:"limit"`
+	// Chance that the instance fails a statement; absent without outlier-detection.
+	FailurePercent OptInt `json:"failurePercent"`
+	// Share of its usual reads that the instance gets: 0 while it is ejected, rising to 100 after that.
+	ReadsPercent OptInt `json:"readsPercent"`
 	// Time since the instance last responded to this host; -1 if it never did.
 	FactsAgeUs int64 `json:"factsAgeUs"`
 }
@@ -95,6 +99,16 @@
 	return s.Limit
 }
 
+// GetFailurePercent returns the value of FailurePercent.
+func (s *Candidate) GetFailurePercent() OptInt {
+	return s.FailurePercent
+}
+
+// GetReadsPercent returns the value of ReadsPercent.
+func (s *Candidate) GetReadsPercent() OptInt {
+	return s.ReadsPercent
+}
+
 // GetFactsAgeUs returns the value of FactsAgeUs.
 func (s *Candidate) GetFactsAgeUs() int64 {
 	return s.FactsAgeUs
@@ -160,6 +174,16 @@
 	s.Limit = val
 }
 
+// SetFailurePercent sets the value of FailurePercent.
+func (s *Candidate) SetFailurePercent(val OptInt) {
+	s.FailurePercent = val
+}
+
+// SetReadsPercent sets the value of ReadsPercent.
+func (s *Candidate) SetReadsPercent(val OptInt) {
+	s.ReadsPercent = val
+}
+
 // SetFactsAgeUs sets the value of FactsAgeUs.
 func (s *Candidate) SetFactsAgeUs(val int64) {
 	s.FactsAgeUs = val
@@ -211,6 +235,52 @@
 	return d
 }
 
+// NewOptInt returns new OptInt with value set to v.
+func NewOptInt(v int) OptInt {
+	return OptInt{
+		Value: v,
+		Set:   true,
+	}
+}
+
+// OptInt is optional int.
+type OptInt struct {
+	Value int
+	Set   bool
+}
+
+// IsSet returns true if OptInt was set.
+func (o OptInt) IsSet() bool { return o.Set }
+
+// Reset unsets value.
+func (o *OptInt) Reset() {
+	var v int
+	o.Value = v
+	o.Set = false
+}
+
+// SetTo sets value to v.
+func (o *OptInt) SetTo(v int) {
+	o.Set = true
+	o.Value = v
+}
+
+// Get returns value and boolean that denotes whether value was set.
+func (o OptInt) Get() (v int, ok bool) {
+	if !o.Set {
+		return v, false
+	}
+	return o.Value, true
+}
+
+// Or returns value if set, or given parameter if does not.
+func (o OptInt) Or(d int) int {
+	if v, ok := o.Get(); ok {
+		return v
+	}
+	return d
+}
+
 // NewOptString returns new OptString with value set to v.
 func NewOptString(v string) OptString {
 	return OptString{
--- a/pkg/api/meshapi/oas_json_gen.go
+++ b/pkg/api/meshapi/oas_json_gen.go
@@ -4449,6 +4449,12 @@
 			s.Retry.Encode(e)
 		}
 	}
+	{
+		if s.Failing.Set {
+			e.FieldStart("failing")
+			s.Failing.Encode(e)
+		}
+	}
 	{
 		if s.Replicas != nil {
 			e.FieldStart("replicas")
@@ -4461,7 +4467,7 @@
 	}
 }
 
-var jsonFieldsNameOfReply = [15]string{
+var jsonFieldsNameOfReply = [16]string{
 	0:  "session",
 	1:  "instance",
 	2:  "rows",
@@ -4476,7 +4482,8 @@
 	11: "refused",
 	12: "unrun",
 	13: "retry",
-	14: "replicas",
+	14: "failing",
+	15: "replicas",
 }
 
 // Decode decodes Reply from json.
@@ -4639,6 +4646,16 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"retry\"")
 			}
+		case "failing":
+			if err := func() error {
+				s.Failing.Reset()
+				if err := s.Failing.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"failing\"")
+			}
 		case "replicas":
 			if err := func() error {
 				s.Replicas = make([]Replica, 0)
--- a/pkg/api/meshapi/oas_schemas_gen.go
+++ b/pkg/api/meshapi/oas_schemas_gen.go
@@ -2174,6 +2174,8 @@
 	Unrun OptBool `json:"unrun"`
 	// Milliseconds after which to retry a refused request.
 	Retry OptInt64 `json:"retry"`
+	// Instance that failed the request, or did not answer it, in an attempt of the other host.
+	Failing OptString `json:"failing"`
 	// Replicas of the database to which the other host keeps connections.
 	Replicas []Replica `json:"replicas"`
 }
@@ -2248,6 +2250,11 @@
 	return s.Retry
 }
 
+// GetFailing returns the value of Failing.
+func (s *Reply) GetFailing() OptString {
+	return s.Failing
+}
+
 // GetReplicas returns the value of Replicas.
 func (s *Reply) GetReplicas() []Replica {
 	return s.Replicas
@@ -2323,6 +2330,11 @@
 	s.Retry = val
 }
 
+// SetFailing sets the value of Failing.
+func (s *Reply) SetFailing(val OptString) {
+	s.Failing = val
+}
+
 // SetReplicas sets the value of Replicas.
 func (s *Reply) SetReplicas(val []Replica) {
 	s.Replicas = val
