outlier: an instance that fails far more takes the place of one that is ejected

Cause: of three instances one may be ejected. Writes that break a rule of the data fail at the primary alone, so that a primary with 15 % of such writes was ejected and a replica that fails all of its reads was not.

Change: an instance whose failure probability is twice that of the least ejected one ends that ejection. At most half are ejected as before, which TestEjection now checks after each case.

--- a/internal/outlier/group.go
+++ b/internal/outlier/group.go
@@ -10,6 +10,7 @@
 	minOutcomes    = 5   // of an instance that is ejected, and of the one that it is compared with
 	minProbability = 0.1 // below which no instance is ejected
 	minRatio       = 3   // to the best instance
+	replaceRatio   = 2   // to an ejected instance whose place another one takes
 
 	firstEjection = time.Second
 	maxEjection   = 8 * time.Second // also the time after a return in which another ejection takes twice as long
@@ -100,7 +101,7 @@
 	m.since.failures++
 	m.totals.Failures++
 	probability, total := m.estimate(now)
-	if now < m.ejectedUntil || total.outcomes < minOutcomes || probability <= minProbability || !g.mayEject(now, id, probability) {
+	if now < m.ejectedUntil || total.outcomes < minOutcomes || probability <= minProbability || !g.claimEjection(now, id, probability) {
 		return report, false
 	}
 	m.length = g.nextLength(now, m)
@@ -110,22 +111,37 @@
 	return Report{Probability: probability, Outcomes: int(total.outcomes), Failures: int(total.failures), For: m.ejectedUntil.Sub(now)}, true
 }
 
-// mayEject reports whether an instance fails far more than the best of the others, and few enough are ejected.
-func (g *Group[ID]) mayEject(now model.Instant, id ID, probability Probability) bool {
+// claimEjection reports whether an instance fails far more than the best of the others, and few enough are ejected. The ejection of one that
+// failed far less ends for it: statements that fail by themselves, such as writes that break a rule of the data, count for the primary.
+func (g *Group[ID]) claimEjection(now model.Instant, id ID, probability Probability) bool {
 	ejected, compared := 1, false
 	best := Probability(1)
+	var least *member // of the ejected ones
 	for other, m := range g.members {
 		if other == id {
 			continue
 		}
 		if now < m.ejectedUntil {
 			ejected++
+			if least == nil || m.level < least.level {
+				least = m
+			}
 		}
 		if p, total := m.estimate(now); total.outcomes >= minOutcomes && p <= best {
 			best, compared = p, true
 		}
 	}
-	return compared && probability >= minRatio*best && ejected <= len(g.members)/2
+	if !compared || probability < minRatio*best || len(g.members) < 2 {
+		return false
+	}
+	if ejected <= len(g.members)/2 {
+		return true
+	}
+	if probability < replaceRatio*least.level {
+		return false
+	}
+	least.ejectedUntil = now
+	return true
 }
 
 // nextLength returns the length of the next ejection.
--- a/internal/outlier/group_test.go
+++ b/internal/outlier/group_test.go
@@ -54,33 +54,45 @@
 		steps   []step
 		want    int
 	}{
-		"none fails":                          {steps: append(good, step{"c", 20, 0, fast})},
-		"fails two of five":                   {steps: append(good, step{"c", 12, 8, fast}), want: 1},
-		"fails all":                           {steps: append(good, step{"c", 0, 6, fast}), want: 1},
-		"too few outcomes":                    {steps: append(good, step{"c", 0, 4, fast})},
-		"too few failures":                    {steps: append(good, step{"c", 20, 2, fast})},
-		"outcomes too long ago":               {steps: append(good, step{"c", 0, 4, fast}, step{"a", 9, 0, slow}, step{"c", 0, 1, fast})},
-		"all fail":                            {steps: []step{{"a", 12, 8, fast}, {"b", 12, 8, fast}, {"c", 12, 8, fast}, {"a", 12, 8, fast}, {"b", 12, 8, fast}}},
-		"less than three times the best":      {steps: []step{{"a", 16, 4, fast}, {"b", 16, 4, fast}, {"c", 10, 10, fast}}},
-		"nothing to compare with":             {steps: []step{{"c", 0, 20, fast}}},
-		"the others have too few outcomes":    {steps: []step{{"a", 4, 0, fast}, {"b", 4, 0, fast}, {"c", 0, 20, fast}}},
-		"two of three fail, one is kept":      {steps: []step{{"a", 20, 0, fast}, {"b", 0, 9, fast}, {"c", 0, 9, fast}}, want: 1},
-		"one of two may be ejected":           {members: []string{"a", "c"}, steps: []step{{"a", 20, 0, fast}, {"c", 0, 9, fast}}, want: 1},
-		"the only one is kept":                {members: []string{"c"}, steps: []step{{"c", 0, 20, fast}}},
-		"two of four may be ejected":          {members: []string{"a", "b", "c", "d"}, steps: append(good, step{"c", 0, 9, fast}, step{"d", 0, 9, fast}), want: 2},
-		"an unknown one is not counted":       {members: []string{"a", "b"}, steps: append(good, step{"x", 0, 9, fast})},
-		"rare statements, one every second":   {steps: []step{{"a", 20, 0, fast}, {"b", 20, 0, fast}, {"c", 0, 5, slow}}, want: 1},
-		"ejected once while it is ejected":    {steps: append(good, step{"c", 0, 50, fast}), want: 1},
-		"a failure among a thousand outcomes": {steps: append(good, step{"c", 1000, 1, time.Millisecond})},
+		"none fails":                              {steps: append(good, step{"c", 20, 0, fast})},
+		"fails two of five":                       {steps: append(good, step{"c", 12, 8, fast}), want: 1},
+		"fails all":                               {steps: append(good, step{"c", 0, 6, fast}), want: 1},
+		"too few outcomes":                        {steps: append(good, step{"c", 0, 4, fast})},
+		"too few failures":                        {steps: append(good, step{"c", 20, 2, fast})},
+		"outcomes too long ago":                   {steps: append(good, step{"c", 0, 4, fast}, step{"a", 9, 0, slow}, step{"c", 0, 1, fast})},
+		"all fail":                                {steps: []step{{"a", 12, 8, fast}, {"b", 12, 8, fast}, {"c", 12, 8, fast}, {"a", 12, 8, fast}, {"b", 12, 8, fast}}},
+		"less than three times the best":          {steps: []step{{"a", 16, 4, fast}, {"b", 16, 4, fast}, {"c", 10, 10, fast}}},
+		"nothing to compare with":                 {steps: []step{{"c", 0, 20, fast}}},
+		"the others have too few outcomes":        {steps: []step{{"a", 4, 0, fast}, {"b", 4, 0, fast}, {"c", 0, 20, fast}}},
+		"two of three fail, one is kept":          {steps: []step{{"a", 20, 0, fast}, {"b", 0, 9, fast}, {"c", 0, 9, fast}}, want: 1},
+		"one of two may be ejected":               {members: []string{"a", "c"}, steps: []step{{"a", 20, 0, fast}, {"c", 0, 9, fast}}, want: 1},
+		"one that fails far more takes its place": {steps: []step{{"a", 20, 0, fast}, {"b", 16, 4, fast}, {"c", 0, 9, fast}}, want: 2},
+		"the only one is kept":                    {members: []string{"c"}, steps: []step{{"c", 0, 20, fast}}},
+		"two of four may be ejected":              {members: []string{"a", "b", "c", "d"}, steps: append(good, step{"c", 0, 9, fast}, step{"d", 0, 9, fast}), want: 2},
+		"an unknown one is not counted":           {members: []string{"a", "b"}, steps: append(good, step{"x", 0, 9, fast})},
+		"rare statements, one every second":       {steps: []step{{"a", 20, 0, fast}, {"b", 20, 0, fast}, {"c", 0, 5, slow}}, want: 1},
+		"ejected once while it is ejected":        {steps: append(good, step{"c", 0, 50, fast}), want: 1},
+		"a failure among a thousand outcomes":     {steps: append(good, step{"c", 1000, 1, time.Millisecond})},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			if test.members == nil {
 				test.members = []string{"a", "b", "c"}
 			}
-			if got, _ := play(newGroup(test.members...), start, test.steps); len(got) != test.want {
+			g := newGroup(test.members...)
+			got, now := play(g, start, test.steps)
+			if len(got) != test.want {
 				t.Errorf("got %v ejected, want %d", got, test.want)
 			}
+			out := 0
+			for _, id := range test.members {
+				if health := g.Health(now, id); health.Ejected() {
+					out++
+				}
+			}
+			if out > len(test.members)/2 {
+				t.Errorf("got %d of %d ejected at once, want at most half", out, len(test.members))
+			}
 		})
 	}
 }
