--- a/internal/event/events_gen.go
+++ b/internal/event/events_gen.go
@@ -70,9 +70,11 @@
 	NumberMemoryRefused            Number = 6040
 	NumberSessionEvicted           Number = 6041
 	NumberSessionsFull             Number = 6042
-	NumberCallerGone               Number = 6050
-	NumberRetryWithheld            Number = 6051
 	NumberRelayedSessionRefused    Number = 6043
+	NumberInstanceEjected          Number = 6050
+	NumberInstanceReturned         Number = 6051
+	NumberCallerGone               Number = 6052
+	NumberRetryWithheld            Number = 6053
 )
 
 // Keeps the import of package model when no event uses it.
@@ -673,7 +675,41 @@
 	}).Warn("a session was refused because the host has as many as it may")
 }
 
-// CallerGone logs event 6050: a statement was given up because its caller had closed the connection.
+// RelayedSessionRefused logs event 6043: a session that another host passes on was refused because this host has as many as it may.
+func RelayedSessionRefused(logger log.Interface, from model.HostID, open int) {
+	logger.WithFields(log.Fields{
+		"event": NumberRelayedSessionRefused,
+		"from":  from,
+		"open":  open,
+	}).Warn("a session that another host passes on was refused because this host has as many as it may")
+}
+
+// InstanceEjected logs event 6050: an instance fails far more than the others of its database and gets hardly any reads.
+func InstanceEjected(logger log.Interface, database model.DatabaseID, instance model.InstanceID, failure model.Percent, outcomes int, failures int, ejected model.Milliseconds) {
+	logger.WithFields(log.Fields{
+		"event":    NumberInstanceEjected,
+		"database": database,
+		"instance": instance,
+		"failure":  failure,
+		"outcomes": outcomes,
+		"failures": failures,
+		"ejected":  ejected,
+	}).Warn("an instance fails far more than the others of its database and gets hardly any reads")
+}
+
+// InstanceReturned logs event 6051: the ejection of an instance has ended, and it gets more and more reads.
+func InstanceReturned(logger log.Interface, database model.DatabaseID, instance model.InstanceID, failure model.Percent, outcomes int, failures int) {
+	logger.WithFields(log.Fields{
+		"event":    NumberInstanceReturned,
+		"database": database,
+		"instance": instance,
+		"failure":  failure,
+		"outcomes": outcomes,
+		"failures": failures,
+	}).Info("the ejection of an instance has ended, and it gets more and more reads")
+}
+
+// CallerGone logs event 6052: a statement was given up because its caller had closed the connection.
 func CallerGone(logger log.Interface, request model.RequestID, kind model.KindID, instance model.InstanceID, waited model.Milliseconds) {
 	logger.WithFields(log.Fields{
 		"event":    NumberCallerGone,
@@ -684,7 +720,7 @@
 	}).Debug("a statement was given up because its caller had closed the connection")
 }
 
-// RetryWithheld logs event 6051: a statement that was refused for lack of room waits, since the budget for retries is used up.
+// RetryWithheld logs event 6053: a statement that was refused for lack of room waits, since the budget for retries is used up.
 func RetryWithheld(logger log.Interface, request model.RequestID, kind model.KindID, instance model.InstanceID, waited model.Milliseconds, code model.Code) {
 	logger.WithFields(log.Fields{
 		"event":    NumberRetryWithheld,
@@ -695,12 +731,3 @@
 		"code":     code,
 	}).Debug("a statement that was refused for lack of room waits, since the budget for retries is used up")
 }
-
-// RelayedSessionRefused logs event 6043: a session that another host passes on was refused because this host has as many as it may.
-func RelayedSessionRefused(logger log.Interface, from model.HostID, open int) {
-	logger.WithFields(log.Fields{
-		"event": NumberRelayedSessionRefused,
-		"from":  from,
-		"open":  open,
-	}).Warn("a session that another host passes on was refused because this host has as many as it may")
-}
