front: work that can't be answered before its deadline isn't sent; rejections by reason

The expected wait behind a queue extended the start limit past the deadline, so that a statement could be sent with no time left and its write be told as unsure. The limit leaves the learned service time now, but at most half of the time left, since a service time of an incident must not keep work from an instance that works again. The metric rejected{reason,when} tells rejections apart.

go test -race -run 'StartBy|AnswerBy|Rejections|Advise|TestMetrics' ./internal/front passes.

--- a/internal/front/counters.go
+++ b/internal/front/counters.go
@@ -7,6 +7,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -21,6 +22,26 @@
 	maxKinds      = 256        // kinds of work with separate histograms
 )
 
+// rejection is a reason for which a statement is rejected.
+type rejection uint8
+
+// The reasons.
+const (
+	rejectedByQueue         rejection = iota // the queue for the instance, or the memory for answers, is full
+	rejectedByInstance                       // the instance has no slot or connection free
+	rejectedAsLate                           // it could not be sent in time
+	rejectedWithoutInstance                  // no instance can be reached, or no primary is known
+	rejectedByAllowance                      // the tenant has used up its allowance
+	rejectedOtherwise
+	rejectionCount
+)
+
+// rejectionNames names the reasons in the metrics.
+var rejectionNames = [rejectionCount]string{"queue", "instance", "late", "none", "allowance", "other"}
+
+// atOnceLimit is the wait up to which a rejection counts as one at once.
+const atOnceLimit = time.Millisecond
+
 // counters holds the metrics of a host.
 type counters struct {
 	Requests     expvar.Int // statements that needed an instance
@@ -36,7 +57,9 @@
 	DroppedLines func() uint64
 
 	placed    placements
-	refusals  expvar.Map // by code
+	refusals  expvar.Map                   // by code
+	atOnce    [rejectionCount]atomic.Int64 // statements that have not run and did not wait
+	waited    [rejectionCount]atomic.Int64 // others that have not run
 	mutex     sync.Mutex
 	answered  map[string]time.Time // when the store last answered a call for a table
 	latencies map[model.KindID]*hdrhistogram.Histogram
@@ -54,6 +77,15 @@
 // countRefusal counts a refusal.
 func (c *counters) countRefusal(code model.Code) { c.refusals.Add(string(code), 1) }
 
+// countRejection counts a statement that was rejected without having run.
+func (c *counters) countRejection(reason rejection, waited time.Duration) {
+	if waited <= atOnceLimit {
+		c.atOnce[reason].Add(1)
+	} else {
+		c.waited[reason].Add(1)
+	}
+}
+
 // noteAnswer records that the store answered a call for a table.
 func (c *counters) noteAnswer(table string) {
 	c.mutex.Lock()
@@ -95,6 +127,10 @@
 	line("setup_refused %s", c.SetupRefused.String())
 	line("lines_dropped %d", c.DroppedLines())
 	c.refusals.Do(func(kv expvar.KeyValue) { line("refusals{code=%q} %s", kv.Key, kv.Value.String()) })
+	for reason, name := range rejectionNames {
+		line("rejected{reason=%q,when=\"at_once\"} %d", name, c.atOnce[reason].Load())
+		line("rejected{reason=%q,when=\"waited\"} %d", name, c.waited[reason].Load())
+	}
 	c.placed.each(func(edge placement.Edge, reason placement.Reason, count int64) {
 		line("placed{where=%q,reason=%q} %d", edge, reason, count)
 	})
--- a/internal/front/execution.go
+++ b/internal/front/execution.go
@@ -194,6 +194,14 @@
 	}))
 }
 
+// answerBy returns the time by which an instance with the service time and the expected wait has to answer, so that a statement is not
+// sent when it can't be answered before its deadline. Half of the time that is left may always be spent waiting: a service time that
+// was learned during an incident must not keep statements from an instance that works again.
+func (e *execution) answerBy(now time.Time, service, expected time.Duration) time.Time {
+	last := e.deadline.Add(-min(service, max(e.deadline.Sub(now), 0)/2))
+	return earlier(e.startByAt(now, service, expected), last).Add(service)
+}
+
 // settledAt returns the time by which the host knows its primaries; it is in the past but for a host that has just started.
 func (h *Host) settledAt() time.Time {
 	return time.Now().Add(h.view().SettledBy.Sub(clock.Boot()))
@@ -311,7 +319,7 @@
 	wait, service := t.backend.scheduler.Expected(now, e.policy.ID)
 	permit, err := t.backend.scheduler.Acquire(ctx, scheduler.Request{
 		Class:          admit.Class{Rank: e.policy.Rank, Kind: e.policy.ID, Session: e.session.id},
-		Deadline:       e.startByAt(now, service, wait).Add(service),
+		Deadline:       e.answerBy(now, service, wait),
 		KeepConnection: e.startsTransaction,
 		Tenant:         e.session.tenant,
 		OnlyHere:       e.needsPrimary(),
@@ -401,6 +409,9 @@
 		refusal = &model.Refusal{Code: model.CodeTransactionEnded, NotRun: true, Message: refusal.Message, RetryAfter: refusal.RetryAfter}
 	}
 	e.session.host.counters.countRefusal(refusal.Code)
+	if refusal.NotRun {
+		e.session.host.counters.countRejection(e.rejectionReason(refusal.Code), time.Since(e.arrived))
+	}
 	log := e.session.host.Logger
 	waited := model.Millis(time.Since(e.arrived))
 	if refusal.NotRun {
@@ -411,6 +422,24 @@
 	return refusal
 }
 
+// rejectionReason returns why a statement that has not run is rejected, for the metrics.
+func (e *execution) rejectionReason(code model.Code) rejection {
+	switch {
+	case retry.LacksRoom(code) && e.attempts == 0:
+		return rejectedByQueue
+	case retry.LacksRoom(code):
+		return rejectedByInstance
+	case code == model.CodeDeadline:
+		return rejectedAsLate
+	case code == model.CodeUnavailable:
+		return rejectedWithoutInstance
+	case code == model.CodeAllowance:
+		return rejectedByAllowance
+	default:
+		return rejectedOtherwise
+	}
+}
+
 // advise returns the refusal with the time after which the caller should come back, if it was refused for lack of room. A host that
 // passes the session on tells its caller itself.
 func (e *execution) advise(refusal *model.Refusal, random float64) *model.Refusal {
--- a/internal/front/retry_internal_test.go
+++ b/internal/front/retry_internal_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -158,3 +159,45 @@
 		})
 	}
 }
+
+// TestRejections guards against rejections whose reason operators can't tell, and against statements that may have run among them.
+func TestRejections(t *testing.T) {
+	tests := map[string]struct {
+		refusal  *model.Refusal
+		attempts int
+		waited   time.Duration
+		want     string // of the only line that isn't zero
+	}{
+		"full queue":          {refusal: model.Refuse(model.CodeOverloaded, "x"), want: `rejected{reason="queue",when="at_once"} 1`},
+		"full instance":       {refusal: model.Refuse(model.CodeSlotsFull, "x"), attempts: 1, waited: time.Second, want: `rejected{reason="instance",when="waited"} 1`},
+		"no time":             {refusal: model.Refuse(model.CodeDeadline, "x"), waited: time.Second, want: `rejected{reason="late",when="waited"} 1`},
+		"no primary":          {refusal: model.Refuse(model.CodeUnavailable, "x"), want: `rejected{reason="none",when="at_once"} 1`},
+		"allowance":           {refusal: model.Refuse(model.CodeAllowance, "x"), want: `rejected{reason="allowance",when="at_once"} 1`},
+		"primary in question": {refusal: model.Refuse(model.CodeNotPrimary, "x"), attempts: 1, want: `rejected{reason="other",when="at_once"} 1`},
+		"may have run":        {refusal: model.OutcomeUnknown("x")},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := New()
+				h.Logger = quietLogger()
+				e := &execution{session: &callerSession{host: h}, arrived: time.Now(), deadline: time.Now().Add(time.Minute), attempts: test.attempts}
+				time.Sleep(test.waited)
+				e.recordRefusal(test.refusal)
+				var text strings.Builder
+				if err := h.counters.writeText(&text); err != nil {
+					t.Fatal(err)
+				}
+				got := ""
+				for line := range strings.Lines(text.String()) {
+					if strings.HasPrefix(line, "rejected{") && !strings.HasSuffix(line, " 0\n") {
+						got += strings.TrimSpace(line)
+					}
+				}
+				if got != test.want {
+					t.Errorf("got %q, want %q", got, test.want)
+				}
+			})
+		})
+	}
+}
--- a/internal/front/start_internal_test.go
+++ b/internal/front/start_internal_test.go
@@ -53,3 +53,39 @@
 		})
 	}
 }
+
+// TestAnswerBy guards against statements that are sent although they can't be answered before their deadline, and against service times
+// of an incident that keep statements from an instance for good.
+func TestAnswerBy(t *testing.T) {
+	const goal, timeout = time.Second, 3 * time.Second
+	tests := map[string]struct {
+		change        func(*execution)
+		service, wait time.Duration
+		want          time.Duration // from the arrival
+	}{
+		"within the goal":                  {service: 20 * time.Millisecond, want: goal/4 + 20*time.Millisecond},
+		"behind a queue":                   {service: 20 * time.Millisecond, wait: time.Second, want: goal/4 + time.Second + 20*time.Millisecond},
+		"behind a queue past the deadline": {service: time.Second, wait: time.Minute, want: timeout},
+		"after an attempt":                 {change: (*execution).allowRest, service: time.Second, want: timeout},
+		"service time of an incident":      {service: time.Minute, want: goal/4 + time.Minute},
+		"after an attempt of an incident":  {change: (*execution).allowRest, service: time.Minute, want: timeout/2 + time.Minute},
+		"after the deadline":               {change: func(e *execution) { time.Sleep(2 * timeout) }, service: time.Second, wait: time.Minute, want: timeout + time.Second},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := New()
+				h.Loop = control.New(controller.New())
+				s := &callerSession{host: h}
+				e := s.newExecution(statement.Request{}, model.Kind{Goal: goal, Timeout: timeout, Consistency: model.ReadBounded})
+				if test.change != nil {
+					test.change(e)
+				}
+				if got := e.answerBy(time.Now(), test.service, test.wait).Sub(e.arrived); got != test.want {
+					t.Errorf("got %v, want %v", got, test.want)
+				}
+			})
+		})
+	}
+}
+
