front: the test of callers that leave has one that closes its sending side only

Guards against a half-closed caller that counts as gone, and against statements that it sent ahead and that are lost.

--- a/internal/front/start_internal_test.go
+++ b/internal/front/start_internal_test.go
@@ -88,4 +88,3 @@
 		})
 	}
 }
-
--- a/internal/front/watch_test.go
+++ b/internal/front/watch_test.go
@@ -9,7 +9,8 @@
 )
 
 // TestGoneCallersAreNotServed guards against statements that are sent after their callers have reset their connections, with the line
-// protocol from end to end: writes wait behind others that the instance holds up, and their callers leave.
+// protocol from end to end: writes wait behind others that the instance holds up, and their callers leave. A caller that has sent two
+// writes ahead and only closed its sending side is answered.
 func TestGoneCallersAreNotServed(t *testing.T) {
 	f := newFleet(t, 1)
 	routes := standin.SampleRoutes("seats")
@@ -38,6 +39,13 @@
 	for i := range sessions {
 		sessions[i] = write(fmt.Sprintf("held%d", i))
 	}
+	halfClosed := write("held-half")
+	if err := halfClosed.Send("QUERY 2 WRITE held-ahead x\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	if err := halfClosed.CloseWrite(); err != nil {
+		t.Fatal(err)
+	}
 	for i := range gone {
 		if err := write(fmt.Sprintf("gone%d", i)).Reset(); err != nil {
 			t.Fatal(err)
@@ -45,7 +53,7 @@
 	}
 	f.eventually("the statements are given up", func() bool { return f.metric(host, "callers_gone") == gone })
 	close(release)
-	for i, s := range sessions {
+	for i, s := range append(sessions, halfClosed, halfClosed) {
 		if got, err := s.Receive(); err != nil || got.Code != "" {
 			t.Errorf("got %+v, %v for held%d, want success", got, err, i)
 		}
