events: statements of callers that have gone, and withheld retries, are logged at info

Such a statement was logged at info before, as refused or tried again, and explain needs the line to tell why a request waited. The sink bounds the volume, as for refusals.

go test ./internal/explain ./internal/layout passes.

--- a/internal/event/events_gen.go
+++ b/internal/event/events_gen.go
@@ -667,7 +667,7 @@
 		"kind":     kind,
 		"instance": instance,
 		"waited":   waited,
-	}).Debug("a statement was given up because its caller had closed the connection")
+	}).Info("a statement was given up because its caller had closed the connection")
 }
 
 // RetryWithheld logs event 6051: a statement that was refused for lack of room waits, since the budget for retries is used up.
@@ -679,5 +679,5 @@
 		"instance": instance,
 		"waited":   waited,
 		"code":     code,
-	}).Debug("a statement that was refused for lack of room waits, since the budget for retries is used up")
+	}).Info("a statement that was refused for lack of room waits, since the budget for retries is used up")
 }
