--- a/internal/admit/start_limit.go
+++ b/internal/admit/start_limit.go
@@ -44,6 +44,7 @@
 	Service   time.Duration // learned service time; zero if unknown
 	Expected  time.Duration // wait that is still expected here
 	Limit     time.Duration // set by the host that passes the statement on; zero for none
+	Least     time.Duration // lower bound, for a statement that has waited for something else before; zero for none
 	Elsewhere bool          // a further attempt elsewhere is possible
 	Sent      bool          // an attempt was sent and failed; the rest of the time until the deadline is for another one
 }
@@ -65,7 +66,7 @@
 	if s.Sent {
 		return last
 	}
-	within := max(min(share(s.Goal, l.GoalShare), s.Goal-reserve), l.Least, share(s.Deadline, l.DeadlineShare))
+	within := max(min(share(s.Goal, l.GoalShare), s.Goal-reserve), l.Least, s.Least, share(s.Deadline, l.DeadlineShare))
 	if s.Limit != 0 {
 		within = min(within, s.Limit)
 	}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -266,6 +266,7 @@
 	for _, database := range slices.Sorted(maps.Keys(byDatabase)) {
 		members := byDatabase[database]
 		monitor := c.monitorOf(database)
+		monitor.VoteMaxAge = c.hostTimeout()
 		if changed, reason := monitor.UpdatePrimary(now, members, c.health); changed {
 			observation := monitor.Observation()
 			event.PrimaryBelieved(c.Logger, database, observation.Instance, observation.Term, string(observation.State), reason)
@@ -299,12 +300,16 @@
 		return nil
 	}
 	monitor.ReleaseTime = c.releaseTime()
+	monitor.Observers = nil
+	if monitor.Reports(now) {
+		monitor.Observers = c.observersOf(now, database, monitor.Observation().Instance)
+	}
 	verdict, count, reason := monitor.Decide(now, c.Self.ID, live, len(c.hosts)+1, members)
 	if verdict == failover.Keep {
 		return nil
 	}
 	observation := monitor.Observation()
-	event.PrimaryJudged(c.Logger, database, observation.Instance, count.Silent, count.Leading, count.Live, reason)
+	event.PrimaryJudged(c.Logger, database, observation.Instance, count.Silent, count.Leading, count.Observing, count.Live, reason)
 	c.changing[database] = true
 	d := c.directory.Directory()
 	change := ChangePrimary{
@@ -318,7 +323,7 @@
 		Release:   c.releaseTime(),
 	}
 	responds := verdict == failover.Failover && c.respondsAsReplica(observation.Instance)
-	change.Demoted = responds && c.health[observation.Instance].LastProof.After(monitor.PromotedAt())
+	change.Demoted = responds && c.health[observation.Instance].Proved().After(monitor.PromotedAt())
 	for _, member := range members {
 		if member.Instance != observation.Instance || responds {
 			change.Replicas = append(change.Replicas, d.Instances[member.Instance])
@@ -331,7 +336,7 @@
 // one whose promotion got no answer may still be promoted by that order, so the instance stays a candidate.
 func (c *Controller) respondsAsReplica(primary model.InstanceID) bool {
 	health := c.health[primary]
-	return health.SilentSince.IsZero() && health.LastRefusal.After(health.LastProof)
+	return health.SilentSince.IsZero() && health.LastRefusal.After(health.Proved())
 }
 
 // finishChange processes the result of a ChangePrimary.
@@ -376,7 +381,7 @@
 		Fleet:      c.updateFleet(live),
 	}
 	for database, monitor := range c.monitors {
-		next.Primaries[database] = c.primaryView(database, monitor)
+		next.Primaries[database] = c.primaryView(now, live, database, monitor)
 	}
 	old := c.snapshot
 	if old.Directory == next.Directory && old.LiveHosts == next.LiveHosts && old.Ready == next.Ready && old.Lease == next.Lease &&
@@ -409,7 +414,9 @@
 }
 
 // primaryView returns the state of a primary for the view.
-func (c *Controller) primaryView(database model.DatabaseID, monitor *failover.Monitor) Primary {
+//
+// A host that hears none of the others can't tell whether they change a primary, and expects no change.
+func (c *Controller) primaryView(now time.Time, live []model.HostID, database model.DatabaseID, monitor *failover.Monitor) Primary {
 	observation := monitor.Observation()
 	primary := Primary{Instance: observation.Instance, State: observation.State}
 	if observation.State == failover.Silent {
@@ -418,6 +425,8 @@
 	if back := monitor.PromotedAt().Add(c.Timing.PromotionTime); observation.State != failover.Leading && !monitor.PromotedAt().IsZero() && back.After(primary.ExpectedBack) {
 		primary.ExpectedBack = back
 	}
+	inTouch := len(live) > 1 || len(c.hosts) == 0
+	primary.Changing = c.changing[database] || (inTouch && monitor.Changing(now, c.health))
 	if c.lease != nil {
 		primary.Assigned = c.lease.Assigned(database)
 		primary.Cleared = c.lease.Cleared(c.boot, database)
--- a/internal/controller/shares.go
+++ b/internal/controller/shares.go
@@ -39,19 +39,19 @@
 	sharers := c.sharers(now)
 	c.crowded = false
 	for id, instance := range d.Instances {
-		limit := d.Databases[instance.Database].Connections
+		limit, most := sharedConnections(d.Databases[instance.Database].Connections)
 		if limit == 0 {
 			continue
 		}
-		most := int(limit / crowdedDivisor)
-		limit -= max(limit/spareDivisor, 1)
-		c.crowded = c.crowded || len(sharers)+1 > int(limit)
+		c.crowded = c.crowded || len(sharers)+1 > int(limit) || c.holdsByTenant(len(sharers)+1, limit)
 		if !c.hostsRead {
 			shares[id] = assumedShare(limit, instance.Slots)
 			continue
 		}
-		if hosts := len(sharers) + 1; hosts > int(limit) || hosts > most && len(c.homesOf(id, limit)) > 0 {
-			shares[id] = c.crowdedShare(now, id, instance.Slots, limit, hosts)
+		if hosts := len(sharers) + 1; c.crowds(id, hosts, limit, most) {
+			share := c.crowdedShare(now, id, instance.Slots, limit, hosts)
+			share.Probes = c.keepsProbe(now, instance.Database, id)
+			shares[id] = share
 			continue
 		}
 		own := claim{host: c.Self.ID, load: max(c.loads[id], minLoad)}
@@ -68,6 +68,40 @@
 	return shares
 }
 
+// holdsByTenant reports whether few hosts keep the connections of each tenant to an instance, since a host's part of them is less than one
+// for each tenant.
+func (c *Controller) holdsByTenant(hosts int, limit model.Connections) bool {
+	d := c.directory.Directory()
+	return d.Keyed && c.Self.Relay != "" && hosts > holderCount && len(d.Tenants)*hosts > int(limit)
+}
+
+// sharedConnections returns the connections to an instance that hosts share, and the number of hosts beyond which it is crowded if
+// some hosts are near it.
+func sharedConnections(connections model.Connections) (limit model.Connections, most int) {
+	if connections == 0 {
+		return 0, 0
+	}
+	return connections - max(connections/spareDivisor, 1), int(connections / crowdedDivisor)
+}
+
+// crowds reports whether the hosts are too many for each of them to keep a connection to an instance.
+func (c *Controller) crowds(id model.InstanceID, hosts int, limit model.Connections, most int) bool {
+	return hosts > int(limit) || (hosts > most || c.holdsByTenant(hosts, limit)) && len(c.homesOf(id, limit)) > 0
+}
+
+// observersOf returns the hosts that keep connections to an instance of the database, or nil where each host does.
+func (c *Controller) observersOf(now time.Time, database model.DatabaseID, id model.InstanceID) map[model.HostID]bool {
+	d := c.directory.Directory()
+	limit, most := sharedConnections(d.Databases[database].Connections)
+	if limit == 0 || !c.hostsRead || !c.crowds(id, len(c.sharers(now))+1, limit, most) {
+		return nil
+	}
+	if homes := c.homesOf(id, limit); homes != nil {
+		return homes
+	}
+	return map[model.HostID]bool{}
+}
+
 // crowdedShare returns this host's share of an instance that has too few connections for all hosts to keep one: its home hosts keep
 // connections, the others open one when they need it.
 //
@@ -86,6 +120,9 @@
 	}
 	share := shareOf(id, limit-limit/turnsDivisor, slots, own, others)
 	share.Scarce = now.Sub(c.started) < c.Timing.Linger
+	if c.directory.Directory().Keyed {
+		share.Holders = c.holdersOf(id, homes)
+	}
 	return share
 }
 
--- a/internal/controller/view.go
+++ b/internal/controller/view.go
@@ -5,6 +5,7 @@
 
 	"redwingspread/internal/directory"
 	"redwingspread/internal/failover"
+	"redwingspread/internal/holder"
 	"redwingspread/internal/lease"
 	"redwingspread/internal/model"
 )
@@ -44,6 +45,7 @@
 	Instance     model.InstanceID
 	State        failover.State
 	ExpectedBack time.Time        // when a primary is expected to be available again; zero when there is nothing to wait for
+	Changing     bool             // it is being replaced, or its loss is undecided
 	Assigned     lease.Assignment // the only instance that may be used as the primary, unless its token is zero
 	Cleared      model.Token      // the promotion that this host may order now, since no host uses another primary
 }
@@ -52,11 +54,12 @@
 type Share struct {
 	Slots       model.Slots
 	Connections model.Connections
-	Scarce      bool     // there are more hosts than connections, so idle connections have to be closed
-	Holders     *Holders // that keep connections, where this host doesn't; nil for none
+	Scarce      bool        // there are more hosts than connections, so idle connections have to be closed
+	Holders     *holder.Set // hosts that keep connections and take requests for it; nil where each host uses its own
+	Probes      bool        // this host probes the instance for others, so that it keeps one connection to it
 }
 
-// Holders are the hosts that keep connections to an instance and take requests for it; it is immutable.
-type Holders struct {
-	Addresses []model.Address // the first one is to be preferred
+// KeepsConnections reports whether the host, whose share it is, keeps connections to the instance.
+func (s Share) KeepsConnections(self model.HostID) bool {
+	return s.Holders == nil || s.Holders.Includes(self)
 }
--- a/internal/event/events_gen.go
+++ b/internal/event/events_gen.go
@@ -71,6 +71,7 @@
 	NumberSessionsFull             Number = 6042
 	NumberCallerGone               Number = 6050
 	NumberRetryWithheld            Number = 6051
+	NumberRelayedSessionRefused    Number = 6043
 )
 
 // Keeps the import of package model when no event uses it.
@@ -398,15 +399,16 @@
 }
 
 // PrimaryJudged logs event 6007: a primary is to be replaced.
-func PrimaryJudged(logger log.Interface, database model.DatabaseID, instance model.InstanceID, silent int, leads int, live int, reason string) {
-	logger.WithFields(log.Fields{
-		"event":    NumberPrimaryJudged,
-		"database": database,
-		"instance": instance,
-		"silent":   silent,
-		"leads":    leads,
-		"live":     live,
-		"reason":   reason,
+func PrimaryJudged(logger log.Interface, database model.DatabaseID, instance model.InstanceID, silent int, leads int, observers int, live int, reason string) {
+	logger.WithFields(log.Fields{
+		"event":     NumberPrimaryJudged,
+		"database":  database,
+		"instance":  instance,
+		"silent":    silent,
+		"leads":     leads,
+		"observers": observers,
+		"live":      live,
+		"reason":    reason,
 	}).Warn("a primary is to be replaced")
 }
 
@@ -681,3 +683,12 @@
 		"code":     code,
 	}).Info("a statement that was refused for lack of room waits, since the budget for retries is used up")
 }
+
+// RelayedSessionRefused logs event 6043: a session that another host passes on was refused because this host has as many as it may.
+func RelayedSessionRefused(logger log.Interface, from model.HostID, open int) {
+	logger.WithFields(log.Fields{
+		"event": NumberRelayedSessionRefused,
+		"from":  from,
+		"open":  open,
+	}).Warn("a session that another host passes on was refused because this host has as many as it may")
+}
--- a/internal/front/autocommit.go
+++ b/internal/front/autocommit.go
@@ -59,12 +59,12 @@
 }
 
 // mayTryAnother reports whether work that a scheduler refused may be tried again: on another instance if any would do, and in any case
-// if the instance is gone, which stops its scheduler; another instance is then found, or a primary waited for.
+// if the instance is gone, which stops its scheduler, or its primary is changing; another instance is then found, or a primary waited for.
 func (e *execution) mayTryAnother(refusal *model.Refusal, anyInstance bool) bool {
 	if refusal.Code == model.CodeStopping {
 		return !e.session.host.terminating()
 	}
-	return anyInstance && e.hasCandidate()
+	return (anyInstance && e.hasCandidate()) || e.awaitsPrimary()
 }
 
 // hasCandidate reports whether any instance has not been excluded.
@@ -161,7 +161,7 @@
 func (e *execution) handleRefusal(ctx context.Context, t target, response *statement.Response) (done bool, err error) {
 	switch response.Code {
 	case model.CodeBehind, model.CodeNotPrimary:
-		e.handleWrongInstance(t.backend, response.Code)
+		e.handleWrongInstance(t, response.Code)
 	case model.CodeOverloaded, model.CodeSlotsFull:
 		if e.access == model.Read && !e.needsPrimary() {
 			e.exclude(t.backend)
--- a/internal/front/counters.go
+++ b/internal/front/counters.go
@@ -44,18 +44,20 @@
 
 // counters holds the metrics of a host.
 type counters struct {
-	Requests     expvar.Int // statements that needed an instance
-	Retries      expvar.Int // attempts after the first
-	Promotions   expvar.Int // ordered by this host
-	Sessions     expvar.Int // open now
-	Relayed      expvar.Int // requests passed on to hosts that keep connections
-	Evicted      expvar.Int // sessions closed in favour of new ones
-	OverLimit    expvar.Int // sessions refused because the host had as many as it may
-	Withheld     expvar.Int // retries that had to wait because the budget for them was used up
-	CallersGone  expvar.Int // statements given up because their callers had closed their connections
-	SetupRefused expvar.Int // commands that prepare a connection for a session and that an instance refused
-	DroppedLines func() uint64
-
+	Requests       expvar.Int // statements that needed an instance
+	Retries        expvar.Int // attempts after the first
+	Promotions     expvar.Int // ordered by this host
+	Sessions       expvar.Int // open now
+	Relayed        expvar.Int // requests passed on to hosts that keep connections
+	Evicted        expvar.Int // sessions closed in favour of new ones
+	OverLimit      expvar.Int // sessions refused because the host had as many as it may
+	Withheld       expvar.Int // retries that had to wait because the budget for them was used up
+	CallersGone    expvar.Int // statements given up because their callers had closed their connections
+	RelayedRefused expvar.Int // sessions that other hosts passed on and that were refused because the host had as many as it may
+	SetupRefused   expvar.Int // commands that prepare a connection for a session and that an instance refused
+	DroppedLines   func() uint64
+
+	tenants   tenantCounters
 	placed    placements
 	refusals  expvar.Map                   // by code
 	atOnce    [rejectionCount]atomic.Int64 // statements that have not run and did not wait
@@ -124,6 +126,7 @@
 	line("sessions_over_limit %s", c.OverLimit.String())
 	line("retries_withheld %s", c.Withheld.String())
 	line("callers_gone %s", c.CallersGone.String())
+	line("relayed_refused %s", c.RelayedRefused.String())
 	line("setup_refused %s", c.SetupRefused.String())
 	line("lines_dropped %d", c.DroppedLines())
 	c.refusals.Do(func(kv expvar.KeyValue) { line("refusals{code=%q} %s", kv.Key, kv.Value.String()) })
--- a/internal/front/execution.go
+++ b/internal/front/execution.go
@@ -23,6 +23,7 @@
 	readAttemptTimeout = 400 * time.Millisecond // after which a read is tried on another instance
 	minRetryPause      = 5 * time.Millisecond   // before an attempt after a refusal for lack of a slot; doubles with each attempt
 	maxRetryPause      = 40 * time.Millisecond  // upper bound of the doubling
+	minResumeTime      = 300 * time.Millisecond // lower bound of the start limit after a wait for a primary: the longest backoff of its connections, 250 ms, and the opening of one
 )
 
 // execution is the processing of one statement.
@@ -37,6 +38,7 @@
 	arrived           time.Time
 	waitsFrom         time.Time     // from which the start limit counts
 	startLimit        time.Duration // set by the host that passes the statement on; zero for none
+	leastStart        time.Duration // lower bound of the time that it may wait; zero for none of its own
 	sent              bool          // an attempt was sent and failed; the rest of the time is for another one
 	deadline          time.Time     // for the response
 	startBy           time.Time     // for sending the statement to an instance
@@ -97,7 +99,11 @@
 		return nil
 	}
 	s.charged = inTransaction
-	return s.host.allowances.spend(ctx, s.tenant, e.policy.Rank, e.startBy)
+	refusal := s.host.allowances.spend(ctx, s.tenant, e.policy.Rank, e.startBy)
+	if refusal == nil {
+		s.host.counters.tenants.countOperation(s.tenant)
+	}
+	return refusal
 }
 
 // needsPrimary reports whether only the primary can run the statement.
@@ -118,6 +124,9 @@
 func (e *execution) chooseTarget(ctx context.Context) (target, *model.Refusal) {
 	for waited := false; ; waited = true {
 		changed := e.session.host.Loop.Changed()
+		if e.refusesToStop() {
+			return target{}, refuseStopping()
+		}
 		rs := e.session.host.replicaSet(e.policy.Database)
 		if rs == nil {
 			return target{}, model.Refuse(model.CodeUnavailable, "no instance of the database is known")
@@ -127,7 +136,7 @@
 		if ok {
 			e.session.host.logLeaving(e.policy.Database, found.choice, &rs.leaving)
 			if waited {
-				e.renewStart(time.Now())
+				e.resume(time.Now())
 			}
 			return found, nil
 		}
@@ -137,42 +146,36 @@
 		if e.session.host.outOfTouch() {
 			return target{}, withRetryAfter(model.Refuse(model.CodeUnavailable, "the host is out of touch with the other hosts and the store"), outOfTouchRetry)
 		}
-		if len(e.excluded) > 0 && primary.Instance != "" && primary.State == failover.Leading {
+		if len(e.excluded) > 0 && primary.Instance != "" && primary.State == failover.Leading && !primary.Changing {
 			return target{}, model.Refuse(model.CodeUnavailable, "each instance that would do has refused or failed")
 		}
-		until := waitLimit(e.startBy, e.deadline, primary.ExpectedBack, e.session.host.settledAt())
-		if primary.ExpectedBack.After(e.deadline) {
-			return target{}, withRetryAfter(model.Refuse(model.CodeUnavailable, "the primary is lost and is not back in time"), time.Until(primary.ExpectedBack))
+		wait := e.primaryWait(rs, &primary)
+		until := wait.until()
+		if wait.tooLate() {
+			return target{}, withRetryAfter(model.Refuse(model.CodeUnavailable, "the primary is lost and is not back in time"), wait.retryAfter())
 		}
 		if !waitChanged(ctx, changed, until) {
-			return target{}, withRetryAfter(model.Refuse(model.CodeUnavailable, "no primary is known"), time.Until(primary.ExpectedBack))
+			return target{}, withRetryAfter(model.Refuse(model.CodeUnavailable, "no primary is known"), e.primaryWait(rs, &primary).retryAfter())
+		}
+		if !e.needsPrimary() || e.session.host.primary(e.policy.Database) != primary {
+			clear(e.excluded) // otherwise the attempt would be used up at an instance that has just failed
 		}
-		clear(e.excluded)
-	}
-}
-
-// waitLimit returns until when a statement waits for a primary: until it has to be sent; until a lost primary is expected back, if
-// that is before the deadline; or until a host that has just started has got to know the primaries.
-func waitLimit(startBy, deadline, expectedBack, settled time.Time) time.Time {
-	until := startBy
-	if expectedBack.Before(deadline) && expectedBack.After(until) {
-		until = expectedBack
-	}
-	if settled.After(deadline) {
-		settled = deadline
-	}
-	if settled.After(until) {
-		until = settled
 	}
-	return until
 }
 
-// renewStart gives a statement the time in which it would be sent had it arrived now, as after its wait for a primary.
+// renewStart gives a statement the time in which it would be sent had it arrived now.
 func (e *execution) renewStart(now time.Time) {
 	e.waitsFrom, e.startLimit = now, 0
 	e.startBy = e.startByAt(now, 0, 0)
 }
 
+// resume renews the time of a statement that has waited for a primary, with enough of it for a connection to be opened.
+func (e *execution) resume(now time.Time) {
+	e.leastStart = minResumeTime
+	e.renewStart(now)
+	clear(e.unreached) // the holders may know the primary by now
+}
+
 // allowRest gives a statement the rest of its time for another attempt, after one that was sent and failed.
 func (e *execution) allowRest() {
 	e.sent = true
@@ -189,6 +192,7 @@
 		Service:   service,
 		Expected:  expected,
 		Limit:     e.startLimit,
+		Least:     e.leastStart,
 		Elsewhere: !e.needsPrimary(),
 		Sent:      e.sent,
 	}))
@@ -251,12 +255,14 @@
 // survey appends the candidates among the backends.
 func (e *execution) survey(candidates []placement.Candidate, backends []*backend, primary model.InstanceID) []placement.Candidate {
 	now := time.Now()
-	shares := e.session.host.view().Shares
+	view := e.session.host.view()
+	part := view.Directory.Weights.Part(e.session.tenant)
 	for _, b := range backends[:min(len(backends), maxCandidates)] {
-		passedOn := shares[b.instance.ID].Holders != nil
-		c := b.candidate(now, e.policy.ID, e.session.tenant, primary, passedOn && !e.session.relayed)
+		share := view.Shares[b.instance.ID]
+		passedOn := share.Holders != nil && !e.session.relayed && !share.Holders.TakesItself(e.session.tenant, part)
+		c := b.candidate(now, e.policy.ID, e.session.tenant, primary, passedOn)
 		c.Tried = e.excluded[b.instance.ID] || (c.Primary && !b.admitsPrimary())
-		if e.session.relayed && passedOn {
+		if e.session.relayed && !share.KeepsConnections(e.session.host.self.ID) {
 			c.Tried, e.elsewhere = true, true
 		}
 		candidates = append(candidates, c)
@@ -303,21 +309,31 @@
 }
 
 // handleWrongInstance records that an instance is behind or not the primary, and excludes it.
-func (e *execution) handleWrongInstance(b *backend, code model.Code) {
+func (e *execution) handleWrongInstance(t target, code model.Code) {
 	if code == model.CodeBehind {
-		b.noteBehind(clock.Boot())
+		t.backend.noteLacking(clock.Boot(), t.minPoint)
 	} else {
 		e.session.host.tickNow()
 	}
-	e.exclude(b)
+	e.exclude(t.backend)
 }
 
 // acquire waits for a connection and a slot on the target.
-func (e *execution) acquire(ctx context.Context, t target) (*scheduler.Permit[*pooledConn], error) {
+func (e *execution) acquire(ctx context.Context, t target) (permit *scheduler.Permit[*pooledConn], err error) {
 	e.backend = t.backend
+	if e.session.relayed {
+		var endWait func()
+		ctx, endWait = e.session.beginWait(ctx)
+		defer endWait()
+		defer func() {
+			if err != nil && e.refusesToStop() {
+				err = refuseStopping()
+			}
+		}()
+	}
 	now := time.Now()
 	wait, service := t.backend.scheduler.Expected(now, e.policy.ID)
-	permit, err := t.backend.scheduler.Acquire(ctx, scheduler.Request{
+	permit, err = t.backend.scheduler.Acquire(ctx, scheduler.Request{
 		Class:          admit.Class{Rank: e.policy.Rank, Kind: e.policy.ID, Session: e.session.id},
 		Deadline:       e.answerBy(now, service, wait),
 		KeepConnection: e.startsTransaction,
@@ -348,7 +364,7 @@
 func (e *execution) prepareRetry(ctx context.Context, reason string, pause time.Duration) bool {
 	e.attempts++
 	e.session.host.counters.Retries.Add(1)
-	if e.attempts >= maxAttempts || ctx.Err() != nil || !time.Now().Add(pause).Before(e.startBy) {
+	if e.attempts >= maxAttempts || ctx.Err() != nil || !(time.Now().Add(pause).Before(e.startBy) || e.awaitsPrimary()) {
 		return false
 	}
 	event.RequestRetried(e.session.host.Logger, e.request.ID, e.policy.ID, e.instanceID(), model.Millis(time.Since(e.arrived)), reason)
@@ -412,6 +428,9 @@
 	if refusal.NotRun {
 		e.session.host.counters.countRejection(e.rejectionReason(refusal.Code), time.Since(e.arrived))
 	}
+	if e.session.tenant != "" && !e.session.relayed {
+		e.session.host.counters.tenants.countRefusal(e.session.tenant, refusal.Code)
+	}
 	log := e.session.host.Logger
 	waited := model.Millis(time.Since(e.arrived))
 	if refusal.NotRun {
--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -4,12 +4,16 @@
 	"context"
 	"errors"
 	"maps"
+	"slices"
 	"time"
 
 	"redwingspread/internal/boundary"
+	"redwingspread/internal/budget"
 	"redwingspread/internal/clock"
 	"redwingspread/internal/event"
+	"redwingspread/internal/holder"
 	"redwingspread/internal/model"
+	"redwingspread/internal/placement"
 	"redwingspread/internal/relay"
 	"redwingspread/internal/scout"
 	"redwingspread/internal/session"
@@ -43,20 +47,37 @@
 	if holders == nil {
 		return "", false
 	}
-	reachable := model.Address("")
-	for _, candidate := range holders.Addresses {
-		switch {
-		case e.unreached[candidate] || !h.relays.Reachable(candidate):
-		case h.relays.Connected(candidate):
-			if reachable != "" {
-				h.relays.Connect(reachable) // preferred once it is connected; no request waits for that
-			}
-			return candidate, true
-		case reachable == "":
-			reachable = candidate
-		}
+	var buffer [holder.MaxHosts]holder.Host
+	order, sharing := holders.Order(buffer[:0], e.session.tenant, h.view().Directory.Weights.Part(e.session.tenant))
+	if own := slices.IndexFunc(order, func(host holder.Host) bool { return host.ID == h.self.ID }); own >= 0 {
+		order = order[:own] // this host stands in before the others behind it
+		sharing = min(sharing, own)
+	}
+	address, found = e.reachableHolder(order[:sharing])
+	if !found {
+		address, found = e.reachableHolder(order[sharing:])
+	}
+	return address, found
+}
+
+// reachableHolder returns the address of the holder that takes the request, if one of them can be reached.
+func (e *execution) reachableHolder(holders []holder.Host) (address model.Address, found bool) {
+	relays, now := e.session.host.relays, time.Now()
+	var buffer [holder.MaxHosts]placement.Holder
+	states := buffer[:0]
+	for _, candidate := range holders {
+		state := placement.Holder(relays.State(now, candidate.Address))
+		state.Reachable = state.Reachable && !e.unreached[candidate.Address]
+		states = append(states, state)
+	}
+	index, connect := placement.ChooseHolder(states)
+	if connect != placement.None {
+		relays.Connect(holders[connect].Address) // no request waits for that
+	}
+	if index == placement.None {
+		return "", false
 	}
-	return reachable, reachable != ""
+	return holders[index].Address, true
 }
 
 // noteRemote records that the instance responded to another host, which had been asked the given time before.
@@ -114,9 +135,10 @@
 	r.instance = reply.Instance
 	if b := e.session.host.backend(reply.Instance); b != nil {
 		b.noteRemote(time.Now(), e.policy.ID, time.Since(now), reply.Response.Point)
-	} else if reply.Refusal != nil {
-		r.backend.noteRemote(time.Now(), e.policy.ID, time.Since(now)+reply.Refusal.RetryAfter, model.Point{})
+	} else if reply.Refusal != nil && reply.Refusal.Code != model.CodeBehind {
+		r.backend.noteRemote(time.Now(), e.policy.ID, time.Since(now)+reply.Refusal.RetryAfter, model.Point{}) // the quick refusal of one that is behind tells nothing of its load
 	}
+	e.noteReplicas(reply.Replicas)
 	if reply.Led && reply.Response.Point != (model.Point{}) {
 		e.session.host.observeProofs([]scout.Proof{{
 			Database: e.policy.Database, Instance: reply.Instance, Point: reply.Response.Point, SentAt: sent,
@@ -125,6 +147,36 @@
 	return reply, nil
 }
 
+// noteReplicas records what a holder says of the replicas to which it keeps connections, for the placement of later reads.
+func (e *execution) noteReplicas(replicas []relay.Replica) {
+	now := clock.Boot()
+	for _, replica := range replicas {
+		if b := e.session.host.backend(replica.Instance); b != nil && b.instance.Database == e.policy.Database {
+			b.noteFreshness(now, replica)
+		}
+	}
+}
+
+// heldReplicas returns what the host knows of the replicas of the session's database to which it keeps connections.
+func (s *callerSession) heldReplicas() (replicas []relay.Replica) {
+	view, now := s.host.view(), clock.Boot()
+	database := view.Directory.Kinds[s.kind].Database
+	rs := s.host.replicaSet(database)
+	if rs == nil {
+		return nil
+	}
+	for _, b := range rs.list() {
+		id := b.instance.ID
+		if id == view.Primaries[database].Instance || !view.Shares[id].KeepsConnections(s.host.self.ID) {
+			continue
+		}
+		if replica := b.freshness(now); replica.Reached != (model.Point{}) || replica.Lag > 0 {
+			replicas = append(replicas, replica)
+		}
+	}
+	return replicas
+}
+
 // end ends the session, whose open transaction is rolled back.
 func (r *remoteSession) end() {
 	if r.opened {
@@ -157,9 +209,10 @@
 		e.allowRest()
 		return e.retryRelay(ctx, address, reply.Refusal.Message)
 	case mustAvoid(reply.Refusal, t):
+		e.extendStart(reply.Refusal)
 		return e.retryRelay(ctx, address, reply.Refusal.Message)
 	case reply.Refusal != nil && reply.Refusal.Code == model.CodeBehind && e.mayTryOther(t):
-		t.backend.noteBehind(clock.Boot())
+		t.backend.noteBehind(clock.Boot(), t.minPoint)
 		return e.retryRelay(ctx, "", reply.Refusal.Message)
 	case reply.Refusal != nil && reply.Refusal.NotRun && !t.primary && e.mayTryOther(t) && e.takeRetry(ctx, reply.Refusal.Code):
 		return e.retryRelay(ctx, address, reply.Refusal.Message)
@@ -231,6 +284,7 @@
 	if first && (errors.Is(err, relay.ErrNotSent) || (err == nil && mustAvoid(reply.Refusal, target{primary: true}))) {
 		s.endRemote()
 		e.avoidHolder(remote.address)
+		e.extendStart(reply.Refusal)
 		if e.prepareRetry(ctx, "the holder of the connections can't be reached or doesn't serve the instance", 0) {
 			return false, nil
 		}
@@ -311,6 +365,8 @@
 	caller := &relayedCaller{session: passed, interrupts: make(chan struct{}, 1)}
 	s := &callerSession{host: h, caller: caller, id: h.newSessionID(), state: session.NewSession(), relayed: true, leastVersion: passed.Opening.Version, tenant: passed.Opening.Tenant}
 	caller.owner = s
+	s.state.Room.Init(h.Memory, budget.State, stateReserve)
+	defer s.state.Room.Close()
 	h.addSession(s)
 	err := boundary.Run(func() error { return s.serve(ctx) })
 	if errors.Is(err, boundary.ErrPanic) {
@@ -325,9 +381,10 @@
 	session    relay.Session
 	owner      *callerSession
 	interrupts chan struct{}
-	unanswered bool        // the newest call has no reply yet
-	last       bool        // the session ends with the reply to it
-	early      *relay.Call // received before the reply to the one before; nil for none
+	access     model.Access // of the newest call
+	unanswered bool         // the newest call has no reply yet
+	last       bool         // the session ends with the reply to it
+	early      *relay.Call  // received before the reply to the one before; nil for none
 }
 
 // ReadStart returns what the session is for. The host that passes it on has checked the key.
@@ -351,7 +408,7 @@
 	}
 	if call := c.early; call != nil {
 		c.early = nil
-		return c.accept(call), nil
+		return c.accept(call)
 	}
 	var timeout <-chan time.Time
 	if !limit.IsZero() {
@@ -364,18 +421,21 @@
 		if !open {
 			return request, ErrClosed
 		}
-		return c.accept(&call), nil
+		return c.accept(&call)
 	case <-c.interrupts:
 	case <-timeout:
 	}
 	return request, ErrNoRequest
 }
 
-// accept makes a call the newest one and returns its request.
-func (c *relayedCaller) accept(call *relay.Call) statement.Request {
+// accept makes a call the newest one and returns its request, or a refusal if there is no memory for what it brings.
+func (c *relayedCaller) accept(call *relay.Call) (request statement.Request, err error) {
 	c.unanswered, c.last = true, call.Last
-	c.apply(call)
-	return call.Request
+	if refusal := c.apply(call); refusal != nil {
+		c.last = true
+		return request, refusal
+	}
+	return call.Request, nil
 }
 
 // AwaitClose waits until the other host ends the session, or its stream ends, and returns false if the context ends first.
@@ -392,21 +452,33 @@
 	return false
 }
 
-// apply brings the session's values and the prepared statement of the call to this host.
-func (c *relayedCaller) apply(call *relay.Call) {
+// apply brings the session's values and the prepared statement of the call to this host, or refuses if there is no memory for them.
+func (c *relayedCaller) apply(call *relay.Call) *model.Refusal {
 	if call.Values != nil {
-		c.owner.state.Values = call.Values
+		if refusal := c.owner.state.SetValues(call.Values); refusal != nil {
+			return refusal
+		}
 	}
 	if call.Request.Verb == statement.Execute {
 		c.owner.state.Prepared = map[string]statement.Prepared{call.Request.Name: call.Prepared}
 	}
 	now := time.Now()
 	c.owner.startLimit, c.owner.responseLimit = now.Add(call.StartIn), now.Add(call.Left)
+	c.access = c.owner.state.Access(call.Request.Statement)
+	return nil
 }
 
 // SendResponse sends the reply to the newest call.
 func (c *relayedCaller) SendResponse(response *statement.Response, state statement.State) error {
 	defer response.Release()
+	if response.Room != nil && response.Room.Resize(model.Bytes(relay.ReplyCopies*response.Size())) != nil {
+		response.Release()
+		refusal := model.OutcomeUnknown("the host has no memory left for the response")
+		if c.access == model.Read {
+			refusal = refuseNoRoom()
+		}
+		return c.send(&relay.Reply{Refusal: refusal, Response: statement.Response{State: state}})
+	}
 	reply := &relay.Reply{Response: *response}
 	reply.Response.State = state
 	reply.Instance, reply.Led = c.owner.servedBy, response.Succeeded() && c.owner.servedByPrimary
@@ -428,6 +500,7 @@
 // send sends a reply.
 func (c *relayedCaller) send(reply *relay.Reply) error {
 	c.unanswered = false
+	reply.Replicas = c.owner.heldReplicas()
 	return c.session.Reply(reply)
 }
 
--- a/internal/front/relay_internal_test.go
+++ b/internal/front/relay_internal_test.go
@@ -9,13 +9,16 @@
 	"testing"
 	"time"
 
+	"redwingspread/internal/clock"
 	"redwingspread/internal/control"
 	"redwingspread/internal/controller"
 	"redwingspread/internal/directory"
 	"redwingspread/internal/failover"
+	"redwingspread/internal/holder"
 	"redwingspread/internal/mesh"
 	"redwingspread/internal/model"
 	"redwingspread/internal/relay"
+	"redwingspread/internal/scout"
 	"redwingspread/internal/session"
 	"redwingspread/internal/statement"
 )
@@ -175,14 +178,14 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			holder := &scriptedHolder{calls: make(map[string]int)}
-			address := holder.start(t, test.commit)
+			scripted := &scriptedHolder{calls: make(map[string]int)}
+			address := scripted.start(t, test.commit)
 			kind := model.Kind{ID: "desk", Database: "seats", Rank: model.RankOne, Goal: 400 * time.Millisecond, Timeout: 400 * time.Millisecond}
 			h := New()
 			h.Loop = control.New(fixedView{&controller.View{
 				Directory: &directory.Directory{Version: 1, Kinds: map[model.KindID]model.Kind{"desk": kind}},
 				Primaries: map[model.DatabaseID]controller.Primary{"seats": {Instance: "i1", State: failover.Leading}},
-				Shares:    map[model.InstanceID]controller.Share{"i1": {Slots: 1, Connections: 1, Holders: &controller.Holders{Addresses: []model.Address{address}}}},
+				Shares:    map[model.InstanceID]controller.Share{"i1": {Slots: 1, Connections: 1, Holders: holder.New("i1", "h1", []holder.Host{{ID: "h2", Address: address}})}},
 			}})
 			h.Platform, h.Logger = hangingPlatform{}, quietLogger()
 			h.relays.Key = func() *mesh.Key { return &relayKey }
@@ -207,9 +210,9 @@
 				t.Error("got the primary left out of reads as behind, want it kept")
 			}
 			for limit := time.Now().Add(5 * time.Second); ; time.Sleep(time.Millisecond) {
-				holder.mutex.Lock()
-				open := holder.open
-				holder.mutex.Unlock()
+				scripted.mutex.Lock()
+				open := scripted.open
+				scripted.mutex.Unlock()
 				if open == 0 {
 					break
 				}
@@ -217,9 +220,9 @@
 					t.Fatalf("got %d sessions left open at the holder, want none", open)
 				}
 			}
-			holder.mutex.Lock()
-			defer holder.mutex.Unlock()
-			for text, got := range holder.calls {
+			scripted.mutex.Lock()
+			defer scripted.mutex.Unlock()
+			for text, got := range scripted.calls {
 				if got != 1 {
 					t.Errorf("got %d calls of %q, want 1", got, text)
 				}
@@ -311,3 +314,65 @@
 		})
 	}
 }
+
+// TestFreshnessInReplies guards against a holder that keeps to itself that its replica is behind, so that the calling host sends it the
+// next such read as well, and against one that tells of instances to which it keeps no connections.
+func TestFreshnessInReplies(t *testing.T) {
+	newHost := func(t *testing.T, shares map[model.InstanceID]controller.Share) *Host {
+		h := New()
+		h.Loop = control.New(fixedView{&controller.View{
+			Directory: &directory.Directory{Version: 1, Kinds: map[model.KindID]model.Kind{"desk": {ID: "desk", Database: "seats"}}},
+			Primaries: map[model.DatabaseID]controller.Primary{"seats": {Instance: "i1", State: failover.Leading}},
+			Shares:    shares,
+		}})
+		h.Platform, h.Logger = hangingPlatform{}, quietLogger()
+		for _, id := range []model.InstanceID{"i1", "i2", "i3"} {
+			b := h.addBackend(t.Context(), directory.Instance{Instance: model.Instance{ID: id, Database: "seats"}})
+			t.Cleanup(b.close)
+		}
+		return h
+	}
+	reached := model.Point{Term: 1, Position: 5}
+	tests := map[string]struct {
+		known bool // the holder knows something of its replica
+		want  []relay.Replica
+		index int // of the instance to which the calling host sends its next read of a fresh commit
+	}{
+		"holder knows the lag":    {known: true, want: []relay.Replica{{Instance: "i2", Reached: reached, Lag: 150 * time.Millisecond}}, index: 0},
+		"holder has just started": {index: 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			others := holder.New("i1", "h1", []holder.Host{{ID: "h2", Address: "h2:1"}})
+			remote := newHost(t, map[model.InstanceID]controller.Share{"i1": {Holders: others}, "i3": {Holders: others}})
+			if test.known {
+				for _, id := range []model.InstanceID{"i1", "i2", "i3"} {
+					remote.backend(id).noteFreshness(clock.Boot(), relay.Replica{Reached: reached, Lag: 150 * time.Millisecond})
+				}
+			}
+			var got []relay.Replica
+			caller := &relayedCaller{session: relay.Session{Reply: func(reply *relay.Reply) error {
+				got = reply.Replicas
+				return nil
+			}}}
+			caller.owner = &callerSession{host: remote, kind: "desk"}
+			if err := caller.SendRefusal(model.Refuse(model.CodeBehind, "behind"), statement.Idle); err != nil {
+				t.Fatal(err)
+			}
+			if !slices.Equal(got, test.want) {
+				t.Errorf("got %+v, want %+v", got, test.want)
+			}
+			h := newHost(t, nil)
+			e := &execution{session: &callerSession{host: h, state: session.NewSession()}, access: model.Read,
+				policy: model.Kind{ID: "desk", Database: "seats", Consistency: model.ReadYourWrites, MaxAge: model.Age(time.Minute)}}
+			h.observeProofs([]scout.Proof{{Database: "seats", Instance: "i1", Point: model.Point{Term: 1, Position: 1}, SentAt: clock.Boot()}})
+			e.session.state.RecordCommit(model.Point{Term: 1, Position: 9})
+			e.noteReplicas(got)
+			e.exclude(h.backend("i3"))
+			found, ok := e.pickTarget(h.replicaSet("seats"), "i1", nil)
+			if want := h.replicaSet("seats").list()[test.index]; !ok || found.backend != want {
+				t.Errorf("got %+v, want %s", found, want.instance.ID)
+			}
+		})
+	}
+}
--- a/internal/front/transaction.go
+++ b/internal/front/transaction.go
@@ -247,7 +247,7 @@
 func (e *execution) handleBeginRefusal(ctx context.Context, t target, response *statement.Response) (refusal *model.Refusal, again bool) {
 	switch response.Code {
 	case model.CodeBehind, model.CodeNotPrimary:
-		e.handleWrongInstance(t.backend, response.Code)
+		e.handleWrongInstance(t, response.Code)
 		again = e.prepareRetry(ctx, string(response.Code), 0)
 	default:
 		again = e.prepareRoomRetry(ctx, response.Code)
--- a/internal/front/watch_internal_test.go
+++ b/internal/front/watch_internal_test.go
@@ -10,6 +10,7 @@
 	"redwingspread/internal/controller"
 	"redwingspread/internal/directory"
 	"redwingspread/internal/failover"
+	"redwingspread/internal/holder"
 	"redwingspread/internal/mesh"
 	"redwingspread/internal/model"
 	"redwingspread/internal/relay"
@@ -113,9 +114,9 @@
 				Directory: &directory.Directory{Version: 1, Kinds: map[model.KindID]model.Kind{"desk": kind}},
 				Primaries: map[model.DatabaseID]controller.Primary{database: test.primary},
 			}
-			holder := &scriptedHolder{calls: make(map[string]int)}
+			scripted := &scriptedHolder{calls: make(map[string]int)}
 			if test.held {
-				view.Shares = map[model.InstanceID]controller.Share{"i1": {Slots: 1, Connections: 1, Holders: &controller.Holders{Addresses: []model.Address{holder.start(t, "")}}}}
+				view.Shares = map[model.InstanceID]controller.Share{"i1": {Slots: 1, Connections: 1, Holders: holder.New("i1", "h1", []holder.Host{{ID: "h2", Address: scripted.start(t, "")}})}}
 			}
 			h := New()
 			h.Loop = control.New(fixedView{view})
@@ -153,9 +154,9 @@
 				t.Errorf("got %d waiting and %d running, want none", room.Waiting, room.Running)
 			}
 			for limit := time.Now().Add(5 * time.Second); ; time.Sleep(time.Millisecond) {
-				holder.mutex.Lock()
-				open := holder.open
-				holder.mutex.Unlock()
+				scripted.mutex.Lock()
+				open := scripted.open
+				scripted.mutex.Unlock()
 				if open == 0 {
 					break
 				}
