--- a/internal/cli/measure_sizes.go
+++ b/internal/cli/measure_sizes.go
@@ -107,7 +107,7 @@
 	if output == formatJSON {
 		return printJSON(w, report)
 	}
-	t := newTable(w, "PHASE", "START", "LENGTH", "SLOTS", "PRIMARIES' SLOTS", "CONNECTIONS", "BOTTLENECK", "VALUE")
+	t := newTable(w, "PHASE", "BEGINS", "LENGTH", "SLOTS", "PRIMARIES' SLOTS", "CONNECTIONS", "BOTTLENECK", "VALUE")
 	shares := newTable(w, "PHASE", "KIND", "ARRIVED", "IN TIME", "LATE", "NEITHER")
 	for _, result := range append(report.Phases, report.Total) {
 		row := []string{result.Name, fmt.Sprintf("%g s", result.Start), fmt.Sprintf("%g s", result.Length)}
