serve: connections, bodies and answers of the HTTP interfaces are bounded

- The setting memory of the role serve (1,024 MiB unless it is set): a fifth of it is for bodies, which are received after the check of the token and before their request counts towards request-limit and caller-limit, and for answers of instances (budget in the request's context).
Without memory left a request is refused as overloaded, not run, and the connection closed.
The Go runtime's soft limit follows it, as in the role front.
- operator-connection-limit (64).
At both listeners the connection that has been without a whole request longest gives way to a new one; one whose request is in progress never does.
Before, new ones were closed.
- An answer has to be read within 5 s, and 1 s more for each MiB.
- host.connections_replaced, host.memory_* at /debug/vars; events at most once a second.

TestMetrics of package operator expects the new variable.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -152,6 +152,20 @@
 	return nil
 }
 
+// Grow takes a further amount, or returns a refusal if the budget has no room for it. The account must have no reserve.
+func (a *Account) Grow(amount model.Bytes) *model.Refusal {
+	if a.budget == nil {
+		return nil
+	}
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if a.closed || !a.budget.take(a.use, amount) {
+		return model.Refuse(model.CodeOverloaded, refusalMessage)
+	}
+	a.taken.Add(int64(amount))
+	return nil
+}
+
 // Close gives everything back. A closed account is refused any further amount.
 func (a *Account) Close() {
 	if a.budget == nil {
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/urfave/cli/v3"
@@ -27,6 +28,7 @@
 	if err != nil {
 		return err
 	}
+	debug.SetMemoryLimit(int64(loaded.Memory) << 20 * memoryLimitPercent / 100)
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	host := daemon.New()
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"net/http"
 	"time"
 
 	"redwingspread/internal/config"
@@ -10,6 +11,7 @@
 	"redwingspread/internal/ledger"
 	"redwingspread/internal/model"
 	"redwingspread/internal/operator"
+	"redwingspread/internal/serve"
 )
 
 // peerControl is the peer.Control that passes peers' requests to the control loop.
@@ -75,6 +77,9 @@
 	server.OpenAccess = d.openAccess
 	server.Queues = d.queues
 	server.Refusals = d.refusals
+	server.Replaced = d.replaced.Load
+	server.Memory = d.memory
+	server.Wrap = func(next http.Handler) http.Handler { return serve.LimitBodies(d.memory, next) }
 	return server
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -12,6 +12,7 @@
 
 	"redwingspread/internal/ack"
 	"redwingspread/internal/auth"
+	"redwingspread/internal/budget"
 	"redwingspread/internal/config"
 	"redwingspread/internal/control"
 	"redwingspread/internal/endpoint"
@@ -65,6 +66,8 @@
 	executor      *owner.Executor
 	proxy         *proxy.Proxy
 	components    []component
+	replaced      atomic.Int64   // connections closed in favour of others
+	memory        *budget.Budget // for bodies of requests and for answers; nil for no limit
 }
 
 // New returns a daemon; Settings and Keys must be set before Run.
@@ -126,6 +129,7 @@
 	if err := d.buildPeers(); err != nil {
 		return err
 	}
+	d.memory = d.newBudget()
 	d.buildControl()
 	d.buildOwner()
 	d.buildProxy()
@@ -172,6 +176,7 @@
 	d.instances.View = d.loop.Snapshot
 	d.instances.Changed = d.loop.Changed
 	httpClient := d.httpClient("endpoint")
+	httpClient.Transport = outbound.LimitAnswers(httpClient.Transport)
 	d.instances.Connect = func(instance model.Instance) endpoint.Instance {
 		client := endpoint.NewClient()
 		client.Host = d.host.ID
--- a/internal/daemon/servers.go
+++ b/internal/daemon/servers.go
@@ -35,11 +35,12 @@
 	limiter := limit.NewCallerLimiter[string]()
 	limiter.PerCaller = d.Settings.CallerLimit
 	limiter.Total = readRequestFactor * d.Settings.RequestLimit
-	guarded := d.requireCallerToken(callers)
-	caller := serve.New(d.Settings.CallerAddress, limit.Handler(limiter, d.tracer.Handler("caller", guarded)))
+	guarded := d.requireCallerToken(serve.LimitBodies(d.memory, limit.Handler(limiter, callers)))
+	caller := serve.New(d.Settings.CallerAddress, d.tracer.Handler("caller", guarded))
 	caller.TLS = d.publicTLS()
 	caller.OnConnectionError = d.connectionFailureLogger("caller")
-	caller.ConnectionLimit = d.Settings.ConnectionLimit
+	caller.ConnectionLimit = d.connectionLimit()
+	caller.Replaced = &d.replaced
 	caller.DrainTimeout = d.Settings.StopLimit
 	operatorServer := d.operatorServer()
 	operators, err := operatorServer.Handler()
@@ -49,6 +50,8 @@
 	operator := serve.New(d.Settings.OperatorAddress, operators)
 	operator.BodyLimit = operatorBodyLimit
 	operator.TLS = d.publicTLS()
+	operator.ConnectionLimit = d.Settings.OperatorConnectionLimit
+	operator.Replaced = &d.replaced
 	operator.OnConnectionError = d.connectionFailureLogger("operator")
 	for _, listener := range []interface{ Listen() error }{caller, peers, operator} {
 		if err := listener.Listen(); err != nil {
--- a/internal/limit/handler.go
+++ b/internal/limit/handler.go
@@ -19,7 +19,7 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		caller := clientIP(r.RemoteAddr)
 		if !limiter.Acquire(caller) {
-			refuse(w)
+			Refuse(w)
 			return
 		}
 		defer limiter.Release(caller)
@@ -27,8 +27,8 @@
 	})
 }
 
-// refuse responds that the request was not run.
-func refuse(w http.ResponseWriter) {
+// Refuse responds that the request was not run.
+func Refuse(w http.ResponseWriter) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(http.StatusTooManyRequests)
 	_, _ = w.Write(overloadedBody) // the caller may have disconnected
--- a/internal/limit/limit_test.go
+++ b/internal/limit/limit_test.go
@@ -227,6 +227,47 @@
 	}
 }
 
+// TestHold guards against connections with work in progress that are closed in favour of others, and against places that stay taken.
+func TestHold(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	listener := NewRotatingListener(inner)
+	listener.Limit = 1
+	full := 0
+	listener.Full = func() { full++ }
+	defer listener.Close()
+	accept := func() net.Conn {
+		conn, err := listener.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		return conn
+	}
+	first := dial(t, inner)
+	held := accept()
+	Hold(held)
+	refused := dial(t, inner)
+	accepted := make(chan net.Conn, 1)
+	go func() { accepted <- accept() }()
+	if _, err := refused.Read(make([]byte, 1)); err == nil {
+		t.Error("got an open connection beside one on hold, want it closed")
+	}
+	Yield(held)
+	dial(t, inner)
+	last := <-accepted
+	if _, err := first.Read(make([]byte, 1)); err == nil {
+		t.Error("got the first connection open after its hold, want it closed in favour of the last")
+	}
+	Hold(last)
+	last.Close()
+	Yield(last)
+	if got := listener.open.Len() + listener.held; got != 0 || full != 2 {
+		t.Errorf("got %d connections counted and %d closed for others, want 0 and 2", got, full)
+	}
+}
+
 // dial opens a connection to the listener.
 func dial(t *testing.T, listener net.Listener) net.Conn {
 	t.Helper()
--- a/internal/operator/metrics.go
+++ b/internal/operator/metrics.go
@@ -4,6 +4,8 @@
 	"expvar"
 	"fmt"
 	"net/http"
+
+	"redwingspread/internal/budget"
 )
 
 // The keys of the expvar map "configuration".
@@ -40,7 +42,7 @@
 	fmt.Fprint(w, "\n}\n")
 }
 
-// localMetrics returns the configuration version, the readiness and, by instance, the waiting and the refused requests.
+// localMetrics returns the configuration version, the readiness, what the limits of clients refused and, by instance, the waiting and the refused requests.
 func (s *Server) localMetrics() *expvar.Map {
 	status := s.status()
 	local := new(expvar.Map)
@@ -50,6 +52,14 @@
 	} else {
 		local.Add("ready", 0)
 	}
+	local.Add("connections_replaced", s.Replaced())
+	if s.Memory != nil {
+		local.Add("memory_used_bytes", int64(s.Memory.Used()))
+		local.Add("memory_peak_bytes", int64(s.Memory.Peak()))
+		for _, use := range budget.Uses {
+			local.Add("memory_refused."+use.String(), s.Memory.Refusals(use))
+		}
+	}
 	for _, queue := range status.Queues {
 		local.Add(fmt.Sprintf("waiting.%s.rank%d", queue.Instance, queue.Rank), int64(queue.Waiting))
 	}
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -8,6 +8,7 @@
 	"github.com/apex/log"
 
 	"redwingspread/internal/auth"
+	"redwingspread/internal/budget"
 	"redwingspread/internal/config"
 	"redwingspread/internal/ledger"
 	"redwingspread/internal/model"
@@ -51,6 +52,12 @@
 	Queues func() []Queue
 	// Refusals returns the counts of refused requests.
 	Refusals func() []RefusalCount
+	// Replaced returns the number of connections that were closed in favour of others.
+	Replaced func() int64
+	// Wrap adds middleware around the handler of requests whose token has been checked.
+	Wrap func(http.Handler) http.Handler
+	// Memory is the budget for bodies of requests and for answers; nil for none.
+	Memory *budget.Budget
 	// FirstOperator is the token of the first operator, which works before any configuration holds tokens.
 	FirstOperator config.Token
 	// OpenAccess allows every request, for test deployments on the loopback interface.
@@ -68,6 +75,8 @@
 	return &Server{
 		Queues:   func() []Queue { return nil },
 		Refusals: func() []RefusalCount { return nil },
+		Replaced: func() int64 { return 0 },
+		Wrap:     func(next http.Handler) http.Handler { return next },
 		Now:      time.Now,
 		tracker:  newRolloutTracker(),
 	}
@@ -95,7 +104,7 @@
 	guard.API = apiName
 	guard.Log = s.Log
 	guard.Refuse = writeRefusal
-	return http.MaxBytesHandler(guard.Require(requiredRole, mux), maxBodyBytes), nil
+	return http.MaxBytesHandler(guard.Require(requiredRole, s.Wrap(mux)), maxBodyBytes), nil
 }
 
 // requiredRole returns the role that a request needs: operator for changes, reader for all else.
--- a/internal/operator/server_test.go
+++ b/internal/operator/server_test.go
@@ -253,6 +253,7 @@
 	f.server.Refusals = func() []RefusalCount {
 		return []RefusalCount{{Instance: "enrol-1-a", Code: model.CodeOverloaded, Count: 1234}}
 	}
+	f.server.Replaced = func() int64 { return 7 }
 	got := f.send(t, http.MethodGet, "/debug/vars", operatorToken, "")
 	var variables map[string]json.RawMessage
 	if err := json.Unmarshal([]byte(got.body), &variables); err != nil {
@@ -261,7 +262,7 @@
 	if _, present := variables["cmdline"]; present || variables["configuration"] == nil {
 		t.Errorf("got %v, want the metrics without the command line", variables)
 	}
-	want := map[string]int64{"version": 0, "ready": 1, "waiting.enrol-1-a.rank2": 91, "refused.enrol-1-a.overloaded": 1234}
+	want := map[string]int64{"version": 0, "ready": 1, "waiting.enrol-1-a.rank2": 91, "refused.enrol-1-a.overloaded": 1234, "connections_replaced": 7}
 	var own map[string]int64
 	if err := json.Unmarshal(variables["host"], &own); err != nil || !maps.Equal(own, want) {
 		t.Errorf("got %v (%v), want %v", own, err, want)
--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"redwingspread/internal/limit"
@@ -39,8 +40,11 @@
 	OnConnectionError func(reason string)
 	// DrainTimeout limits the wait for requests in progress at shutdown.
 	DrainTimeout time.Duration
-	// ConnectionLimit is the maximum number of open connections; zero for no limit.
+	// ConnectionLimit is the maximum number of open connections; zero for no limit. At the limit, the one that has been without a request
+	// in progress longest gives way to a new one.
 	ConnectionLimit int
+	// Replaced counts the connections that were closed in favour of others; it may be nil.
+	Replaced *atomic.Int64
 
 	listener net.Listener
 }
@@ -57,8 +61,9 @@
 		return fmt.Errorf("serve: %w", err)
 	}
 	if s.ConnectionLimit > 0 {
-		limited := limit.NewListener(s.listener)
+		limited := limit.NewRotatingListener(s.listener)
 		limited.Limit = s.ConnectionLimit
+		limited.Full = s.reportFull
 		s.listener = limited
 	}
 	if s.TLS != nil {
@@ -70,7 +75,8 @@
 // httpServer returns the underlying HTTP server with its limits on slow and large requests.
 func (s *Server) httpServer() *http.Server {
 	return &http.Server{
-		Handler:           http.MaxBytesHandler(s.Handler, s.BodyLimit),
+		Handler:           http.MaxBytesHandler(limitAnswers(s.Handler), s.BodyLimit),
+		ConnContext:       withConn,
 		ReadHeaderTimeout: headerTimeout,
 		ReadTimeout:       readTimeout,
 		IdleTimeout:       idleTimeout,
@@ -79,6 +85,16 @@
 	}
 }
 
+// reportFull reports a connection that was closed for lack of room.
+func (s *Server) reportFull() {
+	if s.Replaced != nil {
+		s.Replaced.Add(1)
+	}
+	if s.OnConnectionError != nil {
+		s.OnConnectionError("a connection was closed in favour of others, since there are as many as may be")
+	}
+}
+
 // errorWriter passes each line that net/http logs to report, which may be nil.
 type errorWriter struct {
 	report func(reason string)
--- a/internal/serve/server_test.go
+++ b/internal/serve/server_test.go
@@ -6,9 +6,12 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
+
+	"redwingspread/internal/budget"
 )
 
 func TestLimits(t *testing.T) {
@@ -34,6 +37,42 @@
 	}
 }
 
+// TestMemory guards against bodies that are held without memory for them, and against memory that is not given back.
+func TestMemory(t *testing.T) {
+	tests := map[string]struct {
+		size   int
+		hidden bool // the size is not stated
+		want   int
+	}{
+		"none":                   {want: http.StatusOK},
+		"small":                  {size: 100, want: http.StatusOK},
+		"within the limit":       {size: 100 << 10, want: http.StatusOK},
+		"beyond the limit":       {size: 500 << 10, want: http.StatusTooManyRequests},
+		"hidden":                 {size: 50 << 10, hidden: true, want: http.StatusOK},
+		"hidden and beyond":      {size: 500 << 10, hidden: true, want: http.StatusTooManyRequests},
+		"beyond the body's most": {size: 2 << 20, want: http.StatusTooManyRequests},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			memory := budget.New()
+			memory.Limit = 1 << 20
+			server := New("", LimitBodies(memory, http.HandlerFunc(readBody)))
+			request := httptest.NewRequest(http.MethodPost, "/", strings.NewReader(strings.Repeat("x", test.size)))
+			if test.hidden {
+				request.ContentLength = -1
+			}
+			response := httptest.NewRecorder()
+			server.httpServer().Handler.ServeHTTP(response, request)
+			if got := response.Code; got != test.want {
+				t.Errorf("got status %d, want %d", got, test.want)
+			}
+			if got := memory.Used(); got != 0 {
+				t.Errorf("got %d bytes in use in the end, want 0", got)
+			}
+		})
+	}
+}
+
 // newTestServer returns a server with the given body limit.
 func newTestServer(maxBody int64) *http.Server {
 	server := New("", http.HandlerFunc(readBody))
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -12,28 +12,30 @@
 
 // Serve holds the settings of one host of the system.
 type Serve struct {
-	Host            model.HostID       // Name of this host.
-	DataCentre      model.DataCentreID // Data centre of this host.
-	Region          model.RegionID     // Region of this host.
-	CallerAddress   model.Address      // Address of the caller API.
-	PeerAddress     model.Address      // Address of the peer API.
-	OperatorAddress model.Address      // Address of the operator API, metrics included.
-	PlatformAddress model.Address      // Address of the platform's service.
-	TokenKey        Secret             // Key that signs session tokens.
-	TokenKeyOld     Secret             // Previous key that is still accepted while the key is replaced.
-	PeerAuthorities string             // Certificates of the authorities that sign the hosts' certificates; PEM text or the path of a file.
-	PeerCertificate string             // Certificate of this host; PEM text or the path of a file.
-	PeerKey         Secret             // Private key of this host; PEM text or the path of a file.
-	FirstOperator   string             // Hash of the first operator's token; `redwingspread keys first` generates both.
-	Guard           string             // Whether callers and operators need a token; open is for trials on the loopback interface.
-	PublicTLS       string             // Whether the caller and operator APIs use TLS with the host's certificate; off is for a load balancer that terminates TLS, and for trials.
-	ConnectionLimit int                // Maximum number of open connections of callers.
-	RequestLimit    int                // Maximum number of requests in progress; the less urgent ranks are refused first.
-	CallerLimit     int                // Maximum number of requests in progress from one IP address.
-	StopLimit       time.Duration      // Time in which work in progress must end during a graceful shutdown.
-	Trace           string             // Exporter of traces.
-	TraceAddress    string             // Address of the OTLP collector.
-	LogLevel        string             // Lowest level of events that are logged.
+	Host                    model.HostID       // Name of this host.
+	DataCentre              model.DataCentreID // Data centre of this host.
+	Region                  model.RegionID     // Region of this host.
+	CallerAddress           model.Address      // Address of the caller API.
+	PeerAddress             model.Address      // Address of the peer API.
+	OperatorAddress         model.Address      // Address of the operator API, metrics included.
+	PlatformAddress         model.Address      // Address of the platform's service.
+	TokenKey                Secret             // Key that signs session tokens.
+	TokenKeyOld             Secret             // Previous key that is still accepted while the key is replaced.
+	PeerAuthorities         string             // Certificates of the authorities that sign the hosts' certificates; PEM text or the path of a file.
+	PeerCertificate         string             // Certificate of this host; PEM text or the path of a file.
+	PeerKey                 Secret             // Private key of this host; PEM text or the path of a file.
+	FirstOperator           string             // Hash of the first operator's token; `redwingspread keys first` generates both.
+	Guard                   string             // Whether callers and operators need a token; open is for trials on the loopback interface.
+	PublicTLS               string             // Whether the caller and operator APIs use TLS with the host's certificate; off is for a load balancer that terminates TLS, and for trials.
+	ConnectionLimit         int                // Maximum number of open connections of callers.
+	OperatorConnectionLimit int                // Maximum number of open connections at the operator API.
+	Memory                  model.Mebibytes    // Memory limit of the process in MiB.
+	RequestLimit            int                // Maximum number of requests in progress; the less urgent ranks are refused first.
+	CallerLimit             int                // Maximum number of requests in progress from one IP address.
+	StopLimit               time.Duration      // Time in which work in progress must end during a graceful shutdown.
+	Trace                   string             // Exporter of traces.
+	TraceAddress            string             // Address of the OTLP collector.
+	LogLevel                string             // Lowest level of events that are logged.
 }
 
 // ServeFlags returns the command-line flags of Serve.
@@ -55,6 +57,8 @@
 		textFlag("guard", "REDWINGSPREAD_GUARD", "tokens", "Whether callers and operators need a token; open is for trials on the loopback interface."),
 		textFlag("public-tls", "REDWINGSPREAD_PUBLIC_TLS", "on", "Whether the caller and operator APIs use TLS with the host's certificate; off is for a load balancer that terminates TLS, and for trials."),
 		textFlag("connection-limit", "REDWINGSPREAD_CONNECTION_LIMIT", "16384", "Maximum number of open connections of callers."),
+		textFlag("operator-connection-limit", "REDWINGSPREAD_OPERATOR_CONNECTION_LIMIT", "64", "Maximum number of open connections at the operator API."),
+		textFlag("memory", "REDWINGSPREAD_MEMORY", "1024", "Memory limit of the process in MiB."),
 		textFlag("request-limit", "REDWINGSPREAD_REQUEST_LIMIT", "2048", "Maximum number of requests in progress; the less urgent ranks are refused first."),
 		textFlag("caller-limit", "REDWINGSPREAD_CALLER_LIMIT", "1024", "Maximum number of requests in progress from one IP address."),
 		textFlag("stop-limit", "REDWINGSPREAD_STOP_LIMIT", "30s", "Time in which work in progress must end during a graceful shutdown."),
@@ -83,6 +87,8 @@
 	loaded.Guard = r.enum(rule{flag: "guard", env: "REDWINGSPREAD_GUARD", allowed: "one of tokens, open", required: false, options: []string{"tokens", "open"}})
 	loaded.PublicTLS = r.enum(rule{flag: "public-tls", env: "REDWINGSPREAD_PUBLIC_TLS", allowed: "one of on, off", required: false, options: []string{"on", "off"}})
 	loaded.ConnectionLimit = r.int(rule{flag: "connection-limit", env: "REDWINGSPREAD_CONNECTION_LIMIT", allowed: "a whole number from 1 to 1000000", required: false, min: "1", max: "1000000"})
+	loaded.OperatorConnectionLimit = r.int(rule{flag: "operator-connection-limit", env: "REDWINGSPREAD_OPERATOR_CONNECTION_LIMIT", allowed: "a whole number from 1 to 1000000", required: false, min: "1", max: "1000000"})
+	loaded.Memory = model.Mebibytes(r.int(rule{flag: "memory", env: "REDWINGSPREAD_MEMORY", allowed: "a whole number from 32 to 1048576", required: false, min: "32", max: "1048576"}))
 	loaded.RequestLimit = r.int(rule{flag: "request-limit", env: "REDWINGSPREAD_REQUEST_LIMIT", allowed: "a whole number from 1 to 3000", required: false, min: "1", max: "3000"})
 	loaded.CallerLimit = r.int(rule{flag: "caller-limit", env: "REDWINGSPREAD_CALLER_LIMIT", allowed: "a whole number from 1 to 4096", required: false, min: "1", max: "4096"})
 	loaded.StopLimit = r.duration(rule{flag: "stop-limit", env: "REDWINGSPREAD_STOP_LIMIT", allowed: "a duration such as 250ms or 10s from 0s to 10m", required: false, min: "0s", max: "10m"})
