relay: 128 connections may wait for the proof that they are a host's

32 were fewer than the 58 other hosts that may connect to a holder at once, after a loss of power for instance; the oldest of them would have been closed, and its host would not have tried again for a second.

--- a/internal/front/host.go
+++ b/internal/front/host.go
@@ -474,7 +474,7 @@
 	server.Key = h.mesh.Key
 	server.Packer = h.mesh.Packer()
 	server.Memory = h.Memory
-	server.StreamLimit = h.keptDescriptors()
+	server.StreamLimit, server.PendingLimit = h.keptDescriptors(), max(h.keptDescriptors()/pendingShare, 1)
 	server.Admit, server.Leave = h.admitRelayed, h.relayed.Release
 	server.Serve = h.serveRelayed
 	server.Logger = h.Logger
--- a/internal/front/shed.go
+++ b/internal/front/shed.go
@@ -44,6 +44,7 @@
 const (
 	otherShare    = 2   // at most the descriptors divided by this
 	otherMost     = 512 // files, the store, other hosts, instances and the HTTP listeners
+	pendingShare  = 4   // connections that have not proved to be a host's may have the kept descriptors divided by this
 	listenerShare = 8   // an HTTP listener may have the kept descriptors divided by this
 )
 
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -19,7 +19,7 @@
 )
 
 const (
-	pendingLimit     = 32                    // connections whose host has not proved that it knows the key; the oldest gives way
+	pendingLimit     = 128                   // connections whose host has not proved that it knows the key; 58 hosts may connect at once
 	streamLimit      = 512                   // streams of other hosts
 	sessionLimit     = 1024                  // sessions of one stream
 	acceptRetryDelay = 10 * time.Millisecond // after a failed accept
@@ -49,6 +49,8 @@
 	Memory *budget.Budget
 	// StreamLimit is the greatest number of streams of other hosts.
 	StreamLimit int
+	// PendingLimit is the greatest number of connections whose host has not proved that it knows the key; the oldest gives way.
+	PendingLimit int
 	// Admit reports whether a host may have one more session, which Leave ends.
 	Admit func(host model.HostID) bool
 	// Leave is called at the end of each session that was admitted.
@@ -62,10 +64,11 @@
 // NewServer returns a server; its exported fields have to be set before Run.
 func NewServer() *Server {
 	return &Server{
-		Key:         func() *mesh.Key { return nil },
-		StreamLimit: streamLimit,
-		Admit:       func(model.HostID) bool { return true },
-		Leave:       func(model.HostID) {},
+		Key:          func() *mesh.Key { return nil },
+		StreamLimit:  streamLimit,
+		PendingLimit: pendingLimit,
+		Admit:        func(model.HostID) bool { return true },
+		Leave:        func(model.HostID) {},
 	}
 }
 
@@ -91,7 +94,7 @@
 		return err
 	}
 	listener := limit.NewRotatingListener(inner)
-	listener.Limit = pendingLimit
+	listener.Limit = s.PendingLimit
 	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
 	defer stop()
 	ended := make(chan error)
@@ -102,7 +105,7 @@
 	for accepted != nil || open > 0 {
 		select {
 		case conn := <-accepted:
-			if open >= s.StreamLimit+pendingLimit {
+			if open >= s.StreamLimit+s.PendingLimit {
 				_ = conn.Close() // nothing was read
 				continue
 			}
