--- a/internal/upperbound/maximize.go
+++ b/internal/upperbound/maximize.go
@@ -42,7 +42,7 @@
 	values := make([]float64, n)
 	for i, variable := range basis {
 		if variable < n {
-			values[variable] = rows[i][n+m]
+			values[variable] = max(rows[i][n+m], 0) // rounding can leave a tiny negative rest
 		}
 	}
 	return values
