front: prepared statements of passed-on sessions count in the holder's budget

A holder kept the newest prepared statement of each session that is passed on, up to 16 KB, outside its budget. It counts with the session's values now. TestPassedOn without holder_stops, and the relay tests of internal/front: passed, one run with the race detector.

--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -366,17 +366,22 @@
 
 // apply brings the session's values and the prepared statement of the call to this host, or refuses if there is no memory for them.
 func (c *relayedCaller) apply(call *relay.Call) *model.Refusal {
+	state := c.owner.state
+	values, prepared := state.Values, state.Prepared
 	if call.Values != nil {
-		if refusal := c.owner.state.SetValues(call.Values); refusal != nil {
-			return refusal
-		}
+		values = call.Values
 	}
 	if call.Request.Verb == statement.Execute {
-		c.owner.state.Prepared = map[string]statement.Prepared{call.Request.Name: call.Prepared}
+		prepared = map[string]statement.Prepared{call.Request.Name: call.Prepared}
+	}
+	if call.Values != nil || call.Request.Verb == statement.Execute {
+		if refusal := state.Replace(values, prepared); refusal != nil {
+			return refusal
+		}
 	}
 	now := time.Now()
 	c.owner.startLimit, c.owner.responseLimit = now.Add(call.StartIn), now.Add(call.Left)
-	c.access = c.owner.state.Access(call.Request.Statement)
+	c.access = state.Access(call.Request.Statement)
 	return nil
 }
 
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -122,16 +122,19 @@
 	return AnswerLocally, nil
 }
 
-// SetValues replaces all values, or refuses if there is no memory for them.
-func (s *Session) SetValues(values map[string]string) *model.Refusal {
+// Replace replaces all values and prepared statements, or refuses if there is no memory for them.
+func (s *Session) Replace(values map[string]string, prepared map[string]statement.Prepared) *model.Refusal {
 	size := model.Bytes(0)
 	for name, value := range values {
 		size += entrySize(name, value)
 	}
+	for name, held := range prepared {
+		size += entrySize(name, held.Text)
+	}
 	if refusal := s.Room.Resize(size); refusal != nil {
 		return refusal
 	}
-	s.size, s.Values = size, values
+	s.size, s.Values, s.Prepared = size, values, prepared
 	return nil
 }
 
