allowance: an owner without tokens is asked again after 400 ms

Change: the pause is 400 ms instead of 100 ms. The hosts together still ask often enough to use each token.

--- a/internal/allowance/spender.go
+++ b/internal/allowance/spender.go
@@ -10,7 +10,7 @@
 const (
 	answerTimeout = 60 * time.Millisecond
 	silence       = time.Second            // an owner that didn't answer is asked after the others
-	pollInterval  = 100 * time.Millisecond // between questions to an owner without tokens
+	pollInterval  = 400 * time.Millisecond // between questions to an owner without tokens; the hosts together ask often enough to use each token
 	minInterval   = time.Millisecond       // between calls of Due for the tokens of this host
 	stock         = 0.1                    // seconds of the usual demand that are asked in advance
 )
