--- a/internal/admit/start_limit.go
+++ b/internal/admit/start_limit.go
@@ -26,7 +26,7 @@
 
 // The defaults of a start limit. With them nothing is kept, and the limit depends on the goal alone.
 const (
-	DefaultGoalShare     = 0.25                  // half and three quarters of the goal gave callers less on kml-lamps, see docs/design/platform.md
+	DefaultGoalShare     = 0.25                  // leaves callers time for both of their attempts through other hosts
 	DefaultLeast         = 60 * time.Millisecond // for goals under 0.24 s
 	DefaultExpectedShare = 1.0
 )
