admit: indexedHeap, since the standard library has a heap

Cause: the tests of the package import container/heap, which the type's name hid. Change: the type's name only.

--- a/internal/admit/heap.go
+++ b/internal/admit/indexed_heap.go
@@ -1,14 +1,14 @@
 package admit
 
-// heap is a binary heap of elements that hold their own index, so that one in the middle can be moved or removed.
-type heap[E any] struct {
+// indexedHeap is a binary heap of elements that hold their own index, so that one in the middle can be moved or removed.
+type indexedHeap[E any] struct {
 	items  []*E
 	before func(a, b *E) bool // reports whether a is closer to the top
 	index  func(e *E) *int    // returns where the element holds its index
 }
 
 // top returns the first element, or nil.
-func (h *heap[E]) top() *E {
+func (h *indexedHeap[E]) top() *E {
 	if len(h.items) == 0 {
 		return nil
 	}
@@ -16,14 +16,14 @@
 }
 
 // push adds an element.
-func (h *heap[E]) push(e *E) {
+func (h *indexedHeap[E]) push(e *E) {
 	*h.index(e) = len(h.items)
 	h.items = append(h.items, e)
 	h.fix(e)
 }
 
 // remove removes an element of the heap.
-func (h *heap[E]) remove(e *E) {
+func (h *indexedHeap[E]) remove(e *E) {
 	i, last := *h.index(e), len(h.items)-1
 	moved := h.items[last]
 	h.items[last] = nil
@@ -37,7 +37,7 @@
 }
 
 // fix moves an element whose order has changed.
-func (h *heap[E]) fix(e *E) {
+func (h *indexedHeap[E]) fix(e *E) {
 	i := *h.index(e)
 	for i > 0 {
 		parent := (i - 1) / 2
@@ -65,7 +65,7 @@
 }
 
 // place puts an element at an index.
-func (h *heap[E]) place(i int, e *E) {
+func (h *indexedHeap[E]) place(i int, e *E) {
 	h.items[i] = e
 	*h.index(e) = i
 }
--- a/internal/admit/kind_queue.go
+++ b/internal/admit/kind_queue.go
@@ -19,7 +19,7 @@
 
 	tenants      map[model.TenantID]*tenantQueue[T] // with waiting work, and idle ones
 	tenantTime   time.Duration                      // virtual time of the tenant that was served last
-	turns        heap[tenantQueue[T]]               // tenants with waiting work outside transactions, the next one to serve first
+	turns        indexedHeap[tenantQueue[T]]        // tenants with waiting work outside transactions, the next one to serve first
 	activeWeight model.Weight                       // sum of the weights of these tenants
 	idle         list[tenantQueue[T]]               // tenants without waiting work, whose charges still count
 	orders       uint64                             // number of times that a tenant began to wait
@@ -40,7 +40,7 @@
 	return &kindQueue[T]{
 		sessions: make(map[sessionKey]*sessionQueue[T]),
 		tenants:  make(map[model.TenantID]*tenantQueue[T]),
-		turns:    heap[tenantQueue[T]]{before: takesTurnBefore[T], index: func(t *tenantQueue[T]) *int { return &t.turnIndex }},
+		turns:    indexedHeap[tenantQueue[T]]{before: takesTurnBefore[T], index: func(t *tenantQueue[T]) *int { return &t.turnIndex }},
 	}
 }
 
--- a/internal/admit/replay_test.go
+++ b/internal/admit/replay_test.go
@@ -1,7 +1,7 @@
 package admit
 
 import (
-	containerheap "container/heap"
+	"container/heap"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -135,7 +135,7 @@
 		}
 	}
 	for len(r.events) > 0 {
-		event := containerheap.Pop(&r.events).(replayEvent)
+		event := heap.Pop(&r.events).(replayEvent)
 		r.now = event.at
 		event.do()
 	}
@@ -145,7 +145,7 @@
 // at adds an event.
 func (r *replay) at(at time.Duration, do func()) {
 	r.order++
-	containerheap.Push(&r.events, replayEvent{at: at, order: r.order, do: do})
+	heap.Push(&r.events, replayEvent{at: at, order: r.order, do: do})
 }
 
 // time returns the current time as the queue has it.
