controller: connections for probes are kept only where scouts probe

With 35 hosts and 35 shared connections there are no scouts, so that every host took itself for one and kept a connection to each primary. After a loss of power the instances still counted these, and refused the hosts that returned. Change: the condition is that the deployment is crowded, which is now worked out before the shares.

--- a/internal/controller/scout.go
+++ b/internal/controller/scout.go
@@ -61,10 +61,11 @@
 // keepsProbe reports whether this host keeps a connection to the instance for its probes as a scout: it is the primary. A connection for
 // each probe would take a slot for its setup several times a second, and more bytes than the probe.
 //
-// A host that has just started keeps none: where all hosts lost power, the instance still counts those that they had before.
+// Without scouts every host probes, and their connections would leave an instance none for a return of all hosts. A host that has just
+// started keeps none: where all hosts lost power, the instance still counts those that they had before.
 func (c *Controller) keepsProbe(now time.Time, database model.DatabaseID, id model.InstanceID) bool {
 	monitor, found := c.monitors[database]
-	return found && monitor.Observation().Instance == id && c.scouts.Probes(c.boot) && now.Sub(c.started) >= c.Timing.Linger
+	return c.crowded && found && monitor.Observation().Instance == id && c.scouts.Probes(c.boot) && now.Sub(c.started) >= c.Timing.Linger
 }
 
 // idleProbeInterval returns the time between two probes of a primary that nothing speaks against, or zero for none.
--- a/internal/controller/scout_test.go
+++ b/internal/controller/scout_test.go
@@ -75,3 +75,40 @@
 		})
 	}
 }
+
+// TestProbeConnections guards against hosts that all keep a connection to a primary for probes: where all lost power, the instance would still
+// count them when the hosts return.
+func TestProbeConnections(t *testing.T) {
+	tests := map[string]struct {
+		hosts       int
+		connections model.Connections
+		want        int // hosts that keep one to the primary
+	}{
+		"crowded, with scouts":          {hosts: 60, connections: 46, want: 6},
+		"homes, and every host probes":  {hosts: 35, connections: 46},
+		"fewer hosts than half of them": {hosts: 9, connections: 46},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			got := 0
+			for self := range test.hosts {
+				shares := holdersView(self, test.hosts, test.connections, func(int, *Host) {}, func(now time.Time, c *Controller) {
+					c.health = map[model.InstanceID]failover.Health{"i0": {Instance: "i0", Term: 1, LastProof: now}}
+					for id, known := range c.hosts {
+						c.Handle(now, HeartbeatReceived{Heartbeat: Heartbeat{Host: id, Incarnation: known.Incarnation, Sequence: 1}})
+					}
+					c.Handle(now, Tick{Instances: []InstanceReport{{Health: failover.Health{Instance: "i0", Term: 1, LastProof: now}}}})
+				})
+				if shares["i0"].Probes {
+					got++
+				}
+				if shares["i1"].Probes {
+					t.Errorf("got a connection for probes of a replica at host %d, want none", self)
+				}
+			}
+			if got != test.want {
+				t.Errorf("got %d hosts that keep a connection to the primary for probes, want %d", got, test.want)
+			}
+		})
+	}
+}
--- a/internal/controller/shares.go
+++ b/internal/controller/shares.go
@@ -37,13 +37,12 @@
 	d := c.directory.Directory()
 	shares := make(map[model.InstanceID]Share, len(d.Instances))
 	sharers := c.sharers(now)
-	c.crowded = false
+	c.crowded = c.anyCrowded(len(sharers) + 1)
 	for id, instance := range d.Instances {
 		limit, most := sharedConnections(d.Databases[instance.Database].Connections)
 		if limit == 0 {
 			continue
 		}
-		c.crowded = c.crowded || len(sharers)+1 > int(limit) || c.holdsByTenant(len(sharers)+1, limit)
 		if !c.hostsRead {
 			shares[id] = assumedShare(limit, instance.Slots)
 			continue
@@ -84,6 +83,19 @@
 	return connections - max(connections/spareDivisor, 1), int(connections / crowdedDivisor)
 }
 
+// anyCrowded reports whether the hosts are more than the connections of some instance that they share, or few of them hold those of tenants.
+// Scouts then probe the primaries for the other hosts.
+func (c *Controller) anyCrowded(hosts int) bool {
+	d := c.directory.Directory()
+	for _, instance := range d.Instances {
+		limit, _ := sharedConnections(d.Databases[instance.Database].Connections)
+		if limit != 0 && (hosts > int(limit) || c.holdsByTenant(hosts, limit)) {
+			return true
+		}
+	}
+	return false
+}
+
 // crowds reports whether the hosts are too many for each of them to keep a connection to an instance.
 func (c *Controller) crowds(id model.InstanceID, hosts int, limit model.Connections, most int) bool {
 	return hosts > int(limit) || (hosts > most || c.holdsByTenant(hosts, limit)) && len(c.homesOf(id, limit)) > 0
