--- a/internal/history/fault_test.go
+++ b/internal/history/fault_test.go
@@ -232,9 +232,11 @@
 			run: func(s *scenario) {
 				s.write("w")
 				s.replicate()
+				s.database.mutex.Lock() // the probes of the write may still read the instances
 				for _, id := range []model.InstanceID{"q", "r"} {
 					s.database.instances[id].log = nil
 				}
+				s.database.mutex.Unlock()
 				s.failover(2, "q")
 				s.read()
 				s.read()
