Review: an odd entry makes hosts send statements that no client sent

A key with a line break adds a statement, and later answers on the connection go to the wrong requests.

--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -17,6 +17,7 @@
 // cases are the cases by name. They get whether the disruption takes place, and return whether the rule was broken.
 var cases = map[string]func(f *record, trouble bool) (bool, error){
 	"long-start": longStart,
+	"odd-entry":  oddEntry,
 }
 
 func main() { os.Exit(run()) }
