Review: an odd entry keeps a database without a primary for good

review/8: an entry that lacks fields is taken for an instance, and one listed instance that can't be reached keeps the hosts from finding that none leads. All processes are killed right after a planned demotion; no request is served afterwards.

--- /dev/null
+++ b/review/8/run.sh
@@ -0,0 +1,4 @@
+#!/bin/sh
+# All processes are killed during a planned change of primary, beside an odd entry. Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")" || exit 2
+exec ../../target/review-2/rig no-leader record.txt
--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -18,6 +18,7 @@
 var cases = map[string]func(f *record, trouble bool) (bool, error){
 	"long-start": longStart,
 	"odd-entry":  oddEntry,
+	"no-leader":  noLeader,
 }
 
 func main() { os.Exit(run()) }
