--- a/review/rig-2/no_leader.go
+++ b/review/rig-2/no_leader.go
@@ -119,7 +119,7 @@
 // setEntry writes the complete entry of an instance.
 func (f *fleet) setEntry(id, address, state, role string, sequence int) {
 	f.cloud.Store.Set("servers", id, map[string]any{
-		"Service": "db0", "Addr": address, "Zone": "east", "Version": "v1", "Slots": 2, "State": state, "ColdLeftMs": 0,
+		"Service": "db0", "Addr": address, "Zone": "east", "Version": "v1", "Slots": 2, "State": state, words.Cold: 0,
 		"DbRole": role, "Seq": sequence, "born": 1,
 	})
 }
--- a/review/rig-2/odd_entry.go
+++ b/review/rig-2/odd_entry.go
@@ -40,7 +40,7 @@
 	instance.Database.SetOnInstanceLine(func(id, line string) {
 		word, rest, _ := strings.Cut(strings.TrimRight(line, "\r\n"), " ")
 		request, _, _ := strings.Cut(rest, " ")
-		if word == "QUERY" && !sent.has(request) && !strings.HasPrefix(request, "probe.") {
+		if word == words.Request && !sent.has(request) && !strings.HasPrefix(request, "probe.") {
 			if unasked.Add(1) > oddLines {
 				return
 			}
@@ -61,7 +61,7 @@
 	time.Sleep(oddAfter)
 	if trouble {
 		key := fmt.Sprintf("db0-0\r\nQUERY %s WRITE %s taken", intruder, intruderOn)
-		value, err := json.Marshal(map[string]any{ // without Version and ColdLeftMs
+		value, err := json.Marshal(map[string]any{ // three fields are missing
 			"Service": "db0", "Addr": address, "Zone": "coastal-a", "Slots": 2, "State": "ready", "DbRole": "replica", "Seq": 1,
 		})
 		if err != nil {
@@ -159,7 +159,7 @@
 			a.signature = rest
 		case "ERR":
 			a.code, _, _ = strings.Cut(rest, " ")
-		case "READY":
+		case words.Ready:
 			a.state, _, _ = strings.Cut(rest, " ")
 			return a, nil
 		}
