--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,4 +1,5 @@
 #!/bin/sh
 # All processes are killed during a planned change of primary, beside an odd entry. Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 cd "$(dirname "$0")" || exit 2
+[ -x ../../target/review-2/rig ] || { echo "build the deploy file and review/build-2.sh first"; exit 2; }
 exec ../../target/review-2/rig no-leader record.txt
--- a/review/rig-2/fleet.go
+++ b/review/rig-2/fleet.go
@@ -26,6 +26,7 @@
 	mutex   sync.Mutex
 	file    *os.File
 	started time.Time
+	counts  map[string]int // of the samples of each kind
 }
 
 // note writes a line with the time since the start.
@@ -35,6 +36,17 @@
 	fmt.Fprintf(r.file, "%8.3f  %s\n", time.Since(r.started).Seconds(), fmt.Sprintf(format, arguments...))
 }
 
+// sample writes a line unless there are as many of its kind already, so that the record stays readable.
+func (r *record) sample(kind string, limit int, format string, arguments ...any) {
+	r.mutex.Lock()
+	r.counts[kind]++
+	written := r.counts[kind] <= limit
+	r.mutex.Unlock()
+	if written {
+		r.note(kind+": "+format, arguments...)
+	}
+}
+
 // machine is one machine of the deployment, with its process.
 type machine struct {
 	fleet                      *fleet
@@ -83,6 +95,7 @@
 		return nil, err
 	}
 	f := &fleet{record: r, root: root, dir: dir, template: string(template), cloud: standin.NewCloud()}
+	running.Store(f)
 	if err := f.cloud.Start(); err != nil {
 		return nil, err
 	}
--- a/review/rig-2/long_start.go
+++ b/review/rig-2/long_start.go
@@ -18,6 +18,8 @@
 	longUser  = 1000000 // bytes of the user in START; a message may have 1 MiB
 	shortUser = 16
 
+	sampleLimit = 40 // lines of each kind in the record
+
 	connectPause = 10 * time.Millisecond // between two sessions of the crowd that connect to a machine
 	endsOfDay    = 3                     // ends of a machine's process that make it count for the fault
 	memoryStep   = 10 * time.Millisecond
@@ -130,6 +132,7 @@
 				case <-turns:
 				}
 				conn, err := connect(m.front, start)
+				m.fleet.record.sample("crowd", sampleLimit, "%s: sent a START of %d bytes, accepted: %v, %v", m.name, len(start), err == nil, err)
 				if err != nil {
 					select {
 					case <-stop:
@@ -203,15 +206,18 @@
 		}
 		session, err := standin.Dial(m.front, "view", "ordinary", 2*time.Second)
 		if err != nil {
+			m.fleet.record.sample("ordinary, failed", sampleLimit, "%s: no session: %v", m.name, err)
 			refused.Add(1)
 			continue
 		}
 		reply, err := session.Query("READ lamp")
 		session.Close()
 		if err != nil || reply.Code != "" {
+			m.fleet.record.sample("ordinary, failed", sampleLimit, "%s: READ lamp: %+v, %v", m.name, reply, err)
 			refused.Add(1)
 			continue
 		}
+		m.fleet.record.sample("ordinary", sampleLimit, "%s: READ lamp: %+v", m.name, reply)
 		served.Add(1)
 	}
 }
--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -4,9 +4,18 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"sync/atomic"
+	"syscall"
 	"time"
 )
 
+// timeLimit is the time after which a case is given up, and its processes are ended.
+const timeLimit = 110 * time.Second
+
+// running is the fleet whose processes have to be ended; nil while there is none.
+var running atomic.Pointer[fleet]
+
 // Results of a case, which are the exit codes.
 const (
 	held   = 0
@@ -35,7 +44,8 @@
 		return failed
 	}
 	defer file.Close()
-	r := &record{file: file, started: time.Now()}
+	r := &record{file: file, started: time.Now(), counts: make(map[string]int)}
+	go giveUp(r)
 	trouble := os.Getenv("TROUBLE") != "0"
 	r.note("case %s, disruption: %v", os.Args[1], trouble)
 	isBroken, err := cases[os.Args[1]](r, trouble)
@@ -53,3 +63,20 @@
 	fmt.Println("the rule held")
 	return held
 }
+
+// giveUp ends all processes and exits if the case takes too long or is interrupted.
+func giveUp(r *record) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	reason := "it took too long"
+	select {
+	case <-time.After(timeLimit):
+	case received := <-signals:
+		reason = received.String()
+	}
+	r.note("could not run: %s", reason)
+	if f := running.Load(); f != nil {
+		f.stop()
+	}
+	os.Exit(failed)
+}
--- a/review/rig-2/no_leader.go
+++ b/review/rig-2/no_leader.go
@@ -18,7 +18,8 @@
 	measureTime  = 10 * time.Second // after it
 	drainTime    = 7 * time.Second  // DrainMs
 	exitAfter    = 500 * time.Millisecond
-	agents       = 1 // odd entries
+	agents       = 1  // odd entries
+	lineLimit    = 80 // lines of each kind in the record
 )
 
 // noLeader plays a planned replacement of a primary during which all processes are killed, right after the primary has acknowledged that it
@@ -33,8 +34,10 @@
 	primary, address := f.cloud.Instance("db0-0")
 	database := primary.Database
 	var demoted atomic.Bool
+	phase := new(phases)
 	killed := make(chan struct{})
 	database.SetOnInstanceLine(func(id, line string) {
+		r.sample("run "+phaseNames[phase.current.Load()], lineLimit, "instance %s: %s", id, strings.TrimRight(line, "\r\n"))
 		if !strings.Contains(line, " DEMOTE ") {
 			return
 		}
@@ -61,7 +64,6 @@
 	}
 	stop := make(chan struct{})
 	var wait sync.WaitGroup
-	phase := new(phases)
 	for i, m := range f.machines {
 		for n, kind := range []string{"desk", "batch", "view"} {
 			wait.Go(func() {
@@ -140,6 +142,9 @@
 	phaseAfter
 )
 
+// phaseNames names the phases in the record.
+var phaseNames = [...]string{"before the fault", "in the time to recover", "after it"}
+
 // phases count requests by the phase in which they were sent.
 type phases struct {
 	current atomic.Int64
@@ -168,11 +173,13 @@
 			return
 		case <-time.After(oddPause):
 		}
-		count := &phase.counts[phase.current.Load()]
+		current := phase.current.Load()
+		count, kindOfLine := &phase.counts[current], "sent "+phaseNames[current]
 		count.sent.Add(1)
 		if client == nil {
 			var err error
 			if client, err = dialLine(m.front, kind, name); err != nil {
+				m.fleet.record.sample(kindOfLine, lineLimit, "%s: client %s got no session: %v", m.name, name, err)
 				client = nil
 				continue
 			}
@@ -182,6 +189,7 @@
 			text = fmt.Sprintf("WRITE %s %s:%d", name, name, n)
 		}
 		a, err := client.query(fmt.Sprintf("%s.%d", name, n), text)
+		m.fleet.record.sample(kindOfLine, lineLimit, "%s: client %s sent %s.%d %q and got code %q, row %q, DONE %q, %v", m.name, name, name, n, text, a.code, a.row, a.signature, err)
 		if err != nil {
 			client.conn.Close()
 			client = nil
--- a/review/rig-2/odd_entry.go
+++ b/review/rig-2/odd_entry.go
@@ -41,11 +41,11 @@
 		word, rest, _ := strings.Cut(strings.TrimRight(line, "\r\n"), " ")
 		request, _, _ := strings.Cut(rest, " ")
 		if word == words.Request && !sent.has(request) && !strings.HasPrefix(request, "probe.") {
-			if unasked.Add(1) > oddLines {
-				return
-			}
-			r.note("instance %s runs what no client sent: %s", id, strings.TrimRight(line, "\r\n"))
+			unasked.Add(1)
+			r.sample("run, sent by no client", oddLines, "instance %s: %s", id, strings.TrimRight(line, "\r\n"))
+			return
 		}
+		r.sample("run", oddLines, "instance %s: %s", id, strings.TrimRight(line, "\r\n"))
 	})
 	if err := f.startAll("desk"); err != nil {
 		return false, err
@@ -193,11 +193,11 @@
 			served.Add(1)
 			owned := a.row == "" || a.row == "none" || strings.HasPrefix(a.row, name+":")
 			if !strings.HasSuffix(a.signature, "."+id) || !owned {
-				if foreign.Add(1) > oddLines {
-					continue
-				}
-				m.fleet.record.note("%s: client %s sent %s %q and got row %q, DONE %q", m.name, name, id, text, a.row, a.signature)
+				foreign.Add(1)
+				m.fleet.record.sample("answered with another request's answer", oddLines, "%s: client %s sent %s %q and got row %q, DONE %q", m.name, name, id, text, a.row, a.signature)
+				continue
 			}
+			m.fleet.record.sample("answered", oddLines, "%s: client %s sent %s %q and got row %q, DONE %q", m.name, name, id, text, a.row, a.signature)
 		}
 		if err == nil {
 			client.conn.Close()
