failover: an instance that can't be the primary is not waited for

Cause: the monitor promotes another instance only once every listed instance denies that it leads. One that never answers, since another writer left its entry, it has crashed, or another instance answers at its address, kept the database without a primary for as long as the entry stayed.

Change: only instances that may lead have to deny it: the last known primary, the one of the newest promotion, one whose entry claims it, and one proved in the newest term.

--- a/internal/failover/monitor.go
+++ b/internal/failover/monitor.go
@@ -112,7 +112,8 @@
 	peers            map[model.HostID]Observation   // newest observation of each other host
 	primaryChangedAt time.Time                      // time of the last change of primary
 	promotedAt       time.Time                      // time at which the newest promotion became known
-	leaderlessSince  time.Time                      // time since which every instance has denied being primary; zero while one may be it
+	leaderlessSince  time.Time                      // time since which every instance that may be primary denies it; zero while one doesn't
+	unheard          bool                           // an instance that can't be the primary has not answered
 	lastProbe        map[model.InstanceID]time.Time // time of the newest probe of each instance
 }
 
@@ -233,23 +234,51 @@
 	}
 }
 
-// updateLeaderless records since when every instance has denied being primary, as after a demotion without a promotion.
+// updateLeaderless records since when no instance leads: each one that may lead denies it, as after a demotion without a promotion.
+//
+// Another one that doesn't answer doesn't keep the database without a primary: it may have crashed, or its entry may be wrong.
 func (m *Monitor) updateLeaderless(now time.Time, members []Member, health map[model.InstanceID]Health) {
+	denied, unheard := false, false
 	for _, member := range members {
 		if m.assigned() && member.Instance != m.promotion.Instance {
 			continue // it is not used, whatever it says
 		}
 		h := health[member.Instance]
-		if !h.LastRefusal.After(h.Proved()) || now.Sub(h.LastRefusal) > m.Timing.SilenceTimeout || !h.SilentSince.IsZero() {
+		switch {
+		case h.LastRefusal.After(h.Proved()) && now.Sub(h.LastRefusal) <= m.Timing.SilenceTimeout && h.SilentSince.IsZero():
+			denied = true
+		case m.mayLead(member, h):
 			m.leaderlessSince = time.Time{}
 			return
+		default:
+			unheard = true
 		}
 	}
-	if m.leaderlessSince.IsZero() && len(members) > 0 {
+	m.unheard = unheard
+	switch {
+	case len(members) == 0 || (unheard && !denied):
+		m.leaderlessSince = time.Time{} // this host may be cut off
+	case m.leaderlessSince.IsZero():
 		m.leaderlessSince = now
 	}
 }
 
+// mayLead reports whether an instance that doesn't deny being primary may be it: its entry, the newest promotion or a proof in the newest
+// term says so, or it is the last known primary. Nothing but a promotion makes any other instance the primary.
+func (m *Monitor) mayLead(member Member, h Health) bool {
+	proven := h.Proved().After(h.LastRefusal) && h.Term >= m.term
+	return member.ClaimsPrimary || proven || member.Instance == m.primary || member.Instance == m.promotion.Instance
+}
+
+// leaderlessTimeout returns after which time without a primary another one is promoted. Instances that have not answered get the time to
+// return, since they may hold more commits than the others.
+func (m *Monitor) leaderlessTimeout() time.Duration {
+	if m.unheard {
+		return max(m.Timing.PartialTimeout, m.Timing.ReturnGrace)
+	}
+	return m.Timing.PartialTimeout
+}
+
 // selectPrimary selects the primary and returns what the selection is based on.
 func (m *Monitor) selectPrimary(members []Member, health map[model.InstanceID]Health) string {
 	if m.assigned() {
@@ -430,7 +459,10 @@
 		return Keep, counts, ""
 	}
 	mayFailOver := !m.Unfenced || 2*len(hosts) > known || m.primaryMissing(members)
-	if mayFailOver && !m.leaderlessSince.IsZero() && now.Sub(m.leaderlessSince) >= m.Timing.PartialTimeout+m.staggerDelay(self, hosts) {
+	if mayFailOver && !m.leaderlessSince.IsZero() && now.Sub(m.leaderlessSince) >= m.leaderlessTimeout()+m.staggerDelay(self, hosts) {
+		if m.unheard {
+			return Failover, counts, "no instance that answers leads"
+		}
 		return Failover, counts, "no instance leads"
 	}
 	if m.primary == "" || now.Sub(m.primaryChangedAt) < m.Timing.SilenceTimeout {
--- a/internal/failover/monitor_test.go
+++ b/internal/failover/monitor_test.go
@@ -184,7 +184,8 @@
 }
 
 // TestNoInstanceLeads covers a demotion without a promotion, as when the acting host is killed in between: every instance
-// denies being primary, and another host has to fail over.
+// denies being primary, and another host has to fail over. It guards against a database that never gets a primary again beside an
+// instance that does not answer, or whose entry another writer left.
 func TestNoInstanceLeads(t *testing.T) {
 	refused := func(id model.InstanceID, ms int) Health {
 		return Health{Instance: id, Term: 1, LastProof: after(0), LastRefusal: after(ms)}
@@ -200,6 +201,37 @@
 		"one instance does not answer": {health: func(ms int) []Health {
 			return []Health{refused("a", ms), refused("b", ms), {Instance: "c", SilentSince: after(500)}}
 		}, until: 2600, want: Keep},
+		"one instance does not answer for longer": {health: func(ms int) []Health {
+			return []Health{refused("a", ms), refused("b", ms), {Instance: "c", SilentSince: after(500)}}
+		}, until: 3100, want: Failover},
+		"one instance neither denies nor proves it": {health: func(ms int) []Health {
+			return []Health{refused("a", ms), refused("b", ms), {Instance: "c"}}
+		}, until: 3100, want: Failover},
+		"one instance answers now and then": {health: func(ms int) []Health {
+			if ms/200%2 == 0 {
+				return []Health{refused("a", ms), refused("b", ms), refused("c", ms)}
+			}
+			return []Health{refused("a", ms), refused("b", ms), {Instance: "c", LastRefusal: after(ms - 100), SilentSince: after(ms - 50)}}
+		}, until: 3100, want: Failover},
+		"promoted instance does not answer": {health: func(ms int) []Health {
+			return []Health{refused("a", ms), {Instance: "b", SilentSince: after(950)}, refused("c", ms)}
+		}, promotedAt: 900, until: 9000, want: Keep},
+		"instance whose entry names it primary does not answer": {health: func(ms int) []Health {
+			return []Health{{Instance: "a", SilentSince: after(500)}, refused("b", ms), refused("c", ms)}
+		}, until: 9000, want: Keep},
+		"instance that led in the newest term does not answer": {health: func(ms int) []Health {
+			return []Health{refused("a", ms), refused("b", ms), {Instance: "c", Term: 2, LastProof: after(500), SilentSince: after(600)}}
+		}, until: 9000, want: Keep},
+		"instance that led in an earlier term does not answer": {health: func(ms int) []Health {
+			earlier := Health{Instance: "c", Term: 2, LastProof: after(500), SilentSince: after(600)}
+			if ms < 1500 {
+				return []Health{leading("a", 3, after(ms)), refused("b", ms), earlier}
+			}
+			return []Health{{Instance: "a", Term: 3, LastProof: after(1450), LastRefusal: after(ms)}, refused("b", ms), earlier}
+		}, until: 3600, want: Failover},
+		"no instance answers": {health: func(int) []Health {
+			return []Health{{Instance: "a", LastRefusal: after(500), SilentSince: after(600)}, {Instance: "b", SilentSince: after(600)}, {Instance: "c", SilentSince: after(600)}}
+		}, until: 9000, want: Keep},
 		"promotion in progress": {health: func(ms int) []Health { return []Health{refused("a", ms), refused("b", ms), refused("c", ms)} }, promotedAt: 900, until: 2600, want: Keep},
 		"promotion failed":      {health: func(ms int) []Health { return []Health{refused("a", ms), refused("b", ms), refused("c", ms)} }, promotedAt: 900, until: 5000, want: Failover},
 	}
--- a/internal/front/promote_test.go
+++ b/internal/front/promote_test.go
@@ -1,6 +1,7 @@
 package front_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 )
@@ -86,3 +87,40 @@
 		})
 	}
 }
+
+// TestDemotedPrimaryIsReplaced guards against a database that never gets a primary again after a demotion without a promotion, since the
+// hosts wait until an instance denies that it leads which never answers: another writer left its entry, or it is gone.
+func TestDemotedPrimaryIsReplaced(t *testing.T) {
+	complete := func(address string) string {
+		return fmt.Sprintf(`{"Service":"seats","Addr":%q,"Zone":"east","Version":"v1","Slots":2,"State":"ready","ColdLeftMs":0,"DbRole":"replica","Seq":1,"born":1}`, address)
+	}
+	closed := func(f *fleet) string { return string(freeAddresses(f.t, 1)[0]) }
+	tests := map[string]func(f *fleet) string{
+		"entry without some fields": func(f *fleet) string {
+			return fmt.Sprintf(`{"Service":"seats","Addr":%q,"Zone":"east","Slots":2,"State":"ready","DbRole":"replica","Seq":1}`, closed(f))
+		},
+		"nobody listens at the address": func(f *fleet) string { return complete(closed(f)) },
+		"another instance answers at the address": func(f *fleet) string {
+			_, address := f.cloud.Instance("seats-1")
+			return complete(address)
+		},
+	}
+	for name, entry := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 3)
+			f.cloud.Store.SetRaw("servers", "agent-0", []byte(entry(f)))
+			f.run(f.openSession(f.hosts[0], "desk"), "WRITE early 1")
+			f.demote("seats-0")
+			f.eventually("a primary of a later term is written to", func() bool {
+				s, err := dial(f.hosts[1], "desk")
+				if err != nil {
+					return false
+				}
+				defer s.Close()
+				got, err := s.Query("WRITE after 1")
+				_, term := f.database.Primary()
+				return err == nil && got.Code == "" && term > 1
+			})
+		})
+	}
+}
