front: a connection that another instance refuses counts as silence

Cause: backend.open took each refused connection for a response. Where another instance, or a service of another protocol, answers at the address of a lost primary, that primary was neither silent nor denied that it led, so that no host voted for its replacement.

Change: a refusal that only another instance sends is a failure to respond.

--- a/internal/front/backend.go
+++ b/internal/front/backend.go
@@ -151,7 +151,7 @@
 	}
 	var refusal *model.Refusal
 	switch {
-	case errors.As(err, &refusal):
+	case errors.As(err, &refusal) && !answeredByOther(refusal.Code):
 		b.noteResponse(time.Now())
 		b.noteConnectionRefusal(refusal.Code)
 	case ctx.Err() == nil:
@@ -160,6 +160,12 @@
 	return nil, err
 }
 
+// answeredByOther reports whether a refused connection shows that the instance is not the one that answers at its address, as after its
+// end when the address is used again.
+func answeredByOther(code model.Code) bool {
+	return code == model.CodeWrongInstance || code == model.CodeInternal
+}
+
 // requestSent records that a statement was sent.
 func (b *backend) requestSent(now time.Time) {
 	b.mutex.Lock()
--- a/internal/front/promote_test.go
+++ b/internal/front/promote_test.go
@@ -91,19 +91,18 @@
 // TestDemotedPrimaryIsReplaced guards against a database that never gets a primary again after a demotion without a promotion, since the
 // hosts wait until an instance denies that it leads which never answers: another writer left its entry, or it is gone.
 func TestDemotedPrimaryIsReplaced(t *testing.T) {
-	complete := func(address string) string {
-		return fmt.Sprintf(`{"Service":"seats","Addr":%q,"Zone":"east","Version":"v1","Slots":2,"State":"ready","ColdLeftMs":0,"DbRole":"replica","Seq":1,"born":1}`, address)
+	complete := func(role, address string) string {
+		return fmt.Sprintf(`{"Service":"seats","Addr":%q,"Zone":"east","Version":"v1","Slots":2,"State":"ready","ColdLeftMs":0,"DbRole":%q,"Seq":1,"born":1}`, address, role)
 	}
+	other := func(f *fleet) string { _, address := f.cloud.Instance("seats-1"); return address }
 	closed := func(f *fleet) string { return string(freeAddresses(f.t, 1)[0]) }
 	tests := map[string]func(f *fleet) string{
 		"entry without some fields": func(f *fleet) string {
 			return fmt.Sprintf(`{"Service":"seats","Addr":%q,"Zone":"east","Slots":2,"State":"ready","DbRole":"replica","Seq":1}`, closed(f))
 		},
-		"nobody listens at the address": func(f *fleet) string { return complete(closed(f)) },
-		"another instance answers at the address": func(f *fleet) string {
-			_, address := f.cloud.Instance("seats-1")
-			return complete(address)
-		},
+		"nobody listens at the address":                        func(f *fleet) string { return complete("replica", closed(f)) },
+		"another instance answers at the address":              func(f *fleet) string { return complete("replica", other(f)) },
+		"another instance answers at the address of a primary": func(f *fleet) string { return complete("primary", other(f)) },
 	}
 	for name, entry := range tests {
 		t.Run(name, func(t *testing.T) {
