standin: one function for a complete entry of an instance

Cause: the read-through found names of the platform in a test of internal/front, and the same entry written in three places.

Change: standin.Entry, used by the stand-in, the soak and the tests. The cases are the same: an entry that lacks fields still lacks two of them.

Evidence: the tests of platform, internal/layout and platform/soak and TestDemotedPrimaryIsReplaced pass.

--- a/internal/front/promote_test.go
+++ b/internal/front/promote_test.go
@@ -1,9 +1,10 @@
 package front_test
 
 import (
-	"fmt"
 	"testing"
 	"time"
+
+	"redwingspread/platform/standin"
 )
 
 // TestPromotionKeepsAcknowledgedCommits guards against promotions of a replica that lacks acknowledged commits while another
@@ -91,23 +92,26 @@
 // TestDemotedPrimaryIsReplaced guards against a database that never gets a primary again after a demotion without a promotion, since the
 // hosts wait until an instance denies that it leads which never answers: another writer left its entry, or it is gone.
 func TestDemotedPrimaryIsReplaced(t *testing.T) {
-	complete := func(role, address string) string {
-		return fmt.Sprintf(`{"Service":"seats","Addr":%q,"Zone":"east","Version":"v1","Slots":2,"State":"ready","ColdLeftMs":0,"DbRole":%q,"Seq":1,"born":1}`, address, role)
+	complete := func(role, address string) map[string]any {
+		return standin.Entry("seats", address, "ready", role, 2, 1)
 	}
 	other := func(f *fleet) string { _, address := f.cloud.Instance("seats-1"); return address }
 	closed := func(f *fleet) string { return string(freeAddresses(f.t, 1)[0]) }
-	tests := map[string]func(f *fleet) string{
-		"entry without some fields": func(f *fleet) string {
-			return fmt.Sprintf(`{"Service":"seats","Addr":%q,"Zone":"east","Slots":2,"State":"ready","DbRole":"replica","Seq":1}`, closed(f))
+	tests := map[string]func(f *fleet) map[string]any{
+		"entry without some fields": func(f *fleet) map[string]any {
+			entry := complete("replica", closed(f))
+			delete(entry, "Version")
+			delete(entry, "born")
+			return entry
 		},
-		"nobody listens at the address":                        func(f *fleet) string { return complete("replica", closed(f)) },
-		"another instance answers at the address":              func(f *fleet) string { return complete("replica", other(f)) },
-		"another instance answers at the address of a primary": func(f *fleet) string { return complete("primary", other(f)) },
+		"nobody listens at the address":                        func(f *fleet) map[string]any { return complete("replica", closed(f)) },
+		"another instance answers at the address":              func(f *fleet) map[string]any { return complete("replica", other(f)) },
+		"another instance answers at the address of a primary": func(f *fleet) map[string]any { return complete("primary", other(f)) },
 	}
 	for name, entry := range tests {
 		t.Run(name, func(t *testing.T) {
 			f := newFleet(t, 3)
-			f.cloud.Store.SetRaw("servers", "agent-0", []byte(entry(f)))
+			f.cloud.Store.Set("servers", "agent-0", entry(f))
 			f.run(f.openSession(f.hosts[0], "desk"), "WRITE early 1")
 			f.demote("seats-0")
 			f.eventually("a primary of a later term is written to", func() bool {
