--- a/review/rig-3/cases.go
+++ b/review/rig-3/cases.go
@@ -224,3 +224,61 @@
 	}
 	return result
 }
+
+// emptyCase checks rule CONFIG in a fleet in which some hosts learn of changes from others: a request is run with a dropped route.
+//
+// The operator takes all routes out of the configuration. Without the disruption one route stays.
+func emptyCase(w *world) outcome {
+	routes := []route{}
+	for n, name := range []string{"huvo11a", "kafi81c", "wuno96b"} {
+		w.addDatabase(name, []string{zones[n], zones[(n+1)%3], zones[(n+2)%3]})
+		routes = append(routes, route{host: "lepu270" + name[:2], kind: "primary", service: name, timeout: 800, goal: 400, prio: 0})
+	}
+	w.routes = routes
+	w.configure(routes)
+	time.Sleep(500 * time.Millisecond)
+	for n := range 18 {
+		zone := zones[n%3]
+		w.addHost(fmt.Sprintf("front-%s-%d", zone, n/3+1), zone)
+	}
+	if !w.awaitReady(20 * time.Second) {
+		return impossible
+	}
+	stop := make(chan struct{})
+	defer close(stop)
+	w.traffic(routes[2].host, stop)
+	time.Sleep(stableTime + 5*time.Second)
+	left := []route{}
+	if !w.trouble {
+		left = routes[2:]
+	}
+	acked := w.configure(left)
+	w.logf("operator: routes %s and %s are dropped; %d routes are left", routes[0].host, routes[1].host, len(left))
+	time.Sleep(time.Until(acked.Add(configApply + 2*time.Second)))
+	result := held
+	wrong := map[string]int{}
+	for count := range 15 {
+		for n, h := range w.hosts {
+			id := fmt.Sprintf("c0f2%04x%08x", n, count)
+			sent := time.Since(acked)
+			c, refused, err := dial(h.session, routes[0].host)
+			if c == nil {
+				w.logf("client: %.1f s after the ack, START %s at %s: %s %v", sent.Seconds(), routes[0].host, h.name, refused, err)
+				continue
+			}
+			r, err := c.query(id, "WRITE a2 "+id, 3*time.Second)
+			ran, found := w.ranAt(id)
+			w.logf("client: %.1f s after the ack, %s WRITE on %s at %s: %s%s %v; run by %s of %s", sent.Seconds(), id, routes[0].host, h.name, r.done, r.code, err, ran.instance, ran.service)
+			if found {
+				wrong[h.name]++
+				result = broken
+			}
+			c.close()
+		}
+		time.Sleep(500 * time.Millisecond)
+	}
+	for host, count := range wrong {
+		w.logf("BROKEN CONFIG: %s ran %d of 15 writes with the dropped route %s", host, count, routes[0].host)
+	}
+	return result
+}
--- a/review/rig-3/main.go
+++ b/review/rig-3/main.go
@@ -42,6 +42,7 @@
 var cases = map[string]func(w *world) outcome{
 	"token":  tokenCase,
 	"config": configCase,
+	"empty":  emptyCase,
 }
 
 func main() {
--- a/review/rig-3/world.go
+++ b/review/rig-3/world.go
@@ -251,42 +251,39 @@
 	}
 }
 
-// freePort returns a loopback address with a free port, and one whose next port is free too.
-func freePort(pair bool) string {
+// nextPort is where the search for free ports goes on: below the range from which the kernel takes ports of outgoing connections.
+var nextPort = 20000 + os.Getpid()%4000*2
+
+// freePort returns a loopback address with a free port, whose next port is free too and stays unused.
+func freePort() string {
 	for {
-		a, err := net.Listen("tcp4", "127.0.0.1:0")
-		if err != nil {
-			panic(err)
-		}
-		port := a.Addr().(*net.TCPAddr).Port
-		var b, c net.Listener
-		var u net.PacketConn
-		if pair {
-			b, err = net.Listen("tcp4", "127.0.0.1:"+strconv.Itoa(port+1))
-			if err == nil {
-				u, err = net.ListenPacket("udp4", "127.0.0.1:"+strconv.Itoa(port))
-			}
-			if err == nil {
-				c, err = net.Listen("tcp4", "127.0.0.1:0")
-			}
-		}
-		for _, l := range []net.Listener{a, b, c} {
-			if l != nil {
-				_ = l.Close()
-			}
-		}
-		if u != nil {
-			_ = u.Close()
+		if nextPort += 2; nextPort > 32000 {
+			nextPort = 20000
 		}
-		if err == nil {
-			return "127.0.0.1:" + strconv.Itoa(port)
+		if isFree(nextPort) && isFree(nextPort+1) {
+			return "127.0.0.1:" + strconv.Itoa(nextPort)
 		}
 	}
 }
 
+// isFree reports whether a port can be used for TCP and UDP.
+func isFree(port int) bool {
+	address := "127.0.0.1:" + strconv.Itoa(port)
+	tcp, err := net.Listen("tcp4", address)
+	if err != nil {
+		return false
+	}
+	defer tcp.Close()
+	udp, err := net.ListenPacket("udp4", address)
+	if err != nil {
+		return false
+	}
+	return udp.Close() == nil
+}
+
 // addHost writes the settings of a host, as the platform makes them from deploy/front.yaml, and starts it.
 func (w *world) addHost(name, zone string) *host {
-	h := &host{name: name, zone: zone, session: freePort(false), ready: freePort(false), mesh: freePort(true), metrics: freePort(false)}
+	h := &host{name: name, zone: zone, session: freePort(), ready: freePort(), mesh: freePort(), metrics: freePort()}
 	h.settings = filepath.Join(w.folder, name+".yaml")
 	text := fmt.Sprintf(`host: "%s"
 data-centre: "%s"
