--- a/review/rig-3/cases.go
+++ b/review/rig-3/cases.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/hex"
 	"fmt"
+	"strings"
+	"sync"
 	"time"
 )
 
@@ -99,7 +101,8 @@
 
 // tokenCase checks rule ONE: two holders promote with the same generation number.
 //
-// The primaries of three services are released in turn, before and after a drill in which the store comes back from an older copy.
+// The primaries of three services are released, before and after a drill in which the store comes back from an older copy. The host that
+// promoted first is being restarted as planned the second time, so that another one acts for its service.
 func tokenCase(w *world) outcome {
 	if !w.begin() {
 		return impossible
@@ -126,6 +129,18 @@
 		w.drill(copied, time.Second)
 	}
 	time.Sleep(12 * time.Second) // the drill is over, the old primaries have ended, and machines are in touch again
+	first := w.accepted()[0]
+	var restarted sync.WaitGroup
+	for _, h := range w.hosts {
+		if h.name == first.holder {
+			restarted.Add(1)
+			go func() {
+				defer restarted.Done()
+				w.restartPlanned(h, 500*time.Millisecond)
+			}()
+		}
+	}
+	time.Sleep(time.Second)
 	for _, d := range w.databases {
 		w.release(d)
 	}
@@ -135,6 +150,7 @@
 		}
 	}
 	time.Sleep(2 * time.Second)
+	restarted.Wait()
 	result := held
 	seen := map[string]order{}
 	for _, o := range w.accepted() {
@@ -282,3 +298,94 @@
 	}
 	return result
 }
+
+// signatureCase checks rule MIXED: a client gets a success without the instance's signature for it, or with other rows.
+//
+// For 5.5 s the primary of each service loses the answers of a share of 0.025 of the requests that it has run.
+func signatureCase(w *world) outcome {
+	if !w.begin() {
+		return impossible
+	}
+	time.Sleep(3 * time.Second)
+	stop := make(chan struct{})
+	var group sync.WaitGroup
+	var mutex sync.Mutex
+	result, broke := held, map[string]int{}
+	for n, h := range w.hosts {
+		for m, r := range w.routes {
+			group.Add(1)
+			go func() {
+				defer group.Done()
+				w.checkSignatures(h, r.host, fmt.Sprintf("%02x%02x", n, m), stop, func(verb string) {
+					mutex.Lock()
+					defer mutex.Unlock()
+					result = broken
+					broke[verb]++
+				})
+			}()
+		}
+	}
+	time.Sleep(3 * time.Second)
+	w.loseAnswers(w.trouble)
+	time.Sleep(5500 * time.Millisecond)
+	w.loseAnswers(false)
+	time.Sleep(3 * time.Second)
+	close(stop)
+	group.Wait()
+	for verb, count := range broke {
+		w.logf("BROKEN MIXED: %d times a client got a success for %s without the instance's signature or rows", count, verb)
+	}
+	return result
+}
+
+// loseAnswers makes the primaries lose answers, or all instances lose none.
+func (w *world) loseAnswers(losing bool) {
+	for _, d := range w.databases {
+		leader := d.leader()
+		d.mutex.Lock()
+		for _, i := range d.instances {
+			i.losing = losing && i == leader
+		}
+		d.mutex.Unlock()
+	}
+	w.logf("answers of primaries are lost: %v", losing)
+}
+
+// checkSignatures reads, writes and commits on a route and reports each success that lacks the signature or the row of its instance. It
+// waits for each answer before the next request.
+func (w *world) checkSignatures(h *host, name, prefix string, stop <-chan struct{}, report func(verb string)) {
+	var c *client
+	defer func() {
+		if c != nil {
+			c.close()
+		}
+	}()
+	steps := []string{"READ a1", "WRITE a1 x", "BEGIN", "WRITE a1 x", "COMMIT"}
+	for count := 0; ; count++ {
+		select {
+		case <-stop:
+			return
+		case <-time.After(50 * time.Millisecond):
+		}
+		if c == nil {
+			if c, _, _ = dial(h.session, name); c == nil {
+				continue
+			}
+			count = (count/len(steps) + 1) * len(steps)
+		}
+		text := steps[count%len(steps)]
+		id := fmt.Sprintf("5160%s%08x", prefix, count)
+		r, err := c.query(id, text, 3*time.Second)
+		w.logf("client: %s, route %s: QUERY %s %s: rows %q, done %q, error %q %q, state %s, %v", h.name, name, id, text, r.rows, r.done, r.code, r.text, r.state, err)
+		if err != nil || r.code != "" {
+			c.close()
+			c = nil
+			continue
+		}
+		verb, _, _ := strings.Cut(text, " ")
+		if verb != "BEGIN" && !strings.HasSuffix(r.done, "."+id) || verb == "READ" && len(r.rows) != 1 {
+			w.logf("BROKEN MIXED: %s got a success for %s with done %q and rows %q", id, text, r.done, r.rows)
+			report(verb)
+		}
+	}
+}
--- a/review/rig-3/instance.go
+++ b/review/rig-3/instance.go
@@ -50,6 +50,8 @@
 	stopped  bool
 	conns    map[net.Conn]bool
 	beatNow  chan struct{}
+	losing   bool // it loses answers of requests that it has run
+	ran      int  // requests run since then
 }
 
 // position returns the log position of an instance: received and applied lengths differ by the lags; the lock is held.
@@ -275,6 +277,9 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	rows, outcome := i.handle(s, id, word, rest, text, after)
+	if i.losing && id != "-" && !strings.HasPrefix(outcome, "ERR") && d.world.loses(i, id, text) {
+		return ""
+	}
 	return rows + outcome + "\r\nREADY " + s.state + " " + d.position(i.length(applyLag)) + "\r\n"
 }
 
--- a/review/rig-3/main.go
+++ b/review/rig-3/main.go
@@ -40,9 +40,10 @@
 )
 
 var cases = map[string]func(w *world) outcome{
-	"token":  tokenCase,
-	"config": configCase,
-	"empty":  emptyCase,
+	"token":     tokenCase,
+	"config":    configCase,
+	"empty":     emptyCase,
+	"signature": signatureCase,
 }
 
 func main() {
--- a/review/rig-3/world.go
+++ b/review/rig-3/world.go
@@ -20,6 +20,7 @@
 	seedTime     = 100 * time.Millisecond
 	graceSeconds = 6
 	configApply  = 3 * time.Second
+	loseEach     = 40 // one answer in so many is lost: a share of 0.025
 	stableTime   = 5 * time.Second
 )
 
@@ -46,6 +47,9 @@
 	config    map[string]any
 	version   int
 	routes    []route // of the first configuration
+
+	processes sync.Mutex // held while a process is started or all are ended
+	closed    bool       // no process is started any more
 }
 
 // run is where a statement has run.
@@ -130,6 +134,17 @@
 	}
 }
 
+// loses decides whether the answer to a request that has run is lost, which it is for one in loseEach, and records it. The instance's
+// database is locked.
+func (w *world) loses(i *instance, id, text string) bool {
+	i.ran++
+	if i.ran%loseEach != 0 {
+		return false
+	}
+	w.logf("instance %s of %s has run %s %s; its answer is lost", i.id, i.db.name, id, text)
+	return true
+}
+
 // ranAt returns where a statement has run.
 func (w *world) ranAt(id string) (run, bool) {
 	w.mutex.Lock()
@@ -316,6 +331,11 @@
 
 // startHost starts the process of a host.
 func (w *world) startHost(h *host) {
+	w.processes.Lock()
+	defer w.processes.Unlock()
+	if w.closed {
+		return
+	}
 	logFile, err := os.OpenFile(filepath.Join(w.folder, h.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		panic(err)
@@ -388,6 +408,9 @@
 
 // close ends all processes that this one started, and removes the temporary files. With RIG_KEEP they stay.
 func (w *world) close() {
+	w.processes.Lock()
+	defer w.processes.Unlock()
+	w.closed = true
 	for _, h := range w.hosts {
 		_ = h.command.Process.Kill()
 		<-h.exited
