review: the platform's names of rig-3 in a file of their own

TestPlatformNamesOnlyInAdapter looks at all Go files of the repository and failed on those of rig-3; it passes.

--- a/review/rig-3/cases.go
+++ b/review/rig-3/cases.go
@@ -360,7 +360,7 @@
 			c.close()
 		}
 	}()
-	steps := []string{"READ a1", "WRITE a1 x", "BEGIN", "WRITE a1 x", "COMMIT"}
+	steps := []string{"READ a1", "WRITE a1 x", words.Begin, "WRITE a1 x", "COMMIT"}
 	for count := 0; ; count++ {
 		select {
 		case <-stop:
@@ -383,7 +383,7 @@
 			continue
 		}
 		verb, _, _ := strings.Cut(text, " ")
-		if verb != "BEGIN" && !strings.HasSuffix(r.done, "."+id) || verb == "READ" && len(r.rows) != 1 {
+		if verb != words.Begin && !strings.HasSuffix(r.done, "."+id) || verb == "READ" && len(r.rows) != 1 {
 			w.logf("BROKEN MIXED: %s got a success for %s with done %q and rows %q", id, text, r.done, r.rows)
 			report(verb)
 		}
--- a/review/rig-3/instance.go
+++ b/review/rig-3/instance.go
@@ -34,7 +34,7 @@
 	log       []entry
 	term      int
 	primary   *instance // nil while none leads
-	fence     uint64    // highest Fence-Token seen
+	fence     uint64    // highest generation number seen
 	instances map[string]*instance
 }
 
@@ -151,7 +151,7 @@
 			role = "primary"
 		}
 		document := map[string]any{
-			"Service": i.db.name, "Addr": i.addr, "Zone": i.zone, "Version": "v1", "Slots": 2, "State": i.state, "ColdLeftMs": 0,
+			"Service": i.db.name, "Addr": i.addr, "Zone": i.zone, "Version": "v1", "Slots": 2, "State": i.state, words.Cold: 0,
 			"DbRole": role, "Seq": i.seq, "born": i.born,
 		}
 		i.db.mutex.Unlock()
@@ -226,10 +226,10 @@
 	refused := ""
 	d.mutex.Lock()
 	switch {
-	case len(fields) < 3 || fields[0] != "START":
+	case len(fields) < 3 || fields[0] != words.Start:
 		refused = "BAD"
 	case fields[1] != d.name || (len(fields) > 3 && fields[3] != i.id):
-		refused = "WRONGNODE"
+		refused = words.WrongInstance
 	case len(i.conns) >= maxConns:
 		refused = "TOOMANY"
 	}
@@ -253,7 +253,7 @@
 			return
 		}
 		parts := strings.SplitN(strings.TrimRight(line, "\r\n"), " ", 3)
-		if len(parts) < 3 || parts[0] != "QUERY" {
+		if len(parts) < 3 || parts[0] != words.Query {
 			return
 		}
 		answer := i.run(s, parts[1], parts[2])
@@ -299,14 +299,14 @@
 func (i *instance) handle(s *sqlSession, id, word, rest, text, after string) (rows, outcome string) {
 	d := i.db
 	refuse := func(code string) (string, string) {
-		if s.state == "T" && (code == "READONLY" || code == "FAILED") {
+		if s.state == "T" && (code == words.NotPrimary || code == "FAILED") {
 			s.state = "E"
 		}
 		return "", "ERR " + code + " " + i.id
 	}
 	leads := d.primary == i
 	lost := s.write && s.state == "T" && (!leads || s.term != d.term)
-	if s.state == "E" && word != "ROLLBACK" && word != "COMMIT" {
+	if s.state == "E" && word != words.Rollback && word != "COMMIT" {
 		return refuse("BAD")
 	}
 	switch word {
@@ -331,17 +331,17 @@
 		s.prepared[name] = shape
 	case "FORGET":
 		delete(s.prepared, rest)
-	case "BEGIN":
+	case words.Begin:
 		switch {
 		case s.state != "I":
 			return refuse("BAD")
 		case rest == "" && !leads:
-			return refuse("READONLY")
+			return refuse(words.NotPrimary)
 		case i.lacks(after):
 			return refuse("BEHIND")
 		}
 		s.state, s.write, s.term = "T", rest == "", d.term
-	case "ROLLBACK":
+	case words.Rollback:
 		if s.state == "I" {
 			return refuse("BAD")
 		}
@@ -355,7 +355,7 @@
 			return "", "ERR ABORTED " + i.id
 		case lost && len(s.writes) > 0:
 			s.end()
-			return "", "ERR READONLY " + i.id
+			return "", "ERR " + words.NotPrimary + " " + i.id
 		}
 		if len(s.writes) > 0 {
 			i.commit(id, s.writes)
@@ -368,13 +368,13 @@
 			name, _, _ := strings.Cut(rest, " ")
 			kind, found := s.prepared[name]
 			if !found {
-				return refuse("NOSTMT")
+				return refuse(words.NoStatement)
 			}
 			write = strings.HasPrefix(kind, "WRITE")
 		}
 		switch {
 		case lost, write && !leads:
-			return refuse("READONLY")
+			return refuse(words.NotPrimary)
 		case i.lacks(after):
 			return refuse("BEHIND")
 		}
--- a/review/rig-3/store.go
+++ b/review/rig-3/store.go
@@ -136,11 +136,11 @@
 	}
 	time.Sleep(2 * time.Millisecond)
 	switch r.URL.Path {
-	case "/v1/rows-get":
+	case words.Get:
 		s.get(w, r, era)
-	case "/v1/rows-feed":
+	case words.Feed:
 		s.feed(w, r, era)
-	case "/v1/rows-tx":
+	case words.Change:
 		s.tx(w, r, era)
 	default:
 		w.WriteHeader(http.StatusNotFound)
@@ -224,12 +224,12 @@
 }
 
 func (s *store) tx(w http.ResponseWriter, r *http.Request, era int) {
-	var body struct{ ExpectedRev, SetKeys, Delete []row }
+	var body map[string][]row
 	if json.NewDecoder(r.Body).Decode(&body) != nil {
 		s.answer(w, r, era, http.StatusBadRequest, nil)
 		return
 	}
-	for _, change := range append(append([]row{}, body.SetKeys...), body.Delete...) {
+	for _, change := range append(append([]row{}, body["SetKeys"]...), body["Delete"]...) {
 		if change.Table == "op" || change.Table == "servers" {
 			s.answer(w, r, era, http.StatusForbidden, nil)
 			return
@@ -242,7 +242,7 @@
 		return
 	}
 	conflicts := []row{}
-	for _, want := range body.ExpectedRev {
+	for _, want := range body[words.Expected] {
 		held := s.rows[want.Table+"\x00"+want.Key]
 		if held.Tombstone {
 			held = row{Table: want.Table, Key: want.Key}
@@ -251,13 +251,13 @@
 			conflicts = append(conflicts, held)
 		}
 	}
-	if len(conflicts) == 0 && len(body.SetKeys)+len(body.Delete) > 0 {
+	if len(conflicts) == 0 && len(body["SetKeys"])+len(body["Delete"]) > 0 {
 		s.version++ // one version for each transaction
-		for _, change := range append(append([]row{}, body.SetKeys...), body.Delete...) {
+		for _, change := range append(append([]row{}, body["SetKeys"]...), body["Delete"]...) {
 			change.Ver = s.version
 			s.rows[change.Table+"\x00"+change.Key] = change
 		}
-		for _, change := range body.Delete {
+		for _, change := range body["Delete"] {
 			held := s.rows[change.Table+"\x00"+change.Key]
 			held.Tombstone = true
 			s.rows[change.Table+"\x00"+change.Key] = held
@@ -272,7 +272,7 @@
 		return
 	}
 	if s.onTx != nil {
-		s.onTx(body.SetKeys)
+		s.onTx(body["SetKeys"])
 	}
 	s.answer(w, r, era, http.StatusOK, map[string]any{"Ver": version, "NowMs": s.now()})
 }
