front: tokens of promotions are unique across restores of the store

Callers can lose commits by it: the platform takes both orders, and a late one replaces a new primary.

Cause: the next token was the one in the promotion's row plus one. After a restore the row is gone or older than what the hosts and the platform know. The token was then a known one, so that no pause followed, and the acting host promoted again some 10 ms later.

Change: the next token is higher than the row's and the newest known one, and holds the store's era (header Store-Era) in its upper part, so that it is higher than each token of an earlier era, whoever knows it. A claim counts only if the row was read before and after its write in one era, and a row for each era guards it against late writes of earlier eras, whose expected version may fit again. Without the header tokens are as before. A claim whose writes all met a conflict was taken for a success where the row's token was lower; a conflict ends it now.

--- a/internal/controller/event.go
+++ b/internal/controller/event.go
@@ -61,8 +61,9 @@
 type Promotion struct {
 	Database model.DatabaseID
 	failover.Promotion
-	Nonce    model.Nonce    // of the attempt that wrote the row
-	Revision model.Revision // of the row, expected by the next write; zero when there is no row
+	Nonce    model.Nonce         // of the attempt that wrote the row
+	Position model.StorePosition // of the row, expected by the next write; its revision is zero when there is no row
+	Claim    model.Revision      // of the row that guards the promotions of the position's era; zero when there is none
 }
 
 // Heartbeat is the message that a host sends to the others periodically.
--- a/internal/front/interfaces.go
+++ b/internal/front/interfaces.go
@@ -96,6 +96,8 @@
 	ErrHistoryTruncated = errors.New("change history after the revision is no longer available")
 	// ErrConflict is returned when the row's revision is not the expected one.
 	ErrConflict = errors.New("row revision conflict")
+	// ErrStoreRestored is returned when the store has come back from an older copy, so that what was read before may be gone.
+	ErrStoreRestored = errors.New("the store has come back from an older copy")
 )
 
 // Store is the part of the platform that stores rows.
@@ -112,9 +114,10 @@
 	DeleteHost(ctx context.Context, host model.HostID) error
 	// CreateKey stores the hosts' shared key unless one exists, and returns the stored key.
 	CreateKey(ctx context.Context, key mesh.Key) (mesh.Key, error)
-	// ReadPromotion reads the row of a database's newest promotion; its revision is zero when there is none.
+	// ReadPromotion reads the row of a database's newest promotion; its revision is zero when there is none, and its era is set in any case.
 	ReadPromotion(ctx context.Context, database model.DatabaseID) (controller.Promotion, error)
-	// WritePromotion writes the row if its revision is unchanged; after an error other than ErrConflict the row may or may not have been written.
+	// WritePromotion writes the row if its revision is unchanged, and the promotions of its era too; after an error other than ErrConflict
+	// the row may or may not have been written.
 	WritePromotion(ctx context.Context, promotion controller.Promotion) error
 }
 
--- a/internal/front/promote.go
+++ b/internal/front/promote.go
@@ -64,7 +64,7 @@
 		return result
 	}
 	result.Instance = best.Instance
-	claimed, err := h.claimPromotion(callCtx, row, best.Instance)
+	claimed, err := h.claimPromotion(callCtx, row, c.Promotion.Token, best.Instance)
 	if err != nil {
 		result.Err = err
 		return result
@@ -101,18 +101,20 @@
 	return h.Platform.ReadPromotion(callCtx, database)
 }
 
-// claimPromotion writes the row with the next token, which only one host can obtain; if a response is lost, reading the row shows the result.
-func (h *Host) claimPromotion(ctx context.Context, row controller.Promotion, instance model.InstanceID) (controller.Promotion, error) {
+// claimPromotion writes the row with a token after the row's and the newest known one, which only one host can obtain; if a response is
+// lost, reading the row shows the result.
+//
+// The claim counts only if the row was read before and after the write in one era of the store: what was written in an earlier one may
+// be gone, and another host may have the token.
+func (h *Host) claimPromotion(ctx context.Context, row controller.Promotion, newest model.Token, instance model.InstanceID) (controller.Promotion, error) {
 	claimed := row
 	claimed.Instance = instance
-	claimed.Token = row.Token + 1
+	claimed.Token = max(row.Token, newest).Next(row.Position.Era)
 	claimed.Holder = h.self.ID
 	claimed.Nonce = model.Nonce(rand.Text())
-	err := errPrimaryChanged
+	var err error
 	for range claimAttempts {
-		if err = h.writePromotion(ctx, claimed); errors.Is(err, ErrConflict) {
-			err = nil
-		}
+		err = h.writePromotion(ctx, claimed)
 		if ctx.Err() != nil {
 			return claimed, ctx.Err()
 		}
@@ -120,12 +122,17 @@
 		switch {
 		case readErr != nil:
 			err = errors.Join(err, readErr)
+		case current.Position.Era != row.Position.Era:
+			return current, ErrStoreRestored
 		case current.Nonce == claimed.Nonce:
 			return current, nil
-		case current.Token >= claimed.Token:
+		case errors.Is(err, ErrConflict) || current.Token >= claimed.Token:
 			return current, errPrimaryChanged
 		}
 	}
+	if err == nil {
+		err = errPrimaryChanged // the write was answered, but the row is another one's
+	}
 	return claimed, err
 }
 
@@ -296,7 +303,7 @@
 	case newest.Instance == best.Instance:
 		return claimed, best, true, nil
 	}
-	next, err := h.claimPromotion(ctx, claimed, newest.Instance)
+	next, err := h.claimPromotion(ctx, claimed, claimed.Token, newest.Instance)
 	if err != nil {
 		return claimed, best, true, err
 	}
@@ -378,7 +385,7 @@
 	if !found || newest.Instance == best.Instance || newest.Received.Compare(best.Received) <= 0 {
 		return row, best, nil
 	}
-	next, err := h.claimPromotion(ctx, row, newest.Instance)
+	next, err := h.claimPromotion(ctx, row, row.Token, newest.Instance)
 	if err != nil {
 		return row, best, err
 	}
--- a/internal/mesh/directory.go
+++ b/internal/mesh/directory.go
@@ -138,7 +138,7 @@
 			Token:    uint64(promotion.Token),
 			Holder:   string(promotion.Holder),
 			Nonce:    string(promotion.Nonce),
-			Revision: uint64(promotion.Revision),
+			Revision: uint64(promotion.Position.Revision),
 		})
 	}
 }
@@ -167,7 +167,7 @@
 				Holder:   model.HostID(promotion.Holder),
 			},
 			Nonce:    model.Nonce(promotion.Nonce),
-			Revision: model.Revision(promotion.Revision),
+			Position: model.StorePosition{Revision: model.Revision(promotion.Revision)},
 		})
 	}
 	return update
--- a/internal/mesh/node_test.go
+++ b/internal/mesh/node_test.go
@@ -268,7 +268,7 @@
 		Revision: 12,
 		Hosts:    []controller.Host{{ID: "h1", Address: "127.0.0.1:7", DataCentre: "east", Incarnation: 17}},
 		Promotions: []controller.Promotion{{
-			Database: "seats", Nonce: "n", Revision: 11, Promotion: failover.Promotion{Instance: "i1", Token: 6, Holder: "h1"},
+			Database: "seats", Nonce: "n", Position: model.StorePosition{Revision: 11}, Promotion: failover.Promotion{Instance: "i1", Token: 6, Holder: "h1"},
 		}},
 	}
 	tests := map[string]struct {
