front: hosts write their rows again after a restore of the store

A host's own row, the shared key and the rows of promotions are written once. After the store has come back from an older copy they could stay lost: a host that started later found no other host, created another key, and knew of no promotion.

Change: once a host notices a new era, by any table or by another host, it reads the hosts' rows after up to two seconds and writes again what is lost; promotions only under the version just read and only where the row's token is lower. Event 6029 and the metric rows_rewritten tell what was written. The membership that a host passes on takes in promotions that it has just made itself; it kept the former ones until some row changed.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -371,7 +371,10 @@
 	if known := c.promotions[promotion.Database]; known.Token > promotion.Token {
 		return
 	}
-	c.promotions[promotion.Database] = promotion
+	if c.promotions[promotion.Database] != promotion {
+		c.promotions[promotion.Database] = promotion
+		c.known = nil // it has the promotions too
+	}
 	if c.lease != nil && c.lease.Assign(c.boot, lease.Assignment{Database: promotion.Database, Instance: promotion.Instance, Token: promotion.Token}) {
 		c.urgent = true
 	}
--- a/internal/controller/following.go
+++ b/internal/controller/following.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -76,6 +77,27 @@
 	Promotions []Promotion
 }
 
+// LostRows are the rows of the hosts' own table that the store has lost.
+type LostRows struct {
+	Host       bool // the host's own row
+	Promotions []Promotion
+}
+
+// Lost returns what a full list of the rows lacks of the host's own row and of the promotions that the host knows.
+func (m *Membership) Lost(self Host, listed MembershipUpdate) (lost LostRows) {
+	lost.Host = !slices.ContainsFunc(listed.Hosts, func(row Host) bool { return row.ID == self.ID && row.Incarnation >= self.Incarnation })
+	tokens := make(map[model.DatabaseID]model.Token, len(listed.Promotions))
+	for _, promotion := range listed.Promotions {
+		tokens[promotion.Database] = promotion.Token
+	}
+	for _, known := range m.Promotions {
+		if known.Token > tokens[known.Database] && known.Nonce != "" { // without a nonce only an assignment is known
+			lost.Promotions = append(lost.Promotions, known)
+		}
+	}
+	return lost
+}
+
 // updateKnown replaces the membership that other hosts can fetch when it has changed.
 func (c *Controller) updateKnown() *Membership {
 	if c.known != nil && c.known.Position == c.rows {
--- a/internal/event/events_gen.go
+++ b/internal/event/events_gen.go
@@ -67,6 +67,7 @@
 	NumberReplicasCompared         Number = 6026
 	NumberTenantRefused            Number = 6027
 	NumberStoreRestored            Number = 6028
+	NumberRowsRestored             Number = 6029
 	NumberLeavingChanged           Number = 6030
 	NumberMemoryRefused            Number = 6040
 	NumberSessionEvicted           Number = 6041
@@ -651,6 +652,16 @@
 	}).Warn("the store has come back from an older copy; the host reads the table anew")
 }
 
+// RowsRestored logs event 6029: the host has checked its rows after the store came back from an older copy, and written again what was lost.
+func RowsRestored(logger log.Interface, era model.Era, hosts int, written int) {
+	logger.WithFields(log.Fields{
+		"event":   NumberRowsRestored,
+		"era":     era,
+		"hosts":   hosts,
+		"written": written,
+	}).Info("the host has checked its rows after the store came back from an older copy, and written again what was lost")
+}
+
 // LeavingChanged logs event 6030: the share of a database's reads that may leave the data centre began, changed direction or ended.
 func LeavingChanged(logger log.Interface, database model.DatabaseID, change string, share model.Percent) {
 	logger.WithFields(log.Fields{
--- a/internal/front/counters.go
+++ b/internal/front/counters.go
@@ -56,6 +56,7 @@
 	RelayedRefused expvar.Int // sessions that other hosts passed on and that were refused because the host had as many as it may
 	SetupRefused   expvar.Int // commands that prepare a connection for a session and that an instance refused
 	Restores       expvar.Int // tables read anew since the store had come back from an older copy
+	Rewritten      expvar.Int // rows written again since the store had lost them
 	DroppedLines   func() uint64
 
 	tenants   tenantCounters
@@ -130,6 +131,7 @@
 	line("relayed_refused %s", c.RelayedRefused.String())
 	line("setup_refused %s", c.SetupRefused.String())
 	line("store_restores %s", c.Restores.String())
+	line("rows_rewritten %s", c.Rewritten.String())
 	line("lines_dropped %d", c.DroppedLines())
 	c.refusals.Do(func(kv expvar.KeyValue) { line("refusals{code=%q} %s", kv.Key, kv.Value.String()) })
 	for reason, name := range rejectionNames {
--- a/internal/front/follow.go
+++ b/internal/front/follow.go
@@ -37,6 +37,9 @@
 	// restoredSpread is the time over which the hosts of a fleet read a table anew after the store has come back from an older copy: the
 	// store serves 2,000 calls a second, and 300 hosts read three tables each.
 	restoredSpread = 500 * time.Millisecond
+	// rewriteSpread is the time over which the hosts of a fleet write rows again that the store has lost: 300 hosts write one each, and the
+	// store takes 400 writes a second.
+	rewriteSpread = 2 * time.Second
 	// fullReadInterval is the time between full reads of a table while the store keeps no history: a third of the shortest time
 	// within which a configuration must be in force.
 	fullReadInterval = time.Second
@@ -93,21 +96,39 @@
 	return h.Loop.Send(ctx, update)
 }
 
-// registerLoop registers the host and loads the shared key, retrying until both succeed, then sends its result on done.
+// registerLoop registers the host and loads the shared key, writes rows again that the store loses later, and sends its result on done
+// when the context ends.
 func (h *Host) registerLoop(ctx context.Context, done chan<- error) {
-	for backoff := retry.NewSharedBackoff(); ctx.Err() == nil; {
-		err := h.register(ctx)
-		if err == nil {
-			break
+	h.retry(ctx, "store: own row", h.register)
+	for era := h.storeEra(); ctx.Err() == nil; {
+		changed := h.Loop.Changed()
+		if newest := h.storeEra(); newest > era {
+			era = newest
+			if clock.Pause(ctx, rand.N(rewriteSpread)) == nil {
+				h.retry(ctx, "store: lost rows", h.restoreRows)
+			}
+			continue
 		}
-		event.DependencyLost(h.Logger, "store: own row", err)
-		if clock.Pause(ctx, backoff.Next(0)) != nil {
-			break
+		select {
+		case <-changed:
+		case <-ctx.Done():
 		}
 	}
 	done <- ctx.Err()
 }
 
+// retry calls a function until it succeeds or the context ends.
+func (h *Host) retry(ctx context.Context, name string, call func(context.Context) error) {
+	for backoff := retry.NewSharedBackoff(); ctx.Err() == nil; {
+		err := call(ctx)
+		if err == nil {
+			return
+		}
+		event.DependencyLost(h.Logger, name, err)
+		_ = clock.Pause(ctx, backoff.Next(0)) // the loop condition checks for the end of the context
+	}
+}
+
 // register writes the host's row, and creates the shared key if there is none.
 func (h *Host) register(ctx context.Context) error {
 	callCtx, cancel := context.WithTimeout(ctx, readTimeout)
--- a/internal/front/restored_test.go
+++ b/internal/front/restored_test.go
@@ -3,7 +3,9 @@
 import (
 	"encoding/base64"
 	"encoding/json"
+	"maps"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -147,3 +149,35 @@
 		})
 	}
 }
+
+// TestRowsAfterRestore guards against rows that hosts write once, and that stay lost when the store comes back from an older copy: a host
+// that starts later would find no other host, create another shared key and know of no promotion.
+func TestRowsAfterRestore(t *testing.T) {
+	f := newFleet(t, 2)
+	store := f.cloud.Store
+	store.SetEra(1)
+	f.replacePrimary()
+	for _, host := range f.hosts { // a host that doesn't know the new primary may promote again, under a token of the next era
+		f.eventually("the host knows the new primary", func() bool { return f.canRead(host, "desk") })
+	}
+	own := func() map[string]string {
+		rows := make(map[string]string)
+		for _, row := range store.Rows() {
+			if row.Table == "redwingspread" && !strings.HasPrefix(row.Key, "claim/") {
+				rows[row.Key] = row.Value
+			}
+		}
+		return rows
+	}
+	want := own()
+	store.Restore(store.Copy().Without("redwingspread"))
+	for limit := time.Now().Add(waitLimit); !maps.Equal(own(), want) && time.Now().Before(limit); {
+		time.Sleep(20 * time.Millisecond)
+	}
+	if got := own(); !maps.Equal(got, want) {
+		t.Errorf("got rows %v, want %v again", got, want)
+	}
+	if len(want) != 4 {
+		t.Errorf("got rows %v, want those of two hosts, the key and a promotion", want)
+	}
+}
