front: a restored row that lacks that its host is alone is written again

A host without others renews its lease from the store and says so in its row, for which a promotion waits where the platform doesn't fence primaries. Cause: after a restore a row of the same start counted as complete without that. Change: it is written again; the row of a later start of the same host is left alone. Result: the case "that the host is alone" of TestLostRows fails without the change and passes with it.

--- a/internal/controller/following.go
+++ b/internal/controller/following.go
@@ -85,7 +85,9 @@
 
 // Lost returns what a full list of the rows lacks of the host's own row and of the promotions that the host knows.
 func (m *Membership) Lost(self Host, listed MembershipUpdate) (lost LostRows) {
-	lost.Host = !slices.ContainsFunc(listed.Hosts, func(row Host) bool { return row.ID == self.ID && row.Incarnation >= self.Incarnation })
+	lost.Host = !slices.ContainsFunc(listed.Hosts, func(row Host) bool {
+		return row.ID == self.ID && (row.Incarnation > self.Incarnation || row.Incarnation == self.Incarnation && row.Lone == self.Lone)
+	})
 	tokens := make(map[model.DatabaseID]model.Token, len(listed.Promotions))
 	for _, promotion := range listed.Promotions {
 		tokens[promotion.Database] = promotion.Token
--- a/internal/controller/following_test.go
+++ b/internal/controller/following_test.go
@@ -210,3 +210,35 @@
 		})
 	}
 }
+
+// TestLostRows guards against rows that stay as an older copy of the store has them.
+func TestLostRows(t *testing.T) {
+	self := Host{ID: "h00", Incarnation: 2, Lone: true}
+	promotion := func(token model.Token, nonce model.Nonce) []Promotion {
+		return []Promotion{{Database: "seats", Promotion: failover.Promotion{Token: token}, Nonce: nonce}}
+	}
+	tests := map[string]struct {
+		known, listed []Promotion
+		row           Host
+		host          bool
+		promotions    int
+	}{
+		"nothing":                   {row: self, known: promotion(7, "n"), listed: promotion(7, "n")},
+		"the own row":               {row: Host{ID: "h01"}, host: true},
+		"the newest own row":        {row: Host{ID: "h00", Incarnation: 1, Lone: true}, host: true},
+		"that the host is alone":    {row: Host{ID: "h00", Incarnation: 2}, host: true},
+		"the row of a later start":  {row: Host{ID: "h00", Incarnation: 3}},
+		"a promotion":               {row: self, known: promotion(7, "n"), promotions: 1},
+		"the newest promotion":      {row: self, known: promotion(7, "n"), listed: promotion(6, "o"), promotions: 1},
+		"a promotion known in part": {row: self, known: promotion(7, "")},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			known := Membership{Promotions: test.known}
+			got := known.Lost(self, MembershipUpdate{Hosts: []Host{test.row}, Promotions: test.listed})
+			if got.Host != test.host || len(got.Promotions) != test.promotions {
+				t.Errorf("got %+v, want the host: %v, and %d promotions", got, test.host, test.promotions)
+			}
+		})
+	}
+}
--- a/internal/front/follow.go
+++ b/internal/front/follow.go
@@ -248,9 +248,9 @@
 
 // follow applies each change of a table until the context ends, then sends its result on done.
 //
-// When the history has been truncated, or the store has come back from an older copy, it reads the full table. If the store truncates its history all the time, it polls for
-// changes only now and then, since each such poll is a wasted call. After a failure the table is read without waiting until
-// a read succeeds, since the next poll may be dropped too.
+// When the history has been truncated, or the store has come back from an older copy, it reads the full table. If the store truncates
+// its history all the time, it polls for changes only now and then, since each such poll is a wasted call. After a failure the table is
+// read without waiting until a read succeeds, since the next poll may be dropped too.
 func follow[T any](ctx context.Context, h *Host, t table[T], done chan<- error) {
 	after := model.StorePosition{}
 	lostSince := time.Time{}
--- a/internal/front/lostrows.go
+++ b/internal/front/lostrows.go
@@ -36,10 +36,10 @@
 	if err := h.applyHostRows(callCtx, rows); err != nil {
 		return err
 	}
-	lost, rewritten := h.view().Membership.Lost(h.self, rows.MembershipUpdate), 0
+	self := h.self
+	self.Lone = h.lone.Load()
+	lost, rewritten := h.view().Membership.Lost(self, rows.MembershipUpdate), 0
 	if lost.Host {
-		self := h.self
-		self.Lone = h.lone.Load()
 		if err := h.Platform.WriteHost(callCtx, self); err != nil {
 			return err
 		}
