--- a/internal/front/interfaces.go
+++ b/internal/front/interfaces.go
@@ -103,7 +103,9 @@
 // Store is the part of the platform that stores rows.
 type Store interface {
 	// Configuration returns the operators' configuration and the position up to which it was read; with a revision it waits for a newer one.
-	// In another era than that of the revision it returns ErrStoreRestored, with the position that the store has reached, if it tells one.
+	//
+	// In another era than that of the revision it returns ErrStoreRestored and the position that the store has reached, whose revision is
+	// zero if the store lacks the given one.
 	Configuration(ctx context.Context, after model.StorePosition, wait time.Duration) (controller.DirectoryUpdate, model.StorePosition, error)
 	// Instances is Configuration for the instance entries.
 	Instances(ctx context.Context, after model.StorePosition, wait time.Duration) (controller.DirectoryUpdate, model.StorePosition, error)
--- a/internal/front/lostrows.go
+++ b/internal/front/lostrows.go
@@ -33,7 +33,7 @@
 	if err != nil {
 		return err
 	}
-	if err := h.applyHostRows(callCtx, rows); err != nil {
+	if err := h.applyHostRows(callCtx, rows); err != nil { // the host's own poll may end only after longPollLimit
 		return err
 	}
 	self := h.self
